--- /dev/null
+++ b/crates/fleet/src/decide.rs
@@ -0,0 +1,312 @@
+//! What the deciding node does next for the groups of one service.
+//!
+//! [`step`] compares the plan of every fabric domain with what the runners say
+//! of themselves. It retires groups that lost a member, releases the members of
+//! retired groups once their head surely takes nothing any more, forms new
+//! groups out of free runners, and lists the orders that bring the runners to
+//! where the plan wants them (see [`crate::order`]). It only names changes;
+//! whoever calls it writes them to the store under a condition and sends the
+//! orders after that.
+
+use std::collections::{BTreeMap, HashMap, HashSet};
+
+use cottoncrank::{Millis, id};
+
+use crate::catalog::{Model, Service};
+use crate::order::{Order, list_orders};
+use crate::plan::{Document, Group};
+use crate::roster::Roster;
+use crate::runner::{Epoch, Phase, Runner};
+
+/// Of the runners, this part is meant for groups; the others stand by with a
+/// model staged, so that a lost member is replaced without a load. Two of the
+/// ten runners of today's domains, the most that fail there at one time.
+pub const PLACED: f64 = 0.8;
+
+/// Kept on top of the time after which a group that stands still is broken, for
+/// the way of the order that made it stand still.
+pub const STALL_MARGIN: Millis = Millis(700);
+
+/// How many seconds of loads may be begun at one time. The store of weights
+/// allows three loads beyond its rate in a window, and a tenth more.
+const LOAD_BURST: f64 = 1.0;
+
+/// Forming a group this much sooner is worth as much as the whole of what a
+/// model is meant to have: about the time of a load from the weight store.
+const FORM_SCALE: Millis = Millis(15_000);
+
+/// What is to be done.
+#[derive(Clone, Debug, Default)]
+pub struct Step {
+    /// Documents that change, each with the reasons.
+    pub writes: Vec<(id::Domain, Document, Vec<String>)>,
+    /// Orders to give now.
+    pub orders: Vec<(id::Runner, Order)>,
+}
+
+/// What the deciding node remembers besides the plan. All of it may be lost: a
+/// new decider then waits longer than it would have to, and repeats orders.
+#[derive(Clone, Debug, Default)]
+pub struct Memory {
+    /// When each order was last given.
+    pub(crate) given: HashMap<(id::Runner, Order), Millis>,
+    /// Orders that the runner answered as done or begun.
+    pub(crate) taken: HashSet<(id::Runner, Order)>,
+    /// Groups whose members were refused in a way that no repeat mends.
+    refused: HashSet<(id::Group, Epoch)>,
+    /// Since when a retired group lacks a member and must stand still.
+    pub(crate) halted: HashMap<(id::Group, Epoch), Millis>,
+    /// Loads that may begin now, and when that was last worked out.
+    pub(crate) loads: f64,
+    counted: Millis,
+    /// Whether a group waits for loads: staging has to stand back.
+    pub(crate) starved: bool,
+}
+
+impl Memory {
+    /// A runner answered an order as done or begun at `now`.
+    pub fn note_taken(&mut self, runner: &id::Runner, order: &Order, now: Millis) {
+        if let Order::Leave(group, epoch) = order {
+            self.halted.entry((group.clone(), *epoch)).or_insert(now);
+        }
+        self.taken.insert((runner.clone(), order.clone()));
+    }
+
+    /// A runner refused an order for good.
+    pub fn note_refused(&mut self, order: &Order) {
+        if let Order::Join(group, epoch, ..) = order {
+            self.refused.insert((group.clone(), *epoch));
+        }
+    }
+
+    fn refill(&mut self, now: Millis, rate: f64) {
+        let seconds = now.since(self.counted).0 as f64 / 1000.0;
+        self.loads = (self.loads + seconds * rate).min(rate * LOAD_BURST);
+        self.counted = now;
+    }
+}
+
+/// What a step looks at.
+pub struct Scene<'a> {
+    /// The service whose groups are decided.
+    pub service: &'a Service,
+    /// The runners.
+    pub roster: &'a Roster,
+    /// The plan of each domain.
+    pub plans: &'a BTreeMap<id::Domain, Document>,
+    /// After this long a group that stands still is broken.
+    pub stall: Millis,
+    /// The time.
+    pub now: Millis,
+}
+
+/// One fabric domain while it is decided.
+pub(crate) struct Site<'a> {
+    id: id::Domain,
+    pub(crate) plan: Document,
+    /// The service's runners there that are not about to leave, by id.
+    pub(crate) runners: Vec<&'a Runner>,
+    reasons: Vec<String>,
+}
+
+impl<'a> Site<'a> {
+    /// The runners that may join a new group now.
+    pub(crate) fn list_free(&self) -> Vec<&'a Runner> {
+        let planned: HashSet<&id::Runner> =
+            self.plan.groups.iter().flat_map(|group| &group.members).collect();
+        let free = self.runners.iter().copied();
+        free.filter(|runner| !planned.contains(&runner.id) && runner.membership.is_none()).collect()
+    }
+}
+
+/// Decides what to do next.
+pub fn step(scene: &Scene, memory: &mut Memory) -> Step {
+    let Some(engine) = &scene.service.engine else { return Step::default() };
+    memory.refill(scene.now, engine.loads_per_second);
+    let mut sites = list_sites(scene);
+    for site in &mut sites {
+        retire_groups(scene, site, memory);
+        release_groups(scene, site, memory);
+    }
+    form_groups(scene, &engine.models, &mut sites, memory);
+    let mut step = Step::default();
+    for site in &sites {
+        list_orders(scene, &engine.models, site, memory, &mut step.orders);
+    }
+    let changed = sites.into_iter().filter(|site| match scene.plans.get(&site.id) {
+        Some(plan) => *plan != site.plan,
+        None => !site.plan.groups.is_empty(),
+    });
+    step.writes = changed.map(|site| (site.id, site.plan, site.reasons)).collect();
+    step
+}
+
+fn list_sites<'a>(scene: &Scene<'a>) -> Vec<Site<'a>> {
+    let mut runners: BTreeMap<&id::Domain, Vec<&Runner>> = BTreeMap::new();
+    for domain in scene.plans.keys() {
+        runners.entry(domain).or_default();
+    }
+    for runner in scene.roster.iter().filter(|runner| runner.service == scene.service.id) {
+        if let Some(domain) = &runner.domain {
+            runners.entry(domain).or_default().extend((!runner.draining).then_some(runner));
+        }
+    }
+    let sites = runners.into_iter().map(|(domain, mut runners)| {
+        runners.sort_by(|a, b| a.id.cmp(&b.id));
+        let plan = scene.plans.get(domain).cloned().unwrap_or_default();
+        Site { id: domain.clone(), plan, runners, reasons: Vec::new() }
+    });
+    sites.collect()
+}
+
+/// Why a group cannot go on, if so.
+fn find_loss(scene: &Scene, group: &Group, memory: &Memory) -> Option<String> {
+    if memory.refused.contains(&(group.name.clone(), group.epoch)) {
+        return Some("a member refused to join".to_owned());
+    }
+    group.members.iter().find_map(|member| {
+        let Some(runner) = scene.roster.get(member) else {
+            return Some(format!("member {member} is gone"));
+        };
+        if runner.draining {
+            return Some(format!("member {member} is about to leave"));
+        }
+        let broken = find_phase(runner, group) == Some(Phase::Broken);
+        broken.then(|| format!("member {member} says that the group is broken"))
+    })
+}
+
+fn retire_groups(scene: &Scene, site: &mut Site, memory: &Memory) {
+    for group in site.plan.groups.iter_mut().filter(|group| !group.retired) {
+        if let Some(loss) = find_loss(scene, group, memory) {
+            site.reasons.push(format!("retire {} of {}: {loss}", group.name, group.model));
+            group.retired = true;
+        }
+    }
+}
+
+/// Whether no runner of a retired group takes requests any more, or depends on
+/// one that does.
+fn is_over(scene: &Scene, group: &Group, memory: &Memory) -> bool {
+    if !group.members.iter().any(|id| scene.roster.get(id).is_some()) {
+        return true;
+    }
+    match group.head().and_then(|id| scene.roster.get(id)) {
+        Some(head) => {
+            let told = (head.id.clone(), Order::Leave(group.name.clone(), group.epoch));
+            find_phase(head, group).is_none() && memory.taken.contains(&told)
+        }
+        // The head cannot be asked: it may be cut off and open. Once a member has
+        // left, it stands still, and after a time it breaks.
+        None => memory
+            .halted
+            .get(&(group.name.clone(), group.epoch))
+            .is_some_and(|since| scene.now >= *since + scene.stall + STALL_MARGIN),
+    }
+}
+
+fn release_groups(scene: &Scene, site: &mut Site, memory: &Memory) {
+    let reasons = &mut site.reasons;
+    site.plan.groups.retain(|group| {
+        let over = group.retired && is_over(scene, group, memory);
+        if over {
+            reasons.push(format!("release {}", group.name));
+        }
+        !over
+    });
+}
+
+/// How far a runner is in a group, if it is in it.
+pub(crate) fn find_phase(runner: &Runner, group: &Group) -> Option<Phase> {
+    let membership = runner.membership.as_ref()?;
+    let inside = membership.group == group.name && membership.epoch == group.epoch;
+    inside.then_some(membership.phase)
+}
+
+/// How long a runner needs until it holds `model`.
+fn time_join(runner: &Runner, model: &Model) -> Millis {
+    if runner.models.contains(&model.name) {
+        Millis(0)
+    } else if runner.staged.contains(&model.name) {
+        model.warm
+    } else {
+        model.load
+    }
+}
+
+/// A group that could be formed now.
+struct Choice {
+    site: usize,
+    model: usize,
+    members: Vec<id::Runner>,
+    loads: f64,
+    score: f64,
+}
+
+/// Forms groups out of free runners, of the model that lacks most first.
+fn form_groups(scene: &Scene, models: &[Model], sites: &mut [Site], memory: &mut Memory) {
+    let runners: usize = sites.iter().map(|site| site.runners.len()).sum();
+    let mut alive: Vec<usize> = models
+        .iter()
+        .map(|model| {
+            let groups = sites.iter().flat_map(|site| &site.plan.groups);
+            groups.filter(|group| !group.retired && group.model == model.name).count()
+        })
+        .collect();
+    memory.starved = false;
+    while let Some(choice) = find_choice(models, sites, &alive, runners) {
+        if choice.loads > memory.loads {
+            memory.starved = true;
+            return;
+        }
+        memory.loads -= choice.loads;
+        alive[choice.model] += 1;
+        let epoch = find_top(scene, sites).next();
+        let site = &mut sites[choice.site];
+        let name: id::Group = format!("g{epoch}").parse().expect("a letter and digits are a name");
+        let model = models[choice.model].name.clone();
+        let text = choice.members.iter().map(id::Runner::as_str).collect::<Vec<_>>().join(" ");
+        site.reasons.push(format!("form {name} of {model} with {text}"));
+        site.plan.top = epoch;
+        site.plan.groups.push(Group {
+            name,
+            epoch,
+            service: scene.service.id.clone(),
+            model,
+            members: choice.members,
+            retired: false,
+        });
+    }
+}
+
+/// The highest epoch known of, planned or seen at a runner.
+fn find_top(scene: &Scene, sites: &[Site]) -> Epoch {
+    let planned = sites.iter().map(|site| site.plan.top);
+    let kept = scene.plans.values().map(|plan| plan.top);
+    let seen = scene.roster.iter().filter_map(|runner| Some(runner.membership.as_ref()?.epoch));
+    planned.chain(kept).chain(seen).max().unwrap_or_default()
+}
+
+fn find_choice(models: &[Model], sites: &[Site], alive: &[usize], runners: usize) -> Option<Choice> {
+    let mut best: Option<Choice> = None;
+    for (at, site) in sites.iter().enumerate() {
+        let free = site.list_free();
+        for (model_at, model) in models.iter().enumerate() {
+            let wanted = PLACED * runners as f64 * model.share / model.size as f64;
+            if free.len() < model.size || alive[model_at] as f64 >= wanted {
+                continue;
+            }
+            let mut by_time: Vec<&Runner> = free.clone();
+            by_time.sort_by_key(|runner| time_join(runner, model));
+            let members = &by_time[..model.size];
+            let time = members.iter().map(|runner| time_join(runner, model)).max().unwrap_or_default();
+            let loads = members.iter().filter(|runner| time_join(runner, model) == model.load).count();
+            let score = alive[model_at] as f64 / wanted + time.0 as f64 / FORM_SCALE.0 as f64;
+            if best.as_ref().is_none_or(|best| score < best.score) {
+                let members = members.iter().map(|runner| runner.id.clone()).collect();
+                best = Some(Choice { site: at, model: model_at, members, loads: loads as f64, score });
+            }
+        }
+    }
+    best
+}
--- /dev/null
+++ b/crates/fleet/src/freshness.rs
@@ -0,0 +1,50 @@
+//! How long a node may rely on the keys it knows of.
+//!
+//! A key that operators took away must not be honoured later than a bound after
+//! the store took the change. A node that hears nothing from the store cannot
+//! tell silence from a cut, so it counts from the latest moment at which the
+//! store is known to have held nothing newer.
+
+use cottoncrank::Millis;
+
+/// What the store's answers prove about the configuration held here.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Freshness {
+    proven: Option<Millis>,
+}
+
+/// A watch may hear nothing for this long although there are changes. The
+/// platform names a second.
+pub const DEAF: Millis = Millis(1000);
+
+/// Kept back from the bound: the time a request needs from its caller to here
+/// counts against it, and the clock of this process ticks in milliseconds.
+pub const MARGIN: Millis = Millis(250);
+
+impl Freshness {
+    /// The store answered a read, asked for at `asked`, with what is held here.
+    pub fn prove_read(&mut self, asked: Millis) {
+        self.prove(asked);
+    }
+
+    /// A watch begun at `asked` waited for `waited` and told of no change beyond
+    /// what is held here.
+    pub fn prove_watch(&mut self, asked: Millis, waited: Millis) {
+        self.prove((asked + waited) - DEAF);
+    }
+
+    /// Whether keys may be honoured at `now`, when one that is taken away must
+    /// not be honoured `bound` later.
+    pub fn allows(&self, now: Millis, bound: Millis) -> bool {
+        self.proven.is_some_and(|proven| now < proven + (bound - MARGIN))
+    }
+
+    /// How old the latest proof is.
+    pub fn age(&self, now: Millis) -> Option<Millis> {
+        self.proven.map(|proven| now.since(proven))
+    }
+
+    fn prove(&mut self, at: Millis) {
+        self.proven = self.proven.max(Some(at));
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/lib.rs
@@ -0,0 +1,19 @@
+//! What a node believes of the fleet that a platform's store describes, and
+//! what it decides from that, as pure code: time and randomness are arguments.
+//!
+//! [`catalog`] is what operators want, [`roster`] which runners there are,
+//! [`plan`] which runner is meant for which group. [`decide`] turns the three
+//! into orders, [`balance`] picks a runner for a request, [`freshness`] says how
+//! long a node may rely on what it knows, [`event`] splits a stream into the
+//! events that can be resumed after.
+
+pub mod balance;
+pub mod catalog;
+pub mod decide;
+pub mod event;
+pub mod freshness;
+pub mod order;
+pub mod plan;
+pub mod roster;
+pub mod runner;
+pub mod settings;
--- /dev/null
+++ b/crates/fleet/src/order.rs
@@ -0,0 +1,161 @@
+//! The orders that bring runners to where the plan wants them.
+
+use cottoncrank::{Millis, id};
+
+use crate::catalog::Model;
+use crate::decide::{Memory, Scene, Site, find_phase};
+use crate::plan::Group;
+use crate::runner::{Epoch, Phase, Runner};
+
+/// An order that was not answered is given again after this long. Runners
+/// answer within milliseconds; an answer that is lost never comes.
+pub const REPEAT: Millis = Millis(1500);
+
+/// An order that was answered, but shows no effect, is given again after this
+/// long: well beyond the way from the runner over the store to here.
+pub const REPEAT_TAKEN: Millis = Millis(5000);
+
+/// What a runner is told.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub enum Order {
+    /// Become a member of a group.
+    Join(id::Group, Epoch, id::Model, Vec<id::Runner>),
+    /// The head takes requests.
+    Open(id::Group, Epoch),
+    /// The head takes no more and finishes what it has.
+    Close(id::Group, Epoch),
+    /// Leave a group at once.
+    Leave(id::Group, Epoch),
+    /// Load a model onto the host beside everything else.
+    Stage(id::Model),
+}
+
+/// Lists the orders to give now in one domain.
+pub(crate) fn list_orders(
+    scene: &Scene,
+    models: &[Model],
+    site: &Site,
+    memory: &mut Memory,
+    orders: &mut Vec<(id::Runner, Order)>,
+) {
+    let mut desk = Desk { now: scene.now, memory, orders };
+    for group in &site.plan.groups {
+        match group.retired {
+            true => order_leaving(scene, group, &mut desk),
+            false => order_forming(scene, group, &mut desk),
+        }
+    }
+    order_strays(site, &mut desk);
+    order_staging(models, site, &mut desk);
+}
+
+/// Gives each order once, and again when it shows no effect.
+struct Desk<'a> {
+    now: Millis,
+    memory: &'a mut Memory,
+    orders: &'a mut Vec<(id::Runner, Order)>,
+}
+
+impl Desk<'_> {
+    fn give(&mut self, runner: &id::Runner, order: Order) {
+        let key = (runner.clone(), order);
+        let pause = if self.memory.taken.contains(&key) { REPEAT_TAKEN } else { REPEAT };
+        let due = self.memory.given.get(&key).is_none_or(|at| self.now >= *at + pause);
+        if due {
+            self.memory.given.insert(key.clone(), self.now);
+            self.orders.push(key);
+        }
+    }
+
+    fn has_given(&self, runner: &id::Runner, order: &Order) -> bool {
+        self.memory.given.contains_key(&(runner.clone(), order.clone()))
+    }
+}
+
+fn order_forming(scene: &Scene, group: &Group, desk: &mut Desk) {
+    let runners: Vec<&Runner> = group.members.iter().filter_map(|id| scene.roster.get(id)).collect();
+    let phases: Vec<Option<Phase>> = runners.iter().map(|runner| find_phase(runner, group)).collect();
+    for (runner, phase) in runners.iter().zip(&phases) {
+        if phase.is_none() {
+            let members = group.members.clone();
+            let join = Order::Join(group.name.clone(), group.epoch, group.model.clone(), members);
+            desk.give(&runner.id, join);
+        }
+    }
+    let whole = runners.len() == group.members.len();
+    if whole && phases.iter().all(|phase| *phase == Some(Phase::Ready)) {
+        desk.give(&runners[0].id, Order::Open(group.name.clone(), group.epoch));
+    }
+}
+
+fn order_leaving(scene: &Scene, group: &Group, desk: &mut Desk) {
+    let living: Vec<&Runner> = group.members.iter().filter_map(|id| scene.roster.get(id)).collect();
+    let leave = Order::Leave(group.name.clone(), group.epoch);
+    let Some(head) = group.head().and_then(|id| scene.roster.get(id)) else {
+        return order_leaving_headless(group, &living, desk);
+    };
+    let intact = living.len() == group.members.len();
+    match find_phase(head, group) {
+        Some(Phase::Open) if intact => desk.give(&head.id, Order::Close(group.name.clone(), group.epoch)),
+        Some(Phase::Closing) if intact => {}
+        Some(_) => desk.give(&head.id, leave),
+        None if !desk.memory.taken.contains(&(head.id.clone(), leave.clone())) => desk.give(&head.id, leave),
+        None => {}
+    }
+}
+
+/// The head is out of sight and may still be open. It stands still as soon as
+/// one member is away.
+fn order_leaving_headless(group: &Group, living: &[&Runner], desk: &mut Desk) {
+    for runner in living {
+        match find_phase(runner, group) {
+            Some(_) => desk.give(&runner.id, Order::Leave(group.name.clone(), group.epoch)),
+            None => {
+                let now = desk.now;
+                desk.memory.halted.entry((group.name.clone(), group.epoch)).or_insert(now);
+            }
+        }
+    }
+}
+
+/// Runners in a group that nobody planned, such as after an order carried out late.
+fn order_strays(site: &Site, desk: &mut Desk) {
+    for runner in &site.runners {
+        let Some(membership) = &runner.membership else { continue };
+        let planned = site.plan.groups.iter().any(|group| find_phase(runner, group).is_some());
+        let wanted =
+            site.plan.groups.iter().any(|group| !group.retired && group.members.contains(&runner.id));
+        if !planned && !wanted {
+            desk.give(&runner.id, Order::Leave(membership.group.clone(), membership.epoch));
+        }
+    }
+}
+
+/// Keeps a spare runner for each model that the domain serves, the largest first.
+fn order_staging(models: &[Model], site: &Site, desk: &mut Desk) {
+    if desk.memory.starved {
+        return;
+    }
+    let free = site.list_free();
+    let mut bare: Vec<&Runner> = free
+        .iter()
+        .copied()
+        .filter(|runner| runner.staged.is_empty())
+        .filter(|runner| !models.iter().any(|m| desk.has_given(&runner.id, &Order::Stage(m.name.clone()))))
+        .collect();
+    let mut by_size: Vec<&Model> = models.iter().collect();
+    by_size.sort_by_key(|model| std::cmp::Reverse(model.size));
+    while let Some(runner) = bare.pop() {
+        if desk.memory.loads < 1.0 {
+            return;
+        }
+        let covered = |model: &Model| {
+            let order = Order::Stage(model.name.clone());
+            free.iter().filter(|r| r.staged.contains(&model.name) || desk.has_given(&r.id, &order)).count()
+        };
+        let Some(model) = by_size.iter().min_by_key(|model| covered(model)) else { return };
+        let order = Order::Stage(model.name.clone());
+        desk.memory.loads -= 1.0;
+        desk.give(&runner.id, order);
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/plan.rs
@@ -0,0 +1,41 @@
+//! Which runner is meant for which group: one document a fabric domain, kept
+//! in the platform's store so that any node can take the decisions over.
+
+use cottoncrank::id;
+use serde::{Deserialize, Serialize};
+
+use crate::runner::Epoch;
+
+/// A group as planned.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Group {
+    /// Its name.
+    pub name: id::Group,
+    /// Which forming of it.
+    pub epoch: Epoch,
+    /// The service it belongs to.
+    pub service: id::Service,
+    /// The model it serves.
+    pub model: id::Model,
+    /// Its members by rank; the first is the head.
+    pub members: Vec<id::Runner>,
+    /// Whether it is given up. Its members are held until its head surely
+    /// takes nothing any more.
+    pub retired: bool,
+}
+
+impl Group {
+    /// The member that takes the requests.
+    pub fn head(&self) -> Option<&id::Runner> {
+        self.members.first()
+    }
+}
+
+/// The plan of one fabric domain.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Document {
+    /// The highest epoch ever given out here.
+    pub top: Epoch,
+    /// The groups.
+    pub groups: Vec<Group>,
+}
--- /dev/null
+++ b/crates/fleet/src/settings.rs
@@ -0,0 +1,39 @@
+//! What a node is told of itself and of its surroundings when it starts.
+
+use std::net::SocketAddr;
+
+use cottoncrank::{Millis, id};
+
+/// The settings of a node.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Settings {
+    /// Its name.
+    pub node: id::Node,
+    /// The data hall it stands in.
+    pub hall: id::Hall,
+    /// Where callers reach it.
+    pub callers: SocketAddr,
+    /// Where the balancer asks whether it takes callers.
+    pub ready: SocketAddr,
+    /// The store.
+    pub store: SocketAddr,
+    /// The shortest lease the store gives.
+    pub lease_min: Millis,
+    /// The bounds it has to keep.
+    pub bounds: Bounds,
+}
+
+/// What the operators hold a node to.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Bounds {
+    /// A key that was taken away is honoured no longer than this.
+    pub revoke: Millis,
+    /// A process that is told to stop is killed after this.
+    pub grace: Millis,
+    /// A group that lacks a member stands still for this long and is broken then.
+    pub stall: Millis,
+    /// How many requests may be sent again, as a ratio of all.
+    pub retry_ratio: f64,
+    /// How many more the whole fleet may send again in a window.
+    pub retry_slack: f64,
+}
--- a/crates/kernel/src/retry.rs
+++ b/crates/kernel/src/retry.rs
@@ -13,19 +13,28 @@
 /// The retry budget of one account, or of a whole node.
 #[derive(Clone, Copy, Debug)]
 pub struct Budget {
+    gain: u64,
+    full: u64,
     level: u64,
 }
 
 impl Default for Budget {
     fn default() -> Budget {
-        Budget { level: FULL }
+        Budget { gain: GAIN, full: FULL, level: FULL }
     }
 }
 
 impl Budget {
-    /// A request succeeded.
+    /// A budget of `ratio` retries for each request, and of `saved` more that
+    /// are there at the start and can be saved up again.
+    pub fn new(ratio: f64, saved: f64) -> Budget {
+        let full = (saved * PRICE as f64) as u64;
+        Budget { gain: (ratio * PRICE as f64) as u64, full, level: full }
+    }
+
+    /// A request came that pays for its part of a retry.
     pub fn earn(&mut self) {
-        self.level = (self.level + GAIN).min(FULL);
+        self.level = (self.level + self.gain).min(self.full);
     }
 
     /// Pays for one retry; false if it is not allowed.
--- /dev/null
+++ b/crates/node/src/answer.rs
@@ -0,0 +1,121 @@
+//! Answers to callers: whole ones, streams, and refusals.
+
+use std::pin::Pin;
+use std::task::{Context, Poll};
+
+use bytes::Bytes;
+use cottoncrank::Millis;
+use cottoncrank_net::server::Cut;
+use cottoncrank_platform::header;
+use hyper::body::{Frame, SizeHint};
+use hyper::header::{CONTENT_TYPE, HeaderValue};
+use hyper::{Response, StatusCode};
+use thiserror::Error;
+use tokio::sync::mpsc;
+
+/// An answer.
+pub type Answer = Response<Body>;
+
+/// The body of an answer.
+pub enum Body {
+    /// All of it, until it has been taken.
+    Whole(Option<Bytes>),
+    /// Pieces as they come. An error closes the connection, so that a broken
+    /// answer does not look whole.
+    Feed(mpsc::Receiver<Result<Bytes, Cut>>),
+}
+
+impl hyper::body::Body for Body {
+    type Data = Bytes;
+    type Error = Cut;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Cut>>> {
+        match self.get_mut() {
+            Body::Whole(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
+            Body::Feed(feed) => feed.poll_recv(context).map(|next| next.map(|piece| piece.map(Frame::data))),
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        matches!(self, Body::Whole(None))
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            Body::Whole(bytes) => SizeHint::with_exact(bytes.as_ref().map_or(0, |bytes| bytes.len() as u64)),
+            Body::Feed(_) => SizeHint::default(),
+        }
+    }
+}
+
+/// Why a request was given up on.
+#[derive(Clone, Debug, Error, PartialEq, Eq)]
+pub enum Refusal {
+    /// No route has this host and path.
+    #[error("no route")]
+    NoRoute,
+    /// The key is no account's.
+    #[error("unknown key")]
+    Key,
+    /// The body is larger than allowed.
+    #[error("the body is too large")]
+    TooLarge,
+    /// The body broke off.
+    #[error("the body broke off")]
+    Body,
+    /// The node does not know enough to judge the request; it has not run.
+    #[error("this node cannot judge requests at present")]
+    Unsure,
+    /// No runner can take it at present; it has not run.
+    #[error("no runner can take it at present")]
+    NoRunner,
+    /// Runners were asked, and all said that they did not run it.
+    #[error("the runners asked did not run it")]
+    NotRun,
+    /// It may have run, and gave no answer that can be passed on.
+    #[error("it may have run, and there is no answer")]
+    MayHaveRun,
+    /// The time it had is over.
+    #[error("the time it had is over")]
+    Late,
+}
+
+/// When a caller should come back where no runner can take its request. Lost
+/// groups are formed anew within two or three seconds; callers come back after
+/// a third of the time they have left at the latest.
+const COME_BACK: Millis = Millis(600);
+
+impl Refusal {
+    fn status(&self) -> StatusCode {
+        match self {
+            Refusal::NoRoute => StatusCode::NOT_FOUND,
+            Refusal::Key => StatusCode::UNAUTHORIZED,
+            Refusal::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            Refusal::Body => StatusCode::BAD_REQUEST,
+            Refusal::Unsure | Refusal::NoRunner | Refusal::NotRun => StatusCode::SERVICE_UNAVAILABLE,
+            Refusal::MayHaveRun => StatusCode::BAD_GATEWAY,
+            Refusal::Late => StatusCode::GATEWAY_TIMEOUT,
+        }
+    }
+
+    /// Whether coming back later helps.
+    fn is_passing(&self) -> bool {
+        matches!(self, Refusal::Unsure | Refusal::NoRunner | Refusal::NotRun)
+    }
+
+    /// The answer that tells the caller.
+    pub fn answer(&self, request: Option<&str>) -> Answer {
+        let mut answer = Response::new(Body::Whole(Some(Bytes::from(format!("{self}\n")))));
+        *answer.status_mut() = self.status();
+        let headers = answer.headers_mut();
+        headers.insert(CONTENT_TYPE, HeaderValue::from_static("text/plain"));
+        header::write_request(headers, request);
+        if self.is_passing() {
+            header::write_retry(headers, COME_BACK);
+        }
+        answer
+    }
+}
--- /dev/null
+++ b/crates/node/src/attempt.rs
@@ -0,0 +1,146 @@
+//! One try of a request at one runner.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use cottoncrank::{Millis, id};
+use cottoncrank_fleet::balance;
+use cottoncrank_fleet::catalog::{Catalog, Route};
+use cottoncrank_platform::header::{self, Forward, Terms, Verdict};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::http::request::Parts;
+use hyper::{Request, Response};
+use thiserror::Error;
+
+use crate::channel::{Channel, ChannelError};
+use crate::state::{Attempting, Node};
+
+/// A request that was admitted.
+pub struct Job {
+    /// Its head, as the caller sent it.
+    pub head: Parts,
+    /// Its body.
+    pub body: Bytes,
+    /// What its headers say.
+    pub terms: Terms,
+    /// Its route.
+    pub route: Arc<Route>,
+    /// The configuration it was admitted under.
+    pub catalog: Arc<Catalog>,
+    /// The service it goes to.
+    pub service: id::Service,
+    /// The account it belongs to.
+    pub account: Option<id::Account>,
+    /// Its urgency, 0 first.
+    pub priority: u8,
+    /// When it came.
+    pub arrived: Millis,
+    /// When it has to be answered.
+    pub end: Millis,
+}
+
+/// Why a try gave no answer.
+#[derive(Debug, Error)]
+pub enum AttemptError {
+    /// The runner surely did not run it.
+    #[error("not run: {0}")]
+    NotRun(String),
+    /// It may have run there.
+    #[error("may have run: {0}")]
+    MayHaveRun(String),
+}
+
+/// A try that got the head of an answer.
+pub struct Attempt {
+    /// The runner.
+    pub runner: id::Runner,
+    /// The answer.
+    pub response: Response<Incoming>,
+    /// Keeps the connection open.
+    pub channel: Channel,
+    /// Keeps the runner's count.
+    pub counted: Attempting,
+}
+
+/// A runner to try.
+#[derive(Clone, Debug)]
+pub struct Pick {
+    /// Its id.
+    pub id: id::Runner,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Whether it is passed over when others can be had.
+    pub avoided: bool,
+}
+
+/// Picks the runner for the next try.
+pub fn pick(node: &Node, job: &Job, tried: &[id::Runner]) -> Option<Pick> {
+    let roster = node.roster.lock();
+    let engine = job.catalog.find_service(&job.service).and_then(|service| service.engine.as_ref());
+    let candidates = match (engine, &job.terms.model) {
+        (Some(engine), Some(model)) => {
+            let size = engine.models.iter().find(|known| known.name == *model)?.size;
+            roster.list_heads(&job.service, model, size)
+        }
+        _ => roster.list_plain(&job.service),
+    };
+    let ledger = node.ledger.lock();
+    let now = node.now();
+    let picked = balance::pick(&candidates, tried, &node.settings.hall, &ledger, now, &mut rand::rng())?;
+    let avoided = ledger.is_avoided(&picked.id, now);
+    Some(Pick { id: picked.id.clone(), address: picked.address, avoided })
+}
+
+/// Sends the request to a runner and waits for the head of the answer.
+/// `last_event` is where a stream goes on.
+pub async fn send(
+    node: &Arc<Node>,
+    job: &Job,
+    pick: &Pick,
+    last_event: Option<u64>,
+) -> Result<Attempt, AttemptError> {
+    let counted = node.begin_attempt(&pick.id);
+    let opened = Channel::open(pick.address).await;
+    let mut channel = opened.map_err(|error| {
+        node.ledger.lock().blame(&pick.id, node.now());
+        AttemptError::NotRun(error.to_string())
+    })?;
+    let request = write_request(node, job, pick, last_event);
+    let response = match channel.send(request).await {
+        Ok(response) => response,
+        Err(error @ (ChannelError::Broken(_) | ChannelError::Connect(_))) => {
+            node.ledger.lock().blame(&pick.id, node.now());
+            return Err(AttemptError::MayHaveRun(error.to_string()));
+        }
+    };
+    let status = response.status().as_u16();
+    let attempt = Attempt { runner: pick.id.clone(), response, channel, counted };
+    match header::read_verdict(status, attempt.response.headers(), job.terms.request.as_deref()) {
+        Verdict::Ran => Ok(attempt),
+        Verdict::NotRun => Err(AttemptError::NotRun(format!("it answered {status}"))),
+        Verdict::Foreign => {
+            node.ledger.lock().blame(&pick.id, node.now());
+            Err(AttemptError::MayHaveRun(format!("it answered {status} to another request")))
+        }
+        Verdict::Unclear => {
+            Err(AttemptError::MayHaveRun(format!("it answered {status} without saying more")))
+        }
+    }
+}
+
+fn write_request(node: &Node, job: &Job, pick: &Pick, last_event: Option<u64>) -> Request<Full<Bytes>> {
+    let mut request = Request::new(Full::new(job.body.clone()));
+    *request.method_mut() = job.head.method.clone();
+    *request.uri_mut() = job.head.uri.clone();
+    let forward = Forward {
+        runner: &pick.id,
+        account: job.account.as_ref(),
+        priority: job.priority,
+        wait: job.terms.wait.map(|_| job.end.since(node.now())),
+        last_event,
+    };
+    *request.headers_mut() = header::write_forward(&job.head.headers, &forward);
+    request
+}
--- /dev/null
+++ b/crates/node/src/channel.rs
@@ -0,0 +1,68 @@
+//! A connection to a runner, for one request.
+//!
+//! Each request has a connection of its own. On one that is kept, a runner may
+//! send a second answer or close without a word, and a request that must not run
+//! twice could not be told apart from one that ran.
+
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use cottoncrank::Millis;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper::{Request, Response};
+use hyper_util::rt::TokioIo;
+use thiserror::Error;
+use tokio::net::TcpStream;
+use tokio::task::JoinHandle;
+
+/// How long a connection may take to be made: many round trips between halls,
+/// little against the time in which a first event is wanted.
+const CONNECT: Millis = Millis(250);
+
+/// Why a runner gave no answer.
+#[derive(Debug, Error)]
+pub enum ChannelError {
+    /// No connection was made: nothing was sent.
+    #[error("no connection: {0}")]
+    Connect(std::io::Error),
+    /// The connection broke; the request may have run.
+    #[error("the connection broke: {0}")]
+    Broken(#[from] hyper::Error),
+}
+
+/// A connection. Dropping it closes it, and the runner drops the request.
+pub struct Channel {
+    sender: SendRequest<Full<Bytes>>,
+    driver: JoinHandle<()>,
+}
+
+impl Channel {
+    /// Connects to a runner.
+    pub async fn open(address: SocketAddr) -> Result<Channel, ChannelError> {
+        let connecting = tokio::time::timeout(CONNECT.duration(), TcpStream::connect(address));
+        let timed_out = |_| ChannelError::Connect(std::io::ErrorKind::TimedOut.into());
+        let stream = connecting.await.map_err(timed_out)?.map_err(ChannelError::Connect)?;
+        stream.set_nodelay(true).map_err(ChannelError::Connect)?;
+        let (sender, connection) = http1::Builder::new().handshake(TokioIo::new(stream)).await?;
+        let driver = tokio::spawn(async move {
+            // A failure shows at the sender or the body, and is handled there.
+            if let Err(error) = connection.await {
+                log::debug!("channel: {address}: {error}");
+            }
+        });
+        Ok(Channel { sender, driver })
+    }
+
+    /// Sends the request and waits for the head of the answer.
+    pub async fn send(&mut self, request: Request<Full<Bytes>>) -> Result<Response<Incoming>, ChannelError> {
+        Ok(self.sender.send_request(request).await?)
+    }
+}
+
+impl Drop for Channel {
+    fn drop(&mut self) {
+        self.driver.abort();
+    }
+}
--- /dev/null
+++ b/crates/node/src/decider.rs
@@ -0,0 +1,283 @@
+//! Deciding for the fleet, while this node holds the lease for it.
+//!
+//! Any node can decide; the store's lease names one. Plans are written under
+//! the condition that the lease's key has not changed, so a node that lost it
+//! unawares writes nothing. Orders follow what was written, and an order that
+//! comes late names an epoch that is over.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use cottoncrank::{Millis, id};
+use cottoncrank_fleet::decide::{Memory, Scene, Step, step};
+use cottoncrank_fleet::order::Order;
+use cottoncrank_fleet::plan::Document;
+use cottoncrank_net::client::{Client, Traffic};
+use cottoncrank_platform::order::{self, Reply};
+use cottoncrank_platform::store::{Commit, Item, Outcome, StoreError};
+use parking_lot::Mutex;
+use rand::Rng;
+use thiserror::Error;
+
+use crate::state::Node;
+
+/// The key that goes with the lease; its value names the deciding node.
+pub const LEASE_KEY: &str = "decider";
+
+/// The prefix of the plans; a fabric domain's name follows.
+const PLAN_PREFIX: &str = "plan/";
+
+/// How long the lease lasts without being renewed. A lost decider leaves groups
+/// unrepaired for this long.
+const LEASE: Millis = Millis(2500);
+
+/// How often the lease is renewed; two renewals may fail.
+const RENEW: Millis = Millis(800);
+
+/// A decider stops this long before its lease may be over.
+const LEASE_MARGIN: Millis = Millis(300);
+
+/// Candidates wait for up to this long, each for another time, so that most
+/// see that one was first and spare the store a call.
+const CANDIDACY: Millis = Millis(400);
+
+/// How often a decider looks at the fleet when nothing has changed.
+const LOOK: Millis = Millis(250);
+
+/// Changes are gathered for this long before the decider looks.
+const GATHER: Millis = Millis(30);
+
+/// How long an order may take. Runners answer within milliseconds.
+const ORDER: Millis = Millis(1000);
+
+/// A write takes at most this many documents at once, the store's limit less the lease.
+const WRITES_MAX: usize = 15;
+
+/// Why a node stopped deciding.
+#[derive(Debug, Error)]
+enum EndError {
+    #[error(transparent)]
+    Store(#[from] StoreError),
+    #[error("another node holds the lease")]
+    Deposed,
+    #[error("the lease may be over")]
+    Expired,
+    #[error("a plan in the store cannot be read: {0}")]
+    Plan(String),
+}
+
+/// A plan as it stands in the store.
+struct Kept {
+    revision: u64,
+    document: Document,
+}
+
+/// A term of deciding.
+struct Term {
+    node: Arc<Node>,
+    client: Client,
+    lease: u64,
+    /// The revision of the lease's key.
+    revision: u64,
+    /// Until when the lease surely lasts.
+    until: Millis,
+    plans: BTreeMap<id::Domain, Kept>,
+    memory: Arc<Mutex<Memory>>,
+}
+
+/// Stands for the lease whenever it is free, and decides while holding it.
+pub async fn run(node: Arc<Node>) {
+    let mut decider = node.decider.subscribe();
+    loop {
+        // The sender lives as long as the node.
+        let _ = decider.wait_for(Option::is_none).await;
+        let jitter = rand::rng().random_range(0..CANDIDACY.0);
+        tokio::time::sleep(Millis(jitter).duration()).await;
+        let free = decider.borrow_and_update().is_none();
+        let able = node.is_synced() && !*node.draining.borrow() && node.catalog.lock().is_some();
+        if !free || !able {
+            continue;
+        }
+        match stand(&node).await {
+            Ok(Some(mut term)) => {
+                log::info!("decider: this node decides from revision {}", term.revision);
+                let Err(end) = term.hold().await;
+                log::warn!("decider: this node decides no more: {end}");
+                if let Err(error) = node.store.end_lease(term.lease).await {
+                    log::info!("decider: the lease runs out by itself: {error}");
+                }
+            }
+            Ok(None) => {}
+            Err(error) => log::info!("decider: not elected: {error}"),
+        }
+        tokio::time::sleep(CANDIDACY.duration()).await;
+    }
+}
+
+/// Asks the store for the lease.
+async fn stand(node: &Arc<Node>) -> Result<Option<Term>, EndError> {
+    let asked = node.now();
+    let ttl = LEASE.max(node.settings.lease_min);
+    let lease = node.store.open_lease(ttl).await?;
+    let commit = Commit {
+        expect: vec![(LEASE_KEY.to_owned(), 0)],
+        puts: vec![(LEASE_KEY.to_owned(), node.settings.node.as_str().into(), Some(lease))],
+        removes: Vec::new(),
+    };
+    let Outcome::Done(revision) = node.store.commit(&commit).await? else { return Ok(None) };
+    let plans = read_plans(node).await?;
+    Ok(Some(Term {
+        node: node.clone(),
+        client: Client::new(Traffic::default()),
+        lease,
+        revision,
+        until: asked + ttl,
+        plans,
+        memory: Arc::default(),
+    }))
+}
+
+async fn read_plans(node: &Node) -> Result<BTreeMap<id::Domain, Kept>, EndError> {
+    let items = node.store.read_own().await?;
+    let plans = items.into_iter().filter(|item| item.key.starts_with(PLAN_PREFIX));
+    plans.map(|item| read_plan(&item)).collect()
+}
+
+fn read_plan(item: &Item) -> Result<(id::Domain, Kept), EndError> {
+    let unreadable = |error: String| EndError::Plan(format!("{}: {error}", item.key));
+    let name = item.key.trim_start_matches(PLAN_PREFIX);
+    let domain = name.parse().map_err(|error: id::IdError| unreadable(error.to_string()))?;
+    let document = rmp_serde::from_slice(&item.value).map_err(|error| unreadable(error.to_string()))?;
+    Ok((domain, Kept { revision: item.revision, document }))
+}
+
+impl Term {
+    /// Decides until the lease is lost.
+    async fn hold(&mut self) -> Result<std::convert::Infallible, EndError> {
+        let mut renewed = self.node.now();
+        loop {
+            let now = self.node.now();
+            if now + LEASE_MARGIN >= self.until {
+                return Err(EndError::Expired);
+            }
+            if now >= renewed + RENEW {
+                self.renew().await?;
+                renewed = now;
+            }
+            if *self.node.draining.borrow() {
+                return Err(EndError::Deposed);
+            }
+            self.decide().await?;
+            // A change wakes the decider early; both ways it looks again.
+            let _ = tokio::time::timeout(LOOK.duration(), self.node.changed.notified()).await;
+            tokio::time::sleep(GATHER.duration()).await;
+        }
+    }
+
+    async fn renew(&mut self) -> Result<(), EndError> {
+        let asked = self.node.now();
+        match self.node.store.keep_lease(self.lease).await {
+            Ok(()) => {
+                self.until = asked + LEASE.max(self.node.settings.lease_min);
+                Ok(())
+            }
+            Err(error @ StoreError::LeaseOver) => Err(error.into()),
+            Err(error) => {
+                log::info!("decider: the lease was not renewed, {} left: {error}", self.until.since(asked));
+                Ok(())
+            }
+        }
+    }
+
+    async fn decide(&mut self) -> Result<(), EndError> {
+        let Some(catalog) = self.node.catalog.lock().clone() else { return Ok(()) };
+        for service in catalog.services.iter().filter(|service| service.engine.is_some()) {
+            let documents =
+                self.plans.iter().map(|(domain, kept)| (domain.clone(), kept.document.clone())).collect();
+            let step = {
+                let roster = self.node.roster.lock();
+                let scene = Scene {
+                    service,
+                    roster: &roster,
+                    plans: &documents,
+                    stall: self.node.settings.bounds.stall,
+                    now: self.node.now(),
+                };
+                step(&scene, &mut self.memory.lock())
+            };
+            self.carry_out(step).await?;
+        }
+        Ok(())
+    }
+
+    /// Writes the plans that changed, then gives the orders that follow from them.
+    async fn carry_out(&mut self, step: Step) -> Result<(), EndError> {
+        for writes in step.writes.chunks(WRITES_MAX) {
+            self.write(writes).await?;
+        }
+        if self.node.now() + LEASE_MARGIN >= self.until {
+            return Err(EndError::Expired);
+        }
+        for (runner, order) in step.orders {
+            self.give(runner, order);
+        }
+        Ok(())
+    }
+
+    async fn write(&mut self, writes: &[(id::Domain, Document, Vec<String>)]) -> Result<(), EndError> {
+        let mut commit = Commit { expect: vec![(LEASE_KEY.to_owned(), self.revision)], ..Commit::default() };
+        for (domain, document, reasons) in writes {
+            let key = format!("{PLAN_PREFIX}{domain}");
+            let bytes = rmp_serde::to_vec(document).map_err(|error| EndError::Plan(error.to_string()))?;
+            let expected = self.plans.get(domain).map_or(0, |kept| kept.revision);
+            commit.expect.push((key.clone(), expected));
+            commit.puts.push((key, bytes, None));
+            for reason in reasons {
+                log::info!("decider: {domain}: {reason}");
+            }
+        }
+        match self.node.store.commit(&commit).await {
+            Ok(Outcome::Done(revision)) => {
+                for (domain, document, _) in writes {
+                    let kept = Kept { revision, document: document.clone() };
+                    self.plans.insert(domain.clone(), kept);
+                }
+                Ok(())
+            }
+            // After a lost answer the write may stand, or may still be made: both
+            // show as a conflict at the next write, and the plans are read anew.
+            Ok(Outcome::Conflict) => {
+                self.plans = read_plans(&self.node).await?;
+                let holder = self.node.decider.borrow().unwrap_or(0);
+                match holder > self.revision {
+                    true => Err(EndError::Deposed),
+                    false => Ok(()),
+                }
+            }
+            Err(StoreError::LeaseOver) => Err(StoreError::LeaseOver.into()),
+            Err(error) => {
+                log::warn!("decider: plans were perhaps not written: {error}");
+                self.plans = read_plans(&self.node).await?;
+                Ok(())
+            }
+        }
+    }
+
+    fn give(&self, runner: id::Runner, order: Order) {
+        let Some(address) = self.node.roster.lock().get(&runner).map(|runner| runner.address) else { return };
+        let (node, client, memory) = (self.node.clone(), self.client.clone(), self.memory.clone());
+        tokio::spawn(async move {
+            let reply = order::give(&client, address, &runner, &order, ORDER).await;
+            match reply {
+                Ok(Reply::Taken) => memory.lock().note_taken(&runner, &order, node.now()),
+                Ok(Reply::Outdated) => memory.lock().note_refused(&order),
+                // It is in no such group: as good as having left it.
+                Ok(Reply::Unfit) if matches!(order, Order::Leave(..)) => {
+                    memory.lock().note_taken(&runner, &order, node.now());
+                }
+                Ok(Reply::Unfit | Reply::Refused(_)) | Err(_) => {}
+            }
+            log::info!("decider: {order:?} to {runner}: {reply:?}");
+        });
+    }
+}
--- /dev/null
+++ b/crates/node/src/front.rs
@@ -0,0 +1,121 @@
+//! The ports of a node: one for callers, one for the balancer.
+
+use std::convert::Infallible;
+use std::io;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use cottoncrank::Millis;
+use hyper::body::Incoming;
+use hyper::header::{CONNECTION, HeaderValue};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response, StatusCode};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+
+use crate::answer::{Answer, Body};
+use crate::request;
+use crate::state::Node;
+
+/// How long a connection may rest while no configuration says so.
+const IDLE_UNSET: Millis = Millis(15_000);
+
+/// What a connection may hold unread, in bytes: a head, or a piece of a body.
+const BUFFER: usize = 32 * 1024;
+
+/// The pause after a connection could not be taken, such as for want of file
+/// descriptors.
+const ACCEPT_PAUSE: Millis = Millis(20);
+
+/// Takes callers until the process ends.
+pub async fn serve_callers(node: Arc<Node>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                tokio::spawn(serve_caller(node.clone(), stream));
+            }
+            Err(error) => pause_accepting(&error).await,
+        }
+    }
+}
+
+async fn pause_accepting(error: &io::Error) {
+    log::warn!("front: a connection could not be taken: {error}");
+    tokio::time::sleep(ACCEPT_PAUSE.duration()).await;
+}
+
+async fn serve_caller(node: Arc<Node>, stream: TcpStream) {
+    if let Err(error) = stream.set_nodelay(true) {
+        log::debug!("front: {error}");
+    }
+    let idle = node.catalog.lock().as_ref().map_or(IDLE_UNSET, |catalog| catalog.limits.idle);
+    let mut draining = node.draining.subscribe();
+    let service = service_fn(|request: Request<Incoming>| {
+        let node = node.clone();
+        async move {
+            let mut answer = request::answer(node.clone(), request).await;
+            if *node.draining.borrow() {
+                answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+            }
+            Ok::<Answer, Infallible>(answer)
+        }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(idle.duration())
+        .max_buf_size(BUFFER)
+        .serve_connection(TokioIo::new(stream), service);
+    tokio::pin!(connection);
+    let outcome = tokio::select! {
+        outcome = &mut connection => outcome,
+        () = wait_draining(&mut draining) => {
+            tokio::time::sleep(NOTICE.duration()).await;
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(error) = outcome {
+        log::debug!("front: a connection ended with {error}");
+    }
+}
+
+async fn wait_draining(draining: &mut watch::Receiver<bool>) {
+    // The sender lives as long as the node.
+    let _ = draining.wait_for(|draining| *draining).await;
+}
+
+/// How long a node that is about to stop goes on taking requests: the balancer
+/// asks once a second and passes a node over after two misses.
+pub const NOTICE: Millis = Millis(2500);
+
+/// Answers the balancer until the process ends.
+pub async fn serve_ready(node: Arc<Node>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let node = node.clone();
+                tokio::spawn(async move {
+                    let service = service_fn(move |_: Request<Incoming>| {
+                        let ready = node.is_ready();
+                        async move { Ok::<Answer, Infallible>(answer_ready(ready)) }
+                    });
+                    let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+                    if let Err(error) = connection.await {
+                        log::debug!("ready: {error}");
+                    }
+                });
+            }
+            Err(error) => pause_accepting(&error).await,
+        }
+    }
+}
+
+fn answer_ready(ready: bool) -> Answer {
+    let (status, text) =
+        if ready { (StatusCode::OK, "ready\n") } else { (StatusCode::SERVICE_UNAVAILABLE, "not ready\n") };
+    let mut answer = Response::new(Body::Whole(Some(Bytes::from_static(text.as_bytes()))));
+    *answer.status_mut() = status;
+    answer
+}
--- /dev/null
+++ b/crates/node/src/lib.rs
@@ -0,0 +1,18 @@
+//! A node on the users' platform: one process a box.
+//!
+//! [`sync`] keeps what the node believes in step with the platform's store,
+//! [`front`] takes callers' requests, [`request`] admits and routes them,
+//! [`plain`] and [`stream`] run them at runners, and [`decider`] gives orders to
+//! the runners while this node holds the lease for that. All state stands in
+//! [`state::Node`].
+
+pub mod answer;
+pub mod attempt;
+pub mod channel;
+pub mod decider;
+pub mod front;
+pub mod plain;
+pub mod request;
+pub mod state;
+pub mod stream;
+pub mod sync;
--- /dev/null
+++ b/crates/node/src/plain.rs
@@ -0,0 +1,77 @@
+//! Requests whose answer is passed on whole.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use cottoncrank_platform::header;
+use http_body_util::{BodyExt, Limited};
+use hyper::Response;
+use hyper::header::{CONTENT_LENGTH, HeaderMap};
+
+use crate::answer::{Answer, Body, Refusal};
+use crate::attempt::{Attempt, AttemptError, Job, pick, send};
+use crate::state::Node;
+
+/// The largest answer that is held until it is whole, in bytes.
+const ANSWER_MAX: usize = 4 << 20;
+
+/// Tries of one request, refused ones included. Runners that refuse answer at
+/// once; more would only find the others refusing as well.
+const TRIES: usize = 3;
+
+/// Runs a request and answers with the whole of the runner's answer.
+pub async fn run(node: &Arc<Node>, job: &Job) -> Result<Answer, Refusal> {
+    let mut tried = Vec::new();
+    let mut sent = 0;
+    let mut may_have_run = false;
+    while tried.len() < TRIES && sent < job.route.attempts {
+        let Some(pick) = pick(node, job, &tried) else { break };
+        if !tried.is_empty() && !node.retries.lock().spend() {
+            log::info!("request {:?}: not sent again, the retries are spent", job.terms.request);
+            break;
+        }
+        tried.push(pick.id.clone());
+        let outcome = match send(node, job, &pick, None).await {
+            Ok(attempt) => read_whole(node, attempt).await,
+            Err(error) => Err(error),
+        };
+        match outcome {
+            Ok(answer) => return Ok(answer),
+            Err(error) => {
+                log::info!("request {:?} at {}: {error}", job.terms.request, pick.id);
+                if let AttemptError::MayHaveRun(_) = error {
+                    sent += 1;
+                    may_have_run = true;
+                    if !job.route.is_repeatable() {
+                        break;
+                    }
+                }
+            }
+        }
+    }
+    Err(match (may_have_run, tried.is_empty()) {
+        (true, _) => Refusal::MayHaveRun,
+        (false, true) => Refusal::NoRunner,
+        (false, false) => Refusal::NotRun,
+    })
+}
+
+/// Reads an answer to its end. A length that it names must be met.
+pub async fn read_whole(node: &Node, attempt: Attempt) -> Result<Answer, AttemptError> {
+    let (head, body) = attempt.response.into_parts();
+    let collected = Limited::new(body, ANSWER_MAX).collect().await;
+    let bytes = collected.map_err(|error| {
+        node.ledger.lock().blame(&attempt.runner, node.now());
+        AttemptError::MayHaveRun(format!("its answer broke off: {error}"))
+    })?;
+    node.ledger.lock().progress(&attempt.runner, node.now());
+    Ok(pass_on(head.status, &head.headers, bytes.to_bytes()))
+}
+
+fn pass_on(status: hyper::StatusCode, headers: &HeaderMap, bytes: Bytes) -> Answer {
+    let mut answer = Response::new(Body::Whole(Some(bytes)));
+    *answer.status_mut() = status;
+    *answer.headers_mut() = header::strip(headers);
+    answer.headers_mut().remove(CONTENT_LENGTH);
+    answer
+}
--- /dev/null
+++ b/crates/node/src/request.rs
@@ -0,0 +1,98 @@
+//! Admitting a request and finding where it goes.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use cottoncrank_fleet::catalog::{Catalog, Kind, Route};
+use cottoncrank_platform::header::{self, Terms};
+use http_body_util::{BodyExt, Limited};
+use hyper::Request;
+use hyper::body::Incoming;
+use hyper::header::HOST;
+use hyper::http::request::Parts;
+use rand::Rng;
+
+use crate::answer::{Answer, Refusal};
+use crate::attempt::Job;
+use crate::state::{Node, Running};
+use crate::{plain, stream};
+
+/// The urgency of a request where neither account nor route says one.
+const PRIORITY_MAX: u8 = 9;
+
+/// How long a request waits whose caller and route say nothing.
+const WAIT_UNSET: cottoncrank::Millis = cottoncrank::Millis(30_000);
+
+/// Answers one request.
+pub async fn answer(node: Arc<Node>, request: Request<Incoming>) -> Answer {
+    let (head, body) = request.into_parts();
+    let terms = header::read_terms(&head.headers);
+    let id = terms.request.clone();
+    let running = node.begin_request();
+    let outcome = match admit(&node, head, body, terms).await {
+        Ok(job) => {
+            let left = job.end.since(node.now());
+            let run = run(&node, Arc::new(job), running);
+            tokio::time::timeout(left.duration(), run).await.unwrap_or(Err(Refusal::Late))
+        }
+        Err(refusal) => Err(refusal),
+    };
+    outcome.unwrap_or_else(|refusal| {
+        log::info!("request {id:?}: refused: {refusal}");
+        refusal.answer(id.as_deref())
+    })
+}
+
+async fn run(node: &Arc<Node>, job: Arc<Job>, running: Running) -> Result<Answer, Refusal> {
+    node.retries.lock().earn();
+    match job.route.kind {
+        Kind::Stream => stream::run(node, job, running).await,
+        Kind::Idempotent | Kind::Once => plain::run(node, &job).await,
+    }
+}
+
+async fn admit(node: &Arc<Node>, head: Parts, body: Incoming, terms: Terms) -> Result<Job, Refusal> {
+    let arrived = node.now();
+    let catalog = node.catalog.lock().clone().ok_or(Refusal::Unsure)?;
+    let body = read_body(body, catalog.limits.body_bytes).await?;
+    let route = find_route(&catalog, &head)?;
+    let account = match route.anonymous || !catalog.has_accounts() {
+        true => None,
+        false => {
+            if !node.trusts_keys() {
+                return Err(Refusal::Unsure);
+            }
+            let key = terms.key.as_deref().ok_or(Refusal::Key)?;
+            Some(catalog.find_account(key).ok_or(Refusal::Key)?)
+        }
+    };
+    let priority = account.and_then(|account| account.priority).unwrap_or(route.priority).min(PRIORITY_MAX);
+    let target = route.pick_target(rand::rng().random()).ok_or(Refusal::NoRoute)?;
+    let wait = terms.wait.unwrap_or(WAIT_UNSET).min(route.timeout);
+    Ok(Job {
+        account: account.map(|account| account.id.clone()),
+        service: target.service.clone(),
+        head,
+        body,
+        terms,
+        route,
+        catalog,
+        priority,
+        arrived,
+        end: arrived + wait,
+    })
+}
+
+fn find_route(catalog: &Catalog, head: &Parts) -> Result<Arc<Route>, Refusal> {
+    let host = head.headers.get(HOST).and_then(|host| host.to_str().ok()).unwrap_or_default();
+    let name = host.split_once(':').map_or(host, |(name, _)| name);
+    catalog.find_route(name, head.uri.path()).cloned().ok_or(Refusal::NoRoute)
+}
+
+async fn read_body(body: Incoming, max: usize) -> Result<Bytes, Refusal> {
+    match Limited::new(body, max).collect().await {
+        Ok(collected) => Ok(collected.to_bytes()),
+        Err(error) if error.is::<http_body_util::LengthLimitError>() => Err(Refusal::TooLarge),
+        Err(_) => Err(Refusal::Body),
+    }
+}
--- /dev/null
+++ b/crates/node/src/state.rs
@@ -0,0 +1,139 @@
+//! What a node knows, each part under its own lock.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+
+use cottoncrank::clock::System;
+use cottoncrank::retry::Budget;
+use cottoncrank::{Clock, Millis, id};
+use cottoncrank_fleet::balance::Ledger;
+use cottoncrank_fleet::catalog::Catalog;
+use cottoncrank_fleet::freshness::Freshness;
+use cottoncrank_fleet::roster::Roster;
+use cottoncrank_fleet::settings::Settings;
+use cottoncrank_platform::store::Store;
+use parking_lot::Mutex;
+use tokio::sync::{Notify, watch};
+
+/// Of the fleet's retries a node spends this part of its share: requests that
+/// arrive twice by other ways count in the rest.
+const RETRY_PART: f64 = 0.8;
+
+/// The nodes among which the fleet's saved-up retries are divided. The balancer
+/// spreads unevenly, and no more than about this many nodes are busy at once in
+/// one service's trouble.
+const RETRY_NODES: f64 = 12.0;
+
+/// A node.
+pub struct Node {
+    /// Its settings.
+    pub settings: Settings,
+    /// The platform's store.
+    pub store: Store,
+    /// Its clock.
+    pub clock: System,
+    /// The operators' configuration, once it is known.
+    pub catalog: Mutex<Option<Arc<Catalog>>>,
+    /// What is proven of the configuration's age.
+    pub freshness: Mutex<Freshness>,
+    /// The runners.
+    pub roster: Mutex<Roster>,
+    /// What was seen of the runners.
+    pub ledger: Mutex<Ledger>,
+    /// Pays for requests that are sent again.
+    pub retries: Mutex<Budget>,
+    /// Who decides, as the store tells: the revision of that key, if it is there.
+    pub decider: watch::Sender<Option<u64>>,
+    /// Told when runners or configuration have changed.
+    pub changed: Notify,
+    /// Whether the node is about to stop.
+    pub draining: watch::Sender<bool>,
+    synced: AtomicBool,
+    running: AtomicUsize,
+}
+
+impl Node {
+    /// A node that knows nothing yet.
+    pub fn new(settings: Settings) -> Arc<Node> {
+        let saved = settings.bounds.retry_slack * RETRY_PART / RETRY_NODES;
+        let retries = Budget::new(settings.bounds.retry_ratio * RETRY_PART, saved);
+        Arc::new(Node {
+            store: Store::new(settings.store),
+            settings,
+            clock: System::new(),
+            catalog: Mutex::default(),
+            freshness: Mutex::default(),
+            roster: Mutex::default(),
+            ledger: Mutex::default(),
+            retries: Mutex::new(retries),
+            decider: watch::Sender::new(None),
+            changed: Notify::new(),
+            draining: watch::Sender::new(false),
+            synced: AtomicBool::new(false),
+            running: AtomicUsize::new(0),
+        })
+    }
+
+    /// The time.
+    pub fn now(&self) -> Millis {
+        self.clock.now()
+    }
+
+    /// Whether the store has been read whole once.
+    pub fn is_synced(&self) -> bool {
+        self.synced.load(Ordering::Relaxed)
+    }
+
+    /// The store has been read whole.
+    pub fn set_synced(&self) {
+        self.synced.store(true, Ordering::Relaxed);
+    }
+
+    /// Whether keys of accounts may be honoured now.
+    pub fn trusts_keys(&self) -> bool {
+        self.freshness.lock().allows(self.now(), self.settings.bounds.revoke)
+    }
+
+    /// Whether the node takes callers.
+    pub fn is_ready(&self) -> bool {
+        !*self.draining.borrow() && self.is_synced() && self.catalog.lock().is_some() && self.trusts_keys()
+    }
+
+    /// Requests under way.
+    pub fn running(&self) -> usize {
+        self.running.load(Ordering::Relaxed)
+    }
+
+    /// Counts a request until the guard is dropped.
+    pub fn begin_request(self: &Arc<Self>) -> Running {
+        self.running.fetch_add(1, Ordering::Relaxed);
+        Running(self.clone())
+    }
+
+    /// Counts a request at a runner until the guard is dropped.
+    pub fn begin_attempt(self: &Arc<Self>, runner: &id::Runner) -> Attempting {
+        self.ledger.lock().begin(runner);
+        Attempting { node: self.clone(), runner: runner.clone() }
+    }
+}
+
+/// A request under way.
+pub struct Running(Arc<Node>);
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        self.0.running.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// A request under way at a runner.
+pub struct Attempting {
+    node: Arc<Node>,
+    runner: id::Runner,
+}
+
+impl Drop for Attempting {
+    fn drop(&mut self) {
+        self.node.ledger.lock().end(&self.runner);
+    }
+}
--- /dev/null
+++ b/crates/node/src/stream.rs
@@ -0,0 +1,312 @@
+//! Requests whose answer is a stream of events.
+//!
+//! The head of the first runner's answer is passed on with its first event.
+//! From there the stream may go on at another runner, after the last whole
+//! event that the caller has, within the same answer.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use cottoncrank::{Millis, id};
+use cottoncrank_fleet::event::Splitter;
+use cottoncrank_net::server::Cut;
+use cottoncrank_platform::header;
+use http_body_util::BodyExt;
+use hyper::Response;
+use hyper::body::Incoming;
+use hyper::header::CONTENT_LENGTH;
+use hyper::http::response;
+use tokio::sync::mpsc;
+
+use crate::answer::{Answer, Body, Refusal};
+use crate::attempt::{Attempt, AttemptError, Job, pick, send};
+use crate::channel::Channel;
+use crate::plain;
+use crate::state::{Attempting, Node, Running};
+
+/// Events held for a caller that reads slowly.
+const FEED_DEPTH: usize = 8;
+
+/// Tries of one request, refused ones included.
+const TRIES: usize = 4;
+
+/// A runner that is silent beyond the wanted time of the first event is given
+/// this much more before the request goes to another one.
+const FIRST_SLACK: Millis = Millis(100);
+
+/// A pause between events, in times of the longest one that counts as in time,
+/// after which a stream goes on at another runner.
+const PAUSES: u64 = 2;
+
+/// The shortest pause after which a stream goes on at another runner: several
+/// passes of an engine that reads long prompts between the tokens.
+const PAUSE_MIN: Millis = Millis(500);
+
+/// Where the caller names no pause.
+const PAUSE_UNSET: Millis = Millis(1000);
+
+/// The tries of one request so far.
+#[derive(Default)]
+struct Tries {
+    tried: Vec<id::Runner>,
+    sent: u32,
+}
+
+/// A stream under way at one runner.
+struct Source {
+    runner: id::Runner,
+    body: Incoming,
+    splitter: Splitter,
+    _channel: Channel,
+    _counted: Attempting,
+}
+
+/// A stream that has begun.
+struct Begun {
+    head: response::Parts,
+    first: Bytes,
+    source: Source,
+    ended: bool,
+}
+
+/// What the first try that answered came to.
+enum Opening {
+    Stream(Box<Begun>),
+    Whole(Answer),
+}
+
+/// What comes next in a stream.
+enum Next {
+    Events(Bytes),
+    End,
+}
+
+/// Runs a request. The answer is given with the first event; the rest follows
+/// in a task of its own, which `running` counts.
+pub async fn run(node: &Arc<Node>, job: Arc<Job>, running: Running) -> Result<Answer, Refusal> {
+    let mut tries = Tries::default();
+    let begun = match open(node, &job, &mut tries).await? {
+        Opening::Stream(begun) => begun,
+        Opening::Whole(answer) => return Ok(answer),
+    };
+    let (feed, receiver) = mpsc::channel(FEED_DEPTH);
+    let mut answer = Response::new(Body::Feed(receiver));
+    *answer.status_mut() = begun.head.status;
+    *answer.headers_mut() = header::strip(&begun.head.headers);
+    answer.headers_mut().remove(CONTENT_LENGTH);
+    if feed.try_send(Ok(begun.first)).is_ok() && !begun.ended {
+        let relay = Relay { node: node.clone(), job, tries, feed, source: begun.source, _running: running };
+        tokio::spawn(relay.run());
+    }
+    Ok(answer)
+}
+
+/// Tries runners until one sends its first event.
+async fn open(node: &Arc<Node>, job: &Job, tries: &mut Tries) -> Result<Opening, Refusal> {
+    loop {
+        let last = job.terms.last_event;
+        let attempt = next_attempt(node, job, tries, last).await?;
+        if !attempt.response.status().is_success() {
+            match plain::read_whole(node, attempt).await {
+                Ok(answer) => return Ok(Opening::Whole(answer)),
+                Err(error) => note(job, tries, &error),
+            }
+            continue;
+        }
+        let (head, body) = attempt.response.into_parts();
+        let mut source = Source {
+            runner: attempt.runner,
+            body,
+            splitter: Splitter::after(last),
+            _channel: attempt.channel,
+            _counted: attempt.counted,
+        };
+        let patience = job.route.objective + FIRST_SLACK;
+        match read_first(node, job, &mut source, patience).await {
+            Ok(Next::Events(first)) => {
+                let begun = Begun { head, first, source, ended: false };
+                return Ok(Opening::Stream(Box::new(begun)));
+            }
+            Ok(Next::End) => {
+                let begun = Begun { head, first: Bytes::new(), source, ended: true };
+                return Ok(Opening::Stream(Box::new(begun)));
+            }
+            Err(error) => note(job, tries, &error),
+        }
+    }
+}
+
+fn note(job: &Job, tries: &mut Tries, error: &AttemptError) {
+    if let AttemptError::MayHaveRun(_) = error {
+        tries.sent += 1;
+    }
+    log::info!("request {:?} at {:?}: {error}", job.terms.request, tries.tried.last());
+}
+
+/// Gets the head of an answer out of the next runner.
+async fn next_attempt(
+    node: &Arc<Node>,
+    job: &Job,
+    tries: &mut Tries,
+    last: Option<u64>,
+) -> Result<Attempt, Refusal> {
+    loop {
+        let refusal = match (tries.sent, tries.tried.is_empty()) {
+            (0, true) => Refusal::NoRunner,
+            (0, false) => Refusal::NotRun,
+            _ => Refusal::MayHaveRun,
+        };
+        let repeatable = tries.sent == 0 || job.route.is_repeatable();
+        if tries.tried.len() >= TRIES || tries.sent >= job.route.attempts || !repeatable {
+            return Err(refusal);
+        }
+        let Some(pick) = pick(node, job, &tries.tried) else { return Err(refusal) };
+        if !tries.tried.is_empty() && !node.retries.lock().spend() {
+            log::info!("request {:?}: not sent again, the retries are spent", job.terms.request);
+            return Err(refusal);
+        }
+        tries.tried.push(pick.id.clone());
+        let started = node.now();
+        let sending = send(node, job, &pick, last);
+        let patience = job.route.objective + FIRST_SLACK;
+        match wait_unless_silent(node, job, &pick.id, started, patience, sending).await {
+            Ok(attempt) => return Ok(attempt),
+            Err(error) => note(job, tries, &error),
+        }
+    }
+}
+
+/// Waits for something from a runner. After `patience` it is given up on, once
+/// the runner has sent nothing to any request of this node since `started`, if
+/// the request may be sent again.
+async fn wait_unless_silent<T>(
+    node: &Node,
+    job: &Job,
+    runner: &id::Runner,
+    started: Millis,
+    patience: Millis,
+    waiting: impl Future<Output = Result<T, AttemptError>>,
+) -> Result<T, AttemptError> {
+    tokio::pin!(waiting);
+    loop {
+        match tokio::time::timeout(patience.duration(), &mut waiting).await {
+            Ok(outcome) => return outcome,
+            Err(_) if !job.route.is_repeatable() => {}
+            Err(_) => {
+                let mut ledger = node.ledger.lock();
+                if ledger.is_silent(runner, started) {
+                    ledger.blame(runner, node.now());
+                    return Err(AttemptError::MayHaveRun(format!("silent for {patience}")));
+                }
+            }
+        }
+    }
+}
+
+async fn read_first(
+    node: &Node,
+    job: &Job,
+    source: &mut Source,
+    patience: Millis,
+) -> Result<Next, AttemptError> {
+    let started = node.now();
+    let runner = source.runner.clone();
+    wait_unless_silent(node, job, &runner, started, patience, read_next(node, source)).await
+}
+
+/// Reads the next events that the caller does not have yet.
+async fn read_next(node: &Node, source: &mut Source) -> Result<Next, AttemptError> {
+    loop {
+        let frame = match source.body.frame().await {
+            Some(Ok(frame)) => frame,
+            Some(Err(error)) => {
+                return Err(AttemptError::MayHaveRun(format!("the stream broke off: {error}")));
+            }
+            None if source.splitter.is_at_boundary() => return Ok(Next::End),
+            None => return Err(AttemptError::MayHaveRun("the stream ended within an event".to_owned())),
+        };
+        let Ok(piece) = frame.into_data() else { continue };
+        node.ledger.lock().progress(&source.runner, node.now());
+        let events =
+            source.splitter.push(&piece).map_err(|error| AttemptError::MayHaveRun(error.to_string()))?;
+        if !events.is_empty() {
+            return Ok(Next::Events(events));
+        }
+    }
+}
+
+/// Passes the rest of a stream on.
+struct Relay {
+    node: Arc<Node>,
+    job: Arc<Job>,
+    tries: Tries,
+    feed: mpsc::Sender<Result<Bytes, Cut>>,
+    source: Source,
+    _running: Running,
+}
+
+impl Relay {
+    async fn run(mut self) {
+        let left = self.job.end.since(self.node.now());
+        let feed = self.feed.clone();
+        let request = self.job.terms.request.clone();
+        tokio::select! {
+            outcome = self.pass_on() => match outcome {
+                Ok(()) => {}
+                Err(refusal) => {
+                    log::warn!("request {request:?}: the stream is cut: {refusal}");
+                    // A caller that is gone needs no cut.
+                    let _ = feed.send(Err(Cut)).await;
+                }
+            },
+            () = feed.closed() => log::info!("request {request:?}: the caller left"),
+            () = tokio::time::sleep(left.duration()) => {
+                log::warn!("request {request:?}: the stream is cut: its time is over");
+                let _ = feed.try_send(Err(Cut));
+            }
+        }
+    }
+
+    async fn pass_on(&mut self) -> Result<(), Refusal> {
+        let gap = self.job.route.gap.map_or(PAUSE_UNSET, |gap| Millis(gap.0 * PAUSES));
+        let patience = gap.max(PAUSE_MIN);
+        loop {
+            let next = tokio::time::timeout(patience.duration(), read_next(&self.node, &mut self.source));
+            let outcome = next.await.unwrap_or_else(|_| {
+                self.node.ledger.lock().blame(&self.source.runner, self.node.now());
+                Err(AttemptError::MayHaveRun(format!("no event for {patience}")))
+            });
+            match outcome {
+                Ok(Next::Events(events)) => {
+                    if self.feed.send(Ok(events)).await.is_err() {
+                        return Ok(());
+                    }
+                }
+                Ok(Next::End) => return Ok(()),
+                Err(error) => self.go_on(&error).await?,
+            }
+        }
+    }
+
+    /// Takes the stream up at another runner.
+    async fn go_on(&mut self, error: &AttemptError) -> Result<(), Refusal> {
+        note(&self.job, &mut self.tries, error);
+        let last = self.source.splitter.last();
+        loop {
+            let attempt = next_attempt(&self.node, &self.job, &mut self.tries, last).await?;
+            if !attempt.response.status().is_success() {
+                let error = AttemptError::MayHaveRun(format!("it answered {}", attempt.response.status()));
+                note(&self.job, &mut self.tries, &error);
+                continue;
+            }
+            self.source = Source {
+                runner: attempt.runner,
+                body: attempt.response.into_body(),
+                splitter: Splitter::after(last),
+                _channel: attempt.channel,
+                _counted: attempt.counted,
+            };
+            return Ok(());
+        }
+    }
+}
