Find lost runners by asking them, and form groups only from staged runners

Cause: a lost member was known only when its entry lapsed, 2.5 s later, and replacements were bound for 12 to 16 s by loads from the weight store. Change: the decider asks all placed runners twice a second; nodes pass over groups that the plan gives up; free runners are staged on the side.

--- a/crates/fleet/src/decide.rs
+++ b/crates/fleet/src/decide.rs
@@ -21,7 +21,7 @@
 /// Of the runners, this part is meant for groups; the others stand by with a
 /// model staged, so that a lost member is replaced without a load. Two of the
 /// ten runners of today's domains, the most that fail there at one time.
-pub const PLACED: f64 = 0.8;
+pub const PLACED: f64 = 0.75;
 
 /// Kept on top of the time after which a group that stands still is broken, for
 /// the way of the order that made it stand still.
@@ -94,17 +94,28 @@
     pub roster: &'a Roster,
     /// The plan of each domain.
     pub plans: &'a BTreeMap<id::Domain, Document>,
+    /// Runners that do not answer this node.
+    pub silent: &'a HashSet<id::Runner>,
+    /// Whether callers have sent requests already. Before that, loads are short.
+    pub serving: bool,
     /// After this long a group that stands still is broken.
     pub stall: Millis,
     /// The time.
     pub now: Millis,
 }
 
+impl<'a> Scene<'a> {
+    /// A runner that is there and answers.
+    pub(crate) fn find(&self, id: &id::Runner) -> Option<&'a Runner> {
+        self.roster.get(id).filter(|_| !self.silent.contains(id))
+    }
+}
+
 /// One fabric domain while it is decided.
 pub(crate) struct Site<'a> {
     id: id::Domain,
     pub(crate) plan: Document,
-    /// The service's runners there that are not about to leave, by id.
+    /// The service's runners there that answer and are not about to leave, by id.
     pub(crate) runners: Vec<&'a Runner>,
     reasons: Vec<String>,
 }
@@ -148,7 +159,8 @@
     }
     for runner in scene.roster.iter().filter(|runner| runner.service == scene.service.id) {
         if let Some(domain) = &runner.domain {
-            runners.entry(domain).or_default().extend((!runner.draining).then_some(runner));
+            let sound = !runner.draining && !scene.silent.contains(&runner.id);
+            runners.entry(domain).or_default().extend(sound.then_some(runner));
         }
     }
     let sites = runners.into_iter().map(|(domain, mut runners)| {
@@ -168,6 +180,9 @@
         let Some(runner) = scene.roster.get(member) else {
             return Some(format!("member {member} is gone"));
         };
+        if scene.silent.contains(member) {
+            return Some(format!("member {member} does not answer"));
+        }
         if runner.draining {
             return Some(format!("member {member} is about to leave"));
         }
@@ -191,7 +206,7 @@
     if !group.members.iter().any(|id| scene.roster.get(id).is_some()) {
         return true;
     }
-    match group.head().and_then(|id| scene.roster.get(id)) {
+    match group.head().and_then(|id| scene.find(id)) {
         Some(head) => {
             let told = (head.id.clone(), Order::Leave(group.name.clone(), group.epoch));
             find_phase(head, group).is_none() && memory.taken.contains(&told)
@@ -224,7 +239,7 @@
 }
 
 /// How long a runner needs until it holds `model`.
-fn time_join(runner: &Runner, model: &Model) -> Millis {
+pub(crate) fn time_join(runner: &Runner, model: &Model) -> Millis {
     if runner.models.contains(&model.name) {
         Millis(0)
     } else if runner.staged.contains(&model.name) {
@@ -254,7 +269,7 @@
         })
         .collect();
     memory.starved = false;
-    while let Some(choice) = find_choice(models, sites, &alive, runners) {
+    while let Some(choice) = find_choice(scene, models, sites, &alive, runners) {
         if choice.loads > memory.loads {
             memory.starved = true;
             return;
@@ -287,12 +302,18 @@
     planned.chain(kept).chain(seen).max().unwrap_or_default()
 }
 
-fn find_choice(models: &[Model], sites: &[Site], alive: &[usize], runners: usize) -> Option<Choice> {
+fn find_choice(
+    scene: &Scene,
+    models: &[Model],
+    sites: &[Site],
+    alive: &[usize],
+    runners: usize,
+) -> Option<Choice> {
     let mut best: Option<Choice> = None;
     for (at, site) in sites.iter().enumerate() {
         let free = site.list_free();
         for (model_at, model) in models.iter().enumerate() {
-            let wanted = PLACED * runners as f64 * model.share / model.size as f64;
+            let wanted = count_wanted(model, runners);
             if free.len() < model.size || alive[model_at] as f64 >= wanted {
                 continue;
             }
@@ -301,6 +322,11 @@
             let members = &by_time[..model.size];
             let time = members.iter().map(|runner| time_join(runner, model)).max().unwrap_or_default();
             let loads = members.iter().filter(|runner| time_join(runner, model) == model.load).count();
+            // A member that loads from the weight store is bound for many seconds.
+            // Staged on the side instead, it stays free for whatever is lost next.
+            if loads > 0 && scene.serving && alive[model_at] > 0 {
+                continue;
+            }
             let score = alive[model_at] as f64 / wanted + time.0 as f64 / FORM_SCALE.0 as f64;
             if best.as_ref().is_none_or(|best| score < best.score) {
                 let members = members.iter().map(|runner| runner.id.clone()).collect();
@@ -310,3 +336,8 @@
     }
     best
 }
+
+/// How many groups of a model there are meant to be.
+fn count_wanted(model: &Model, runners: usize) -> f64 {
+    PLACED * runners as f64 * model.share / model.size as f64
+}
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod freshness;
 pub mod order;
 pub mod plan;
+pub mod probe;
 pub mod roster;
 pub mod runner;
 pub mod settings;
--- a/crates/fleet/src/order.rs
+++ b/crates/fleet/src/order.rs
@@ -3,7 +3,7 @@
 use cottoncrank::{Millis, id};
 
 use crate::catalog::Model;
-use crate::decide::{Memory, Scene, Site, find_phase};
+use crate::decide::{Memory, Scene, Site, find_phase, time_join};
 use crate::plan::Group;
 use crate::runner::{Epoch, Phase, Runner};
 
@@ -73,7 +73,7 @@
 }
 
 fn order_forming(scene: &Scene, group: &Group, desk: &mut Desk) {
-    let runners: Vec<&Runner> = group.members.iter().filter_map(|id| scene.roster.get(id)).collect();
+    let runners: Vec<&Runner> = group.members.iter().filter_map(|id| scene.find(id)).collect();
     let phases: Vec<Option<Phase>> = runners.iter().map(|runner| find_phase(runner, group)).collect();
     for (runner, phase) in runners.iter().zip(&phases) {
         if phase.is_none() {
@@ -89,9 +89,9 @@
 }
 
 fn order_leaving(scene: &Scene, group: &Group, desk: &mut Desk) {
-    let living: Vec<&Runner> = group.members.iter().filter_map(|id| scene.roster.get(id)).collect();
+    let living: Vec<&Runner> = group.members.iter().filter_map(|id| scene.find(id)).collect();
     let leave = Order::Leave(group.name.clone(), group.epoch);
-    let Some(head) = group.head().and_then(|id| scene.roster.get(id)) else {
+    let Some(head) = group.head().and_then(|id| scene.find(id)) else {
         return order_leaving_headless(group, &living, desk);
     };
     let intact = living.len() == group.members.len();
@@ -131,31 +131,39 @@
     }
 }
 
-/// Keeps a spare runner for each model that the domain serves, the largest first.
+/// Stages a model on each free runner that holds none, so that groups are
+/// formed without a load.
 fn order_staging(models: &[Model], site: &Site, desk: &mut Desk) {
     if desk.memory.starved {
         return;
     }
     let free = site.list_free();
-    let mut bare: Vec<&Runner> = free
-        .iter()
-        .copied()
-        .filter(|runner| runner.staged.is_empty())
-        .filter(|runner| !models.iter().any(|m| desk.has_given(&runner.id, &Order::Stage(m.name.clone()))))
-        .collect();
-    let mut by_size: Vec<&Model> = models.iter().collect();
-    by_size.sort_by_key(|model| std::cmp::Reverse(model.size));
-    while let Some(runner) = bare.pop() {
+    let is_bare = |runner: &&Runner| {
+        let asked = models.iter().any(|m| desk.has_given(&runner.id, &Order::Stage(m.name.clone())));
+        runner.staged.is_empty() && !asked
+    };
+    let bare: Vec<&Runner> = free.iter().copied().filter(is_bare).collect();
+    for runner in bare {
         if desk.memory.loads < 1.0 {
             return;
         }
-        let covered = |model: &Model| {
-            let order = Order::Stage(model.name.clone());
-            free.iter().filter(|r| r.staged.contains(&model.name) || desk.has_given(&r.id, &order)).count()
-        };
-        let Some(model) = by_size.iter().min_by_key(|model| covered(model)) else { return };
-        let order = Order::Stage(model.name.clone());
+        let Some(model) = pick_staged(models, site, &free, desk) else { return };
         desk.memory.loads -= 1.0;
-        desk.give(&runner.id, order);
+        desk.give(&runner.id, Order::Stage(model.name.clone()));
     }
 }
+
+/// The model of which the domain lacks spare runners most, in groups: a model
+/// that a domain does not serve needs a whole set, others only what one loss takes.
+fn pick_staged<'a>(models: &'a [Model], site: &Site, free: &[&Runner], desk: &Desk) -> Option<&'a Model> {
+    let lack = |model: &Model| {
+        let order = Order::Stage(model.name.clone());
+        let held =
+            |runner: &&&Runner| time_join(runner, model) < model.load || desk.has_given(&runner.id, &order);
+        let spare = free.iter().filter(held).count() as f64;
+        let groups = site.plan.groups.iter().filter(|group| group.model == model.name).count();
+        let wanted = if groups == 0 { model.size as f64 } else { 1.0 };
+        spare / wanted
+    };
+    models.iter().min_by(|a, b| lack(a).total_cmp(&lack(b)).then(b.size.cmp(&a.size)))
+}
--- a/crates/fleet/src/plan.rs
+++ b/crates/fleet/src/plan.rs
@@ -1,6 +1,8 @@
 //! Which runner is meant for which group: one document a fabric domain, kept
 //! in the platform's store so that any node can take the decisions over.
 
+use std::collections::BTreeMap;
+
 use cottoncrank::id;
 use serde::{Deserialize, Serialize};
 
@@ -39,3 +41,12 @@
     /// The groups.
     pub groups: Vec<Group>,
 }
+
+/// The plans of all fabric domains.
+pub type Plans = BTreeMap<id::Domain, Document>;
+
+/// Whether a group is given up according to the plans.
+pub fn is_retired(plans: &Plans, group: &id::Group, epoch: Epoch) -> bool {
+    let mut groups = plans.values().flat_map(|plan| &plan.groups);
+    groups.any(|known| known.retired && known.name == *group && known.epoch == epoch)
+}
--- a/crates/node/src/attempt.rs
+++ b/crates/node/src/attempt.rs
@@ -7,6 +7,7 @@
 use cottoncrank::{Millis, id};
 use cottoncrank_fleet::balance;
 use cottoncrank_fleet::catalog::{Catalog, Route};
+use cottoncrank_fleet::plan::is_retired;
 use cottoncrank_platform::header::{self, Forward, Terms, Verdict};
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -82,7 +83,12 @@
     let candidates = match (engine, &job.terms.model) {
         (Some(engine), Some(model)) => {
             let size = engine.models.iter().find(|known| known.name == *model)?.size;
-            roster.list_heads(&job.service, model, size)
+            let plans = node.plans.lock();
+            let mut heads = roster.list_heads(&job.service, model, size);
+            heads.retain(|head| {
+                head.membership.as_ref().is_none_or(|m| !is_retired(&plans, &m.group, m.epoch))
+            });
+            heads
         }
         _ => roster.list_plain(&job.service),
     };
--- a/crates/node/src/decider.rs
+++ b/crates/node/src/decider.rs
@@ -12,12 +12,14 @@
 use cottoncrank_fleet::decide::{Memory, Scene, Step, step};
 use cottoncrank_fleet::order::Order;
 use cottoncrank_fleet::plan::Document;
+use cottoncrank_fleet::probe::{Answer, Probes};
 use cottoncrank_net::client::{Client, Traffic};
 use cottoncrank_platform::order::{self, Reply};
 use cottoncrank_platform::store::{Commit, Item, Outcome, StoreError};
 use parking_lot::Mutex;
 use rand::Rng;
 use thiserror::Error;
+use tokio::task::JoinSet;
 
 use crate::state::Node;
 
@@ -50,6 +52,14 @@
 /// How long an order may take. Runners answer within milliseconds.
 const ORDER: Millis = Millis(1000);
 
+/// How long a question to a runner may take; the way there and back takes a few
+/// milliseconds.
+const PROBE: Millis = Millis(250);
+
+/// The pause between two rounds of questions. A runner lost for good is known
+/// after two rounds, twice as fast as by its lapsing entry.
+const PROBE_PAUSE: Millis = Millis(450);
+
 /// A write takes at most this many documents at once, the store's limit less the lease.
 const WRITES_MAX: usize = 15;
 
@@ -62,8 +72,16 @@
     Deposed,
     #[error("the lease may be over")]
     Expired,
-    #[error("a plan in the store cannot be read: {0}")]
-    Plan(String),
+    #[error(transparent)]
+    Plan(#[from] PlanError),
+}
+
+/// A plan that cannot be read or written.
+#[derive(Debug, Error)]
+#[error("the plan `{key}` cannot be encoded or decoded: {reason}")]
+pub struct PlanError {
+    key: String,
+    reason: String,
 }
 
 /// A plan as it stands in the store.
@@ -83,6 +101,7 @@
     until: Millis,
     plans: BTreeMap<id::Domain, Kept>,
     memory: Arc<Mutex<Memory>>,
+    probes: Arc<Mutex<Probes>>,
 }
 
 /// Stands for the lease whenever it is free, and decides while holding it.
@@ -101,9 +120,12 @@
         match stand(&node).await {
             Ok(Some(mut term)) => {
                 log::info!("decider: this node decides from revision {}", term.revision);
+                let (node, client, probes) = (node.clone(), term.client.clone(), term.probes.clone());
+                let prober = tokio::spawn(probe_runners(node, client, probes));
                 let Err(end) = term.hold().await;
+                prober.abort();
                 log::warn!("decider: this node decides no more: {end}");
-                if let Err(error) = node.store.end_lease(term.lease).await {
+                if let Err(error) = term.node.store.end_lease(term.lease).await {
                     log::info!("decider: the lease runs out by itself: {error}");
                 }
             }
@@ -134,21 +156,56 @@
         until: asked + ttl,
         plans,
         memory: Arc::default(),
+        probes: Arc::default(),
     }))
 }
 
+/// Asks all runners that stand in groups, in rounds, whether they are there.
+async fn probe_runners(node: Arc<Node>, client: Client, probes: Arc<Mutex<Probes>>) {
+    loop {
+        let placed: Vec<_> = {
+            let roster = node.roster.lock();
+            let placed = roster.iter().filter(|runner| runner.membership.is_some());
+            placed.map(|runner| (runner.id.clone(), runner.hall.clone(), runner.address)).collect()
+        };
+        let mut asking = JoinSet::new();
+        for (runner, hall, address) in placed {
+            let client = client.clone();
+            asking.spawn(async move {
+                let heard = order::probe(&client, address, &runner, PROBE).await;
+                Answer { runner, hall, heard }
+            });
+        }
+        let round = asking.join_all().await;
+        let fresh = probes.lock().take(&round);
+        if !fresh.is_empty() {
+            log::info!(
+                "decider: no answer from {}",
+                fresh.iter().map(id::Runner::as_str).collect::<Vec<_>>().join(" ")
+            );
+            node.changed.notify_one();
+        }
+        tokio::time::sleep(PROBE_PAUSE.duration()).await;
+    }
+}
+
 async fn read_plans(node: &Node) -> Result<BTreeMap<id::Domain, Kept>, EndError> {
-    let items = node.store.read_own().await?;
-    let plans = items.into_iter().filter(|item| item.key.starts_with(PLAN_PREFIX));
-    plans.map(|item| read_plan(&item)).collect()
+    let mut plans = BTreeMap::new();
+    for item in node.store.read_own().await? {
+        if let Some((domain, document)) = read_plan(&item)? {
+            plans.insert(domain, Kept { revision: item.revision, document });
+        }
+    }
+    Ok(plans)
 }
 
-fn read_plan(item: &Item) -> Result<(id::Domain, Kept), EndError> {
-    let unreadable = |error: String| EndError::Plan(format!("{}: {error}", item.key));
-    let name = item.key.trim_start_matches(PLAN_PREFIX);
+/// Reads a plan, if the item is one.
+pub fn read_plan(item: &Item) -> Result<Option<(id::Domain, Document)>, PlanError> {
+    let unreadable = |reason: String| PlanError { key: item.key.clone(), reason };
+    let Some(name) = item.key.strip_prefix(PLAN_PREFIX) else { return Ok(None) };
     let domain = name.parse().map_err(|error: id::IdError| unreadable(error.to_string()))?;
     let document = rmp_serde::from_slice(&item.value).map_err(|error| unreadable(error.to_string()))?;
-    Ok((domain, Kept { revision: item.revision, document }))
+    Ok(Some((domain, document)))
 }
 
 impl Term {
@@ -196,10 +253,13 @@
                 self.plans.iter().map(|(domain, kept)| (domain.clone(), kept.document.clone())).collect();
             let step = {
                 let roster = self.node.roster.lock();
+                let probes = self.probes.lock();
                 let scene = Scene {
                     service,
                     roster: &roster,
                     plans: &documents,
+                    silent: probes.silent(),
+                    serving: self.node.is_serving(),
                     stall: self.node.settings.bounds.stall,
                     now: self.node.now(),
                 };
@@ -228,7 +288,8 @@
         let mut commit = Commit { expect: vec![(LEASE_KEY.to_owned(), self.revision)], ..Commit::default() };
         for (domain, document, reasons) in writes {
             let key = format!("{PLAN_PREFIX}{domain}");
-            let bytes = rmp_serde::to_vec(document).map_err(|error| EndError::Plan(error.to_string()))?;
+            let bytes = rmp_serde::to_vec(document)
+                .map_err(|error| PlanError { key: key.clone(), reason: error.to_string() })?;
             let expected = self.plans.get(domain).map_or(0, |kept| kept.revision);
             commit.expect.push((key.clone(), expected));
             commit.puts.push((key, bytes, None));
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -9,6 +9,7 @@
 use cottoncrank_fleet::balance::Ledger;
 use cottoncrank_fleet::catalog::Catalog;
 use cottoncrank_fleet::freshness::Freshness;
+use cottoncrank_fleet::plan::Plans;
 use cottoncrank_fleet::roster::Roster;
 use cottoncrank_fleet::settings::Settings;
 use cottoncrank_platform::store::Store;
@@ -38,6 +39,8 @@
     pub freshness: Mutex<Freshness>,
     /// The runners.
     pub roster: Mutex<Roster>,
+    /// The plans of the groups, as the store tells.
+    pub plans: Mutex<Plans>,
     /// What was seen of the runners.
     pub ledger: Mutex<Ledger>,
     /// Pays for requests that are sent again.
@@ -49,6 +52,7 @@
     /// Whether the node is about to stop.
     pub draining: watch::Sender<bool>,
     synced: AtomicBool,
+    serving: AtomicBool,
     running: AtomicUsize,
 }
 
@@ -64,12 +68,14 @@
             catalog: Mutex::default(),
             freshness: Mutex::default(),
             roster: Mutex::default(),
+            plans: Mutex::default(),
             ledger: Mutex::default(),
             retries: Mutex::new(retries),
             decider: watch::Sender::new(None),
             changed: Notify::new(),
             draining: watch::Sender::new(false),
             synced: AtomicBool::new(false),
+            serving: AtomicBool::new(false),
             running: AtomicUsize::new(0),
         })
     }
@@ -89,6 +95,11 @@
         self.synced.store(true, Ordering::Relaxed);
     }
 
+    /// Whether a caller has sent a request yet.
+    pub fn is_serving(&self) -> bool {
+        self.serving.load(Ordering::Relaxed)
+    }
+
     /// Whether keys of accounts may be honoured now.
     pub fn trusts_keys(&self) -> bool {
         self.freshness.lock().allows(self.now(), self.settings.bounds.revoke)
@@ -107,6 +118,7 @@
     /// Counts a request until the guard is dropped.
     pub fn begin_request(self: &Arc<Self>) -> Running {
         self.running.fetch_add(1, Ordering::Relaxed);
+        self.serving.store(true, Ordering::Relaxed);
         Running(self.clone())
     }
 
--- a/crates/node/src/sync.rs
+++ b/crates/node/src/sync.rs
@@ -4,10 +4,10 @@
 
 use cottoncrank::Millis;
 use cottoncrank_fleet::catalog::Catalog;
-use cottoncrank_platform::store::{Batch, Change, ItemError, StoreError};
+use cottoncrank_platform::store::{Batch, Change, Item, ItemError, StoreError};
 use rand::Rng;
 
-use crate::decider::LEASE_KEY;
+use crate::decider::{self, LEASE_KEY};
 use crate::state::Node;
 
 /// How long one watch waits. An answer without changes proves that the keys
@@ -147,7 +147,8 @@
         Ok(Change::OwnGone(key)) if key == LEASE_KEY => {
             node.decider.send_replace(None);
         }
-        Ok(Change::Own(_) | Change::OwnGone(_)) => {}
+        Ok(Change::Own(item)) => take_plan(node, &item),
+        Ok(Change::OwnGone(key)) => log::warn!("store: `{key}` was removed"),
         Err(error @ ItemError::Catalog(_)) => {
             log::error!("catalog: {error}");
             return false;
@@ -157,6 +158,16 @@
     true
 }
 
+fn take_plan(node: &Node, item: &Item) {
+    match decider::read_plan(item) {
+        Ok(Some((domain, document))) => {
+            node.plans.lock().insert(domain, document);
+        }
+        Ok(None) => log::warn!("store: `{}` is no plan", item.key),
+        Err(error) => log::error!("store: {error}"),
+    }
+}
+
 fn take_catalog(node: &Node, catalog: Catalog) {
     let mut held = node.catalog.lock();
     let here = held.as_ref().map(|catalog| catalog.version);
