Stage spare runners early, restage them for models that lack groups, renew a shorter lease

Cause: lost groups of the larger model found no staged spare in their domain; a killed decider left groups unrepaired for 2.5 s; each change cost nine watches. Change: staging by what a domain lacks, loads at the pace the weight store allows, a lease of 1.6 s, changes gathered for 200 ms where nothing is decided.

--- a/crates/fleet/src/decide.rs
+++ b/crates/fleet/src/decide.rs
@@ -21,15 +21,19 @@
 /// Of the runners, this part is meant for groups; the others stand by with a
 /// model staged, so that a lost member is replaced without a load. Two of the
 /// ten runners of today's domains, the most that fail there at one time.
-pub const PLACED: f64 = 0.75;
+pub const PLACED: f64 = 0.72;
 
 /// Kept on top of the time after which a group that stands still is broken, for
 /// the way of the order that made it stand still.
 pub const STALL_MARGIN: Millis = Millis(700);
 
-/// How many seconds of loads may be begun at one time. The store of weights
-/// allows three loads beyond its rate in a window, and a tenth more.
-const LOAD_BURST: f64 = 1.0;
+/// Loads that may begin at one time beyond the rate. The store of weights allows
+/// three more than its rate in a window.
+const LOAD_BURST: f64 = 3.0;
+
+/// The rate at which loads are begun, as a part of the store's. It allows a
+/// tenth more; half of that is kept for orders that arrive bunched.
+const LOAD_PACE: f64 = 1.05;
 
 /// Forming a group this much sooner is worth as much as the whole of what a
 /// model is meant to have: about the time of a load from the weight store.
@@ -59,6 +63,8 @@
     /// Loads that may begin now, and when that was last worked out.
     pub(crate) loads: f64,
     counted: Millis,
+    /// Loads of the next group, which may be saved up for.
+    burst: f64,
     /// Whether a group waits for loads: staging has to stand back.
     pub(crate) starved: bool,
 }
@@ -81,7 +87,7 @@
 
     fn refill(&mut self, now: Millis, rate: f64) {
         let seconds = now.since(self.counted).0 as f64 / 1000.0;
-        self.loads = (self.loads + seconds * rate).min(rate * LOAD_BURST);
+        self.loads = (self.loads + seconds * rate * LOAD_PACE).min(LOAD_BURST.max(self.burst));
         self.counted = now;
     }
 }
@@ -141,8 +147,9 @@
     }
     form_groups(scene, &engine.models, &mut sites, memory);
     let mut step = Step::default();
+    let lacking = list_lacking(&engine.models, &sites);
     for site in &sites {
-        list_orders(scene, &engine.models, site, memory, &mut step.orders);
+        list_orders(scene, &engine.models, &lacking, site, memory, &mut step.orders);
     }
     let changed = sites.into_iter().filter(|site| match scene.plans.get(&site.id) {
         Some(plan) => *plan != site.plan,
@@ -261,15 +268,11 @@
 /// Forms groups out of free runners, of the model that lacks most first.
 fn form_groups(scene: &Scene, models: &[Model], sites: &mut [Site], memory: &mut Memory) {
     let runners: usize = sites.iter().map(|site| site.runners.len()).sum();
-    let mut alive: Vec<usize> = models
-        .iter()
-        .map(|model| {
-            let groups = sites.iter().flat_map(|site| &site.plan.groups);
-            groups.filter(|group| !group.retired && group.model == model.name).count()
-        })
-        .collect();
+    let mut alive = count_alive(models, sites);
     memory.starved = false;
     while let Some(choice) = find_choice(scene, models, sites, &alive, runners) {
+        // A group whose members load begins whole, if it is larger than the burst too.
+        memory.burst = choice.loads;
         if choice.loads > memory.loads {
             memory.starved = true;
             return;
@@ -339,5 +342,23 @@
 
 /// How many groups of a model there are meant to be.
 fn count_wanted(model: &Model, runners: usize) -> f64 {
-    PLACED * runners as f64 * model.share / model.size as f64
+    (PLACED * runners as f64 * model.share / model.size as f64).round().max(1.0)
+}
+
+/// How many groups of each model there are, as planned and not given up.
+fn count_alive(models: &[Model], sites: &[Site]) -> Vec<usize> {
+    let count = |model: &Model| {
+        let groups = sites.iter().flat_map(|site| &site.plan.groups);
+        groups.filter(|group| !group.retired && group.model == model.name).count()
+    };
+    models.iter().map(count).collect()
+}
+
+/// The models of which there are fewer groups than there are meant to be.
+fn list_lacking<'a>(models: &'a [Model], sites: &[Site]) -> Vec<&'a Model> {
+    let runners: usize = sites.iter().map(|site| site.runners.len()).sum();
+    let alive = count_alive(models, sites);
+    let lacking =
+        models.iter().zip(alive).filter(|(model, alive)| (*alive as f64) < count_wanted(model, runners));
+    lacking.map(|(model, _)| model).collect()
 }
--- a/crates/node/src/decider.rs
+++ b/crates/node/src/decider.rs
@@ -31,17 +31,20 @@
 
 /// How long the lease lasts without being renewed. A lost decider leaves groups
 /// unrepaired for this long.
-const LEASE: Millis = Millis(2500);
+const LEASE: Millis = Millis(1600);
 
 /// How often the lease is renewed; two renewals may fail.
-const RENEW: Millis = Millis(800);
+const RENEW: Millis = Millis(400);
 
 /// A decider stops this long before its lease may be over.
 const LEASE_MARGIN: Millis = Millis(300);
 
 /// Candidates wait for up to this long, each for another time, so that most
 /// see that one was first and spare the store a call.
-const CANDIDACY: Millis = Millis(400);
+const CANDIDACY: Millis = Millis(250);
+
+/// How often a node that knows too little to decide looks again.
+const UNABLE: Millis = Millis(50);
 
 /// How often a decider looks at the fleet when nothing has changed.
 const LOOK: Millis = Millis(250);
@@ -110,11 +113,13 @@
     loop {
         // The sender lives as long as the node.
         let _ = decider.wait_for(Option::is_none).await;
+        if !node.is_synced() || *node.draining.borrow() || node.catalog.lock().is_none() {
+            tokio::time::sleep(UNABLE.duration()).await;
+            continue;
+        }
         let jitter = rand::rng().random_range(0..CANDIDACY.0);
         tokio::time::sleep(Millis(jitter).duration()).await;
-        let free = decider.borrow_and_update().is_none();
-        let able = node.is_synced() && !*node.draining.borrow() && node.catalog.lock().is_some();
-        if !free || !able {
+        if decider.borrow_and_update().is_some() {
             continue;
         }
         match stand(&node).await {
@@ -122,7 +127,9 @@
                 log::info!("decider: this node decides from revision {}", term.revision);
                 let (node, client, probes) = (node.clone(), term.client.clone(), term.probes.clone());
                 let prober = tokio::spawn(probe_runners(node, client, probes));
+                term.node.set_deciding(true);
                 let Err(end) = term.hold().await;
+                term.node.set_deciding(false);
                 prober.abort();
                 log::warn!("decider: this node decides no more: {end}");
                 if let Err(error) = term.node.store.end_lease(term.lease).await {
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -52,6 +52,7 @@
     /// Whether the node is about to stop.
     pub draining: watch::Sender<bool>,
     synced: AtomicBool,
+    deciding: AtomicBool,
     serving: AtomicBool,
     running: AtomicUsize,
 }
@@ -75,6 +76,7 @@
             changed: Notify::new(),
             draining: watch::Sender::new(false),
             synced: AtomicBool::new(false),
+            deciding: AtomicBool::new(false),
             serving: AtomicBool::new(false),
             running: AtomicUsize::new(0),
         })
@@ -95,6 +97,16 @@
         self.synced.store(true, Ordering::Relaxed);
     }
 
+    /// Whether this node decides for the fleet.
+    pub fn is_deciding(&self) -> bool {
+        self.deciding.load(Ordering::Relaxed)
+    }
+
+    /// Says whether this node decides for the fleet.
+    pub fn set_deciding(&self, deciding: bool) {
+        self.deciding.store(deciding, Ordering::Relaxed);
+    }
+
     /// Whether a caller has sent a request yet.
     pub fn is_serving(&self) -> bool {
         self.serving.load(Ordering::Relaxed)
--- a/crates/node/src/sync.rs
+++ b/crates/node/src/sync.rs
@@ -16,7 +16,10 @@
 
 /// The pause after a batch of changes, so that the next watch brings several at
 /// once: each costs a call, and the strictest bound is two seconds.
-const GATHER: Millis = Millis(60);
+const GATHER: Millis = Millis(200);
+
+/// The same at the node that decides: groups stand still until it knows.
+const GATHER_DECIDING: Millis = Millis(50);
 
 /// The pause after a failed call: at least this, at most twice. Every call is
 /// counted, refused ones too, and all nodes fail at the same time.
@@ -46,7 +49,8 @@
                 reached = true;
                 revision = Some(next.revision);
                 if next.changes > 0 {
-                    tokio::time::sleep(GATHER.duration()).await;
+                    let pause = if node.is_deciding() { GATHER_DECIDING } else { GATHER };
+                    tokio::time::sleep(pause.duration()).await;
                 }
             }
             Err(StoreError::Forgotten) => {
