Count loads in the store's own window; begin all that fit before callers come

Cause: paced evenly, 47 of 60 loads began before callers came; each later one takes ten times longer, and more than seven side by side delay each other, so spare runners were staged only half a minute later. Change: loads are held to the exact window of the ceiling, and while serving to those that run at full speed.

--- a/crates/fleet/src/catalog.rs
+++ b/crates/fleet/src/catalog.rs
@@ -102,6 +102,8 @@
     pub models: Vec<Model>,
     /// Loads from the shared weight store that may begin in a second.
     pub loads_per_second: f64,
+    /// Loads that run at full speed side by side.
+    pub loads_at_once: usize,
     /// How long a group takes to open once its head is told.
     pub form: Millis,
 }
--- a/crates/fleet/src/decide.rs
+++ b/crates/fleet/src/decide.rs
@@ -12,33 +12,44 @@
 
 use cottoncrank::{Millis, id};
 
-use crate::catalog::{Model, Service};
-use crate::order::{Order, list_orders};
+use crate::catalog::{Engine, Model, Service};
+use crate::loads::Loads;
+use crate::order::{Desk, Order, list_orders};
 use crate::plan::{Document, Group};
 use crate::roster::Roster;
 use crate::runner::{Epoch, Phase, Runner};
+use crate::settings::Ceiling;
+use crate::staging::{Lack, SPARES, order_staging};
 
 /// Of the runners, this part is meant for groups; the others stand by with a
 /// model staged, so that a lost member is replaced without a load. Two of the
 /// ten runners of today's domains, the most that fail there at one time.
-pub const PLACED: f64 = 0.72;
+pub const PLACED: f64 = 0.8;
 
 /// Kept on top of the time after which a group that stands still is broken, for
 /// the way of the order that made it stand still.
-pub const STALL_MARGIN: Millis = Millis(700);
-
-/// Loads that may begin at one time beyond the rate. The store of weights allows
-/// three more than its rate in a window.
-const LOAD_BURST: f64 = 3.0;
-
-/// The rate at which loads are begun, as a part of the store's. It allows a
-/// tenth more; half of that is kept for orders that arrive bunched.
-const LOAD_PACE: f64 = 1.05;
+pub const STALL_MARGIN: Millis = Millis(300);
 
 /// Forming a group this much sooner is worth as much as the whole of what a
 /// model is meant to have: about the time of a load from the weight store.
 const FORM_SCALE: Millis = Millis(15_000);
 
+/// Runners that a domain keeps beside its groups, where another domain can take
+/// a group: one for each of today's two models.
+const RESERVE: usize = 2;
+
+/// Where a domain would keep fewer than [`RESERVE`], a group there counts as
+/// worth less by this part of what its model is meant to have.
+const BARE: f64 = 0.6;
+
+/// The same for each group of the model that the domain has already: its loss
+/// as a whole takes them all.
+const CROWDING: f64 = 0.05;
+
+/// Beyond what is meant, groups are formed up to this factor out of runners that
+/// hold the model anyway.
+const EXTRA: f64 = 1.25;
+
 /// What is to be done.
 #[derive(Clone, Debug, Default)]
 pub struct Step {
@@ -56,17 +67,14 @@
     pub(crate) given: HashMap<(id::Runner, Order), Millis>,
     /// Orders that the runner answered as done or begun.
     pub(crate) taken: HashSet<(id::Runner, Order)>,
+    /// The model that each runner was last told to stage.
+    pub(crate) staged: HashMap<id::Runner, id::Model>,
     /// Groups whose members were refused in a way that no repeat mends.
     refused: HashSet<(id::Group, Epoch)>,
     /// Since when a retired group lacks a member and must stand still.
     pub(crate) halted: HashMap<(id::Group, Epoch), Millis>,
-    /// Loads that may begin now, and when that was last worked out.
-    pub(crate) loads: f64,
-    counted: Millis,
-    /// Loads of the next group, which may be saved up for.
-    burst: f64,
-    /// Whether a group waits for loads: staging has to stand back.
-    pub(crate) starved: bool,
+    /// Loads begun lately.
+    loads: Loads,
 }
 
 impl Memory {
@@ -78,18 +86,18 @@
         self.taken.insert((runner.clone(), order.clone()));
     }
 
+    /// A runner is told to load a model on the side.
+    pub(crate) fn note_staging(&mut self, runner: &id::Runner, model: &Model, now: Millis) {
+        self.staged.insert(runner.clone(), model.name.clone());
+        self.loads.begin(now, 1, model.load);
+    }
+
     /// A runner refused an order for good.
     pub fn note_refused(&mut self, order: &Order) {
         if let Order::Join(group, epoch, ..) = order {
             self.refused.insert((group.clone(), *epoch));
         }
     }
-
-    fn refill(&mut self, now: Millis, rate: f64) {
-        let seconds = now.since(self.counted).0 as f64 / 1000.0;
-        self.loads = (self.loads + seconds * rate * LOAD_PACE).min(LOAD_BURST.max(self.burst));
-        self.counted = now;
-    }
 }
 
 /// What a step looks at.
@@ -104,6 +112,8 @@
     pub silent: &'a HashSet<id::Runner>,
     /// Whether callers have sent requests already. Before that, loads are short.
     pub serving: bool,
+    /// How fast runners may load.
+    pub ceiling: &'a Ceiling,
     /// After this long a group that stands still is broken.
     pub stall: Millis,
     /// The time.
@@ -139,17 +149,23 @@
 /// Decides what to do next.
 pub fn step(scene: &Scene, memory: &mut Memory) -> Step {
     let Some(engine) = &scene.service.engine else { return Step::default() };
-    memory.refill(scene.now, engine.loads_per_second);
+    memory.loads.forget(scene.now, scene.ceiling);
     let mut sites = list_sites(scene);
     for site in &mut sites {
         retire_groups(scene, site, memory);
         release_groups(scene, site, memory);
     }
-    form_groups(scene, &engine.models, &mut sites, memory);
+    form_groups(scene, engine, &mut sites, memory);
     let mut step = Step::default();
     let lacking = list_lacking(&engine.models, &sites);
+    let allowed = memory.loads.allowed(scene.now, engine, scene.ceiling, scene.serving);
+    let mut desk = Desk { now: scene.now, memory, orders: &mut step.orders, allowed };
     for site in &sites {
-        list_orders(scene, &engine.models, &lacking, site, memory, &mut step.orders);
+        list_orders(scene, site, &mut desk);
+    }
+    // Before callers come, loads are short, and groups go first.
+    if scene.serving || lacking.is_empty() {
+        order_staging(scene, &engine.models, &lacking, &sites, &mut desk);
     }
     let changed = sites.into_iter().filter(|site| match scene.plans.get(&site.id) {
         Some(plan) => *plan != site.plan,
@@ -261,23 +277,22 @@
     site: usize,
     model: usize,
     members: Vec<id::Runner>,
-    loads: f64,
+    loads: usize,
     score: f64,
 }
 
 /// Forms groups out of free runners, of the model that lacks most first.
-fn form_groups(scene: &Scene, models: &[Model], sites: &mut [Site], memory: &mut Memory) {
+fn form_groups(scene: &Scene, engine: &Engine, sites: &mut [Site], memory: &mut Memory) {
+    let models = &engine.models;
     let runners: usize = sites.iter().map(|site| site.runners.len()).sum();
     let mut alive = count_alive(models, sites);
-    memory.starved = false;
     while let Some(choice) = find_choice(scene, models, sites, &alive, runners) {
-        // A group whose members load begins whole, if it is larger than the burst too.
-        memory.burst = choice.loads;
-        if choice.loads > memory.loads {
-            memory.starved = true;
+        // A model without any group does not wait until others have loaded.
+        let patient = scene.serving && alive[choice.model] > 0;
+        if choice.loads > memory.loads.allowed(scene.now, engine, scene.ceiling, patient) {
             return;
         }
-        memory.loads -= choice.loads;
+        memory.loads.begin(scene.now, choice.loads, models[choice.model].load);
         alive[choice.model] += 1;
         let epoch = find_top(scene, sites).next();
         let site = &mut sites[choice.site];
@@ -317,7 +332,7 @@
         let free = site.list_free();
         for (model_at, model) in models.iter().enumerate() {
             let wanted = count_wanted(model, runners);
-            if free.len() < model.size || alive[model_at] as f64 >= wanted {
+            if free.len() < model.size {
                 continue;
             }
             let mut by_time: Vec<&Runner> = free.clone();
@@ -330,10 +345,22 @@
             if loads > 0 && scene.serving && alive[model_at] > 0 {
                 continue;
             }
-            let score = alive[model_at] as f64 / wanted + time.0 as f64 / FORM_SCALE.0 as f64;
+            let held = free.iter().filter(|runner| time_join(runner, model) < model.load).count();
+            let rich = loads == 0 && held >= model.size + SPARES;
+            let most = if rich { wanted * EXTRA } else { wanted };
+            if alive[model_at] as f64 >= most {
+                continue;
+            }
+            let time = if loads > 0 { Millis(0) } else { time };
+            let here = site.plan.groups.iter().filter(|group| group.model == model.name).count();
+            let bare = free.len() < model.size + RESERVE;
+            let score = alive[model_at] as f64 / wanted
+                + time.0 as f64 / FORM_SCALE.0 as f64
+                + here as f64 * CROWDING
+                + if bare { BARE } else { 0.0 };
             if best.as_ref().is_none_or(|best| score < best.score) {
                 let members = members.iter().map(|runner| runner.id.clone()).collect();
-                best = Some(Choice { site: at, model: model_at, members, loads: loads as f64, score });
+                best = Some(Choice { site: at, model: model_at, members, loads, score });
             }
         }
     }
@@ -354,11 +381,19 @@
     models.iter().map(count).collect()
 }
 
-/// The models of which there are fewer groups than there are meant to be.
-fn list_lacking<'a>(models: &'a [Model], sites: &[Site]) -> Vec<&'a Model> {
+/// The models of which there are fewer groups than there are meant to be, that
+/// which has the smallest part of them first.
+fn list_lacking<'a>(models: &'a [Model], sites: &[Site]) -> Vec<Lack<'a>> {
     let runners: usize = sites.iter().map(|site| site.runners.len()).sum();
     let alive = count_alive(models, sites);
-    let lacking =
-        models.iter().zip(alive).filter(|(model, alive)| (*alive as f64) < count_wanted(model, runners));
-    lacking.map(|(model, _)| model).collect()
+    let mut rows: Vec<(f64, Lack)> = Vec::new();
+    for (model, alive) in models.iter().zip(alive) {
+        let wanted = count_wanted(model, runners);
+        let part = alive as f64 / wanted;
+        if part < 1.0 {
+            rows.push((part, Lack { model, groups: wanted as usize - alive }));
+        }
+    }
+    rows.sort_by(|a, b| a.0.total_cmp(&b.0));
+    rows.into_iter().map(|(_, lack)| lack).collect()
 }
--- /dev/null
+++ b/crates/fleet/src/loads.rs
@@ -0,0 +1,47 @@
+//! How many runners may begin to load a model from the shared weight store.
+
+use std::collections::VecDeque;
+
+use cottoncrank::Millis;
+
+use crate::catalog::Engine;
+use crate::settings::Ceiling;
+
+/// Kept below the ceiling for orders that are carried out later than given.
+const MARGIN: f64 = 1.5;
+
+/// The ceiling allows this many loads beyond its rate in each window.
+const ALLOWANCE: f64 = 3.0;
+
+/// Loads begun lately, as far as this node ordered them.
+#[derive(Clone, Debug, Default)]
+pub struct Loads {
+    /// When each was begun, and when it should be over.
+    begun: VecDeque<(Millis, Millis)>,
+}
+
+impl Loads {
+    /// How many loads may begin at `now`. While callers are `serving`, no more
+    /// than run at full speed side by side: more would delay them all.
+    pub fn allowed(&self, now: Millis, engine: &Engine, ceiling: &Ceiling, serving: bool) -> usize {
+        let seconds = ceiling.window.0 as f64 / 1000.0;
+        let most = (engine.loads_per_second * seconds * ceiling.overshoot + ALLOWANCE - MARGIN) as usize;
+        let recent = self.begun.iter().filter(|(begun, _)| now < *begun + ceiling.window).count();
+        let running = self.begun.iter().filter(|(_, over)| now < *over).count();
+        let by_rate = most.saturating_sub(recent);
+        match serving {
+            true => by_rate.min(engine.loads_at_once.saturating_sub(running)),
+            false => by_rate,
+        }
+    }
+
+    /// Loads begin at `now` that take `time`.
+    pub fn begin(&mut self, now: Millis, count: usize, time: Millis) {
+        self.begun.extend(std::iter::repeat_n((now, now + time), count));
+    }
+
+    /// Forgets loads that are over and outside the window.
+    pub fn forget(&mut self, now: Millis, ceiling: &Ceiling) {
+        self.begun.retain(|(begun, over)| now < *over || now < *begun + ceiling.window);
+    }
+}
--- a/crates/fleet/src/settings.rs
+++ b/crates/fleet/src/settings.rs
@@ -32,8 +32,19 @@
     pub grace: Millis,
     /// A group that lacks a member stands still for this long and is broken then.
     pub stall: Millis,
+    /// How fast runners may load from the shared weight store.
+    pub ceiling: Ceiling,
     /// How many requests may be sent again, as a ratio of all.
     pub retry_ratio: f64,
     /// How many more the whole fleet may send again in a window.
     pub retry_slack: f64,
 }
+
+/// How many loads may begin in any window, against the rate of the weight store.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Ceiling {
+    /// The length of the window.
+    pub window: Millis,
+    /// The factor on the rate.
+    pub overshoot: f64,
+}
--- /dev/null
+++ b/crates/fleet/src/staging.rs
@@ -0,0 +1,174 @@
+//! Which models are put onto the hosts of free runners, so that groups are
+//! formed without a load from the weight store.
+
+use cottoncrank::id;
+
+use crate::catalog::Model;
+use crate::decide::{Scene, Site, time_join};
+use crate::order::{Desk, Order};
+use crate::runner::Runner;
+
+/// Runners of each model that a domain keeps staged beside its groups: what one
+/// loss takes from a group.
+pub const SPARES: usize = 1;
+
+/// A model that has fewer groups than it is meant to have.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Lack<'a> {
+    pub(crate) model: &'a Model,
+    /// How many groups are missing.
+    pub(crate) groups: usize,
+}
+
+/// Orders models onto free runners. First whole sets for models that lack
+/// groups, worst first, where the fewest loads complete one; then one spare
+/// runner of each model that a domain serves; what is left bare serves the
+/// smallest model, whose sets fill soonest.
+pub(crate) fn order_staging(
+    scene: &Scene,
+    models: &[Model],
+    lacking: &[Lack],
+    sites: &[Site],
+    desk: &mut Desk,
+) {
+    let mut stocks: Vec<Stock> = sites.iter().map(|site| Stock::count(scene, models, site, desk)).collect();
+    for lack in lacking {
+        stage_sets(lack, &mut stocks, desk);
+    }
+    for (site, stock) in sites.iter().zip(&mut stocks) {
+        stage_spares(models, site, stock, desk);
+    }
+    let Some(smallest) = models.iter().min_by_key(|model| model.size) else { return };
+    for stock in &mut stocks {
+        while let Some(runner) = stock.find_bare() {
+            if !stage(smallest, runner, stock, desk) {
+                return;
+            }
+        }
+    }
+}
+
+fn stage_sets(lack: &Lack, stocks: &mut [Stock], desk: &mut Desk) {
+    let model = lack.model;
+    let mut missing = lack.groups;
+    let mut order: Vec<usize> = (0..stocks.len()).collect();
+    order.sort_by_key(|at| model.size.saturating_sub(stocks[*at].held(model)));
+    for at in order {
+        let stock = &mut stocks[at];
+        let short = model.size.saturating_sub(stock.held(model));
+        let candidates = stock.list_others(model);
+        if missing == 0 || candidates.len() < short {
+            continue;
+        }
+        missing -= 1;
+        for runner in candidates.into_iter().take(short) {
+            if !stage(model, runner, stock, desk) {
+                return;
+            }
+        }
+        stock.reserve(model);
+    }
+}
+
+fn stage_spares(models: &[Model], site: &Site, stock: &mut Stock, desk: &mut Desk) {
+    let mut by_size: Vec<&Model> = models.iter().collect();
+    by_size.sort_by_key(|model| std::cmp::Reverse(model.size));
+    for model in by_size {
+        let served = site.plan.groups.iter().any(|group| group.model == model.name);
+        if !served || stock.held(model) >= SPARES {
+            continue;
+        }
+        let spare = stock.find_bare().or_else(|| stock.find_surplus(model, models));
+        if let Some(runner) = spare {
+            stage(model, runner, stock, desk);
+        }
+    }
+}
+
+/// Gives the order, if a load may begin now.
+fn stage(model: &Model, runner: &Runner, stock: &mut Stock, desk: &mut Desk) -> bool {
+    if desk.allowed == 0 {
+        return false;
+    }
+    desk.allowed -= 1;
+    desk.memory.note_staging(&runner.id, model, desk.now);
+    desk.give(&runner.id, Order::Stage(model.name.clone()));
+    stock.note(runner, model);
+    true
+}
+
+/// A free runner and the model it can join without a load, now or soon.
+struct Row<'a> {
+    runner: &'a Runner,
+    held: Option<id::Model>,
+}
+
+/// The free runners of a domain, with the members of groups given up, which are
+/// free soon.
+struct Stock<'a> {
+    rows: Vec<Row<'a>>,
+    /// Members of groups given up, by model.
+    returning: Vec<id::Model>,
+}
+
+impl<'a> Stock<'a> {
+    fn count(scene: &Scene<'a>, models: &[Model], site: &Site<'a>, desk: &Desk) -> Stock<'a> {
+        let find_held = |runner: &Runner| {
+            let asked = models
+                .iter()
+                .find(|model| desk.last_staged(&runner.id).is_some_and(|last| *last == model.name));
+            let staged = models.iter().find(|model| time_join(runner, model) < model.load);
+            asked.or(staged).map(|model| model.name.clone())
+        };
+        let free = site.list_free().into_iter();
+        let rows = free.map(|runner| Row { runner, held: find_held(runner) }).collect();
+        let given_up = site.plan.groups.iter().filter(|group| group.retired);
+        let returning = given_up.flat_map(|group| {
+            let living = group.members.iter().filter(|id| scene.find(id).is_some());
+            living.map(|_| group.model.clone())
+        });
+        Stock { rows, returning: returning.collect() }
+    }
+
+    fn held(&self, model: &Model) -> usize {
+        let here = self.rows.iter().filter(|row| row.held.as_ref() == Some(&model.name));
+        let soon = self.returning.iter().filter(|returning| **returning == model.name);
+        here.count() + soon.count()
+    }
+
+    fn find_bare(&self) -> Option<&'a Runner> {
+        self.rows.iter().find(|row| row.held.is_none()).map(|row| row.runner)
+    }
+
+    /// A runner of another model that has more than its spare ones.
+    fn find_surplus(&self, model: &Model, models: &[Model]) -> Option<&'a Runner> {
+        let mut others = models.iter().filter(|other| other.name != model.name);
+        let rich = others.find(|other| self.held(other) > SPARES)?;
+        self.rows.iter().find(|row| row.held.as_ref() == Some(&rich.name)).map(|row| row.runner)
+    }
+
+    /// Runners that do not hold `model`, bare ones first.
+    fn list_others(&self, model: &Model) -> Vec<&'a Runner> {
+        let mut others: Vec<&Row> =
+            self.rows.iter().filter(|row| row.held.as_ref() != Some(&model.name)).collect();
+        others.sort_by_key(|row| row.held.is_some());
+        others.into_iter().map(|row| row.runner).collect()
+    }
+
+    /// Sets a whole set of `model` aside.
+    fn reserve(&mut self, model: &Model) {
+        for _ in 0..model.size {
+            if let Some(at) = self.returning.iter().position(|returning| *returning == model.name) {
+                self.returning.swap_remove(at);
+            } else if let Some(at) = self.rows.iter().position(|row| row.held.as_ref() == Some(&model.name)) {
+                self.rows.swap_remove(at);
+            }
+        }
+    }
+
+    fn note(&mut self, runner: &Runner, model: &Model) {
+        if let Some(row) = self.rows.iter_mut().find(|row| row.runner.id == runner.id) {
+            row.held = Some(model.name.clone());
+        }
+    }
+}
--- a/crates/node/src/decider.rs
+++ b/crates/node/src/decider.rs
@@ -267,6 +267,7 @@
                     plans: &documents,
                     silent: probes.silent(),
                     serving: self.node.is_serving(),
+                    ceiling: &self.node.settings.bounds.ceiling,
                     stall: self.node.settings.bounds.stall,
                     now: self.node.now(),
                 };
