--- a/crates/fleet/src/decide.rs
+++ b/crates/fleet/src/decide.rs
@@ -50,6 +50,10 @@
 /// hold the model anyway.
 const EXTRA: f64 = 1.25;
 
+/// A fleet is taken to have all its runners when none has come for this long.
+/// Those that start together write their entries within a second.
+const SETTLED: Millis = Millis(1000);
+
 /// What is to be done.
 #[derive(Clone, Debug, Default)]
 pub struct Step {
@@ -75,6 +79,9 @@
     pub(crate) halted: HashMap<(id::Group, Epoch), Millis>,
     /// Loads begun lately.
     loads: Loads,
+    /// The most runners seen so far, and since when.
+    runners: usize,
+    grown: Millis,
 }
 
 impl Memory {
@@ -87,9 +94,18 @@
     }
 
     /// A runner is told to load a model on the side.
-    pub(crate) fn note_staging(&mut self, runner: &id::Runner, model: &Model, now: Millis) {
+    pub(crate) fn note_staging(&mut self, runner: &id::Runner, model: &Model, now: Millis, serving: bool) {
         self.staged.insert(runner.clone(), model.name.clone());
-        self.loads.begin(now, 1, model.load);
+        self.loads.begin(now, 1, model.load, serving);
+    }
+
+    /// Whether no runner has come for a while.
+    fn is_settled(&mut self, runners: usize, now: Millis) -> bool {
+        if runners > self.runners {
+            self.runners = runners;
+            self.grown = now;
+        }
+        now >= self.grown + SETTLED
     }
 
     /// A runner refused an order for good.
@@ -159,12 +175,15 @@
     let mut step = Step::default();
     let lacking = list_lacking(&engine.models, &sites);
     let allowed = memory.loads.allowed(scene.now, engine, scene.ceiling, scene.serving);
-    let mut desk = Desk { now: scene.now, memory, orders: &mut step.orders, allowed };
+    let mut desk = Desk { now: scene.now, memory, orders: &mut step.orders, allowed, serving: scene.serving };
     for site in &sites {
         list_orders(scene, site, &mut desk);
     }
     // Before callers come, loads are short, and groups go first.
-    if scene.serving || lacking.is_empty() {
+    let runners = sites.iter().map(|site| site.runners.len()).sum();
+    let settled = memory.is_settled(runners, scene.now);
+    let mut desk = Desk { now: scene.now, memory, orders: &mut step.orders, allowed, serving: scene.serving };
+    if scene.serving || (lacking.is_empty() && settled) {
         order_staging(scene, &engine.models, &lacking, &sites, &mut desk);
     }
     let changed = sites.into_iter().filter(|site| match scene.plans.get(&site.id) {
@@ -292,7 +311,7 @@
         if choice.loads > memory.loads.allowed(scene.now, engine, scene.ceiling, patient) {
             return;
         }
-        memory.loads.begin(scene.now, choice.loads, models[choice.model].load);
+        memory.loads.begin(scene.now, choice.loads, models[choice.model].load, scene.serving);
         alive[choice.model] += 1;
         let epoch = find_top(scene, sites).next();
         let site = &mut sites[choice.site];
--- a/crates/fleet/src/loads.rs
+++ b/crates/fleet/src/loads.rs
@@ -13,6 +13,9 @@
 /// The ceiling allows this many loads beyond its rate in each window.
 const ALLOWANCE: f64 = 3.0;
 
+/// Loads begun before callers come take this many times less, as the platform says.
+const EARLY: u64 = 10;
+
 /// Loads begun lately, as far as this node ordered them.
 #[derive(Clone, Debug, Default)]
 pub struct Loads {
@@ -35,8 +38,9 @@
         }
     }
 
-    /// Loads begin at `now` that take `time`.
-    pub fn begin(&mut self, now: Millis, count: usize, time: Millis) {
+    /// Loads begin at `now` that take `time` while callers are `serving`.
+    pub fn begin(&mut self, now: Millis, count: usize, time: Millis, serving: bool) {
+        let time = if serving { time } else { Millis(time.0 / EARLY) };
         self.begun.extend(std::iter::repeat_n((now, now + time), count));
     }
 
--- a/crates/fleet/src/order.rs
+++ b/crates/fleet/src/order.rs
@@ -47,6 +47,7 @@
     pub(crate) orders: &'a mut Vec<(id::Runner, Order)>,
     /// Loads that may still begin in this step.
     pub(crate) allowed: usize,
+    pub(crate) serving: bool,
 }
 
 impl Desk<'_> {
--- a/crates/fleet/src/staging.rs
+++ b/crates/fleet/src/staging.rs
@@ -91,7 +91,7 @@
         return false;
     }
     desk.allowed -= 1;
-    desk.memory.note_staging(&runner.id, model, desk.now);
+    desk.memory.note_staging(&runner.id, model, desk.now, desk.serving);
     desk.give(&runner.id, Order::Stage(model.name.clone()));
     stock.note(runner, model);
     true
