--- a/crates/fleet/src/order.rs
+++ b/crates/fleet/src/order.rs
@@ -89,7 +89,8 @@
     let Some(head) = group.head().and_then(|id| scene.find(id)) else {
         return order_leaving_headless(group, &living, desk);
     };
-    let intact = living.len() == group.members.len();
+    let inside = living.iter().filter(|runner| find_phase(runner, group).is_some()).count();
+    let intact = inside == group.members.len();
     match find_phase(head, group) {
         Some(Phase::Open) if intact => desk.give(&head.id, Order::Close(group.name.clone(), group.epoch)),
         Some(Phase::Closing) if intact => {}
--- /dev/null
+++ b/crates/fleet/tests/belief.rs
@@ -0,0 +1,192 @@
+//! What a node believes: runners, keys, silence, events and routes.
+
+use assert_matches::assert_matches;
+use cottoncrank::{Millis, id};
+use cottoncrank_fleet::catalog::{Account, Catalog, Kind, Limits, Route, Target};
+use cottoncrank_fleet::event::{EVENT_MAX, EventError, Splitter};
+use cottoncrank_fleet::freshness::{DEAF, Freshness, MARGIN};
+use cottoncrank_fleet::probe::{Answer, Probes};
+use cottoncrank_fleet::roster::{RETURN, Roster};
+use cottoncrank_fleet::runner::{Epoch, Membership, Phase, Runner};
+
+fn member(number: usize, rank: usize, phase: Phase) -> Runner {
+    Runner {
+        id: format!("r{number}").parse().unwrap(),
+        service: "llm".parse().unwrap(),
+        address: "127.0.0.1:9".parse().unwrap(),
+        hall: "hall-a".parse().unwrap(),
+        domain: Some("d0".parse().unwrap()),
+        draining: false,
+        models: vec!["large".parse().unwrap()],
+        staged: Vec::new(),
+        membership: Some(Membership { group: "g1".parse().unwrap(), epoch: Epoch(1), rank, phase }),
+    }
+}
+
+fn heads(roster: &Roster) -> usize {
+    roster.list_heads(&"llm".parse().unwrap(), &"large".parse().unwrap(), 2).len()
+}
+
+#[test]
+fn only_whole_groups_take_requests() {
+    let mut roster = Roster::default();
+    roster.put(member(0, 0, Phase::Open));
+    assert_eq!(heads(&roster), 0, "a member is missing");
+    roster.put(member(1, 1, Phase::Ready));
+    assert_eq!(heads(&roster), 1);
+    roster.put(Runner { draining: true, ..member(1, 1, Phase::Ready) });
+    assert_eq!(heads(&roster), 0, "a member is about to leave");
+    roster.put(member(1, 1, Phase::Ready));
+    roster.put(member(0, 0, Phase::Closing));
+    assert_eq!(heads(&roster), 0, "the head takes no more");
+}
+
+#[test]
+fn entries_that_lapsed_with_the_store_may_come_back() {
+    let mut roster = Roster::default();
+    let (here, id) = (member(0, 0, Phase::Open), "r0".parse::<id::Runner>().unwrap());
+    let now = Millis(100_000);
+    roster.put(here.clone());
+    roster.regain(now);
+    roster.remove(&id, now);
+    assert!(roster.get(&id).is_some());
+    assert!(roster.expire(now + RETURN - Millis(1)).is_empty());
+    assert_eq!(roster.expire(now + RETURN), std::slice::from_ref(&id));
+    assert!(roster.get(&id).is_none());
+    // One that wrote itself in again stays.
+    roster.put(here.clone());
+    roster.regain(now);
+    roster.remove(&id, now);
+    roster.put(here);
+    assert!(roster.expire(now + RETURN).is_empty());
+    assert!(roster.get(&id).is_some());
+}
+
+#[test]
+fn without_trouble_an_entry_that_is_gone_is_gone() {
+    let mut roster = Roster::default();
+    roster.put(member(0, 0, Phase::Open));
+    roster.remove(&"r0".parse().unwrap(), Millis(5));
+    assert_eq!(roster.iter().count(), 0);
+}
+
+#[test]
+fn keys_are_honoured_only_as_long_as_none_can_have_been_taken_away() {
+    let bound = Millis(5000);
+    let mut freshness = Freshness::default();
+    let now = Millis(100_000);
+    assert!(!freshness.allows(now, bound), "nothing is known yet");
+    freshness.prove_read(now);
+    assert!(freshness.allows(now + bound - MARGIN - Millis(1), bound));
+    assert!(!freshness.allows(now + bound - MARGIN, bound));
+    // A watch that heard nothing proves less: it may have been deaf.
+    freshness.prove_watch(now, Millis(1500));
+    let proven = now + Millis(1500) - DEAF;
+    assert!(freshness.allows(proven + bound - MARGIN - Millis(1), bound));
+    assert!(!freshness.allows(proven + bound - MARGIN, bound));
+    // A proof that comes late takes nothing back.
+    freshness.prove_read(now - Millis(3000));
+    assert_eq!(freshness.age(now + Millis(1500)), Some(DEAF));
+}
+
+fn answers(silent: &[usize], of: usize, hall: &str) -> Vec<Answer> {
+    let answer = |number: usize| Answer {
+        runner: format!("{hall}-{number}").parse().unwrap(),
+        hall: hall.parse().unwrap(),
+        heard: !silent.contains(&number),
+    };
+    (0..of).map(answer).collect()
+}
+
+#[test]
+fn a_runner_is_silent_after_two_misses_and_until_it_answers() {
+    let mut probes = Probes::default();
+    assert!(probes.take(&answers(&[3], 10, "a")).is_empty());
+    assert_eq!(probes.take(&answers(&[3], 10, "a")).len(), 1);
+    assert!(probes.take(&answers(&[3], 10, "a")).is_empty(), "it is told once");
+    assert_eq!(probes.silent().len(), 1);
+    probes.take(&answers(&[], 10, "a"));
+    assert!(probes.silent().is_empty());
+}
+
+#[test]
+fn a_hall_that_is_silent_as_a_whole_is_taken_to_be_cut() {
+    let mut probes = Probes::default();
+    let all: Vec<usize> = (0..10).collect();
+    for _ in 0..3 {
+        probes.take(&answers(&all[..8], 10, "a"));
+    }
+    assert!(probes.silent().is_empty());
+    for _ in 0..3 {
+        probes.take(&answers(&all[..5], 10, "a"));
+    }
+    assert_eq!(probes.silent().len(), 5, "a domain of the hall is dark");
+}
+
+#[test]
+fn only_whole_and_new_events_are_passed_on() {
+    let mut splitter = Splitter::after(None);
+    assert_eq!(splitter.push(b"id: 0\ndata: a\n\nid: 1\nda").unwrap(), "id: 0\ndata: a\n\n");
+    assert!(!splitter.is_at_boundary());
+    assert_eq!(splitter.push(b"ta: b\n\n").unwrap(), "id: 1\ndata: b\n\n");
+    assert!(splitter.is_at_boundary());
+    assert_eq!(splitter.last(), Some(1));
+    // Another runner goes on: what the caller has already is left out.
+    let mut splitter = Splitter::after(Some(1));
+    let events = splitter.push(b"id: 1\r\ndata: b\r\n\r\nid: 2\r\ndata: c\r\n\r\n").unwrap();
+    assert_eq!(events, "id: 2\r\ndata: c\r\n\r\n");
+    assert_matches!(splitter.push(b"id: 4\n\n"), Err(EventError::Gap { last: 2, found: 4 }));
+}
+
+#[test]
+fn an_event_without_end_is_given_up() {
+    let mut splitter = Splitter::after(None);
+    let piece = vec![b'x'; EVENT_MAX + 1];
+    assert_eq!(splitter.push(&piece), Err(EventError::TooLarge));
+}
+
+fn route(name: &str, prefix: &str, targets: &[(&str, u32)]) -> Route {
+    let targets =
+        targets.iter().map(|(service, weight)| Target { service: service.parse().unwrap(), weight: *weight });
+    Route {
+        name: name.to_owned(),
+        host: "h.example".to_owned(),
+        prefix: prefix.to_owned(),
+        kind: Kind::Idempotent,
+        timeout: Millis(1000),
+        objective: Millis(100),
+        gap: None,
+        priority: 1,
+        targets: targets.collect(),
+        attempts: 2,
+        anonymous: false,
+        resumable: false,
+    }
+}
+
+#[test]
+fn the_longest_prefix_of_the_host_wins() {
+    let routes = vec![
+        route("short", "/a/", &[("s", 1)]),
+        route("long", "/a/b/", &[("s", 1)]),
+        route("root", "/", &[("s", 1)]),
+    ];
+    let account = Account { id: "acme".parse().unwrap(), keys: vec!["k1".to_owned()], priority: Some(2) };
+    let limits = Limits { head_bytes: 1, body_bytes: 1, idle: Millis(1) };
+    let catalog = Catalog::new(1, routes, Vec::new(), vec![account], limits);
+    let name = |host, path| catalog.find_route(host, path).map(|route| route.name.as_str());
+    assert_eq!(name("h.example", "/a/b/c"), Some("long"));
+    assert_eq!(name("h.example", "/a/b"), Some("short"));
+    assert_eq!(name("h.example", "/x"), Some("root"));
+    assert_eq!(name("other.example", "/a/"), None);
+    assert_eq!(catalog.find_account("k1").map(|account| account.id.as_str()), Some("acme"));
+    assert_eq!(catalog.find_account("k2"), None);
+}
+
+#[test]
+fn split_routes_follow_their_weights() {
+    let route = route("split", "/", &[("a", 3), ("b", 1)]);
+    let picked: Vec<&str> = (0..8).map(|point| route.pick_target(point).unwrap().service.as_str()).collect();
+    assert_eq!(picked, ["a", "a", "a", "b", "a", "a", "a", "b"]);
+    assert!(self::route("none", "/", &[]).pick_target(0).is_none());
+}
--- /dev/null
+++ b/crates/fleet/tests/decide.rs
@@ -0,0 +1,371 @@
+//! Forming, giving up and forming anew: every step on a set clock.
+
+use std::collections::HashSet;
+
+use cottoncrank::{Millis, id};
+use cottoncrank_fleet::catalog::{Engine, Model, Service};
+use cottoncrank_fleet::decide::{Memory, STALL_MARGIN, Scene, Step, step};
+use cottoncrank_fleet::order::{Order, REPEAT};
+use cottoncrank_fleet::plan::{Group, Plans};
+use cottoncrank_fleet::roster::Roster;
+use cottoncrank_fleet::runner::{Membership, Phase, Runner};
+use cottoncrank_fleet::settings::Ceiling;
+
+const STALL: Millis = Millis(6000);
+const CEILING: Ceiling = Ceiling { window: Millis(5000), overshoot: 1.1 };
+
+/// A fleet that carries out what is decided, and the decider's memory of it.
+struct World {
+    service: Service,
+    roster: Roster,
+    plans: Plans,
+    memory: Memory,
+    silent: HashSet<id::Runner>,
+    serving: bool,
+    now: Millis,
+}
+
+fn model(name: &str, size: usize, load: u64, warm: u64) -> Model {
+    let (load, warm) = (Millis(load), Millis(warm));
+    Model { name: name.parse().unwrap(), size, share: 0.5, load, warm }
+}
+
+fn service() -> Service {
+    let models = vec![model("large", 4, 16_000, 1600), model("small", 2, 12_000, 1100)];
+    let engine = Engine { slots: 17, models, loads_per_second: 5.0, loads_at_once: 7, form: Millis(300) };
+    Service { id: "llm".parse().unwrap(), engine: Some(engine) }
+}
+
+fn runner(domain: usize, number: usize) -> Runner {
+    Runner {
+        id: format!("r{domain}-{number}").parse().unwrap(),
+        service: "llm".parse().unwrap(),
+        address: "127.0.0.1:9".parse().unwrap(),
+        hall: "hall-a".parse().unwrap(),
+        domain: Some(format!("d{domain}").parse().unwrap()),
+        draining: false,
+        models: Vec::new(),
+        staged: Vec::new(),
+        membership: None,
+    }
+}
+
+impl World {
+    /// A fleet of `domains` of ten runners.
+    fn new(domains: usize) -> World {
+        let mut roster = Roster::default();
+        for domain in 0..domains {
+            for number in 0..10 {
+                roster.put(runner(domain, number));
+            }
+        }
+        World {
+            service: service(),
+            roster,
+            plans: Plans::new(),
+            memory: Memory::default(),
+            silent: HashSet::new(),
+            serving: false,
+            now: Millis(1_000_000),
+        }
+    }
+
+    fn step(&mut self) -> Step {
+        let scene = Scene {
+            service: &self.service,
+            roster: &self.roster,
+            plans: &self.plans,
+            silent: &self.silent,
+            serving: self.serving,
+            ceiling: &CEILING,
+            stall: STALL,
+            now: self.now,
+        };
+        let step = step(&scene, &mut self.memory);
+        for (domain, document, _) in &step.writes {
+            self.plans.insert(domain.clone(), document.clone());
+        }
+        step
+    }
+
+    /// Carries orders out at once, as runners do that have nothing to load.
+    fn obey(&mut self, step: &Step) {
+        for (id, order) in &step.orders {
+            let Some(mut runner) = self.roster.get(id).cloned() else { continue };
+            match order {
+                Order::Join(group, epoch, model, members) => {
+                    let rank = members.iter().position(|member| member == id).unwrap();
+                    let phase = Phase::Ready;
+                    runner.membership = Some(Membership { group: group.clone(), epoch: *epoch, rank, phase });
+                    runner.models = vec![model.clone()];
+                    runner.staged = vec![model.clone()];
+                }
+                Order::Open(..) => runner.membership.as_mut().unwrap().phase = Phase::Open,
+                Order::Close(..) => runner.membership.as_mut().unwrap().phase = Phase::Ready,
+                Order::Leave(..) => runner.membership = None,
+                Order::Stage(model) => runner.staged = vec![model.clone()],
+            }
+            self.roster.put(runner);
+            self.memory.note_taken(id, order, self.now);
+        }
+    }
+
+    fn run(&mut self, rounds: usize) {
+        for _ in 0..rounds {
+            let step = self.step();
+            self.obey(&step);
+            self.now = self.now + Millis(200);
+        }
+    }
+
+    fn groups(&self) -> impl Iterator<Item = &Group> {
+        self.plans.values().flat_map(|plan| &plan.groups)
+    }
+
+    fn count(&self, model: &str) -> usize {
+        self.groups().filter(|group| !group.retired && group.model.as_str() == model).count()
+    }
+
+    fn find(&self, model: &str) -> Group {
+        self.groups().find(|group| !group.retired && group.model.as_str() == model).unwrap().clone()
+    }
+
+    fn lose(&mut self, id: &id::Runner) {
+        self.roster.remove(id, self.now);
+    }
+
+    fn phase(&self, id: &id::Runner) -> Option<Phase> {
+        self.roster.get(id)?.membership.as_ref().map(|membership| membership.phase)
+    }
+}
+
+/// A fleet at rest: groups open, spare runners staged, callers there.
+fn at_rest(domains: usize) -> World {
+    let mut world = World::new(domains);
+    world.run(60);
+    world.serving = true;
+    world.run(60);
+    world
+}
+
+#[test]
+fn a_fleet_forms_what_is_meant_and_keeps_spare_runners_staged() {
+    let world = at_rest(6);
+    assert_eq!((world.count("large"), world.count("small")), (6, 12));
+    for domain in world.plans.keys() {
+        let free: Vec<&Runner> = world
+            .roster
+            .iter()
+            .filter(|runner| runner.domain.as_ref() == Some(domain) && runner.membership.is_none())
+            .collect();
+        assert_eq!(free.len(), 2, "{domain}");
+        assert!(free.iter().any(|runner| runner.staged[0].as_str() == "large"), "{domain}");
+        assert!(free.iter().any(|runner| runner.staged[0].as_str() == "small"), "{domain}");
+    }
+}
+
+#[test]
+fn no_runner_is_in_two_groups_and_no_group_crosses_domains() {
+    let mut world = at_rest(6);
+    for round in 0..12 {
+        let members: Vec<id::Runner> = world.groups().flat_map(|group| group.members.clone()).collect();
+        let distinct: HashSet<&id::Runner> = members.iter().collect();
+        assert_eq!(distinct.len(), members.len(), "round {round}");
+        for (domain, plan) in &world.plans {
+            let members = plan.groups.iter().flat_map(|group| &group.members);
+            let foreign = members.filter(|id| {
+                world.roster.get(id).is_some_and(|runner| runner.domain.as_ref() != Some(domain))
+            });
+            assert_eq!(foreign.count(), 0, "round {round}");
+        }
+        let victim = world.find(if round % 2 == 0 { "large" } else { "small" }).members[round % 2].clone();
+        world.lose(&victim);
+        world.run(5);
+    }
+}
+
+#[test]
+fn a_head_opens_only_when_every_member_was_seen_ready() {
+    let mut world = World::new(1);
+    let step = world.step();
+    let joins = step.orders.iter().filter(|(_, order)| matches!(order, Order::Join(..))).count();
+    assert!(joins >= 4, "{:?}", step.orders);
+    // All but one of the first group are ready.
+    let group = world.groups().next().unwrap().clone();
+    let mut partial = step.clone();
+    partial.orders.retain(|(id, order)| matches!(order, Order::Join(..)) && group.members[1..].contains(id));
+    world.obey(&partial);
+    world.now = world.now + Millis(200);
+    let opens = |step: &Step| step.orders.iter().any(|(_, order)| matches!(order, Order::Open(..)));
+    assert!(!opens(&world.step()));
+    let mut rest = step;
+    rest.orders.retain(|(id, _)| *id == group.members[0]);
+    world.obey(&rest);
+    world.now = world.now + Millis(200);
+    let step = world.step();
+    assert!(opens(&step));
+    assert!(
+        step.orders.iter().all(|(id, order)| !matches!(order, Order::Open(..)) || *id == group.members[0])
+    );
+}
+
+#[test]
+fn a_lost_member_is_replaced_by_the_staged_spare() {
+    let mut world = at_rest(6);
+    let group = world.find("large");
+    world.lose(&group.members[2]);
+    world.run(4);
+    assert_eq!(world.count("large"), 6);
+    let formed = world.groups().find(|formed| {
+        formed.members.contains(&group.members[0]) && formed.members.contains(&group.members[1])
+    });
+    let formed = formed.expect("the survivors stand in a new group");
+    assert!(formed.epoch > group.epoch);
+    assert_eq!(world.phase(&formed.members[0]), Some(Phase::Open));
+}
+
+#[test]
+fn members_of_a_lost_head_are_held_until_it_must_be_broken() {
+    let mut world = at_rest(6);
+    let group = world.find("large");
+    world.lose(&group.members[0]);
+    world.run(1);
+    let held = |world: &World| world.groups().any(|known| known.name == group.name && known.retired);
+    assert!(held(&world));
+    let until = world.now + STALL + STALL_MARGIN;
+    while world.now + Millis(200) < until {
+        world.run(1);
+        assert!(held(&world), "released {} too early", until.since(world.now));
+    }
+    world.run(3);
+    assert!(!held(&world));
+}
+
+#[test]
+fn a_silent_head_is_treated_as_one_that_may_still_be_open() {
+    let mut world = at_rest(6);
+    let group = world.find("small");
+    world.silent.insert(group.members[0].clone());
+    let step = world.step();
+    let leave = Order::Leave(group.name.clone(), group.epoch);
+    assert!(step.orders.contains(&(group.members[1].clone(), leave.clone())));
+    world.obey(&step);
+    world.now = world.now + Millis(1000);
+    world.step();
+    assert!(world.groups().any(|known| known.name == group.name && known.retired));
+    // It answers again: it is told to leave, and the members are free at once.
+    world.silent.clear();
+    let step = world.step();
+    assert!(step.orders.contains(&(group.members[0].clone(), leave)));
+    world.obey(&step);
+    world.now = world.now + Millis(200);
+    world.step();
+    assert!(!world.groups().any(|known| known.name == group.name));
+}
+
+#[test]
+fn a_new_decider_waits_as_long_as_it_must() {
+    let mut world = at_rest(6);
+    let group = world.find("large");
+    world.lose(&group.members[0]);
+    world.run(10);
+    world.memory = Memory::default();
+    let taken_over = world.now;
+    while world.now < taken_over + STALL {
+        world.run(1);
+        let held = world.groups().any(|known| known.name == group.name && known.retired);
+        assert!(held, "the new decider cannot know how long the group has stood still");
+    }
+}
+
+#[test]
+fn a_leaving_member_closes_the_head_before_anything_else() {
+    let mut world = at_rest(6);
+    let group = world.find("large");
+    let mut leaving = world.roster.get(&group.members[3]).cloned().unwrap();
+    leaving.draining = true;
+    world.roster.put(leaving);
+    let step = world.step();
+    let close = Order::Close(group.name.clone(), group.epoch);
+    assert!(step.orders.contains(&(group.members[0].clone(), close)), "{:?}", step.orders);
+    assert!(!step.orders.iter().any(|(_, order)| matches!(order, Order::Leave(..))));
+    world.obey(&step);
+    world.now = world.now + Millis(200);
+    let step = world.step();
+    let leave = Order::Leave(group.name.clone(), group.epoch);
+    assert!(step.orders.contains(&(group.members[0].clone(), leave)), "{:?}", step.orders);
+}
+
+#[test]
+fn an_order_without_answer_is_repeated_after_a_while_only() {
+    let mut world = World::new(1);
+    let first = world.step();
+    assert!(!first.orders.is_empty());
+    world.now = world.now + (REPEAT - Millis(1));
+    let joins = |step: &Step| {
+        let joins = step.orders.iter().filter(|(_, order)| matches!(order, Order::Join(..)));
+        joins.map(|(id, _)| id.clone()).collect::<HashSet<_>>()
+    };
+    let early = joins(&world.step());
+    assert!(early.is_disjoint(&joins(&first)));
+    world.now = world.now + Millis(1);
+    assert!(joins(&world.step()).is_superset(&joins(&first)));
+}
+
+#[test]
+fn a_runner_in_a_group_that_nobody_planned_is_told_to_leave() {
+    let mut world = at_rest(1);
+    let mut stray = world.roster.iter().find(|runner| runner.membership.is_none()).cloned().unwrap();
+    let old = Membership {
+        group: "g0".parse().unwrap(),
+        epoch: cottoncrank_fleet::runner::Epoch(0),
+        rank: 1,
+        phase: Phase::Joining,
+    };
+    stray.membership = Some(old.clone());
+    world.roster.put(stray.clone());
+    let step = world.step();
+    assert!(step.orders.contains(&(stray.id, Order::Leave(old.group, old.epoch))));
+}
+
+#[test]
+fn loads_keep_the_ceiling_in_every_window() {
+    let mut world = World::new(20);
+    let mut begun: Vec<Millis> = Vec::new();
+    for _ in 0..200 {
+        let step = world.step();
+        for (id, order) in &step.orders {
+            let loads = match order {
+                Order::Stage(_) => true,
+                Order::Join(_, _, model, _) => !world.roster.get(id).unwrap().staged.contains(model),
+                _ => false,
+            };
+            begun.extend(loads.then_some(world.now));
+        }
+        world.obey(&step);
+        world.now = world.now + Millis(50);
+    }
+    let most = 5.0 * 5.0 * CEILING.overshoot + 3.0;
+    for start in &begun {
+        let within = begun.iter().filter(|at| **at >= *start && **at < *start + CEILING.window).count();
+        assert!(within as f64 <= most, "{within} loads from {start}");
+    }
+    assert!(begun.len() >= 30, "it uses what is allowed: {}", begun.len());
+}
+
+#[test]
+fn epochs_rise_over_all_domains_and_above_what_runners_have_seen() {
+    let mut world = World::new(2);
+    let mut seen = runner(0, 10);
+    seen.membership = Some(Membership {
+        group: "g90".parse().unwrap(),
+        epoch: cottoncrank_fleet::runner::Epoch(90),
+        rank: 0,
+        phase: Phase::Ready,
+    });
+    world.roster.put(seen);
+    world.run(1);
+    let epochs: Vec<u64> = world.groups().map(|group| group.epoch.0).collect();
+    assert!(epochs.iter().all(|epoch| *epoch > 90), "{epochs:?}");
+    assert_eq!(epochs.iter().collect::<HashSet<_>>().len(), epochs.len());
+}
