--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod balance;
 pub mod catalog;
 pub mod decide;
+pub mod directory;
 pub mod event;
 pub mod freshness;
 pub mod loads;
--- a/crates/fleet/src/settings.rs
+++ b/crates/fleet/src/settings.rs
@@ -15,6 +15,8 @@
     pub callers: SocketAddr,
     /// Where the balancer asks whether it takes callers.
     pub ready: SocketAddr,
+    /// Where other nodes reach it.
+    pub peers: SocketAddr,
     /// The store.
     pub store: SocketAddr,
     /// The shortest lease the store gives.
--- a/crates/kernel/src/retry.rs
+++ b/crates/kernel/src/retry.rs
@@ -32,6 +32,14 @@
         Budget { gain: (ratio * PRICE as f64) as u64, full, level: full }
     }
 
+    /// From now on at most `saved` retries can be saved up. What the bound grows
+    /// by is there at once.
+    pub fn set_full(&mut self, saved: f64) {
+        let full = (saved * PRICE as f64) as u64;
+        self.level = (self.level + full.saturating_sub(self.full)).min(full);
+        self.full = full;
+    }
+
     /// A request came that pays for its part of a retry.
     pub fn earn(&mut self) {
         self.level = (self.level + self.gain).min(self.full);
--- a/crates/node/src/attempt.rs
+++ b/crates/node/src/attempt.rs
@@ -94,7 +94,7 @@
     };
     let ledger = node.ledger.lock();
     let now = node.now();
-    let picked = balance::pick(&candidates, tried, &node.settings.hall, &ledger, now, &mut rand::rng())?;
+    let picked = balance::pick(&candidates, tried, &node.settings().hall, &ledger, now, &mut rand::rng())?;
     let avoided = ledger.is_avoided(&picked.id, now);
     Some(Pick { id: picked.id.clone(), address: picked.address, avoided })
 }
--- a/crates/node/src/decider.rs
+++ b/crates/node/src/decider.rs
@@ -146,11 +146,11 @@
 /// Asks the store for the lease.
 async fn stand(node: &Arc<Node>) -> Result<Option<Term>, EndError> {
     let asked = node.now();
-    let ttl = LEASE.max(node.settings.lease_min);
+    let ttl = LEASE.max(node.settings().lease_min);
     let lease = node.store.open_lease(ttl).await?;
     let commit = Commit {
         expect: vec![(LEASE_KEY.to_owned(), 0)],
-        puts: vec![(LEASE_KEY.to_owned(), node.settings.node.as_str().into(), Some(lease))],
+        puts: vec![(LEASE_KEY.to_owned(), node.settings().node.as_str().into(), Some(lease))],
         removes: Vec::new(),
     };
     let Outcome::Done(revision) = node.store.commit(&commit).await? else { return Ok(None) };
@@ -242,7 +242,7 @@
         let asked = self.node.now();
         match self.node.store.keep_lease(self.lease).await {
             Ok(()) => {
-                self.until = asked + LEASE.max(self.node.settings.lease_min);
+                self.until = asked + LEASE.max(self.node.settings().lease_min);
                 Ok(())
             }
             Err(error @ StoreError::LeaseOver) => Err(error.into()),
@@ -256,6 +256,7 @@
     async fn decide(&mut self) -> Result<(), EndError> {
         let Some(catalog) = self.node.catalog.lock().clone() else { return Ok(()) };
         for service in catalog.services.iter().filter(|service| service.engine.is_some()) {
+            let bounds = self.node.settings().bounds.clone();
             let documents =
                 self.plans.iter().map(|(domain, kept)| (domain.clone(), kept.document.clone())).collect();
             let step = {
@@ -267,8 +268,8 @@
                     plans: &documents,
                     silent: probes.silent(),
                     serving: self.node.is_serving(),
-                    ceiling: &self.node.settings.bounds.ceiling,
-                    stall: self.node.settings.bounds.stall,
+                    ceiling: &bounds.ceiling,
+                    stall: bounds.stall,
                     now: self.node.now(),
                 };
                 step(&scene, &mut self.memory.lock())
--- /dev/null
+++ b/crates/node/src/feed.rs
@@ -0,0 +1,111 @@
+//! What the store holds, kept for other nodes that ask here instead.
+
+use std::collections::{HashMap, VecDeque};
+
+use bytes::Bytes;
+use cottoncrank_platform::store::{Batch, Raw};
+use parking_lot::Mutex;
+use tokio::sync::watch;
+
+/// How many changes are kept one by one. Nodes ask several times a second; one
+/// that was away for longer gets everything.
+const KEPT: usize = 1000;
+
+#[derive(Default)]
+struct Held {
+    items: HashMap<String, Raw>,
+    recent: VecDeque<Raw>,
+    /// Every change after this revision is in `recent`.
+    from: u64,
+}
+
+/// The items of the store, and the latest changes.
+pub struct Feed {
+    held: Mutex<Held>,
+    revision: watch::Sender<Option<u64>>,
+}
+
+/// What is new after a revision.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct News {
+    /// The items; all there are if `whole`.
+    pub items: Vec<Raw>,
+    /// Up to here.
+    pub revision: u64,
+    /// Whether items that are not among these are gone.
+    pub whole: bool,
+}
+
+impl Default for Feed {
+    fn default() -> Feed {
+        Feed { held: Mutex::default(), revision: watch::Sender::new(None) }
+    }
+}
+
+impl Feed {
+    /// Replaces everything.
+    pub fn replace(&self, batch: &Batch) {
+        let mut held = self.held.lock();
+        held.items = batch.items.iter().map(|item| (item.key.clone(), item.clone())).collect();
+        held.recent.clear();
+        held.from = batch.revision;
+        self.revision.send_replace(Some(batch.revision));
+    }
+
+    /// Adds changes.
+    pub fn extend(&self, batch: &Batch) {
+        let mut held = self.held.lock();
+        for item in &batch.items {
+            match &item.value {
+                Some(_) => held.items.insert(item.key.clone(), item.clone()),
+                None => held.items.remove(&item.key),
+            };
+            held.recent.push_back(item.clone());
+        }
+        while held.recent.len() > KEPT {
+            let dropped = held.recent.pop_front();
+            held.from = dropped.map_or(held.from, |item| item.revision.max(held.from));
+        }
+        self.revision.send_replace(Some(batch.revision));
+    }
+
+    /// The revision held, and a way to wait for the next.
+    pub fn subscribe(&self) -> watch::Receiver<Option<u64>> {
+        self.revision.subscribe()
+    }
+
+    /// What is new after `after`; everything if that is not known any more.
+    pub fn read(&self, after: Option<u64>) -> Option<News> {
+        let revision = (*self.revision.borrow())?;
+        let held = self.held.lock();
+        let news = match after.filter(|after| *after >= held.from) {
+            Some(after) => {
+                let fresh = held.recent.iter().filter(|item| item.revision > after);
+                News { items: fresh.cloned().collect(), revision, whole: false }
+            }
+            None => News { items: held.items.values().cloned().collect(), revision, whole: true },
+        };
+        Some(news)
+    }
+}
+
+/// Packs items for the way between nodes.
+pub fn pack(items: &[Raw]) -> Result<Bytes, rmp_serde::encode::Error> {
+    Ok(lz4_flex::compress_prepend_size(&rmp_serde::to_vec(items)?).into())
+}
+
+/// Unpacks items.
+pub fn unpack(packed: &[u8]) -> Result<Vec<Raw>, UnpackError> {
+    Ok(rmp_serde::from_slice(&lz4_flex::decompress_size_prepended(packed)?)?)
+}
+
+/// Items that cannot be unpacked.
+#[derive(Debug, thiserror::Error)]
+pub enum UnpackError {
+    /// They are not compressed as they should be.
+    #[error("items from a node cannot be decompressed: {0}")]
+    Compressed(#[from] lz4_flex::block::DecompressError),
+    /// They are not encoded as they should be.
+    #[error("items from a node cannot be decoded: {0}")]
+    Encoded(#[from] rmp_serde::decode::Error),
+}
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -41,7 +41,8 @@
     }
 }
 
-async fn pause_accepting(error: &io::Error) {
+/// Waits a little after a connection could not be taken.
+pub async fn pause_accepting(error: &io::Error) {
     log::warn!("front: a connection could not be taken: {error}");
     tokio::time::sleep(ACCEPT_PAUSE.duration()).await;
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -1,6 +1,7 @@
 //! A node on the users' platform: one process a box.
 //!
-//! [`sync`] keeps what the node believes in step with the platform's store,
+//! [`sync`] keeps what the node believes in step with the platform's store, read
+//! here or by another node ([`peer`], [`feed`], [`member`]),
 //! [`front`] takes callers' requests, [`request`] admits and routes them,
 //! [`plain`] and [`stream`] run them at runners, and [`decider`] gives orders to
 //! the runners while this node holds the lease for that. All state stands in
@@ -10,7 +11,10 @@
 pub mod attempt;
 pub mod channel;
 pub mod decider;
+pub mod feed;
 pub mod front;
+pub mod member;
+pub mod peer;
 pub mod plain;
 pub mod request;
 pub mod state;
--- /dev/null
+++ b/crates/node/src/member.rs
@@ -0,0 +1,69 @@
+//! Keeping this node's entry in the store, so that other nodes find it.
+
+use std::sync::Arc;
+
+use cottoncrank::{Millis, id};
+use cottoncrank_fleet::directory::Peer;
+use cottoncrank_platform::store::{Commit, Item, Outcome, StoreError};
+use rand::Rng;
+
+use crate::state::Node;
+
+/// The prefix of the entries; a node's name follows.
+pub const PREFIX: &str = "node/";
+
+/// How long an entry outlasts its node. Nodes that ask a lost one find out by
+/// themselves, at once; the entry only says how many there are.
+const LEASE: Millis = Millis(12_000);
+
+/// How often the lease is renewed; two renewals may fail.
+const RENEW: Millis = Millis(3500);
+
+/// The pause after a failed call: at least this, at most twice.
+const PAUSE: Millis = Millis(1000);
+
+/// Keeps the entry until the process ends.
+pub async fn run(node: Arc<Node>) {
+    let mut lease = None;
+    loop {
+        let outcome = match lease {
+            None => enter(&node).await.map(|entered| lease = Some(entered)),
+            Some(held) => node.store.keep_lease(held).await,
+        };
+        let pause = match outcome {
+            Ok(()) => RENEW,
+            Err(error) => {
+                log::info!("member: the entry of this node is not kept: {error}");
+                if matches!(error, StoreError::LeaseOver) {
+                    lease = None;
+                }
+                Millis(PAUSE.0 + rand::rng().random_range(0..PAUSE.0))
+            }
+        };
+        tokio::time::sleep(pause.duration()).await;
+    }
+}
+
+async fn enter(node: &Node) -> Result<u64, StoreError> {
+    let settings = node.settings();
+    let lease = node.store.open_lease(LEASE.max(settings.lease_min)).await?;
+    let peer = Peer { node: settings.node.clone(), hall: settings.hall.clone(), address: settings.peers };
+    let value = rmp_serde::to_vec(&peer).map_err(|error| StoreError::Unreadable(error.to_string()))?;
+    let commit =
+        Commit { puts: vec![(format!("{PREFIX}{}", peer.node), value, Some(lease))], ..Commit::default() };
+    match node.store.commit(&commit).await? {
+        Outcome::Done(_) => Ok(lease),
+        Outcome::Conflict => Err(StoreError::Unreadable("a write without a condition met one".to_owned())),
+    }
+}
+
+/// Reads a node's entry, if the item is one.
+pub fn read_entry(item: &Item) -> Option<Result<Peer, rmp_serde::decode::Error>> {
+    item.key.strip_prefix(PREFIX)?;
+    Some(rmp_serde::from_slice(&item.value))
+}
+
+/// The node whose entry has this key, if it is one's.
+pub fn read_name(key: &str) -> Option<id::Node> {
+    key.strip_prefix(PREFIX)?.parse().ok()
+}
--- /dev/null
+++ b/crates/node/src/peer.rs
@@ -0,0 +1,146 @@
+//! What nodes ask each other: what the store holds.
+
+use std::convert::Infallible;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use cottoncrank::Millis;
+use cottoncrank_net::client::{CallError, Client};
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response, StatusCode};
+use hyper_util::rt::TokioIo;
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
+use thiserror::Error;
+use tokio::net::{TcpListener, TcpStream};
+
+use crate::answer::{Answer, Body};
+use crate::feed::{self, UnpackError};
+use crate::front::pause_accepting;
+use crate::state::Node;
+
+/// The path of the question.
+const PATH: &str = "/news";
+
+/// The largest question, in bytes.
+const ASK_MAX: usize = 1024;
+
+/// How much longer than it asked to wait a question may take.
+const SLACK: Millis = Millis(400);
+
+/// A question for what is new.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+pub struct Ask {
+    /// The revision up to which the asking node knows everything.
+    pub after: Option<u64>,
+    /// How long to wait for something new, in milliseconds.
+    pub wait_ms: u64,
+}
+
+/// What is new.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Told {
+    /// The revision up to which this node knows everything.
+    pub revision: u64,
+    /// Whether the items are all there are.
+    pub whole: bool,
+    /// How long the answer was held back for something new, in milliseconds.
+    pub waited_ms: u64,
+    /// How long ago it was proven that the store held nothing newer, in milliseconds.
+    pub age_ms: u64,
+    /// The items, packed.
+    pub items: Bytes,
+}
+
+/// A question without a usable answer.
+#[derive(Debug, Error)]
+pub enum AskError {
+    /// The other node did not answer, or does not know.
+    #[error(transparent)]
+    Call(#[from] CallError),
+    /// Its answer cannot be read.
+    #[error(transparent)]
+    Unpack(#[from] UnpackError),
+}
+
+/// Asks another node for what is new.
+pub async fn ask(client: &Client, address: SocketAddr, question: Ask) -> Result<Told, AskError> {
+    let wait = Millis(question.wait_ms) + SLACK;
+    Ok(client.call(address, PATH, &question, wait).await?)
+}
+
+/// Answers other nodes until the process ends.
+pub async fn serve(node: Arc<Node>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                tokio::spawn(serve_peer(node.clone(), stream));
+            }
+            Err(error) => pause_accepting(&error).await,
+        }
+    }
+}
+
+async fn serve_peer(node: Arc<Node>, stream: TcpStream) {
+    if let Err(error) = stream.set_nodelay(true) {
+        log::debug!("peer: {error}");
+    }
+    let service = service_fn(|request: Request<Incoming>| {
+        let node = node.clone();
+        async move { Ok::<Answer, Infallible>(answer(&node, request).await) }
+    });
+    if let Err(error) = http1::Builder::new().serve_connection(TokioIo::new(stream), service).await {
+        log::debug!("peer: a connection ended with {error}");
+    }
+}
+
+async fn answer(node: &Node, request: Request<Incoming>) -> Answer {
+    let known = request.uri().path() == PATH;
+    let body = Limited::new(request.into_body(), ASK_MAX).collect().await;
+    let question = body.ok().and_then(|body| rmp_serde::from_slice::<Ask>(&body.to_bytes()).ok());
+    let (true, Some(question)) = (known, question) else {
+        log::warn!("peer: a question that cannot be read");
+        return reply(StatusCode::BAD_REQUEST, Bytes::new());
+    };
+    let started = node.now();
+    wait_newer(node, question).await;
+    let Some((news, age)) = node.feed.read(question.after).zip(node.freshness.lock().age(node.now())) else {
+        return reply(StatusCode::SERVICE_UNAVAILABLE, Bytes::new());
+    };
+    let packed = feed::pack(&news.items).map_err(|error| error.to_string());
+    let told = packed.and_then(|items| {
+        let told = Told {
+            revision: news.revision,
+            whole: news.whole,
+            waited_ms: node.now().since(started).0,
+            age_ms: age.0,
+            items,
+        };
+        rmp_serde::to_vec(&told).map_err(|error| error.to_string())
+    });
+    match told {
+        Ok(bytes) => reply(StatusCode::OK, bytes.into()),
+        Err(error) => {
+            log::error!("peer: an answer could not be encoded: {error}");
+            reply(StatusCode::INTERNAL_SERVER_ERROR, Bytes::new())
+        }
+    }
+}
+
+/// Waits until there is something newer than the asking node has, or its time is over.
+async fn wait_newer(node: &Node, question: Ask) {
+    let Some(after) = question.after else { return };
+    let mut revision = node.feed.subscribe();
+    let newer = revision.wait_for(|revision| revision.is_some_and(|revision| revision > after));
+    // Either way the feed is read next, and says what there is.
+    let _ = tokio::time::timeout(Millis(question.wait_ms).duration(), newer).await;
+}
+
+fn reply(status: StatusCode, bytes: Bytes) -> Answer {
+    let mut answer = Response::new(Body::Whole(Some(bytes)));
+    *answer.status_mut() = status;
+    answer
+}
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -8,6 +8,7 @@
 use cottoncrank::{Clock, Millis, id};
 use cottoncrank_fleet::balance::Ledger;
 use cottoncrank_fleet::catalog::Catalog;
+use cottoncrank_fleet::directory::Directory;
 use cottoncrank_fleet::freshness::Freshness;
 use cottoncrank_fleet::plan::Plans;
 use cottoncrank_fleet::roster::Roster;
@@ -16,19 +17,16 @@
 use parking_lot::Mutex;
 use tokio::sync::{Notify, watch};
 
+use crate::feed::Feed;
+
 /// Of the fleet's retries a node spends this part of its share: requests that
 /// arrive twice by other ways count in the rest.
 const RETRY_PART: f64 = 0.8;
 
-/// The nodes among which the fleet's saved-up retries are divided. The balancer
-/// spreads unevenly, and no more than about this many nodes are busy at once in
-/// one service's trouble.
-const RETRY_NODES: f64 = 12.0;
-
 /// A node.
 pub struct Node {
-    /// Its settings.
-    pub settings: Settings,
+    /// Its settings, as last read.
+    settings: Mutex<Arc<Settings>>,
     /// The platform's store.
     pub store: Store,
     /// Its clock.
@@ -37,6 +35,10 @@
     pub catalog: Mutex<Option<Arc<Catalog>>>,
     /// What is proven of the configuration's age.
     pub freshness: Mutex<Freshness>,
+    /// What the store holds, for other nodes.
+    pub feed: Feed,
+    /// The nodes.
+    pub directory: Mutex<Directory>,
     /// The runners.
     pub roster: Mutex<Roster>,
     /// The plans of the groups, as the store tells.
@@ -60,11 +62,12 @@
 impl Node {
     /// A node that knows nothing yet.
     pub fn new(settings: Settings) -> Arc<Node> {
-        let saved = settings.bounds.retry_slack * RETRY_PART / RETRY_NODES;
-        let retries = Budget::new(settings.bounds.retry_ratio * RETRY_PART, saved);
+        let retries = Budget::new(settings.bounds.retry_ratio * RETRY_PART, 0.0);
         Arc::new(Node {
             store: Store::new(settings.store),
-            settings,
+            settings: Mutex::new(Arc::new(settings)),
+            feed: Feed::default(),
+            directory: Mutex::default(),
             clock: System::new(),
             catalog: Mutex::default(),
             freshness: Mutex::default(),
@@ -82,6 +85,23 @@
         })
     }
 
+    /// The settings, as last read.
+    pub fn settings(&self) -> Arc<Settings> {
+        self.settings.lock().clone()
+    }
+
+    /// Takes settings that were read anew.
+    pub fn set_settings(&self, settings: Settings) {
+        *self.settings.lock() = Arc::new(settings);
+        self.share_retries();
+    }
+
+    /// Takes this node's share of the retries that the fleet may save up.
+    pub fn share_retries(&self) {
+        let nodes = self.directory.lock().count() as f64;
+        self.retries.lock().set_full(self.settings().bounds.retry_slack * RETRY_PART / nodes);
+    }
+
     /// The time.
     pub fn now(&self) -> Millis {
         self.clock.now()
@@ -114,7 +134,7 @@
 
     /// Whether keys of accounts may be honoured now.
     pub fn trusts_keys(&self) -> bool {
-        self.freshness.lock().allows(self.now(), self.settings.bounds.revoke)
+        self.freshness.lock().allows(self.now(), self.settings().bounds.revoke)
     }
 
     /// Whether the node takes callers.
--- a/crates/node/src/sync.rs
+++ b/crates/node/src/sync.rs
@@ -1,22 +1,33 @@
-//! Keeping the node's beliefs in step with the platform's store.
+//! Keeping the node's beliefs in step with the platform's store, which is read
+//! here or asked for at another node of the hall.
 
 use std::sync::Arc;
 
-use cottoncrank::Millis;
+use cottoncrank::{Millis, id};
 use cottoncrank_fleet::catalog::Catalog;
-use cottoncrank_platform::store::{Batch, Change, Item, ItemError, StoreError};
+use cottoncrank_fleet::directory::Peer;
+use cottoncrank_net::client::{Client, Traffic};
+use cottoncrank_platform::store::{Batch, Change, Item, ItemError, StoreError, decode};
 use rand::Rng;
+use thiserror::Error;
 
 use crate::decider::{self, LEASE_KEY};
+use crate::feed::{self, UnpackError};
+use crate::member;
+use crate::peer::{self, Ask, AskError};
 use crate::state::Node;
 
 /// How long one watch waits. An answer without changes proves that the keys
 /// held here are not old; two of them fit into the bound for that.
 const WATCH: Millis = Millis(1500);
 
+/// How long another node is asked to wait. Shorter than a watch: the proof it
+/// passes on has an age already.
+const ASK: Millis = Millis(700);
+
 /// The pause after a batch of changes, so that the next watch brings several at
 /// once: each costs a call, and the strictest bound is two seconds.
-const GATHER: Millis = Millis(200);
+const GATHER: Millis = Millis(150);
 
 /// The same at the node that decides: groups stand still until it knows.
 const GATHER_DECIDING: Millis = Millis(50);
@@ -25,48 +36,151 @@
 /// counted, refused ones too, and all nodes fail at the same time.
 const PAUSE: Millis = Millis(200);
 
+/// A node that failed to answer, or knows too little, is not asked for this long.
+const AVOID: Millis = Millis(3000);
+
+/// Another node's proof older than this is not good enough: the store is read
+/// here instead. A watch begun then still proves the keys in time.
+const AGE_MAX: Millis = Millis(2800);
+
 /// How often runners are looked through whose entry lapsed with the store away.
 const EXPIRE: Millis = Millis(250);
 
+/// Why nothing was learned.
+#[derive(Debug, Error)]
+enum SyncError {
+    #[error(transparent)]
+    Store(#[from] StoreError),
+    #[error("node: {0}")]
+    Ask(#[from] AskError),
+    #[error("node: {0}")]
+    Unpack(#[from] UnpackError),
+    #[error("node: what it knows of the store is {0} old")]
+    Old(Millis),
+    #[error("node: it is at revision {there}, this one at {here}")]
+    Behind { there: u64, here: u64 },
+}
+
+/// What was learned.
+struct Learned {
+    batch: Batch,
+    /// Whether items that are not in the batch are gone.
+    whole: bool,
+    /// When the store surely held nothing newer.
+    proven: Proof,
+}
+
+enum Proof {
+    /// The answer was asked for at that time.
+    Read(Millis),
+    /// A watch was begun at that time and waited so long.
+    Watch(Millis, Millis),
+}
+
+/// Where this node learns.
+struct Sync {
+    node: Arc<Node>,
+    client: Client,
+    revision: Option<u64>,
+    /// Nodes not to be asked, and until when.
+    avoided: Vec<(id::Node, Millis)>,
+    /// Whether the store was reached last, here or by the node asked.
+    reached: bool,
+}
+
 /// Follows the store until the process ends.
 pub async fn run(node: Arc<Node>) {
-    let mut revision = None;
-    let mut reached = true;
+    let client = Client::new(Traffic::default());
+    let mut sync = Sync { node, client, revision: None, avoided: Vec::new(), reached: true };
     loop {
-        let asked = node.now();
-        let outcome = match revision {
-            None => node.store.read_all().await.map(|batch| take_all(&node, asked, batch)),
-            Some(after) => {
-                node.store.watch(after, WATCH).await.map(|batch| take_changes(&node, asked, batch))
-            }
+        sync.follow().await;
+    }
+}
+
+impl Sync {
+    async fn follow(&mut self) {
+        let source = self.pick_source();
+        let outcome = match &source {
+            Some(peer) => self.ask(peer).await,
+            None => self.read_store().await,
         };
-        match outcome {
-            Ok(next) => {
-                if !reached {
-                    log::info!("store: it answers again, at revision {}", next.revision);
-                    node.roster.lock().regain(node.now());
-                }
-                reached = true;
-                revision = Some(next.revision);
-                if next.changes > 0 {
-                    let pause = if node.is_deciding() { GATHER_DECIDING } else { GATHER };
-                    tokio::time::sleep(pause.duration()).await;
-                }
+        match (outcome, source) {
+            (Ok(learned), _) => self.take(learned).await,
+            (Err(SyncError::Store(StoreError::Forgotten)), _) => {
+                log::warn!("store: changes after {:?} are forgotten; reading all anew", self.revision);
+                self.revision = None;
             }
-            Err(StoreError::Forgotten) => {
-                log::warn!("store: the changes after {revision:?} are forgotten; reading all anew");
-                revision = None;
+            (Err(error), Some(peer)) => {
+                log::info!("sync: {} is not asked for {AVOID}: {error}", peer.node);
+                self.avoided.push((peer.node, self.node.now() + AVOID));
             }
-            Err(error) => {
-                if reached {
-                    log::warn!("store: {error}; going on with what is known at revision {revision:?}");
+            (Err(error), None) => {
+                if self.reached {
+                    log::warn!("sync: {error}; going on with what is known at {:?}", self.revision);
                 }
-                reached = false;
+                self.reached = false;
                 let pause = PAUSE.0 + rand::rng().random_range(0..PAUSE.0);
                 tokio::time::sleep(Millis(pause).duration()).await;
             }
         }
     }
+
+    /// The node to ask, or none to read the store. The deciding node reads the
+    /// store itself: all others wait for what it does.
+    fn pick_source(&mut self) -> Option<Peer> {
+        let now = self.node.now();
+        self.avoided.retain(|(_, until)| *until > now);
+        if self.node.is_deciding() || self.revision.is_none() {
+            return None;
+        }
+        let settings = self.node.settings();
+        let sources = self.node.directory.lock().list_sources(&settings.node, &settings.hall);
+        sources.into_iter().find(|peer| !self.avoided.iter().any(|(avoided, _)| *avoided == peer.node))
+    }
+
+    async fn read_store(&self) -> Result<Learned, SyncError> {
+        let asked = self.node.now();
+        let Some(after) = self.revision else {
+            let batch = self.node.store.read_all().await?;
+            return Ok(Learned { batch, whole: true, proven: Proof::Read(asked) });
+        };
+        let batch = self.node.store.watch(after, WATCH).await?;
+        let waited = if batch.items.is_empty() { WATCH } else { Millis(0) };
+        Ok(Learned { batch, whole: false, proven: Proof::Watch(asked, waited) })
+    }
+
+    async fn ask(&self, peer: &Peer) -> Result<Learned, SyncError> {
+        let asked = self.node.now();
+        let question = Ask { after: self.revision, wait_ms: ASK.0 };
+        let told = peer::ask(&self.client, peer.address, question).await?;
+        let age = Millis(told.age_ms);
+        if age > AGE_MAX {
+            return Err(SyncError::Old(age));
+        }
+        let here = self.revision.unwrap_or(0);
+        if told.revision < here {
+            return Err(SyncError::Behind { there: told.revision, here });
+        }
+        let batch = Batch { items: feed::unpack(&told.items)?, revision: told.revision };
+        // The answer was given after it was asked for and had waited.
+        let proven = Proof::Read((asked + Millis(told.waited_ms)) - age);
+        Ok(Learned { batch, whole: told.whole, proven })
+    }
+
+    async fn take(&mut self, learned: Learned) {
+        if !self.reached {
+            log::info!("sync: the store is reached again, at revision {}", learned.batch.revision);
+            self.node.roster.lock().regain(self.node.now());
+        }
+        self.reached = true;
+        self.revision = Some(learned.batch.revision);
+        let changes = learned.batch.items.len();
+        take_in(&self.node, learned);
+        if changes > 0 {
+            let pause = if self.node.is_deciding() { GATHER_DECIDING } else { GATHER };
+            tokio::time::sleep(pause.duration()).await;
+        }
+    }
 }
 
 /// Takes runners as gone whose time to come back is over, until the process ends.
@@ -84,49 +198,53 @@
     }
 }
 
-/// Where a batch left the node.
-struct Progress {
-    revision: u64,
-    changes: usize,
+fn take_in(node: &Node, learned: Learned) {
+    match learned.whole {
+        true => node.feed.replace(&learned.batch),
+        false => node.feed.extend(&learned.batch),
+    }
+    let changes = learned.batch.items.len();
+    let caught_up = match learned.whole {
+        true => take_all(node, learned.batch),
+        false => take_changes(node, learned.batch),
+    };
+    if caught_up {
+        let mut freshness = node.freshness.lock();
+        match learned.proven {
+            Proof::Read(asked) => freshness.prove_read(asked),
+            Proof::Watch(asked, waited) => freshness.prove_watch(asked, waited),
+        }
+    }
+    if changes > 0 {
+        node.changed.notify_one();
+    }
 }
 
-fn take_all(node: &Node, asked: Millis, batch: Batch) -> Progress {
-    let changes = batch.changes.len();
+fn take_all(node: &Node, batch: Batch) -> bool {
     let mut runners = Vec::new();
     let mut decider = None;
     let mut caught_up = true;
-    for change in batch.changes {
-        match change {
+    let revision = batch.revision;
+    for item in batch.items {
+        match decode(item) {
             Ok(Change::Runner(runner)) => runners.push(runner),
             Ok(Change::Own(item)) if item.key == LEASE_KEY => decider = Some(item.revision),
             other => caught_up &= take_change(node, other),
         }
     }
-    log::info!("store: read whole at revision {}, {} runners", batch.revision, runners.len());
+    log::info!("store: read whole at revision {revision}, {} runners", runners.len());
     node.roster.lock().replace(runners, node.now());
     node.decider.send_replace(decider);
-    if caught_up {
-        node.freshness.lock().prove_read(asked);
-    }
     node.set_synced();
-    node.changed.notify_one();
-    Progress { revision: batch.revision, changes }
+    caught_up
 }
 
-fn take_changes(node: &Node, asked: Millis, batch: Batch) -> Progress {
-    let changes = batch.changes.len();
+fn take_changes(node: &Node, batch: Batch) -> bool {
     let mut caught_up = true;
-    for change in batch.changes {
-        caught_up &= take_change(node, change);
-    }
-    if caught_up {
-        let waited = if changes == 0 { WATCH } else { Millis(0) };
-        node.freshness.lock().prove_watch(asked, waited);
+    for item in batch.items {
+        caught_up &= take_change(node, decode(item));
     }
-    if changes > 0 {
-        node.changed.notify_one();
-    }
-    Progress { revision: batch.revision, changes }
+    caught_up
 }
 
 /// Takes a change in. Returns false if the configuration held here is older
@@ -145,14 +263,8 @@
                 node.ledger.lock().forget(&id);
             }
         }
-        Ok(Change::Own(item)) if item.key == LEASE_KEY => {
-            node.decider.send_replace(Some(item.revision));
-        }
-        Ok(Change::OwnGone(key)) if key == LEASE_KEY => {
-            node.decider.send_replace(None);
-        }
-        Ok(Change::Own(item)) => take_plan(node, &item),
-        Ok(Change::OwnGone(key)) => log::warn!("store: `{key}` was removed"),
+        Ok(Change::Own(item)) => take_own(node, &item),
+        Ok(Change::OwnGone(key)) => take_own_gone(node, &key),
         Err(error @ ItemError::Catalog(_)) => {
             log::error!("catalog: {error}");
             return false;
@@ -162,16 +274,41 @@
     true
 }
 
-fn take_plan(node: &Node, item: &Item) {
+fn take_own(node: &Node, item: &Item) {
+    if item.key == LEASE_KEY {
+        node.decider.send_replace(Some(item.revision));
+        return;
+    }
+    if let Some(entry) = member::read_entry(item) {
+        match entry {
+            Ok(peer) => {
+                node.directory.lock().put(peer);
+                node.share_retries();
+            }
+            Err(error) => log::error!("store: `{}` cannot be read: {error}", item.key),
+        }
+        return;
+    }
     match decider::read_plan(item) {
         Ok(Some((domain, document))) => {
             node.plans.lock().insert(domain, document);
         }
-        Ok(None) => log::warn!("store: `{}` is no plan", item.key),
+        Ok(None) => log::warn!("store: `{}` is of no kind that is known", item.key),
         Err(error) => log::error!("store: {error}"),
     }
 }
 
+fn take_own_gone(node: &Node, key: &str) {
+    if key == LEASE_KEY {
+        node.decider.send_replace(None);
+    } else if let Some(name) = member::read_name(key) {
+        node.directory.lock().remove(&name);
+        node.share_retries();
+    } else {
+        log::warn!("store: `{key}` was removed");
+    }
+}
+
 fn take_catalog(node: &Node, catalog: Catalog) {
     let mut held = node.catalog.lock();
     let here = held.as_ref().map(|catalog| catalog.version);
