Give a group up by whether its members answer; find heads by the plans; no preference for the own hall

Change: a member without an entry counts as lost when it does not answer; a head without one is told to leave; a hall that is silent as a whole is left alone; nodes find heads in the plans, of any hall.

--- a/crates/fleet/src/balance.rs
+++ b/crates/fleet/src/balance.rs
@@ -74,11 +74,14 @@
 }
 
 /// Picks among `candidates` that are not in `tried`: one that is not passed
-/// over, with the fewest requests of this node, in this hall, else at random.
+/// over, with the fewest requests of this node, else at random.
+///
+/// The hall does not count. A node has one request or none at most runners, so a
+/// preference for its own hall would decide nearly always, and a hall with few
+/// groups of a model would get more than its groups can take.
 pub fn pick<'a>(
     candidates: &[&'a Runner],
     tried: &[id::Runner],
-    hall: &id::Hall,
     ledger: &Ledger,
     now: Millis,
     rng: &mut impl Rng,
@@ -86,7 +89,7 @@
     let fresh = candidates.iter().filter(|runner| !tried.contains(&runner.id));
     let keyed = fresh.map(|runner| {
         let record = ledger.get(&runner.id);
-        let key = (record.avoid > now, record.running, runner.hall != *hall, rng.random::<u32>());
+        let key = (record.avoid > now, record.running, rng.random::<u32>());
         (key, *runner)
     });
     keyed.min_by_key(|(key, _)| *key).map(|(_, runner)| runner)
--- a/crates/fleet/src/decide.rs
+++ b/crates/fleet/src/decide.rs
@@ -16,6 +16,7 @@
 use crate::loads::Loads;
 use crate::order::{Desk, Order, list_orders};
 use crate::plan::{Document, Group};
+use crate::probe::{Probes, Sign};
 use crate::roster::Roster;
 use crate::runner::{Epoch, Phase, Runner};
 use crate::settings::Ceiling;
@@ -88,6 +89,7 @@
     /// A runner answered an order as done or begun at `now`.
     pub fn note_taken(&mut self, runner: &id::Runner, order: &Order, now: Millis) {
         if let Order::Leave(group, epoch) = order {
+            // Whichever member left: the group stands still from now on.
             self.halted.entry((group.clone(), *epoch)).or_insert(now);
         }
         self.taken.insert((runner.clone(), order.clone()));
@@ -124,8 +126,8 @@
     pub roster: &'a Roster,
     /// The plan of each domain.
     pub plans: &'a BTreeMap<id::Domain, Document>,
-    /// Runners that do not answer this node.
-    pub silent: &'a HashSet<id::Runner>,
+    /// Which runners answer this node.
+    pub probes: &'a Probes,
     /// Whether callers have sent requests already. Before that, loads are short.
     pub serving: bool,
     /// How fast runners may load.
@@ -139,7 +141,7 @@
 impl<'a> Scene<'a> {
     /// A runner that is there and answers.
     pub(crate) fn find(&self, id: &id::Runner) -> Option<&'a Runner> {
-        self.roster.get(id).filter(|_| !self.silent.contains(id))
+        self.roster.get(id).filter(|_| !self.probes.is_silent(id))
     }
 }
 
@@ -201,7 +203,7 @@
     }
     for runner in scene.roster.iter().filter(|runner| runner.service == scene.service.id) {
         if let Some(domain) = &runner.domain {
-            let sound = !runner.draining && !scene.silent.contains(&runner.id);
+            let sound = !runner.draining && !scene.probes.is_silent(&runner.id);
             runners.entry(domain).or_default().extend(sound.then_some(runner));
         }
     }
@@ -218,21 +220,40 @@
     if memory.refused.contains(&(group.name.clone(), group.epoch)) {
         return Some("a member refused to join".to_owned());
     }
-    group.members.iter().find_map(|member| {
-        let Some(runner) = scene.roster.get(member) else {
-            return Some(format!("member {member} is gone"));
-        };
-        if scene.silent.contains(member) {
-            return Some(format!("member {member} does not answer"));
-        }
-        if runner.draining {
-            return Some(format!("member {member} is about to leave"));
-        }
-        let broken = find_phase(runner, group) == Some(Phase::Broken);
-        broken.then(|| format!("member {member} says that the group is broken"))
+    let head = group.head().and_then(|id| scene.roster.get(id));
+    let open = head.is_some_and(|head| find_phase(head, group) == Some(Phase::Open));
+    group.members.iter().find_map(|member| match scene.roster.get(member) {
+        Some(runner) => find_fault(scene, group, runner),
+        None => find_absence(scene, group, member, open),
     })
 }
 
+/// What is wrong with a member that is there.
+fn find_fault(scene: &Scene, group: &Group, runner: &Runner) -> Option<String> {
+    let id = &runner.id;
+    if scene.probes.is_silent(id) {
+        return Some(format!("member {id} does not answer"));
+    }
+    if runner.draining {
+        return Some(format!("member {id} is about to leave"));
+    }
+    let broken = find_phase(runner, group) == Some(Phase::Broken);
+    broken.then(|| format!("member {id} says that the group is broken"))
+}
+
+/// Whether a member's missing entry means that it is lost. A runner that is cut
+/// off from the store alone goes on working; but no head may be sent requests
+/// without an entry, and no group opens with a member that cannot be seen ready.
+fn find_absence(scene: &Scene, group: &Group, member: &id::Runner, open: bool) -> Option<String> {
+    match scene.probes.sign(member) {
+        Sign::Heard if open && group.head() != Some(member) => None,
+        Sign::Heard => Some(format!("the entry of {member} is gone")),
+        Sign::Silent => Some(format!("member {member} is gone and does not answer")),
+        Sign::Unknown if scene.probes.is_pending(member) => None,
+        Sign::Unknown => Some(format!("member {member} is gone")),
+    }
+}
+
 fn retire_groups(scene: &Scene, site: &mut Site, memory: &Memory) {
     for group in site.plan.groups.iter_mut().filter(|group| !group.retired) {
         if let Some(loss) = find_loss(scene, group, memory) {
@@ -248,11 +269,11 @@
     if !group.members.iter().any(|id| scene.roster.get(id).is_some()) {
         return true;
     }
-    match group.head().and_then(|id| scene.find(id)) {
-        Some(head) => {
-            let told = (head.id.clone(), Order::Leave(group.name.clone(), group.epoch));
-            find_phase(head, group).is_none() && memory.taken.contains(&told)
-        }
+    let Some(head) = group.head() else { return true };
+    let left = memory.taken.contains(&(head.clone(), Order::Leave(group.name.clone(), group.epoch)));
+    match scene.find(head) {
+        Some(head) => left && find_phase(head, group).is_none(),
+        None if left => true,
         // The head cannot be asked: it may be cut off and open. Once a member has
         // left, it stands still, and after a time it breaks.
         None => memory
--- a/crates/fleet/src/order.rs
+++ b/crates/fleet/src/order.rs
@@ -4,6 +4,7 @@
 
 use crate::decide::{Memory, Scene, Site, find_phase};
 use crate::plan::Group;
+use crate::probe::Sign;
 use crate::runner::{Epoch, Phase, Runner};
 
 /// An order that was not answered is given again after this long. Runners
@@ -87,7 +88,7 @@
     let living: Vec<&Runner> = group.members.iter().filter_map(|id| scene.find(id)).collect();
     let leave = Order::Leave(group.name.clone(), group.epoch);
     let Some(head) = group.head().and_then(|id| scene.find(id)) else {
-        return order_leaving_headless(group, &living, desk);
+        return order_leaving_unseen(scene, group, &living, desk);
     };
     let inside = living.iter().filter(|runner| find_phase(runner, group).is_some()).count();
     let intact = inside == group.members.len();
@@ -100,12 +101,17 @@
     }
 }
 
-/// The head is out of sight and may still be open. It stands still as soon as
-/// one member is away.
-fn order_leaving_headless(group: &Group, living: &[&Runner], desk: &mut Desk) {
+/// The head has no entry and may still be open. If it answers, it is told to
+/// leave; else its members are, and it stands still as soon as one is away.
+fn order_leaving_unseen(scene: &Scene, group: &Group, living: &[&Runner], desk: &mut Desk) {
+    let leave = Order::Leave(group.name.clone(), group.epoch);
+    let head = group.head().filter(|head| scene.probes.sign(head) == Sign::Heard);
+    if let Some(head) = head {
+        return desk.give(head, leave);
+    }
     for runner in living {
         match find_phase(runner, group) {
-            Some(_) => desk.give(&runner.id, Order::Leave(group.name.clone(), group.epoch)),
+            Some(_) => desk.give(&runner.id, leave.clone()),
             None => {
                 let now = desk.now;
                 desk.memory.halted.entry((group.name.clone(), group.epoch)).or_insert(now);
--- a/crates/fleet/src/plan.rs
+++ b/crates/fleet/src/plan.rs
@@ -44,9 +44,3 @@
 
 /// The plans of all fabric domains.
 pub type Plans = BTreeMap<id::Domain, Document>;
-
-/// Whether a group is given up according to the plans.
-pub fn is_retired(plans: &Plans, group: &id::Group, epoch: Epoch) -> bool {
-    let mut groups = plans.values().flat_map(|plan| &plan.groups);
-    groups.any(|known| known.retired && known.name == *group && known.epoch == epoch)
-}
--- a/crates/fleet/src/probe.rs
+++ b/crates/fleet/src/probe.rs
@@ -1,4 +1,5 @@
-//! Which runners do not answer, from questions put to all of them in rounds.
+//! Which runners answer and which do not, from questions put to all members of
+//! groups in rounds.
 
 use std::collections::{BTreeMap, HashMap, HashSet};
 
@@ -23,35 +24,78 @@
     pub heard: bool,
 }
 
+/// What is known of a runner from its answers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Sign {
+    /// It answered lately.
+    Heard,
+    /// It does not answer.
+    Silent,
+    /// Nothing can be concluded: it was not asked often enough, or the way to its
+    /// hall is cut.
+    Unknown,
+}
+
+#[derive(Clone, Debug)]
+struct Record {
+    hall: id::Hall,
+    misses: u32,
+    asked: u32,
+}
+
 /// What rounds of questions have shown so far.
 #[derive(Clone, Debug, Default)]
 pub struct Probes {
-    misses: HashMap<id::Runner, u32>,
-    silent: HashSet<id::Runner>,
+    records: HashMap<id::Runner, Record>,
+    rounds: u32,
+    cut: HashSet<id::Hall>,
 }
 
 impl Probes {
-    /// The runners that do not answer.
-    pub fn silent(&self) -> &HashSet<id::Runner> {
-        &self.silent
+    /// What is known of a runner.
+    pub fn sign(&self, runner: &id::Runner) -> Sign {
+        match self.records.get(runner) {
+            Some(record) if record.asked >= MISSES && !self.cut.contains(&record.hall) => {
+                if record.misses >= MISSES { Sign::Silent } else { Sign::Heard }
+            }
+            _ => Sign::Unknown,
+        }
+    }
+
+    /// Whether a runner does not answer.
+    pub fn is_silent(&self, runner: &id::Runner) -> bool {
+        self.sign(runner) == Sign::Silent
+    }
+
+    /// Whether more can be known soon: the way to the runner's hall is cut, or it
+    /// has not been asked often enough.
+    pub fn is_pending(&self, runner: &id::Runner) -> bool {
+        match self.records.get(runner) {
+            Some(record) => record.asked < MISSES || self.cut.contains(&record.hall),
+            None => self.rounds < MISSES,
+        }
     }
 
-    /// Takes a round in. Returns the runners that have just become silent.
+    /// Takes a round in, and forgets runners that were not asked in it. Returns
+    /// those that have just become silent.
     pub fn take(&mut self, round: &[Answer]) -> Vec<id::Runner> {
-        let misses = round.iter().map(|answer| {
-            let before = self.misses.get(&answer.runner).copied().unwrap_or_default();
-            (answer.runner.clone(), if answer.heard { 0 } else { before + 1 })
+        let silent: HashSet<id::Runner> =
+            self.records.keys().filter(|runner| self.is_silent(runner)).cloned().collect();
+        let records = round.iter().map(|answer| {
+            let before = self.records.get(&answer.runner);
+            let misses = before.map_or(0, |record| record.misses);
+            let record = Record {
+                hall: answer.hall.clone(),
+                misses: if answer.heard { 0 } else { misses + 1 },
+                asked: before.map_or(0, |record| record.asked) + 1,
+            };
+            (answer.runner.clone(), record)
         });
-        self.misses = misses.collect();
-        let cut = find_cut_halls(round);
-        let doubted = round.iter().filter(|answer| !cut.contains(&answer.hall));
-        let silent: HashSet<id::Runner> = doubted
-            .filter(|answer| self.misses.get(&answer.runner).is_some_and(|misses| *misses >= MISSES))
-            .map(|answer| answer.runner.clone())
-            .collect();
-        let fresh = silent.difference(&self.silent).cloned().collect();
-        self.silent = silent;
-        fresh
+        self.records = records.collect();
+        self.rounds += 1;
+        self.cut = find_cut_halls(round);
+        let fresh = self.records.keys().filter(|runner| self.is_silent(runner) && !silent.contains(*runner));
+        fresh.cloned().collect()
     }
 }
 
--- a/crates/fleet/src/roster.rs
+++ b/crates/fleet/src/roster.rs
@@ -4,13 +4,18 @@
 
 use cottoncrank::{Millis, id};
 
-use crate::runner::{Epoch, Membership, Phase, Runner};
+use crate::plan::{Group, Plans};
+use crate::runner::{Phase, Runner};
 
 /// Runners whose entry lapsed while the store was away are given this long
 /// after its return to write themselves in again. The platform names about two
 /// seconds.
 pub const RETURN: Millis = Millis(2300);
 
+/// A runner whose entry is gone is remembered for this long: as long as one may
+/// be cut off from the store and still run requests.
+pub const REMEMBERED: Millis = Millis(60_000);
+
 #[derive(Clone, Debug)]
 struct Entry {
     runner: Runner,
@@ -22,29 +27,29 @@
 #[derive(Clone, Debug, Default)]
 pub struct Roster {
     entries: HashMap<id::Runner, Entry>,
+    /// Runners whose entry is gone, and since when. They may still be there.
+    departed: HashMap<id::Runner, (Runner, Millis)>,
     /// Until when a missing entry may still come back.
     grace: Millis,
 }
 
-/// A group as its members describe it.
-#[derive(Clone, Debug)]
-pub struct Group<'a> {
-    /// The head, if it is known.
-    pub head: Option<&'a Runner>,
-    /// The members known, each with its place.
-    pub members: Vec<(&'a Runner, &'a Membership)>,
+fn is_open(head: &Runner, group: &Group) -> bool {
+    head.membership.as_ref().is_some_and(|membership| {
+        membership.group == group.name && membership.epoch == group.epoch && membership.phase == Phase::Open
+    })
 }
 
 impl Roster {
     /// A runner has written its entry.
     pub fn put(&mut self, runner: Runner) {
+        self.departed.remove(&runner.id);
         self.entries.insert(runner.id.clone(), Entry { runner, missing: None });
     }
 
     /// A runner's entry is gone.
     pub fn remove(&mut self, id: &id::Runner, now: Millis) {
         if now >= self.grace {
-            self.entries.remove(id);
+            self.depart(id, now);
         } else if let Some(entry) = self.entries.get_mut(id) {
             entry.missing.get_or_insert(now);
         }
@@ -75,11 +80,23 @@
         let missing = self.entries.iter().filter(|(_, entry)| entry.missing.is_some());
         let gone: Vec<id::Runner> = missing.map(|(id, _)| id.clone()).collect();
         for id in &gone {
-            self.entries.remove(id);
+            self.depart(id, now);
         }
         gone
     }
 
+    fn depart(&mut self, id: &id::Runner, now: Millis) {
+        self.departed.retain(|_, (_, since)| now < *since + REMEMBERED);
+        if let Some(entry) = self.entries.remove(id) {
+            self.departed.insert(id.clone(), (entry.runner, now));
+        }
+    }
+
+    /// A runner as it last described itself, its entry may be gone.
+    pub fn recall(&self, id: &id::Runner) -> Option<&Runner> {
+        self.get(id).or_else(|| self.departed.get(id).map(|(runner, _)| runner))
+    }
+
     /// A runner.
     pub fn get(&self, id: &id::Runner) -> Option<&Runner> {
         self.entries.get(id).map(|entry| &entry.runner)
@@ -90,39 +107,15 @@
         self.entries.values().map(|entry| &entry.runner)
     }
 
-    /// The members of one forming of a group, as they describe themselves.
-    pub fn find_group(&self, group: &id::Group, epoch: Epoch) -> Group<'_> {
-        let members: Vec<_> = self
-            .iter()
-            .filter_map(|runner| Some((runner, runner.membership.as_ref()?)))
-            .filter(|(_, membership)| membership.group == *group && membership.epoch == epoch)
-            .collect();
-        let head = members.iter().find(|(_, membership)| membership.rank == 0).map(|(runner, _)| *runner);
-        Group { head, members }
-    }
-
-    /// The heads that take requests for `model`, of groups that are whole: all
-    /// `size` members are there, and none is about to leave.
-    pub fn list_heads<'a>(
-        &'a self,
-        service: &id::Service,
-        model: &id::Model,
-        size: usize,
-    ) -> Vec<&'a Runner> {
-        let mut sound: HashMap<(&id::Group, Epoch), usize> = HashMap::new();
-        for runner in self.iter().filter(|runner| !runner.draining) {
-            if let Some(membership) = runner.membership.as_ref().filter(|m| m.phase != Phase::Broken) {
-                *sound.entry((&membership.group, membership.epoch)).or_default() += 1;
-            }
-        }
-        let whole = |membership: &Membership| {
-            sound.get(&(&membership.group, membership.epoch)).is_some_and(|members| *members >= size)
-        };
-        self.iter()
-            .filter(|runner| runner.service == *service && runner.models.contains(model))
-            .filter(|runner| {
-                runner.membership.as_ref().is_some_and(|m| m.rank == 0 && m.phase == Phase::Open && whole(m))
-            })
+    /// The heads that take requests for `model`: those of groups that stand in
+    /// the plans and are not given up. The decider looks after the other members.
+    pub fn list_heads(&self, service: &id::Service, model: &id::Model, plans: &Plans) -> Vec<&Runner> {
+        let groups = plans.values().flat_map(|plan| &plan.groups);
+        let wanted =
+            groups.filter(|group| !group.retired && group.model == *model && group.service == *service);
+        wanted
+            .filter_map(|group| self.get(group.head()?).filter(|head| is_open(head, group)))
+            .filter(|head| !head.draining)
             .collect()
     }
 
--- a/crates/node/src/attempt.rs
+++ b/crates/node/src/attempt.rs
@@ -7,7 +7,6 @@
 use cottoncrank::{Millis, id};
 use cottoncrank_fleet::balance;
 use cottoncrank_fleet::catalog::{Catalog, Route};
-use cottoncrank_fleet::plan::is_retired;
 use cottoncrank_platform::header::{self, Forward, Terms, Verdict};
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -81,20 +80,12 @@
     let roster = node.roster.lock();
     let engine = job.catalog.find_service(&job.service).and_then(|service| service.engine.as_ref());
     let candidates = match (engine, &job.terms.model) {
-        (Some(engine), Some(model)) => {
-            let size = engine.models.iter().find(|known| known.name == *model)?.size;
-            let plans = node.plans.lock();
-            let mut heads = roster.list_heads(&job.service, model, size);
-            heads.retain(|head| {
-                head.membership.as_ref().is_none_or(|m| !is_retired(&plans, &m.group, m.epoch))
-            });
-            heads
-        }
+        (Some(_), Some(model)) => roster.list_heads(&job.service, model, &node.plans.lock()),
         _ => roster.list_plain(&job.service),
     };
     let ledger = node.ledger.lock();
     let now = node.now();
-    let picked = balance::pick(&candidates, tried, &node.settings().hall, &ledger, now, &mut rand::rng())?;
+    let picked = balance::pick(&candidates, tried, &ledger, now, &mut rand::rng())?;
     let avoided = ledger.is_avoided(&picked.id, now);
     Some(Pick { id: picked.id.clone(), address: picked.address, avoided })
 }
--- a/crates/node/src/decider.rs
+++ b/crates/node/src/decider.rs
@@ -5,7 +5,7 @@
 //! unawares writes nothing. Orders follow what was written, and an order that
 //! comes late names an epoch that is over.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashSet};
 use std::sync::Arc;
 
 use cottoncrank::{Millis, id};
@@ -13,6 +13,7 @@
 use cottoncrank_fleet::order::Order;
 use cottoncrank_fleet::plan::Document;
 use cottoncrank_fleet::probe::{Answer, Probes};
+use cottoncrank_fleet::runner::Runner;
 use cottoncrank_net::client::{Client, Traffic};
 use cottoncrank_platform::order::{self, Reply};
 use cottoncrank_platform::store::{Commit, Item, Outcome, StoreError};
@@ -126,7 +127,7 @@
             Ok(Some(mut term)) => {
                 log::info!("decider: this node decides from revision {}", term.revision);
                 let (node, client, probes) = (node.clone(), term.client.clone(), term.probes.clone());
-                let prober = tokio::spawn(probe_runners(node, client, probes));
+                let prober = tokio::spawn(probe_members(node, client, probes));
                 term.node.set_deciding(true);
                 let Err(end) = term.hold().await;
                 term.node.set_deciding(false);
@@ -167,20 +168,25 @@
     }))
 }
 
-/// Asks all runners that stand in groups, in rounds, whether they are there.
-async fn probe_runners(node: Arc<Node>, client: Client, probes: Arc<Mutex<Probes>>) {
+/// Asks all members of groups, in rounds, whether they are there. Those whose
+/// entry is gone are asked where they were last.
+async fn probe_members(node: Arc<Node>, client: Client, probes: Arc<Mutex<Probes>>) {
     loop {
-        let placed: Vec<_> = {
+        let members: HashSet<id::Runner> = {
+            let plans = node.plans.lock();
+            let groups = plans.values().flat_map(|plan| &plan.groups);
+            groups.flat_map(|group| group.members.iter().cloned()).collect()
+        };
+        let known: Vec<Runner> = {
             let roster = node.roster.lock();
-            let placed = roster.iter().filter(|runner| runner.membership.is_some());
-            placed.map(|runner| (runner.id.clone(), runner.hall.clone(), runner.address)).collect()
+            members.iter().filter_map(|id| roster.recall(id).cloned()).collect()
         };
         let mut asking = JoinSet::new();
-        for (runner, hall, address) in placed {
+        for runner in known {
             let client = client.clone();
             asking.spawn(async move {
-                let heard = order::probe(&client, address, &runner, PROBE).await;
-                Answer { runner, hall, heard }
+                let heard = order::probe(&client, runner.address, &runner.id, PROBE).await;
+                Answer { runner: runner.id, hall: runner.hall, heard }
             });
         }
         let round = asking.join_all().await;
@@ -266,7 +272,7 @@
                     service,
                     roster: &roster,
                     plans: &documents,
-                    silent: probes.silent(),
+                    probes: &probes,
                     serving: self.node.is_serving(),
                     ceiling: &bounds.ceiling,
                     stall: bounds.stall,
@@ -334,7 +340,9 @@
     }
 
     fn give(&self, runner: id::Runner, order: Order) {
-        let Some(address) = self.node.roster.lock().get(&runner).map(|runner| runner.address) else { return };
+        let Some(address) = self.node.roster.lock().recall(&runner).map(|runner| runner.address) else {
+            return;
+        };
         let (node, client, memory) = (self.node.clone(), self.client.clone(), self.memory.clone());
         tokio::spawn(async move {
             let reply = order::give(&client, address, &runner, &order, ORDER).await;
