Limit what is under way at a model by how first events come

Change: each node keeps a limit per model; it falls when first events come late or engines have no place, and rises while they come in time; what is above it is refused within a fifth of the wanted time, with when to come back.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod directory;
 pub mod event;
 pub mod freshness;
+pub mod limit;
 pub mod loads;
 pub mod order;
 pub mod plan;
--- a/crates/fleet/tests/belief.rs
+++ b/crates/fleet/tests/belief.rs
@@ -5,6 +5,7 @@
 use cottoncrank_fleet::catalog::{Account, Catalog, Kind, Limits, Route, Target};
 use cottoncrank_fleet::event::{EVENT_MAX, EventError, Splitter};
 use cottoncrank_fleet::freshness::{DEAF, Freshness, MARGIN};
+use cottoncrank_fleet::limit::Limit;
 use cottoncrank_fleet::plan::{Document, Group, Plans};
 use cottoncrank_fleet::probe::{Answer, Probes, Sign};
 use cottoncrank_fleet::roster::{RETURN, Roster};
@@ -216,3 +217,35 @@
     assert_eq!(picked, ["a", "a", "a", "b", "a", "a", "a", "b"]);
     assert!(self::route("none", "/", &[]).pick_target(0).is_none());
 }
+
+#[test]
+fn the_limit_falls_below_what_is_under_way_and_rises_while_in_use() {
+    let mut limit = Limit::default();
+    let mut now = Millis(10_000);
+    for _ in 0..20 {
+        limit.begin();
+    }
+    limit.note_late(now);
+    assert!(!limit.admits() && limit.level() < 20.0);
+    let fallen = limit.level();
+    limit.note_late(now + Millis(100));
+    assert_eq!(limit.level(), fallen, "what is late for the same reason counts once");
+    for _ in 0..40 {
+        now = now + Millis(400);
+        limit.note_late(now);
+    }
+    assert!(limit.level() >= 3.0, "some go on, to show when there is room");
+    for _ in 0..20 {
+        limit.end();
+    }
+    let unused = limit.level();
+    limit.note_in_time();
+    assert_eq!(limit.level(), unused, "a limit that is not in use proves nothing");
+    while limit.admits() {
+        limit.begin();
+    }
+    for _ in 0..10 {
+        limit.note_in_time();
+    }
+    assert!(limit.admits());
+}
--- a/crates/node/src/answer.rs
+++ b/crates/node/src/answer.rs
@@ -72,6 +72,9 @@
     /// No runner can take it at present; it has not run.
     #[error("no runner can take it at present")]
     NoRunner,
+    /// As many requests as its runners can take in time are under way; it has not run.
+    #[error("its runners have all they can take in time")]
+    Full,
     /// Runners were asked, and all said that they did not run it.
     #[error("the runners asked did not run it")]
     NotRun,
@@ -88,6 +91,10 @@
 /// a third of the time they have left at the latest.
 const COME_BACK: Millis = Millis(600);
 
+/// When a caller should come back to runners that have all they can take: a
+/// request takes about a second, and half of the callers wait no more than twice.
+const COME_BACK_FULL: Millis = Millis(1200);
+
 impl Refusal {
     fn status(&self) -> StatusCode {
         match self {
@@ -95,7 +102,9 @@
             Refusal::Key => StatusCode::UNAUTHORIZED,
             Refusal::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Refusal::Body => StatusCode::BAD_REQUEST,
-            Refusal::Unsure | Refusal::NoRunner | Refusal::NotRun => StatusCode::SERVICE_UNAVAILABLE,
+            Refusal::Unsure | Refusal::NoRunner | Refusal::NotRun | Refusal::Full => {
+                StatusCode::SERVICE_UNAVAILABLE
+            }
             Refusal::MayHaveRun => StatusCode::BAD_GATEWAY,
             Refusal::Late => StatusCode::GATEWAY_TIMEOUT,
         }
@@ -103,7 +112,7 @@
 
     /// Whether coming back later helps.
     fn is_passing(&self) -> bool {
-        matches!(self, Refusal::Unsure | Refusal::NoRunner | Refusal::NotRun)
+        matches!(self, Refusal::Unsure | Refusal::NoRunner | Refusal::NotRun | Refusal::Full)
     }
 
     /// The answer that tells the caller.
@@ -114,7 +123,7 @@
         headers.insert(CONTENT_TYPE, HeaderValue::from_static("text/plain"));
         header::write_request(headers, request);
         if self.is_passing() {
-            header::write_retry(headers, COME_BACK);
+            header::write_retry(headers, if *self == Refusal::Full { COME_BACK_FULL } else { COME_BACK });
         }
         answer
     }
--- a/crates/node/src/attempt.rs
+++ b/crates/node/src/attempt.rs
@@ -47,6 +47,9 @@
     /// The runner surely did not run it.
     #[error("not run: {0}")]
     NotRun(String),
+    /// The runner had no place for it, and did not run it.
+    #[error("not run: no place")]
+    Full,
     /// It may have run there.
     #[error("may have run: {0}")]
     MayHaveRun(String),
@@ -116,6 +119,7 @@
     let attempt = Attempt { runner: pick.id.clone(), response, channel, counted };
     match header::read_verdict(status, attempt.response.headers(), job.terms.request.as_deref()) {
         Verdict::Ran => Ok(attempt),
+        Verdict::NotRun if status == 503 => Err(AttemptError::Full),
         Verdict::NotRun => Err(AttemptError::NotRun(format!("it answered {status}"))),
         Verdict::Foreign => {
             node.ledger.lock().blame(&pick.id, node.now());
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -1,5 +1,6 @@
 //! What a node knows, each part under its own lock.
 
+use std::collections::HashMap;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 
@@ -10,6 +11,7 @@
 use cottoncrank_fleet::catalog::Catalog;
 use cottoncrank_fleet::directory::Directory;
 use cottoncrank_fleet::freshness::Freshness;
+use cottoncrank_fleet::limit::Limit;
 use cottoncrank_fleet::plan::Plans;
 use cottoncrank_fleet::roster::Roster;
 use cottoncrank_fleet::settings::Settings;
@@ -23,6 +25,9 @@
 /// arrive twice by other ways count in the rest.
 const RETRY_PART: f64 = 0.8;
 
+/// What shares a limit: the requests for one model of one service.
+pub type Lane = (id::Service, Option<id::Model>);
+
 /// A node.
 pub struct Node {
     /// Its settings, as last read.
@@ -45,6 +50,10 @@
     pub plans: Mutex<Plans>,
     /// What was seen of the runners.
     pub ledger: Mutex<Ledger>,
+    /// How many requests may be under way, by service and model.
+    pub limits: Mutex<HashMap<Lane, Limit>>,
+    /// Told when a request ended, and another one may begin.
+    pub ended: Notify,
     /// Pays for requests that are sent again.
     pub retries: Mutex<Budget>,
     /// Who decides, as the store tells: the revision of that key, if it is there.
@@ -74,6 +83,8 @@
             roster: Mutex::default(),
             plans: Mutex::default(),
             ledger: Mutex::default(),
+            limits: Mutex::default(),
+            ended: Notify::new(),
             retries: Mutex::new(retries),
             decider: watch::Sender::new(None),
             changed: Notify::new(),
@@ -154,6 +165,27 @@
         Running(self.clone())
     }
 
+    /// Counts a request against the limit of its lane, if there is room within `wait`.
+    pub async fn admit(self: &Arc<Self>, lane: &Lane, wait: Millis) -> Option<Admitted> {
+        let end = self.now() + wait;
+        loop {
+            {
+                let mut limits = self.limits.lock();
+                let limit = limits.entry(lane.clone()).or_default();
+                if limit.admits() {
+                    limit.begin();
+                    return Some(Admitted { node: self.clone(), lane: lane.clone() });
+                }
+            }
+            let left = end.since(self.now());
+            if left == Millis(0) {
+                return None;
+            }
+            // Either way the limit is looked at again.
+            let _ = tokio::time::timeout(left.duration(), self.ended.notified()).await;
+        }
+    }
+
     /// Counts a request at a runner until the guard is dropped.
     pub fn begin_attempt(self: &Arc<Self>, runner: &id::Runner) -> Attempting {
         self.ledger.lock().begin(runner);
@@ -170,6 +202,33 @@
     }
 }
 
+/// A request that counts against its limit.
+pub struct Admitted {
+    node: Arc<Node>,
+    lane: Lane,
+}
+
+impl Admitted {
+    /// The first event came: in time, or not.
+    pub fn note_first(&self, in_time: bool) {
+        let mut limits = self.node.limits.lock();
+        let limit = limits.entry(self.lane.clone()).or_default();
+        match in_time {
+            true => limit.note_in_time(),
+            false => limit.note_late(self.node.now()),
+        }
+    }
+}
+
+impl Drop for Admitted {
+    fn drop(&mut self) {
+        if let Some(limit) = self.node.limits.lock().get_mut(&self.lane) {
+            limit.end();
+        }
+        self.node.ended.notify_one();
+    }
+}
+
 /// A request under way at a runner.
 pub struct Attempting {
     node: Arc<Node>,
--- a/crates/node/src/stream.rs
+++ b/crates/node/src/stream.rs
@@ -22,7 +22,7 @@
 use crate::attempt::{Attempt, AttemptError, Job, pick, send};
 use crate::channel::Channel;
 use crate::plain;
-use crate::state::{Attempting, Node, Running};
+use crate::state::{Admitted, Attempting, Node, Running};
 
 /// Events held for a caller that reads slowly.
 const FEED_DEPTH: usize = 8;
@@ -42,6 +42,10 @@
 /// passes of an engine that reads long prompts between the tokens.
 const PAUSE_MIN: Millis = Millis(500);
 
+/// A request waits at this node for at most this part of the wanted time of its
+/// first event: what is refused later than after a quarter of it is lost.
+const WAITS: u64 = 5;
+
 /// Where the caller names no pause.
 const PAUSE_UNSET: Millis = Millis(1000);
 
@@ -49,7 +53,10 @@
 #[derive(Default)]
 struct Tries {
     tried: Vec<id::Runner>,
+    /// Runners at which it may have run.
     sent: u32,
+    /// Runners that had no place for it.
+    full: u32,
 }
 
 /// A stream under way at one runner.
@@ -84,8 +91,13 @@
 /// Runs a request. The answer is given with the first event; the rest follows
 /// in a task of its own, which `running` counts.
 pub async fn run(node: &Arc<Node>, job: Arc<Job>, running: Running) -> Result<Answer, Refusal> {
+    let lane = (job.service.clone(), job.terms.model.clone());
+    let patience = Millis(job.route.objective.0 / WAITS);
+    let admitted = node.admit(&lane, patience).await.ok_or(Refusal::Full)?;
     let mut tries = Tries::default();
-    let begun = match open(node, &job, &mut tries).await? {
+    let opened = open(node, &job, &mut tries).await;
+    note_opening(node, &job, &tries, &admitted, opened.as_ref().err());
+    let begun = match opened? {
         Opening::Stream(begun) => begun,
         Opening::Whole(answer) => return Ok(answer),
     };
@@ -95,12 +107,32 @@
     *answer.headers_mut() = header::strip(&begun.head.headers);
     answer.headers_mut().remove(CONTENT_LENGTH);
     if feed.try_send(Ok(begun.first)).is_ok() && !begun.ended {
-        let relay = Relay { node: node.clone(), job, tries, feed, source: begun.source, _running: running };
+        let relay = Relay {
+            node: node.clone(),
+            job,
+            tries,
+            feed,
+            source: begun.source,
+            _running: running,
+            _admitted: admitted,
+        };
         tokio::spawn(relay.run());
     }
     Ok(answer)
 }
 
+/// Tells the limit how the first event came. A request that met a silent runner
+/// says nothing of how much the others have to do.
+fn note_opening(node: &Node, job: &Job, tries: &Tries, admitted: &Admitted, refusal: Option<&Refusal>) {
+    let first_try = tries.tried.len() == 1 && tries.sent == 0;
+    let in_time = node.now().since(job.arrived) <= job.route.objective;
+    match refusal {
+        None if first_try || tries.full > 0 => admitted.note_first(in_time && tries.full == 0),
+        Some(Refusal::NotRun) => admitted.note_first(false),
+        _ => {}
+    }
+}
+
 /// Tries runners until one sends its first event.
 async fn open(node: &Arc<Node>, job: &Job, tries: &mut Tries) -> Result<Opening, Refusal> {
     loop {
@@ -137,8 +169,10 @@
 }
 
 fn note(job: &Job, tries: &mut Tries, error: &AttemptError) {
-    if let AttemptError::MayHaveRun(_) = error {
-        tries.sent += 1;
+    match error {
+        AttemptError::MayHaveRun(_) => tries.sent += 1,
+        AttemptError::Full => tries.full += 1,
+        AttemptError::NotRun(_) => {}
     }
     log::info!("request {:?} at {:?}: {error}", job.terms.request, tries.tried.last());
 }
@@ -243,6 +277,7 @@
     feed: mpsc::Sender<Result<Bytes, Cut>>,
     source: Source,
     _running: Running,
+    _admitted: Admitted,
 }
 
 impl Relay {
