Replace slow members, by the pace that their reports tell

Change: the reports that the decider asks for anyway are read; a member that is twice slower in two of them is replaced and used again once it is not.

--- a/crates/fleet/src/decide.rs
+++ b/crates/fleet/src/decide.rs
@@ -139,6 +139,11 @@
 }
 
 impl<'a> Scene<'a> {
+    /// Whether a runner can be a member of a group as things are.
+    fn is_fit(&self, runner: &Runner) -> bool {
+        !runner.draining && !matches!(self.probes.sign(&runner.id), Sign::Silent | Sign::Slow)
+    }
+
     /// A runner that is there and answers.
     pub(crate) fn find(&self, id: &id::Runner) -> Option<&'a Runner> {
         self.roster.get(id).filter(|_| !self.probes.is_silent(id))
@@ -203,8 +208,7 @@
     }
     for runner in scene.roster.iter().filter(|runner| runner.service == scene.service.id) {
         if let Some(domain) = &runner.domain {
-            let sound = !runner.draining && !scene.probes.is_silent(&runner.id);
-            runners.entry(domain).or_default().extend(sound.then_some(runner));
+            runners.entry(domain).or_default().extend(scene.is_fit(runner).then_some(runner));
         }
     }
     let sites = runners.into_iter().map(|(domain, mut runners)| {
@@ -234,6 +238,9 @@
     if scene.probes.is_silent(id) {
         return Some(format!("member {id} does not answer"));
     }
+    if scene.probes.is_slow(id) {
+        return Some(format!("member {id} is slow"));
+    }
     if runner.draining {
         return Some(format!("member {id} is about to leave"));
     }
@@ -247,7 +254,7 @@
 fn find_absence(scene: &Scene, group: &Group, member: &id::Runner, open: bool) -> Option<String> {
     match scene.probes.sign(member) {
         Sign::Heard if open && group.head() != Some(member) => None,
-        Sign::Heard => Some(format!("the entry of {member} is gone")),
+        Sign::Heard | Sign::Slow => Some(format!("the entry of {member} is gone")),
         Sign::Silent => Some(format!("member {member} is gone and does not answer")),
         Sign::Unknown if scene.probes.is_pending(member) => None,
         Sign::Unknown => Some(format!("member {member} is gone")),
--- a/crates/fleet/src/order.rs
+++ b/crates/fleet/src/order.rs
@@ -90,8 +90,9 @@
     let Some(head) = group.head().and_then(|id| scene.find(id)) else {
         return order_leaving_unseen(scene, group, &living, desk);
     };
-    let inside = living.iter().filter(|runner| find_phase(runner, group).is_some()).count();
-    let intact = inside == group.members.len();
+    // A slow group would take long to finish: its streams go on elsewhere sooner.
+    let inside = |runner: &&&Runner| find_phase(runner, group).is_some() && !scene.probes.is_slow(&runner.id);
+    let intact = living.iter().filter(inside).count() == group.members.len();
     match find_phase(head, group) {
         Some(Phase::Open) if intact => desk.give(&head.id, Order::Close(group.name.clone(), group.epoch)),
         Some(Phase::Closing) if intact => {}
@@ -105,7 +106,7 @@
 /// leave; else its members are, and it stands still as soon as one is away.
 fn order_leaving_unseen(scene: &Scene, group: &Group, living: &[&Runner], desk: &mut Desk) {
     let leave = Order::Leave(group.name.clone(), group.epoch);
-    let head = group.head().filter(|head| scene.probes.sign(head) == Sign::Heard);
+    let head = group.head().filter(|head| matches!(scene.probes.sign(head), Sign::Heard | Sign::Slow));
     if let Some(head) = head {
         return desk.give(head, leave);
     }
--- a/crates/fleet/src/probe.rs
+++ b/crates/fleet/src/probe.rs
@@ -13,6 +13,11 @@
 /// today, can go dark as a whole.
 pub const CUT: f64 = 0.7;
 
+/// A runner that works this many times slower than usual is slow. A group runs at
+/// the pace of its slowest member; at twice its time per token, pauses between
+/// events come near what still counts as in time.
+pub const SLOW: f64 = 2.0;
+
 /// The answers of one runner to one round.
 #[derive(Clone, Debug)]
 pub struct Answer {
@@ -20,8 +25,8 @@
     pub runner: id::Runner,
     /// The data hall it stands in.
     pub hall: id::Hall,
-    /// Whether it answered.
-    pub heard: bool,
+    /// How much slower than usual it works, if it answered.
+    pub pace: Option<f64>,
 }
 
 /// What is known of a runner from its answers.
@@ -29,6 +34,8 @@
 pub enum Sign {
     /// It answered lately.
     Heard,
+    /// It answered lately, and works slowly.
+    Slow,
     /// It does not answer.
     Silent,
     /// Nothing can be concluded: it was not asked often enough, or the way to its
@@ -41,6 +48,8 @@
     hall: id::Hall,
     misses: u32,
     asked: u32,
+    /// Answers in a row in which it was slow.
+    slow: u32,
 }
 
 /// What rounds of questions have shown so far.
@@ -56,7 +65,11 @@
     pub fn sign(&self, runner: &id::Runner) -> Sign {
         match self.records.get(runner) {
             Some(record) if record.asked >= MISSES && !self.cut.contains(&record.hall) => {
-                if record.misses >= MISSES { Sign::Silent } else { Sign::Heard }
+                match (record.misses >= MISSES, record.slow >= MISSES) {
+                    (true, _) => Sign::Silent,
+                    (false, true) => Sign::Slow,
+                    (false, false) => Sign::Heard,
+                }
             }
             _ => Sign::Unknown,
         }
@@ -67,6 +80,16 @@
         self.sign(runner) == Sign::Silent
     }
 
+    /// Whether a runner works slowly.
+    pub fn is_slow(&self, runner: &id::Runner) -> bool {
+        self.sign(runner) == Sign::Slow
+    }
+
+    /// The runners that are slow.
+    pub fn list_slow(&self) -> Vec<id::Runner> {
+        self.records.keys().filter(|runner| self.is_slow(runner)).cloned().collect()
+    }
+
     /// Whether more can be known soon: the way to the runner's hall is cut, or it
     /// has not been asked often enough.
     pub fn is_pending(&self, runner: &id::Runner) -> bool {
@@ -83,11 +106,16 @@
             self.records.keys().filter(|runner| self.is_silent(runner)).cloned().collect();
         let records = round.iter().map(|answer| {
             let before = self.records.get(&answer.runner);
-            let misses = before.map_or(0, |record| record.misses);
+            let (misses, slow) = before.map_or((0, 0), |record| (record.misses, record.slow));
             let record = Record {
                 hall: answer.hall.clone(),
-                misses: if answer.heard { 0 } else { misses + 1 },
+                misses: if answer.pace.is_some() { 0 } else { misses + 1 },
                 asked: before.map_or(0, |record| record.asked) + 1,
+                slow: match answer.pace {
+                    Some(pace) if pace >= SLOW => slow + 1,
+                    Some(_) => 0,
+                    None => slow,
+                },
             };
             (answer.runner.clone(), record)
         });
@@ -104,7 +132,7 @@
     for answer in round {
         let (asked, missed) = halls.entry(&answer.hall).or_default();
         *asked += 1;
-        *missed += usize::from(!answer.heard);
+        *missed += usize::from(answer.pace.is_none());
     }
     let cut = halls.into_iter().filter(|(_, (asked, missed))| *missed as f64 > CUT * *asked as f64);
     cut.map(|(hall, _)| hall.clone()).collect()
--- a/crates/fleet/tests/belief.rs
+++ b/crates/fleet/tests/belief.rs
@@ -7,7 +7,7 @@
 use cottoncrank_fleet::freshness::{DEAF, Freshness, MARGIN};
 use cottoncrank_fleet::limit::Limit;
 use cottoncrank_fleet::plan::{Document, Group, Plans};
-use cottoncrank_fleet::probe::{Answer, Probes, Sign};
+use cottoncrank_fleet::probe::{Answer, Probes, SLOW, Sign};
 use cottoncrank_fleet::roster::{RETURN, Roster};
 use cottoncrank_fleet::runner::{Epoch, Membership, Phase, Runner};
 
@@ -112,7 +112,7 @@
     let answer = |number: usize| Answer {
         runner: format!("{hall}-{number}").parse().unwrap(),
         hall: hall.parse().unwrap(),
-        heard: !silent.contains(&number),
+        pace: (!silent.contains(&number)).then_some(1.0),
     };
     (0..of).map(answer).collect()
 }
@@ -135,6 +135,18 @@
     assert_eq!(sign(&probes, "a-3"), Sign::Unknown, "it was not asked any more");
 }
 
+#[test]
+fn a_runner_is_slow_after_two_slow_answers() {
+    let mut probes = Probes::default();
+    let slow = |pace: f64| Answer { pace: Some(pace), ..answers(&[], 1, "a").remove(0) };
+    probes.take(&[slow(SLOW)]);
+    probes.take(&[slow(SLOW)]);
+    assert_eq!(sign(&probes, "a-0"), Sign::Slow);
+    assert_eq!(probes.list_slow().len(), 1);
+    probes.take(&[slow(1.0)]);
+    assert_eq!(sign(&probes, "a-0"), Sign::Heard);
+}
+
 #[test]
 fn a_hall_that_is_silent_as_a_whole_is_taken_to_be_cut() {
     let mut probes = Probes::default();
--- a/crates/fleet/tests/decide.rs
+++ b/crates/fleet/tests/decide.rs
@@ -23,6 +23,7 @@
     memory: Memory,
     probes: Probes,
     dead: HashSet<id::Runner>,
+    slow: HashSet<id::Runner>,
     serving: bool,
     now: Millis,
 }
@@ -68,6 +69,7 @@
             memory: Memory::default(),
             probes: Probes::default(),
             dead: HashSet::new(),
+            slow: HashSet::new(),
             serving: false,
             now: Millis(1_000_000),
         }
@@ -79,7 +81,11 @@
         let answer = |runner: &id::Runner| Answer {
             runner: runner.clone(),
             hall: "hall-a".parse().unwrap(),
-            heard: !silent.contains(runner) && !self.dead.contains(runner),
+            pace: match (silent.contains(runner) || self.dead.contains(runner), self.slow.contains(runner)) {
+                (true, _) => None,
+                (false, true) => Some(12.0),
+                (false, false) => Some(1.0),
+            },
         };
         let round: Vec<Answer> = members.iter().map(answer).collect();
         self.probes.take(&round);
@@ -453,3 +459,19 @@
     world.step();
     assert!(world.groups().all(|known| known.name != group.name || known.retired));
 }
+
+#[test]
+fn a_slow_member_is_replaced_and_used_again_once_it_is_not_slow() {
+    let mut world = at_rest(6);
+    let group = world.find("large");
+    let slow = group.members[1].clone();
+    world.slow.insert(slow.clone());
+    world.probe(&[]);
+    let step = world.step();
+    let leave = Order::Leave(group.name.clone(), group.epoch);
+    assert!(step.orders.contains(&(group.members[0].clone(), leave)), "its streams go on elsewhere");
+    world.obey(&step);
+    world.run(3);
+    assert_eq!(world.count("large"), 6);
+    assert!(world.groups().all(|known| known.retired || !known.members.contains(&slow)));
+}
--- a/crates/node/src/decider.rs
+++ b/crates/node/src/decider.rs
@@ -168,15 +168,17 @@
     }))
 }
 
-/// Asks all members of groups, in rounds, whether they are there. Those whose
+/// Asks all members of groups, in rounds, how they are. Those whose
 /// entry is gone are asked where they were last.
 async fn probe_members(node: Arc<Node>, client: Client, probes: Arc<Mutex<Probes>>) {
     loop {
-        let members: HashSet<id::Runner> = {
+        let mut members: HashSet<id::Runner> = {
             let plans = node.plans.lock();
             let groups = plans.values().flat_map(|plan| &plan.groups);
             groups.flat_map(|group| group.members.iter().cloned()).collect()
         };
+        // A slow runner is asked on, to be used again once it is not.
+        members.extend(probes.lock().list_slow());
         let known: Vec<Runner> = {
             let roster = node.roster.lock();
             members.iter().filter_map(|id| roster.recall(id).cloned()).collect()
@@ -185,8 +187,8 @@
         for runner in known {
             let client = client.clone();
             asking.spawn(async move {
-                let heard = order::probe(&client, runner.address, &runner.id, PROBE).await;
-                Answer { runner: runner.id, hall: runner.hall, heard }
+                let pace = order::probe(&client, runner.address, &runner.id, PROBE).await;
+                Answer { runner: runner.id, hall: runner.hall, pace }
             });
         }
         let round = asking.join_all().await;
