Move requests when their group is given up; a longer patience with busy groups

Change: a plan says whether a group closes or is lost; requests at a lost one go on elsewhere at once; silence alone counts after 1.2 s.

--- a/crates/fleet/src/balance.rs
+++ b/crates/fleet/src/balance.rs
@@ -66,11 +66,6 @@
     pub fn get(&self, id: &id::Runner) -> Record {
         self.0.get(id).copied().unwrap_or_default()
     }
-
-    /// Whether a runner is passed over at `now`.
-    pub fn is_avoided(&self, id: &id::Runner, now: Millis) -> bool {
-        self.get(id).avoid > now
-    }
 }
 
 /// Picks among `candidates` that are not in `tried`: one that is not passed
--- a/crates/fleet/src/decide.rs
+++ b/crates/fleet/src/decide.rs
@@ -15,7 +15,7 @@
 use crate::catalog::{Engine, Model, Service};
 use crate::loads::Loads;
 use crate::order::{Desk, Order, list_orders};
-use crate::plan::{Document, Group};
+use crate::plan::{Document, Group, State};
 use crate::probe::{Probes, Sign};
 use crate::roster::Roster;
 use crate::runner::{Epoch, Phase, Runner};
@@ -219,53 +219,67 @@
     sites.collect()
 }
 
-/// Why a group cannot go on, if so.
-fn find_loss(scene: &Scene, group: &Group, memory: &Memory) -> Option<String> {
+/// Why a group cannot go on, and whether it can still finish what it has.
+struct Loss {
+    state: State,
+    reason: String,
+}
+
+impl Loss {
+    fn lost(reason: String) -> Loss {
+        Loss { state: State::Lost, reason }
+    }
+}
+
+fn find_loss(scene: &Scene, group: &Group, memory: &Memory) -> Option<Loss> {
     if memory.refused.contains(&(group.name.clone(), group.epoch)) {
-        return Some("a member refused to join".to_owned());
+        return Some(Loss::lost("a member refused to join".to_owned()));
     }
     let head = group.head().and_then(|id| scene.roster.get(id));
-    let open = head.is_some_and(|head| find_phase(head, group) == Some(Phase::Open));
-    group.members.iter().find_map(|member| match scene.roster.get(member) {
+    let open = head.is_some_and(|head| matches!(find_phase(head, group), Some(Phase::Open | Phase::Closing)));
+    let losses = group.members.iter().filter_map(|member| match scene.roster.get(member) {
         Some(runner) => find_fault(scene, group, runner),
         None => find_absence(scene, group, member, open),
-    })
+    });
+    losses.max_by_key(|loss| loss.state == State::Lost)
 }
 
 /// What is wrong with a member that is there.
-fn find_fault(scene: &Scene, group: &Group, runner: &Runner) -> Option<String> {
+fn find_fault(scene: &Scene, group: &Group, runner: &Runner) -> Option<Loss> {
     let id = &runner.id;
     if scene.probes.is_silent(id) {
-        return Some(format!("member {id} does not answer"));
+        return Some(Loss::lost(format!("member {id} does not answer")));
     }
     if scene.probes.is_slow(id) {
-        return Some(format!("member {id} is slow"));
+        return Some(Loss::lost(format!("member {id} is slow")));
     }
-    if runner.draining {
-        return Some(format!("member {id} is about to leave"));
+    if find_phase(runner, group) == Some(Phase::Broken) {
+        return Some(Loss::lost(format!("member {id} says that the group is broken")));
     }
-    let broken = find_phase(runner, group) == Some(Phase::Broken);
-    broken.then(|| format!("member {id} says that the group is broken"))
+    let leaving = || Loss { state: State::Closing, reason: format!("member {id} is about to leave") };
+    runner.draining.then(leaving)
 }
 
 /// Whether a member's missing entry means that it is lost. A runner that is cut
 /// off from the store alone goes on working; but no head may be sent requests
 /// without an entry, and no group opens with a member that cannot be seen ready.
-fn find_absence(scene: &Scene, group: &Group, member: &id::Runner, open: bool) -> Option<String> {
+fn find_absence(scene: &Scene, group: &Group, member: &id::Runner, open: bool) -> Option<Loss> {
     match scene.probes.sign(member) {
         Sign::Heard if open && group.head() != Some(member) => None,
-        Sign::Heard | Sign::Slow => Some(format!("the entry of {member} is gone")),
-        Sign::Silent => Some(format!("member {member} is gone and does not answer")),
+        Sign::Heard => Some(Loss { state: State::Closing, reason: format!("the entry of {member} is gone") }),
+        Sign::Slow => Some(Loss::lost(format!("the entry of {member} is gone, and it is slow"))),
+        Sign::Silent => Some(Loss::lost(format!("member {member} is gone and does not answer"))),
         Sign::Unknown if scene.probes.is_pending(member) => None,
-        Sign::Unknown => Some(format!("member {member} is gone")),
+        Sign::Unknown => Some(Loss::lost(format!("member {member} is gone"))),
     }
 }
 
 fn retire_groups(scene: &Scene, site: &mut Site, memory: &Memory) {
-    for group in site.plan.groups.iter_mut().filter(|group| !group.retired) {
-        if let Some(loss) = find_loss(scene, group, memory) {
-            site.reasons.push(format!("retire {} of {}: {loss}", group.name, group.model));
-            group.retired = true;
+    for group in site.plan.groups.iter_mut().filter(|group| group.state != State::Lost) {
+        let Some(loss) = find_loss(scene, group, memory) else { continue };
+        if loss.state != group.state {
+            site.reasons.push(format!("retire {} of {}: {}", group.name, group.model, loss.reason));
+            group.state = loss.state;
         }
     }
 }
@@ -293,7 +307,7 @@
 fn release_groups(scene: &Scene, site: &mut Site, memory: &Memory) {
     let reasons = &mut site.reasons;
     site.plan.groups.retain(|group| {
-        let over = group.retired && is_over(scene, group, memory);
+        let over = group.is_retired() && is_over(scene, group, memory);
         if over {
             reasons.push(format!("release {}", group.name));
         }
@@ -354,7 +368,7 @@
             service: scene.service.id.clone(),
             model,
             members: choice.members,
-            retired: false,
+            state: State::Active,
         });
     }
 }
@@ -423,7 +437,7 @@
 fn count_alive(models: &[Model], sites: &[Site]) -> Vec<usize> {
     let count = |model: &Model| {
         let groups = sites.iter().flat_map(|site| &site.plan.groups);
-        groups.filter(|group| !group.retired && group.model == model.name).count()
+        groups.filter(|group| !group.is_retired() && group.model == model.name).count()
     };
     models.iter().map(count).collect()
 }
--- a/crates/fleet/src/order.rs
+++ b/crates/fleet/src/order.rs
@@ -3,7 +3,7 @@
 use cottoncrank::{Millis, id};
 
 use crate::decide::{Memory, Scene, Site, find_phase};
-use crate::plan::Group;
+use crate::plan::{Group, State};
 use crate::probe::Sign;
 use crate::runner::{Epoch, Phase, Runner};
 
@@ -33,7 +33,7 @@
 /// Lists the orders to give now in one domain.
 pub(crate) fn list_orders(scene: &Scene, site: &Site, desk: &mut Desk) {
     for group in &site.plan.groups {
-        match group.retired {
+        match group.is_retired() {
             true => order_leaving(scene, group, desk),
             false => order_forming(scene, group, desk),
         }
@@ -90,12 +90,11 @@
     let Some(head) = group.head().and_then(|id| scene.find(id)) else {
         return order_leaving_unseen(scene, group, &living, desk);
     };
-    // A slow group would take long to finish: its streams go on elsewhere sooner.
-    let inside = |runner: &&&Runner| find_phase(runner, group).is_some() && !scene.probes.is_slow(&runner.id);
-    let intact = living.iter().filter(inside).count() == group.members.len();
     match find_phase(head, group) {
-        Some(Phase::Open) if intact => desk.give(&head.id, Order::Close(group.name.clone(), group.epoch)),
-        Some(Phase::Closing) if intact => {}
+        Some(Phase::Open) if group.state == State::Closing => {
+            desk.give(&head.id, Order::Close(group.name.clone(), group.epoch))
+        }
+        Some(Phase::Closing) if group.state == State::Closing => {}
         Some(_) => desk.give(&head.id, leave),
         None if !desk.memory.taken.contains(&(head.id.clone(), leave.clone())) => desk.give(&head.id, leave),
         None => {}
@@ -127,7 +126,7 @@
         let Some(membership) = &runner.membership else { continue };
         let planned = site.plan.groups.iter().any(|group| find_phase(runner, group).is_some());
         let wanted =
-            site.plan.groups.iter().any(|group| !group.retired && group.members.contains(&runner.id));
+            site.plan.groups.iter().any(|group| !group.is_retired() && group.members.contains(&runner.id));
         if !planned && !wanted {
             desk.give(&runner.id, Order::Leave(membership.group.clone(), membership.epoch));
         }
--- a/crates/fleet/src/plan.rs
+++ b/crates/fleet/src/plan.rs
@@ -21,12 +21,28 @@
     pub model: id::Model,
     /// Its members by rank; the first is the head.
     pub members: Vec<id::Runner>,
-    /// Whether it is given up. Its members are held until its head surely
-    /// takes nothing any more.
-    pub retired: bool,
+    /// What is meant to become of it.
+    pub state: State,
+}
+
+/// What is meant to become of a group.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum State {
+    /// It is to serve.
+    Active,
+    /// A member is about to leave: it takes no more and finishes what it has. Its
+    /// members are held until its head surely takes nothing any more.
+    Closing,
+    /// It cannot finish what it has. Its members are held in the same way.
+    Lost,
 }
 
 impl Group {
+    /// Whether it is given up, in either way.
+    pub fn is_retired(&self) -> bool {
+        self.state != State::Active
+    }
+
     /// The member that takes the requests.
     pub fn head(&self) -> Option<&id::Runner> {
         self.members.first()
@@ -44,3 +60,9 @@
 
 /// The plans of all fabric domains.
 pub type Plans = BTreeMap<id::Domain, Document>;
+
+/// What is meant to become of a forming of a group; none if it is not planned.
+pub fn find_state(plans: &Plans, name: &id::Group, epoch: Epoch) -> Option<State> {
+    let mut groups = plans.values().flat_map(|plan| &plan.groups);
+    groups.find(|group| group.name == *name && group.epoch == epoch).map(|group| group.state)
+}
--- a/crates/fleet/src/roster.rs
+++ b/crates/fleet/src/roster.rs
@@ -112,7 +112,7 @@
     pub fn list_heads(&self, service: &id::Service, model: &id::Model, plans: &Plans) -> Vec<&Runner> {
         let groups = plans.values().flat_map(|plan| &plan.groups);
         let wanted =
-            groups.filter(|group| !group.retired && group.model == *model && group.service == *service);
+            groups.filter(|group| !group.is_retired() && group.model == *model && group.service == *service);
         wanted
             .filter_map(|group| self.get(group.head()?).filter(|head| is_open(head, group)))
             .filter(|head| !head.draining)
--- a/crates/fleet/src/staging.rs
+++ b/crates/fleet/src/staging.rs
@@ -122,7 +122,7 @@
         };
         let free = site.list_free().into_iter();
         let rows = free.map(|runner| Row { runner, held: find_held(runner) }).collect();
-        let given_up = site.plan.groups.iter().filter(|group| group.retired);
+        let given_up = site.plan.groups.iter().filter(|group| group.is_retired());
         let returning = given_up.flat_map(|group| {
             let living = group.members.iter().filter(|id| scene.find(id).is_some());
             living.map(|_| group.model.clone())
--- a/crates/fleet/tests/belief.rs
+++ b/crates/fleet/tests/belief.rs
@@ -6,7 +6,7 @@
 use cottoncrank_fleet::event::{EVENT_MAX, EventError, Splitter};
 use cottoncrank_fleet::freshness::{DEAF, Freshness, MARGIN};
 use cottoncrank_fleet::limit::Limit;
-use cottoncrank_fleet::plan::{Document, Group, Plans};
+use cottoncrank_fleet::plan::{Document, Group, Plans, State};
 use cottoncrank_fleet::probe::{Answer, Probes, SLOW, Sign};
 use cottoncrank_fleet::roster::{RETURN, Roster};
 use cottoncrank_fleet::runner::{Epoch, Membership, Phase, Runner};
@@ -25,14 +25,14 @@
     }
 }
 
-fn plans(retired: bool) -> Plans {
+fn plans(state: State) -> Plans {
     let group = Group {
         name: "g1".parse().unwrap(),
         epoch: Epoch(1),
         service: "llm".parse().unwrap(),
         model: "large".parse().unwrap(),
         members: vec!["r0".parse().unwrap(), "r1".parse().unwrap()],
-        retired,
+        state,
     };
     Plans::from([("d0".parse().unwrap(), Document { top: Epoch(1), groups: vec![group] })])
 }
@@ -45,19 +45,20 @@
 fn only_open_heads_of_planned_groups_take_requests() {
     let mut roster = Roster::default();
     roster.put(member(0, 0, Phase::Open));
-    assert_eq!(heads(&roster, &plans(false)), 1, "the decider looks after the other members");
-    assert_eq!(heads(&roster, &plans(true)), 0, "the group is given up");
+    assert_eq!(heads(&roster, &plans(State::Active)), 1, "the decider looks after the other members");
+    assert_eq!(heads(&roster, &plans(State::Closing)), 0, "the group is to take no more");
+    assert_eq!(heads(&roster, &plans(State::Lost)), 0, "the group is given up");
     assert_eq!(heads(&roster, &Plans::new()), 0, "nobody planned it");
     for phase in [Phase::Joining, Phase::Ready, Phase::Closing, Phase::Broken] {
         roster.put(member(0, 0, phase));
-        assert_eq!(heads(&roster, &plans(false)), 0, "{phase:?}");
+        assert_eq!(heads(&roster, &plans(State::Active)), 0, "{phase:?}");
     }
     roster.put(Runner { draining: true, ..member(0, 0, Phase::Open) });
-    assert_eq!(heads(&roster, &plans(false)), 0, "the head is about to leave");
+    assert_eq!(heads(&roster, &plans(State::Active)), 0, "the head is about to leave");
     let mut older = member(0, 0, Phase::Open);
     older.membership.as_mut().unwrap().epoch = Epoch(0);
     roster.put(older);
-    assert_eq!(heads(&roster, &plans(false)), 0, "it is open at an older epoch");
+    assert_eq!(heads(&roster, &plans(State::Active)), 0, "it is open at an older epoch");
 }
 
 #[test]
--- a/crates/fleet/tests/decide.rs
+++ b/crates/fleet/tests/decide.rs
@@ -145,11 +145,11 @@
     }
 
     fn count(&self, model: &str) -> usize {
-        self.groups().filter(|group| !group.retired && group.model.as_str() == model).count()
+        self.groups().filter(|group| !group.is_retired() && group.model.as_str() == model).count()
     }
 
     fn find(&self, model: &str) -> Group {
-        self.groups().find(|group| !group.retired && group.model.as_str() == model).unwrap().clone()
+        self.groups().find(|group| !group.is_retired() && group.model.as_str() == model).unwrap().clone()
     }
 
     /// The entry of a runner lapses.
@@ -261,7 +261,7 @@
     let group = world.find("large");
     world.crash(&group.members[0]);
     world.run(1);
-    let held = |world: &World| world.groups().any(|known| known.name == group.name && known.retired);
+    let held = |world: &World| world.groups().any(|known| known.name == group.name && known.is_retired());
     assert!(held(&world));
     let until = world.now + STALL + STALL_MARGIN;
     while world.now + Millis(200) < until {
@@ -283,7 +283,7 @@
     world.obey(&step);
     world.now = world.now + Millis(1000);
     world.step();
-    assert!(world.groups().any(|known| known.name == group.name && known.retired));
+    assert!(world.groups().any(|known| known.name == group.name && known.is_retired()));
     // It answers again: it is told to leave, and the members are free at once.
     world.probe(&[]);
     let step = world.step();
@@ -304,7 +304,7 @@
     let taken_over = world.now;
     while world.now < taken_over + STALL {
         world.run(1);
-        let held = world.groups().any(|known| known.name == group.name && known.retired);
+        let held = world.groups().any(|known| known.name == group.name && known.is_retired());
         assert!(held, "the new decider cannot know how long the group has stood still");
     }
 }
@@ -409,8 +409,9 @@
     world.lapse(&kept.members[2]);
     world.lapse(&lost.members[0]);
     world.step();
-    let is_retired =
-        |world: &World, group: &Group| world.groups().all(|known| known.name != group.name || known.retired);
+    let is_retired = |world: &World, group: &Group| {
+        world.groups().all(|known| known.name != group.name || known.is_retired())
+    };
     assert!(!is_retired(&world, &kept), "its members still answer");
     assert!(is_retired(&world, &lost), "no head may be sent requests without an entry");
     world.probe(&kept.members[2..3]);
@@ -454,10 +455,10 @@
     world.memory = Memory::default();
     world.probes = Probes::default();
     world.step();
-    assert!(world.groups().any(|known| known.name == group.name && !known.retired));
+    assert!(world.groups().any(|known| known.name == group.name && !known.is_retired()));
     world.probe(&group.members[2..3]);
     world.step();
-    assert!(world.groups().all(|known| known.name != group.name || known.retired));
+    assert!(world.groups().all(|known| known.name != group.name || known.is_retired()));
 }
 
 #[test]
@@ -473,5 +474,5 @@
     world.obey(&step);
     world.run(3);
     assert_eq!(world.count("large"), 6);
-    assert!(world.groups().all(|known| known.retired || !known.members.contains(&slow)));
+    assert!(world.groups().all(|known| known.is_retired() || !known.members.contains(&slow)));
 }
--- a/crates/node/src/attempt.rs
+++ b/crates/node/src/attempt.rs
@@ -7,6 +7,8 @@
 use cottoncrank::{Millis, id};
 use cottoncrank_fleet::balance;
 use cottoncrank_fleet::catalog::{Catalog, Route};
+use cottoncrank_fleet::plan::{State, find_state};
+use cottoncrank_fleet::runner::Epoch;
 use cottoncrank_platform::header::{self, Forward, Terms, Verdict};
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -58,7 +60,7 @@
 /// A try that got the head of an answer.
 pub struct Attempt {
     /// The runner.
-    pub runner: id::Runner,
+    pub pick: Pick,
     /// The answer.
     pub response: Response<Incoming>,
     /// Keeps the connection open.
@@ -74,8 +76,25 @@
     pub id: id::Runner,
     /// Where it listens.
     pub address: SocketAddr,
-    /// Whether it is passed over when others can be had.
-    pub avoided: bool,
+    /// The group it heads, if the request goes to one.
+    group: Option<(id::Group, Epoch)>,
+}
+
+impl Pick {
+    /// Waits until the group is given up without finishing what it has; forever
+    /// if that does not happen.
+    pub async fn wait_lost(&self, node: &Node) {
+        let Some((name, epoch)) = &self.group else { return std::future::pending().await };
+        let mut changes = node.plans_changed.subscribe();
+        loop {
+            if find_state(&node.plans.lock(), name, *epoch).is_none_or(|state| state == State::Lost) {
+                return;
+            }
+            if changes.changed().await.is_err() {
+                return std::future::pending().await;
+            }
+        }
+    }
 }
 
 /// Picks the runner for the next try.
@@ -89,8 +108,8 @@
     let ledger = node.ledger.lock();
     let now = node.now();
     let picked = balance::pick(&candidates, tried, &ledger, now, &mut rand::rng())?;
-    let avoided = ledger.is_avoided(&picked.id, now);
-    Some(Pick { id: picked.id.clone(), address: picked.address, avoided })
+    let group = engine.and(picked.membership.as_ref()).map(|place| (place.group.clone(), place.epoch));
+    Some(Pick { id: picked.id.clone(), address: picked.address, group })
 }
 
 /// Sends the request to a runner and waits for the head of the answer.
@@ -116,7 +135,7 @@
         }
     };
     let status = response.status().as_u16();
-    let attempt = Attempt { runner: pick.id.clone(), response, channel, counted };
+    let attempt = Attempt { pick: pick.clone(), response, channel, counted };
     match header::read_verdict(status, attempt.response.headers(), job.terms.request.as_deref()) {
         Verdict::Ran => Ok(attempt),
         Verdict::NotRun if status == 503 => Err(AttemptError::Full),
--- a/crates/node/src/plain.rs
+++ b/crates/node/src/plain.rs
@@ -61,10 +61,10 @@
     let (head, body) = attempt.response.into_parts();
     let collected = Limited::new(body, ANSWER_MAX).collect().await;
     let bytes = collected.map_err(|error| {
-        node.ledger.lock().blame(&attempt.runner, node.now());
+        node.ledger.lock().blame(&attempt.pick.id, node.now());
         AttemptError::MayHaveRun(format!("its answer broke off: {error}"))
     })?;
-    node.ledger.lock().progress(&attempt.runner, node.now());
+    node.ledger.lock().progress(&attempt.pick.id, node.now());
     Ok(pass_on(head.status, &head.headers, bytes.to_bytes()))
 }
 
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -48,6 +48,8 @@
     pub roster: Mutex<Roster>,
     /// The plans of the groups, as the store tells.
     pub plans: Mutex<Plans>,
+    /// Rises whenever a plan changes.
+    pub plans_changed: watch::Sender<u64>,
     /// What was seen of the runners.
     pub ledger: Mutex<Ledger>,
     /// How many requests may be under way, by service and model.
@@ -82,6 +84,7 @@
             freshness: Mutex::default(),
             roster: Mutex::default(),
             plans: Mutex::default(),
+            plans_changed: watch::Sender::new(0),
             ledger: Mutex::default(),
             limits: Mutex::default(),
             ended: Notify::new(),
--- a/crates/node/src/stream.rs
+++ b/crates/node/src/stream.rs
@@ -19,7 +19,7 @@
 use tokio::sync::mpsc;
 
 use crate::answer::{Answer, Body, Refusal};
-use crate::attempt::{Attempt, AttemptError, Job, pick, send};
+use crate::attempt::{Attempt, AttemptError, Job, Pick, pick, send};
 use crate::channel::Channel;
 use crate::plain;
 use crate::state::{Admitted, Attempting, Node, Running};
@@ -30,25 +30,15 @@
 /// Tries of one request, refused ones included.
 const TRIES: usize = 4;
 
-/// A runner that is silent beyond the wanted time of the first event is given
-/// this much more before the request goes to another one.
-const FIRST_SLACK: Millis = Millis(100);
-
-/// A pause between events, in times of the longest one that counts as in time,
-/// after which a stream goes on at another runner.
-const PAUSES: u64 = 2;
-
-/// The shortest pause after which a stream goes on at another runner: several
-/// passes of an engine that reads long prompts between the tokens.
-const PAUSE_MIN: Millis = Millis(500);
+/// A runner that sends nothing for this long is given up on. A group that lost a
+/// member is known to all nodes sooner than that; one that is only busy must not
+/// get the same requests twice. Callers give up after two seconds.
+const PATIENCE: Millis = Millis(1200);
 
 /// A request waits at this node for at most this part of the wanted time of its
 /// first event: what is refused later than after a quarter of it is lost.
 const WAITS: u64 = 5;
 
-/// Where the caller names no pause.
-const PAUSE_UNSET: Millis = Millis(1000);
-
 /// The tries of one request so far.
 #[derive(Default)]
 struct Tries {
@@ -61,7 +51,7 @@
 
 /// A stream under way at one runner.
 struct Source {
-    runner: id::Runner,
+    pick: Pick,
     body: Incoming,
     splitter: Splitter,
     _channel: Channel,
@@ -147,14 +137,13 @@
         }
         let (head, body) = attempt.response.into_parts();
         let mut source = Source {
-            runner: attempt.runner,
+            pick: attempt.pick,
             body,
             splitter: Splitter::after(last),
             _channel: attempt.channel,
             _counted: attempt.counted,
         };
-        let patience = job.route.objective + FIRST_SLACK;
-        match read_first(node, job, &mut source, patience).await {
+        match read_first(node, job, &mut source).await {
             Ok(Next::Events(first)) => {
                 let begun = Begun { head, first, source, ended: false };
                 return Ok(Opening::Stream(Box::new(begun)));
@@ -202,50 +191,47 @@
         tries.tried.push(pick.id.clone());
         let started = node.now();
         let sending = send(node, job, &pick, last);
-        let patience = job.route.objective + FIRST_SLACK;
-        match wait_unless_silent(node, job, &pick.id, started, patience, sending).await {
+        match wait_unless_silent(node, job, &pick, started, sending).await {
             Ok(attempt) => return Ok(attempt),
             Err(error) => note(job, tries, &error),
         }
     }
 }
 
-/// Waits for something from a runner. After `patience` it is given up on, once
-/// the runner has sent nothing to any request of this node since `started`, if
-/// the request may be sent again.
+/// Waits for something from a runner, as long as its group is not lost. After
+/// [`PATIENCE`] it is given up on too, if it has sent nothing to any request of
+/// this node since `started`, and the request may be sent again.
 async fn wait_unless_silent<T>(
     node: &Node,
     job: &Job,
-    runner: &id::Runner,
+    pick: &Pick,
     started: Millis,
-    patience: Millis,
     waiting: impl Future<Output = Result<T, AttemptError>>,
 ) -> Result<T, AttemptError> {
     tokio::pin!(waiting);
+    let lost = pick.wait_lost(node);
+    tokio::pin!(lost);
     loop {
-        match tokio::time::timeout(patience.duration(), &mut waiting).await {
-            Ok(outcome) => return outcome,
-            Err(_) if !job.route.is_repeatable() => {}
-            Err(_) => {
+        tokio::select! {
+            outcome = &mut waiting => return outcome,
+            () = &mut lost, if job.route.is_repeatable() => {
+                return Err(AttemptError::MayHaveRun("its group lost a member".to_owned()));
+            }
+            () = tokio::time::sleep(PATIENCE.duration()) => {
                 let mut ledger = node.ledger.lock();
-                if ledger.is_silent(runner, started) {
-                    ledger.blame(runner, node.now());
-                    return Err(AttemptError::MayHaveRun(format!("silent for {patience}")));
+                if job.route.is_repeatable() && ledger.is_silent(&pick.id, started) {
+                    ledger.blame(&pick.id, node.now());
+                    return Err(AttemptError::MayHaveRun(format!("silent for {PATIENCE}")));
                 }
             }
         }
     }
 }
 
-async fn read_first(
-    node: &Node,
-    job: &Job,
-    source: &mut Source,
-    patience: Millis,
-) -> Result<Next, AttemptError> {
+async fn read_first(node: &Node, job: &Job, source: &mut Source) -> Result<Next, AttemptError> {
     let started = node.now();
-    let runner = source.runner.clone();
-    wait_unless_silent(node, job, &runner, started, patience, read_next(node, source)).await
+    let pick = source.pick.clone();
+    wait_unless_silent(node, job, &pick, started, read_next(node, source)).await
 }
 
 /// Reads the next events that the caller does not have yet.
@@ -260,7 +246,7 @@
             None => return Err(AttemptError::MayHaveRun("the stream ended within an event".to_owned())),
         };
         let Ok(piece) = frame.into_data() else { continue };
-        node.ledger.lock().progress(&source.runner, node.now());
+        node.ledger.lock().progress(&source.pick.id, node.now());
         let events =
             source.splitter.push(&piece).map_err(|error| AttemptError::MayHaveRun(error.to_string()))?;
         if !events.is_empty() {
@@ -303,15 +289,8 @@
     }
 
     async fn pass_on(&mut self) -> Result<(), Refusal> {
-        let gap = self.job.route.gap.map_or(PAUSE_UNSET, |gap| Millis(gap.0 * PAUSES));
-        let patience = gap.max(PAUSE_MIN);
         loop {
-            let next = tokio::time::timeout(patience.duration(), read_next(&self.node, &mut self.source));
-            let outcome = next.await.unwrap_or_else(|_| {
-                self.node.ledger.lock().blame(&self.source.runner, self.node.now());
-                Err(AttemptError::MayHaveRun(format!("no event for {patience}")))
-            });
-            match outcome {
+            match self.next().await {
                 Ok(Next::Events(events)) => {
                     if self.feed.send(Ok(events)).await.is_err() {
                         return Ok(());
@@ -323,6 +302,21 @@
         }
     }
 
+    /// The next events of the present runner, as long as its group is not lost.
+    async fn next(&mut self) -> Result<Next, AttemptError> {
+        let pick = self.source.pick.clone();
+        let next = tokio::time::timeout(PATIENCE.duration(), read_next(&self.node, &mut self.source));
+        tokio::select! {
+            next = next => next.unwrap_or_else(|_| {
+                self.node.ledger.lock().blame(&pick.id, self.node.now());
+                Err(AttemptError::MayHaveRun(format!("no event for {PATIENCE}")))
+            }),
+            () = pick.wait_lost(&self.node), if self.job.route.is_repeatable() => {
+                Err(AttemptError::MayHaveRun("its group lost a member".to_owned()))
+            }
+        }
+    }
+
     /// Takes the stream up at another runner.
     async fn go_on(&mut self, error: &AttemptError) -> Result<(), Refusal> {
         note(&self.job, &mut self.tries, error);
@@ -335,7 +329,7 @@
                 continue;
             }
             self.source = Source {
-                runner: attempt.runner,
+                pick: attempt.pick,
                 body: attempt.response.into_body(),
                 splitter: Splitter::after(last),
                 _channel: attempt.channel,
--- a/crates/node/src/sync.rs
+++ b/crates/node/src/sync.rs
@@ -292,6 +292,7 @@
     match decider::read_plan(item) {
         Ok(Some((domain, document))) => {
             node.plans.lock().insert(domain, document);
+            node.plans_changed.send_modify(|version| *version += 1);
         }
         Ok(None) => log::warn!("store: `{}` is of no kind that is known", item.key),
         Err(error) => log::error!("store: {error}"),
