Serve connections while a node is about to stop; stand-ins and tests of the whole path

Cause: found by the new test of a node that stops: after the order to stop, open connections were not served for 2.5 s and then closed, so requests on them stood still or were lost. Change: the wait for the balancer runs beside the connection. Stand-ins for the platform's store, operator, runners and a caller (platform/standin), and 17 tests of requests, keys, groups, readers, deciders and signals that run without the bench.

--- a/crates/node/src/bin/cottoncrank-node.rs
+++ b/crates/node/src/bin/cottoncrank-node.rs
@@ -7,22 +7,15 @@
 use cottoncrank::Millis;
 use cottoncrank::program::{StartError, start_log};
 use cottoncrank_net::server::wait_for_stop;
+use cottoncrank_node::start::{Listeners, drain, start};
 use cottoncrank_node::state::Node;
-use cottoncrank_node::{decider, front, member, peer, sync};
 use cottoncrank_platform::settings::{self, SettingsError};
 use thiserror::Error;
-use tokio::net::TcpListener;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 
-/// Kept of the time between the order to stop and the kill.
-const GRACE_MARGIN: Millis = Millis(700);
-
 /// How often the settings are looked at without being told.
 const REREAD: Millis = Millis(10_000);
 
-/// How often a node that is about to stop looks whether its requests are answered.
-const LOOK: Millis = Millis(50);
-
 /// Takes requests and decides for the fleet, as the platform's settings say.
 #[derive(Debug, Parser)]
 #[command(version)]
@@ -43,7 +36,7 @@
 
 fn main() -> ExitCode {
     let args = Args::parse();
-    match start(&args) {
+    match run(&args) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("{error}");
@@ -52,7 +45,7 @@
     }
 }
 
-fn start(args: &Args) -> Result<(), MainError> {
+fn run(args: &Args) -> Result<(), MainError> {
     let _log = start_log("info")?;
     let settings = settings::read()?;
     if args.check {
@@ -68,18 +61,10 @@
 async fn serve(node: Arc<Node>) -> Result<(), std::io::Error> {
     let settings = node.settings();
     log::info!("node: {} starts in {}", settings.node, settings.hall);
-    let callers = TcpListener::bind(settings.callers).await?;
-    let ready = TcpListener::bind(settings.ready).await?;
-    let peers = TcpListener::bind(settings.peers).await?;
+    let listeners = Listeners::bind(&settings).await?;
     let reload = signal(SignalKind::hangup())?;
     tokio::spawn(reread_settings(node.clone(), reload));
-    tokio::spawn(sync::run(node.clone()));
-    tokio::spawn(sync::run_expiry(node.clone()));
-    tokio::spawn(member::run(node.clone()));
-    tokio::spawn(peer::serve(node.clone(), peers));
-    tokio::spawn(decider::run(node.clone()));
-    tokio::spawn(front::serve_ready(node.clone(), ready));
-    tokio::spawn(front::serve_callers(node.clone(), callers));
+    let _tasks = start(&node, listeners);
     wait_for_stop().await?;
     drain(&node).await;
     Ok(())
@@ -101,14 +86,3 @@
         }
     }
 }
-
-async fn drain(node: &Node) {
-    let end = node.now() + (node.settings().bounds.grace - GRACE_MARGIN);
-    log::info!("node: told to stop, {} requests under way", node.running());
-    node.draining.send_replace(true);
-    tokio::time::sleep(front::NOTICE.duration()).await;
-    while node.running() > 0 && node.now() < end {
-        tokio::time::sleep(LOOK.duration()).await;
-    }
-    log::info!("node: stops, {} requests under way", node.running());
-}
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -71,8 +71,7 @@
     tokio::pin!(connection);
     let outcome = tokio::select! {
         outcome = &mut connection => outcome,
-        () = wait_draining(&mut draining) => {
-            tokio::time::sleep(NOTICE.duration()).await;
+        () = wait_notice(&mut draining) => {
             connection.as_mut().graceful_shutdown();
             connection.await
         }
@@ -82,9 +81,12 @@
     }
 }
 
-async fn wait_draining(draining: &mut watch::Receiver<bool>) {
+/// Waits until the node is about to stop and the balancer has had time to notice.
+/// Meanwhile the connection is served as ever.
+async fn wait_notice(draining: &mut watch::Receiver<bool>) {
     // The sender lives as long as the node.
     let _ = draining.wait_for(|draining| *draining).await;
+    tokio::time::sleep(NOTICE.duration()).await;
 }
 
 /// How long a node that is about to stop goes on taking requests: the balancer
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod peer;
 pub mod plain;
 pub mod request;
+pub mod start;
 pub mod state;
 pub mod stream;
 pub mod sync;
--- /dev/null
+++ b/crates/node/tests/fleet.rs
@@ -0,0 +1,130 @@
+//! Several nodes: who reads, who decides, and what a signal does.
+
+mod common;
+
+use std::process::{Command, Stdio};
+
+use common::Fleet;
+use cottoncrank::Millis;
+use cottoncrank_platform_standin::operator::{STREAM, config};
+use cottoncrank_platform_standin::store::Store;
+
+#[tokio::test]
+async fn one_node_reads_the_store_and_the_others_learn_from_it() {
+    let mut fleet = Fleet::serving(4).await;
+    fleet
+        .wait("all nodes know each other", |fleet| {
+            fleet.nodes.iter().all(|running| running.node.directory.lock().count() == 4)
+        })
+        .await;
+    let sources = |running: &common::Running| {
+        let settings = running.node.settings();
+        running.node.directory.lock().list_sources(&settings.node, &settings.hall).len()
+    };
+    let readers: Vec<usize> = (0..4).filter(|at| sources(&fleet.nodes[*at]) == 0).collect();
+    assert_eq!(readers.len(), 1, "one node of four reads the store");
+    fleet.store.configure(&config(2, &["key-2"]));
+    let knows = |fleet: &Fleet, version: u64| {
+        let held = |r: &common::Running| r.node.catalog.lock().as_ref().map(|catalog| catalog.version);
+        fleet.nodes.iter().all(|running| held(running) == Some(version))
+    };
+    fleet.wait("version 2 is in force on all", |fleet| knows(fleet, 2)).await;
+    // The reader is lost: the others go on, one way or another.
+    drop(fleet.nodes.remove(readers[0]));
+    fleet.store.configure(&config(3, &["key-3"]));
+    fleet.wait("version 3 is in force on all", |fleet| knows(fleet, 3)).await;
+    fleet.wait("and the keys are proven", |f| f.nodes.iter().all(|r| r.node.trusts_keys())).await;
+}
+
+#[tokio::test]
+async fn another_node_decides_when_the_decider_is_lost() {
+    let mut fleet = Fleet::serving(2).await;
+    let decider = fleet.nodes.iter().position(|running| running.node.is_deciding()).unwrap();
+    drop(fleet.nodes.remove(decider));
+    fleet.wait("the other one decides", |fleet| fleet.nodes[0].node.is_deciding()).await;
+    assert!(fleet.all_know(2), "groups that stand are adopted as they are");
+    let lost = fleet.heads()[0].id().to_owned();
+    let runner = fleet.engines.iter().find(|engine| engine.id() == lost).unwrap();
+    runner.drain();
+    fleet.wait("and repairs", |fleet| fleet.all_know(2) && !runner.is_open()).await;
+    assert_eq!(fleet.ask_with(STREAM, "r1", "key-1").await.status, 200);
+}
+
+#[tokio::test]
+async fn a_store_that_forgets_its_history_is_read_anew() {
+    let fleet = Fleet::serving(1).await;
+    let before = fleet.store.calls().ranges;
+    fleet.store.configure(&config(2, &["key-2"]));
+    fleet.store.forget();
+    fleet
+        .wait("version 2 is in force", |fleet| {
+            fleet.nodes[0].node.catalog.lock().as_ref().is_some_and(|catalog| catalog.version == 2)
+        })
+        .await;
+    fleet.store.configure(&config(3, &["key-3"]));
+    fleet.store.forget();
+    fleet.wait("it was read whole again", |fleet| fleet.store.calls().ranges > before).await;
+    fleet.wait("and the groups still stand", |fleet| fleet.all_know(2)).await;
+}
+
+fn find_port() -> u16 {
+    std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap().port()
+}
+
+fn signal(process: &std::process::Child, name: &str) {
+    let sent = Command::new("kill").args(["-s", name, &process.id().to_string()]).status().unwrap();
+    assert!(sent.success());
+}
+
+#[tokio::test]
+async fn a_hangup_rereads_the_settings_and_a_termination_ends_the_process_in_order() {
+    let store = Store::start().unwrap();
+    let folder = std::env::temp_dir().join(format!("cottoncrank-node-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).unwrap();
+    let file = folder.join("local.toml");
+    let write = |revoke: u64, ports: (u16, u16, u16)| {
+        let text = format!(
+            "node = \"n1\"\nzone = \"hall-a\"\nip = \"127.0.0.1\"\nportRange = [{}, {}]\n[listen]\n\
+             front = \"127.0.0.1:{}\"\nready = \"127.0.0.1:{}\"\n[bounds]\nrevokeMs = {revoke}\n\
+             graceS = 4.0\n[platform]\naddress = \"{}\"\nminTtlMs = 1000\n",
+            ports.2,
+            ports.2,
+            ports.0,
+            ports.1,
+            store.address()
+        );
+        std::fs::write(&file, text).unwrap();
+    };
+    let ports = (find_port(), find_port(), find_port());
+    write(5000, ports);
+    let program = std::env::var_os("CARGO_BIN_EXE_cottoncrank-node").expect("cargo names the program");
+    let log = std::fs::File::create(folder.join("log")).unwrap();
+    let mut process = Command::new(program)
+        .env("COTTONCRANK_CONFIG", &file)
+        .stdout(log.try_clone().unwrap())
+        .stderr(Stdio::from(log))
+        .spawn()
+        .unwrap();
+    let wait_for = async |text: &str| {
+        for _ in 0..1500 {
+            let log = std::fs::read_to_string(folder.join("log")).unwrap();
+            if log.contains(text) {
+                return;
+            }
+            tokio::time::sleep(Millis(20).duration()).await;
+        }
+        panic!("the log never says `{text}`");
+    };
+    wait_for("read whole at revision").await;
+    write(4000, ports);
+    signal(&process, "HUP");
+    wait_for("the settings have changed").await;
+    std::fs::write(&file, "node = 1").unwrap();
+    signal(&process, "HUP");
+    wait_for("going on with the settings held").await;
+    assert!(process.try_wait().unwrap().is_none(), "it still runs");
+    signal(&process, "TERM");
+    wait_for("node: stops, 0 requests under way").await;
+    assert!(process.wait().unwrap().success());
+    std::fs::remove_dir_all(&folder).unwrap();
+}
--- /dev/null
+++ b/crates/node/tests/requests.rs
@@ -0,0 +1,205 @@
+//! Requests under failure, against the platform's stand-ins.
+
+mod common;
+
+use common::{Fleet, KEY};
+use cottoncrank::Millis;
+use cottoncrank_platform_standin::caller::ask_ready;
+use cottoncrank_platform_standin::operator::{ONCE, READ, STREAM, config};
+use cottoncrank_platform_standin::runner::{EVENTS, Fault};
+use cottoncrank_platform_standin::store;
+
+fn all_events() -> Vec<u64> {
+    (0..EVENTS).collect()
+}
+
+#[tokio::test]
+async fn a_stream_passes_whole_and_the_runner_learns_the_account_only() {
+    let fleet = Fleet::serving(1).await;
+    let answer = fleet.ask(STREAM, "r1").await;
+    assert_eq!((answer.status, answer.whole), (200, true), "{answer:?}");
+    assert!(answer.is_signed("r1"), "{answer:?}");
+    assert_eq!(answer.events(), all_events());
+    let seen: Vec<_> = fleet.engines.iter().flat_map(|engine| engine.seen()).collect();
+    assert_eq!(seen.len(), 1);
+    assert_eq!((seen[0].account.as_deref(), seen[0].key), (Some("acme"), false));
+}
+
+#[tokio::test]
+async fn a_node_without_configuration_refuses_what_it_cannot_judge() {
+    let fleet = Fleet::bare(1).await;
+    let answer = fleet.ask(STREAM, "r1").await;
+    assert_eq!(answer.status, 503, "{answer:?}");
+    assert!(answer.header("retry-after").is_some());
+    assert!(!ask_ready(fleet.nodes[0].ready).await.unwrap());
+}
+
+#[tokio::test]
+async fn unknown_routes_and_keys_are_refused_and_run_nothing() {
+    let fleet = Fleet::serving(1).await;
+    assert_eq!(fleet.ask("/nowhere/", "r1").await.status, 404);
+    assert_eq!(fleet.ask_with(READ, "r2", "stolen").await.status, 401);
+    assert_eq!(fleet.runs("r1") + fleet.runs("r2"), 0);
+}
+
+#[tokio::test]
+async fn a_broken_stream_goes_on_at_another_group_after_its_last_whole_event() {
+    let fleet = Fleet::serving(1).await;
+    for at in 0..EVENTS {
+        for (number, head) in fleet.heads().into_iter().enumerate() {
+            head.set_fault(if number == 0 { Fault::Broken(at) } else { Fault::None });
+        }
+        // The group is picked at random: until the broken one was it.
+        for turn in 0..40 {
+            let request = format!("r-{at}-{turn}");
+            let answer = fleet.ask(STREAM, &request).await;
+            assert_eq!((answer.status, answer.whole), (200, true), "{answer:?}");
+            assert_eq!(answer.events(), all_events(), "broken within event {at}");
+            if fleet.runs(&request) == 2 {
+                break;
+            }
+            assert!(turn < 39, "the broken group was never picked");
+        }
+    }
+}
+
+#[tokio::test]
+async fn answers_of_other_requests_and_short_ones_never_reach_the_caller() {
+    let fleet = Fleet::serving(1).await;
+    for (number, fault) in [Fault::Foreign, Fault::Short, Fault::Lost].into_iter().enumerate() {
+        for runner in &fleet.plain {
+            runner.set_fault(fault);
+        }
+        let request = format!("r-{number}");
+        let answer = fleet.ask(ONCE, &request).await;
+        assert_eq!(answer.status, 502, "{fault:?}: it may have run, and 503 would deny that: {answer:?}");
+        assert!(!answer.is_signed(&request));
+        assert_eq!(fleet.runs(&request), 1, "{fault:?}: it must not run twice");
+    }
+}
+
+#[tokio::test]
+async fn a_repeatable_request_is_sent_to_another_runner() {
+    let fleet = Fleet::serving(1).await;
+    for fault in [Fault::Foreign, Fault::Short, Fault::Full] {
+        fleet.plain[0].set_fault(fault);
+        for turn in 0..6 {
+            let request = format!("r-{fault:?}-{turn}");
+            let answer = fleet.ask(READ, &request).await;
+            assert_eq!((answer.status, answer.whole), (200, true), "{fault:?}: {answer:?}");
+            assert_eq!(answer.body, format!("done {request}"));
+        }
+    }
+}
+
+#[tokio::test]
+async fn what_no_runner_ran_is_said_not_to_have_run() {
+    let fleet = Fleet::serving(1).await;
+    for runner in &fleet.plain {
+        runner.set_fault(Fault::Full);
+    }
+    let answer = fleet.ask(ONCE, "r1").await;
+    assert_eq!(answer.status, 503, "{answer:?}");
+    assert!(answer.header("retry-after").is_some());
+    assert_eq!(fleet.runs("r1"), 0);
+}
+
+#[tokio::test]
+async fn a_dark_member_is_replaced_and_its_requests_go_elsewhere() {
+    let fleet = Fleet::serving(1).await;
+    let head = fleet.heads()[0].id().to_owned();
+    let dark = fleet.engines.iter().find(|engine| engine.id() == head).unwrap();
+    dark.set_fault(Fault::Dark);
+    for turn in 0..8 {
+        let answer = fleet.ask(STREAM, &format!("r-{turn}")).await;
+        assert_eq!((answer.status, answer.whole), (200, true), "{answer:?}");
+    }
+    fleet
+        .wait("two other groups are open", |fleet| {
+            fleet.all_know(2) && fleet.heads().iter().filter(|open| open.id() != head).count() == 2
+        })
+        .await;
+}
+
+#[tokio::test]
+async fn a_leaving_member_ends_its_group_and_gets_no_new_requests() {
+    let fleet = Fleet::serving(1).await;
+    let leaving = fleet.heads()[0].id().to_owned();
+    let runner = fleet.engines.iter().find(|engine| engine.id() == leaving).unwrap();
+    runner.drain();
+    fleet.wait("its group is closed", |_| !runner.is_open()).await;
+    let before = runner.seen().len();
+    for turn in 0..10 {
+        assert_eq!(fleet.ask(STREAM, &format!("r-{turn}")).await.status, 200);
+    }
+    assert_eq!(runner.seen().len(), before);
+    fleet.wait("another group is open", |fleet| fleet.all_know(2)).await;
+}
+
+#[tokio::test]
+async fn a_key_taken_away_is_refused_by_every_node() {
+    let fleet = Fleet::serving(2).await;
+    assert_eq!(fleet.ask(READ, "r1").await.status, 200);
+    fleet.store.configure(&config(2, &["key-2"]));
+    fleet
+        .wait("version 2 is in force on both", |fleet| {
+            let version = |running: &common::Running| {
+                running.node.catalog.lock().as_ref().map(|catalog| catalog.version)
+            };
+            fleet.nodes.iter().all(|running| version(running) == Some(2))
+        })
+        .await;
+    assert_eq!(fleet.ask(READ, "r2").await.status, 401);
+    assert_eq!(fleet.ask_with(READ, "r3", "key-2").await.status, 200);
+    // An older configuration that turns up again changes nothing.
+    fleet.store.configure(&config(1, &[KEY]));
+    fleet.store.configure(&config(3, &["key-3"]));
+    fleet
+        .wait("version 3 is in force", |fleet| {
+            fleet.nodes[0].node.catalog.lock().as_ref().is_some_and(|catalog| catalog.version == 3)
+        })
+        .await;
+    assert_eq!(fleet.ask(READ, "r4").await.status, 401);
+}
+
+#[tokio::test]
+async fn without_the_store_keys_are_honoured_for_a_while_and_no_longer() {
+    let fleet = Fleet::serving(2).await;
+    fleet.store.set_fault(store::Fault::Silent);
+    assert_eq!(fleet.ask(READ, "r1").await.status, 200, "a node goes on with what it knows");
+    fleet.wait("no node trusts its keys", |fleet| fleet.nodes.iter().all(|r| !r.node.trusts_keys())).await;
+    let answer = fleet.ask(READ, "r2").await;
+    assert_eq!(answer.status, 503, "{answer:?}");
+    assert_eq!(fleet.runs("r2"), 0);
+    assert!(!ask_ready(fleet.nodes[0].ready).await.unwrap());
+    fleet.store.set_fault(store::Fault::None);
+    fleet.wait("the keys are trusted again", |fleet| fleet.nodes.iter().all(|r| r.node.trusts_keys())).await;
+    assert_eq!(fleet.ask(READ, "r3").await.status, 200);
+}
+
+#[tokio::test]
+async fn a_node_that_is_to_stop_says_so_and_finishes_what_it_takes() {
+    let fleet = Fleet::serving(1).await;
+    assert!(ask_ready(fleet.nodes[0].ready).await.unwrap());
+    fleet.nodes[0].node.draining.send_replace(true);
+    assert!(!ask_ready(fleet.nodes[0].ready).await.unwrap());
+    let answer = fleet.ask(STREAM, "r1").await;
+    assert_eq!((answer.status, answer.whole), (200, true));
+    assert_eq!(answer.header("connection"), Some("close"));
+}
+
+#[tokio::test]
+async fn a_request_above_the_limit_is_refused_at_once_and_has_not_run() {
+    let fleet = Fleet::serving(1).await;
+    let lane = ("engines".parse().unwrap(), Some("m1".parse().unwrap()));
+    let mut held = Vec::new();
+    while let Some(admitted) = fleet.nodes[0].node.admit(&lane, Millis(0)).await {
+        held.push(admitted);
+    }
+    let answer = fleet.ask(STREAM, "r1").await;
+    assert_eq!(answer.status, 503, "{answer:?}");
+    assert!(answer.header("retry-after").is_some());
+    assert_eq!(fleet.runs("r1"), 0);
+    drop(held);
+    assert_eq!(fleet.ask(STREAM, "r2").await.status, 200);
+}
