Send asking nodes away when the store is lost; keep rests of groups and running loads

Change: a node answers others only while it reads the store itself and reached it last, and wakes them when that ends; watches wait 0.7 s; a runner that loads is left alone, and models that lack groups give no spares away.

--- a/crates/fleet/src/decide.rs
+++ b/crates/fleet/src/decide.rs
@@ -110,10 +110,16 @@
         now >= self.grown + SETTLED
     }
 
-    /// A runner refused an order for good.
-    pub fn note_refused(&mut self, order: &Order) {
-        if let Order::Join(group, epoch, ..) = order {
-            self.refused.insert((group.clone(), *epoch));
+    /// A runner refused an order that no repeat makes it take.
+    pub fn note_refused(&mut self, runner: &id::Runner, order: &Order) {
+        match order {
+            Order::Join(group, epoch, ..) => {
+                self.refused.insert((group.clone(), *epoch));
+            }
+            Order::Stage(_) => {
+                self.staged.remove(runner);
+            }
+            Order::Open(..) | Order::Close(..) | Order::Leave(..) => {}
         }
     }
 }
--- a/crates/fleet/src/staging.rs
+++ b/crates/fleet/src/staging.rs
@@ -36,7 +36,7 @@
         stage_sets(lack, &mut stocks, desk);
     }
     for (site, stock) in sites.iter().zip(&mut stocks) {
-        stage_spares(models, site, stock, desk);
+        stage_spares(models, lacking, site, stock, desk);
     }
     let Some(smallest) = models.iter().min_by_key(|model| model.size) else { return };
     for stock in &mut stocks {
@@ -70,7 +70,7 @@
     }
 }
 
-fn stage_spares(models: &[Model], site: &Site, stock: &mut Stock, desk: &mut Desk) {
+fn stage_spares(models: &[Model], lacking: &[Lack], site: &Site, stock: &mut Stock, desk: &mut Desk) {
     let mut by_size: Vec<&Model> = models.iter().collect();
     by_size.sort_by_key(|model| std::cmp::Reverse(model.size));
     for model in by_size {
@@ -78,7 +78,7 @@
         if !served || stock.held(model) >= SPARES {
             continue;
         }
-        let spare = stock.find_bare().or_else(|| stock.find_surplus(model, models));
+        let spare = stock.find_bare().or_else(|| stock.find_surplus(model, models, lacking));
         if let Some(runner) = spare {
             stage(model, runner, stock, desk);
         }
@@ -101,6 +101,8 @@
 struct Row<'a> {
     runner: &'a Runner,
     held: Option<id::Model>,
+    /// Whether it is still loading that model: it takes no other order of the kind.
+    staging: bool,
 }
 
 /// The free runners of a domain, with the members of groups given up, which are
@@ -113,15 +115,14 @@
 
 impl<'a> Stock<'a> {
     fn count(scene: &Scene<'a>, models: &[Model], site: &Site<'a>, desk: &Desk) -> Stock<'a> {
-        let find_held = |runner: &Runner| {
-            let asked = models
-                .iter()
-                .find(|model| desk.last_staged(&runner.id).is_some_and(|last| *last == model.name));
+        let rows = site.list_free().into_iter().map(|runner| {
+            let asked = models.iter().find(|model| desk.last_staged(&runner.id) == Some(&model.name));
             let staged = models.iter().find(|model| time_join(runner, model) < model.load);
-            asked.or(staged).map(|model| model.name.clone())
-        };
-        let free = site.list_free().into_iter();
-        let rows = free.map(|runner| Row { runner, held: find_held(runner) }).collect();
+            let held = asked.or(staged).map(|model| model.name.clone());
+            let staging = asked.is_some_and(|model| time_join(runner, model) >= model.load);
+            Row { runner, held, staging }
+        });
+        let rows = rows.collect();
         let given_up = site.plan.groups.iter().filter(|group| group.is_retired());
         let returning = given_up.flat_map(|group| {
             let living = group.members.iter().filter(|id| scene.find(id).is_some());
@@ -140,17 +141,20 @@
         self.rows.iter().find(|row| row.held.is_none()).map(|row| row.runner)
     }
 
-    /// A runner of another model that has more than its spare ones.
-    fn find_surplus(&self, model: &Model, models: &[Model]) -> Option<&'a Runner> {
-        let mut others = models.iter().filter(|other| other.name != model.name);
+    /// A runner of another model that has more than its spare ones, and lacks no
+    /// groups: what is left of those waits for what completes it.
+    fn find_surplus(&self, model: &Model, models: &[Model], lacking: &[Lack]) -> Option<&'a Runner> {
+        let lacks = |other: &Model| lacking.iter().any(|lack| lack.model.name == other.name);
+        let mut others = models.iter().filter(|other| other.name != model.name && !lacks(other));
         let rich = others.find(|other| self.held(other) > SPARES)?;
-        self.rows.iter().find(|row| row.held.as_ref() == Some(&rich.name)).map(|row| row.runner)
+        let mut rows = self.rows.iter().filter(|row| row.held.as_ref() == Some(&rich.name));
+        rows.find(|row| !row.staging).map(|row| row.runner)
     }
 
-    /// Runners that do not hold `model`, bare ones first.
+    /// Runners that do not hold `model` and are not loading another one, bare ones first.
     fn list_others(&self, model: &Model) -> Vec<&'a Runner> {
-        let mut others: Vec<&Row> =
-            self.rows.iter().filter(|row| row.held.as_ref() != Some(&model.name)).collect();
+        let other = |row: &&Row| row.held.as_ref() != Some(&model.name) && !row.staging;
+        let mut others: Vec<&Row> = self.rows.iter().filter(other).collect();
         others.sort_by_key(|row| row.held.is_some());
         others.into_iter().map(|row| row.runner).collect()
     }
@@ -169,6 +173,7 @@
     fn note(&mut self, runner: &Runner, model: &Model) {
         if let Some(row) = self.rows.iter_mut().find(|row| row.runner.id == runner.id) {
             row.held = Some(model.name.clone());
+            row.staging = true;
         }
     }
 }
--- a/crates/fleet/tests/decide.rs
+++ b/crates/fleet/tests/decide.rs
@@ -476,3 +476,44 @@
     assert_eq!(world.count("large"), 6);
     assert!(world.groups().all(|known| known.is_retired() || !known.members.contains(&slow)));
 }
+
+#[test]
+fn what_is_left_of_a_group_keeps_its_model_until_it_is_completed() {
+    let mut world = at_rest(6);
+    let group = world.find("large");
+    let domain = world.roster.get(&group.members[0]).unwrap().domain.clone();
+    // The domain's spare runners are gone, then a member.
+    let spare: Vec<id::Runner> = world
+        .roster
+        .iter()
+        .filter(|runner| runner.domain == domain && runner.membership.is_none())
+        .map(|runner| runner.id.clone())
+        .collect();
+    for id in spare.iter().chain(&group.members[2..3]) {
+        world.crash(id);
+    }
+    world.run(60);
+    for id in [&group.members[0], &group.members[1], &group.members[3]] {
+        assert_eq!(world.roster.get(id).unwrap().staged[0].as_str(), "large", "{id}");
+    }
+}
+
+#[test]
+fn a_runner_that_still_loads_one_model_is_not_told_to_load_another() {
+    let mut world = World::new(1);
+    world.serving = true;
+    let mut asked: HashSet<id::Runner> = HashSet::new();
+    // Nothing that is ordered to be staged ever gets there.
+    for _ in 0..100 {
+        let mut step = world.step();
+        for (id, order) in &step.orders {
+            if let Order::Stage(_) = order {
+                assert!(asked.insert(id.clone()), "{id} was told twice");
+            }
+        }
+        step.orders.retain(|(_, order)| !matches!(order, Order::Stage(_)));
+        world.obey(&step);
+        world.now = world.now + Millis(200);
+    }
+    assert!(!asked.is_empty());
+}
--- a/crates/node/src/decider.rs
+++ b/crates/node/src/decider.rs
@@ -350,11 +350,14 @@
             let reply = order::give(&client, address, &runner, &order, ORDER).await;
             match reply {
                 Ok(Reply::Taken) => memory.lock().note_taken(&runner, &order, node.now()),
-                Ok(Reply::Outdated) => memory.lock().note_refused(&order),
+                Ok(Reply::Outdated) => memory.lock().note_refused(&runner, &order),
                 // It is in no such group: as good as having left it.
                 Ok(Reply::Unfit) if matches!(order, Order::Leave(..)) => {
                     memory.lock().note_taken(&runner, &order, node.now());
                 }
+                Ok(Reply::Unfit | Reply::Refused(_)) if matches!(order, Order::Stage(_)) => {
+                    memory.lock().note_refused(&runner, &order);
+                }
                 Ok(Reply::Unfit | Reply::Refused(_)) | Err(_) => {}
             }
             log::info!("decider: {order:?} to {runner}: {reply:?}");
--- a/crates/node/src/feed.rs
+++ b/crates/node/src/feed.rs
@@ -23,6 +23,8 @@
 pub struct Feed {
     held: Mutex<Held>,
     revision: watch::Sender<Option<u64>>,
+    /// Whether this node reads the store itself, and reached it last.
+    direct: watch::Sender<bool>,
 }
 
 /// What is new after a revision.
@@ -38,7 +40,7 @@
 
 impl Default for Feed {
     fn default() -> Feed {
-        Feed { held: Mutex::default(), revision: watch::Sender::new(None) }
+        Feed { held: Mutex::default(), revision: watch::Sender::new(None), direct: watch::Sender::new(false) }
     }
 }
 
@@ -69,6 +71,17 @@
         self.revision.send_replace(Some(batch.revision));
     }
 
+    /// Says whether this node reads the store itself, and reached it last. Nodes
+    /// that ask it are sent away as soon as it does not.
+    pub fn set_direct(&self, direct: bool) {
+        self.direct.send_if_modified(|held| std::mem::replace(held, direct) != direct);
+    }
+
+    /// Whether this node reads the store itself, and a way to wait for a change.
+    pub fn subscribe_direct(&self) -> watch::Receiver<bool> {
+        self.direct.subscribe()
+    }
+
     /// The revision held, and a way to wait for the next.
     pub fn subscribe(&self) -> watch::Receiver<Option<u64>> {
         self.revision.subscribe()
--- a/crates/node/src/peer.rs
+++ b/crates/node/src/peer.rs
@@ -106,7 +106,15 @@
         return reply(StatusCode::BAD_REQUEST, Bytes::new());
     };
     let started = node.now();
-    wait_newer(node, question).await;
+    let mut direct = node.feed.subscribe_direct();
+    tokio::select! {
+        () = wait_newer(node, question) => {}
+        // The sender lives as long as the node.
+        _ = direct.wait_for(|direct| !direct) => {}
+    }
+    if !*direct.borrow() {
+        return reply(StatusCode::SERVICE_UNAVAILABLE, Bytes::new());
+    }
     let Some((news, age)) = node.feed.read(question.after).zip(node.freshness.lock().age(node.now())) else {
         return reply(StatusCode::SERVICE_UNAVAILABLE, Bytes::new());
     };
--- a/crates/node/src/sync.rs
+++ b/crates/node/src/sync.rs
@@ -18,8 +18,10 @@
 use crate::state::Node;
 
 /// How long one watch waits. An answer without changes proves that the keys
-/// held here are not old; two of them fit into the bound for that.
-const WATCH: Millis = Millis(1500);
+/// held here are not old. A watch on a connection gone silent is noticed after
+/// this and the slack, which together stay well under the two seconds in which a
+/// configuration has to be in force, also at nodes that ask this one.
+const WATCH: Millis = Millis(700);
 
 /// How long another node is asked to wait. Shorter than a watch: the proof it
 /// passes on has an age already.
@@ -41,7 +43,7 @@
 
 /// Another node's proof older than this is not good enough: the store is read
 /// here instead. A watch begun then still proves the keys in time.
-const AGE_MAX: Millis = Millis(2800);
+const AGE_MAX: Millis = Millis(2500);
 
 /// How often runners are looked through whose entry lapsed with the store away.
 const EXPIRE: Millis = Millis(250);
@@ -100,12 +102,18 @@
 impl Sync {
     async fn follow(&mut self) {
         let source = self.pick_source();
+        if source.is_some() {
+            self.node.feed.set_direct(false);
+        }
         let outcome = match &source {
             Some(peer) => self.ask(peer).await,
             None => self.read_store().await,
         };
         match (outcome, source) {
-            (Ok(learned), _) => self.take(learned).await,
+            (Ok(learned), source) => {
+                let direct = source.is_none();
+                self.take(learned, direct).await;
+            }
             (Err(SyncError::Store(StoreError::Forgotten)), _) => {
                 log::warn!("store: changes after {:?} are forgotten; reading all anew", self.revision);
                 self.revision = None;
@@ -119,6 +127,7 @@
                     log::warn!("sync: {error}; going on with what is known at {:?}", self.revision);
                 }
                 self.reached = false;
+                self.node.feed.set_direct(false);
                 let pause = PAUSE.0 + rand::rng().random_range(0..PAUSE.0);
                 tokio::time::sleep(Millis(pause).duration()).await;
             }
@@ -167,7 +176,7 @@
         Ok(Learned { batch, whole: told.whole, proven })
     }
 
-    async fn take(&mut self, learned: Learned) {
+    async fn take(&mut self, learned: Learned, direct: bool) {
         if !self.reached {
             log::info!("sync: the store is reached again, at revision {}", learned.batch.revision);
             self.node.roster.lock().regain(self.node.now());
@@ -176,6 +185,7 @@
         self.revision = Some(learned.batch.revision);
         let changes = learned.batch.items.len();
         take_in(&self.node, learned);
+        self.node.feed.set_direct(direct);
         if changes > 0 {
             let pause = if self.node.is_deciding() { GATHER_DECIDING } else { GATHER };
             tokio::time::sleep(pause.duration()).await;
--- a/crates/node/tests/fleet.rs
+++ b/crates/node/tests/fleet.rs
@@ -6,8 +6,10 @@
 
 use common::Fleet;
 use cottoncrank::Millis;
+use cottoncrank_net::client::{CallError, Client, Traffic};
+use cottoncrank_node::peer::{self, Ask, AskError};
 use cottoncrank_platform_standin::operator::{STREAM, config};
-use cottoncrank_platform_standin::store::Store;
+use cottoncrank_platform_standin::store::{self, Store};
 
 #[tokio::test]
 async fn one_node_reads_the_store_and_the_others_learn_from_it() {
@@ -36,6 +38,29 @@
     fleet.wait("and the keys are proven", |f| f.nodes.iter().all(|r| r.node.trusts_keys())).await;
 }
 
+#[tokio::test]
+async fn a_node_that_lost_the_store_sends_others_away_at_once() {
+    let fleet = Fleet::serving(1).await;
+    let client = Client::new(Traffic::default());
+    let address = fleet.nodes[0].node.settings().peers;
+    // It would wait for a change for longer than the test is run for.
+    let question = Ask { after: Some(u64::MAX), wait_ms: 3_600_000 };
+    let asking = tokio::spawn(async move { peer::ask(&client, address, question).await });
+    fleet.store.set_fault(store::Fault::Busy);
+    let told = asking.await.unwrap();
+    assert!(matches!(told, Err(AskError::Call(CallError::Status { .. }))), "{told:?}");
+    fleet.store.set_fault(store::Fault::None);
+    let client = Client::new(Traffic::default());
+    let question = Ask { after: None, wait_ms: 0 };
+    for _ in 0..500 {
+        if peer::ask(&client, address, question).await.is_ok_and(|told| told.whole) {
+            return;
+        }
+        tokio::time::sleep(Millis(20).duration()).await;
+    }
+    panic!("it never answers again");
+}
+
 #[tokio::test]
 async fn another_node_decides_when_the_decider_is_lost() {
     let mut fleet = Fleet::serving(2).await;
