A bounded log on standard output, figures on a port, and a line for each late or refused request

Cause: on-call engineers have only logs and metrics, and the log went to standard error, unbounded and waited for, without a word about late requests. Change: a log thread behind a bounded queue and a quota a second, warnings left out last; a metrics port; refused, tried again, late and cut requests each leave a line with what decided it.

--- a/crates/fleet/src/catalog.rs
+++ b/crates/fleet/src/catalog.rs
@@ -16,6 +16,17 @@
     Stream,
 }
 
+impl Kind {
+    /// The name in figures and log lines.
+    pub fn name(self) -> &'static str {
+        match self {
+            Kind::Idempotent => "idempotent",
+            Kind::Once => "once",
+            Kind::Stream => "stream",
+        }
+    }
+}
+
 /// A service a route leads to, and its share of the route's requests.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Target {
--- a/crates/node/src/answer.rs
+++ b/crates/node/src/answer.rs
@@ -110,6 +110,22 @@
         }
     }
 
+    /// The reason as the figures name it.
+    pub fn reason(&self) -> &'static str {
+        match self {
+            Refusal::NoRoute => "no_route",
+            Refusal::Key => "key",
+            Refusal::TooLarge => "too_large",
+            Refusal::Body => "body",
+            Refusal::Unsure => "unsure",
+            Refusal::NoRunner => "no_runner",
+            Refusal::Full => "full",
+            Refusal::NotRun => "not_run",
+            Refusal::MayHaveRun => "may_have_run",
+            Refusal::Late => "late",
+        }
+    }
+
     /// Whether coming back later helps.
     fn is_passing(&self) -> bool {
         matches!(self, Refusal::Unsure | Refusal::NoRunner | Refusal::NotRun | Refusal::Full)
--- a/crates/node/src/attempt.rs
+++ b/crates/node/src/attempt.rs
@@ -43,6 +43,13 @@
     pub end: Millis,
 }
 
+impl Job {
+    /// The caller's id of the request, for the log.
+    pub fn id(&self) -> &str {
+        self.terms.request.as_deref().unwrap_or("-")
+    }
+}
+
 /// Why a try gave no answer.
 #[derive(Debug, Error)]
 pub enum AttemptError {
@@ -57,6 +64,17 @@
     MayHaveRun(String),
 }
 
+impl AttemptError {
+    /// The reason as the figures name it.
+    pub fn reason(&self) -> &'static str {
+        match self {
+            AttemptError::NotRun(_) => "not_run",
+            AttemptError::Full => "full",
+            AttemptError::MayHaveRun(_) => "may_have_run",
+        }
+    }
+}
+
 /// A try that got the head of an answer.
 pub struct Attempt {
     /// The runner.
--- a/crates/node/src/bin/cottoncrank-node.rs
+++ b/crates/node/src/bin/cottoncrank-node.rs
@@ -1,16 +1,19 @@
 //! A node on the users' platform.
 
+use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::sync::Arc;
 
 use clap::Parser;
 use cottoncrank::Millis;
-use cottoncrank::program::{StartError, start_log};
+use cottoncrank::program::StartError;
 use cottoncrank_net::server::wait_for_stop;
 use cottoncrank_node::start::{Listeners, drain, start};
 use cottoncrank_node::state::Node;
+use cottoncrank_node::{figures, log};
 use cottoncrank_platform::settings::{self, SettingsError};
 use thiserror::Error;
+use tokio::net::TcpListener;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 
 /// How often the settings are looked at without being told.
@@ -46,7 +49,7 @@
 }
 
 fn run(args: &Args) -> Result<(), MainError> {
-    let _log = start_log("info")?;
+    let _log = log::start("info").map_err(StartError::from)?;
     let settings = settings::read()?;
     if args.check {
         println!("{}: the settings can be used", settings.node);
@@ -60,16 +63,30 @@
 
 async fn serve(node: Arc<Node>) -> Result<(), std::io::Error> {
     let settings = node.settings();
-    log::info!("node: {} starts in {}", settings.node, settings.hall);
+    ::log::info!("node: {} starts in {}", settings.node, settings.hall);
     let listeners = Listeners::bind(&settings).await?;
     let reload = signal(SignalKind::hangup())?;
     tokio::spawn(reread_settings(node.clone(), reload));
     let _tasks = start(&node, listeners);
+    show_figures(&node).await;
     wait_for_stop().await?;
     drain(&node).await;
     Ok(())
 }
 
+/// Shows the figures. A node without them serves all the same.
+async fn show_figures(node: &Arc<Node>) {
+    let address = SocketAddr::new(node.settings().peers.ip(), figures::PORT);
+    let (Some(handle), listener) = (figures::install(), TcpListener::bind(address).await) else { return };
+    match listener {
+        Ok(listener) => {
+            tokio::spawn(figures::sample(node.clone()));
+            tokio::spawn(figures::serve(listener, handle));
+        }
+        Err(error) => ::log::warn!("figures: not shown, {address}: {error}"),
+    }
+}
+
 /// Reads the settings anew on SIGHUP, and now and then, for the file may change
 /// without one. Addresses are those of the start until the next start.
 async fn reread_settings(node: Arc<Node>, mut reload: Signal) {
@@ -77,12 +94,12 @@
         let told = tokio::time::timeout(REREAD.duration(), reload.recv()).await.is_ok();
         match settings::reread(&node.settings()) {
             Ok(Some(settings)) => {
-                log::info!("node: the settings have changed and are in force");
+                ::log::info!("node: the settings have changed and are in force");
                 node.set_settings(settings);
             }
-            Ok(None) if told => log::info!("node: told to read the settings, which have not changed"),
+            Ok(None) if told => ::log::info!("node: told to read the settings, which have not changed"),
             Ok(None) => {}
-            Err(error) => log::error!("node: going on with the settings held: {error}"),
+            Err(error) => ::log::error!("node: going on with the settings held: {error}"),
         }
     }
 }
--- /dev/null
+++ b/crates/node/src/figures.rs
@@ -0,0 +1,111 @@
+//! The figures of a node, as the metrics port shows them.
+
+use std::convert::Infallible;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use cottoncrank::Millis;
+use hyper::body::Incoming;
+use hyper::header::{CONTENT_TYPE, HeaderValue};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response};
+use hyper_util::rt::TokioIo;
+use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
+use tokio::net::TcpListener;
+
+use crate::answer::{Answer, Body};
+use crate::front::pause_accepting;
+use crate::state::Node;
+
+/// The port of the figures, on the address that other nodes use. Also named in
+/// deploy/system.toml.
+pub const PORT: u16 = 9464;
+
+/// How often figures that are states are taken.
+const SAMPLE: Millis = Millis(1000);
+
+/// The bounds of latency histograms, in seconds: around what is wanted of first
+/// events today, 0.15 to 0.5 s.
+const LATENCY: [f64; 9] = [0.05, 0.1, 0.15, 0.2, 0.3, 0.5, 1.0, 2.0, 5.0];
+
+/// A request was answered, or its answer has begun. `outcome` is `answered` or
+/// the reason of the refusal.
+pub fn count_request(kind: &'static str, outcome: &'static str) {
+    metrics::counter!("cottoncrank_requests_total", "kind" => kind, "outcome" => outcome).increment(1);
+}
+
+/// A runner was tried without success.
+pub fn count_failed_attempt(reason: &'static str) {
+    metrics::counter!("cottoncrank_attempts_failed_total", "reason" => reason).increment(1);
+}
+
+/// A stream was cut after its first event.
+pub fn count_cut() {
+    metrics::counter!("cottoncrank_streams_cut_total").increment(1);
+}
+
+/// The first event, or the whole of a plain answer, came after `wait`.
+pub fn record_first(kind: &'static str, wait: Millis) {
+    metrics::histogram!("cottoncrank_first_event_seconds", "kind" => kind).record(wait.0 as f64 / 1000.0);
+}
+
+/// Installs the recorder. Only the first call of a process can.
+pub fn install() -> Option<PrometheusHandle> {
+    let builder = PrometheusBuilder::new().set_buckets(&LATENCY).ok()?;
+    let recorder = builder.build_recorder();
+    let handle = recorder.handle();
+    metrics::set_global_recorder(recorder).ok().map(|()| handle)
+}
+
+/// Takes figures that are states, until the process ends.
+pub async fn sample(node: Arc<Node>) {
+    loop {
+        let age = node.freshness.lock().age(node.now());
+        metrics::gauge!("cottoncrank_store_proof_age_seconds")
+            .set(age.map_or(-1.0, |age| age.0 as f64 / 1000.0));
+        metrics::gauge!("cottoncrank_requests_running").set(node.running() as f64);
+        metrics::gauge!("cottoncrank_runners_known").set(node.roster.lock().iter().count() as f64);
+        metrics::gauge!("cottoncrank_nodes_known").set(node.directory.lock().count() as f64);
+        metrics::gauge!("cottoncrank_deciding").set(f64::from(u8::from(node.is_deciding())));
+        let version = node.catalog.lock().as_ref().map_or(0, |catalog| catalog.version);
+        metrics::gauge!("cottoncrank_config_version").set(version as f64);
+        let groups = node.plans.lock().values().map(|plan| plan.groups.len()).sum::<usize>();
+        metrics::gauge!("cottoncrank_groups_planned").set(groups as f64);
+        for ((_, model), limit) in node.limits.lock().iter() {
+            let model = model.as_ref().map_or(String::new(), ToString::to_string);
+            metrics::gauge!("cottoncrank_limit", "model" => model).set(limit.level());
+        }
+        tokio::time::sleep(SAMPLE.duration()).await;
+    }
+}
+
+/// Shows the figures until the process ends.
+pub async fn serve(listener: TcpListener, handle: PrometheusHandle) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let handle = handle.clone();
+                tokio::spawn(async move {
+                    let service = service_fn(move |_: Request<Incoming>| {
+                        let answer = show(&handle);
+                        async move { Ok::<Answer, Infallible>(answer) }
+                    });
+                    if let Err(error) =
+                        http1::Builder::new().serve_connection(TokioIo::new(stream), service).await
+                    {
+                        log::debug!("figures: {error}");
+                    }
+                });
+            }
+            Err(error) => pause_accepting(&error).await,
+        }
+    }
+}
+
+fn show(handle: &PrometheusHandle) -> Answer {
+    handle.run_upkeep();
+    let mut answer = Response::new(Body::Whole(Some(Bytes::from(handle.render()))));
+    answer.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("text/plain; version=0.0.4"));
+    answer
+}
--- /dev/null
+++ b/crates/node/src/log.rs
@@ -0,0 +1,117 @@
+//! The log of a node: lines on standard output, bounded and never waited for.
+//!
+//! A line is put into a queue and written by a thread of its own. When the queue
+//! is full, or more lines come in a second than allowed, lines are left out and
+//! counted; notices go first, warnings and errors last.
+
+use std::io::Write;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::mpsc::{Receiver, SyncSender, TrySendError, sync_channel};
+
+use cottoncrank::clock::System;
+use cottoncrank::{Clock, Millis};
+use flexi_logger::writers::LogWriter;
+use flexi_logger::{DeferredNow, Logger, LoggerHandle};
+use log::{Level, Record};
+use parking_lot::Mutex;
+
+/// Lines that wait to be written: a second's worth at the allowed rate.
+const QUEUE: usize = 512;
+
+/// Notices allowed in a second. A line costs some 5 µs of processor time, so this
+/// is 2 % of a tenth of a core, the smallest share that a box has.
+const NOTICES: u32 = 300;
+
+/// Warnings and errors allowed in a second, beside the notices.
+const WARNINGS: u32 = 200;
+
+/// What is counted over a second.
+#[derive(Default)]
+struct Second {
+    start: Millis,
+    notices: u32,
+    warnings: u32,
+}
+
+/// Lines allowed in each second.
+#[derive(Default)]
+pub struct Quota(Second);
+
+impl Quota {
+    /// Whether a line of this level may be written at `now`.
+    pub fn allows(&mut self, level: Level, now: Millis) -> bool {
+        if now >= self.0.start + Millis(1000) {
+            self.0 = Second { start: now, ..Second::default() };
+        }
+        let (count, most) = match level {
+            Level::Error | Level::Warn => (&mut self.0.warnings, WARNINGS),
+            Level::Info | Level::Debug | Level::Trace => (&mut self.0.notices, NOTICES),
+        };
+        *count += 1;
+        *count <= most
+    }
+}
+
+struct Queue {
+    lines: SyncSender<Vec<u8>>,
+    quota: Mutex<Quota>,
+    clock: System,
+    left_out: AtomicU64,
+}
+
+/// Starts the log on standard output. `RUST_LOG` goes before the level given.
+pub fn start(level: &str) -> Result<LoggerHandle, flexi_logger::FlexiLoggerError> {
+    let (lines, written) = sync_channel(QUEUE);
+    let queue = Queue { lines, quota: Mutex::default(), clock: System::new(), left_out: AtomicU64::new(0) };
+    std::thread::Builder::new()
+        .name("log".into())
+        .stack_size(64 * 1024)
+        .spawn(move || write_lines(&written))?;
+    Logger::try_with_env_or_str(level)?.log_to_writer(Box::new(queue)).start()
+}
+
+/// Writes lines until the process ends. A line that cannot be written is lost:
+/// there is nowhere else to say so.
+fn write_lines(lines: &Receiver<Vec<u8>>) {
+    let mut out = std::io::stdout();
+    while let Ok(mut bytes) = lines.recv() {
+        while let Ok(more) = lines.try_recv() {
+            bytes.extend_from_slice(&more);
+        }
+        let _ = out.write_all(&bytes).and_then(|()| out.flush());
+    }
+}
+
+impl Queue {
+    fn push(&self, line: Vec<u8>) {
+        match self.lines.try_send(line) {
+            Ok(()) => {}
+            Err(TrySendError::Full(_) | TrySendError::Disconnected(_)) => self.count_left_out(),
+        }
+    }
+
+    fn count_left_out(&self) {
+        self.left_out.fetch_add(1, Ordering::Relaxed);
+        metrics::counter!("cottoncrank_log_lines_left_out").increment(1);
+    }
+}
+
+impl LogWriter for Queue {
+    fn write(&self, now: &mut DeferredNow, record: &Record) -> std::io::Result<()> {
+        if !self.quota.lock().allows(record.level(), self.clock.now()) {
+            self.count_left_out();
+            return Ok(());
+        }
+        let time = now.format("%Y-%m-%dT%H:%M:%S%.3f");
+        let left_out = self.left_out.swap(0, Ordering::Relaxed);
+        if left_out > 0 {
+            self.push(format!("{time} WARN  log: {left_out} lines were left out\n").into_bytes());
+        }
+        self.push(format!("{time} {:5} {}\n", record.level(), record.args()).into_bytes());
+        Ok(())
+    }
+
+    fn flush(&self) -> std::io::Result<()> {
+        Ok(())
+    }
+}
--- a/crates/node/src/plain.rs
+++ b/crates/node/src/plain.rs
@@ -10,6 +10,7 @@
 
 use crate::answer::{Answer, Body, Refusal};
 use crate::attempt::{Attempt, AttemptError, Job, pick, send};
+use crate::figures;
 use crate::state::Node;
 
 /// The largest answer that is held until it is whole, in bytes.
@@ -27,7 +28,7 @@
     while tried.len() < TRIES && sent < job.route.attempts {
         let Some(pick) = pick(node, job, &tried) else { break };
         if !tried.is_empty() && !node.retries.lock().spend() {
-            log::info!("request {:?}: not sent again, the retries are spent", job.terms.request);
+            log::info!("request {}: not sent again, the retries are spent", job.id());
             break;
         }
         tried.push(pick.id.clone());
@@ -38,7 +39,8 @@
         match outcome {
             Ok(answer) => return Ok(answer),
             Err(error) => {
-                log::info!("request {:?} at {}: {error}", job.terms.request, pick.id);
+                figures::count_failed_attempt(error.reason());
+                log::info!("request {}: try {} at {}: {error}", job.id(), tried.len(), pick.id);
                 if let AttemptError::MayHaveRun(_) = error {
                     sent += 1;
                     may_have_run = true;
--- a/crates/node/src/request.rs
+++ b/crates/node/src/request.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
+use cottoncrank::Millis;
 use cottoncrank_fleet::catalog::{Catalog, Kind, Route};
 use cottoncrank_platform::header::{self, Terms};
 use http_body_util::{BodyExt, Limited};
@@ -15,13 +16,13 @@
 use crate::answer::{Answer, Refusal};
 use crate::attempt::Job;
 use crate::state::{Node, Running};
-use crate::{plain, stream};
+use crate::{figures, plain, stream};
 
 /// The urgency of a request where neither account nor route says one.
 const PRIORITY_MAX: u8 = 9;
 
 /// How long a request waits whose caller and route say nothing.
-const WAIT_UNSET: cottoncrank::Millis = cottoncrank::Millis(30_000);
+const WAIT_UNSET: Millis = Millis(30_000);
 
 /// Answers one request.
 pub async fn answer(node: Arc<Node>, request: Request<Incoming>) -> Answer {
@@ -29,18 +30,39 @@
     let terms = header::read_terms(&head.headers);
     let id = terms.request.clone();
     let running = node.begin_request();
+    let arrived = node.now();
+    let mut kind = "none";
     let outcome = match admit(&node, head, body, terms).await {
         Ok(job) => {
+            kind = job.route.kind.name();
             let left = job.end.since(node.now());
             let run = run(&node, Arc::new(job), running);
             tokio::time::timeout(left.duration(), run).await.unwrap_or(Err(Refusal::Late))
         }
         Err(refusal) => Err(refusal),
     };
-    outcome.unwrap_or_else(|refusal| {
-        log::info!("request {id:?}: refused: {refusal}");
-        refusal.answer(id.as_deref())
-    })
+    let waited = node.now().since(arrived);
+    figures::count_request(kind, outcome.as_ref().err().map_or("answered", Refusal::reason));
+    match outcome {
+        Ok(answer) => {
+            figures::record_first(kind, waited);
+            answer
+        }
+        Err(refusal) => {
+            log_refusal(&node, id.as_deref(), kind, waited, &refusal);
+            refusal.answer(id.as_deref())
+        }
+    }
+}
+
+/// Says why a request was refused, and what this node knew then.
+fn log_refusal(node: &Node, id: Option<&str>, kind: &str, waited: Millis, refusal: &Refusal) {
+    let id = id.unwrap_or("-");
+    let version = node.catalog.lock().as_ref().map_or(0, |catalog| catalog.version);
+    let age = node.freshness.lock().age(node.now()).map_or("none".to_owned(), |age| age.to_string());
+    log::info!(
+        "request {id}: refused after {waited}: {refusal} (kind {kind}, config {version}, proof of the store {age})"
+    );
 }
 
 async fn run(node: &Arc<Node>, job: Arc<Job>, running: Running) -> Result<Answer, Refusal> {
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -212,6 +212,11 @@
 }
 
 impl Admitted {
+    /// The limit at present.
+    pub fn level(&self) -> f64 {
+        self.node.limits.lock().get(&self.lane).map_or(0.0, Limit::level)
+    }
+
     /// The first event came: in time, or not.
     pub fn note_first(&self, in_time: bool) {
         let mut limits = self.node.limits.lock();
--- a/crates/node/src/stream.rs
+++ b/crates/node/src/stream.rs
@@ -21,6 +21,7 @@
 use crate::answer::{Answer, Body, Refusal};
 use crate::attempt::{Attempt, AttemptError, Job, Pick, pick, send};
 use crate::channel::Channel;
+use crate::figures;
 use crate::plain;
 use crate::state::{Admitted, Attempting, Node, Running};
 
@@ -103,6 +104,7 @@
             tries,
             feed,
             source: begun.source,
+            paused: false,
             _running: running,
             _admitted: admitted,
         };
@@ -115,7 +117,17 @@
 /// says nothing of how much the others have to do.
 fn note_opening(node: &Node, job: &Job, tries: &Tries, admitted: &Admitted, refusal: Option<&Refusal>) {
     let first_try = tries.tried.len() == 1 && tries.sent == 0;
-    let in_time = node.now().since(job.arrived) <= job.route.objective;
+    let waited = node.now().since(job.arrived);
+    let in_time = waited <= job.route.objective;
+    if refusal.is_none() && !in_time {
+        let level = admitted.level();
+        let (runner, count) = (tries.tried.last().map_or("-", id::Runner::as_str), tries.tried.len());
+        log::info!(
+            "request {}: late: first event after {waited}, wanted within {}, try {count} at {runner}, limit {level:.0}",
+            job.id(),
+            job.route.objective
+        );
+    }
     match refusal {
         None if first_try || tries.full > 0 => admitted.note_first(in_time && tries.full == 0),
         Some(Refusal::NotRun) => admitted.note_first(false),
@@ -163,7 +175,9 @@
         AttemptError::Full => tries.full += 1,
         AttemptError::NotRun(_) => {}
     }
-    log::info!("request {:?} at {:?}: {error}", job.terms.request, tries.tried.last());
+    figures::count_failed_attempt(error.reason());
+    let runner = tries.tried.last().map_or("-", id::Runner::as_str);
+    log::info!("request {}: try {} at {runner}: {error}", job.id(), tries.tried.len());
 }
 
 /// Gets the head of an answer out of the next runner.
@@ -185,7 +199,7 @@
         }
         let Some(pick) = pick(node, job, &tries.tried) else { return Err(refusal) };
         if !tries.tried.is_empty() && !node.retries.lock().spend() {
-            log::info!("request {:?}: not sent again, the retries are spent", job.terms.request);
+            log::info!("request {}: not sent again, the retries are spent", job.id());
             return Err(refusal);
         }
         tries.tried.push(pick.id.clone());
@@ -262,6 +276,8 @@
     tries: Tries,
     feed: mpsc::Sender<Result<Bytes, Cut>>,
     source: Source,
+    /// Whether a pause was too long already.
+    paused: bool,
     _running: Running,
     _admitted: Admitted,
 }
@@ -270,19 +286,22 @@
     async fn run(mut self) {
         let left = self.job.end.since(self.node.now());
         let feed = self.feed.clone();
-        let request = self.job.terms.request.clone();
+        let job = self.job.clone();
+        let request = job.id();
         tokio::select! {
             outcome = self.pass_on() => match outcome {
                 Ok(()) => {}
                 Err(refusal) => {
-                    log::warn!("request {request:?}: the stream is cut: {refusal}");
+                    figures::count_cut();
+                    log::warn!("request {request}: the stream is cut: {refusal}");
                     // A caller that is gone needs no cut.
                     let _ = feed.send(Err(Cut)).await;
                 }
             },
-            () = feed.closed() => log::info!("request {request:?}: the caller left"),
+            () = feed.closed() => log::info!("request {request}: the caller left"),
             () = tokio::time::sleep(left.duration()) => {
-                log::warn!("request {request:?}: the stream is cut: its time is over");
+                figures::count_cut();
+                log::warn!("request {request}: the stream is cut: its time is over");
                 let _ = feed.try_send(Err(Cut));
             }
         }
@@ -290,8 +309,10 @@
 
     async fn pass_on(&mut self) -> Result<(), Refusal> {
         loop {
+            let since = self.node.now();
             match self.next().await {
                 Ok(Next::Events(events)) => {
+                    self.note_pause(since);
                     if self.feed.send(Ok(events)).await.is_err() {
                         return Ok(());
                     }
@@ -302,6 +323,21 @@
         }
     }
 
+    /// Says so once when a pause was longer than what counts as in time.
+    fn note_pause(&mut self, since: Millis) {
+        let pause = self.node.now().since(since);
+        if self.paused || self.job.route.gap.is_none_or(|gap| pause <= gap) {
+            return;
+        }
+        self.paused = true;
+        let last = self.source.splitter.last().map_or("-".to_owned(), |last| last.to_string());
+        let runner = &self.source.pick.id;
+        log::info!(
+            "request {}: late: {pause} without an event before event {last} of {runner}",
+            self.job.id()
+        );
+    }
+
     /// The next events of the present runner, as long as its group is not lost.
     async fn next(&mut self) -> Result<Next, AttemptError> {
         let pick = self.source.pick.clone();
