Take nothing new once the balancer must have noticed a stop; heads without entry finish first; more groups of large models

Cause 2: a head whose entry had gone was told to leave at once, which cut its streams. Cause 3: a large group is away more often than a small one. Change: the port and open connections close together, 2.5 s after the order; such a head closes and leaves 1.5 s later; the wanted number of groups grows by a fortieth for each further member.

--- a/crates/fleet/src/decide.rs
+++ b/crates/fleet/src/decide.rs
@@ -27,6 +27,12 @@
 /// ten runners of today's domains, the most that fail there at one time.
 pub const PLACED: f64 = 0.8;
 
+/// Each further member makes a group that much more likely to be under repair,
+/// and its model is meant to have that much more: with the two runners that
+/// today's fleets lose every three seconds, a group of eight of 162 runners is
+/// away for a sixth of the time.
+const SIZE_WEIGHT: f64 = 0.025;
+
 /// Kept on top of the time after which a group that stands still is broken, for
 /// the way of the order that made it stand still.
 pub const STALL_MARGIN: Millis = Millis(300);
@@ -70,6 +76,8 @@
 pub struct Memory {
     /// When each order was last given.
     pub(crate) given: HashMap<(id::Runner, Order), Millis>,
+    /// When a closing order was first given to a head that has no entry.
+    pub(crate) first: HashMap<(id::Runner, Order), Millis>,
     /// Orders that the runner answered as done or begun.
     pub(crate) taken: HashSet<(id::Runner, Order)>,
     /// The model that each runner was last told to stage.
@@ -436,7 +444,8 @@
 
 /// How many groups of a model there are meant to be.
 fn count_wanted(model: &Model, runners: usize) -> f64 {
-    (PLACED * runners as f64 * model.share / model.size as f64).round().max(1.0)
+    let lost_more = 1.0 + SIZE_WEIGHT * (model.size - 1) as f64;
+    (PLACED * lost_more * runners as f64 * model.share / model.size as f64).round().max(1.0)
 }
 
 /// How many groups of each model there are, as planned and not given up.
--- a/crates/fleet/src/limit.rs
+++ b/crates/fleet/src/limit.rs
@@ -73,6 +73,11 @@
         }
     }
 
+    /// How many requests are under way.
+    pub fn running(&self) -> u32 {
+        self.running
+    }
+
     /// The limit at present.
     pub fn level(&self) -> f64 {
         self.level
--- a/crates/fleet/src/order.rs
+++ b/crates/fleet/src/order.rs
@@ -15,6 +15,10 @@
 /// long: well beyond the way from the runner over the store to here.
 pub const REPEAT_TAKEN: Millis = Millis(5000);
 
+/// A head that has no entry and is closed is given this long to finish what it
+/// has: most streams take less. Its entry would say when it has.
+pub const FINISH: Millis = Millis(1500);
+
 /// What a runner is told.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub enum Order {
@@ -62,6 +66,13 @@
         }
     }
 
+    /// Whether an order was first given at least `span` ago.
+    fn has_passed(&mut self, runner: &id::Runner, order: &Order, span: Millis) -> bool {
+        let key = (runner.clone(), order.clone());
+        let first = *self.memory.first.entry(key).or_insert(self.now);
+        self.now >= first + span
+    }
+
     /// The model that the runner was last told to stage.
     pub(crate) fn last_staged(&self, runner: &id::Runner) -> Option<&id::Model> {
         self.memory.staged.get(runner)
@@ -107,7 +118,9 @@
     let leave = Order::Leave(group.name.clone(), group.epoch);
     let head = group.head().filter(|head| matches!(scene.probes.sign(head), Sign::Heard | Sign::Slow));
     if let Some(head) = head {
-        return desk.give(head, leave);
+        let close = Order::Close(group.name.clone(), group.epoch);
+        let finished = group.state == State::Lost || desk.has_passed(head, &close, FINISH);
+        return desk.give(head, if finished { leave } else { close });
     }
     for runner in living {
         match find_phase(runner, group) {
--- a/crates/node/src/answer.rs
+++ b/crates/node/src/answer.rs
@@ -73,8 +73,8 @@
     #[error("no runner can take it at present")]
     NoRunner,
     /// As many requests as its runners can take in time are under way; it has not run.
-    #[error("its runners have all they can take in time")]
-    Full,
+    #[error("its runners have all they can take in time, {0} of them from here")]
+    Full(u32),
     /// Runners were asked, and all said that they did not run it.
     #[error("the runners asked did not run it")]
     NotRun,
@@ -102,7 +102,7 @@
             Refusal::Key => StatusCode::UNAUTHORIZED,
             Refusal::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Refusal::Body => StatusCode::BAD_REQUEST,
-            Refusal::Unsure | Refusal::NoRunner | Refusal::NotRun | Refusal::Full => {
+            Refusal::Unsure | Refusal::NoRunner | Refusal::NotRun | Refusal::Full(_) => {
                 StatusCode::SERVICE_UNAVAILABLE
             }
             Refusal::MayHaveRun => StatusCode::BAD_GATEWAY,
@@ -119,7 +119,7 @@
             Refusal::Body => "body",
             Refusal::Unsure => "unsure",
             Refusal::NoRunner => "no_runner",
-            Refusal::Full => "full",
+            Refusal::Full(_) => "full",
             Refusal::NotRun => "not_run",
             Refusal::MayHaveRun => "may_have_run",
             Refusal::Late => "late",
@@ -128,7 +128,7 @@
 
     /// Whether coming back later helps.
     fn is_passing(&self) -> bool {
-        matches!(self, Refusal::Unsure | Refusal::NoRunner | Refusal::NotRun | Refusal::Full)
+        matches!(self, Refusal::Unsure | Refusal::NoRunner | Refusal::NotRun | Refusal::Full(_))
     }
 
     /// The answer that tells the caller.
@@ -139,7 +139,10 @@
         headers.insert(CONTENT_TYPE, HeaderValue::from_static("text/plain"));
         header::write_request(headers, request);
         if self.is_passing() {
-            header::write_retry(headers, if *self == Refusal::Full { COME_BACK_FULL } else { COME_BACK });
+            header::write_retry(
+                headers,
+                if matches!(self, Refusal::Full(_)) { COME_BACK_FULL } else { COME_BACK },
+            );
         }
         answer
     }
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -29,10 +29,15 @@
 /// descriptors.
 const ACCEPT_PAUSE: Millis = Millis(20);
 
-/// Takes callers until the process ends.
+/// Takes callers until the node is closed.
 pub async fn serve_callers(node: Arc<Node>, listener: TcpListener) {
+    let mut closed = node.closed.subscribe();
     loop {
-        match listener.accept().await {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = wait_closed(&mut closed) => return,
+        };
+        match accepted {
             Ok((stream, _)) => {
                 tokio::spawn(serve_caller(node.clone(), stream));
             }
@@ -52,7 +57,7 @@
         log::debug!("front: {error}");
     }
     let idle = node.catalog.lock().as_ref().map_or(IDLE_UNSET, |catalog| catalog.limits.idle);
-    let mut draining = node.draining.subscribe();
+    let mut closed = node.closed.subscribe();
     let service = service_fn(|request: Request<Incoming>| {
         let node = node.clone();
         async move {
@@ -71,7 +76,7 @@
     tokio::pin!(connection);
     let outcome = tokio::select! {
         outcome = &mut connection => outcome,
-        () = wait_notice(&mut draining) => {
+        () = wait_closed(&mut closed) => {
             connection.as_mut().graceful_shutdown();
             connection.await
         }
@@ -81,12 +86,9 @@
     }
 }
 
-/// Waits until the node is about to stop and the balancer has had time to notice.
-/// Meanwhile the connection is served as ever.
-async fn wait_notice(draining: &mut watch::Receiver<bool>) {
+async fn wait_closed(closed: &mut watch::Receiver<bool>) {
     // The sender lives as long as the node.
-    let _ = draining.wait_for(|draining| *draining).await;
-    tokio::time::sleep(NOTICE.duration()).await;
+    let _ = closed.wait_for(|closed| *closed).await;
 }
 
 /// How long a node that is about to stop goes on taking requests: the balancer
--- a/crates/node/src/start.rs
+++ b/crates/node/src/start.rs
@@ -51,13 +51,15 @@
     tasks
 }
 
-/// Stops taking callers, and waits until those there are have their answers, as
-/// far as the time allows.
+/// Tells the balancer, takes callers until it must have noticed, and then waits
+/// until those there are have their answers, as far as the time allows. What
+/// would be taken later might not be finished before the kill.
 pub async fn drain(node: &Node) {
     let end = node.now() + (node.settings().bounds.grace - GRACE_MARGIN);
     log::info!("node: told to stop, {} requests under way", node.running());
     node.draining.send_replace(true);
     tokio::time::sleep(front::NOTICE.duration()).await;
+    node.closed.send_replace(true);
     while node.running() > 0 && node.now() < end {
         tokio::time::sleep(LOOK.duration()).await;
     }
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -64,6 +64,8 @@
     pub changed: Notify,
     /// Whether the node is about to stop.
     pub draining: watch::Sender<bool>,
+    /// Whether the node takes no requests any more.
+    pub closed: watch::Sender<bool>,
     synced: AtomicBool,
     deciding: AtomicBool,
     serving: AtomicBool,
@@ -92,6 +94,7 @@
             decider: watch::Sender::new(None),
             changed: Notify::new(),
             draining: watch::Sender::new(false),
+            closed: watch::Sender::new(false),
             synced: AtomicBool::new(false),
             deciding: AtomicBool::new(false),
             serving: AtomicBool::new(false),
@@ -168,6 +171,11 @@
         Running(self.clone())
     }
 
+    /// How many requests of a lane are under way here.
+    pub fn count_running(&self, lane: &Lane) -> u32 {
+        self.limits.lock().get(lane).map_or(0, Limit::running)
+    }
+
     /// Counts a request against the limit of its lane, if there is room within `wait`.
     pub async fn admit(self: &Arc<Self>, lane: &Lane, wait: Millis) -> Option<Admitted> {
         let end = self.now() + wait;
--- a/crates/node/tests/requests.rs
+++ b/crates/node/tests/requests.rs
@@ -186,6 +186,11 @@
     let answer = fleet.ask(STREAM, "r1").await;
     assert_eq!((answer.status, answer.whole), (200, true));
     assert_eq!(answer.header("connection"), Some("close"));
+    // Once the balancer must have noticed, nothing new is taken, on no connection.
+    fleet.nodes[0].node.closed.send_replace(true);
+    fleet
+        .wait("the port is closed", |fleet| std::net::TcpStream::connect(fleet.nodes[0].callers).is_err())
+        .await;
 }
 
 #[tokio::test]
