--- a/crates/fleet/src/decide.rs
+++ b/crates/fleet/src/decide.rs
@@ -31,7 +31,7 @@
 /// and its model is meant to have that much more: with the two runners that
 /// today's fleets lose every three seconds, a group of eight of 162 runners is
 /// away for a sixth of the time.
-const SIZE_WEIGHT: f64 = 0.025;
+const SIZE_WEIGHT: f64 = 0.012;
 
 /// Kept on top of the time after which a group that stands still is broken, for
 /// the way of the order that made it stand still.
--- a/crates/fleet/src/limit.rs
+++ b/crates/fleet/src/limit.rs
@@ -29,11 +29,11 @@
 const IN_USE: f64 = 0.7;
 
 /// The part of the limit that is open to requests that come for the first time.
-const FIRST_PART: f64 = 0.9;
+const FIRST_PART: f64 = 0.85;
 
 /// The part that is open to requests that were refused before. A caller comes
 /// back once; refused again, its request is lost.
-const RETURNED_PART: f64 = 1.15;
+const RETURNED_PART: f64 = 1.0;
 
 /// Whether a request was refused before.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
