Take back the turn of requests that were refused before

The limit falls to what is under way, which such parts hold below it, so it fell further and rose slower. Conclusion: not this way.

--- a/crates/fleet/src/limit.rs
+++ b/crates/fleet/src/limit.rs
@@ -28,22 +28,6 @@
 /// The limit counts as in use from this part of it on.
 const IN_USE: f64 = 0.7;
 
-/// The part of the limit that is open to requests that come for the first time.
-const FIRST_PART: f64 = 0.85;
-
-/// The part that is open to requests that were refused before. A caller comes
-/// back once; refused again, its request is lost.
-const RETURNED_PART: f64 = 1.0;
-
-/// Whether a request was refused before.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Turn {
-    /// It comes for the first time.
-    First,
-    /// Its caller was told to come back.
-    Returned,
-}
-
 /// The limit of one model.
 #[derive(Clone, Copy, Debug)]
 pub struct Limit {
@@ -60,12 +44,8 @@
 
 impl Limit {
     /// Whether one more request may begin.
-    pub fn admits(&self, turn: Turn) -> bool {
-        let part = match turn {
-            Turn::First => FIRST_PART,
-            Turn::Returned => RETURNED_PART,
-        };
-        f64::from(self.running) < (self.level * part).max(1.0)
+    pub fn admits(&self) -> bool {
+        f64::from(self.running) < self.level
     }
 
     /// A request begins.
--- a/crates/node/src/attempt.rs
+++ b/crates/node/src/attempt.rs
@@ -7,7 +7,6 @@
 use cottoncrank::{Millis, id};
 use cottoncrank_fleet::balance;
 use cottoncrank_fleet::catalog::{Catalog, Route};
-use cottoncrank_fleet::limit::Turn;
 use cottoncrank_fleet::plan::{State, find_state};
 use cottoncrank_fleet::runner::Epoch;
 use cottoncrank_platform::header::{self, Forward, Terms, Verdict};
@@ -44,19 +43,7 @@
     pub end: Millis,
 }
 
-/// A caller that waits this much less than its route's time has been here before:
-/// its patience runs from its first try. Far above what a head needs to arrive.
-const SPENT: Millis = Millis(250);
-
 impl Job {
-    /// Whether the caller was refused before.
-    pub fn turn(&self) -> Turn {
-        match self.terms.wait {
-            Some(wait) if wait + SPENT < self.route.timeout => Turn::Returned,
-            _ => Turn::First,
-        }
-    }
-
     /// The caller's id of the request, for the log.
     pub fn id(&self) -> &str {
         self.terms.request.as_deref().unwrap_or("-")
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -11,7 +11,7 @@
 use cottoncrank_fleet::catalog::Catalog;
 use cottoncrank_fleet::directory::Directory;
 use cottoncrank_fleet::freshness::Freshness;
-use cottoncrank_fleet::limit::{Limit, Turn};
+use cottoncrank_fleet::limit::Limit;
 use cottoncrank_fleet::plan::Plans;
 use cottoncrank_fleet::roster::Roster;
 use cottoncrank_fleet::settings::Settings;
@@ -177,13 +177,13 @@
     }
 
     /// Counts a request against the limit of its lane, if there is room within `wait`.
-    pub async fn admit(self: &Arc<Self>, lane: &Lane, turn: Turn, wait: Millis) -> Option<Admitted> {
+    pub async fn admit(self: &Arc<Self>, lane: &Lane, wait: Millis) -> Option<Admitted> {
         let end = self.now() + wait;
         loop {
             {
                 let mut limits = self.limits.lock();
                 let limit = limits.entry(lane.clone()).or_default();
-                if limit.admits(turn) {
+                if limit.admits() {
                     limit.begin();
                     return Some(Admitted { node: self.clone(), lane: lane.clone() });
                 }
--- a/crates/node/src/stream.rs
+++ b/crates/node/src/stream.rs
@@ -84,10 +84,8 @@
 pub async fn run(node: &Arc<Node>, job: Arc<Job>, running: Running) -> Result<Answer, Refusal> {
     let lane = (job.service.clone(), job.terms.model.clone());
     let patience = Millis(job.route.objective.0 / WAITS);
-    let admitted = node
-        .admit(&lane, job.turn(), patience)
-        .await
-        .ok_or_else(|| Refusal::Full(node.count_running(&lane)))?;
+    let admitted =
+        node.admit(&lane, patience).await.ok_or_else(|| Refusal::Full(node.count_running(&lane)))?;
     let mut tries = Tries::default();
     let opened = open(node, &job, &mut tries).await;
     note_opening(node, &job, &tries, &admitted, opened.as_ref().err());
