--- a/crates/fleet/src/decide.rs
+++ b/crates/fleet/src/decide.rs
@@ -186,14 +186,13 @@
     let mut step = Step::default();
     let lacking = list_lacking(&engine.models, &sites);
     let allowed = memory.loads.allowed(scene.now, engine, scene.ceiling, scene.serving);
+    let runners = sites.iter().map(|site| site.runners.len()).sum();
+    let settled = memory.is_settled(runners, scene.now);
     let mut desk = Desk { now: scene.now, memory, orders: &mut step.orders, allowed, serving: scene.serving };
     for site in &sites {
         list_orders(scene, site, &mut desk);
     }
     // Before callers come, loads are short, and groups go first.
-    let runners = sites.iter().map(|site| site.runners.len()).sum();
-    let settled = memory.is_settled(runners, scene.now);
-    let mut desk = Desk { now: scene.now, memory, orders: &mut step.orders, allowed, serving: scene.serving };
     if scene.serving || (lacking.is_empty() && settled) {
         order_staging(scene, &engine.models, &lacking, &sites, &mut desk);
     }
--- a/crates/fleet/src/form.rs
+++ b/crates/fleet/src/form.rs
@@ -13,10 +13,9 @@
 /// ten runners of today's domains, the most that fail there at one time.
 pub const PLACED: f64 = 0.8;
 
-/// Each further member makes a group that much more likely to be under repair,
-/// and its model is meant to have that much more: with the two runners that
-/// today's fleets lose every three seconds, a group of eight of 162 runners is
-/// away for a sixth of the time.
+/// A model is meant to have that much more for each further member of its groups:
+/// any member's loss takes the whole group away for a repair. Twice as much was
+/// tried on groups of eight and left too few spare runners.
 const SIZE_WEIGHT: f64 = 0.012;
 
 /// Forming a group this much sooner is worth as much as the whole of what a
