--- a/crates/node/tests/fleet.rs
+++ b/crates/node/tests/fleet.rs
@@ -38,6 +38,23 @@
     fleet.wait("and the keys are proven", |f| f.nodes.iter().all(|r| r.node.trusts_keys())).await;
 }
 
+#[tokio::test]
+async fn saved_up_retries_are_shared_by_the_nodes_there_are() {
+    let fleet = Fleet::bare(4).await;
+    fleet
+        .wait("all nodes know each other", |fleet| {
+            fleet.nodes.iter().all(|running| running.node.directory.lock().count() == 4)
+        })
+        .await;
+    let spend = |running: &common::Running| {
+        let mut retries = running.node.retries.lock();
+        (0..1000).filter(|_| retries.spend()).count()
+    };
+    let spent: usize = fleet.nodes.iter().map(spend).sum();
+    assert!(spent <= 100, "the fleet may save up 100, its nodes spent {spent}");
+    assert!(spent >= 50, "they use most of it: {spent}");
+}
+
 #[tokio::test]
 async fn a_node_that_lost_the_store_sends_others_away_at_once() {
     let fleet = Fleet::serving(1).await;
