Complete large groups with members of small ones

What is left of the small one meets the spare runner. Small groups are kept while there are fewer of them.

Tests: members of small groups hold the large model; a second loss is made up for without a load (it failed before: five large groups); small groups are kept while there are few.

--- a/crates/fleet/src/decide.rs
+++ b/crates/fleet/src/decide.rs
@@ -19,6 +19,7 @@
 use crate::order::{Desk, Order, REPEAT_TAKEN, list_orders};
 use crate::plan::{Document, Group, find_state};
 use crate::probe::{Probes, Sign};
+use crate::recruit::recruit_members;
 use crate::roster::Roster;
 use crate::runner::{Epoch, Phase, Runner};
 use crate::settings::Ceiling;
@@ -182,6 +183,9 @@
         retire_groups(scene, site, memory);
         release_groups(scene, site, memory);
     }
+    if scene.serving {
+        recruit_members(scene, &engine.models, &mut sites);
+    }
     form_groups(scene, engine, &mut sites, memory);
     let mut step = Step::default();
     let lacking = list_lacking(&engine.models, &sites);
@@ -194,7 +198,7 @@
     }
     // Before callers come, loads are short, and groups go first.
     if scene.serving || (lacking.is_empty() && settled) {
-        order_staging(scene, &engine.models, &lacking, &sites, &mut desk);
+        order_staging(scene, engine, &lacking, &sites, &mut desk);
     }
     let changed = sites.into_iter().filter(|site| match scene.plans.get(&site.id) {
         Some(plan) => *plan != site.plan,
--- a/crates/fleet/src/form.rs
+++ b/crates/fleet/src/form.rs
@@ -34,6 +34,10 @@
 /// as a whole takes them all.
 const CROWDING: f64 = 0.05;
 
+/// A whole set of free runners that hold the largest model goes before all other
+/// choices, whose scores stay below this.
+const WHOLE: f64 = 10.0;
+
 /// Beyond what is meant, groups are formed up to this factor out of runners that
 /// hold the model anyway.
 const EXTRA: f64 = 1.25;
@@ -93,6 +97,7 @@
     alive: &[usize],
     runners: usize,
 ) -> Option<Choice> {
+    let largest = models.iter().map(|model| model.size).max().unwrap_or_default();
     let mut best: Option<Choice> = None;
     for (at, site) in sites.iter().enumerate() {
         let free = site.list_free();
@@ -111,6 +116,7 @@
             if loads > 0 && scene.serving && alive[model_at] > 0 {
                 continue;
             }
+            let part = alive[model_at] as f64 / wanted;
             let held = free.iter().filter(|runner| time_join(runner, model) < model.load).count();
             let rich = loads == 0 && held >= model.size + SPARES;
             let most = if rich { wanted * EXTRA } else { wanted };
@@ -120,10 +126,14 @@
             let time = if loads > 0 { Millis(0) } else { time };
             let here = site.plan.groups.iter().filter(|group| group.model == model.name).count();
             let bare = free.len() < model.size + RESERVE;
-            let score = alive[model_at] as f64 / wanted
+            // The free runners that hold a large model are what is left of a group and
+            // what completes it: they go before all else.
+            let whole = scene.serving && loads == 0 && model.size == largest && part < 1.0;
+            let score = part
                 + time.0 as f64 / FORM_SCALE.0 as f64
                 + here as f64 * CROWDING
-                + if bare { BARE } else { 0.0 };
+                + if bare { BARE } else { 0.0 }
+                - if whole { WHOLE } else { 0.0 };
             if best.as_ref().is_none_or(|best| score < best.score) {
                 let members = members.iter().map(|runner| runner.id.clone()).collect();
                 best = Some(Choice { site: at, model: model_at, members, loads, score });
@@ -134,13 +144,13 @@
 }
 
 /// How many groups of a model there are meant to be.
-fn count_wanted(model: &Model, runners: usize) -> f64 {
+pub(crate) fn count_wanted(model: &Model, runners: usize) -> f64 {
     let lost_more = 1.0 + SIZE_WEIGHT * (model.size - 1) as f64;
     (PLACED * lost_more * runners as f64 * model.share / model.size as f64).round().max(1.0)
 }
 
 /// How many groups of each model there are, as planned and not given up.
-fn count_alive(models: &[Model], sites: &[Site]) -> Vec<usize> {
+pub(crate) fn count_alive(models: &[Model], sites: &[Site]) -> Vec<usize> {
     let count = |model: &Model| {
         let groups = sites.iter().flat_map(|site| &site.plan.groups);
         groups.filter(|group| !group.is_retired() && group.model == model.name).count()
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -3,7 +3,7 @@
 //!
 //! [`catalog`] is what operators want, [`roster`] which runners there are,
 //! [`plan`] which runner is meant for which group. [`decide`] turns the three
-//! into orders, [`balance`] picks a runner for a request, [`freshness`] says how
+//! into orders, [`balance`] picks a runner for a request [`freshness`] says how
 //! long a node may rely on what it knows, [`event`] splits a stream into the
 //! events that can be resumed after.
 
@@ -20,6 +20,7 @@
 pub mod order;
 pub mod plan;
 pub mod probe;
+pub mod recruit;
 pub mod roster;
 pub mod runner;
 pub mod settings;
--- /dev/null
+++ b/crates/fleet/src/recruit.rs
@@ -0,0 +1,69 @@
+//! Completing what is left of a large group with members of small ones.
+//!
+//! A domain has one spare runner for the large model. After a second loss the rest
+//! of the group would stand idle until another runner has loaded the model, which
+//! takes longer than most troubles last. Members of small groups can hold the large
+//! model on their hosts while they serve ([`crate::staging`]), so one small group is
+//! closed instead, and its members complete the large one.
+
+use cottoncrank::id;
+
+use crate::catalog::Model;
+use crate::decide::{Scene, Site, time_join};
+use crate::form::{count_alive, count_wanted};
+use crate::plan::{Group, State};
+
+/// A large model may have this much more of what it is meant to have than a small
+/// one, and small groups are still closed for it: there are fewer groups of it, so
+/// that each of them counts for more.
+const LEAD: f64 = 0.1;
+
+/// Closes small groups whose members complete a large one.
+pub(crate) fn recruit_members(scene: &Scene, models: &[Model], sites: &mut [Site]) {
+    let Some(large) = models.iter().max_by_key(|model| model.size) else { return };
+    let runners: usize = sites.iter().map(|site| site.runners.len()).sum();
+    for at in 0..sites.len() {
+        let alive = count_alive(models, sites);
+        let parts: Vec<(&Model, usize)> = models.iter().zip(alive).collect();
+        let part = |model: &Model, less: usize| {
+            let alive = parts.iter().find(|(known, _)| known.name == model.name).map_or(0, |row| row.1);
+            alive.saturating_sub(less) as f64 / count_wanted(model, runners)
+        };
+        if part(large, 0) >= 1.0 {
+            return;
+        }
+        let gives = |model: &&Model| model.size < large.size && part(large, 0) < part(model, 1) + LEAD;
+        let givers: Vec<&Model> = models.iter().filter(gives).collect();
+        close_donor(scene, &mut sites[at], large, &givers);
+    }
+}
+
+/// Closes one group of `givers` in a domain that lacks few runners for a group of
+/// `large`, if that brings the runners nearer to it.
+fn close_donor(scene: &Scene, site: &mut Site, large: &Model, givers: &[&Model]) {
+    let free = site.list_free().into_iter().filter(|runner| time_join(runner, large) < large.load).count();
+    let retired = site.plan.groups.iter().filter(|group| group.is_retired());
+    let coming: usize = retired.map(|group| count_holders(scene, group, large)).sum();
+    // Most of the group must be there: what is closed takes requests at present.
+    if 2 * free < large.size || free + coming >= large.size {
+        return;
+    }
+    let missing = large.size - free - coming;
+    let donors = site
+        .plan
+        .groups
+        .iter_mut()
+        .filter(|group| !group.is_retired() && givers.iter().any(|model| model.name == group.model));
+    let donor = donors.max_by_key(|group| count_holders(scene, group, large).min(missing));
+    let Some(donor) = donor.filter(|group| count_holders(scene, group, large) > 0) else { return };
+    donor.state = State::Closing;
+    let reason =
+        format!("retire {} of {}: {} lacks {missing} more runners", donor.name, donor.model, large.name);
+    site.reasons.push(reason);
+}
+
+/// The members of a group that can join one of `model` without a load.
+fn count_holders(scene: &Scene, group: &Group, model: &Model) -> usize {
+    let holds = |id: &&id::Runner| scene.find(id).is_some_and(|runner| time_join(runner, model) < model.load);
+    group.members.iter().filter(holds).count()
+}
--- a/crates/fleet/src/staging.rs
+++ b/crates/fleet/src/staging.rs
@@ -3,7 +3,7 @@
 
 use cottoncrank::id;
 
-use crate::catalog::Model;
+use crate::catalog::{Engine, Model};
 use crate::decide::{Scene, Site, time_join};
 use crate::order::{Desk, Order};
 use crate::runner::Runner;
@@ -12,6 +12,10 @@
 /// loss takes from a group.
 pub const SPARES: usize = 1;
 
+/// Members of small groups in each domain that hold the largest model on their hosts
+/// beside what they serve: two pairs, for two losses before either is made up for.
+pub const DONORS: usize = 4;
+
 /// A model that has fewer groups than it is meant to have.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Lack<'a> {
@@ -23,14 +27,16 @@
 /// Orders models onto free runners. First whole sets for models that lack
 /// groups, worst first, where the fewest loads complete one; then one spare
 /// runner of each model that a domain serves; what is left bare serves the
-/// smallest model, whose sets fill soonest.
+/// smallest model, whose sets fill soonest; last, the largest model for members of
+/// small groups.
 pub(crate) fn order_staging(
     scene: &Scene,
-    models: &[Model],
+    engine: &Engine,
     lacking: &[Lack],
     sites: &[Site],
     desk: &mut Desk,
 ) {
+    let models = &engine.models;
     let mut stocks: Vec<Stock> = sites.iter().map(|site| Stock::count(scene, models, site, desk)).collect();
     for lack in lacking {
         stage_sets(lack, &mut stocks, desk);
@@ -46,6 +52,34 @@
             }
         }
     }
+    let reserve = if desk.serving { engine.loads_at_once.div_ceil(2) } else { 0 };
+    for site in sites {
+        stage_donors(scene, models, site, reserve, desk);
+    }
+}
+
+/// Orders the largest model onto the hosts of members of small groups. They serve
+/// on; the copy of their own model on their hosts gives way to it. `reserve` loads
+/// are left for whatever is lost next.
+fn stage_donors(scene: &Scene, models: &[Model], site: &Site, reserve: usize, desk: &mut Desk) {
+    let Some(largest) = models.iter().max_by_key(|model| model.size) else { return };
+    let groups = || site.plan.groups.iter().filter(|group| !group.is_retired());
+    if !groups().any(|group| group.model == largest.name) {
+        return;
+    }
+    let small = groups().filter(|group| group.model != largest.name);
+    let members = small.flat_map(|group| &group.members).filter_map(|id| scene.find(id));
+    // Only what has joined: a member that has not still needs its own model there.
+    let settled = members.filter(|runner| !runner.models.is_empty()).take(DONORS);
+    for runner in settled {
+        let holds = runner.staged.contains(&largest.name);
+        if holds || desk.last_staged(&runner.id) == Some(&largest.name) {
+            continue;
+        }
+        if desk.allowed <= reserve || !order_load(largest, runner, desk) {
+            return;
+        }
+    }
 }
 
 fn stage_sets(lack: &Lack, stocks: &mut [Stock], desk: &mut Desk) {
@@ -87,13 +121,20 @@
 
 /// Gives the order, if a load may begin now.
 fn stage(model: &Model, runner: &Runner, stock: &mut Stock, desk: &mut Desk) -> bool {
+    let ordered = order_load(model, runner, desk);
+    if ordered {
+        stock.note(runner, model);
+    }
+    ordered
+}
+
+fn order_load(model: &Model, runner: &Runner, desk: &mut Desk) -> bool {
     if desk.allowed == 0 {
         return false;
     }
     desk.allowed -= 1;
     desk.memory.note_staging(&runner.id, model, desk.now, desk.serving);
     desk.give(&runner.id, Order::Stage(model.name.clone()));
-    stock.note(runner, model);
     true
 }
 
--- a/crates/fleet/tests/decide.rs
+++ b/crates/fleet/tests/decide.rs
@@ -12,6 +12,7 @@
 use cottoncrank_fleet::roster::Roster;
 use cottoncrank_fleet::runner::{Membership, Phase, Runner};
 use cottoncrank_fleet::settings::Ceiling;
+use cottoncrank_fleet::staging::DONORS;
 
 const STALL: Millis = Millis(6000);
 const CEILING: Ceiling = Ceiling { window: Millis(5000), overshoot: 1.1 };
@@ -26,6 +27,8 @@
     dead: HashSet<id::Runner>,
     slow: HashSet<id::Runner>,
     serving: bool,
+    /// Whether loads begun now take longer than the test.
+    loading: bool,
     now: Millis,
 }
 
@@ -72,6 +75,7 @@
             dead: HashSet::new(),
             slow: HashSet::new(),
             serving: false,
+            loading: false,
             now: Millis(1_000_000),
         }
     }
@@ -126,6 +130,7 @@
                 Order::Open(..) => runner.membership.as_mut().unwrap().phase = Phase::Open,
                 Order::Close(..) => runner.membership.as_mut().unwrap().phase = Phase::Ready,
                 Order::Leave(..) => runner.membership = None,
+                Order::Stage(_) if self.loading => {}
                 Order::Stage(model) => runner.staged = vec![model.clone()],
             }
             self.roster.put(runner);
@@ -545,3 +550,67 @@
     let late = world.memory.count_remembered();
     assert!(late <= early + early / 4, "it grows from {early} to {late}");
 }
+
+#[test]
+fn members_of_small_groups_hold_the_large_model_beside_what_they_serve() {
+    let world = at_rest(6);
+    for plan in world.plans.values() {
+        let small = plan.groups.iter().filter(|group| group.model.as_str() == "small");
+        let members: Vec<&Runner> =
+            small.flat_map(|group| &group.members).map(|id| world.roster.get(id).unwrap()).collect();
+        let holders = members.iter().filter(|runner| runner.staged[0].as_str() == "large").count();
+        assert_eq!(holders, DONORS.min(members.len()));
+        assert!(members.iter().all(|runner| runner.membership.is_some()), "they serve on");
+    }
+}
+
+#[test]
+fn what_is_left_of_a_large_group_is_completed_by_a_small_one_without_a_load() {
+    let mut world = at_rest(6);
+    world.loading = true;
+    let first = world.find("large");
+    let domain = |world: &World, group: &Group| {
+        world.plans.iter().find(|(_, plan)| plan.groups.contains(group)).map(|(id, _)| id.clone()).unwrap()
+    };
+    let site = domain(&world, &first);
+    for _ in 0..2 {
+        let groups = &world.plans[&site].groups;
+        let large = groups.iter().find(|group| group.model.as_str() == "large" && !group.is_retired());
+        let lost = large.unwrap().members[1].clone();
+        world.crash(&lost);
+        world.run(20);
+        assert_eq!(world.count("large"), 6, "{:?}", world.plans[&site]);
+    }
+    assert_eq!(world.count("small"), 12, "what is left of the small one meets the spare runner");
+    let members: Vec<&id::Runner> = world.groups().flat_map(|group| &group.members).collect();
+    let distinct: HashSet<&id::Runner> = members.iter().copied().collect();
+    assert_eq!(members.len(), distinct.len(), "no runner is in two groups");
+}
+
+#[test]
+fn small_groups_are_kept_while_there_are_few_of_them() {
+    let mut world = at_rest(6);
+    world.loading = true;
+    let site = world.plans.keys().next().unwrap().clone();
+    // In all other domains the runners of small groups start anew, with nothing loaded.
+    let others = world.plans.keys().enumerate().skip(1);
+    let numbered: Vec<(usize, id::Domain)> = others.map(|(at, id)| (at, id.clone())).collect();
+    for (at, domain) in numbered {
+        let groups = world.plans[&domain].groups.iter().filter(|group| group.model.as_str() == "small");
+        let lost: Vec<id::Runner> = groups.flat_map(|group| group.members.clone()).collect();
+        for (number, id) in lost.iter().enumerate() {
+            world.crash(id);
+            world.roster.put(runner(at, 100 + number));
+        }
+    }
+    for _ in 0..2 {
+        let groups = &world.plans[&site].groups;
+        let large = groups.iter().find(|group| group.model.as_str() == "large" && !group.is_retired());
+        let lost = large.unwrap().members[1].clone();
+        world.crash(&lost);
+        world.run(20);
+    }
+    assert_eq!(world.count("large"), 5);
+    let kept = world.plans[&site].groups.iter().filter(|group| group.model.as_str() == "small").count();
+    assert_eq!(kept, 2, "callers of the small model need them");
+}
