Tell nodes what the others have in flight, and keep requests off busy groups

Cause: a node of 90 has one request or none at most groups, so its own count said nothing of how busy they are.

Change: nodes tell the collector of their hall what they have in flight, five times a second; collectors tell each other; each node gets the sum of the others back. A request goes to a group at random, less likely the fewer slots are free, and is admitted above the node's own limit while less than nine tenths of the fleet's slots are in use. A view that is old, or covers less than half of the nodes, counts for nothing.

--- a/crates/fleet/src/balance.rs
+++ b/crates/fleet/src/balance.rs
@@ -5,6 +5,7 @@
 use cottoncrank::{Millis, id};
 use rand::Rng;
 
+use crate::occupancy::View;
 use crate::runner::Runner;
 
 /// A runner that failed a request is passed over for this long, if others can
@@ -62,30 +63,99 @@
         self.0.remove(id);
     }
 
+    /// The runners at which requests of this node are in flight, and how many.
+    pub fn list_busy(&self) -> impl Iterator<Item = (&id::Runner, u32)> {
+        self.0.iter().map(|(id, record)| (id, record.running)).filter(|(_, running)| *running > 0)
+    }
+
     /// What was seen of a runner.
     pub fn get(&self, id: &id::Runner) -> Record {
         self.0.get(id).copied().unwrap_or_default()
     }
 }
 
+/// Up to this part of its slots in use, a runner is as good as an idle one: first
+/// events wait for prompts that are read, hardly for answers that are written.
+const EASY: f64 = 0.6;
+
+/// With this part of all slots in use, runners have no room: requests that find all
+/// slots of a runner taken wait for one, and are late.
+const FULL: f64 = 0.9;
+
 /// Picks among `candidates` that are not in `tried`: one that is not passed
-/// over, with the fewest requests of this node, else at random.
+/// over, with few requests in flight.
 ///
-/// The hall does not count. A node has one request or none at most runners, so a
-/// preference for its own hall would decide nearly always, and a hall with few
-/// groups of a model would get more than its groups can take.
+/// The hall does not count: a hall with few groups of a model would get more than
+/// its groups can take.
 pub fn pick<'a>(
     candidates: &[&'a Runner],
     tried: &[id::Runner],
     ledger: &Ledger,
+    view: &View,
     now: Millis,
     rng: &mut impl Rng,
 ) -> Option<&'a Runner> {
-    let fresh = candidates.iter().filter(|runner| !tried.contains(&runner.id));
-    let keyed = fresh.map(|runner| {
-        let record = ledger.get(&runner.id);
-        let key = (record.avoid > now, record.running, rng.random::<u32>());
-        (key, *runner)
+    let fresh: Vec<&Runner> =
+        candidates.iter().copied().filter(|runner| !tried.contains(&runner.id)).collect();
+    let sound: Vec<&Runner> =
+        fresh.iter().copied().filter(|runner| ledger.get(&runner.id).avoid <= now).collect();
+    let usable = if sound.is_empty() { fresh } else { sound };
+    match view.is_usable(now) {
+        true => pick_by_view(&usable, ledger, view, rng),
+        false => pick_by_own(&usable, ledger, rng),
+    }
+}
+
+/// The one with the fewest requests of this node, else at random.
+fn pick_by_own<'a>(usable: &[&'a Runner], ledger: &Ledger, rng: &mut impl Rng) -> Option<&'a Runner> {
+    let key = |runner: &&Runner| (ledger.get(&runner.id).running, rng.random::<u32>());
+    usable.iter().copied().min_by_key(key)
+}
+
+/// Among those with the fewest requests of this node, one at random, less likely
+/// the fewer slots are free there. All that have many are equal: were the least busy
+/// one preferred, the prompts of many nodes would meet there before the next view.
+fn pick_by_view<'a>(
+    usable: &[&'a Runner],
+    ledger: &Ledger,
+    view: &View,
+    rng: &mut impl Rng,
+) -> Option<&'a Runner> {
+    let room = |runner: &&Runner| find_room(count(runner, ledger, view), runner.slots);
+    let open: Vec<&Runner> = usable.iter().copied().filter(|runner| room(runner) > 0.0).collect();
+    let Some(fewest) = open.iter().map(|runner| ledger.get(&runner.id).running).min() else {
+        return usable.iter().copied().min_by_key(|runner| count(runner, ledger, view));
+    };
+    let best: Vec<&Runner> =
+        open.into_iter().filter(|runner| ledger.get(&runner.id).running == fewest).collect();
+    let mut point = rng.random::<f64>() * best.iter().map(room).sum::<f64>();
+    let reached = best.iter().find(|runner| {
+        point -= room(runner);
+        point < 0.0
+    });
+    reached.or(best.first()).copied()
+}
+
+/// Whether runners have room for one more request; none if nobody knows.
+pub fn has_room(candidates: &[&Runner], ledger: &Ledger, view: &View, now: Millis) -> Option<bool> {
+    if !view.is_usable(now) {
+        return None;
+    }
+    let sound = candidates.iter().filter(|runner| ledger.get(&runner.id).avoid <= now);
+    let (used, slots) = sound.fold((0, 0), |(used, slots), runner| {
+        (used + count(runner, ledger, view).min(runner.slots), slots + runner.slots)
     });
-    keyed.min_by_key(|(key, _)| *key).map(|(_, runner)| runner)
+    (slots > 0).then(|| f64::from(used) < FULL * f64::from(slots))
+}
+
+/// How much room a runner has, from 0 to 1.
+fn find_room(busy: u32, slots: u32) -> f64 {
+    let used = f64::from(busy) / f64::from(slots.max(1));
+    ((1.0 - used) / (1.0 - EASY)).clamp(0.0, 1.0)
+}
+
+/// The requests in flight at a runner, over the whole fleet.
+fn count(runner: &Runner, ledger: &Ledger, view: &View) -> u32 {
+    let others = runner.membership.as_ref().map_or(0, |place| view.count(place.epoch));
+    others + ledger.get(&runner.id).running
 }
--- a/crates/fleet/src/directory.rs
+++ b/crates/fleet/src/directory.rs
@@ -2,7 +2,7 @@
 //! holds. Each call to the store has a price and waits among all others; a few
 //! nodes of each data hall make them, and the rest ask those.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
 use cottoncrank::hash::{pick_owners, score};
@@ -17,6 +17,9 @@
 /// The key by which readers are chosen among the nodes of a hall.
 const READERS: &str = "readers";
 
+/// The key by which the collector of a hall is chosen.
+const COLLECTOR: &str = "collector";
+
 /// A node as it tells of itself.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Peer {
@@ -62,4 +65,21 @@
         sources.sort_by_key(|peer| score(me.as_str(), peer.node.as_str()));
         sources
     }
+
+    /// The halls there are nodes in.
+    pub fn list_halls(&self) -> BTreeSet<&id::Hall> {
+        self.0.values().map(|peer| &peer.hall).collect()
+    }
+
+    /// The nodes of a hall in the order in which they collect its reports: the
+    /// first does, unless it does not answer.
+    pub fn list_collectors(&self, hall: &id::Hall) -> Vec<&Peer> {
+        let here: Vec<&Peer> = self.0.values().filter(|peer| peer.hall == *hall).collect();
+        let names = here.iter().map(|peer| peer.node.as_str());
+        let ranked = pick_owners(COLLECTOR, names, here.len());
+        ranked
+            .into_iter()
+            .filter_map(|name| here.iter().copied().find(|peer| peer.node.as_str() == name))
+            .collect()
+    }
 }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -3,7 +3,8 @@
 //!
 //! [`catalog`] is what operators want, [`roster`] which runners there are,
 //! [`plan`] which runner is meant for which group. [`decide`] turns the three
-//! into orders, [`balance`] picks a runner for a request [`freshness`] says how
+//! into orders, [`balance`] picks a runner for a request by what all nodes have in
+//! flight ([`occupancy`]), [`freshness`] says how
 //! long a node may rely on what it knows, [`event`] splits a stream into the
 //! events that can be resumed after.
 
@@ -17,6 +18,7 @@
 pub mod limit;
 pub mod loads;
 pub mod loss;
+pub mod occupancy;
 pub mod order;
 pub mod plan;
 pub mod probe;
--- /dev/null
+++ b/crates/fleet/src/occupancy.rs
@@ -0,0 +1,154 @@
+//! How many requests are in flight at each group, over the whole fleet.
+//!
+//! A node has one request or none at most groups, so what it sent itself says
+//! little about how busy they are. Nodes of a hall therefore tell one of them, the
+//! hall's collector, what they have in flight, several times a second; collectors
+//! tell each other the sums of their halls; and each node gets the sum of all the
+//! others back. A report that is not renewed is dropped: whoever made it is gone
+//! or cut off.
+
+use std::collections::{BTreeMap, HashMap};
+
+use cottoncrank::{Millis, id};
+use serde::{Deserialize, Serialize};
+
+use crate::runner::Epoch;
+
+/// A report counts for this long: three of the longest periods between two.
+pub const KEPT: Millis = Millis(1500);
+
+/// A view that covers less than this part of the nodes says too little: a hall that
+/// is cut off, or a node on its own, would take busy groups for idle ones.
+pub const COVERED: f64 = 0.5;
+
+/// Requests in flight by group. Epochs name groups: each is given out once.
+pub type Counts = BTreeMap<Epoch, u32>;
+
+/// What some nodes have in flight.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Sum {
+    /// How many nodes it covers.
+    pub nodes: usize,
+    /// Their requests.
+    pub counts: Counts,
+}
+
+impl Sum {
+    /// What one node has.
+    pub fn of_node(counts: Counts) -> Sum {
+        Sum { nodes: 1, counts }
+    }
+
+    /// Adds what other nodes have.
+    pub fn add(&mut self, more: &Sum) {
+        self.nodes += more.nodes;
+        for (epoch, count) in &more.counts {
+            *self.counts.entry(*epoch).or_default() += count;
+        }
+    }
+
+    /// Takes off what some of these nodes have.
+    pub fn subtract(&mut self, part: &Sum) {
+        self.nodes = self.nodes.saturating_sub(part.nodes);
+        for (epoch, count) in &part.counts {
+            if let Some(left) = self.counts.get_mut(epoch) {
+                *left = left.saturating_sub(*count);
+            }
+        }
+    }
+}
+
+/// What a report covers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Scope {
+    /// The requests of the node that sends it.
+    Node,
+    /// The requests of all nodes of a hall.
+    Hall,
+}
+
+/// What one node tells another.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Report {
+    /// The node that sends it.
+    pub node: id::Node,
+    /// The data hall it stands in.
+    pub hall: id::Hall,
+    /// What it covers.
+    pub scope: Scope,
+    /// What is in flight.
+    pub sum: Sum,
+}
+
+#[derive(Clone, Debug)]
+struct Row {
+    sum: Sum,
+    told: Millis,
+}
+
+/// The reports a node holds. Only collectors get any.
+#[derive(Clone, Debug, Default)]
+pub struct Table {
+    nodes: HashMap<id::Node, Row>,
+    halls: HashMap<id::Hall, Row>,
+}
+
+impl Table {
+    /// Takes a report in.
+    pub fn put(&mut self, report: Report, now: Millis) {
+        self.nodes.retain(|_, row| now < row.told + KEPT);
+        self.halls.retain(|_, row| now < row.told + KEPT);
+        let row = Row { sum: report.sum, told: now };
+        match report.scope {
+            Scope::Node => self.nodes.insert(report.node, row),
+            Scope::Hall => self.halls.insert(report.hall, row),
+        };
+    }
+
+    /// The sum over the nodes of this hall, `own` included.
+    pub fn sum_hall(&self, own: &Sum, now: Millis) -> Sum {
+        let mut sum = own.clone();
+        for row in self.nodes.values().filter(|row| now < row.told + KEPT) {
+            sum.add(&row.sum);
+        }
+        sum
+    }
+
+    /// The sum over the other halls.
+    pub fn sum_others(&self, now: Millis) -> Sum {
+        let mut sum = Sum::default();
+        for row in self.halls.values().filter(|row| now < row.told + KEPT) {
+            sum.add(&row.sum);
+        }
+        sum
+    }
+}
+
+/// What a node was last told of all the others.
+#[derive(Clone, Debug, Default)]
+pub struct View {
+    others: Counts,
+    /// Whether it covers enough of the nodes to be used.
+    enough: bool,
+    asked: Option<Millis>,
+}
+
+impl View {
+    /// Takes what the others have in flight, as asked for at `asked`, where `known`
+    /// nodes are known of, this one included.
+    pub fn put(&mut self, others: Sum, known: usize, asked: Millis) {
+        self.enough = (others.nodes + 1) as f64 >= COVERED * known as f64;
+        self.others = others.counts;
+        self.asked = Some(asked);
+    }
+
+    /// Whether the view can be used.
+    pub fn is_usable(&self, now: Millis) -> bool {
+        self.enough && self.asked.is_some_and(|asked| now < asked + KEPT)
+    }
+
+    /// What the other nodes have in flight at a group.
+    pub fn count(&self, epoch: Epoch) -> u32 {
+        self.others.get(&epoch).copied().unwrap_or(0)
+    }
+}
--- a/crates/fleet/src/runner.rs
+++ b/crates/fleet/src/runner.rs
@@ -64,6 +64,8 @@
     pub hall: id::Hall,
     /// The fabric domain, where it is a model engine.
     pub domain: Option<id::Domain>,
+    /// How many requests it runs at once; more than that wait.
+    pub slots: u32,
     /// Whether it has said that it is about to leave.
     pub draining: bool,
     /// The models it has loaded.
--- a/crates/fleet/tests/belief.rs
+++ b/crates/fleet/tests/belief.rs
@@ -18,6 +18,7 @@
         address: "127.0.0.1:9".parse().unwrap(),
         hall: "hall-a".parse().unwrap(),
         domain: Some("d0".parse().unwrap()),
+        slots: 10,
         draining: false,
         models: vec!["large".parse().unwrap()],
         staged: Vec::new(),
--- a/crates/fleet/tests/decide.rs
+++ b/crates/fleet/tests/decide.rs
@@ -50,6 +50,7 @@
         address: "127.0.0.1:9".parse().unwrap(),
         hall: "hall-a".parse().unwrap(),
         domain: Some(format!("d{domain}").parse().unwrap()),
+        slots: 10,
         draining: false,
         models: Vec::new(),
         staged: Vec::new(),
--- /dev/null
+++ b/crates/fleet/tests/occupancy.rs
@@ -0,0 +1,149 @@
+//! What nodes tell each other of requests in flight, and what they make of it.
+
+use cottoncrank::Millis;
+use cottoncrank_fleet::balance::{Ledger, has_room, pick};
+use cottoncrank_fleet::occupancy::{Counts, KEPT, Report, Scope, Sum, Table, View};
+use cottoncrank_fleet::runner::{Epoch, Membership, Phase, Runner};
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+const SLOTS: u32 = 10;
+
+fn head(number: u64) -> Runner {
+    Runner {
+        id: format!("r{number}").parse().unwrap(),
+        service: "llm".parse().unwrap(),
+        address: "127.0.0.1:9".parse().unwrap(),
+        hall: "hall-a".parse().unwrap(),
+        domain: Some("d0".parse().unwrap()),
+        slots: SLOTS,
+        draining: false,
+        models: vec!["large".parse().unwrap()],
+        staged: Vec::new(),
+        membership: Some(Membership {
+            group: format!("g{number}").parse().unwrap(),
+            epoch: Epoch(number),
+            rank: 0,
+            phase: Phase::Open,
+        }),
+    }
+}
+
+fn counts(rows: &[(u64, u32)]) -> Counts {
+    rows.iter().map(|(epoch, count)| (Epoch(*epoch), *count)).collect()
+}
+
+fn sum(nodes: usize, rows: &[(u64, u32)]) -> Sum {
+    Sum { nodes, counts: counts(rows) }
+}
+
+fn report(node: &str, hall: &str, scope: Scope, rows: &[(u64, u32)]) -> Report {
+    Report { node: node.parse().unwrap(), hall: hall.parse().unwrap(), scope, sum: sum(1, rows) }
+}
+
+fn view(rows: &[(u64, u32)], asked: Millis) -> View {
+    let mut view = View::default();
+    view.put(sum(1, rows), 2, asked);
+    view
+}
+
+/// How often each of the runners is picked in a thousand picks.
+fn pick_often(heads: &[Runner], ledger: &Ledger, view: &View, now: Millis) -> Vec<usize> {
+    let candidates: Vec<&Runner> = heads.iter().collect();
+    let mut rng = SmallRng::seed_from_u64(7);
+    let mut picked = vec![0; heads.len()];
+    for _ in 0..1000 {
+        let chosen = pick(&candidates, &[], ledger, view, now, &mut rng).unwrap();
+        picked[heads.iter().position(|head| head.id == chosen.id).unwrap()] += 1;
+    }
+    picked
+}
+
+#[test]
+fn a_group_that_other_nodes_have_filled_is_not_picked() {
+    let heads: Vec<Runner> = (0..3).map(head).collect();
+    let now = Millis(1000);
+    let picked = pick_often(&heads, &Ledger::default(), &view(&[(0, SLOTS), (1, 8)], now), now);
+    assert_eq!(picked[0], 0, "it has no slot left: {picked:?}");
+    assert!(picked[1] > 200 && picked[1] < 500, "it has half of the room of an idle one: {picked:?}");
+}
+
+#[test]
+fn groups_with_much_room_are_equal_and_own_requests_are_spread() {
+    let heads: Vec<Runner> = (0..3).map(head).collect();
+    let now = Millis(1000);
+    let mut ledger = Ledger::default();
+    let picked = pick_often(&heads, &ledger, &view(&[(0, 5)], now), now);
+    assert!(picked.iter().all(|count| *count > 280), "half full is as good as idle: {picked:?}");
+    ledger.begin(&heads[2].id);
+    let picked = pick_often(&heads, &ledger, &view(&[(0, 5)], now), now);
+    assert_eq!(picked[2], 0, "this node has one there already: {picked:?}");
+}
+
+#[test]
+fn an_old_view_counts_for_nothing() {
+    let heads: Vec<Runner> = (0..2).map(head).collect();
+    let old = view(&[(0, SLOTS)], Millis(1000));
+    let now = Millis(1000) + KEPT;
+    let picked = pick_often(&heads, &Ledger::default(), &old, now);
+    assert!(picked[0] > 400, "what was full long ago is picked like the other one: {picked:?}");
+    let candidates: Vec<&Runner> = heads.iter().collect();
+    assert_eq!(has_room(&candidates, &Ledger::default(), &old, now), None);
+}
+
+#[test]
+fn there_is_no_room_once_nearly_all_slots_are_taken() {
+    let heads: Vec<Runner> = (0..2).map(head).collect();
+    let candidates: Vec<&Runner> = heads.iter().collect();
+    let now = Millis(1000);
+    let room = |rows: &[(u64, u32)], ledger: &Ledger| has_room(&candidates, ledger, &view(rows, now), now);
+    let mut ledger = Ledger::default();
+    assert_eq!(room(&[(0, 10), (1, 7)], &ledger), Some(true));
+    assert_eq!(room(&[(0, 10), (1, 8)], &ledger), Some(false));
+    assert_eq!(
+        room(&[(0, 30), (1, 7)], &ledger),
+        Some(true),
+        "a queue at one runner takes no slot of another"
+    );
+    ledger.begin(&heads[1].id);
+    assert_eq!(room(&[(0, 10), (1, 7)], &ledger), Some(false), "own requests count");
+    ledger.blame(&heads[1].id, now);
+    assert_eq!(room(&[(0, 8), (1, 0)], &ledger), Some(true));
+    assert_eq!(room(&[(0, 9), (1, 0)], &ledger), Some(false), "a runner that failed has no room to offer");
+}
+
+#[test]
+fn a_collector_sums_what_lives_and_drops_what_does_not() {
+    let mut table = Table::default();
+    let (start, later) = (Millis(1000), Millis(2000));
+    table.put(report("n1", "hall-a", Scope::Node, &[(1, 2), (2, 1)]), start);
+    table.put(report("n2", "hall-a", Scope::Node, &[(1, 3)]), later);
+    table.put(report("n9", "hall-b", Scope::Hall, &[(1, 40)]), start);
+    assert_eq!(table.sum_hall(&sum(1, &[(1, 1)]), later), sum(3, &[(1, 6), (2, 1)]));
+    assert_eq!(table.sum_others(later), sum(1, &[(1, 40)]));
+    table.put(report("n2", "hall-a", Scope::Node, &[(2, 7)]), later);
+    assert_eq!(table.sum_hall(&Sum::default(), later), sum(2, &[(1, 2), (2, 8)]), "the latest report counts");
+    let end = start + KEPT;
+    assert_eq!(table.sum_hall(&Sum::default(), end), sum(1, &[(2, 7)]), "n1 is gone or cut off");
+    assert_eq!(table.sum_others(end), Sum::default(), "and so is hall-b");
+}
+
+#[test]
+fn a_part_is_taken_off_a_sum_and_never_more_than_there_is() {
+    let mut whole = sum(3, &[(1, 5), (2, 1)]);
+    whole.subtract(&sum(1, &[(1, 2), (2, 3), (3, 1)]));
+    assert_eq!(whole, sum(2, &[(1, 3), (2, 0)]));
+}
+
+#[test]
+fn a_view_of_few_nodes_is_not_used() {
+    let now = Millis(1000);
+    let mut view = View::default();
+    assert!(!view.is_usable(now), "nothing was told yet");
+    view.put(sum(4, &[]), 10, now);
+    assert!(view.is_usable(now), "five nodes of ten, this one included");
+    view.put(sum(3, &[]), 10, now);
+    assert!(!view.is_usable(now), "four of ten: a hall that is cut off");
+    view.put(Sum::default(), 1, now);
+    assert!(view.is_usable(now), "the only node knows all");
+}
--- a/crates/node/src/attempt.rs
+++ b/crates/node/src/attempt.rs
@@ -6,9 +6,10 @@
 use bytes::Bytes;
 use cottoncrank::{Millis, id};
 use cottoncrank_fleet::balance;
-use cottoncrank_fleet::catalog::{Catalog, Route};
+use cottoncrank_fleet::catalog::{Catalog, Engine, Route};
 use cottoncrank_fleet::plan::{State, find_state};
-use cottoncrank_fleet::runner::Epoch;
+use cottoncrank_fleet::roster::Roster;
+use cottoncrank_fleet::runner::{Epoch, Runner};
 use cottoncrank_platform::header::{self, Forward, Terms, Verdict};
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -47,13 +48,17 @@
     /// What the request shares a limit with. Only models that operators named
     /// have one of their own: callers may name any.
     pub fn lane(&self) -> Lane {
-        let engine = self.catalog.find_service(&self.service).and_then(|service| service.engine.as_ref());
         let named = |model: &&id::Model| {
-            engine.is_some_and(|engine| engine.models.iter().any(|known| known.name == **model))
+            self.engine().is_some_and(|engine| engine.models.iter().any(|known| known.name == **model))
         };
         (self.service.clone(), self.terms.model.as_ref().filter(named).cloned())
     }
 
+    /// The engine of its service, where that forms groups.
+    fn engine(&self) -> Option<&Engine> {
+        self.catalog.find_service(&self.service).and_then(|service| service.engine.as_ref())
+    }
+
     /// The caller's id of the request, for the log.
     pub fn id(&self) -> &str {
         self.terms.request.as_deref().unwrap_or("-")
@@ -125,18 +130,30 @@
     }
 }
 
+/// The runners that a request may be sent to.
+fn list_candidates<'a>(node: &Node, roster: &'a Roster, job: &Job) -> Vec<&'a Runner> {
+    match (job.engine(), &job.terms.model) {
+        (Some(_), Some(model)) => roster.list_heads(&job.service, model, &node.plans.lock()),
+        _ => roster.list_plain(&job.service),
+    }
+}
+
+/// Whether the runners of a request have room for it; none if nobody knows.
+pub fn has_room(node: &Node, job: &Job) -> Option<bool> {
+    let roster = node.roster.lock();
+    let candidates = list_candidates(node, &roster, job);
+    let (ledger, view) = (node.ledger.lock(), node.view.lock());
+    balance::has_room(&candidates, &ledger, &view, node.now())
+}
+
 /// Picks the runner for the next try.
 pub fn pick(node: &Node, job: &Job, tried: &[id::Runner]) -> Option<Pick> {
     let roster = node.roster.lock();
-    let engine = job.catalog.find_service(&job.service).and_then(|service| service.engine.as_ref());
-    let candidates = match (engine, &job.terms.model) {
-        (Some(_), Some(model)) => roster.list_heads(&job.service, model, &node.plans.lock()),
-        _ => roster.list_plain(&job.service),
-    };
-    let ledger = node.ledger.lock();
+    let candidates = list_candidates(node, &roster, job);
+    let (ledger, view) = (node.ledger.lock(), node.view.lock());
     let now = node.now();
-    let picked = balance::pick(&candidates, tried, &ledger, now, &mut rand::rng())?;
-    let group = engine.and(picked.membership.as_ref()).map(|place| (place.group.clone(), place.epoch));
+    let picked = balance::pick(&candidates, tried, &ledger, &view, now, &mut rand::rng())?;
+    let group = job.engine().and(picked.membership.as_ref()).map(|place| (place.group.clone(), place.epoch));
     Some(Pick { id: picked.id.clone(), address: picked.address, group })
 }
 
--- /dev/null
+++ b/crates/node/src/collect.rs
@@ -0,0 +1,153 @@
+//! Telling the other nodes what this one has in flight at each group, and learning
+//! what they have: a node tells the collector of its hall, collectors tell each
+//! other.
+
+use std::sync::Arc;
+
+use cottoncrank::{Millis, id};
+use cottoncrank_fleet::directory::Peer;
+use cottoncrank_fleet::occupancy::{Report, Scope, Sum};
+use cottoncrank_net::client::{Client, Traffic};
+use tokio::task::JoinSet;
+
+use crate::peer;
+use crate::state::Node;
+
+/// The pause between two reports: a fifth of the time that a request takes, so
+/// that most of what is in flight was in the last report.
+const PERIOD: Millis = Millis(200);
+
+/// A hall with more nodes than this has a longer pause between reports, so that
+/// its collector has no more than some hundred a second.
+const HALL_NODES: u64 = 25;
+
+/// The longest pause between two reports; three of them fit into the time for
+/// which a report counts.
+const PERIOD_MAX: Millis = Millis(500);
+
+/// How long a collector may take to answer: much more than the way there and back.
+const ANSWER: Millis = Millis(150);
+
+/// A collector that does not answer is not told for this long.
+const AVOID: Millis = Millis(2000);
+
+/// Collectors that did not answer, and until when they are passed over.
+#[derive(Default)]
+struct Avoided(Vec<(id::Node, Millis)>);
+
+impl Avoided {
+    fn add(&mut self, node: id::Node, until: Millis) {
+        self.0.push((node, until));
+    }
+
+    fn forget(&mut self, now: Millis) {
+        self.0.retain(|(_, until)| now < *until);
+    }
+
+    fn contains(&self, node: &id::Node) -> bool {
+        self.0.iter().any(|(avoided, _)| avoided == node)
+    }
+}
+
+/// Tells and learns until the process ends.
+pub async fn run(node: Arc<Node>) {
+    let client = Client::new(Traffic::default());
+    let mut avoided = Avoided::default();
+    loop {
+        let settings = node.settings();
+        avoided.forget(node.now());
+        let (own, others, nodes) = list_collectors(&node, &settings.hall, &avoided);
+        let failed = match own {
+            Some(collector) if collector.node != settings.node => {
+                tell(&node, &client, &collector).await.err().into_iter().collect()
+            }
+            _ => tell_halls(&node, &client, others).await,
+        };
+        for name in failed {
+            avoided.add(name, node.now() + AVOID);
+        }
+        let pause = Millis(PERIOD.0 * nodes / HALL_NODES).max(PERIOD).min(PERIOD_MAX);
+        tokio::time::sleep(pause.duration()).await;
+    }
+}
+
+/// The collector of this hall, those of the others, and the nodes of this hall.
+fn list_collectors(node: &Node, hall: &id::Hall, avoided: &Avoided) -> (Option<Peer>, Vec<Peer>, u64) {
+    let directory = node.directory.lock();
+    let first = |hall: &id::Hall| {
+        let mut ranked = directory.list_collectors(hall).into_iter();
+        ranked.find(|peer| !avoided.contains(&peer.node)).cloned()
+    };
+    let others = directory.list_halls().into_iter().filter(|other| *other != hall).filter_map(first);
+    (first(hall), others.collect(), directory.list_collectors(hall).len() as u64)
+}
+
+/// Tells the collector of this hall. Returns its name if it does not answer.
+async fn tell(node: &Node, client: &Client, collector: &Peer) -> Result<(), id::Node> {
+    let asked = node.now();
+    let report = write_report(node, Scope::Node, node.sum_in_flight());
+    let told = peer::report(client, collector.address, &report, ANSWER).await;
+    match told {
+        Ok(others) => {
+            put_view(node, others, asked);
+            Ok(())
+        }
+        Err(error) => {
+            log::info!("collect: {} is not told for {AVOID}: {error}", collector.node);
+            Err(collector.node.clone())
+        }
+    }
+}
+
+/// As the collector of this hall, tells those of the others. Returns the names of
+/// those that do not answer.
+async fn tell_halls(node: &Arc<Node>, client: &Client, others: Vec<Peer>) -> Vec<id::Node> {
+    let asked = node.now();
+    let sum = node.reports.lock().sum_hall(&node.sum_in_flight(), asked);
+    let mut telling = JoinSet::new();
+    for collector in others {
+        let (node, client) = (node.clone(), client.clone());
+        let report = write_report(&node, Scope::Hall, sum.clone());
+        telling.spawn(async move {
+            let told = peer::report(&client, collector.address, &report, ANSWER).await;
+            told.map_err(|error| {
+                log::info!("collect: {} is not told for {AVOID}: {error}", collector.node);
+                collector.node
+            })
+        });
+    }
+    let outcomes = telling.join_all().await;
+    put_view(node, sum_others(node, &Sum::default(), Scope::Node), asked);
+    outcomes.into_iter().filter_map(Result::err).collect()
+}
+
+fn put_view(node: &Node, others: Sum, asked: Millis) {
+    let known = node.directory.lock().count();
+    node.view.lock().put(others, known, asked);
+}
+
+fn write_report(node: &Node, scope: Scope, sum: Sum) -> Report {
+    let settings = node.settings();
+    Report { node: settings.node.clone(), hall: settings.hall.clone(), scope, sum }
+}
+
+/// Takes a report in. Returns what its sender is not told by others: a node what
+/// all others have in flight, a collector what this hall has.
+pub fn take(node: &Node, report: Report) -> Sum {
+    let (scope, sum) = (report.scope, report.sum.clone());
+    node.reports.lock().put(report, node.now());
+    let mut answer = sum_others(node, &node.sum_in_flight(), scope);
+    if scope == Scope::Node {
+        answer.subtract(&sum);
+    }
+    answer
+}
+
+fn sum_others(node: &Node, own: &Sum, scope: Scope) -> Sum {
+    let (reports, now) = (node.reports.lock(), node.now());
+    let mut sum = reports.sum_hall(own, now);
+    if scope == Scope::Node {
+        sum.add(&reports.sum_others(now));
+    }
+    sum
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! [`sync`] keeps what the node believes in step with the platform's store, read
 //! here or by another node ([`peer`], [`feed`], [`member`]),
+//! [`collect`] tells nodes what the others have in flight,
 //! [`front`] takes callers' requests, [`request`] admits and routes them,
 //! [`plain`] and [`stream`] run them at runners, and [`decider`] gives orders to
 //! the runners while this node holds the lease for that. All state stands in
@@ -10,6 +11,7 @@
 pub mod answer;
 pub mod attempt;
 pub mod channel;
+pub mod collect;
 pub mod decider;
 pub mod feed;
 pub mod figures;
--- a/crates/node/src/peer.rs
+++ b/crates/node/src/peer.rs
@@ -1,10 +1,11 @@
-//! What nodes ask each other: what the store holds.
+//! What nodes ask each other: what the store holds, and what is in flight.
 
 use std::convert::Infallible;
 use std::sync::Arc;
 
 use bytes::Bytes;
 use cottoncrank::Millis;
+use cottoncrank_fleet::occupancy::{Report, Sum};
 use cottoncrank_net::client::{CallError, Client};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
@@ -18,6 +19,7 @@
 use tokio::net::{TcpListener, TcpStream};
 
 use crate::answer::{Answer, Body};
+use crate::collect;
 use crate::feed::{self, UnpackError};
 use crate::front::pause_accepting;
 use crate::state::Node;
@@ -25,8 +27,12 @@
 /// The path of the question.
 const PATH: &str = "/news";
 
-/// The largest question, in bytes.
-const ASK_MAX: usize = 1024;
+/// The path of a report of what is in flight.
+const REPORT_PATH: &str = "/in-flight";
+
+/// The largest question or report, in bytes: a report has some five bytes for each
+/// group, of which there are a thousand at most.
+const ASK_MAX: usize = 16 * 1024;
 
 /// How much longer than it asked to wait a question may take.
 const SLACK: Millis = Millis(400);
@@ -72,6 +78,16 @@
     Ok(client.call(address, PATH, &question, wait).await?)
 }
 
+/// Tells another node what is in flight. Returns what others have.
+pub async fn report(
+    client: &Client,
+    address: SocketAddr,
+    report: &Report,
+    wait: Millis,
+) -> Result<Sum, CallError> {
+    client.call(address, REPORT_PATH, report, wait).await
+}
+
 /// Answers other nodes until the process ends.
 pub async fn serve(node: Arc<Node>, listener: TcpListener) {
     loop {
@@ -98,13 +114,23 @@
 }
 
 async fn answer(node: &Node, request: Request<Incoming>) -> Answer {
-    let known = request.uri().path() == PATH;
+    let path = request.uri().path().to_owned();
     let body = Limited::new(request.into_body(), ASK_MAX).collect().await;
-    let question = body.ok().and_then(|body| rmp_serde::from_slice::<Ask>(&body.to_bytes()).ok());
-    let (true, Some(question)) = (known, question) else {
-        log::warn!("peer: a question that cannot be read");
-        return reply(StatusCode::BAD_REQUEST, Bytes::new());
-    };
+    let bytes = body.map(|body| body.to_bytes()).unwrap_or_default();
+    if path == REPORT_PATH {
+        if let Ok(report) = rmp_serde::from_slice::<Report>(&bytes) {
+            return reply_encoded(&collect::take(node, report));
+        }
+    } else if path == PATH
+        && let Ok(question) = rmp_serde::from_slice::<Ask>(&bytes)
+    {
+        return tell(node, question).await;
+    }
+    log::warn!("peer: a question to {path} that cannot be read, {} bytes", bytes.len());
+    reply(StatusCode::BAD_REQUEST, Bytes::new())
+}
+
+async fn tell(node: &Node, question: Ask) -> Answer {
     let started = node.now();
     let mut direct = node.feed.subscribe_direct();
     tokio::select! {
@@ -118,26 +144,30 @@
     let Some((news, age)) = node.feed.read(question.after).zip(node.freshness.lock().age(node.now())) else {
         return reply(StatusCode::SERVICE_UNAVAILABLE, Bytes::new());
     };
-    let packed = feed::pack(&news.items).map_err(|error| error.to_string());
-    let told = packed.and_then(|items| {
-        let told = Told {
+    match feed::pack(&news.items) {
+        Ok(items) => reply_encoded(&Told {
             revision: news.revision,
             whole: news.whole,
             waited_ms: node.now().since(started).0,
             age_ms: age.0,
             items,
-        };
-        rmp_serde::to_vec(&told).map_err(|error| error.to_string())
-    });
-    match told {
+        }),
+        Err(error) => fail_encoding(&error),
+    }
+}
+
+fn reply_encoded<M: Serialize>(message: &M) -> Answer {
+    match rmp_serde::to_vec(message) {
         Ok(bytes) => reply(StatusCode::OK, bytes.into()),
-        Err(error) => {
-            log::error!("peer: an answer could not be encoded: {error}");
-            reply(StatusCode::INTERNAL_SERVER_ERROR, Bytes::new())
-        }
+        Err(error) => fail_encoding(&error),
     }
 }
 
+fn fail_encoding(error: &rmp_serde::encode::Error) -> Answer {
+    log::error!("peer: an answer could not be encoded: {error}");
+    reply(StatusCode::INTERNAL_SERVER_ERROR, Bytes::new())
+}
+
 /// Waits until there is something newer than the asking node has, or its time is over.
 async fn wait_newer(node: &Node, question: Ask) {
     let Some(after) = question.after else { return };
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -12,6 +12,7 @@
 use cottoncrank_fleet::directory::Directory;
 use cottoncrank_fleet::freshness::Freshness;
 use cottoncrank_fleet::limit::Limit;
+use cottoncrank_fleet::occupancy::{Sum, Table, View};
 use cottoncrank_fleet::plan::Plans;
 use cottoncrank_fleet::roster::Roster;
 use cottoncrank_fleet::settings::Settings;
@@ -52,6 +53,10 @@
     pub plans_changed: watch::Sender<u64>,
     /// What was seen of the runners.
     pub ledger: Mutex<Ledger>,
+    /// What the others have in flight, as this node was last told.
+    pub view: Mutex<View>,
+    /// What nodes have told this one that they have in flight.
+    pub reports: Mutex<Table>,
     /// How many requests may be under way, by service and model.
     pub limits: Mutex<HashMap<Lane, Limit>>,
     /// Told when a request ended, and another one may begin.
@@ -88,6 +93,8 @@
             plans: Mutex::default(),
             plans_changed: watch::Sender::new(0),
             ledger: Mutex::default(),
+            view: Mutex::default(),
+            reports: Mutex::default(),
             limits: Mutex::default(),
             ended: Notify::new(),
             retries: Mutex::new(retries),
@@ -171,19 +178,35 @@
         Running(self.clone())
     }
 
+    /// The requests of this node in flight at each group.
+    pub fn sum_in_flight(&self) -> Sum {
+        let (roster, ledger) = (self.roster.lock(), self.ledger.lock());
+        let busy = ledger.list_busy();
+        let place = |id: &id::Runner| Some(roster.recall(id)?.membership.as_ref()?.epoch);
+        Sum::of_node(busy.filter_map(|(id, count)| Some((place(id)?, count))).collect())
+    }
+
     /// How many requests of a lane are under way here.
     pub fn count_running(&self, lane: &Lane) -> u32 {
         self.limits.lock().get(lane).map_or(0, Limit::running)
     }
 
     /// Counts a request against the limit of its lane, if there is room within `wait`.
-    pub async fn admit(self: &Arc<Self>, lane: &Lane, wait: Millis) -> Option<Admitted> {
+    /// It is admitted above the limit too where `find_room` knows that runners have
+    /// room: a node with few requests sees little of how busy they are.
+    pub async fn admit(
+        self: &Arc<Self>,
+        lane: &Lane,
+        wait: Millis,
+        find_room: impl Fn() -> Option<bool>,
+    ) -> Option<Admitted> {
         let end = self.now() + wait;
         loop {
             {
+                let room = find_room();
                 let mut limits = self.limits.lock();
                 let limit = limits.entry(lane.clone()).or_default();
-                if limit.admits() {
+                if room.unwrap_or(false) || limit.admits() {
                     limit.begin();
                     return Some(Admitted { node: self.clone(), lane: lane.clone() });
                 }
--- a/crates/node/src/stream.rs
+++ b/crates/node/src/stream.rs
@@ -19,7 +19,7 @@
 use tokio::sync::mpsc;
 
 use crate::answer::{Answer, Body, Refusal};
-use crate::attempt::{Attempt, AttemptError, Job, Pick, pick, send};
+use crate::attempt::{Attempt, AttemptError, Job, Pick, has_room, pick, send};
 use crate::channel::Channel;
 use crate::figures;
 use crate::plain;
@@ -84,8 +84,8 @@
 pub async fn run(node: &Arc<Node>, job: Arc<Job>, running: Running) -> Result<Answer, Refusal> {
     let lane = job.lane();
     let patience = Millis(job.route.objective.0 / WAITS);
-    let admitted =
-        node.admit(&lane, patience).await.ok_or_else(|| Refusal::Full(node.count_running(&lane)))?;
+    let admitted = node.admit(&lane, patience, || has_room(node, &job)).await;
+    let admitted = admitted.ok_or_else(|| Refusal::Full(node.count_running(&lane)))?;
     let mut tries = Tries::default();
     let opened = open(node, &job, &mut tries).await;
     note_opening(node, &job, &tries, &admitted, opened.as_ref().err());
--- a/crates/node/tests/fleet.rs
+++ b/crates/node/tests/fleet.rs
@@ -8,7 +8,9 @@
 use cottoncrank::Millis;
 use cottoncrank_net::client::{CallError, Client, Traffic};
 use cottoncrank_node::peer::{self, Ask, AskError};
+use cottoncrank_platform_standin::caller::ask;
 use cottoncrank_platform_standin::operator::{STREAM, config};
+use cottoncrank_platform_standin::runner;
 use cottoncrank_platform_standin::store::{self, Store};
 
 #[tokio::test]
@@ -55,6 +57,33 @@
     assert!(spent >= 50, "they use most of it: {spent}");
 }
 
+#[tokio::test]
+async fn nodes_know_what_the_others_have_in_flight() {
+    let fleet = Fleet::serving(3).await;
+    for engine in &fleet.engines {
+        engine.set_fault(runner::Fault::Mute);
+    }
+    let callers: Vec<_> = fleet.nodes.iter().map(|running| running.callers).collect();
+    for (at, to) in callers.iter().enumerate() {
+        let to = *to;
+        tokio::spawn(async move { ask(to, STREAM, &format!("r{at}"), "key-1").await });
+    }
+    // Each node has one request of its own, and sees those of the two others.
+    let count_others = |running: &common::Running| {
+        let view = running.node.view.lock();
+        let epochs = running.node.roster.lock();
+        let open = epochs.iter().filter_map(|runner| runner.membership.as_ref());
+        open.filter(|place| place.rank == 0).map(|place| view.count(place.epoch)).sum::<u32>()
+    };
+    fleet.wait("each knows of two", |fleet| fleet.nodes.iter().all(|r| count_others(r) == 2)).await;
+    for engine in &fleet.engines {
+        engine.set_fault(runner::Fault::None);
+    }
+    fleet
+        .wait("and of none once they are over", |fleet| fleet.nodes.iter().all(|r| count_others(r) == 0))
+        .await;
+}
+
 #[tokio::test]
 async fn a_node_that_lost_the_store_sends_others_away_at_once() {
     let fleet = Fleet::serving(1).await;
