--- a/crates/fleet/src/directory.rs
+++ b/crates/fleet/src/directory.rs
@@ -46,6 +46,11 @@
         self.0.remove(node);
     }
 
+    /// A node.
+    pub fn get(&self, node: &id::Node) -> Option<&Peer> {
+        self.0.get(node)
+    }
+
     /// How many nodes there are, this one included, whether or not it is listed.
     pub fn count(&self) -> usize {
         self.0.len().max(1)
--- a/crates/node/src/decider.rs
+++ b/crates/node/src/decider.rs
@@ -22,7 +22,7 @@
 use thiserror::Error;
 use tokio::task::JoinSet;
 
-use crate::state::Node;
+use crate::state::{Holder, Node};
 
 /// The key that goes with the lease; its value names the deciding node.
 pub const LEASE_KEY: &str = "decider";
@@ -214,6 +214,15 @@
     Ok(plans)
 }
 
+/// Reads who decides from the lease's key.
+pub fn read_holder(item: &Item) -> Holder {
+    let name = std::str::from_utf8(&item.value).ok().and_then(|name| name.parse().ok());
+    if name.is_none() {
+        log::error!("store: `{}` names no node", item.key);
+    }
+    Holder { revision: item.revision, node: name }
+}
+
 /// Reads a plan, if the item is one.
 pub fn read_plan(item: &Item) -> Result<Option<(id::Domain, Document)>, PlanError> {
     let unreadable = |reason: String| PlanError { key: item.key.clone(), reason };
@@ -332,7 +341,7 @@
             // show as a conflict at the next write, and the plans are read anew.
             Ok(Outcome::Conflict) => {
                 self.plans = read_plans(&self.node).await?;
-                let holder = self.node.decider.borrow().unwrap_or(0);
+                let holder = self.node.decider.borrow().as_ref().map_or(0, |holder| holder.revision);
                 match holder > self.revision {
                     true => Err(EndError::Deposed),
                     false => Ok(false),
--- a/crates/node/src/feed.rs
+++ b/crates/node/src/feed.rs
@@ -23,8 +23,9 @@
 pub struct Feed {
     held: Mutex<Held>,
     revision: watch::Sender<Option<u64>>,
-    /// Whether this node reads the store itself, and reached it last.
-    direct: watch::Sender<bool>,
+    /// Whether this node answers others: it reads the store, or asks the deciding
+    /// node for its hall, and had an answer last.
+    serving: watch::Sender<bool>,
 }
 
 /// What is new after a revision.
@@ -40,7 +41,11 @@
 
 impl Default for Feed {
     fn default() -> Feed {
-        Feed { held: Mutex::default(), revision: watch::Sender::new(None), direct: watch::Sender::new(false) }
+        Feed {
+            held: Mutex::default(),
+            revision: watch::Sender::new(None),
+            serving: watch::Sender::new(false),
+        }
     }
 }
 
@@ -71,15 +76,15 @@
         self.revision.send_replace(Some(batch.revision));
     }
 
-    /// Says whether this node reads the store itself, and reached it last. Nodes
-    /// that ask it are sent away as soon as it does not.
-    pub fn set_direct(&self, direct: bool) {
-        self.direct.send_if_modified(|held| std::mem::replace(held, direct) != direct);
+    /// Says whether this node answers others. Nodes that ask it are sent away as
+    /// soon as it does not.
+    pub fn set_serving(&self, serving: bool) {
+        self.serving.send_if_modified(|held| std::mem::replace(held, serving) != serving);
     }
 
-    /// Whether this node reads the store itself, and a way to wait for a change.
-    pub fn subscribe_direct(&self) -> watch::Receiver<bool> {
-        self.direct.subscribe()
+    /// Whether this node answers others, and a way to wait for a change.
+    pub fn subscribe_serving(&self) -> watch::Receiver<bool> {
+        self.serving.subscribe()
     }
 
     /// The revision held, and a way to wait for the next.
--- a/crates/node/src/peer.rs
+++ b/crates/node/src/peer.rs
@@ -132,13 +132,13 @@
 
 async fn tell(node: &Node, question: Ask) -> Answer {
     let started = node.now();
-    let mut direct = node.feed.subscribe_direct();
+    let mut serving = node.feed.subscribe_serving();
     tokio::select! {
         () = wait_newer(node, question) => {}
         // The sender lives as long as the node.
-        _ = direct.wait_for(|direct| !direct) => {}
+        _ = serving.wait_for(|serving| !serving) => {}
     }
-    if !*direct.borrow() {
+    if !*serving.borrow() {
         return reply(StatusCode::SERVICE_UNAVAILABLE, Bytes::new());
     }
     let Some((news, age)) = node.feed.read(question.after).zip(node.freshness.lock().age(node.now())) else {
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -29,6 +29,15 @@
 /// What shares a limit: the requests for one model of one service.
 pub type Lane = (id::Service, Option<id::Model>);
 
+/// The node that holds the lease for deciding.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Holder {
+    /// The revision of the lease's key.
+    pub revision: u64,
+    /// The node; none if its name cannot be read.
+    pub node: Option<id::Node>,
+}
+
 /// A node.
 pub struct Node {
     /// Its settings, as last read.
@@ -63,8 +72,8 @@
     pub ended: Notify,
     /// Pays for requests that are sent again.
     pub retries: Mutex<Budget>,
-    /// Who decides, as the store tells: the revision of that key, if it is there.
-    pub decider: watch::Sender<Option<u64>>,
+    /// Who decides, as the store tells, if anyone does.
+    pub decider: watch::Sender<Option<Holder>>,
     /// Told when runners or configuration have changed.
     pub changed: Notify,
     /// Whether the node is about to stop.
--- a/crates/node/src/sync.rs
+++ b/crates/node/src/sync.rs
@@ -1,5 +1,5 @@
 //! Keeping the node's beliefs in step with the platform's store, which is read
-//! here or asked for at another node of the hall.
+//! here or asked for at another node: the deciding one, or a reader of the hall.
 
 use std::sync::Arc;
 
@@ -43,7 +43,7 @@
 
 /// Another node's proof older than this is not good enough: the store is read
 /// here instead. A watch begun then still proves the keys in time.
-const AGE_MAX: Millis = Millis(2500);
+const AGE_MAX: Millis = Millis(3000);
 
 /// How often runners are looked through whose entry lapsed with the store away.
 const EXPIRE: Millis = Millis(250);
@@ -79,6 +79,16 @@
     Watch(Millis, Millis),
 }
 
+/// Where to learn from.
+enum Source {
+    /// The store.
+    Store,
+    /// A node that reads for this hall.
+    Reader(Peer),
+    /// The deciding node, which this one asks for its hall.
+    Decider(Peer),
+}
+
 /// Where this node learns.
 struct Sync {
     node: Arc<Node>,
@@ -102,49 +112,58 @@
 impl Sync {
     async fn follow(&mut self) {
         let source = self.pick_source();
-        if source.is_some() {
-            self.node.feed.set_direct(false);
+        if matches!(source, Source::Reader(_)) {
+            self.node.feed.set_serving(false);
         }
         let outcome = match &source {
-            Some(peer) => self.ask(peer).await,
-            None => self.read_store().await,
+            Source::Reader(peer) | Source::Decider(peer) => self.ask(peer).await,
+            Source::Store => self.read_store().await,
         };
         match (outcome, source) {
             (Ok(learned), source) => {
-                let direct = source.is_none();
-                self.take(learned, direct).await;
+                let serving = !matches!(source, Source::Reader(_));
+                self.take(learned, serving).await;
             }
             (Err(SyncError::Store(StoreError::Forgotten)), _) => {
                 log::warn!("store: changes after {:?} are forgotten; reading all anew", self.revision);
                 self.revision = None;
             }
-            (Err(error), Some(peer)) => {
+            (Err(error), Source::Reader(peer) | Source::Decider(peer)) => {
                 log::info!("sync: {} is not asked for {AVOID}: {error}", peer.node);
                 self.avoided.push((peer.node, self.node.now() + AVOID));
             }
-            (Err(error), None) => {
+            (Err(error), Source::Store) => {
                 if self.reached {
                     log::warn!("sync: {error}; going on with what is known at {:?}", self.revision);
                 }
                 self.reached = false;
-                self.node.feed.set_direct(false);
+                self.node.feed.set_serving(false);
                 let pause = PAUSE.0 + rand::rng().random_range(0..PAUSE.0);
                 tokio::time::sleep(Millis(pause).duration()).await;
             }
         }
     }
 
-    /// The node to ask, or none to read the store. The deciding node reads the
-    /// store itself: all others wait for what it does.
-    fn pick_source(&mut self) -> Option<Peer> {
+    /// Where to learn from. The deciding node reads the store, for all others wait
+    /// for what it does; the readers of the halls ask it, and all others ask those.
+    /// The store is read as well where whoever should be asked does not answer.
+    fn pick_source(&mut self) -> Source {
         let now = self.node.now();
         self.avoided.retain(|(_, until)| *until > now);
         if self.node.is_deciding() || self.revision.is_none() {
-            return None;
+            return Source::Store;
         }
         let settings = self.node.settings();
-        let sources = self.node.directory.lock().list_sources(&settings.node, &settings.hall);
-        sources.into_iter().find(|peer| !self.avoided.iter().any(|(avoided, _)| *avoided == peer.node))
+        let directory = self.node.directory.lock();
+        let readers = directory.list_sources(&settings.node, &settings.hall);
+        let asked = |peer: &Peer| !self.avoided.iter().any(|(avoided, _)| *avoided == peer.node);
+        if !readers.is_empty() {
+            return readers.into_iter().find(asked).map_or(Source::Store, Source::Reader);
+        }
+        let holder = self.node.decider.borrow().clone().and_then(|holder| holder.node);
+        let decider =
+            holder.filter(|holder| *holder != settings.node).and_then(|holder| directory.get(&holder));
+        decider.filter(|peer| asked(peer)).cloned().map_or(Source::Store, Source::Decider)
     }
 
     async fn read_store(&self) -> Result<Learned, SyncError> {
@@ -176,7 +195,7 @@
         Ok(Learned { batch, whole: told.whole, proven })
     }
 
-    async fn take(&mut self, learned: Learned, direct: bool) {
+    async fn take(&mut self, learned: Learned, serving: bool) {
         if !self.reached {
             log::info!("sync: the store is reached again, at revision {}", learned.batch.revision);
             self.node.roster.lock().regain(self.node.now());
@@ -185,7 +204,7 @@
         self.revision = Some(learned.batch.revision);
         let changes = learned.batch.items.len();
         take_in(&self.node, learned);
-        self.node.feed.set_direct(direct);
+        self.node.feed.set_serving(serving);
         if changes > 0 {
             let pause = if self.node.is_deciding() { GATHER_DECIDING } else { GATHER };
             tokio::time::sleep(pause.duration()).await;
@@ -238,7 +257,7 @@
     for item in batch.items {
         match decode(item) {
             Ok(Change::Runner(runner)) => runners.push(runner),
-            Ok(Change::Own(item)) if item.key == LEASE_KEY => decider = Some(item.revision),
+            Ok(Change::Own(item)) if item.key == LEASE_KEY => decider = Some(decider::read_holder(&item)),
             other => caught_up &= take_change(node, other),
         }
     }
@@ -286,7 +305,7 @@
 
 fn take_own(node: &Node, item: &Item) {
     if item.key == LEASE_KEY {
-        node.decider.send_replace(Some(item.revision));
+        node.decider.send_replace(Some(decider::read_holder(item)));
         return;
     }
     if let Some(entry) = member::read_entry(item) {
