Add a randomized soak of the real programs

Nodes run as processes; every link to the store and to runners goes through a proxy that delays, resets, cuts one way or silences it; processes are killed, paused, stopped and told to reread their settings by signals; the store and runners misbehave; keys change, runners leave. What callers and runners saw is checked against twelve promises while it runs and after it. The clock of a machine is not changed, which needs rights that a test does not have.

Each check is shown to fail by a planted fault (tests/checks.rs).

--- /dev/null
+++ b/crates/soak/src/check.rs
@@ -0,0 +1,230 @@
+//! The promises, and whether what was seen keeps them.
+
+use std::collections::{HashMap, HashSet};
+use std::time::{Duration, Instant};
+
+use cottoncrank_platform_standin::runner::{EVENTS, Join, Seen};
+use thiserror::Error;
+
+use crate::fleet::REVOKE_MS;
+use crate::load::{Call, Kind};
+
+/// A runner that leaves gets nothing new after this.
+const DRAIN: Duration = Duration::from_millis(2000);
+
+/// Kept on top of each span: this process and the nodes share one busy machine.
+const SLACK: Duration = Duration::from_millis(300);
+
+/// Around a fault nodes may know less than the spans above ask for.
+const UNSETTLED: Duration = Duration::from_millis(3000);
+
+/// A promise that was not kept.
+#[derive(Clone, Debug, Error, PartialEq, Eq)]
+pub enum Breach {
+    /// A success is not the runner's whole answer to this request.
+    #[error("{0}: a success that is not the whole answer to it: {1}")]
+    Mixed(String, String),
+    /// A stream lacks, repeats or reorders events.
+    #[error("{0}: the events are {1:?}")]
+    Order(String, Vec<u64>),
+    /// A request that must not be repeated ran more than once.
+    #[error("{0}: it ran {1} times")]
+    Twice(String, usize),
+    /// A request that was said not to have run has.
+    #[error("{0}: it was answered {1}, and ran {2} times")]
+    Refused(String, u16, usize),
+    /// A request ran with a key that was taken away long before.
+    #[error("{0}: it ran with key {1}, taken away {2:?} before")]
+    Revoked(String, usize, Duration),
+    /// A node took a key again that it had refused as taken away.
+    #[error("{0}: node {1} took key {2} again")]
+    Reverted(String, usize, usize),
+    /// A runner got a request long after it had said that it leaves.
+    #[error("{0}: {1} got it {2:?} after it had said that it leaves")]
+    Drain(String, String, Duration),
+    /// A planned stop broke a request off.
+    #[error("{0}: node {1} was told to stop and gave no whole answer")]
+    Cut(String, usize),
+    /// A request ran in a group that lacked a member.
+    #[error("{0}: it ran at {1} in {2} of epoch {3}, which {4} never joined")]
+    Partial(String, String, String, u64, String),
+    /// A runner joined a group while the head of its former one was open.
+    #[error("{0} joined {1} while {2} of its former group {3} was open")]
+    Two(String, String, String, String),
+    /// A fleet without faults does not serve.
+    #[error("after all faults node {0} does not serve {1:?}: status {2}")]
+    Recover(usize, Kind, u16),
+    /// A node ended by itself.
+    #[error("node {0} ended by itself")]
+    Ended(usize),
+}
+
+/// A span of time in which something was wrong.
+#[derive(Clone, Copy, Debug)]
+pub struct Trouble {
+    /// Its begin.
+    pub from: Instant,
+    /// Its end.
+    pub to: Instant,
+    /// The node that was told to stop, if that is all it is.
+    pub stop: Option<usize>,
+}
+
+/// What a runner saw.
+#[derive(Clone, Debug)]
+pub struct Witness {
+    /// Its id.
+    pub id: String,
+    /// The requests it got.
+    pub seen: Vec<Seen>,
+    /// The groups it joined.
+    pub joins: Vec<Join>,
+    /// When it said that it leaves.
+    pub left: Option<Instant>,
+}
+
+/// All that was seen in one run.
+#[derive(Debug, Default)]
+pub struct Record {
+    /// What callers saw.
+    pub calls: Vec<Call>,
+    /// What runners saw.
+    pub witnesses: Vec<Witness>,
+    /// When each key was taken away.
+    pub revoked: Vec<Option<Instant>>,
+    /// When something was wrong.
+    pub troubles: Vec<Trouble>,
+    /// What was noticed while it ran.
+    pub noticed: Vec<Breach>,
+}
+
+/// Lists the promises that were not kept.
+pub fn check(record: &Record) -> Vec<Breach> {
+    let mut breaches = record.noticed.clone();
+    let runs = count_runs(record);
+    for call in &record.calls {
+        let runs = runs.get(call.id.as_str()).copied().unwrap_or(0);
+        breaches.extend(check_answer(call));
+        breaches.extend(check_runs(call, runs));
+        breaches.extend(check_key(call, runs, record));
+        breaches.extend(check_stop(call, runs, record));
+    }
+    breaches.extend(check_reverts(record));
+    for witness in &record.witnesses {
+        breaches.extend(check_drain(witness, record));
+        breaches.extend(check_groups(witness, record));
+    }
+    breaches
+}
+
+fn count_runs(record: &Record) -> HashMap<&str, usize> {
+    let mut runs = HashMap::new();
+    let seen = record.witnesses.iter().flat_map(|witness| &witness.seen);
+    for seen in seen.filter(|seen| seen.run) {
+        *runs.entry(seen.request.as_str()).or_default() += 1;
+    }
+    runs
+}
+
+fn check_answer(call: &Call) -> Option<Breach> {
+    let answer = call.answer.as_ref()?;
+    if !(200..300).contains(&answer.status) {
+        return None;
+    }
+    let mixed = |why: &str| Some(Breach::Mixed(call.id.clone(), why.to_owned()));
+    if !answer.is_signed(&call.id) {
+        return mixed("it is not signed for it");
+    }
+    if call.kind != Kind::Stream {
+        return match !answer.whole || answer.body == format!("done {}", call.id) {
+            true => None,
+            false => mixed(&answer.body),
+        };
+    }
+    let events = answer.events();
+    let in_order = events.iter().enumerate().all(|(at, id)| *id == at as u64);
+    if !in_order || (answer.whole && events.len() as u64 != EVENTS) {
+        return Some(Breach::Order(call.id.clone(), events));
+    }
+    None
+}
+
+fn check_runs(call: &Call, runs: usize) -> Option<Breach> {
+    if call.kind == Kind::Once && runs > 1 {
+        return Some(Breach::Twice(call.id.clone(), runs));
+    }
+    let status = call.answer.as_ref().map_or(0, |answer| answer.status);
+    let promised = matches!(status, 408 | 421 | 429 | 503);
+    (promised && runs > 0).then(|| Breach::Refused(call.id.clone(), status, runs))
+}
+
+fn check_key(call: &Call, runs: usize, record: &Record) -> Option<Breach> {
+    let taken = record.revoked.get(call.key).copied().flatten()?;
+    let late = call.sent.checked_duration_since(taken)?;
+    let bound = Duration::from_millis(REVOKE_MS);
+    (runs > 0 && late > bound).then(|| Breach::Revoked(call.id.clone(), call.key, late))
+}
+
+/// A request that a node which was told to stop has passed on is answered whole,
+/// unless something else was wrong.
+fn check_stop(call: &Call, runs: usize, record: &Record) -> Option<Breach> {
+    let near = |trouble: &&Trouble| call.done > trouble.from && call.sent < trouble.to + UNSETTLED;
+    let troubles: Vec<&Trouble> = record.troubles.iter().filter(near).collect();
+    let stopped = troubles.iter().any(|trouble| trouble.stop == Some(call.node));
+    let alone = troubles.iter().all(|trouble| trouble.stop.is_some());
+    let whole = call.answer.as_ref().is_some_and(|answer| answer.status != 0 && answer.whole);
+    (stopped && alone && runs > 0 && !whole).then(|| Breach::Cut(call.id.clone(), call.node))
+}
+
+/// Within one life, a node that refused a key as taken away never takes it again.
+fn check_reverts(record: &Record) -> Vec<Breach> {
+    let mut refused: HashMap<(usize, u32, usize), Instant> = HashMap::new();
+    for call in &record.calls {
+        let taken = record.revoked.get(call.key).copied().flatten();
+        let status = call.answer.as_ref().map_or(0, |answer| answer.status);
+        if status == 401 && taken.is_some_and(|taken| call.sent > taken) {
+            let place = refused.entry((call.node, call.life, call.key)).or_insert(call.done);
+            *place = (*place).min(call.done);
+        }
+    }
+    let took = |call: &&Call| {
+        let since = refused.get(&(call.node, call.life, call.key));
+        let answered = call.answer.as_ref().is_some_and(|answer| answer.status == 200);
+        answered && since.is_some_and(|since| call.sent > *since)
+    };
+    let reverted = record.calls.iter().filter(took);
+    reverted.map(|call| Breach::Reverted(call.id.clone(), call.node, call.key)).collect()
+}
+
+fn check_drain(witness: &Witness, record: &Record) -> Vec<Breach> {
+    let Some(left) = witness.left else { return Vec::new() };
+    let calm = |at: Instant| {
+        let over = |trouble: &Trouble| trouble.to + UNSETTLED < left || trouble.from > at;
+        record.troubles.iter().all(over)
+    };
+    let late = witness.seen.iter().filter(|seen| seen.leaving && seen.at > left + DRAIN + SLACK);
+    let late = late.filter(|seen| calm(seen.at));
+    late.map(|seen| Breach::Drain(seen.request.clone(), witness.id.clone(), seen.at - left)).collect()
+}
+
+/// Every member of a group had joined it before it ran anything, and none joined
+/// another one while the head was open.
+fn check_groups(witness: &Witness, record: &Record) -> Vec<Breach> {
+    let joined: HashSet<(&str, &str, u64)> = record
+        .witnesses
+        .iter()
+        .flat_map(|other| other.joins.iter().map(|join| (other.id.as_str(), join.group.as_str(), join.epoch)))
+        .collect();
+    let mut breaches = Vec::new();
+    for seen in witness.seen.iter().filter(|seen| seen.run) {
+        let Some((group, epoch)) = &seen.group else { continue };
+        let join = witness.joins.iter().rfind(|join| join.group == *group && join.epoch == *epoch);
+        let members = join.map(|join| join.members.as_slice()).unwrap_or_default();
+        let missing = members.iter().find(|id| !joined.contains(&(id.as_str(), group.as_str(), *epoch)));
+        if let Some(missing) = missing {
+            let (request, id) = (seen.request.clone(), witness.id.clone());
+            breaches.push(Breach::Partial(request, id, group.clone(), *epoch, missing.clone()));
+        }
+    }
+    breaches
+}
--- /dev/null
+++ b/crates/soak/src/fleet.rs
@@ -0,0 +1,235 @@
+//! Nodes as processes, and all that they talk to.
+
+use std::fs::File;
+use std::io;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::time::Instant;
+
+use cottoncrank_platform_standin::operator::{ENGINES, PLAIN, config};
+use cottoncrank_platform_standin::runner::Runner;
+use cottoncrank_platform_standin::settings::{self, Settings};
+use cottoncrank_platform_standin::store::Store;
+use rustix::process::{Pid, Signal, kill_process};
+
+use crate::proxy::Proxy;
+
+/// The data halls that nodes and runners stand in by turns.
+const HALLS: [&str; 2] = ["hall-a", "hall-b"];
+
+/// Runners in a fabric domain: three groups of two.
+const DOMAIN: usize = 6;
+
+/// Plain runners.
+const PLAIN_RUNNERS: usize = 2;
+
+/// How long a key that was taken away may be honoured, in milliseconds: the bound
+/// of today's fleets.
+pub const REVOKE_MS: u64 = 5000;
+
+/// How long a node has to stop, in seconds.
+pub const GRACE_S: f64 = 4.0;
+
+/// After how long a group that stands still is broken, in milliseconds.
+pub const STALL_MS: u64 = 2000;
+
+/// One node: its addresses, its way to the store, and its process while it runs.
+pub struct Node {
+    /// Its number.
+    pub number: usize,
+    /// Where callers reach it.
+    pub callers: SocketAddr,
+    /// Its way to the store.
+    pub store: Proxy,
+    /// How many times it was started.
+    pub lives: u32,
+    file: PathBuf,
+    log: PathBuf,
+    child: Option<Child>,
+}
+
+/// A runner behind its proxy.
+pub struct Server {
+    /// The runner.
+    pub runner: Runner,
+    /// The way of all nodes to it.
+    pub link: Proxy,
+}
+
+/// The whole fleet.
+pub struct Fleet {
+    /// The store.
+    pub store: Store,
+    /// The nodes.
+    pub nodes: Vec<Node>,
+    /// The runners that form groups.
+    pub engines: Vec<Server>,
+    /// The plain runners.
+    pub plain: Vec<Server>,
+    /// The keys so far, and when each was taken away.
+    pub keys: Vec<(String, Option<Instant>)>,
+    program: PathBuf,
+}
+
+fn find_port(ip: IpAddr) -> io::Result<u16> {
+    Ok(TcpListener::bind((ip, 0))?.local_addr()?.port())
+}
+
+fn name_hall(number: usize) -> &'static str {
+    HALLS[number % HALLS.len()]
+}
+
+/// Where the node's program lies: beside this one, or a folder above for tests.
+pub fn find_program() -> io::Result<PathBuf> {
+    let here = std::env::current_exe()?;
+    let folders = here.ancestors().skip(1).take(2);
+    let found = folders.map(|folder| folder.join("cottoncrank-node")).find(|path| path.exists());
+    found.ok_or_else(|| {
+        io::Error::new(io::ErrorKind::NotFound, "cottoncrank-node is not built beside this program")
+    })
+}
+
+impl Fleet {
+    /// Starts everything; settings and logs of the nodes go into `folder`.
+    pub async fn start(nodes: usize, engines: usize, folder: &Path) -> io::Result<Fleet> {
+        let store = Store::start()?;
+        let mut fleet = Fleet {
+            store,
+            nodes: Vec::new(),
+            engines: Vec::new(),
+            plain: Vec::new(),
+            keys: Vec::new(),
+            program: find_program()?,
+        };
+        for number in 0..engines {
+            let domain = format!("d{}", number / DOMAIN);
+            let server =
+                fleet.start_server(&format!("e-{number}"), ENGINES, number / DOMAIN, Some(&domain)).await?;
+            fleet.engines.push(server);
+        }
+        for number in 0..PLAIN_RUNNERS {
+            let server = fleet.start_server(&format!("p-{number}"), PLAIN, number, None).await?;
+            fleet.plain.push(server);
+        }
+        fleet.rekey();
+        for number in 0..nodes {
+            let node = fleet.lay_node(number, folder).await?;
+            fleet.nodes.push(node);
+            fleet.start_node(number)?;
+        }
+        Ok(fleet)
+    }
+
+    async fn start_server(
+        &self,
+        id: &str,
+        service: &str,
+        at: usize,
+        domain: Option<&str>,
+    ) -> io::Result<Server> {
+        let runner = Runner::start(&self.store, id, service, name_hall(at), domain)?;
+        let link = Proxy::start(runner.address()).await?;
+        runner.advertise(link.address());
+        Ok(Server { runner, link })
+    }
+
+    async fn lay_node(&self, number: usize, folder: &Path) -> io::Result<Node> {
+        // Each node has an address of its own, as on the platform.
+        let ip = IpAddr::V4(Ipv4Addr::new(127, 1, (number / 250) as u8, (number % 250 + 1) as u8));
+        let store = Proxy::start(self.store.address()).await?;
+        let callers = SocketAddr::new(ip, find_port(ip)?);
+        let settings = Settings {
+            node: format!("node-{number}"),
+            hall: name_hall(number).to_owned(),
+            callers,
+            ready: SocketAddr::new(ip, find_port(ip)?),
+            peers: SocketAddr::new(ip, find_port(ip)?),
+            store: store.address(),
+            revoke_ms: REVOKE_MS,
+            grace_s: GRACE_S,
+            stall_ms: STALL_MS,
+        };
+        let file = folder.join(format!("node-{number}.toml"));
+        std::fs::write(&file, settings::write(&settings))?;
+        let log = folder.join(format!("node-{number}.log"));
+        Ok(Node { number, callers, store, lives: 0, file, log, child: None })
+    }
+
+    /// Starts a node that does not run.
+    pub fn start_node(&mut self, number: usize) -> io::Result<()> {
+        let node = &mut self.nodes[number];
+        let log = File::options().create(true).append(true).open(&node.log)?;
+        let child = Command::new(&self.program)
+            .env("COTTONCRANK_CONFIG", &node.file)
+            .stdin(Stdio::null())
+            .stdout(log.try_clone()?)
+            .stderr(log)
+            .spawn()?;
+        node.child = Some(child);
+        node.lives += 1;
+        Ok(())
+    }
+
+    /// Gives the account a new key, and takes away the one before the last.
+    pub fn rekey(&mut self) {
+        let version = self.keys.len() as u64 + 1;
+        self.keys.push((format!("key-{version}"), None));
+        let last = self.keys.len().saturating_sub(2);
+        let held: Vec<&str> = self.keys[last..].iter().map(|(key, _)| key.as_str()).collect();
+        self.store.configure(&config(version, &held));
+        let now = Instant::now();
+        for (_, taken) in &mut self.keys[..last] {
+            taken.get_or_insert(now);
+        }
+    }
+
+    /// All runners.
+    pub fn servers(&self) -> impl Iterator<Item = &Server> {
+        self.engines.iter().chain(&self.plain)
+    }
+}
+
+impl Node {
+    /// Sends a signal to its process, if that runs.
+    pub fn signal(&self, signal: Signal) {
+        let pid = self.child.as_ref().and_then(|child| Pid::from_raw(child.id() as i32));
+        let Some(pid) = pid else { return };
+        if let Err(error) = kill_process(pid, signal) {
+            eprintln!("soak: node-{}: {signal:?} was not sent: {error}", self.number);
+        }
+    }
+
+    /// Kills it at once.
+    pub fn kill(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            end(&mut child);
+        }
+    }
+
+    /// Whether its process has ended; it is forgotten then.
+    pub fn has_ended(&mut self) -> bool {
+        let ended = self.child.as_mut().is_none_or(|child| !matches!(child.try_wait(), Ok(None)));
+        if ended {
+            self.child = None;
+        }
+        ended
+    }
+
+    /// Whether it has a process.
+    pub fn is_running(&self) -> bool {
+        self.child.is_some()
+    }
+}
+
+fn end(child: &mut Child) {
+    if let Err(error) = child.kill().and_then(|()| child.wait().map(drop)) {
+        eprintln!("soak: process {} was not ended: {error}", child.id());
+    }
+}
+
+impl Drop for Node {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
--- /dev/null
+++ b/crates/soak/src/load.rs
@@ -0,0 +1,139 @@
+//! Callers: each keeps a connection to one node and notes what it sees.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Instant;
+
+use cottoncrank::Millis;
+use cottoncrank_platform_standin::caller::{Answer, Connection};
+use cottoncrank_platform_standin::operator::{ONCE, READ, STREAM};
+use parking_lot::Mutex;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use tokio::sync::watch;
+
+/// The pause between two requests of a caller, in milliseconds.
+const PAUSE: std::ops::Range<u64> = 10..60;
+
+/// How long a caller waits for an answer: as long as it says, and a little more.
+const WAIT: Millis = Millis(7000);
+
+/// How long a caller waits for a connection, and before it tries again.
+const CONNECT: Millis = Millis(500);
+
+/// What a caller wants.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kind {
+    /// A stream of events.
+    Stream,
+    /// A plain answer; the request may run again.
+    Read,
+    /// A plain answer; the request runs at most once.
+    Once,
+}
+
+impl Kind {
+    /// The path of its route.
+    pub fn path(self) -> &'static str {
+        match self {
+            Kind::Stream => STREAM,
+            Kind::Read => READ,
+            Kind::Once => ONCE,
+        }
+    }
+}
+
+/// One request and what came of it.
+#[derive(Clone, Debug)]
+pub struct Call {
+    /// Its id.
+    pub id: String,
+    /// What was wanted.
+    pub kind: Kind,
+    /// The node it went to.
+    pub node: usize,
+    /// Which life of that node.
+    pub life: u32,
+    /// Which of the account's keys it carried.
+    pub key: usize,
+    /// When it was sent.
+    pub sent: Instant,
+    /// When the answer was over.
+    pub done: Instant,
+    /// The answer; none came within the time if there is none.
+    pub answer: Option<Answer>,
+}
+
+/// What callers are told from outside.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Hint {
+    /// The keys there have been.
+    pub keys: Vec<String>,
+    /// How many times each node was started.
+    pub lives: Vec<u32>,
+    /// Whether callers are to end.
+    pub over: bool,
+}
+
+/// One caller.
+pub struct Caller {
+    /// Its number.
+    pub number: usize,
+    /// The node it asks, and where that is.
+    pub node: (usize, SocketAddr),
+    /// The seed of what it asks for.
+    pub seed: u64,
+    /// What it is told.
+    pub hint: watch::Receiver<Hint>,
+    /// Where it notes what it saw.
+    pub calls: Arc<Mutex<Vec<Call>>>,
+}
+
+impl Caller {
+    /// Asks until told to end.
+    pub async fn run(self) {
+        let mut rng = SmallRng::seed_from_u64(self.seed.wrapping_add(self.number as u64));
+        let mut connection: Option<Connection> = None;
+        let mut count = 0;
+        while !self.hint.borrow().over {
+            tokio::time::sleep(Millis(rng.random_range(PAUSE)).duration()).await;
+            let open = connection.take().filter(Connection::is_open);
+            let Some(mut open) = (match open {
+                Some(open) => Some(open),
+                None => connect(self.node.1).await,
+            }) else {
+                continue;
+            };
+            count += 1;
+            let call = self.ask(&mut open, count, &mut rng).await;
+            // A request without an answer in time is given up with its connection.
+            connection = call.answer.is_some().then_some(open);
+            self.calls.lock().push(call);
+        }
+    }
+
+    async fn ask(&self, open: &mut Connection, count: usize, rng: &mut SmallRng) -> Call {
+        let (keys, life) = {
+            let hint = self.hint.borrow();
+            (hint.keys.clone(), hint.lives[self.node.0])
+        };
+        // Now and then with an old key, which may have been taken away.
+        let newest = keys.len() - 1;
+        let key = if rng.random_range(0..8) == 0 { rng.random_range(0..=newest) } else { newest };
+        let kind = [Kind::Stream, Kind::Stream, Kind::Read, Kind::Once][rng.random_range(0..4)];
+        let id = format!("c{}-{count}", self.number);
+        let sent = Instant::now();
+        let asked = open.ask(kind.path(), &id, &keys[key]);
+        let answer = tokio::time::timeout(WAIT.duration(), asked).await.ok();
+        Call { id, kind, node: self.node.0, life, key, sent, done: Instant::now(), answer }
+    }
+}
+
+async fn connect(to: SocketAddr) -> Option<Connection> {
+    let made = tokio::time::timeout(CONNECT.duration(), Connection::open(to)).await;
+    let open = made.ok().and_then(Result::ok);
+    if open.is_none() {
+        tokio::time::sleep(CONNECT.duration()).await;
+    }
+    open
+}
--- /dev/null
+++ b/crates/soak/src/plan.rs
@@ -0,0 +1,173 @@
+//! What goes wrong, when, and for how long.
+
+use cottoncrank::Millis;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use serde::{Deserialize, Serialize};
+
+/// The time at the start and at the end of a plan without faults.
+const CALM: Millis = Millis(1500);
+
+/// The shortest and the longest fault: shorter and longer than the spans after
+/// which nodes give each other, the store and runners up.
+const SPAN: std::ops::Range<u64> = 200..4000;
+
+/// The mean pause between the beginnings of two faults; they overlap.
+const PAUSE: u64 = 400;
+
+/// How a link misbehaves.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Harm {
+    /// What is sent arrives later, by half a second.
+    Delay,
+    /// Open connections are reset, and new ones as well.
+    Reset,
+    /// What comes back is lost; what is sent arrives.
+    OneWay,
+    /// Nothing arrives, in either direction.
+    Silence,
+}
+
+/// How the store misbehaves.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum StoreFault {
+    /// It refuses all calls.
+    Busy,
+    /// It answers nothing.
+    Silent,
+    /// It takes no writes and does not say so.
+    Deaf,
+    /// It takes writes and does not say so.
+    Lossy,
+}
+
+/// How a runner misbehaves.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum RunnerFault {
+    /// It has no slot.
+    Full,
+    /// It runs requests and loses the answers.
+    Lost,
+    /// It answers another request.
+    Foreign,
+    /// It breaks streams off within an event.
+    Broken,
+    /// Its plain answers are too short.
+    Short,
+    /// It takes requests and does not answer.
+    Mute,
+    /// It answers nothing at all.
+    Dark,
+}
+
+/// What goes wrong.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Fault {
+    /// A node is killed and started again after the span.
+    Kill(usize),
+    /// A node is paused.
+    Pause(usize),
+    /// A node is told to stop and started again once it has.
+    Stop(usize),
+    /// A node is told to read its settings anew.
+    Reload(usize),
+    /// The way of a node to the store.
+    StoreLink(usize, Harm),
+    /// The way of all nodes to a runner.
+    RunnerLink(usize, Harm),
+    /// The store.
+    Store(StoreFault),
+    /// The store forgets its history.
+    Forget,
+    /// A runner.
+    Runner(usize, RunnerFault),
+    /// A runner's entry is gone for the span.
+    Lapse(usize),
+    /// A runner leaves for good.
+    Leave(usize),
+    /// The key of the account changes, and the one before the last is taken away.
+    Rekey,
+}
+
+/// A fault and its time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Event {
+    /// When it begins, from the start of the load.
+    pub at: u64,
+    /// How long it lasts, in milliseconds.
+    pub span: u64,
+    /// What it is.
+    pub fault: Fault,
+}
+
+/// The faults of one run.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Plan {
+    /// The seed it was drawn from; the load uses it as well.
+    pub seed: u64,
+    /// How many nodes there are.
+    pub nodes: usize,
+    /// How many runners can form groups.
+    pub engines: usize,
+    /// How long the load lasts, in milliseconds.
+    pub length: u64,
+    /// The faults in order of time.
+    pub events: Vec<Event>,
+}
+
+impl Plan {
+    /// Draws a plan; the same seed gives the same one.
+    pub fn draw(seed: u64, nodes: usize, engines: usize, length: Millis) -> Plan {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let mut events = Vec::new();
+        let mut at = CALM.0;
+        // At least half of the engines stay for good.
+        let mut leaving = engines / 2;
+        while at + CALM.0 < length.0 {
+            let fault = draw_fault(&mut rng, nodes, engines, &mut leaving);
+            let most = SPAN.end.min(length.0 - CALM.0 / 2 - at).max(SPAN.start + 1);
+            events.push(Event { at, span: rng.random_range(SPAN.start..most), fault });
+            at += rng.random_range(0..2 * PAUSE);
+        }
+        Plan { seed, nodes, engines, length: length.0, events }
+    }
+}
+
+fn draw_fault(rng: &mut SmallRng, nodes: usize, engines: usize, leaving: &mut usize) -> Fault {
+    let (node, runner) = (rng.random_range(0..nodes), rng.random_range(0..engines));
+    match rng.random_range(0..12) {
+        0 => Fault::Kill(node),
+        1 => Fault::Pause(node),
+        2 => Fault::Stop(node),
+        3 => Fault::Reload(node),
+        4 => Fault::StoreLink(node, draw_harm(rng)),
+        5 => Fault::RunnerLink(runner, draw_harm(rng)),
+        6 => Fault::Store(draw_store(rng)),
+        7 => Fault::Forget,
+        8 => Fault::Runner(runner, draw_runner(rng)),
+        9 => Fault::Lapse(runner),
+        10 if *leaving > 0 => {
+            *leaving -= 1;
+            Fault::Leave(runner)
+        }
+        _ => Fault::Rekey,
+    }
+}
+
+fn draw_harm(rng: &mut SmallRng) -> Harm {
+    [Harm::Delay, Harm::Reset, Harm::OneWay, Harm::Silence][rng.random_range(0..4)]
+}
+
+fn draw_store(rng: &mut SmallRng) -> StoreFault {
+    use StoreFault::*;
+    [Busy, Silent, Deaf, Lossy][rng.random_range(0..4)]
+}
+
+fn draw_runner(rng: &mut SmallRng) -> RunnerFault {
+    use RunnerFault::*;
+    [Full, Lost, Foreign, Broken, Short, Mute, Dark][rng.random_range(0..7)]
+}
--- /dev/null
+++ b/crates/soak/src/run.rs
@@ -0,0 +1,327 @@
+//! Playing a plan.
+
+use std::collections::HashMap;
+use std::io;
+use std::path::Path;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use cottoncrank::Millis;
+use cottoncrank_platform_standin::caller::ask;
+use cottoncrank_platform_standin::runner;
+use cottoncrank_platform_standin::store;
+use parking_lot::Mutex;
+use rustix::process::Signal;
+use tokio::sync::watch;
+
+use crate::check::{Breach, Record, Trouble, Witness, check};
+use crate::fleet::Fleet;
+use crate::groups::{Row, Watch};
+use crate::load::{Call, Caller, Hint, Kind};
+use crate::plan::{Fault, Plan, RunnerFault, StoreFault};
+
+/// Callers for each node.
+const CALLERS: usize = 6;
+
+/// How often the fleet is looked at.
+const LOOK: Millis = Millis(20);
+
+/// How long a fleet may take until it serves, at the start and after all faults:
+/// a group that stood still is broken, released and formed anew well within it.
+const SERVES: Millis = Millis(20_000);
+
+/// How long a node that was told to stop may take beyond its grace.
+const STOPPING: Duration = Duration::from_secs(6);
+
+/// Events of a stream are this far apart: streams are under way at most moments.
+const PACE: Millis = Millis(40);
+
+/// What a run came to.
+#[derive(Debug)]
+pub struct Report {
+    /// How many requests were sent.
+    pub calls: usize,
+    /// How many got a whole success.
+    pub served: usize,
+    /// The promises that were not kept.
+    pub breaches: Vec<Breach>,
+}
+
+/// A fault that is in force.
+struct Active {
+    fault: Fault,
+    from: Instant,
+    until: Instant,
+}
+
+/// One run under way.
+struct Run<'a> {
+    plan: &'a Plan,
+    fleet: Fleet,
+    hint: watch::Sender<Hint>,
+    active: Vec<Active>,
+    troubles: Vec<Trouble>,
+    left: HashMap<usize, Instant>,
+    noticed: Vec<Breach>,
+    groups: Watch,
+}
+
+/// Plays a plan. Settings and logs of the nodes go into `folder`.
+pub async fn play(plan: &Plan, folder: &Path) -> io::Result<Report> {
+    std::fs::create_dir_all(folder)?;
+    let fleet = Fleet::start(plan.nodes, plan.engines, folder).await?;
+    let mut run = Run {
+        plan,
+        fleet,
+        hint: watch::Sender::new(Hint::default()),
+        active: Vec::new(),
+        troubles: Vec::new(),
+        left: HashMap::new(),
+        noticed: Vec::new(),
+        groups: Watch::default(),
+    };
+    run.tell();
+    run.await_service().await;
+    for server in &run.fleet.engines {
+        server.runner.set_pace(PACE);
+    }
+    let calls = run.load().await;
+    run.heal_all();
+    run.await_service().await;
+    let record = run.collect(calls);
+    let served = record.calls.iter().filter(|call| is_served(call)).count();
+    Ok(Report { calls: record.calls.len(), served, breaches: check(&record) })
+}
+
+fn is_served(call: &Call) -> bool {
+    call.answer.as_ref().is_some_and(|answer| answer.status == 200 && answer.whole)
+}
+
+impl Run<'_> {
+    /// Sends requests while the faults of the plan come and go.
+    async fn load(&mut self) -> Vec<Call> {
+        let calls = Arc::new(Mutex::new(Vec::new()));
+        let mut callers = tokio::task::JoinSet::new();
+        for number in 0..self.plan.nodes * CALLERS {
+            let node = number % self.plan.nodes;
+            let caller = Caller {
+                number,
+                node: (node, self.fleet.nodes[node].callers),
+                seed: self.plan.seed,
+                hint: self.hint.subscribe(),
+                calls: calls.clone(),
+            };
+            callers.spawn(caller.run());
+        }
+        let start = Instant::now();
+        let mut coming = self.plan.events.iter().peekable();
+        while start.elapsed() < Duration::from_millis(self.plan.length) {
+            while let Some(event) = coming.next_if(|event| start.elapsed() >= Duration::from_millis(event.at))
+            {
+                self.begin(event.fault, Duration::from_millis(event.span));
+            }
+            self.look();
+            tokio::time::sleep(LOOK.duration()).await;
+        }
+        self.hint.send_modify(|hint| hint.over = true);
+        while callers.join_next().await.is_some() {
+            self.look();
+        }
+        std::mem::take(&mut *calls.lock())
+    }
+
+    fn look(&mut self) {
+        let now = Instant::now();
+        let (over, active) = std::mem::take(&mut self.active).into_iter().partition(|a| a.until <= now);
+        self.active = active;
+        for ended in over {
+            self.end(ended);
+        }
+        self.look_at_nodes();
+        self.look_at_groups(now);
+    }
+
+    fn begin(&mut self, fault: Fault, span: Duration) {
+        let now = Instant::now();
+        // One thing at a time happens to one node's process, and to one runner.
+        if self.active.iter().any(|active| shares_place(&active.fault, &fault)) {
+            return;
+        }
+        self.apply(fault);
+        let until = if matches!(fault, Fault::Stop(_)) { now + STOPPING } else { now + span };
+        self.active.push(Active { fault, from: now, until });
+        self.tell();
+    }
+
+    fn apply(&mut self, fault: Fault) {
+        let fleet = &mut self.fleet;
+        match fault {
+            Fault::Kill(node) => fleet.nodes[node].kill(),
+            Fault::Pause(node) => fleet.nodes[node].signal(Signal::STOP),
+            Fault::Stop(node) => fleet.nodes[node].signal(Signal::TERM),
+            Fault::Reload(node) => fleet.nodes[node].signal(Signal::HUP),
+            Fault::StoreLink(node, harm) => fleet.nodes[node].store.set_harm(Some(harm)),
+            Fault::RunnerLink(runner, harm) => fleet.engines[runner].link.set_harm(Some(harm)),
+            Fault::Store(fault) => fleet.store.set_fault(match fault {
+                StoreFault::Busy => store::Fault::Busy,
+                StoreFault::Silent => store::Fault::Silent,
+                StoreFault::Deaf => store::Fault::Deaf,
+                StoreFault::Lossy => store::Fault::Lossy,
+            }),
+            Fault::Forget => fleet.store.forget(),
+            Fault::Runner(runner, fault) => fleet.engines[runner].runner.set_fault(match fault {
+                RunnerFault::Full => runner::Fault::Full,
+                RunnerFault::Lost => runner::Fault::Lost,
+                RunnerFault::Foreign => runner::Fault::Foreign,
+                RunnerFault::Broken => runner::Fault::Broken(3),
+                RunnerFault::Short => runner::Fault::Short,
+                RunnerFault::Mute => runner::Fault::Mute,
+                RunnerFault::Dark => runner::Fault::Dark,
+            }),
+            Fault::Lapse(runner) => fleet.engines[runner].runner.lapse(),
+            Fault::Leave(runner) => {
+                fleet.engines[runner].runner.drain();
+                self.left.entry(runner).or_insert_with(Instant::now);
+            }
+            Fault::Rekey => fleet.rekey(),
+        }
+    }
+
+    /// Undoes a fault, and notes when it was in force.
+    fn end(&mut self, ended: Active) {
+        let fleet = &mut self.fleet;
+        match ended.fault {
+            Fault::Kill(node) | Fault::Stop(node) => {
+                fleet.nodes[node].kill();
+                self.restart(node);
+            }
+            Fault::Pause(node) => fleet.nodes[node].signal(Signal::CONT),
+            Fault::StoreLink(node, _) => fleet.nodes[node].store.set_harm(None),
+            Fault::RunnerLink(runner, _) => fleet.engines[runner].link.set_harm(None),
+            Fault::Store(_) => fleet.store.set_fault(store::Fault::None),
+            Fault::Runner(runner, _) => fleet.engines[runner].runner.set_fault(runner::Fault::None),
+            Fault::Lapse(runner) => fleet.engines[runner].runner.enter(),
+            Fault::Reload(_) | Fault::Forget | Fault::Leave(_) | Fault::Rekey => {}
+        }
+        let stop = if let Fault::Stop(node) = ended.fault { Some(node) } else { None };
+        // Neither a hangup nor a new key excuses anything.
+        if !matches!(ended.fault, Fault::Reload(_) | Fault::Rekey | Fault::Leave(_)) {
+            self.troubles.push(Trouble { from: ended.from, to: Instant::now(), stop });
+        }
+        self.tell();
+    }
+
+    fn restart(&mut self, node: usize) {
+        if let Err(error) = self.fleet.start_node(node) {
+            eprintln!("soak: node-{node} was not started: {error}");
+        }
+    }
+
+    /// Starts nodes again that have stopped as told, and notices those that ended
+    /// by themselves.
+    fn look_at_nodes(&mut self) {
+        for node in 0..self.fleet.nodes.len() {
+            if !self.fleet.nodes[node].is_running() || !self.fleet.nodes[node].has_ended() {
+                continue;
+            }
+            let at = self.active.iter().position(|active| active.fault == Fault::Stop(node));
+            match at {
+                Some(at) => {
+                    let stopped = self.active.swap_remove(at);
+                    self.end(stopped);
+                }
+                None => {
+                    self.noticed.push(Breach::Ended(node));
+                    self.restart(node);
+                    self.tell();
+                }
+            }
+        }
+    }
+
+    /// Breaks groups that stood still for too long, as engines do, and notices
+    /// runners that are in two groups at once.
+    fn look_at_groups(&mut self, now: Instant) {
+        let engines = &self.fleet.engines;
+        let rows: Vec<Row> = engines.iter().map(|server| Row::read(&server.runner)).collect();
+        let found = self.groups.look(&rows, now);
+        for at in found.broken {
+            engines[at].runner.break_group();
+        }
+        self.noticed.extend(found.breaches);
+    }
+
+    /// Tells callers the keys and the lives of the nodes.
+    fn tell(&self) {
+        let keys: Vec<String> = self.fleet.keys.iter().map(|(key, _)| key.clone()).collect();
+        let lives: Vec<u32> = self.fleet.nodes.iter().map(|node| node.lives).collect();
+        self.hint.send_modify(|hint| (hint.keys, hint.lives) = (keys, lives));
+    }
+
+    fn heal_all(&mut self) {
+        for ended in std::mem::take(&mut self.active) {
+            self.end(ended);
+        }
+    }
+
+    /// Waits until every node serves every kind; notices those that never do.
+    async fn await_service(&mut self) {
+        let end = Instant::now() + SERVES.duration();
+        let mut count = 0;
+        for node in 0..self.fleet.nodes.len() {
+            for kind in [Kind::Stream, Kind::Read, Kind::Once] {
+                loop {
+                    let (to, key) = (self.fleet.nodes[node].callers, self.fleet.keys.last());
+                    let key = key.map_or("", |(key, _)| key);
+                    count += 1;
+                    let id = format!("probe-{node}-{count}-{}", self.left.len());
+                    let asked =
+                        tokio::time::timeout(LOOK.duration() * 50, ask(to, kind.path(), &id, key)).await;
+                    let status = asked.ok().and_then(Result::ok).map_or(0, |answer| answer.status);
+                    if status == 200 {
+                        break;
+                    }
+                    if Instant::now() > end {
+                        self.noticed.push(Breach::Recover(node, kind, status));
+                        break;
+                    }
+                    self.look();
+                    tokio::time::sleep(LOOK.duration()).await;
+                }
+            }
+        }
+    }
+
+    fn collect(&mut self, calls: Vec<Call>) -> Record {
+        let left = |id: &str| {
+            let runner = self.left.iter().find(|(at, _)| self.fleet.engines[**at].runner.id() == id);
+            runner.map(|(_, since)| *since)
+        };
+        let witness = |runner: &runner::Runner| Witness {
+            id: runner.id().to_owned(),
+            seen: runner.seen(),
+            joins: runner.history(),
+            left: left(runner.id()),
+        };
+        Record {
+            calls,
+            witnesses: self.fleet.servers().map(|server| witness(&server.runner)).collect(),
+            revoked: self.fleet.keys.iter().map(|(_, taken)| *taken).collect(),
+            troubles: std::mem::take(&mut self.troubles),
+            noticed: std::mem::take(&mut self.noticed),
+        }
+    }
+}
+
+/// Whether two faults concern the same process, link, runner or store.
+fn shares_place(one: &Fault, other: &Fault) -> bool {
+    use Fault::*;
+    match (one, other) {
+        (Kill(a) | Pause(a) | Stop(a) | Reload(a), Kill(b) | Pause(b) | Stop(b) | Reload(b)) => a == b,
+        (StoreLink(a, _), StoreLink(b, _)) => a == b,
+        (RunnerLink(a, _), RunnerLink(b, _)) => a == b,
+        (Store(_), Store(_)) => true,
+        (Runner(a, _) | Lapse(a) | Leave(a), Runner(b, _) | Lapse(b) | Leave(b)) => a == b,
+        _ => false,
+    }
+}
--- /dev/null
+++ b/crates/soak/tests/checks.rs
@@ -0,0 +1,173 @@
+//! Every check can fail: a planted fault for each.
+
+use std::time::{Duration, Instant};
+
+use cottoncrank_platform_standin::caller::Answer;
+use cottoncrank_platform_standin::runner::{EVENTS, Join, Place, Seen};
+use cottoncrank_soak::check::{Breach, Record, Trouble, Witness, check};
+use cottoncrank_soak::groups::{Row, Watch};
+use cottoncrank_soak::load::{Call, Kind};
+
+fn seconds(count: u64) -> Duration {
+    Duration::from_secs(count)
+}
+
+fn answer(id: &str, status: u16, body: &str) -> Answer {
+    let headers = vec![
+        ("x-cottoncrank-request-id".to_owned(), id.to_owned()),
+        ("x-cottoncrank-response-signature".to_owned(), format!("sig-{id}")),
+    ];
+    Answer { status, headers, body: body.to_owned(), whole: true }
+}
+
+fn call(id: &str, kind: Kind, sent: Instant, answer: Answer) -> Call {
+    let done = sent + Duration::from_millis(100);
+    Call { id: id.to_owned(), kind, node: 0, life: 1, key: 0, sent, done, answer: Some(answer) }
+}
+
+fn seen(request: &str, at: Instant) -> Seen {
+    Seen {
+        request: request.to_owned(),
+        account: Some("acme".to_owned()),
+        key: false,
+        last_event: None,
+        run: true,
+        leaving: false,
+        group: None,
+        at,
+    }
+}
+
+fn witness(id: &str, seen: Vec<Seen>) -> Witness {
+    Witness { id: id.to_owned(), seen, joins: Vec::new(), left: None }
+}
+
+fn events(ids: impl IntoIterator<Item = u64>) -> String {
+    ids.into_iter().map(|id| format!("id: {id}\ndata: token-{id}\n\n")).collect()
+}
+
+fn record(calls: Vec<Call>, seen: Vec<Seen>) -> Record {
+    Record { calls, witnesses: vec![witness("p-0", seen)], revoked: vec![None], ..Record::default() }
+}
+
+#[test]
+fn a_sound_run_breaks_nothing() {
+    let now = Instant::now();
+    let calls = vec![
+        call("a", Kind::Once, now, answer("a", 200, "done a")),
+        call("b", Kind::Stream, now, answer("b", 200, &events(0..EVENTS))),
+        call("c", Kind::Read, now, answer("c", 503, "busy")),
+    ];
+    assert_eq!(check(&record(calls, vec![seen("a", now), seen("b", now)])), []);
+}
+
+#[test]
+fn an_answer_that_is_not_ones_own_is_noticed() {
+    let now = Instant::now();
+    let other = call("a", Kind::Read, now, answer("b", 200, "done b"));
+    assert!(matches!(check(&record(vec![other], Vec::new()))[..], [Breach::Mixed(..)]));
+    let other = call("a", Kind::Read, now, answer("a", 200, "done b"));
+    assert!(matches!(check(&record(vec![other], Vec::new()))[..], [Breach::Mixed(..)]));
+}
+
+#[test]
+fn events_that_are_lost_repeated_or_missing_at_the_end_are_noticed() {
+    let now = Instant::now();
+    for ids in [vec![0, 2, 3, 4, 5], vec![0, 1, 1, 2, 3, 4, 5], vec![0, 1, 2]] {
+        let stream = call("a", Kind::Stream, now, answer("a", 200, &events(ids)));
+        assert!(matches!(check(&record(vec![stream], Vec::new()))[..], [Breach::Order(..)]));
+    }
+    let mut cut = call("a", Kind::Stream, now, answer("a", 200, &events(0..3)));
+    cut.answer.as_mut().unwrap().whole = false;
+    assert_eq!(check(&record(vec![cut], Vec::new())), [], "a stream that is cut openly is no lie");
+}
+
+#[test]
+fn a_second_run_and_a_false_refusal_are_noticed() {
+    let now = Instant::now();
+    let twice = call("a", Kind::Once, now, answer("a", 200, "done a"));
+    let breaches = check(&record(vec![twice], vec![seen("a", now), seen("a", now)]));
+    assert_eq!(breaches, [Breach::Twice("a".into(), 2)]);
+    let refused = call("a", Kind::Read, now, answer("a", 503, ""));
+    let breaches = check(&record(vec![refused], vec![seen("a", now + seconds(9))]));
+    assert_eq!(breaches, [Breach::Refused("a".into(), 503, 1)], "also when it runs much later");
+}
+
+#[test]
+fn a_key_that_was_taken_away_is_noticed_when_it_is_honoured_late_or_again() {
+    let now = Instant::now();
+    let late = call("a", Kind::Read, now + seconds(6), answer("a", 200, "done a"));
+    let mut late = record(vec![late], vec![seen("a", now + seconds(6))]);
+    late.revoked = vec![Some(now)];
+    assert!(matches!(check(&late)[..], [Breach::Revoked(_, 0, _)]));
+    let calls = vec![
+        call("a", Kind::Read, now + seconds(1), answer("a", 401, "")),
+        call("b", Kind::Read, now + seconds(2), answer("b", 200, "done b")),
+    ];
+    let mut again = record(calls, Vec::new());
+    again.revoked = vec![Some(now)];
+    assert_eq!(check(&again), [Breach::Reverted("b".into(), 0, 0)]);
+    again.calls[1].life = 2;
+    assert_eq!(check(&again), [], "a new life may have to learn it again");
+}
+
+#[test]
+fn a_request_to_a_runner_that_left_is_noticed_unless_something_was_wrong() {
+    let now = Instant::now();
+    let mut late = record(Vec::new(), vec![Seen { leaving: true, ..seen("a", now + seconds(4)) }]);
+    late.witnesses[0].left = Some(now);
+    assert!(matches!(check(&late)[..], [Breach::Drain(..)]));
+    late.troubles = vec![Trouble { from: now, to: now + seconds(2), stop: None }];
+    assert_eq!(check(&late), []);
+}
+
+#[test]
+fn a_planned_stop_that_cuts_a_request_is_noticed() {
+    let now = Instant::now();
+    let mut broken = call("a", Kind::Read, now + seconds(1), Answer::default());
+    broken.answer.as_mut().unwrap().whole = false;
+    let mut cut = record(vec![broken], vec![seen("a", now + seconds(1))]);
+    cut.troubles = vec![Trouble { from: now, to: now + seconds(3), stop: Some(0) }];
+    assert_eq!(check(&cut), [Breach::Cut("a".into(), 0)]);
+    cut.troubles.push(Trouble { from: now, to: now + seconds(1), stop: None });
+    assert_eq!(check(&cut), [], "something else was wrong as well");
+}
+
+#[test]
+fn a_run_in_a_group_that_lacks_a_member_is_noticed() {
+    let now = Instant::now();
+    let join = |group: &str| Join {
+        group: group.into(),
+        epoch: 3,
+        members: vec!["e-0".into(), "e-1".into()],
+        at: now,
+    };
+    let run = Seen { group: Some(("g3".into(), 3)), ..seen("a", now) };
+    let head = Witness { joins: vec![join("g3")], ..witness("e-0", vec![run]) };
+    let member = Witness { joins: vec![join("g2")], ..witness("e-1", Vec::new()) };
+    let partial = Record { witnesses: vec![head.clone(), member], ..Record::default() };
+    assert!(matches!(check(&partial)[..], [Breach::Partial(..)]));
+    let member = Witness { joins: vec![join("g3")], ..witness("e-1", Vec::new()) };
+    assert_eq!(check(&Record { witnesses: vec![head, member], ..Record::default() }), []);
+}
+
+fn row(id: &str, group: &str, open: bool) -> Row {
+    let place = Place { group: group.into(), epoch: 1, open };
+    Row { id: id.into(), place: Some(place), members: vec!["e-0".into(), "e-1".into()] }
+}
+
+#[test]
+fn a_runner_in_two_groups_is_noticed_until_the_first_one_is_broken() {
+    let now = Instant::now();
+    let mut watch = Watch::default();
+    let whole = [row("e-0", "g1", true), row("e-1", "g1", false)];
+    assert!(watch.look(&whole, now).breaches.is_empty());
+    let double = [row("e-0", "g1", true), row("e-1", "g2", false)];
+    let found = watch.look(&double, now);
+    assert!(matches!(found.breaches[..], [Breach::Two(..)]) && found.broken.is_empty());
+    assert_eq!(watch.look(&double, now + seconds(3)).broken, [0], "it stood still for too long");
+    let mut watch = Watch::default();
+    watch.look(&whole, now);
+    let broken = [row("e-0", "g1", false), row("e-1", "g2", false)];
+    assert!(watch.look(&broken, now).breaches.is_empty(), "its head takes nothing any more");
+}
--- /dev/null
+++ b/crates/soak/tests/soak.rs
@@ -0,0 +1,27 @@
+//! A short run with a seed, and what plans promise.
+
+use cottoncrank::Millis;
+use cottoncrank_soak::plan::Plan;
+use cottoncrank_soak::run::play;
+
+/// The seed that every run of the tests plays.
+const SEED: u64 = 11;
+
+#[test]
+fn the_same_seed_gives_the_same_plan_and_it_can_be_kept() {
+    let plan = Plan::draw(SEED, 4, 12, Millis(15_000));
+    assert_eq!(plan, Plan::draw(SEED, 4, 12, Millis(15_000)));
+    assert_ne!(plan.events, Plan::draw(SEED + 1, 4, 12, Millis(15_000)).events);
+    let text = toml::to_string(&plan).unwrap();
+    assert_eq!(toml::from_str::<Plan>(&text).unwrap(), plan);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_short_run_keeps_all_promises() {
+    let folder = std::env::temp_dir().join(format!("cottoncrank-soak-{}", std::process::id()));
+    let plan = Plan::draw(SEED, 3, 6, Millis(6000));
+    let report = play(&plan, &folder).await.unwrap();
+    assert_eq!(report.breaches, [], "settings and logs are in {}", folder.display());
+    assert!(report.served > 0);
+    std::fs::remove_dir_all(&folder).unwrap();
+}
