Hold the members of a group whose entries are all gone while they may live

The decider took the group as over because no member had an entry, and released it in the step in which it gave it up. The member that came back first joined another group 0.6 s later, while the head of the former one was open and served.

Change: a missing entry says nothing of that. Such a group is released like any other: when its head was told to leave and took it, or once it must have broken; and when none of its members was there for a minute and a stall more.

--- a/crates/fleet/src/loss.rs
+++ b/crates/fleet/src/loss.rs
@@ -79,11 +79,9 @@
 }
 
 /// Whether no runner of a retired group takes requests any more, or depends on
-/// one that does.
+/// one that does. Entries say nothing of that: all members may be cut off from the
+/// store alone, and come back one after the other.
 fn is_over(scene: &Scene, group: &Group, memory: &Memory) -> bool {
-    if !group.members.iter().any(|id| scene.roster.get(id).is_some()) {
-        return true;
-    }
     let Some(head) = group.head() else { return true };
     let left = memory.taken.contains(&(head.clone(), Order::Leave(group.name.clone(), group.epoch)));
     match scene.find(head) {
--- a/crates/fleet/src/order.rs
+++ b/crates/fleet/src/order.rs
@@ -126,7 +126,8 @@
 }
 
 /// The head has no entry and may still be open. If it answers, it is told to
-/// leave; else its members are, and it stands still as soon as one is away.
+/// leave; else its members are, and it stands still as soon as one is away. A group
+/// none of whose members was there for a minute is taken to stand still as well.
 fn order_leaving_unseen(scene: &Scene, group: &Group, living: &[&Runner], desk: &mut Desk) {
     let leave = Order::Leave(group.name.clone(), group.epoch);
     let head = group.head().filter(|head| matches!(scene.probes.sign(head), Sign::Heard | Sign::Slow));
@@ -135,6 +136,10 @@
         let finished = group.state == State::Lost || desk.has_passed(head, &close, FINISH);
         return desk.give(head, if finished { leave } else { close });
     }
+    let forgotten = group.members.iter().all(|id| scene.roster.recall(id).is_none());
+    if forgotten {
+        desk.memory.halted.entry((group.name.clone(), group.epoch)).or_insert(desk.now);
+    }
     for runner in living {
         match find_phase(runner, group) {
             Some(_) => desk.give(&runner.id, leave.clone()),
--- a/crates/fleet/tests/decide.rs
+++ b/crates/fleet/tests/decide.rs
@@ -615,3 +615,28 @@
     let kept = world.plans[&site].groups.iter().filter(|group| group.model.as_str() == "small").count();
     assert_eq!(kept, 2, "callers of the small model need them");
 }
+
+#[test]
+fn a_group_whose_entries_are_all_gone_holds_its_members_while_they_may_live() {
+    let mut world = at_rest(1);
+    world.loading = true;
+    let group = world.find("small");
+    let (head, member) = (group.members[0].clone(), group.members[1].clone());
+    let returning = world.roster.get(&member).unwrap().clone();
+    for id in &group.members {
+        world.lapse(id);
+    }
+    world.probe(&[]);
+    world.run(3);
+    // The member is back first. The head may still be open: it was not reached.
+    world.roster.put(returning);
+    world.probe(std::slice::from_ref(&head));
+    world.run(5);
+    let taken = |world: &World| world.groups().any(|g| !g.is_retired() && g.members.contains(&member));
+    assert!(!taken(&world), "{:?}", world.plans);
+    // Without its member the head has broken after a time.
+    world.now = world.now + STALL + STALL_MARGIN;
+    world.probe(&[head]);
+    world.run(10);
+    assert!(taken(&world), "{:?}", world.plans);
+}
--- a/crates/soak/tests/soak.rs
+++ b/crates/soak/tests/soak.rs
@@ -25,3 +25,17 @@
     assert!(report.served > 0);
     std::fs::remove_dir_all(&folder).unwrap();
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn plans_that_failed_once_are_kept_now() {
+    let package = std::env::var_os("CARGO_MANIFEST_DIR").expect("cargo names the package's folder");
+    let cases = std::path::Path::new(&package).join("cases");
+    for case in std::fs::read_dir(cases).unwrap() {
+        let path = case.unwrap().path();
+        let plan: Plan = toml::from_str(&std::fs::read_to_string(&path).unwrap()).unwrap();
+        let folder = std::env::temp_dir().join(format!("cottoncrank-case-{}", std::process::id()));
+        let report = play(&plan, &folder).await.unwrap();
+        assert_eq!(report.breaches, [], "{}, logs in {}", path.display(), folder.display());
+        std::fs::remove_dir_all(&folder).unwrap();
+    }
+}
