--- a/crates/node/src/channel.rs
+++ b/crates/node/src/channel.rs
@@ -17,9 +17,10 @@
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 
-/// How long a connection may take to be made: many round trips between halls,
-/// little against the time in which a first event is wanted.
-const CONNECT: Millis = Millis(250);
+/// How long a connection may take to be made: more than ten round trips between
+/// halls with what a runner adds, and so little that another runner can still send
+/// its first event in the 0.3 s in which most are wanted.
+const CONNECT: Millis = Millis(80);
 
 /// Why a runner gave no answer.
 #[derive(Debug, Error)]
