Leave no runners standing by for small models; complete large groups by loads of members

Change: small models are meant to have all of their share in groups, and take a domain's last runners; the spare runner of the large model is left to members of small groups (before: one spare runner each). Where none of those holds the large model, as on small fleets whose callers come before that is loaded, as many as are missing load it at once, and serve on until their group is closed for it.

--- a/crates/fleet/src/form.rs
+++ b/crates/fleet/src/form.rs
@@ -8,9 +8,10 @@
 use crate::runner::{Epoch, Runner};
 use crate::staging::{Lack, SPARES};
 
-/// Of the runners, this part is meant for groups; the others stand by with a
-/// model staged, so that a lost member is replaced without a load. Two of the
-/// ten runners of today's domains, the most that fail there at one time.
+/// Of its share of the runners, the largest model is meant to have this part in
+/// groups: the rest goes to groups of the others, whose members can stand in for a
+/// lost one. All others are meant to have all of theirs: with a fifth standing by as
+/// well, small groups on played days had fewer slots than callers needed.
 pub const PLACED: f64 = 0.8;
 
 /// A model is meant to have that much more for each further member of its groups:
@@ -22,8 +23,8 @@
 /// model is meant to have: about the time of a load from the weight store.
 const FORM_SCALE: Millis = Millis(15_000);
 
-/// Runners that a domain keeps beside its groups, where another domain can take
-/// a group: one for each of today's two models.
+/// Runners that a domain keeps beside a group of the largest model, where another
+/// domain can take it: one for each of today's two models.
 const RESERVE: usize = 2;
 
 /// Where a domain would keep fewer than [`RESERVE`], a group there counts as
@@ -102,7 +103,7 @@
     for (at, site) in sites.iter().enumerate() {
         let free = site.list_free();
         for (model_at, model) in models.iter().enumerate() {
-            let wanted = count_wanted(model, runners);
+            let wanted = count_wanted(model, largest, runners);
             if free.len() < model.size {
                 continue;
             }
@@ -127,7 +128,7 @@
             }
             let time = if loads > 0 { Millis(0) } else { time };
             let here = site.plan.groups.iter().filter(|group| group.model == model.name).count();
-            let bare = free.len() < model.size + RESERVE;
+            let bare = model.size == largest && free.len() < model.size + RESERVE;
             // The free runners that hold a large model are what is left of a group and
             // what completes it: they go before all else.
             let whole = scene.serving && loads == 0 && model.size == largest && part < 1.0;
@@ -145,10 +146,12 @@
     best
 }
 
-/// How many groups of a model there are meant to be.
-pub(crate) fn count_wanted(model: &Model, runners: usize) -> f64 {
+/// How many groups of a model there are meant to be, where the largest one has groups
+/// of `largest` runners.
+pub(crate) fn count_wanted(model: &Model, largest: usize, runners: usize) -> f64 {
     let lost_more = 1.0 + SIZE_WEIGHT * (model.size - 1) as f64;
-    (PLACED * lost_more * runners as f64 * model.share / model.size as f64).round().max(1.0)
+    let placed = if model.size == largest { PLACED } else { 1.0 };
+    (placed * lost_more * runners as f64 * model.share / model.size as f64).round().max(1.0)
 }
 
 /// How many groups of each model there are, as planned and not given up.
@@ -167,7 +170,8 @@
     let alive = count_alive(models, sites);
     let mut rows: Vec<(f64, Lack)> = Vec::new();
     for (model, alive) in models.iter().zip(alive) {
-        let wanted = count_wanted(model, runners);
+        let largest = models.iter().map(|model| model.size).max().unwrap_or_default();
+        let wanted = count_wanted(model, largest, runners);
         let part = alive as f64 / wanted;
         if part < 1.0 {
             rows.push((part, Lack { model, groups: wanted as usize - alive }));
--- a/crates/fleet/src/recruit.rs
+++ b/crates/fleet/src/recruit.rs
@@ -27,7 +27,7 @@
         let parts: Vec<(&Model, usize)> = models.iter().zip(alive).collect();
         let part = |model: &Model, less: usize| {
             let alive = parts.iter().find(|(known, _)| known.name == model.name).map_or(0, |row| row.1);
-            alive.saturating_sub(less) as f64 / count_wanted(model, runners)
+            alive.saturating_sub(less) as f64 / count_wanted(model, large.size, runners)
         };
         if part(large, 0) >= 1.0 {
             return;
--- a/crates/fleet/src/staging.rs
+++ b/crates/fleet/src/staging.rs
@@ -24,11 +24,12 @@
     pub(crate) groups: usize,
 }
 
-/// Orders models onto free runners. First whole sets for models that lack
-/// groups, worst first, where the fewest loads complete one; then one spare
-/// runner of each model that a domain serves; what is left bare serves the
-/// smallest model, whose sets fill soonest; last, the largest model for members of
-/// small groups.
+/// Orders models onto hosts, in this order: the largest model onto members of small
+/// groups that complete what is left of a large one; whole sets for models that lack
+/// groups, worst first, where the fewest loads complete one; one spare runner of each
+/// model that a domain serves, out of those that are free; the smallest model, whose
+/// sets fill soonest, onto what is left bare; and the largest model onto more members
+/// of small groups, for the next loss.
 pub(crate) fn order_staging(
     scene: &Scene,
     engine: &Engine,
@@ -38,6 +39,10 @@
 ) {
     let models = &engine.models;
     let mut stocks: Vec<Stock> = sites.iter().map(|site| Stock::count(scene, models, site, desk)).collect();
+    let Some(largest) = models.iter().max_by_key(|model| model.size) else { return };
+    for (site, stock) in sites.iter().zip(&stocks) {
+        stage_donors(scene, largest, site, count_missing(largest, stock), 0, desk);
+    }
     for lack in lacking {
         stage_sets(lack, &mut stocks, desk);
     }
@@ -54,23 +59,21 @@
     }
     let reserve = if desk.serving { engine.loads_at_once.div_ceil(2) } else { 0 };
     for site in sites {
-        stage_donors(scene, models, site, reserve, desk);
+        if site.plan.groups.iter().any(|group| group.model == largest.name) {
+            stage_donors(scene, largest, site, DONORS, reserve, desk);
+        }
     }
 }
 
-/// Orders the largest model onto the hosts of members of small groups. They serve
-/// on; the copy of their own model on their hosts gives way to it. `reserve` loads
-/// are left for whatever is lost next.
-fn stage_donors(scene: &Scene, models: &[Model], site: &Site, reserve: usize, desk: &mut Desk) {
-    let Some(largest) = models.iter().max_by_key(|model| model.size) else { return };
-    let groups = || site.plan.groups.iter().filter(|group| !group.is_retired());
-    if !groups().any(|group| group.model == largest.name) {
-        return;
-    }
-    let small = groups().filter(|group| group.model != largest.name);
+/// Orders the largest model onto the hosts of up to `wanted` members of small
+/// groups. They serve on; the copy of their own model on their hosts gives way to
+/// it. `reserve` loads are left for whatever is lost next.
+fn stage_donors(scene: &Scene, largest: &Model, site: &Site, wanted: usize, reserve: usize, desk: &mut Desk) {
+    let groups = site.plan.groups.iter().filter(|group| !group.is_retired());
+    let small = groups.filter(|group| group.model != largest.name);
     let members = small.flat_map(|group| &group.members).filter_map(|id| scene.find(id));
     // Only what has joined: a member that has not still needs its own model there.
-    let settled = members.filter(|runner| !runner.models.is_empty()).take(DONORS);
+    let settled = members.filter(|runner| !runner.models.is_empty()).take(wanted);
     for runner in settled {
         let holds = runner.staged.contains(&largest.name);
         if holds || desk.last_staged(&runner.id) == Some(&largest.name) {
@@ -82,6 +85,12 @@
     }
 }
 
+/// How many members of small groups what is left of a large one needs.
+fn count_missing(largest: &Model, stock: &Stock) -> usize {
+    let held = stock.held(largest);
+    if 2 * held >= largest.size { largest.size.saturating_sub(held) } else { 0 }
+}
+
 fn stage_sets(lack: &Lack, stocks: &mut [Stock], desk: &mut Desk) {
     let model = lack.model;
     let mut missing = lack.groups;
