Pass over the runners of a hall that cannot be reached

Change: after two connections in a row to runners of one hall that were not made in time, its runners are passed over for a second if others can take the request; one connection that is made ends that.

Test: runners_of_a_hall_that_cannot_be_reached_are_passed_over_for_a_while.

--- a/crates/fleet/src/balance.rs
+++ b/crates/fleet/src/balance.rs
@@ -23,26 +23,66 @@
     progress: Millis,
 }
 
+/// Where connections to this many runners of a hall in a row are not made in time,
+/// the way there is taken to be cut: two lost runners are seldom met in a row.
+pub const UNREACHED: u32 = 2;
+
+/// The runners of a hall to which the way seems cut are passed over for this long,
+/// if others can take the request. Then one is tried again.
+pub const AVOID_HALL: Millis = Millis(1000);
+
+/// What a node has seen of the way to a hall.
+#[derive(Clone, Copy, Debug, Default)]
+struct Way {
+    /// Connections in a row that were not made in time.
+    unreached: u32,
+    /// Until when its runners are passed over.
+    avoid: Millis,
+}
+
 /// What a node has seen of all runners.
 #[derive(Clone, Debug, Default)]
-pub struct Ledger(HashMap<id::Runner, Record>);
+pub struct Ledger {
+    records: HashMap<id::Runner, Record>,
+    ways: HashMap<id::Hall, Way>,
+}
 
 impl Ledger {
     /// A request is sent to a runner.
     pub fn begin(&mut self, id: &id::Runner) {
-        self.0.entry(id.clone()).or_default().running += 1;
+        self.records.entry(id.clone()).or_default().running += 1;
+    }
+
+    /// A connection to a runner of a hall was made.
+    pub fn note_reached(&mut self, hall: &id::Hall) {
+        self.ways.remove(hall);
+    }
+
+    /// A connection to a runner of a hall was not made in time.
+    pub fn note_unreached(&mut self, hall: &id::Hall, now: Millis) {
+        let way = self.ways.entry(hall.clone()).or_default();
+        way.unreached += 1;
+        if way.unreached >= UNREACHED {
+            way.avoid = now + AVOID_HALL;
+        }
+    }
+
+    /// Whether nothing speaks against sending a request to a runner.
+    fn is_sound(&self, runner: &Runner, now: Millis) -> bool {
+        let way = self.ways.get(&runner.hall).copied().unwrap_or_default();
+        self.get(&runner.id).avoid <= now && way.avoid <= now
     }
 
     /// A request ended there.
     pub fn end(&mut self, id: &id::Runner) {
-        if let Some(record) = self.0.get_mut(id) {
+        if let Some(record) = self.records.get_mut(id) {
             record.running = record.running.saturating_sub(1);
         }
     }
 
     /// A runner sent something of an answer.
     pub fn progress(&mut self, id: &id::Runner, now: Millis) {
-        let record = self.0.entry(id.clone()).or_default();
+        let record = self.records.entry(id.clone()).or_default();
         record.progress = now;
         record.avoid = Millis(0);
     }
@@ -54,23 +94,23 @@
 
     /// A runner gave no answer, or none that can be used.
     pub fn blame(&mut self, id: &id::Runner, now: Millis) {
-        let record = self.0.entry(id.clone()).or_default();
+        let record = self.records.entry(id.clone()).or_default();
         record.avoid = now + AVOID;
     }
 
     /// Forgets a runner that is gone.
     pub fn forget(&mut self, id: &id::Runner) {
-        self.0.remove(id);
+        self.records.remove(id);
     }
 
     /// The runners at which requests of this node are in flight, and how many.
     pub fn list_busy(&self) -> impl Iterator<Item = (&id::Runner, u32)> {
-        self.0.iter().map(|(id, record)| (id, record.running)).filter(|(_, running)| *running > 0)
+        self.records.iter().map(|(id, record)| (id, record.running)).filter(|(_, running)| *running > 0)
     }
 
     /// What was seen of a runner.
     pub fn get(&self, id: &id::Runner) -> Record {
-        self.0.get(id).copied().unwrap_or_default()
+        self.records.get(id).copied().unwrap_or_default()
     }
 }
 
@@ -97,8 +137,7 @@
 ) -> Option<&'a Runner> {
     let fresh: Vec<&Runner> =
         candidates.iter().copied().filter(|runner| !tried.contains(&runner.id)).collect();
-    let sound: Vec<&Runner> =
-        fresh.iter().copied().filter(|runner| ledger.get(&runner.id).avoid <= now).collect();
+    let sound: Vec<&Runner> = fresh.iter().copied().filter(|runner| ledger.is_sound(runner, now)).collect();
     let usable = if sound.is_empty() { fresh } else { sound };
     match view.is_usable(now) {
         true => pick_by_view(&usable, ledger, view, rng),
@@ -141,7 +180,7 @@
     if !view.is_usable(now) {
         return None;
     }
-    let sound = candidates.iter().filter(|runner| ledger.get(&runner.id).avoid <= now);
+    let sound = candidates.iter().filter(|runner| ledger.is_sound(runner, now));
     let (used, slots) = sound.fold((0, 0), |(used, slots), runner| {
         (used + count(runner, ledger, view).min(runner.slots), slots + runner.slots)
     });
--- a/crates/fleet/tests/occupancy.rs
+++ b/crates/fleet/tests/occupancy.rs
@@ -1,7 +1,7 @@
 //! What nodes tell each other of requests in flight, and what they make of it.
 
-use cottoncrank::Millis;
-use cottoncrank_fleet::balance::{Ledger, has_room, pick};
+use cottoncrank::{Millis, id};
+use cottoncrank_fleet::balance::{AVOID_HALL, Ledger, has_room, pick};
 use cottoncrank_fleet::occupancy::{Counts, KEPT, Report, Scope, Sum, Table, View};
 use cottoncrank_fleet::runner::{Epoch, Membership, Phase, Runner};
 use rand::SeedableRng;
@@ -147,3 +147,29 @@
     view.put(Sum::default(), 1, now);
     assert!(view.is_usable(now), "the only node knows all");
 }
+
+#[test]
+fn runners_of_a_hall_that_cannot_be_reached_are_passed_over_for_a_while() {
+    let (here, there): (id::Hall, id::Hall) = ("hall-a".parse().unwrap(), "hall-b".parse().unwrap());
+    let away = |number| Runner { hall: there.clone(), ..head(number) };
+    let heads = vec![head(0), away(1), away(2), away(3)];
+    let now = Millis(1000);
+    let view = view(&[], now);
+    let mut ledger = Ledger::default();
+    ledger.note_unreached(&there, now);
+    let picked = pick_often(&heads, &ledger, &view, now);
+    assert!(picked[1] > 100, "one runner that is not reached may be lost: {picked:?}");
+    ledger.note_unreached(&there, now);
+    let picked = pick_often(&heads, &ledger, &view, now);
+    assert_eq!(picked[0], 1000, "the way there is cut: {picked:?}");
+    let later = now + AVOID_HALL;
+    assert!(pick_often(&heads, &ledger, &view, later)[1] > 100, "then it is tried again");
+    ledger.note_unreached(&there, later);
+    assert_eq!(pick_often(&heads, &ledger, &view, later)[0], 1000, "still cut");
+    ledger.note_reached(&there);
+    assert!(pick_often(&heads, &ledger, &view, later)[1] > 100);
+    // Where nothing else is left, those that were not reached are tried all the same.
+    ledger.note_unreached(&here, later);
+    ledger.note_unreached(&here, later);
+    assert_eq!(pick_often(&heads[..1], &ledger, &view, later), [1000]);
+}
--- a/crates/node/src/attempt.rs
+++ b/crates/node/src/attempt.rs
@@ -109,6 +109,8 @@
     pub id: id::Runner,
     /// Where it listens.
     pub address: SocketAddr,
+    /// The data hall it stands in.
+    hall: id::Hall,
     /// The group it heads, if the request goes to one.
     group: Option<(id::Group, Epoch)>,
 }
@@ -154,7 +156,7 @@
     let now = node.now();
     let picked = balance::pick(&candidates, tried, &ledger, &view, now, &mut rand::rng())?;
     let group = job.engine().and(picked.membership.as_ref()).map(|place| (place.group.clone(), place.epoch));
-    Some(Pick { id: picked.id.clone(), address: picked.address, group })
+    Some(Pick { id: picked.id.clone(), address: picked.address, hall: picked.hall.clone(), group })
 }
 
 /// Sends the request to a runner and waits for the head of the answer.
@@ -168,9 +170,14 @@
     let counted = node.begin_attempt(&pick.id);
     let opened = Channel::open(pick.address).await;
     let mut channel = opened.map_err(|error| {
-        node.ledger.lock().blame(&pick.id, node.now());
+        let mut ledger = node.ledger.lock();
+        ledger.blame(&pick.id, node.now());
+        if error.is_timeout() {
+            ledger.note_unreached(&pick.hall, node.now());
+        }
         AttemptError::NotRun(error.to_string())
     })?;
+    node.ledger.lock().note_reached(&pick.hall);
     let request = write_request(node, job, pick, last_event);
     let response = match channel.send(request).await {
         Ok(response) => response,
--- a/crates/node/src/channel.rs
+++ b/crates/node/src/channel.rs
@@ -33,6 +33,13 @@
     Broken(#[from] hyper::Error),
 }
 
+impl ChannelError {
+    /// Whether nothing came back from the runner's box in time.
+    pub fn is_timeout(&self) -> bool {
+        matches!(self, ChannelError::Connect(error) if error.kind() == std::io::ErrorKind::TimedOut)
+    }
+}
+
 /// A connection. Dropping it closes it, and the runner drops the request.
 pub struct Channel {
     sender: SendRequest<Full<Bytes>>,
