Write the last lines of the log before the process ends

The line was put into the queue, the process ended, and the writing thread with it.

Change: the log is flushed at the end, for 200 ms at most, so that a blocked output does not use up the grace. Tests: the last lines come out of a slow output; a blocked one holds nobody up. Also a test of the readers that ask the deciding node, which counts watches over two halls.

--- a/crates/node/src/bin/cottoncrank-node.rs
+++ b/crates/node/src/bin/cottoncrank-node.rs
@@ -49,7 +49,7 @@
 }
 
 fn run(args: &Args) -> Result<(), MainError> {
-    let _log = log::start("info").map_err(StartError::from)?;
+    let log = log::start("info").map_err(StartError::from)?;
     let settings = settings::read()?;
     if args.check {
         println!("{}: the settings can be used", settings.node);
@@ -57,8 +57,10 @@
     }
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(StartError::from)?;
-    runtime.block_on(serve(Node::new(settings))).map_err(StartError::from)?;
-    Ok(())
+    let served = runtime.block_on(serve(Node::new(settings)));
+    // Lines that cannot be written in time are lost, as at any other time.
+    log.flush();
+    Ok(served.map_err(StartError::from)?)
 }
 
 async fn serve(node: Arc<Node>) -> Result<(), std::io::Error> {
--- a/crates/node/src/log.rs
+++ b/crates/node/src/log.rs
@@ -18,6 +18,10 @@
 /// Lines that wait to be written: a second's worth at the allowed rate.
 const QUEUE: usize = 512;
 
+/// How long the end of the process waits for the last lines: an output that takes
+/// them does so at once, and one that is blocked must not use up the grace.
+const FLUSH: Millis = Millis(200);
+
 /// Notices allowed in a second: an estimate, several times what a node wrote on a
 /// played day (4,149 lines about requests in 54 s over nine nodes). What a
 /// line costs was not measured.
@@ -53,8 +57,17 @@
     }
 }
 
-struct Queue {
-    lines: SyncSender<Vec<u8>>,
+/// What the writing thread gets.
+enum Entry {
+    /// A line.
+    Line(Vec<u8>),
+    /// All lines before are to be written, and this told.
+    Flush(SyncSender<()>),
+}
+
+/// Takes lines, and leaves the writing to a thread.
+pub struct Queue {
+    lines: SyncSender<Entry>,
     quota: Mutex<Quota>,
     clock: System,
     left_out: AtomicU64,
@@ -62,30 +75,43 @@
 
 /// Starts the log on standard output. `RUST_LOG` goes before the level given.
 pub fn start(level: &str) -> Result<LoggerHandle, flexi_logger::FlexiLoggerError> {
-    let (lines, written) = sync_channel(QUEUE);
-    let queue = Queue { lines, quota: Mutex::default(), clock: System::new(), left_out: AtomicU64::new(0) };
-    std::thread::Builder::new()
-        .name("log".into())
-        .stack_size(64 * 1024)
-        .spawn(move || write_lines(&written))?;
+    let queue = Queue::start(std::io::stdout())?;
     Logger::try_with_env_or_str(level)?.log_to_writer(Box::new(queue)).start()
 }
 
 /// Writes lines until the process ends. A line that cannot be written is lost:
 /// there is nowhere else to say so.
-fn write_lines(lines: &Receiver<Vec<u8>>) {
-    let mut out = std::io::stdout();
-    while let Ok(mut bytes) = lines.recv() {
-        while let Ok(more) = lines.try_recv() {
-            bytes.extend_from_slice(&more);
+fn write_lines(entries: &Receiver<Entry>, mut out: impl Write) {
+    while let Ok(first) = entries.recv() {
+        let mut bytes = Vec::new();
+        let mut told = Vec::new();
+        for entry in std::iter::once(first).chain(entries.try_iter()) {
+            match entry {
+                Entry::Line(line) => bytes.extend_from_slice(&line),
+                Entry::Flush(waiting) => told.push(waiting),
+            }
         }
         let _ = out.write_all(&bytes).and_then(|()| out.flush());
+        for waiting in told {
+            // Whoever waited may have given up.
+            let _ = waiting.try_send(());
+        }
     }
 }
 
 impl Queue {
+    /// Starts the thread that writes to `out`.
+    pub fn start(out: impl Write + Send + 'static) -> std::io::Result<Queue> {
+        let (lines, entries) = sync_channel(QUEUE);
+        std::thread::Builder::new()
+            .name("log".into())
+            .stack_size(64 * 1024)
+            .spawn(move || write_lines(&entries, out))?;
+        Ok(Queue { lines, quota: Mutex::default(), clock: System::new(), left_out: AtomicU64::new(0) })
+    }
+
     fn push(&self, line: Vec<u8>) {
-        match self.lines.try_send(line) {
+        match self.lines.try_send(Entry::Line(line)) {
             Ok(()) => {}
             Err(TrySendError::Full(_) | TrySendError::Disconnected(_)) => self.count_left_out(),
         }
@@ -112,7 +138,14 @@
         Ok(())
     }
 
+    /// Waits until what was logged so far is written, for [`FLUSH`] at most: the
+    /// process is about to end, and the thread ends with it.
     fn flush(&self) -> std::io::Result<()> {
-        Ok(())
+        let (told, waiting) = sync_channel(1);
+        let sent = self.lines.try_send(Entry::Flush(told));
+        match sent.is_ok() && waiting.recv_timeout(FLUSH.duration()).is_ok() {
+            true => Ok(()),
+            false => Err(std::io::ErrorKind::TimedOut.into()),
+        }
     }
 }
--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -38,13 +38,13 @@
     pub plain: Vec<Runner>,
 }
 
-async fn start_node(store: &Store, number: usize) -> Running {
+async fn start_node(store: &Store, number: usize, hall: &str) -> Running {
     let bind = async || TcpListener::bind("127.0.0.1:0").await.unwrap();
     let listeners = Listeners { callers: bind().await, ready: bind().await, peers: bind().await };
     let address = |listener: &TcpListener| listener.local_addr().unwrap();
     let settings = Settings {
         node: format!("node-{number}").parse().unwrap(),
-        hall: "hall-a".parse().unwrap(),
+        hall: hall.parse().unwrap(),
         callers: address(&listeners.callers),
         ready: address(&listeners.ready),
         peers: address(&listeners.peers),
@@ -68,13 +68,18 @@
 impl Fleet {
     /// Nodes, six engines in one domain, two plain runners; no configuration yet.
     pub async fn bare(nodes: usize) -> Fleet {
+        Fleet::in_halls(&vec!["hall-a"; nodes]).await
+    }
+
+    /// The same, with a node in each of these halls.
+    pub async fn in_halls(halls: &[&str]) -> Fleet {
         let store = Store::start().unwrap();
         let engine = |n| Runner::start(&store, &format!("e-{n}"), ENGINES, "hall-a", Some("d1")).unwrap();
         let plain = |n| Runner::start(&store, &format!("p-{n}"), PLAIN, "hall-a", None).unwrap();
         let (engines, plain) = ((0..6).map(engine).collect(), (0..2).map(plain).collect());
         let mut running = Vec::new();
-        for number in 0..nodes {
-            running.push(start_node(&store, number).await);
+        for (number, hall) in halls.iter().enumerate() {
+            running.push(start_node(&store, number, hall).await);
         }
         Fleet { store, nodes: running, engines, plain }
     }
--- a/crates/node/tests/fleet.rs
+++ b/crates/node/tests/fleet.rs
@@ -40,6 +40,34 @@
     fleet.wait("and the keys are proven", |f| f.nodes.iter().all(|r| r.node.trusts_keys())).await;
 }
 
+#[tokio::test]
+async fn the_reader_of_another_hall_asks_the_deciding_node_as_long_as_it_answers() {
+    let mut fleet = Fleet::in_halls(&["hall-a", "hall-b"]).await;
+    fleet.store.configure(&config(1, &["key-1"]));
+    fleet
+        .wait("both know each other, two groups and who decides", |fleet| {
+            let knows = |running: &common::Running| {
+                running.node.directory.lock().count() == 2 && running.node.decider.borrow().is_some()
+            };
+            fleet.all_know(2) && fleet.nodes.iter().all(knows)
+        })
+        .await;
+    let held = |running: &common::Running| running.node.catalog.lock().as_ref().map(|held| held.version);
+    let before = fleet.store.calls().watches;
+    for version in 2..=21 {
+        fleet.store.configure(&config(version, &["key-1"]));
+        fleet
+            .wait("the change is in force", |fleet| fleet.nodes.iter().all(|r| held(r) == Some(version)))
+            .await;
+    }
+    let watches = fleet.store.calls().watches - before;
+    assert!(watches < 32, "one watch for a change and a few that ran out, not two: {watches} for 20");
+    let decider = fleet.nodes.iter().position(|running| running.node.is_deciding()).unwrap();
+    drop(fleet.nodes.remove(decider));
+    fleet.store.configure(&config(22, &["key-2"]));
+    fleet.wait("the other one reads the store itself", |fleet| held(&fleet.nodes[0]) == Some(22)).await;
+}
+
 #[tokio::test]
 async fn saved_up_retries_are_shared_by_the_nodes_there_are() {
     let fleet = Fleet::bare(4).await;
--- a/crates/node/tests/log.rs
+++ b/crates/node/tests/log.rs
@@ -1,8 +1,15 @@
-//! The volume of the log is bounded, and failures are left out last.
+//! The volume of the log is bounded, failures are left out last, and the last lines
+//! are written.
+
+use std::io::Write;
+use std::sync::Arc;
 
 use cottoncrank::Millis;
-use cottoncrank_node::log::Quota;
-use log::Level;
+use cottoncrank_node::log::{Queue, Quota};
+use flexi_logger::DeferredNow;
+use flexi_logger::writers::LogWriter;
+use log::{Level, Record};
+use parking_lot::Mutex;
 
 #[test]
 fn a_flood_is_bounded_in_each_second_and_leaves_warnings_their_room() {
@@ -15,3 +22,63 @@
     assert!(!quota.allows(Level::Info, now + Millis(999)));
     assert!(quota.allows(Level::Info, now + Millis(1000)));
 }
+
+fn write(queue: &Queue, line: &str) {
+    let written = queue.write(
+        &mut DeferredNow::new(),
+        &Record::builder().level(Level::Info).args(format_args!("{line}")).build(),
+    );
+    written.unwrap();
+}
+
+/// An output that takes its time.
+struct Slow(Arc<Mutex<Vec<u8>>>);
+
+impl Write for Slow {
+    fn write(&mut self, bytes: &[u8]) -> std::io::Result<usize> {
+        let (sender, never) = std::sync::mpsc::channel::<()>();
+        let _ = never.recv_timeout(Millis(50).duration());
+        drop(sender);
+        self.0.lock().extend_from_slice(bytes);
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> std::io::Result<()> {
+        Ok(())
+    }
+}
+
+#[test]
+fn the_last_lines_are_written_before_the_process_ends() {
+    let written = Arc::new(Mutex::new(Vec::new()));
+    let queue = Queue::start(Slow(written.clone())).unwrap();
+    for line in ["first", "second", "node: stops"] {
+        write(&queue, line);
+    }
+    queue.flush().unwrap();
+    assert!(String::from_utf8_lossy(&written.lock()).ends_with("node: stops\n"));
+}
+
+/// An output that never takes anything.
+struct Blocked;
+
+impl Write for Blocked {
+    fn write(&mut self, _: &[u8]) -> std::io::Result<usize> {
+        loop {
+            std::thread::park();
+        }
+    }
+
+    fn flush(&mut self) -> std::io::Result<()> {
+        Ok(())
+    }
+}
+
+#[test]
+fn a_blocked_output_holds_nobody_up() {
+    let queue = Queue::start(Blocked).unwrap();
+    for number in 0..2000 {
+        write(&queue, &format!("line {number}"));
+    }
+    assert!(queue.flush().is_err(), "it gives up waiting");
+}
