Name the closing of small groups for large ones preemption, and its standbys

Cause: the words used (recruit, donor) are not the field's. No change of what is done, but for a lead of zero that is left out. Tests pass as before.

--- a/crates/fleet/src/decide.rs
+++ b/crates/fleet/src/decide.rs
@@ -18,8 +18,8 @@
 use crate::loss::{release_groups, retire_groups};
 use crate::order::{Desk, Order, REPEAT_TAKEN, list_orders};
 use crate::plan::{Document, Group, find_state};
+use crate::preempt::preempt_groups;
 use crate::probe::{Probes, Sign};
-use crate::recruit::recruit_members;
 use crate::roster::Roster;
 use crate::runner::{Epoch, Phase, Runner};
 use crate::settings::Ceiling;
@@ -184,7 +184,7 @@
         release_groups(scene, site, memory);
     }
     if scene.serving {
-        recruit_members(scene, &engine.models, &mut sites);
+        preempt_groups(scene, &engine.models, &mut sites);
     }
     form_groups(scene, engine, &mut sites, memory);
     let mut step = Step::default();
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -4,9 +4,8 @@
 //! [`catalog`] is what operators want, [`roster`] which runners there are,
 //! [`plan`] which runner is meant for which group. [`decide`] turns the three
 //! into orders, [`balance`] picks a runner for a request by what all nodes have in
-//! flight ([`occupancy`]), [`freshness`] says how
-//! long a node may rely on what it knows, [`event`] splits a stream into the
-//! events that can be resumed after.
+//! flight ([`occupancy`]), [`freshness`] says how long a node may rely on what it
+//! knows, [`event`] splits a stream into the events that can be resumed after.
 
 pub mod balance;
 pub mod catalog;
@@ -21,8 +20,8 @@
 pub mod occupancy;
 pub mod order;
 pub mod plan;
+pub mod preempt;
 pub mod probe;
-pub mod recruit;
 pub mod roster;
 pub mod runner;
 pub mod settings;
--- a/crates/fleet/src/recruit.rs
+++ b/crates/fleet/src/preempt.rs
@@ -1,10 +1,10 @@
 //! Completing what is left of a large group with members of small ones.
 //!
-//! A domain has one spare runner for the large model. After a second loss the rest
-//! of the group would stand idle until another runner has loaded the model, which
-//! takes longer than most troubles last. Members of small groups can hold the large
-//! model on their hosts while they serve ([`crate::staging`]), so one small group is
-//! closed instead, and its members complete the large one.
+//! Few domains have a spare runner for the large model. Without one the rest of a
+//! group would stand idle until another runner has loaded the model, which takes
+//! longer than most troubles last. Members of small groups hold the large model on
+//! their hosts while they serve ([`crate::staging`]), so one small group is closed
+//! instead, and its members complete the large one.
 
 use cottoncrank::id;
 
@@ -13,13 +13,9 @@
 use crate::form::{count_alive, count_wanted};
 use crate::plan::{Group, State};
 
-/// A large model may have this much more of what it is meant to have than a small
-/// one, and small groups are still closed for it: there are fewer groups of it, so
-/// that each of them counts for more.
-const LEAD: f64 = 0.0;
-
-/// Closes small groups whose members complete a large one.
-pub(crate) fn recruit_members(scene: &Scene, models: &[Model], sites: &mut [Site]) {
+/// Closes small groups whose members complete a large one, as long as the large model
+/// has the smaller part of what it is meant to have.
+pub(crate) fn preempt_groups(scene: &Scene, models: &[Model], sites: &mut [Site]) {
     let Some(large) = models.iter().max_by_key(|model| model.size) else { return };
     let runners: usize = sites.iter().map(|site| site.runners.len()).sum();
     for at in 0..sites.len() {
@@ -32,15 +28,15 @@
         if part(large, 0) >= 1.0 {
             return;
         }
-        let gives = |model: &&Model| model.size < large.size && part(large, 0) < part(model, 1) + LEAD;
-        let givers: Vec<&Model> = models.iter().filter(gives).collect();
-        close_donor(scene, &mut sites[at], large, &givers);
+        let is_lower = |model: &&Model| model.size < large.size && part(large, 0) < part(model, 1);
+        let lower: Vec<&Model> = models.iter().filter(is_lower).collect();
+        close_victim(scene, &mut sites[at], large, &lower);
     }
 }
 
-/// Closes one group of `givers` in a domain that lacks few runners for a group of
+/// Closes one group of `lower` in a domain that lacks few runners for a group of
 /// `large`, if that brings the runners nearer to it.
-fn close_donor(scene: &Scene, site: &mut Site, large: &Model, givers: &[&Model]) {
+fn close_victim(scene: &Scene, site: &mut Site, large: &Model, lower: &[&Model]) {
     let free = site.list_free().into_iter().filter(|runner| time_join(runner, large) < large.load).count();
     let retired = site.plan.groups.iter().filter(|group| group.is_retired());
     let coming: usize = retired.map(|group| count_holders(scene, group, large)).sum();
@@ -49,16 +45,16 @@
         return;
     }
     let missing = large.size - free - coming;
-    let donors = site
+    let victims = site
         .plan
         .groups
         .iter_mut()
-        .filter(|group| !group.is_retired() && givers.iter().any(|model| model.name == group.model));
-    let donor = donors.max_by_key(|group| count_holders(scene, group, large).min(missing));
-    let Some(donor) = donor.filter(|group| count_holders(scene, group, large) > 0) else { return };
-    donor.state = State::Closing;
+        .filter(|group| !group.is_retired() && lower.iter().any(|model| model.name == group.model));
+    let victim = victims.max_by_key(|group| count_holders(scene, group, large).min(missing));
+    let Some(victim) = victim.filter(|group| count_holders(scene, group, large) > 0) else { return };
+    victim.state = State::Closing;
     let reason =
-        format!("retire {} of {}: {} lacks {missing} more runners", donor.name, donor.model, large.name);
+        format!("retire {} of {}: {} lacks {missing} more runners", victim.name, victim.model, large.name);
     site.reasons.push(reason);
 }
 
--- a/crates/fleet/src/staging.rs
+++ b/crates/fleet/src/staging.rs
@@ -14,7 +14,7 @@
 
 /// Members of small groups in each domain that hold the largest model on their hosts
 /// beside what they serve: two pairs, for two losses before either is made up for.
-pub const DONORS: usize = 4;
+pub const STANDBYS: usize = 4;
 
 /// A model that has fewer groups than it is meant to have.
 #[derive(Clone, Copy, Debug)]
@@ -41,7 +41,7 @@
     let mut stocks: Vec<Stock> = sites.iter().map(|site| Stock::count(scene, models, site, desk)).collect();
     let Some(largest) = models.iter().max_by_key(|model| model.size) else { return };
     for (site, stock) in sites.iter().zip(&stocks) {
-        stage_donors(scene, largest, site, count_missing(largest, stock), 0, desk);
+        stage_standbys(scene, largest, site, count_missing(largest, stock), 0, desk);
     }
     for lack in lacking {
         stage_sets(lack, &mut stocks, desk);
@@ -60,7 +60,7 @@
     let reserve = if desk.serving { engine.loads_at_once.div_ceil(2) } else { 0 };
     for site in sites {
         if site.plan.groups.iter().any(|group| group.model == largest.name) {
-            stage_donors(scene, largest, site, DONORS, reserve, desk);
+            stage_standbys(scene, largest, site, STANDBYS, reserve, desk);
         }
     }
 }
@@ -68,7 +68,14 @@
 /// Orders the largest model onto the hosts of up to `wanted` members of small
 /// groups. They serve on; the copy of their own model on their hosts gives way to
 /// it. `reserve` loads are left for whatever is lost next.
-fn stage_donors(scene: &Scene, largest: &Model, site: &Site, wanted: usize, reserve: usize, desk: &mut Desk) {
+fn stage_standbys(
+    scene: &Scene,
+    largest: &Model,
+    site: &Site,
+    wanted: usize,
+    reserve: usize,
+    desk: &mut Desk,
+) {
     let groups = site.plan.groups.iter().filter(|group| !group.is_retired());
     let small = groups.filter(|group| group.model != largest.name);
     let members = small.flat_map(|group| &group.members).filter_map(|id| scene.find(id));
--- a/crates/fleet/tests/decide.rs
+++ b/crates/fleet/tests/decide.rs
@@ -12,7 +12,7 @@
 use cottoncrank_fleet::roster::Roster;
 use cottoncrank_fleet::runner::{Membership, Phase, Runner};
 use cottoncrank_fleet::settings::Ceiling;
-use cottoncrank_fleet::staging::DONORS;
+use cottoncrank_fleet::staging::STANDBYS;
 
 const STALL: Millis = Millis(6000);
 const CEILING: Ceiling = Ceiling { window: Millis(5000), overshoot: 1.1 };
@@ -566,7 +566,7 @@
         let members: Vec<&Runner> =
             small.flat_map(|group| &group.members).map(|id| world.roster.get(id).unwrap()).collect();
         let holders = members.iter().filter(|runner| runner.staged[0].as_str() == "large").count();
-        assert_eq!(holders, DONORS.min(members.len()));
+        assert_eq!(holders, STANDBYS.min(members.len()));
         assert!(members.iter().all(|runner| runner.membership.is_some()), "they serve on");
     }
 }
