Charge no retry for a runner that was not reached; keep one list of nodes passed over

Change: a retry is charged once a request has reached a runner, also one that refused it. The nodes that did not answer are kept by one type for sync and collect.

Test: a_runner_that_is_not_reached_costs_no_retry, which failed before (200, 503).

--- a/crates/node/src/attempt.rs
+++ b/crates/node/src/attempt.rs
@@ -68,6 +68,9 @@
 /// Why a try gave no answer.
 #[derive(Debug, Error)]
 pub enum AttemptError {
+    /// No connection was made: nothing reached the runner.
+    #[error("not run: {0}")]
+    Unreached(String),
     /// The runner surely did not run it.
     #[error("not run: {0}")]
     NotRun(String),
@@ -80,9 +83,16 @@
 }
 
 impl AttemptError {
+    /// Whether the request reached the runner: only then does sending it again count
+    /// as a retry, which has to be paid for.
+    pub fn has_arrived(&self) -> bool {
+        !matches!(self, AttemptError::Unreached(_))
+    }
+
     /// The reason as the figures name it.
     pub fn reason(&self) -> &'static str {
         match self {
+            AttemptError::Unreached(_) => "unreached",
             AttemptError::NotRun(_) => "not_run",
             AttemptError::Full => "full",
             AttemptError::MayHaveRun(_) => "may_have_run",
@@ -175,7 +185,7 @@
         if error.is_timeout() {
             ledger.note_unreached(&pick.hall, node.now());
         }
-        AttemptError::NotRun(error.to_string())
+        AttemptError::Unreached(error.to_string())
     })?;
     node.ledger.lock().note_reached(&pick.hall);
     let request = write_request(node, job, pick, last_event);
--- a/crates/node/src/collect.rs
+++ b/crates/node/src/collect.rs
@@ -10,6 +10,7 @@
 use cottoncrank_net::client::{Client, Traffic};
 use tokio::task::JoinSet;
 
+use crate::avoid::Avoided;
 use crate::peer;
 use crate::state::Node;
 
@@ -31,24 +32,6 @@
 /// A collector that does not answer is not told for this long.
 const AVOID: Millis = Millis(2000);
 
-/// Collectors that did not answer, and until when they are passed over.
-#[derive(Default)]
-struct Avoided(Vec<(id::Node, Millis)>);
-
-impl Avoided {
-    fn add(&mut self, node: id::Node, until: Millis) {
-        self.0.push((node, until));
-    }
-
-    fn forget(&mut self, now: Millis) {
-        self.0.retain(|(_, until)| now < *until);
-    }
-
-    fn contains(&self, node: &id::Node) -> bool {
-        self.0.iter().any(|(avoided, _)| avoided == node)
-    }
-}
-
 /// Tells and learns until the process ends.
 pub async fn run(node: Arc<Node>) {
     let client = Client::new(Traffic::default());
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -10,6 +10,7 @@
 
 pub mod answer;
 pub mod attempt;
+mod avoid;
 pub mod channel;
 pub mod collect;
 pub mod decider;
--- a/crates/node/src/plain.rs
+++ b/crates/node/src/plain.rs
@@ -25,9 +25,10 @@
     let mut tried = Vec::new();
     let mut sent = 0;
     let mut may_have_run = false;
+    let mut arrived = false;
     while tried.len() < TRIES && sent < job.route.attempts {
         let Some(pick) = pick(node, job, &tried) else { break };
-        if !tried.is_empty() && !node.retries.lock().spend() {
+        if arrived && !node.retries.lock().spend() {
             log::info!("request {}: not sent again, the retries are spent", job.id());
             break;
         }
@@ -41,6 +42,7 @@
             Err(error) => {
                 figures::count_failed_attempt(error.reason());
                 log::info!("request {}: try {} at {}: {error}", job.id(), tried.len(), pick.id);
+                arrived |= error.has_arrived();
                 if let AttemptError::MayHaveRun(_) = error {
                     sent += 1;
                     may_have_run = true;
--- a/crates/node/src/stream.rs
+++ b/crates/node/src/stream.rs
@@ -48,6 +48,8 @@
     sent: u32,
     /// Runners that had no place for it.
     full: u32,
+    /// Whether it has reached a runner: from then on sending it costs a retry.
+    arrived: bool,
 }
 
 /// A stream under way at one runner.
@@ -174,8 +176,9 @@
     match error {
         AttemptError::MayHaveRun(_) => tries.sent += 1,
         AttemptError::Full => tries.full += 1,
-        AttemptError::NotRun(_) => {}
+        AttemptError::Unreached(_) | AttemptError::NotRun(_) => {}
     }
+    tries.arrived |= error.has_arrived();
     figures::count_failed_attempt(error.reason());
     let runner = tries.tried.last().map_or("-", id::Runner::as_str);
     log::info!("request {}: try {} at {runner}: {error}", job.id(), tries.tried.len());
@@ -199,7 +202,7 @@
             return Err(refusal);
         }
         let Some(pick) = pick(node, job, &tries.tried) else { return Err(refusal) };
-        if !tries.tried.is_empty() && !node.retries.lock().spend() {
+        if tries.arrived && !node.retries.lock().spend() {
             log::info!("request {}: not sent again, the retries are spent", job.id());
             return Err(refusal);
         }
--- a/crates/node/src/sync.rs
+++ b/crates/node/src/sync.rs
@@ -3,7 +3,7 @@
 
 use std::sync::Arc;
 
-use cottoncrank::{Millis, id};
+use cottoncrank::Millis;
 use cottoncrank_fleet::catalog::Catalog;
 use cottoncrank_fleet::directory::Peer;
 use cottoncrank_net::client::{Client, Traffic};
@@ -11,6 +11,7 @@
 use rand::Rng;
 use thiserror::Error;
 
+use crate::avoid::Avoided;
 use crate::decider::{self, LEASE_KEY};
 use crate::feed::{self, UnpackError};
 use crate::member;
@@ -95,7 +96,7 @@
     client: Client,
     revision: Option<u64>,
     /// Nodes not to be asked, and until when.
-    avoided: Vec<(id::Node, Millis)>,
+    avoided: Avoided,
     /// Whether the store was reached last, here or by the node asked.
     reached: bool,
 }
@@ -103,7 +104,7 @@
 /// Follows the store until the process ends.
 pub async fn run(node: Arc<Node>) {
     let client = Client::new(Traffic::default());
-    let mut sync = Sync { node, client, revision: None, avoided: Vec::new(), reached: true };
+    let mut sync = Sync { node, client, revision: None, avoided: Avoided::default(), reached: true };
     loop {
         sync.follow().await;
     }
@@ -130,7 +131,7 @@
             }
             (Err(error), Source::Reader(peer) | Source::Decider(peer)) => {
                 log::info!("sync: {} is not asked for {AVOID}: {error}", peer.node);
-                self.avoided.push((peer.node, self.node.now() + AVOID));
+                self.avoided.add(peer.node, self.node.now() + AVOID);
             }
             (Err(error), Source::Store) => {
                 if self.reached {
@@ -148,15 +149,14 @@
     /// for what it does; the readers of the halls ask it, and all others ask those.
     /// The store is read as well where whoever should be asked does not answer.
     fn pick_source(&mut self) -> Source {
-        let now = self.node.now();
-        self.avoided.retain(|(_, until)| *until > now);
+        self.avoided.forget(self.node.now());
         if self.node.is_deciding() || self.revision.is_none() {
             return Source::Store;
         }
         let settings = self.node.settings();
         let directory = self.node.directory.lock();
         let readers = directory.list_sources(&settings.node, &settings.hall);
-        let asked = |peer: &Peer| !self.avoided.iter().any(|(avoided, _)| *avoided == peer.node);
+        let asked = |peer: &Peer| !self.avoided.contains(&peer.node);
         if !readers.is_empty() {
             return readers.into_iter().find(asked).map_or(Source::Store, Source::Reader);
         }
--- a/crates/node/tests/requests.rs
+++ b/crates/node/tests/requests.rs
@@ -227,3 +227,22 @@
     drop(held);
     assert_eq!(fleet.ask(STREAM, "r3").await.status, 200);
 }
+
+#[tokio::test]
+async fn a_runner_that_is_not_reached_costs_no_retry() {
+    let fleet = Fleet::serving(1).await;
+    let node = &fleet.nodes[0].node;
+    let head = fleet.heads()[0];
+    let (id, nowhere) = (head.id().parse().unwrap(), "127.0.0.1:9".parse().unwrap());
+    head.advertise(nowhere);
+    let moved = |fleet: &Fleet| {
+        let roster = fleet.nodes[0].node.roster.lock();
+        roster.get(&id).is_some_and(|runner| runner.address == nowhere)
+    };
+    fleet.wait("the node knows the new address", moved).await;
+    while node.retries.lock().spend() {}
+    // One of the two meets it, for each goes to a head without a request of this node.
+    let (one, other) = tokio::join!(fleet.ask(STREAM, "r1"), fleet.ask(STREAM, "r2"));
+    assert_eq!((one.status, other.status), (200, 200));
+    assert!(!node.retries.lock().spend(), "nothing was saved up meanwhile");
+}
