--- a/crates/soak/tests/checks.rs
+++ b/crates/soak/tests/checks.rs
@@ -12,14 +12,6 @@
     Duration::from_secs(count)
 }
 
-fn answer(id: &str, status: u16, body: &str) -> Answer {
-    let headers = vec![
-        ("x-cottoncrank-request-id".to_owned(), id.to_owned()),
-        ("x-cottoncrank-response-signature".to_owned(), format!("sig-{id}")),
-    ];
-    Answer { status, headers, body: body.to_owned(), whole: true }
-}
-
 fn call(id: &str, kind: Kind, sent: Instant, answer: Answer) -> Call {
     let done = sent + Duration::from_millis(100);
     Call { id: id.to_owned(), kind, node: 0, life: 1, key: 0, sent, done, answer: Some(answer) }
@@ -54,9 +46,9 @@
 fn a_sound_run_breaks_nothing() {
     let now = Instant::now();
     let calls = vec![
-        call("a", Kind::Once, now, answer("a", 200, "done a")),
-        call("b", Kind::Stream, now, answer("b", 200, &events(0..EVENTS))),
-        call("c", Kind::Read, now, answer("c", 503, "busy")),
+        call("a", Kind::Once, now, Answer::signed("a", 200, "done a")),
+        call("b", Kind::Stream, now, Answer::signed("b", 200, &events(0..EVENTS))),
+        call("c", Kind::Read, now, Answer::signed("c", 503, "busy")),
     ];
     assert_eq!(check(&record(calls, vec![seen("a", now), seen("b", now)])), []);
 }
@@ -64,9 +56,9 @@
 #[test]
 fn an_answer_that_is_not_ones_own_is_noticed() {
     let now = Instant::now();
-    let other = call("a", Kind::Read, now, answer("b", 200, "done b"));
+    let other = call("a", Kind::Read, now, Answer::signed("b", 200, "done b"));
     assert!(matches!(check(&record(vec![other], Vec::new()))[..], [Breach::Mixed(..)]));
-    let other = call("a", Kind::Read, now, answer("a", 200, "done b"));
+    let other = call("a", Kind::Read, now, Answer::signed("a", 200, "done b"));
     assert!(matches!(check(&record(vec![other], Vec::new()))[..], [Breach::Mixed(..)]));
 }
 
@@ -74,10 +66,10 @@
 fn events_that_are_lost_repeated_or_missing_at_the_end_are_noticed() {
     let now = Instant::now();
     for ids in [vec![0, 2, 3, 4, 5], vec![0, 1, 1, 2, 3, 4, 5], vec![0, 1, 2]] {
-        let stream = call("a", Kind::Stream, now, answer("a", 200, &events(ids)));
+        let stream = call("a", Kind::Stream, now, Answer::signed("a", 200, &events(ids)));
         assert!(matches!(check(&record(vec![stream], Vec::new()))[..], [Breach::Order(..)]));
     }
-    let mut cut = call("a", Kind::Stream, now, answer("a", 200, &events(0..3)));
+    let mut cut = call("a", Kind::Stream, now, Answer::signed("a", 200, &events(0..3)));
     cut.answer.as_mut().unwrap().whole = false;
     assert_eq!(check(&record(vec![cut], Vec::new())), [], "a stream that is cut openly is no lie");
 }
@@ -85,10 +77,10 @@
 #[test]
 fn a_second_run_and_a_false_refusal_are_noticed() {
     let now = Instant::now();
-    let twice = call("a", Kind::Once, now, answer("a", 200, "done a"));
+    let twice = call("a", Kind::Once, now, Answer::signed("a", 200, "done a"));
     let breaches = check(&record(vec![twice], vec![seen("a", now), seen("a", now)]));
     assert_eq!(breaches, [Breach::Twice("a".into(), 2)]);
-    let refused = call("a", Kind::Read, now, answer("a", 503, ""));
+    let refused = call("a", Kind::Read, now, Answer::signed("a", 503, ""));
     let breaches = check(&record(vec![refused], vec![seen("a", now + seconds(9))]));
     assert_eq!(breaches, [Breach::Refused("a".into(), 503, 1)], "also when it runs much later");
 }
@@ -96,13 +88,13 @@
 #[test]
 fn a_key_that_was_taken_away_is_noticed_when_it_is_honoured_late_or_again() {
     let now = Instant::now();
-    let late = call("a", Kind::Read, now + seconds(6), answer("a", 200, "done a"));
+    let late = call("a", Kind::Read, now + seconds(6), Answer::signed("a", 200, "done a"));
     let mut late = record(vec![late], vec![seen("a", now + seconds(6))]);
     late.revoked = vec![Some(now)];
     assert!(matches!(check(&late)[..], [Breach::Revoked(_, 0, _)]));
     let calls = vec![
-        call("a", Kind::Read, now + seconds(1), answer("a", 401, "")),
-        call("b", Kind::Read, now + seconds(2), answer("b", 200, "done b")),
+        call("a", Kind::Read, now + seconds(1), Answer::signed("a", 401, "")),
+        call("b", Kind::Read, now + seconds(2), Answer::signed("b", 200, "done b")),
     ];
     let mut again = record(calls, Vec::new());
     again.revoked = vec![Some(now)];
