Honour known keys through an outage where revocation is not strict

Cause: every node refused all requests with a key from 4.75 s after its last proof of the store on, also where the settings say that revocation is not strict; the setting was not read. Change: the bound for keys is optional. Deployments with strict revocation behave as before.

--- a/crates/fleet/src/freshness.rs
+++ b/crates/fleet/src/freshness.rs
@@ -34,9 +34,12 @@
     }
 
     /// Whether keys may be honoured at `now`, when one that is taken away must
-    /// not be honoured `bound` later.
-    pub fn allows(&self, now: Millis, bound: Millis) -> bool {
-        self.proven.is_some_and(|proven| now < proven + (bound - MARGIN))
+    /// not be honoured `bound` later. Without a bound, any proof suffices, however old:
+    /// refusing everyone while the store is away costs callers more than a key that
+    /// works on for as long.
+    pub fn allows(&self, now: Millis, bound: Option<Millis>) -> bool {
+        let fresh = |proven| bound.is_none_or(|bound: Millis| now < proven + (bound - MARGIN));
+        self.proven.is_some_and(fresh)
     }
 
     /// How old the latest proof is.
--- a/crates/fleet/src/settings.rs
+++ b/crates/fleet/src/settings.rs
@@ -28,8 +28,9 @@
 /// What the operators hold a node to.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Bounds {
-    /// A key that was taken away is honoured no longer than this.
-    pub revoke: Millis,
+    /// A key that was taken away is honoured no longer than this, also by a node cut
+    /// off from the store. None where such a node may go on with the keys it knows.
+    pub revoke: Option<Millis>,
     /// A process that is told to stop is killed after this.
     pub grace: Millis,
     /// A group that lacks a member stands still for this long and is broken then.
--- a/crates/node/tests/requests.rs
+++ b/crates/node/tests/requests.rs
@@ -5,6 +5,7 @@
 use common::{Fleet, KEY};
 use cottoncrank::Millis;
 use cottoncrank_fleet::directory::Peer;
+use cottoncrank_fleet::settings::Settings;
 use cottoncrank_platform_standin::caller::ask_ready;
 use cottoncrank_platform_standin::operator::{ONCE, READ, STREAM, config};
 use cottoncrank_platform_standin::runner::{EVENTS, Fault};
@@ -178,6 +179,21 @@
     assert_eq!(fleet.ask(READ, "r3").await.status, 200);
 }
 
+#[tokio::test]
+async fn where_no_bound_is_strict_known_keys_are_honoured_all_through_an_outage() {
+    let fleet = Fleet::serving(1).await;
+    let node = &fleet.nodes[0].node;
+    fleet.store.set_fault(store::Fault::Silent);
+    fleet.wait("the node does not trust its keys", |_| !node.trusts_keys()).await;
+    assert_eq!(fleet.ask(READ, "r1").await.status, 503, "the bound is strict here");
+    let mut settings = Settings::clone(&node.settings());
+    settings.bounds.revoke = None;
+    node.set_settings(settings);
+    assert_eq!(fleet.ask(READ, "r2").await.status, 200);
+    assert_eq!(fleet.ask_with(READ, "r3", "key-unknown").await.status, 401);
+    assert!(ask_ready(fleet.nodes[0].ready).await.unwrap());
+}
+
 #[tokio::test]
 async fn a_node_that_is_to_stop_says_so_and_finishes_what_it_takes() {
     let fleet = Fleet::serving(1).await;
