--- a/crates/fleet/src/census.rs
+++ b/crates/fleet/src/census.rs
@@ -1,6 +1,7 @@
 //! What the groups and runners of a service are doing, counted for the log: it
 //! tells which runners serve nobody, and why.
 
+use std::collections::HashMap;
 use std::fmt;
 
 use cottoncrank::id;
@@ -64,11 +65,12 @@
     });
     let rows = rows.collect();
     let of_service = scene.roster.iter().filter(|runner| runner.service == scene.service.id);
-    let planned = |runner: &Runner| groups.iter().find(|group| group.members.contains(&runner.id));
+    let planned: HashMap<&id::Runner, &Group> =
+        groups.iter().flat_map(|group| group.members.iter().map(|member| (member, *group))).collect();
     let mut census = Census { rows, free: free.len(), ..Census::default() };
     for runner in of_service {
         census.runners += 1;
-        match planned(runner) {
+        match planned.get(&runner.id) {
             Some(group) if is_open(group) => census.serving += 1,
             Some(_) => census.held += 1,
             None => census.unfit += 1,
