--- a/crates/fleet/src/balance.rs
+++ b/crates/fleet/src/balance.rs
@@ -14,7 +14,7 @@
 
 /// Where streams have begun and none of them gets on for this long, the runner is
 /// stalled. A pass of an engine with all slots in use and a full piece of a prompt
-/// takes some 0.11 s by today's published figures, twice as long in a slow group.
+/// takes some 0.11 s by the figures that engines publish, twice as long in a slow group.
 pub const STALLED: Millis = Millis(400);
 
 /// What a node has seen of a runner.
--- a/crates/fleet/src/form.rs
+++ b/crates/fleet/src/form.rs
@@ -14,7 +14,7 @@
 const FORM_SCALE: Millis = Millis(15_000);
 
 /// Runners that a domain keeps beside a group of the largest model, where another
-/// domain can take it: one for each of today's two models.
+/// domain can take it: one for each of two models.
 const RESERVE: usize = 2;
 
 /// Where a domain would keep fewer than [`RESERVE`], a group there counts as
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -23,7 +23,7 @@
 const IDLE_UNSET: Millis = Millis(15_000);
 
 /// What a connection may hold unread, in bytes, at the least: a head and a piece
-/// of a body of today's sizes.
+/// of a body.
 const BUFFER_UNSET: usize = 32 * 1024;
 
 /// The pause after a connection could not be taken, such as for want of file
--- a/crates/node/src/log.rs
+++ b/crates/node/src/log.rs
@@ -23,7 +23,7 @@
 const FLUSH: Millis = Millis(200);
 
 /// Notices allowed in a second: an estimate, several times what a node wrote on a
-/// played day (4,149 lines about requests in 54 s over nine nodes). What a
+/// day with trouble (4,149 lines about requests in 54 s over nine nodes). What a
 /// line costs was not measured.
 const NOTICES: u32 = 300;
 
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -25,7 +25,7 @@
 const PLAIN_RUNNERS: usize = 2;
 
 /// How long a key that was taken away may be honoured, in milliseconds: the bound
-/// of today's fleets.
+/// of the fleets that the platform runs.
 pub const REVOKE_MS: u64 = 5000;
 
 /// How long a node has to stop, in seconds.
