--- a/crates/fleet/src/catalog.rs
+++ b/crates/fleet/src/catalog.rs
@@ -102,6 +102,23 @@
     pub load: Millis,
     /// How long a runner loads it from its own host.
     pub warm: Millis,
+    /// A factor on all times of its groups.
+    pub pace: f64,
+}
+
+/// How fast the groups of an engine work; zero where that is not published.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Speed {
+    /// How long a step takes in which each request gets a token, in milliseconds.
+    pub step: f64,
+    /// How much longer it takes for each request that writes, in milliseconds.
+    pub request: f64,
+    /// Steps in a pass, between which prompts are read.
+    pub stride: f64,
+    /// Tokens of prompts that are read in a millisecond.
+    pub read: f64,
+    /// Tokens of a usual answer.
+    pub answer: f64,
 }
 
 /// How the runners of a service work, where they are model engines.
@@ -113,6 +130,8 @@
     pub loads_per_second: f64,
     /// Loads that run at full speed side by side.
     pub loads_at_once: usize,
+    /// How fast groups work.
+    pub speed: Speed,
 }
 
 /// A service: a set of runners that run the same requests.
--- a/crates/fleet/src/decide.rs
+++ b/crates/fleet/src/decide.rs
@@ -13,13 +13,15 @@
 use cottoncrank::{Millis, id};
 
 use crate::catalog::{Model, Service};
-use crate::form::form_groups;
+use crate::form::{find_top, form_groups};
 use crate::loads::{Loads, Purpose};
 use crate::loss::{release_groups, retire_groups};
 use crate::order::{Desk, Order, REPEAT_TAKEN, list_orders};
 use crate::plan::{Document, Group, find_state};
 use crate::preempt::preempt_groups;
+use crate::preload::{is_solo, order_preloads};
 use crate::probe::{Probes, Sign};
+use crate::reserve::{Losses, Risk};
 use crate::roster::Roster;
 use crate::runner::{Epoch, Phase, Runner};
 use crate::settings::Ceiling;
@@ -39,6 +41,20 @@
     pub orders: Vec<(id::Runner, Order)>,
 }
 
+/// A runner that was told to load a model is taken to do so for this many times as long
+/// as a load takes at full speed: others may load beside it. An order may be lost, though.
+const STAGING_PATIENCE: u64 = 3;
+
+/// A model that a runner was told to load onto its host.
+#[derive(Clone, Debug)]
+struct Staging {
+    model: id::Model,
+    /// Until when it may still load it.
+    until: Millis,
+    /// What the host held before.
+    held: Vec<id::Model>,
+}
+
 /// What the deciding node remembers besides the plan. All of it may be lost: a
 /// new decider then waits longer than it would have to, and repeats orders.
 #[derive(Clone, Debug, Default)]
@@ -49,14 +65,16 @@
     pub(crate) first: HashMap<(id::Runner, Order), Millis>,
     /// Orders that the runner answered as done or begun.
     pub(crate) taken: HashSet<(id::Runner, Order)>,
-    /// The model that each runner was last told to stage.
-    pub(crate) staged: HashMap<id::Runner, id::Model>,
+    /// What each runner was last told to stage.
+    staged: HashMap<id::Runner, Staging>,
     /// Groups whose members were refused in a way that no repeat mends.
     pub(crate) refused: HashSet<(id::Group, Epoch)>,
     /// Since when a retired group lacks a member and must stand still.
     pub(crate) halted: HashMap<(id::Group, Epoch), Millis>,
     /// Loads begun lately.
     pub(crate) loads: Loads,
+    /// Members lost so far.
+    losses: Losses,
     /// The most runners seen so far, and since when.
     runners: usize,
     grown: Millis,
@@ -81,16 +99,26 @@
     /// A runner is told to load a model on the side.
     pub(crate) fn note_staging(
         &mut self,
-        runner: &id::Runner,
+        runner: &Runner,
         model: &Model,
         now: Millis,
         serving: bool,
         purpose: Purpose,
     ) {
-        self.staged.insert(runner.clone(), model.name.clone());
+        let patience = Millis(model.load.0 * STAGING_PATIENCE);
+        let staging =
+            Staging { model: model.name.clone(), until: now + patience, held: runner.staged.clone() };
+        self.staged.insert(runner.id.clone(), staging);
         self.loads.begin(now, 1, model.load, serving, purpose);
     }
 
+    /// The model that a runner was last told to stage, if it has it or may still load it.
+    pub(crate) fn last_staged(&self, runner: &Runner, now: Millis) -> Option<&id::Model> {
+        let staging = self.staged.get(&runner.id)?;
+        let loading = now < staging.until && runner.staged == staging.held;
+        (loading || runner.staged.contains(&staging.model)).then_some(&staging.model)
+    }
+
     /// Forgets what was given to runners, and known of groups, that are gone.
     fn forget(&mut self, scene: &Scene) {
         let known = |runner: &id::Runner| scene.roster.recall(runner).is_some();
@@ -178,7 +206,10 @@
         let planned: HashSet<&id::Runner> =
             self.plan.groups.iter().flat_map(|group| &group.members).collect();
         let free = self.runners.iter().copied();
-        free.filter(|runner| !planned.contains(&runner.id) && runner.membership.is_none()).collect()
+        free.filter(|runner| {
+            !planned.contains(&runner.id) && (runner.membership.is_none() || is_solo(runner))
+        })
+        .collect()
     }
 }
 
@@ -187,18 +218,22 @@
     let Some(engine) = &scene.service.engine else { return Step::default() };
     memory.forget(scene);
     let mut sites = list_sites(scene);
+    let mut lost = 0;
     for site in &mut sites {
-        retire_groups(scene, site, memory);
+        lost += retire_groups(scene, site, memory);
         release_groups(scene, site, memory);
     }
+    let members = sites.iter().flat_map(|site| &site.plan.groups).map(|group| group.members.len()).sum();
+    memory.losses.note(members, lost, scene.now);
+    let runners = sites.iter().map(|site| site.runners.len()).sum();
+    let risk = Risk::assess(&memory.losses, engine, runners, sites.len());
     if scene.serving {
-        preempt_groups(scene, &engine.models, &mut sites);
+        preempt_groups(scene, &engine.models, &risk, &mut sites);
     }
-    let runners = sites.iter().map(|site| site.runners.len()).sum();
     let settled = memory.is_settled(runners, scene.now);
-    let waiting = form_groups(scene, engine, &mut sites, memory, settled);
+    let waiting = form_groups(scene, engine, &mut sites, &risk, memory, settled);
     let mut step = Step::default();
-    let lacking = list_lacking(&engine.models, &sites);
+    let lacking = list_lacking(&engine.models, &sites, &risk);
     let allowed = |purpose| memory.loads.allowed(scene.now, engine, scene.ceiling, scene.serving, purpose);
     let (repairs, reserves) = (allowed(Purpose::Repair), allowed(Purpose::Reserve));
     let mut desk =
@@ -208,7 +243,8 @@
     }
     // Before callers come, loads are short, and groups go first.
     if scene.serving || (!waiting && settled) {
-        order_staging(scene, engine, &lacking, &sites, &mut desk);
+        order_staging(scene, engine, &risk, &lacking, &sites, &mut desk);
+        order_preloads(&engine.models, &sites, find_top(scene, &sites), &mut desk);
     }
     let changed = sites.into_iter().filter(|site| match scene.plans.get(&site.id) {
         Some(plan) => *plan != site.plan,
@@ -246,7 +282,7 @@
 
 /// How long a runner needs until it holds `model`.
 pub(crate) fn time_join(runner: &Runner, model: &Model) -> Millis {
-    if runner.models.contains(&model.name) {
+    if runner.has_served(&model.name) {
         Millis(0)
     } else if runner.staged.contains(&model.name) {
         model.warm
--- a/crates/fleet/src/form.rs
+++ b/crates/fleet/src/form.rs
@@ -6,8 +6,9 @@
 use crate::decide::{Memory, Scene, Site, time_join};
 use crate::loads::Purpose;
 use crate::plan::{Group, State};
+use crate::reserve::Risk;
 use crate::runner::{Epoch, Runner};
-use crate::share::{count_alive, count_spares, list_wanted};
+use crate::share::{count_alive, list_wanted};
 
 /// Forming a group this much sooner is worth as much as the whole of what a
 /// model is meant to have: about the time of a load from the weight store.
@@ -48,13 +49,14 @@
     scene: &Scene,
     engine: &Engine,
     sites: &mut [Site],
+    risk: &Risk,
     memory: &mut Memory,
     settled: bool,
 ) -> bool {
     let models = &engine.models;
-    let wanted = list_wanted(models, sites);
+    let wanted = list_wanted(models, sites, risk);
     let mut alive = count_alive(models, sites);
-    while let Some(choice) = find_choice(scene, models, sites, &alive, &wanted, settled) {
+    while let Some(choice) = find_choice(scene, models, sites, risk, &alive, &wanted, settled) {
         // A model without any group does not wait until others have loaded.
         let patient = scene.serving && alive[choice.model] > 0;
         if choice.loads > memory.loads.allowed(scene.now, engine, scene.ceiling, patient, Purpose::Repair) {
@@ -88,7 +90,7 @@
 }
 
 /// The highest epoch known of, planned or seen at a runner.
-fn find_top(scene: &Scene, sites: &[Site]) -> Epoch {
+pub(crate) fn find_top(scene: &Scene, sites: &[Site]) -> Epoch {
     let planned = sites.iter().map(|site| site.plan.top);
     let kept = scene.plans.values().map(|plan| plan.top);
     let seen = scene.roster.iter().filter_map(|runner| Some(runner.membership.as_ref()?.epoch));
@@ -99,11 +101,11 @@
     scene: &Scene,
     models: &[Model],
     sites: &[Site],
+    risk: &Risk,
     alive: &[usize],
     wanted: &[f64],
     settled: bool,
 ) -> Option<Choice> {
-    let runners = sites.iter().map(|site| site.runners.len()).sum();
     let largest = models.iter().map(|model| model.size).max().unwrap_or_default();
     let mut best: Option<Choice> = None;
     for (at, site) in sites.iter().enumerate() {
@@ -115,7 +117,16 @@
             if !scene.serving && crowds_out(models, model, site, free.len(), alive, wanted, settled) {
                 continue;
             }
-            let mut by_time: Vec<&Runner> = free.clone();
+            let part = |at: usize| alive[at] as f64 / wanted[at];
+            // What a model that lacks more has left is completed sooner than loaded anew.
+            let needed = |runner: &Runner| {
+                let mut others = models.iter().enumerate().filter(|(at, _)| *at != model_at);
+                others.any(|(at, other)| runner.has_served(&other.name) && part(at) < part(model_at))
+            };
+            let mut by_time: Vec<&Runner> = free.iter().copied().filter(|runner| !needed(runner)).collect();
+            if by_time.len() < model.size {
+                continue;
+            }
             by_time.sort_by_key(|runner| time_join(runner, model));
             let members = &by_time[..model.size];
             let time = members.iter().map(|runner| time_join(runner, model)).max().unwrap_or_default();
@@ -125,11 +136,11 @@
             if loads > 0 && scene.serving && alive[model_at] > 0 {
                 continue;
             }
-            let part = alive[model_at] as f64 / wanted[model_at];
+            let part = part(model_at);
             let held = free.iter().filter(|runner| time_join(runner, model) < model.load).count();
             // Members of small groups stand in for the spare runners of the largest model.
-            let kept = if model.size == largest { 0 } else { count_spares(model, runners) };
-            let rich = loads == 0 && held >= model.size + kept;
+            let spares = if model.size == largest { 0 } else { risk.count_spares(model) };
+            let rich = loads == 0 && held >= model.size + spares;
             let most = if rich { wanted[model_at] * EXTRA } else { wanted[model_at] };
             if alive[model_at] as f64 >= most {
                 continue;
@@ -138,8 +149,10 @@
             let here = site.plan.groups.iter().filter(|group| group.model == model.name).count();
             let bare = model.size == largest && free.len() < model.size + RESERVE;
             // The free runners that hold a large model are what is left of a group and
-            // what completes it: they go before all else.
-            let whole = scene.serving && loads == 0 && model.size == largest && part < 1.0;
+            // what completes it: they go before all else, also beyond what is meant where
+            // they have all served it, for serving another model would make them lose it.
+            let kept = members.iter().all(|runner| runner.has_served(&model.name));
+            let whole = scene.serving && loads == 0 && model.size == largest && (part < 1.0 || kept);
             let score = part
                 + time.0 as f64 / FORM_SCALE.0 as f64
                 + here as f64 * CROWDING
--- a/crates/fleet/src/loss.rs
+++ b/crates/fleet/src/loss.rs
@@ -67,15 +67,18 @@
     }
 }
 
-/// Gives up groups that cannot go on.
-pub(crate) fn retire_groups(scene: &Scene, site: &mut Site, memory: &Memory) {
+/// Gives up groups that cannot go on. Returns how many lost a member.
+pub(crate) fn retire_groups(scene: &Scene, site: &mut Site, memory: &Memory) -> usize {
+    let mut lost = 0;
     for group in site.plan.groups.iter_mut().filter(|group| group.state != State::Lost) {
         let Some(loss) = find_loss(scene, group, memory) else { continue };
         if loss.state != group.state {
+            lost += usize::from(loss.state == State::Lost);
             site.reasons.push(format!("retire {} of {}: {}", group.name, group.model, loss.reason));
             group.state = loss.state;
         }
     }
+    lost
 }
 
 /// Whether no runner of a retired group takes requests any more, or depends on
--- a/crates/fleet/src/order.rs
+++ b/crates/fleet/src/order.rs
@@ -4,6 +4,7 @@
 
 use crate::decide::{Memory, Scene, Site, find_phase};
 use crate::plan::{Group, State};
+use crate::preload::is_solo;
 use crate::probe::Sign;
 use crate::runner::{Epoch, Phase, Runner};
 
@@ -89,8 +90,8 @@
     }
 
     /// The model that the runner was last told to stage.
-    pub(crate) fn last_staged(&self, runner: &id::Runner) -> Option<&id::Model> {
-        self.memory.staged.get(runner)
+    pub(crate) fn last_staged(&self, runner: &Runner) -> Option<&id::Model> {
+        self.memory.last_staged(runner, self.now)
     }
 }
 
@@ -156,7 +157,7 @@
 /// Runners in a group that nobody planned, such as after an order carried out late.
 fn order_strays(site: &Site, desk: &mut Desk) {
     for runner in &site.runners {
-        let Some(membership) = &runner.membership else { continue };
+        let Some(membership) = runner.membership.as_ref().filter(|_| !is_solo(runner)) else { continue };
         let planned = site.plan.groups.iter().any(|group| find_phase(runner, group).is_some());
         let wanted =
             site.plan.groups.iter().any(|group| !group.is_retired() && group.members.contains(&runner.id));
--- a/crates/fleet/src/preempt.rs
+++ b/crates/fleet/src/preempt.rs
@@ -12,13 +12,14 @@
 use crate::decide::{Scene, Site, time_join};
 
 use crate::plan::{Group, State};
+use crate::reserve::Risk;
 use crate::share::{count_alive, list_wanted};
 
 /// Closes small groups whose members complete a large one, as long as the large model
 /// has the smaller part of what it is meant to have.
-pub(crate) fn preempt_groups(scene: &Scene, models: &[Model], sites: &mut [Site]) {
+pub(crate) fn preempt_groups(scene: &Scene, models: &[Model], risk: &Risk, sites: &mut [Site]) {
     let Some(large) = models.iter().max_by_key(|model| model.size) else { return };
-    let wanted = list_wanted(models, sites);
+    let wanted = list_wanted(models, sites, risk);
     for at in 0..sites.len() {
         let alive = count_alive(models, sites);
         let parts: Vec<(&Model, usize, f64)> = models
--- /dev/null
+++ b/crates/fleet/src/preload.rs
@@ -0,0 +1,41 @@
+//! Bringing the model on the host of a runner that stands by into its accelerator.
+//!
+//! A runner joins a group of the model that it served last within a fifth of a second,
+//! and one of a model on its host seven times slower. One that stands by and has never
+//! served therefore joins a group of its own, which never opens: it takes a lost
+//! member's place as fast as the others come back, and its host is free to hold
+//! another model.
+
+use cottoncrank::id;
+
+use crate::catalog::Model;
+use crate::decide::Site;
+use crate::order::{Desk, Order};
+use crate::runner::{Epoch, Runner};
+
+/// The group that a runner joins on its own.
+fn name_solo(runner: &id::Runner) -> id::Group {
+    format!("solo-{runner}").parse().expect("a runner's id is a name")
+}
+
+/// Whether a runner is in the group that it joins on its own, and so in none that
+/// takes requests.
+pub(crate) fn is_solo(runner: &Runner) -> bool {
+    runner.membership.as_ref().is_some_and(|place| place.group == name_solo(&runner.id))
+}
+
+/// Orders free runners that have never served to join their own groups.
+///
+/// `top` is the highest epoch given out: whatever group a runner is planned for later
+/// has a higher one, so this order does no harm when it is carried out late.
+pub(crate) fn order_preloads(models: &[Model], sites: &[Site], top: Epoch, desk: &mut Desk) {
+    for runner in sites.iter().flat_map(Site::list_free) {
+        let fresh = runner.served.is_none() && runner.membership.is_none();
+        let Some(model) = models.iter().find(|model| runner.staged.contains(&model.name)) else { continue };
+        let replaced = desk.last_staged(runner).is_some_and(|asked| *asked != model.name);
+        if fresh && !replaced {
+            let members = vec![runner.id.clone()];
+            desk.give(&runner.id, Order::Join(name_solo(&runner.id), top, model.name.clone(), members));
+        }
+    }
+}
--- a/crates/fleet/src/roster.rs
+++ b/crates/fleet/src/roster.rs
@@ -40,8 +40,10 @@
 }
 
 impl Roster {
-    /// A runner has written its entry.
-    pub fn put(&mut self, runner: Runner) {
+    /// A runner has written its entry. What it served before is kept.
+    pub fn put(&mut self, mut runner: Runner) {
+        let before = self.recall(&runner.id).and_then(|known| known.served.clone());
+        runner.served = runner.models.first().cloned().or(before);
         self.departed.remove(&runner.id);
         self.entries.insert(runner.id.clone(), Entry { runner, missing: None });
     }
--- a/crates/fleet/src/runner.rs
+++ b/crates/fleet/src/runner.rs
@@ -68,10 +68,20 @@
     pub slots: u32,
     /// Whether it has said that it is about to leave.
     pub draining: bool,
-    /// The models it has loaded.
+    /// The models it has loaded, as its entry says: none once it has left its group.
     pub models: Vec<id::Model>,
+    /// The model it served last in this life, if that was seen. It joins a group of it
+    /// at once, though its entry does not tell.
+    pub served: Option<id::Model>,
     /// The models its host keeps a copy of.
     pub staged: Vec<id::Model>,
     /// Its place in a group.
     pub membership: Option<Membership>,
 }
+
+impl Runner {
+    /// Whether it served `model` last.
+    pub fn has_served(&self, model: &id::Model) -> bool {
+        self.served.as_ref() == Some(model)
+    }
+}
--- a/crates/fleet/src/share.rs
+++ b/crates/fleet/src/share.rs
@@ -2,29 +2,13 @@
 
 use crate::catalog::Model;
 use crate::decide::Site;
+use crate::reserve::Risk;
 
 /// One more group is meant to be where a model's share falls short of it by no more
 /// than the rest of this: a fleet that loses a few runners gives none up, and one with
 /// half of a group's runners too few does not try for it.
 const ROUNDING: f64 = 0.4;
 
-/// Runners of each model that a domain keeps staged beside its groups: what one loss
-/// takes from a group. Mean worth of six days on 48 runners, three seeds: 0.693 without
-/// them and 0.727 with them.
-pub const SPARES: usize = 1;
-
-/// A model that could have this many groups in the whole fleet keeps no spare runners:
-/// the loss of one takes 6 % of what it can serve at the most, and remains of two make
-/// one. Spare runners for forty groups of two left 0.013 less worth on a fleet of 162
-/// runners (mean of five days).
-pub const MANY: f64 = 16.0;
-
-/// How many spare runners of a model a domain keeps.
-pub(crate) fn count_spares(model: &Model, runners: usize) -> usize {
-    let groups = runners as f64 * model.share / model.size as f64;
-    if groups < MANY { SPARES } else { 0 }
-}
-
 /// A model that has fewer groups than it is meant to have.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Lack<'a> {
@@ -35,11 +19,10 @@
 
 /// How many groups of each model there are meant to be. The smallest model gets what
 /// the others leave beside the spare runners, and its own share at the least.
-pub(crate) fn list_wanted(models: &[Model], sites: &[Site]) -> Vec<f64> {
-    let runners: usize = sites.iter().map(|site| site.runners.len()).sum();
-    let spares: usize = models.iter().map(|model| count_spares(model, runners)).sum();
+pub(crate) fn list_wanted(models: &[Model], sites: &[Site], risk: &Risk) -> Vec<f64> {
+    let spares: usize = models.iter().map(|model| risk.count_spares(model)).sum();
     let placeable: usize = sites.iter().map(|site| site.runners.len().saturating_sub(spares)).sum();
-    let count_beside = |site: &Site| site.runners.len().saturating_sub(models.len() * SPARES);
+    let count_beside = |site: &Site| site.runners.len().saturating_sub(models.len());
     let beside_spares: usize = sites.iter().map(count_beside).sum();
     let mut left = placeable;
     let mut wanted = vec![1.0; models.len()];
@@ -70,8 +53,8 @@
 
 /// The models of which there are fewer groups than there are meant to be, that
 /// which has the smallest part of them first.
-pub(crate) fn list_lacking<'a>(models: &'a [Model], sites: &[Site]) -> Vec<Lack<'a>> {
-    let wanted = list_wanted(models, sites);
+pub(crate) fn list_lacking<'a>(models: &'a [Model], sites: &[Site], risk: &Risk) -> Vec<Lack<'a>> {
+    let wanted = list_wanted(models, sites, risk);
     let alive = count_alive(models, sites);
     let mut rows: Vec<(f64, Lack)> = Vec::new();
     for ((model, alive), wanted) in models.iter().zip(alive).zip(wanted) {
--- a/crates/fleet/tests/belief.rs
+++ b/crates/fleet/tests/belief.rs
@@ -21,6 +21,7 @@
         slots: 10,
         draining: false,
         models: vec!["large".parse().unwrap()],
+        served: None,
         staged: Vec::new(),
         membership: Some(Membership { group: "g1".parse().unwrap(), epoch: Epoch(1), rank, phase }),
     }
--- a/crates/fleet/tests/occupancy.rs
+++ b/crates/fleet/tests/occupancy.rs
@@ -19,6 +19,7 @@
         slots: SLOTS,
         draining: false,
         models: vec!["large".parse().unwrap()],
+        served: None,
         staged: Vec::new(),
         membership: Some(Membership {
             group: format!("g{number}").parse().unwrap(),
--- a/crates/node/src/decider.rs
+++ b/crates/node/src/decider.rs
@@ -390,7 +390,7 @@
                 Ok(Reply::Unfit | Reply::Gone) if matches!(order, Order::Leave(..)) => {
                     memory.lock().note_taken(&runner, &order, node.now());
                 }
-                Ok(Reply::Unfit | Reply::Gone | Reply::Refused(_)) if matches!(order, Order::Stage(_)) => {
+                Ok(Reply::Gone | Reply::Refused(_)) if matches!(order, Order::Stage(_)) => {
                     memory.lock().note_refused(&runner, &order);
                 }
                 Ok(Reply::Unfit | Reply::Gone | Reply::Refused(_)) | Err(_) => {}
