--- a/crates/fleet/src/directory.rs
+++ b/crates/fleet/src/directory.rs
@@ -2,6 +2,7 @@
 //! holds. Each call to the store has a price and waits among all others; a few
 //! nodes of each data hall make them, and the rest ask those.
 
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
@@ -17,6 +18,9 @@
 /// The key by which readers are chosen among the nodes of a hall.
 const READERS: &str = "readers";
 
+/// The key by which candidates for deciding are put in order.
+const CANDIDATES: &str = "candidates";
+
 /// The key by which the collector of a hall is chosen.
 const COLLECTOR: &str = "collector";
 
@@ -29,8 +33,15 @@
     pub hall: id::Hall,
     /// Where other nodes reach it.
     pub address: SocketAddr,
+    /// How much processor time it may use.
+    #[serde(default)]
+    pub processor: Processor,
 }
 
+/// Processor time that a node may use, in thousandths of a core.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Processor(pub u32);
+
 /// The nodes known of.
 #[derive(Clone, Debug, Default)]
 pub struct Directory(BTreeMap<id::Node, Peer>);
@@ -56,21 +67,40 @@
         self.0.len().max(1)
     }
 
-    /// The nodes that `me` may ask, best first. None if it is to read the store.
-    pub fn list_sources(&self, me: &id::Node, hall: &id::Hall) -> Vec<Peer> {
+    /// The nodes of a hall that read for it, first the one that reads while nobody decides.
+    pub fn list_readers(&self, hall: &id::Hall) -> Vec<&Peer> {
         let here: Vec<&Peer> = self.0.values().filter(|peer| peer.hall == *hall).collect();
-        let readers = here.len().div_ceil(NODES_PER_READER);
-        let owners = pick_owners(READERS, here.iter().map(|peer| peer.node.as_str()), readers);
-        if owners.contains(&me.as_str()) {
+        let owners = pick_owners(
+            READERS,
+            here.iter().map(|peer| peer.node.as_str()),
+            here.len().div_ceil(NODES_PER_READER),
+        );
+        owners
+            .into_iter()
+            .filter_map(|name| here.iter().copied().find(|peer| peer.node.as_str() == name))
+            .collect()
+    }
+
+    /// The readers that `me` may ask, best first. None if it is one of them.
+    pub fn list_sources(&self, me: &id::Node, hall: &id::Hall) -> Vec<Peer> {
+        let readers = self.list_readers(hall);
+        if readers.iter().any(|peer| peer.node == *me) {
             return Vec::new();
         }
-        let mut sources: Vec<Peer> =
-            here.into_iter().filter(|peer| owners.contains(&peer.node.as_str())).cloned().collect();
+        let mut sources: Vec<Peer> = readers.into_iter().cloned().collect();
         // Each node has its own order, so that the readers of a hall share the work.
         sources.sort_by_key(|peer| score(me.as_str(), peer.node.as_str()));
         sources
     }
 
+    /// How many nodes stand for deciding before `me` does: those with more processor
+    /// time, for deciding takes more of it than serving, and of the others some.
+    pub fn rank_candidate(&self, me: &id::Node) -> usize {
+        let key = |peer: &Peer| (Reverse(peer.processor), score(CANDIDATES, peer.node.as_str()));
+        let Some(own) = self.0.get(me).map(key) else { return self.0.len() };
+        self.0.values().filter(|peer| key(peer) < own).count()
+    }
+
     /// The halls there are nodes in.
     pub fn list_halls(&self) -> BTreeSet<&id::Hall> {
         self.0.values().map(|peer| &peer.hall).collect()
@@ -80,11 +110,9 @@
     /// first does, unless it does not answer.
     pub fn list_collectors(&self, hall: &id::Hall) -> Vec<&Peer> {
         let here: Vec<&Peer> = self.0.values().filter(|peer| peer.hall == *hall).collect();
-        let names = here.iter().map(|peer| peer.node.as_str());
-        let ranked = pick_owners(COLLECTOR, names, here.len());
+        let mut ranked = here;
+        // Those with more processor time first: a collector answers for its whole hall.
+        ranked.sort_by_key(|peer| (Reverse(peer.processor), Reverse(score(COLLECTOR, peer.node.as_str()))));
         ranked
-            .into_iter()
-            .filter_map(|name| here.iter().copied().find(|peer| peer.node.as_str() == name))
-            .collect()
     }
 }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -30,4 +30,5 @@
 pub mod runner;
 pub mod settings;
 mod share;
+pub mod source;
 pub mod staging;
--- a/crates/fleet/src/settings.rs
+++ b/crates/fleet/src/settings.rs
@@ -4,6 +4,8 @@
 
 use cottoncrank::{Millis, id};
 
+use crate::directory::Processor;
+
 /// The settings of a node.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
@@ -19,6 +21,10 @@
     pub peers: SocketAddr,
     /// The store.
     pub store: SocketAddr,
+    /// How much processor time the node may use.
+    pub processor: Processor,
+    /// Whether the whole system starts for the first time.
+    pub first_start: bool,
     /// The shortest lease the store gives.
     pub lease_min: Millis,
     /// The bounds it has to keep.
--- /dev/null
+++ b/crates/fleet/tests/source.rs
@@ -0,0 +1,182 @@
+//! Whom nodes ask while the store is away, and how often they call it themselves.
+
+use cottoncrank::{Millis, id};
+use cottoncrank_fleet::directory::{Directory, Peer, Processor};
+use cottoncrank_fleet::source::{Failure, Source, Sources};
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+/// How long a question to the store takes that is refused, and one to a node.
+const CALL: Millis = Millis(4);
+
+/// How long a question waits where there is nothing new.
+const WATCH: Millis = Millis(700);
+
+fn peer(hall: usize, number: usize, processor: u32) -> Peer {
+    Peer {
+        node: format!("n{hall}-{number}").parse().unwrap(),
+        hall: format!("hall-{hall}").parse().unwrap(),
+        address: "127.0.0.1:9".parse().unwrap(),
+        processor: Processor(processor),
+    }
+}
+
+fn directory(halls: usize, nodes: usize) -> Directory {
+    let mut directory = Directory::default();
+    for hall in 0..halls {
+        for number in 0..nodes {
+            directory.put(peer(hall, number, if number < 3 { 500 } else { 120 }));
+        }
+    }
+    directory
+}
+
+/// A node that follows the store.
+struct Follower {
+    peer: Peer,
+    sources: Sources,
+    /// When it looks for a source again.
+    next: Millis,
+    /// When the store surely held nothing newer.
+    proven: Millis,
+}
+
+/// A fleet whose store is away from `down` to `up`. Returns the calls to it meanwhile, and
+/// how long after its return the last node has a proof again.
+fn ride_out(halls: usize, nodes: usize, down: Millis, up: Millis) -> (usize, Millis) {
+    let directory = directory(halls, nodes);
+    let mut rng = SmallRng::seed_from_u64(3);
+    let mut followers: Vec<Follower> = Vec::new();
+    for hall in 0..halls {
+        for number in 0..nodes {
+            let peer = peer(hall, number, 120);
+            let next = Millis((number as u64 * 37) % WATCH.0);
+            followers.push(Follower { peer, sources: Sources::default(), next, proven: Millis(0) });
+        }
+    }
+    let (mut calls, mut now) = (0, Millis(0));
+    let away = |now: Millis| now >= down && now < up;
+    while now < up + Millis(20_000) {
+        for at in 0..followers.len() {
+            if now < followers[at].next {
+                continue;
+            }
+            let Peer { node, hall, .. } = followers[at].peer.clone();
+            let source = followers[at].sources.pick(&node, &hall, None, &directory, now, &mut rng);
+            let (proven, wait) = match source {
+                Source::Store if away(now) => {
+                    calls += 1;
+                    let sources = &mut followers[at].sources;
+                    sources.note_store_failure(&node, &hall, false, &directory, now, &mut rng);
+                    (None, CALL)
+                }
+                Source::Store => (Some(now), WATCH),
+                Source::Reader(asked) | Source::Senior(asked) => {
+                    let held = followers.iter().find(|other| other.peer.node == asked.node).unwrap().proven;
+                    // A node without a proof sends those that ask it away.
+                    if away(now) || held + Millis(1500) < now {
+                        followers[at].sources.note_failure(asked.node, Failure::Unsure, now);
+                        (None, CALL)
+                    } else {
+                        (Some(held), WATCH)
+                    }
+                }
+                Source::Nobody(pause) => (None, pause.max(CALL)),
+            };
+            if let Some(proven) = proven {
+                followers[at].sources.note_answer();
+                followers[at].proven = proven;
+            }
+            followers[at].next = now + wait;
+        }
+        now = now + Millis(1);
+        if now > up && followers.iter().all(|follower| follower.proven >= up) {
+            break;
+        }
+    }
+    (calls, now.since(up))
+}
+
+#[test]
+fn the_calls_of_an_outage_hardly_grow_with_the_fleet() {
+    let (few, _) = ride_out(3, 3, Millis(3000), Millis(11_000));
+    let (many, _) = ride_out(5, 60, Millis(3000), Millis(11_000));
+    // Three hundred nodes that each pause for 0.2 to 0.4 s make eight thousand calls.
+    assert!(many <= 800, "{many} calls of 300 nodes");
+    assert!(many <= 10 * few, "{many} calls of 300 nodes, {few} of nine");
+}
+
+#[test]
+fn all_nodes_have_a_proof_soon_after_the_store_is_back() {
+    for (halls, nodes) in [(3, 3), (5, 14), (5, 60)] {
+        let (_, late) = ride_out(halls, nodes, Millis(3000), Millis(11_000));
+        assert!(late <= Millis(3500), "{halls} halls of {nodes}: the last one after {late}");
+    }
+}
+
+#[test]
+fn readers_ask_the_deciding_node_and_else_the_first_reader_of_their_hall() {
+    let directory = directory(2, 30);
+    let hall: id::Hall = "hall-0".parse().unwrap();
+    let readers: Vec<id::Node> =
+        directory.list_readers(&hall).into_iter().map(|peer| peer.node.clone()).collect();
+    assert_eq!(readers.len(), 3);
+    let decider: id::Node = "n1-7".parse().unwrap();
+    let mut rng = SmallRng::seed_from_u64(1);
+    let mut pick = |sources: &mut Sources, me: &id::Node, decider: Option<&id::Node>, now: Millis| {
+        sources.pick(me, &hall, decider, &directory, now, &mut rng)
+    };
+    let now = Millis(1000);
+    for reader in &readers {
+        let source = pick(&mut Sources::default(), reader, Some(&decider), now);
+        assert!(matches!(source, Source::Senior(peer) if peer.node == decider));
+    }
+    assert_eq!(pick(&mut Sources::default(), &readers[0], None, now), Source::Store);
+    let mut second = Sources::default();
+    assert!(
+        matches!(pick(&mut second, &readers[1], None, now), Source::Senior(peer) if peer.node == readers[0])
+    );
+    // The first one does not answer: the second reads the store, until it does.
+    second.note_failure(readers[0].clone(), Failure::Useless, now);
+    assert_eq!(pick(&mut second, &readers[1], None, now), Source::Store);
+    let later = now + Millis(3000);
+    assert!(matches!(pick(&mut second, &readers[1], None, later), Source::Senior(_)));
+}
+
+#[test]
+fn a_node_without_a_reader_that_knows_calls_the_store_seldom() {
+    let directory = directory(5, 60);
+    let hall: id::Hall = "hall-0".parse().unwrap();
+    let readers: Vec<id::Node> =
+        directory.list_readers(&hall).into_iter().map(|peer| peer.node.clone()).collect();
+    let me = (0..60).map(|number| peer(0, number, 120).node).find(|node| !readers.contains(node)).unwrap();
+    let mut sources = Sources::default();
+    let mut rng = SmallRng::seed_from_u64(5);
+    let (mut now, mut calls) = (Millis(0), 0);
+    while now < Millis(60_000) {
+        match sources.pick(&me, &hall, None, &directory, now, &mut rng) {
+            Source::Reader(reader) => sources.note_failure(reader.node, Failure::Unsure, now),
+            Source::Store => {
+                calls += 1;
+                sources.note_store_failure(&me, &hall, false, &directory, now, &mut rng);
+            }
+            Source::Senior(_) => panic!("{me} is no reader"),
+            Source::Nobody(pause) => now = now + pause.max(Millis(1)),
+        }
+    }
+    assert!((1..=5).contains(&calls), "{calls} calls in a minute");
+}
+
+#[test]
+fn candidates_with_more_processor_time_stand_first_and_each_has_its_turn() {
+    let directory = directory(5, 60);
+    let ranks: Vec<usize> = (0..5)
+        .flat_map(|hall| (0..60).map(move |number| peer(hall, number, 0).node))
+        .map(|node| directory.rank_candidate(&node))
+        .collect();
+    let mut sorted = ranks.clone();
+    sorted.sort_unstable();
+    assert_eq!(sorted, (0..300).collect::<Vec<_>>(), "no two stand at the same time");
+    let large: Vec<usize> = (0..5).flat_map(|hall| ranks[hall * 60..hall * 60 + 3].to_vec()).collect();
+    assert!(large.iter().all(|rank| *rank < 15), "{large:?}");
+}
--- a/crates/node/src/decider.rs
+++ b/crates/node/src/decider.rs
@@ -41,9 +41,16 @@
 /// A decider stops this long before its lease may be over.
 const LEASE_MARGIN: Millis = Millis(300);
 
-/// Candidates wait for up to this long, each for another time, so that most
-/// see that one was first and spare the store a call.
-const CANDIDACY: Millis = Millis(250);
+/// Each candidate waits for this long for each one before it, and up to this long more,
+/// so that most see that one was first and spare the store two calls. An election is
+/// known to the others after some 50 ms.
+const CANDIDACY: Millis = Millis(20);
+
+/// No candidate waits longer than this for those before it: they may all be cut off.
+const CANDIDACY_MAX: Millis = Millis(2000);
+
+/// The pause after standing: the store tells of the outcome meanwhile.
+const STOOD: Millis = Millis(250);
 
 /// How often a node that knows too little to decide looks again.
 const UNABLE: Millis = Millis(50);
@@ -124,8 +131,10 @@
             tokio::time::sleep(UNABLE.duration()).await;
             continue;
         }
+        let before = node.directory.lock().rank_candidate(&node.settings().node) as u64;
+        let turn = Millis(CANDIDACY.0 * before).min(CANDIDACY_MAX);
         let jitter = rand::rng().random_range(0..CANDIDACY.0);
-        tokio::time::sleep(Millis(jitter).duration()).await;
+        tokio::time::sleep((turn + Millis(jitter)).duration()).await;
         if decider.borrow_and_update().is_some() {
             continue;
         }
@@ -146,7 +155,7 @@
             Ok(None) => {}
             Err(error) => log::info!("decider: not elected: {error}"),
         }
-        tokio::time::sleep(CANDIDACY.duration()).await;
+        tokio::time::sleep(STOOD.duration()).await;
     }
 }
 
--- a/crates/node/src/member.rs
+++ b/crates/node/src/member.rs
@@ -22,6 +22,10 @@
 /// The pause after a failed call: at least this, at most twice.
 const PAUSE: Millis = Millis(1000);
 
+/// All nodes together make a failed call anew this often at the most: an entry that is
+/// written late harms nobody, and an outage strikes all nodes at once.
+const ALL: Millis = Millis(15);
+
 /// Keeps the entry until the process ends.
 pub async fn run(node: Arc<Node>) {
     let mut lease = None;
@@ -37,7 +41,8 @@
                 if matches!(error, StoreError::LeaseOver) {
                     lease = None;
                 }
-                Millis(PAUSE.0 + rand::rng().random_range(0..PAUSE.0))
+                let least = PAUSE.max(Millis(ALL.0 * node.directory.lock().count() as u64));
+                Millis(least.0 + rand::rng().random_range(0..least.0))
             }
         };
         tokio::time::sleep(pause.duration()).await;
@@ -47,7 +52,12 @@
 async fn enter(node: &Node) -> Result<u64, StoreError> {
     let settings = node.settings();
     let lease = node.store.open_lease(LEASE.max(settings.lease_min)).await?;
-    let peer = Peer { node: settings.node.clone(), hall: settings.hall.clone(), address: settings.peers };
+    let peer = Peer {
+        node: settings.node.clone(),
+        hall: settings.hall.clone(),
+        address: settings.peers,
+        processor: settings.processor,
+    };
     let value = rmp_serde::to_vec(&peer).map_err(|error| StoreError::Unreadable(error.to_string()))?;
     let commit =
         Commit { puts: vec![(format!("{PREFIX}{}", peer.node), value, Some(lease))], ..Commit::default() };
@@ -63,6 +73,17 @@
     Some(rmp_serde::from_slice(&item.value))
 }
 
+/// Takes the entries of other nodes in, as far as these can be read.
+pub fn take_entries(node: &Node, items: &[Item]) {
+    for entry in items.iter().filter_map(read_entry) {
+        match entry {
+            Ok(peer) => node.directory.lock().put(peer),
+            Err(error) => log::error!("member: the entry of a node cannot be read: {error}"),
+        }
+    }
+    node.share_retries();
+}
+
 /// The node whose entry has this key, if it is one's.
 pub fn read_name(key: &str) -> Option<id::Node> {
     key.strip_prefix(PREFIX)?.parse().ok()
--- a/crates/node/src/sync.rs
+++ b/crates/node/src/sync.rs
@@ -6,12 +6,12 @@
 use cottoncrank::Millis;
 use cottoncrank_fleet::catalog::Catalog;
 use cottoncrank_fleet::directory::Peer;
-use cottoncrank_net::client::{Client, Traffic};
+use cottoncrank_fleet::source::{Failure, Source, Sources};
+use cottoncrank_net::client::{CallError, Client, Traffic};
 use cottoncrank_platform::store::{Batch, Change, Item, ItemError, StoreError, decode};
 use rand::Rng;
 use thiserror::Error;
 
-use crate::avoid::Avoided;
 use crate::decider::{self, LEASE_KEY};
 use crate::feed::{self, UnpackError};
 use crate::member;
@@ -35,17 +35,23 @@
 /// The same at the node that decides: groups stand still until it knows.
 const GATHER_DECIDING: Millis = Millis(50);
 
-/// The pause after a failed call: at least this, at most twice. Every call is
-/// counted, refused ones too, and all nodes fail at the same time.
-const PAUSE: Millis = Millis(200);
-
-/// A node that failed to answer, or knows too little, is not asked for this long.
-const AVOID: Millis = Millis(3000);
-
 /// Another node's proof older than this is not good enough: the store is read
 /// here instead. A watch begun then still proves the keys in time.
 const AGE_MAX: Millis = Millis(3000);
 
+/// When the whole system starts for the first time, a node waits for this long, and up
+/// to half as long again, until the others have written their entries: they take some
+/// 0.2 s. Callers come seconds later.
+const FIRST_START: Millis = Millis(400);
+
+/// A node that starts looks this often for a reader that knows what the store holds,
+/// with this pause: readers start at the same time and need a few calls to the store.
+const STARTS: usize = 6;
+const START_PAUSE: Millis = Millis(200);
+
+/// Of so many readers each time. One that is dead costs 0.4 s.
+const START_READERS: usize = 2;
+
 /// How often runners are looked through whose entry lapsed with the store away.
 const EXPIRE: Millis = Millis(250);
 
@@ -64,6 +70,16 @@
     Behind { there: u64, here: u64 },
 }
 
+impl SyncError {
+    /// What it says of the node that was asked.
+    fn failure(&self) -> Failure {
+        match self {
+            SyncError::Ask(AskError::Call(CallError::Status { .. })) => Failure::Unsure,
+            _ => Failure::Useless,
+        }
+    }
+}
+
 /// What was learned.
 struct Learned {
     batch: Batch,
@@ -80,23 +96,12 @@
     Watch(Millis, Millis),
 }
 
-/// Where to learn from.
-enum Source {
-    /// The store.
-    Store,
-    /// A node that reads for this hall.
-    Reader(Peer),
-    /// The deciding node, which this one asks for its hall.
-    Decider(Peer),
-}
-
 /// Where this node learns.
 struct Sync {
     node: Arc<Node>,
     client: Client,
     revision: Option<u64>,
-    /// Nodes not to be asked, and until when.
-    avoided: Avoided,
+    sources: Sources,
     /// Whether the store was reached last, here or by the node asked.
     reached: bool,
 }
@@ -104,24 +109,62 @@
 /// Follows the store until the process ends.
 pub async fn run(node: Arc<Node>) {
     let client = Client::new(Traffic::default());
-    let mut sync = Sync { node, client, revision: None, avoided: Avoided::default(), reached: true };
+    let mut sync = Sync { node, client, revision: None, sources: Sources::default(), reached: true };
+    sync.start().await;
     loop {
         sync.follow().await;
     }
 }
 
 impl Sync {
+    /// Learns all from a reader of the hall, if there is one that knows: whole reads of
+    /// the store by each node that starts are most of the calls of a calm day.
+    async fn start(&mut self) {
+        let settings = self.node.settings();
+        if settings.first_start {
+            let pause = FIRST_START.0 + rand::rng().random_range(0..FIRST_START.0 / 2);
+            tokio::time::sleep(Millis(pause).duration()).await;
+        }
+        for _ in 0..STARTS {
+            match self.node.store.read_own_stale(member::PREFIX).await {
+                Ok(items) => member::take_entries(&self.node, &items),
+                Err(error) => return log::info!("sync: other nodes are not known: {error}"),
+            }
+            let readers = self.node.directory.lock().list_sources(&settings.node, &settings.hall);
+            let mut unsure = false;
+            for reader in readers.into_iter().take(START_READERS) {
+                match self.ask(&reader, Millis(0)).await {
+                    Ok(learned) => return self.take(learned, false).await,
+                    Err(error) => {
+                        log::info!("sync: {} does not say what the store holds: {error}", reader.node);
+                        unsure |= error.failure() == Failure::Unsure;
+                    }
+                }
+            }
+            if !unsure {
+                return;
+            }
+            tokio::time::sleep(START_PAUSE.duration()).await;
+        }
+    }
+
     async fn follow(&mut self) {
         let source = self.pick_source();
         if matches!(source, Source::Reader(_)) {
             self.node.feed.set_serving(false);
         }
         let outcome = match &source {
-            Source::Reader(peer) | Source::Decider(peer) => self.ask(peer).await,
+            Source::Reader(peer) | Source::Senior(peer) => self.ask(peer, ASK).await,
             Source::Store => self.read_store().await,
+            Source::Nobody(pause) => {
+                self.note_away();
+                return tokio::time::sleep(pause.duration()).await;
+            }
         };
+        let now = self.node.now();
         match (outcome, source) {
             (Ok(learned), source) => {
+                self.sources.note_answer();
                 let serving = !matches!(source, Source::Reader(_));
                 self.take(learned, serving).await;
             }
@@ -129,41 +172,49 @@
                 log::warn!("store: changes after {:?} are forgotten; reading all anew", self.revision);
                 self.revision = None;
             }
-            (Err(error), Source::Reader(peer) | Source::Decider(peer)) => {
-                log::info!("sync: {} is not asked for {AVOID}: {error}", peer.node);
-                self.avoided.add(peer.node, self.node.now() + AVOID);
+            (Err(error), Source::Reader(peer) | Source::Senior(peer)) => {
+                log::info!("sync: {} is passed over: {error}", peer.node);
+                self.sources.note_failure(peer.node, error.failure(), now);
             }
-            (Err(error), Source::Store) => {
+            (Err(error), Source::Store | Source::Nobody(_)) => {
                 if self.reached {
                     log::warn!("sync: {error}; going on with what is known at {:?}", self.revision);
                 }
-                self.reached = false;
-                self.node.feed.set_serving(false);
-                let pause = PAUSE.0 + rand::rng().random_range(0..PAUSE.0);
-                tokio::time::sleep(Millis(pause).duration()).await;
+                self.note_away();
+                let settings = self.node.settings();
+                let directory = self.node.directory.lock();
+                let rng = &mut rand::rng();
+                let deciding = self.node.is_deciding();
+                self.sources.note_store_failure(
+                    &settings.node,
+                    &settings.hall,
+                    deciding,
+                    &directory,
+                    now,
+                    rng,
+                );
             }
         }
     }
 
-    /// Where to learn from. The deciding node reads the store, for all others wait
-    /// for what it does; the readers of the halls ask it, and all others ask those.
-    /// The store is read as well where whoever should be asked does not answer.
+    /// Nobody says what the store holds: runners' entries may lapse meanwhile, and those
+    /// that ask here are sent away.
+    fn note_away(&mut self) {
+        self.reached = false;
+        self.node.feed.set_serving(false);
+    }
+
+    /// Where to learn from. A node that knows nothing yet, and the deciding one, read
+    /// the store.
     fn pick_source(&mut self) -> Source {
-        self.avoided.forget(self.node.now());
-        if self.node.is_deciding() || self.revision.is_none() {
-            return Source::Store;
-        }
         let settings = self.node.settings();
         let directory = self.node.directory.lock();
-        let readers = directory.list_sources(&settings.node, &settings.hall);
-        let asked = |peer: &Peer| !self.avoided.contains(&peer.node);
-        if !readers.is_empty() {
-            return readers.into_iter().find(asked).map_or(Source::Store, Source::Reader);
-        }
         let holder = self.node.decider.borrow().clone().and_then(|holder| holder.node);
-        let decider =
-            holder.filter(|holder| *holder != settings.node).and_then(|holder| directory.get(&holder));
-        decider.filter(|peer| asked(peer)).cloned().map_or(Source::Store, Source::Decider)
+        let (now, rng) = (self.node.now(), &mut rand::rng());
+        if self.node.is_deciding() || self.revision.is_none() {
+            return self.sources.wait_for_store(now);
+        }
+        self.sources.pick(&settings.node, &settings.hall, holder.as_ref(), &directory, now, rng)
     }
 
     async fn read_store(&self) -> Result<Learned, SyncError> {
@@ -177,9 +228,9 @@
         Ok(Learned { batch, whole: false, proven: Proof::Watch(asked, waited) })
     }
 
-    async fn ask(&self, peer: &Peer) -> Result<Learned, SyncError> {
+    async fn ask(&self, peer: &Peer, wait: Millis) -> Result<Learned, SyncError> {
         let asked = self.node.now();
-        let question = Ask { after: self.revision, wait_ms: ASK.0 };
+        let question = Ask { after: self.revision, wait_ms: wait.0 };
         let told = peer::ask(&self.client, peer.address, question).await?;
         let age = Millis(told.age_ms);
         if age > AGE_MAX {
--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 
 use cottoncrank::Millis;
+use cottoncrank_fleet::directory::Processor;
 use cottoncrank_fleet::settings::{Bounds, Ceiling, Settings};
 use cottoncrank_node::start::{Listeners, start};
 use cottoncrank_node::state::Node;
@@ -49,6 +50,8 @@
         ready: address(&listeners.ready),
         peers: address(&listeners.peers),
         store: store.address(),
+        processor: Processor(1000),
+        first_start: false,
         lease_min: Millis(1000),
         bounds: Bounds {
             revoke: Some(Millis(5000)),
@@ -92,6 +95,12 @@
         fleet
     }
 
+    /// One more node of the first hall.
+    pub async fn add_node(&mut self) {
+        let number = self.nodes.len();
+        self.nodes.push(start_node(&self.store, number, "hall-a").await);
+    }
+
     /// Whether every node that runs knows that many groups which take requests.
     pub fn all_know(&self, groups: usize) -> bool {
         self.nodes.iter().all(|running| self.count_heads(&running.node) == groups)
--- a/crates/node/tests/fleet.rs
+++ b/crates/node/tests/fleet.rs
@@ -12,6 +12,7 @@
 use cottoncrank_net::client::{CallError, Client, Traffic};
 use cottoncrank_node::peer::{self, Ask, AskError};
 use cottoncrank_platform::order::{self, Reply};
+use cottoncrank_platform_standin::caller::ask;
 use cottoncrank_platform_standin::operator::{STREAM, config};
 use cottoncrank_platform_standin::store::{self, Store};
 
@@ -253,3 +254,49 @@
     let here = fleet.engines[0].id().parse().unwrap();
     assert!(matches!(order::probe(&client, address, &here, wait).await, Reported::Pace(_)));
 }
+
+#[tokio::test]
+async fn a_node_that_starts_learns_all_from_a_reader_instead_of_the_store() {
+    let mut fleet = Fleet::serving(3).await;
+    fleet
+        .wait("all nodes know each other", |fleet| {
+            fleet.nodes.iter().all(|running| running.node.directory.lock().count() == 3)
+        })
+        .await;
+    let before = fleet.store.calls().ranges;
+    fleet.add_node().await;
+    fleet
+        .wait("the new one knows the groups and the keys", |fleet| {
+            fleet.all_know(2) && fleet.nodes[3].node.trusts_keys()
+        })
+        .await;
+    assert_eq!(fleet.store.calls().ranges - before, 1, "it reads which nodes there are, and nothing else");
+    assert_eq!(ask(fleet.nodes[3].callers, STREAM, "r1", "key-1").await.unwrap().status, 200);
+}
+
+#[tokio::test]
+async fn nodes_that_do_not_read_hardly_call_a_store_that_refuses_all() {
+    let fleet = Fleet::serving(16).await;
+    fleet
+        .wait("all nodes know each other", |fleet| {
+            fleet.nodes.iter().all(|running| running.node.directory.lock().count() == 16)
+        })
+        .await;
+    fleet.store.set_fault(store::Fault::Busy);
+    let count = |fleet: &Fleet| fleet.store.calls().refused;
+    fleet
+        .wait("all have noticed", |f| f.nodes.iter().all(|r| !*r.node.feed.subscribe_serving().borrow()))
+        .await;
+    let before = count(&fleet);
+    tokio::time::sleep(Millis(3000).duration()).await;
+    // Sixteen nodes with a pause of 0.2 to 0.4 s each make 160 calls, and some for their entries.
+    let calls = count(&fleet) - before;
+    assert!(calls < 110, "{calls} calls in three seconds");
+    fleet.store.set_fault(store::Fault::None);
+    let cleared: Vec<Millis> = fleet.nodes.iter().map(|running| running.node.now()).collect();
+    let fresh = |(running, cleared): (&common::Running, &Millis)| {
+        let now = running.node.now();
+        running.node.freshness.lock().age(now).is_some_and(|age| age < now.since(*cleared))
+    };
+    fleet.wait("all have a proof again", |fleet| fleet.nodes.iter().zip(&cleared).all(fresh)).await;
+}
--- a/crates/node/tests/requests.rs
+++ b/crates/node/tests/requests.rs
@@ -6,7 +6,7 @@
 
 use common::{Fleet, KEY};
 use cottoncrank::Millis;
-use cottoncrank_fleet::directory::Peer;
+use cottoncrank_fleet::directory::{Peer, Processor};
 use cottoncrank_fleet::settings::Settings;
 use cottoncrank_node::answer::Refusal;
 use cottoncrank_node::state::Node;
@@ -240,7 +240,7 @@
     for name in ["node-8", "node-9"] {
         let address = "127.0.0.1:9".parse().unwrap();
         let (name, hall) = (name.parse().unwrap(), "hall-z".parse().unwrap());
-        node.directory.lock().put(Peer { node: name, hall, address });
+        node.directory.lock().put(Peer { node: name, hall, address, processor: Processor(1000) });
     }
     fleet.wait("the view covers one node of three", |_| !node.view.lock().is_usable(node.now())).await;
     refused("r2").await;
