--- a/crates/fleet/src/balance.rs
+++ b/crates/fleet/src/balance.rs
@@ -75,7 +75,7 @@
     }
 
     /// Whether nothing speaks against sending a request to a runner.
-    fn is_sound(&self, runner: &Runner, now: Millis) -> bool {
+    pub fn is_sound(&self, runner: &Runner, now: Millis) -> bool {
         let way = self.ways.get(&runner.hall).copied().unwrap_or_default();
         self.get(&runner.id).avoid <= now && way.avoid <= now && !self.is_stalled(&runner.id, now)
     }
@@ -128,6 +128,13 @@
         self.records.remove(id);
     }
 
+    /// The runners that failed a request of this node lately, or at which its streams do
+    /// not get on.
+    pub fn list_doubted(&self, now: Millis) -> impl Iterator<Item = &id::Runner> {
+        let doubted = move |id: &id::Runner, record: &Record| now < record.avoid || self.is_stalled(id, now);
+        self.records.iter().filter(move |(id, record)| doubted(id, record)).map(|(id, _)| id)
+    }
+
     /// The runners at which requests of this node are in flight, and how many.
     pub fn list_busy(&self) -> impl Iterator<Item = (&id::Runner, u32)> {
         self.records.iter().map(|(id, record)| (id, record.running)).filter(|(_, running)| *running > 0)
--- /dev/null
+++ b/crates/fleet/src/dispatch.rs
@@ -0,0 +1,205 @@
+//! Which group takes a request, chosen by one node of a hall for all nodes of the hall.
+//!
+//! The load this answers: hundreds of nodes, each with a few requests a second, and
+//! groups of which four fifths of the slots are in use. Chosen by each node for itself,
+//! from reports half a second old, some groups get more requests than slots while others
+//! have room, and a third of the first events is late. The collector of a hall hears of
+//! each request of its hall when it begins and when it ends; it knows what is in flight
+//! at the groups of its own hall almost exactly, and so it sends requests there, as long
+//! as the groups of other halls do not promise an earlier first event.
+
+use std::collections::HashMap;
+
+use cottoncrank::{Millis, id};
+use rand::Rng;
+use serde::{Deserialize, Serialize};
+
+use crate::catalog::{Model, Speed};
+use crate::occupancy::Report;
+use crate::runner::{Epoch, Runner};
+
+/// The share of its time that an engine with work to write spends on prompts.
+const READING: f64 = 0.5;
+
+/// The first event comes two passes after the prompt is read: the one under way has to
+/// end, and the event's own tokens are written in the next.
+const PASSES: f64 = 2.0;
+
+/// How much later a first event from another hall is taken to be, in milliseconds. What
+/// is in flight there is known from reports some 0.2 s old, in which a busy group begins
+/// three requests; the way there and back takes three.
+const AWAY: f64 = 20.0;
+
+/// The same for a hall whose collector has not told for a while: the way there may be cut,
+/// and what is in flight there is not known.
+const SILENT: f64 = 1000.0;
+
+/// The same for each node that doubts a group: it failed a request of that node, or none
+/// of that node's streams gets on there.
+const DOUBT: f64 = 200.0;
+
+/// Where an engine does not say how long its answers are, a slot is in use for so long,
+/// in milliseconds.
+const STREAM_UNSET: f64 = 1000.0;
+
+/// A request that is overdue takes no slot of a group of which more than this part is in
+/// use: those that can still be in time need the rest.
+const SPARE: f64 = 0.6;
+
+/// How soon a request needs its first event.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Urgency {
+    /// It is in time within so many milliseconds.
+    Within(u64),
+    /// It is late already, and takes only room to spare.
+    Overdue,
+    /// It was sent to a runner that failed it: it goes on wherever it can.
+    Again,
+}
+
+/// A question for a group.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Question {
+    /// What the asking node has in flight, without this request.
+    pub report: Report,
+    /// The service.
+    pub service: id::Service,
+    /// The model.
+    pub model: id::Model,
+    /// The tokens of the prompt; 0 if unknown.
+    pub prompt: u32,
+    /// How soon the first event is needed.
+    pub urgency: Urgency,
+    /// Groups that were tried.
+    pub tried: Vec<Epoch>,
+}
+
+/// The answer to it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Reply {
+    /// The request goes to the head of this forming of a group.
+    Take(Epoch),
+    /// No group can take it in time: the earliest first event is so many milliseconds
+    /// away.
+    Full(u64),
+    /// Nothing can be said: no group of the model is known, or too little of what is in
+    /// flight.
+    Unknown,
+}
+
+/// Prompts sent to a group that it may not have read yet.
+#[derive(Clone, Copy, Debug)]
+struct Backlog {
+    /// How long reading them takes.
+    millis: f64,
+    since: Millis,
+}
+
+impl Backlog {
+    fn left(&self, now: Millis) -> f64 {
+        (self.millis - now.since(self.since).0 as f64 * READING).max(0.0)
+    }
+}
+
+/// What is in flight at a group, and how many nodes doubt it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Load {
+    /// Requests in flight, over all nodes.
+    pub running: u32,
+    /// Nodes that doubt it.
+    pub doubts: u32,
+}
+
+/// The groups of one model, and how fast they are.
+pub struct Choice<'a> {
+    /// The hall that is chosen for.
+    pub hall: &'a id::Hall,
+    /// Halls whose nodes do not tell this one what they have in flight.
+    pub silent: &'a [id::Hall],
+    /// The heads that take requests.
+    pub heads: &'a [&'a Runner],
+    /// The model.
+    pub model: &'a Model,
+    /// How fast the engine is.
+    pub speed: &'a Speed,
+}
+
+/// What the node that chooses remembers of prompts.
+#[derive(Clone, Debug, Default)]
+pub struct Dispatcher {
+    backlogs: HashMap<Epoch, Backlog>,
+}
+
+impl Dispatcher {
+    /// Chooses a group for a request.
+    pub fn choose(
+        &mut self,
+        choice: &Choice,
+        question: &Question,
+        load: impl Fn(Epoch) -> Load,
+        now: Millis,
+        rng: &mut impl Rng,
+    ) -> Reply {
+        self.backlogs.retain(|_, backlog| backlog.left(now) > 0.0);
+        let reading = read_time(choice, question.prompt);
+        let places = choice.heads.iter().filter_map(|head| Some((*head, head.membership.as_ref()?.epoch)));
+        let fresh = places.filter(|(_, epoch)| !question.tried.contains(epoch));
+        let rated = fresh.map(|(head, epoch)| {
+            let wait = self.rate(choice, head, epoch, load(epoch), now) + reading;
+            (wait, rng.random::<u32>(), epoch, fills(head, load(epoch)))
+        });
+        let best = rated.min_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
+        let Some((wait, _, epoch, filled)) = best else { return Reply::Unknown };
+        let fits = match question.urgency {
+            Urgency::Within(millis) => wait <= millis as f64,
+            Urgency::Overdue => filled < SPARE,
+            Urgency::Again => true,
+        };
+        if !fits {
+            return Reply::Full(wait as u64);
+        }
+        let left = self.backlogs.get(&epoch).map_or(0.0, |backlog| backlog.left(now));
+        self.backlogs.insert(epoch, Backlog { millis: left + reading, since: now });
+        Reply::Take(epoch)
+    }
+
+    /// How long the first event of a request with an empty prompt would take there.
+    fn rate(&self, choice: &Choice, head: &Runner, epoch: Epoch, load: Load, now: Millis) -> f64 {
+        let backlog = self.backlogs.get(&epoch).map_or(0.0, |backlog| backlog.left(now));
+        let pass = time_pass(choice, load.running.min(head.slots));
+        let over = (load.running + 1).saturating_sub(head.slots);
+        let slot = f64::from(over) * time_stream(choice, head.slots) / f64::from(head.slots.max(1));
+        let away = match head.hall == *choice.hall {
+            true => 0.0,
+            false if choice.silent.contains(&head.hall) => SILENT,
+            false => AWAY,
+        };
+        backlog + PASSES * pass + slot + away + DOUBT * f64::from(load.doubts)
+    }
+}
+
+/// The part of its slots that a group has in use.
+fn fills(head: &Runner, load: Load) -> f64 {
+    f64::from(load.running) / f64::from(head.slots.max(1))
+}
+
+/// How long a group reads a prompt, in milliseconds.
+fn read_time(choice: &Choice, tokens: u32) -> f64 {
+    if choice.speed.read <= 0.0 { 0.0 } else { choice.model.pace * f64::from(tokens) / choice.speed.read }
+}
+
+/// How long a step of a group takes that writes for `running` requests, in milliseconds.
+fn time_step(choice: &Choice, running: u32) -> f64 {
+    choice.model.pace * (choice.speed.step + choice.speed.request * f64::from(running))
+}
+
+/// How long a pass takes.
+fn time_pass(choice: &Choice, running: u32) -> f64 {
+    time_step(choice, running) * choice.speed.stride
+}
+
+/// How long a slot is in use by one request where all are.
+fn time_stream(choice: &Choice, slots: u32) -> f64 {
+    let time = choice.speed.answer * time_step(choice, slots);
+    if time > 0.0 { time } else { STREAM_UNSET }
+}
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod census;
 pub mod decide;
 pub mod directory;
+pub mod dispatch;
 pub mod event;
 pub mod form;
 pub mod freshness;
--- a/crates/fleet/src/occupancy.rs
+++ b/crates/fleet/src/occupancy.rs
@@ -12,6 +12,7 @@
 use cottoncrank::{Millis, id};
 use serde::{Deserialize, Serialize};
 
+use crate::dispatch::Load;
 use crate::runner::Epoch;
 
 /// A report counts for this long: three of the longest periods between two.
@@ -78,11 +79,14 @@
     pub scope: Scope,
     /// What is in flight.
     pub sum: Sum,
+    /// Groups that failed a request of the node, or at which its streams do not get on.
+    pub doubted: Vec<Epoch>,
 }
 
 #[derive(Clone, Debug)]
 struct Row {
     sum: Sum,
+    doubted: Vec<Epoch>,
     told: Millis,
 }
 
@@ -98,13 +102,47 @@
     pub fn put(&mut self, report: Report, now: Millis) {
         self.nodes.retain(|_, row| now < row.told + KEPT);
         self.halls.retain(|_, row| now < row.told + KEPT);
-        let row = Row { sum: report.sum, told: now };
+        let row = Row { sum: report.sum, doubted: report.doubted, told: now };
         match report.scope {
             Scope::Node => self.nodes.insert(report.node, row),
             Scope::Hall => self.halls.insert(report.hall, row),
         };
     }
 
+    /// How many nodes of this hall tell this one what they have in flight.
+    pub fn count_nodes(&self, now: Millis) -> usize {
+        self.nodes.values().filter(|row| now < row.told + KEPT).count()
+    }
+
+    /// Whether another hall's collector tells this one.
+    pub fn hears(&self, hall: &id::Hall, now: Millis) -> bool {
+        self.halls.get(hall).is_some_and(|row| now < row.told + KEPT)
+    }
+
+    /// A node of this hall begins a request that its last report does not have yet.
+    pub fn begin(&mut self, node: &id::Node, epoch: Epoch) {
+        if let Some(row) = self.nodes.get_mut(node) {
+            *row.sum.counts.entry(epoch).or_default() += 1;
+        }
+    }
+
+    /// What is in flight at each group over all nodes, with `own` as what this one has,
+    /// and how many nodes of this hall doubt it.
+    pub fn sum_loads(&self, own: &Sum, now: Millis) -> HashMap<Epoch, Load> {
+        let mut loads: HashMap<Epoch, Load> = HashMap::new();
+        let fresh = |row: &&Row| now < row.told + KEPT;
+        let nodes = self.nodes.values().filter(fresh);
+        let halls = self.halls.values().filter(fresh);
+        let sums = nodes.clone().chain(halls).map(|row| &row.sum).chain(std::iter::once(own));
+        for (epoch, count) in sums.flat_map(|sum| &sum.counts) {
+            loads.entry(*epoch).or_default().running += count;
+        }
+        for epoch in nodes.flat_map(|row| &row.doubted) {
+            loads.entry(*epoch).or_default().doubts += 1;
+        }
+        loads
+    }
+
     /// The sum over the nodes of this hall, `own` included.
     pub fn sum_hall(&self, own: &Sum, now: Millis) -> Sum {
         let mut sum = own.clone();
--- /dev/null
+++ b/crates/fleet/tests/dispatch.rs
@@ -0,0 +1,215 @@
+//! Groups chosen by the collector of a hall, under the load at which most is lost: four
+//! fifths of all slots in use, and hundreds of nodes with a few requests each.
+
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, HashMap};
+
+use cottoncrank::{Millis, id};
+use cottoncrank_fleet::balance::{Ledger, pick};
+use cottoncrank_fleet::catalog::{Model, Speed};
+use cottoncrank_fleet::dispatch::{Choice, Dispatcher, Load, Question, Reply, Urgency};
+use cottoncrank_fleet::occupancy::{Report, Scope, Sum, Table, View};
+use cottoncrank_fleet::runner::{Epoch, Membership, Phase, Runner};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+const SLOTS: u32 = 14;
+
+const SPEED: Speed = Speed { step: 7.8, request: 0.0947, stride: 8.0, read: 45.9, answer: 156.0 };
+
+fn model() -> Model {
+    let (load, warm) = (Millis(12_000), Millis(1100));
+    Model { name: "small".parse().unwrap(), size: 4, share: 1.0, load, warm, pace: 0.6 }
+}
+
+fn head(number: u64, hall: &str) -> Runner {
+    Runner {
+        id: format!("r{number}").parse().unwrap(),
+        service: "llm".parse().unwrap(),
+        address: "127.0.0.1:9".parse().unwrap(),
+        hall: hall.parse().unwrap(),
+        domain: Some("d0".parse().unwrap()),
+        slots: SLOTS,
+        draining: false,
+        models: vec!["small".parse().unwrap()],
+        served: None,
+        staged: Vec::new(),
+        membership: Some(Membership {
+            group: format!("g{number}").parse().unwrap(),
+            epoch: Epoch(number),
+            rank: 0,
+            phase: Phase::Open,
+        }),
+    }
+}
+
+fn report(node: &str, doubted: &[u64]) -> Report {
+    Report {
+        node: node.parse().unwrap(),
+        hall: "hall-a".parse().unwrap(),
+        scope: Scope::Node,
+        sum: Sum::of_node(Default::default()),
+        doubted: doubted.iter().map(|epoch| Epoch(*epoch)).collect(),
+    }
+}
+
+fn question(urgency: Urgency, tried: &[u64]) -> Question {
+    Question {
+        report: report("n1", &[]),
+        service: "llm".parse().unwrap(),
+        model: "small".parse().unwrap(),
+        prompt: 700,
+        urgency,
+        tried: tried.iter().map(|epoch| Epoch(*epoch)).collect(),
+    }
+}
+
+/// What a fresh dispatcher of hall-a answers, where so many requests run at each group.
+fn ask(heads: &[Runner], running: &[(u64, Load)], urgency: Urgency, tried: &[u64]) -> Reply {
+    let (hall, model): (id::Hall, Model) = ("hall-a".parse().unwrap(), model());
+    let heads: Vec<&Runner> = heads.iter().collect();
+    let choice = Choice { hall: &hall, silent: &[], heads: &heads, model: &model, speed: &SPEED };
+    let loads: HashMap<Epoch, Load> = running.iter().map(|(epoch, load)| (Epoch(*epoch), *load)).collect();
+    let load = |epoch: Epoch| loads.get(&epoch).copied().unwrap_or_default();
+    let mut rng = SmallRng::seed_from_u64(1);
+    Dispatcher::default().choose(&choice, &question(urgency, tried), load, Millis(1000), &mut rng)
+}
+
+fn running(count: u32) -> Load {
+    Load { running: count, doubts: 0 }
+}
+
+const IN_TIME: Urgency = Urgency::Within(300);
+
+#[test]
+fn groups_of_the_own_hall_go_first_until_others_promise_an_earlier_event() {
+    let heads = [head(1, "hall-a"), head(2, "hall-b")];
+    assert_eq!(ask(&heads, &[(1, running(12)), (2, running(0))], IN_TIME, &[]), Reply::Take(Epoch(1)));
+    assert_eq!(ask(&heads, &[(1, running(14)), (2, running(8))], IN_TIME, &[]), Reply::Take(Epoch(2)));
+}
+
+#[test]
+fn what_cannot_be_in_time_is_refused_at_once_and_what_was_sent_goes_on() {
+    let heads = [head(1, "hall-a"), head(2, "hall-a")];
+    let full = [(1, running(20)), (2, running(20))];
+    assert!(matches!(ask(&heads, &full, IN_TIME, &[]), Reply::Full(wait) if wait > 300));
+    assert_eq!(ask(&heads, &full, Urgency::Again, &[1]), Reply::Take(Epoch(2)));
+    assert_eq!(ask(&heads, &full, Urgency::Again, &[1, 2]), Reply::Unknown, "both were tried");
+}
+
+#[test]
+fn an_overdue_request_takes_only_room_to_spare() {
+    let heads = [head(1, "hall-a")];
+    assert_eq!(ask(&heads, &[(1, running(8))], Urgency::Overdue, &[]), Reply::Take(Epoch(1)));
+    assert!(matches!(ask(&heads, &[(1, running(9))], Urgency::Overdue, &[]), Reply::Full(_)));
+}
+
+#[test]
+fn a_group_that_nodes_doubt_is_passed_over_for_all_nodes_of_the_hall() {
+    let mut table = Table::default();
+    table.put(report("n1", &[1]), Millis(1000));
+    table.put(report("n2", &[]), Millis(1000));
+    let loads = table.sum_loads(&Sum::default(), Millis(1000));
+    assert_eq!(loads[&Epoch(1)], Load { running: 0, doubts: 1 });
+    let heads = [head(1, "hall-a"), head(2, "hall-b")];
+    let doubted = [(1, loads[&Epoch(1)]), (2, running(10))];
+    assert_eq!(ask(&heads, &doubted, IN_TIME, &[]), Reply::Take(Epoch(2)));
+}
+
+#[test]
+fn a_request_counts_at_its_group_before_its_node_reports_it() {
+    let mut table = Table::default();
+    table.put(report("n1", &[]), Millis(1000));
+    table.begin(&"n1".parse().unwrap(), Epoch(4));
+    assert_eq!(table.sum_loads(&Sum::default(), Millis(1001))[&Epoch(4)], running(1));
+    table.put(report("n1", &[]), Millis(1002));
+    assert!(table.sum_loads(&Sum::default(), Millis(1003)).is_empty());
+}
+
+#[test]
+fn the_groups_of_a_hall_that_does_not_tell_are_left_while_others_have_room() {
+    let hall: id::Hall = "hall-a".parse().unwrap();
+    let model = model();
+    let (here, there) = (head(1, "hall-a"), head(2, "hall-b"));
+    let heads = [&here, &there];
+    let silent = ["hall-b".parse().unwrap()];
+    let choice = Choice { hall: &hall, silent: &silent, heads: &heads, model: &model, speed: &SPEED };
+    let load = |epoch: Epoch| if epoch == Epoch(1) { running(15) } else { running(0) };
+    let mut rng = SmallRng::seed_from_u64(1);
+    let question = question(Urgency::Again, &[]);
+    let reply = Dispatcher::default().choose(&choice, &question, load, Millis(1000), &mut rng);
+    assert_eq!(reply, Reply::Take(Epoch(1)));
+}
+
+/// How requests find their groups.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Policy {
+    /// The hall's collector says.
+    Collector,
+    /// Each node picks by what it was told half a second ago.
+    Nodes,
+}
+
+/// Sixty nodes before thirteen groups, at `load` of all slots for a minute, each request
+/// in its slot for about a second. Returns the part of the requests that found all slots
+/// of their group taken.
+fn replay(policy: Policy, load: f64) -> f64 {
+    let heads: Vec<Runner> = (1..=13).map(|number| head(number, "hall-a")).collect();
+    let refs: Vec<&Runner> = heads.iter().collect();
+    let (hall, model): (id::Hall, Model) = ("hall-a".parse().unwrap(), model());
+    let choice = Choice { hall: &hall, silent: &[], heads: &refs, model: &model, speed: &SPEED };
+    let mut rng = SmallRng::seed_from_u64(11);
+    let mut dispatcher = Dispatcher::default();
+    let mut running_at: HashMap<Epoch, u32> = HashMap::new();
+    let mut ends: BinaryHeap<Reverse<(u64, Epoch)>> = BinaryHeap::new();
+    let (mut view, mut told) = (View::default(), 0);
+    let per_second = load * 13.0 * f64::from(SLOTS);
+    let (mut now, mut asked, mut waiting) = (1000.0, 0, 0);
+    while now < 61_000.0 {
+        now += -rng.random::<f64>().ln() * 1000.0 / per_second;
+        let at = Millis(now as u64);
+        while let Some(Reverse((end, epoch))) = ends.peek().copied().filter(|Reverse((end, _))| *end <= at.0)
+        {
+            ends.pop();
+            *running_at.get_mut(&epoch).unwrap() -= 1;
+            let _ = end;
+        }
+        if at.0 >= told + 500 {
+            told = at.0;
+            let counts = running_at.iter().map(|(epoch, count)| (*epoch, *count)).collect();
+            view.put(Sum { nodes: 59, counts }, 60, at);
+        }
+        let epoch = match policy {
+            Policy::Collector => {
+                let load = |epoch: Epoch| running(running_at.get(&epoch).copied().unwrap_or(0));
+                match dispatcher.choose(&choice, &question(Urgency::Again, &[]), load, at, &mut rng) {
+                    Reply::Take(epoch) => epoch,
+                    reply => panic!("{reply:?}"),
+                }
+            }
+            Policy::Nodes => {
+                let picked = pick(&refs, &[], &Ledger::default(), &view, at, &mut rng).unwrap();
+                picked.membership.as_ref().unwrap().epoch
+            }
+        };
+        asked += 1;
+        let there = running_at.entry(epoch).or_default();
+        waiting += usize::from(*there >= SLOTS);
+        *there += 1;
+        ends.push(Reverse((at.0 + rng.random_range(300..1700), epoch)));
+    }
+    waiting as f64 / f64::from(asked)
+}
+
+#[test]
+fn requests_find_a_slot_while_four_fifths_of_them_are_in_use() {
+    let (by_nodes, by_collector) = (replay(Policy::Nodes, 0.8), replay(Policy::Collector, 0.8));
+    assert!(by_nodes > 0.03, "the load shows the harm: {by_nodes}");
+    assert!(by_collector < 0.002, "chosen by the collector {by_collector}, by the nodes {by_nodes}");
+}
+
+#[test]
+fn requests_find_a_slot_while_nine_tenths_of_them_are_in_use() {
+    let (by_nodes, by_collector) = (replay(Policy::Nodes, 0.9), replay(Policy::Collector, 0.9));
+    assert!(by_collector < by_nodes / 3.0, "chosen by the collector {by_collector}, by the nodes {by_nodes}");
+}
--- a/crates/node/src/attempt.rs
+++ b/crates/node/src/attempt.rs
@@ -169,6 +169,22 @@
     balance::has_spare_room(&candidates, &ledger, &view, nodes, node.now())
 }
 
+/// The head of the group that was chosen, if it is known here and nothing that this node
+/// has seen speaks against it.
+pub fn find_pick(node: &Node, job: &Job, epoch: Epoch, tried: &[id::Runner]) -> Option<Pick> {
+    let roster = node.roster.lock();
+    let candidates = list_candidates(node, &roster, job);
+    let head =
+        candidates.into_iter().find(|head| head.membership.as_ref().is_some_and(|p| p.epoch == epoch))?;
+    let sound = node.ledger.lock().is_sound(head, node.now()) && !tried.contains(&head.id);
+    sound.then(|| write_pick(job, head))
+}
+
+fn write_pick(job: &Job, runner: &Runner) -> Pick {
+    let group = job.engine().and(runner.membership.as_ref()).map(|place| (place.group.clone(), place.epoch));
+    Pick { id: runner.id.clone(), address: runner.address, hall: runner.hall.clone(), group }
+}
+
 /// Picks the runner for the next try.
 pub fn pick(node: &Node, job: &Job, tried: &[id::Runner]) -> Option<Pick> {
     let roster = node.roster.lock();
@@ -176,8 +192,7 @@
     let (ledger, view) = (node.ledger.lock(), node.view.lock());
     let now = node.now();
     let picked = balance::pick(&candidates, tried, &ledger, &view, now, &mut rand::rng())?;
-    let group = job.engine().and(picked.membership.as_ref()).map(|place| (place.group.clone(), place.epoch));
-    Some(Pick { id: picked.id.clone(), address: picked.address, hall: picked.hall.clone(), group })
+    Some(write_pick(job, picked))
 }
 
 /// Sends the request to a runner and waits for the head of the answer.
--- a/crates/node/src/collect.rs
+++ b/crates/node/src/collect.rs
@@ -14,13 +14,13 @@
 use crate::peer;
 use crate::state::Node;
 
-/// The pause between two reports: a fifth of the time that a request takes, so
-/// that most of what is in flight was in the last report.
-const PERIOD: Millis = Millis(200);
+/// The least pause between two reports of a node. Within it several requests end
+/// only at a node that has many.
+const PERIOD: Millis = Millis(50);
 
-/// A hall with more nodes than this has a longer pause between reports, so that
-/// its collector has no more than some hundred a second.
-const HALL_NODES: u64 = 25;
+/// The pause of a collector between what it tells those of the other halls: by then a
+/// busy group has begun some two requests.
+const PERIOD_HALLS: Millis = Millis(150);
 
 /// The longest pause between two reports; three of them fit into the time for
 /// which a report counts.
@@ -39,30 +39,41 @@
     loop {
         let settings = node.settings();
         avoided.forget(node.now());
-        let (own, others, nodes) = list_collectors(&node, &settings.hall, &avoided);
-        let failed = match own {
+        let failed = match find_collector(&node, &settings.hall, &avoided) {
             Some(collector) if collector.node != settings.node => {
                 tell(&node, &client, &collector).await.err().into_iter().collect()
             }
-            _ => tell_halls(&node, &client, others).await,
+            _ => tell_halls(&node, &client, list_others(&node, &settings.hall, &avoided)).await,
         };
         for name in failed {
             avoided.add(name, node.now() + AVOID);
         }
-        let pause = Millis(PERIOD.0 * nodes / HALL_NODES).max(PERIOD).min(PERIOD_MAX);
-        tokio::time::sleep(pause.duration()).await;
+        wait_turn(&node).await;
     }
 }
 
-/// The collector of this hall, those of the others, and the nodes of this hall.
-fn list_collectors(node: &Node, hall: &id::Hall, avoided: &Avoided) -> (Option<Peer>, Vec<Peer>, u64) {
+/// Waits until a report is due: as a collector soon, else once a request has ended.
+async fn wait_turn(node: &Node) {
+    if node.reports.lock().count_nodes(node.now()) > 0 {
+        return tokio::time::sleep(PERIOD_HALLS.duration()).await;
+    }
+    tokio::time::sleep(PERIOD.duration()).await;
+    // Either way a report is due then.
+    let _ = tokio::time::timeout((PERIOD_MAX - PERIOD).duration(), node.flight_ended.notified()).await;
+}
+
+/// The collector of a hall.
+pub(crate) fn find_collector(node: &Node, hall: &id::Hall, avoided: &Avoided) -> Option<Peer> {
     let directory = node.directory.lock();
-    let first = |hall: &id::Hall| {
-        let mut ranked = directory.list_collectors(hall).into_iter();
-        ranked.find(|peer| !avoided.contains(&peer.node)).cloned()
-    };
-    let others = directory.list_halls().into_iter().filter(|other| *other != hall).filter_map(first);
-    (first(hall), others.collect(), directory.list_collectors(hall).len() as u64)
+    let mut ranked = directory.list_collectors(hall).into_iter();
+    ranked.find(|peer| !avoided.contains(&peer.node)).cloned()
+}
+
+/// The collectors of the other halls.
+fn list_others(node: &Node, hall: &id::Hall, avoided: &Avoided) -> Vec<Peer> {
+    let halls: Vec<id::Hall> = node.directory.lock().list_halls().into_iter().cloned().collect();
+    let others = halls.iter().filter(|other| *other != hall);
+    others.filter_map(|other| find_collector(node, other, avoided)).collect()
 }
 
 /// Tells the collector of this hall. Returns its name if it does not answer.
@@ -109,9 +120,11 @@
     node.view.lock().put(others, known, asked);
 }
 
-fn write_report(node: &Node, scope: Scope, sum: Sum) -> Report {
+/// What this node tells a collector.
+pub fn write_report(node: &Node, scope: Scope, sum: Sum) -> Report {
     let settings = node.settings();
-    Report { node: settings.node.clone(), hall: settings.hall.clone(), scope, sum }
+    let doubted = node.list_doubted();
+    Report { node: settings.node.clone(), hall: settings.hall.clone(), scope, sum, doubted }
 }
 
 /// Takes a report in. Returns what its sender is not told by others: a node what
--- /dev/null
+++ b/crates/node/src/dispatch.rs
@@ -0,0 +1,99 @@
+//! Asking the collector of the hall which group takes a request, and answering as one.
+
+use std::sync::Arc;
+
+use cottoncrank::{Millis, id};
+use cottoncrank_fleet::dispatch::{Choice, Load, Question, Reply, Urgency};
+use cottoncrank_fleet::occupancy::{COVERED, Scope};
+use cottoncrank_fleet::runner::Epoch;
+
+use crate::attempt::Job;
+use crate::collect::{find_collector, write_report};
+use crate::peer;
+use crate::state::Node;
+
+/// How long the collector may take to answer: it answers within a few milliseconds, and
+/// without it the node chooses by itself.
+const ANSWER: Millis = Millis(40);
+
+/// A collector that did not answer is not asked for this long.
+const AVOID: Millis = Millis(1000);
+
+/// Asks which group takes a request that is not to go to those in `tried`. None where
+/// there is nobody to ask, or the request is for no model that operators named.
+pub async fn ask(node: &Arc<Node>, job: &Job, urgency: Urgency, tried: &[id::Runner]) -> Option<Reply> {
+    let (_, model) = job.lane();
+    let settings = node.settings();
+    let question = Question {
+        report: write_report(node, Scope::Node, node.sum_in_flight()),
+        service: job.service.clone(),
+        model: model?,
+        prompt: job.terms.prompt.unwrap_or(0),
+        urgency,
+        tried: list_epochs(node, tried),
+    };
+    let now = node.now();
+    let collector = {
+        let mut avoided = node.unanswering.lock();
+        avoided.forget(now);
+        find_collector(node, &settings.hall, &avoided)?
+    };
+    if collector.node == settings.node {
+        return Some(choose(node, &question));
+    }
+    match peer::ask_group(&node.client, collector.address, &question, ANSWER).await {
+        Ok(reply) => Some(reply),
+        Err(error) => {
+            log::info!("request {}: {} does not choose a group: {error}", job.id(), collector.node);
+            node.unanswering.lock().add(collector.node, node.now() + AVOID);
+            None
+        }
+    }
+}
+
+fn list_epochs(node: &Node, runners: &[id::Runner]) -> Vec<Epoch> {
+    let roster = node.roster.lock();
+    let epoch = |id: &id::Runner| Some(roster.recall(id)?.membership.as_ref()?.epoch);
+    runners.iter().filter_map(epoch).collect()
+}
+
+/// As the collector, takes in what the asking node has in flight and chooses a group.
+pub fn take(node: &Node, question: Question) -> Reply {
+    node.reports.lock().put(question.report.clone(), node.now());
+    let reply = choose(node, &question);
+    if let Reply::Take(epoch) = reply {
+        node.reports.lock().begin(&question.report.node, epoch);
+    }
+    reply
+}
+
+/// The halls whose nodes do not tell this one what they have in flight; none if too many
+/// nodes of this hall do not either.
+fn list_silent(node: &Node, hall: &id::Hall, now: Millis) -> Option<Vec<id::Hall>> {
+    let directory = node.directory.lock();
+    let reports = node.reports.lock();
+    let nodes = directory.list_collectors(hall).len();
+    if ((reports.count_nodes(now) + 1) as f64) < COVERED * nodes as f64 {
+        return None;
+    }
+    let others = directory.list_halls().into_iter().filter(|other| *other != hall);
+    Some(others.filter(|other| !reports.hears(other, now)).cloned().collect())
+}
+
+fn choose(node: &Node, question: &Question) -> Reply {
+    let Some(catalog) = node.catalog.lock().clone() else { return Reply::Unknown };
+    let engine = catalog.find_service(&question.service).and_then(|service| service.engine.as_ref());
+    let Some(engine) = engine else { return Reply::Unknown };
+    let Some(model) = engine.models.iter().find(|model| model.name == question.model) else {
+        return Reply::Unknown;
+    };
+    let own = node.sum_in_flight();
+    let (settings, now) = (node.settings(), node.now());
+    let Some(silent) = list_silent(node, &settings.hall, now) else { return Reply::Unknown };
+    let roster = node.roster.lock();
+    let heads = roster.list_heads(&question.service, &question.model, &node.plans.lock());
+    let loads = node.reports.lock().sum_loads(&own, now);
+    let choice = Choice { hall: &settings.hall, silent: &silent, heads: &heads, model, speed: &engine.speed };
+    let load = |epoch: Epoch| loads.get(&epoch).copied().unwrap_or(Load::default());
+    node.dispatcher.lock().choose(&choice, question, load, now, &mut rand::rng())
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod channel;
 pub mod collect;
 pub mod decider;
+mod dispatch;
 pub mod feed;
 pub mod figures;
 pub mod front;
--- a/crates/node/src/peer.rs
+++ b/crates/node/src/peer.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use cottoncrank::Millis;
+use cottoncrank_fleet::dispatch::{Question, Reply};
 use cottoncrank_fleet::occupancy::{Report, Sum};
 use cottoncrank_net::client::{CallError, Client};
 use http_body_util::{BodyExt, Limited};
@@ -20,6 +21,7 @@
 
 use crate::answer::{Answer, Body};
 use crate::collect;
+use crate::dispatch;
 use crate::feed::{self, UnpackError};
 use crate::front::pause_accepting;
 use crate::state::Node;
@@ -27,6 +29,9 @@
 /// The path of the question.
 const PATH: &str = "/news";
 
+/// The path of the question which group takes a request.
+const GROUP_PATH: &str = "/group";
+
 /// The path of a report of what is in flight.
 const REPORT_PATH: &str = "/in-flight";
 
@@ -88,6 +93,16 @@
     client.call(address, REPORT_PATH, report, wait).await
 }
 
+/// Asks the collector of the hall which group takes a request.
+pub async fn ask_group(
+    client: &Client,
+    address: SocketAddr,
+    question: &Question,
+    wait: Millis,
+) -> Result<Reply, CallError> {
+    client.call(address, GROUP_PATH, question, wait).await
+}
+
 /// Answers other nodes until the process ends.
 pub async fn serve(node: Arc<Node>, listener: TcpListener) {
     loop {
@@ -121,6 +136,10 @@
         if let Ok(report) = rmp_serde::from_slice::<Report>(&bytes) {
             return reply_encoded(&collect::take(node, report));
         }
+    } else if path == GROUP_PATH {
+        if let Ok(question) = rmp_serde::from_slice::<Question>(&bytes) {
+            return reply_encoded(&dispatch::take(node, question));
+        }
     } else if path == PATH
         && let Ok(question) = rmp_serde::from_slice::<Ask>(&bytes)
     {
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -10,17 +10,21 @@
 use cottoncrank_fleet::balance::Ledger;
 use cottoncrank_fleet::catalog::Catalog;
 use cottoncrank_fleet::directory::Directory;
+use cottoncrank_fleet::dispatch::Dispatcher;
 use cottoncrank_fleet::freshness::Freshness;
 use cottoncrank_fleet::limit::Limit;
 use cottoncrank_fleet::occupancy::{Sum, Table, View};
 use cottoncrank_fleet::patience::Patience;
 use cottoncrank_fleet::plan::Plans;
 use cottoncrank_fleet::roster::Roster;
+use cottoncrank_fleet::runner::Epoch;
 use cottoncrank_fleet::settings::Settings;
+use cottoncrank_net::client::{Client, Traffic};
 use cottoncrank_platform::store::Store;
 use parking_lot::Mutex;
 use tokio::sync::{Notify, watch};
 
+use crate::avoid::Avoided;
 use crate::feed::Feed;
 
 /// Of the fleet's retries a node spends this part of its share: requests that
@@ -65,6 +69,14 @@
     pub ledger: Mutex<Ledger>,
     /// What the others have in flight, as this node was last told.
     pub view: Mutex<View>,
+    /// As the collector of its hall, chooses groups for requests.
+    pub dispatcher: Mutex<Dispatcher>,
+    /// Collectors that did not answer a question for a group.
+    pub(crate) unanswering: Mutex<Avoided>,
+    /// Asks other nodes for groups.
+    pub(crate) client: Client,
+    /// Told when a request at a runner ended.
+    pub(crate) flight_ended: Notify,
     /// What nodes have told this one that they have in flight.
     pub reports: Mutex<Table>,
     /// How many requests may be under way, by service and model.
@@ -107,6 +119,10 @@
             ledger: Mutex::default(),
             view: Mutex::default(),
             reports: Mutex::default(),
+            dispatcher: Mutex::default(),
+            unanswering: Mutex::default(),
+            client: Client::new(Traffic::default()),
+            flight_ended: Notify::new(),
             limits: Mutex::default(),
             ended: Notify::new(),
             patience: Mutex::default(),
@@ -209,6 +225,13 @@
         Sum::of_node(busy.filter_map(|(id, count)| Some((place(id)?, count))).collect())
     }
 
+    /// The groups that failed a request of this node lately, or do not get on.
+    pub fn list_doubted(&self) -> Vec<Epoch> {
+        let (roster, ledger) = (self.roster.lock(), self.ledger.lock());
+        let place = |id: &id::Runner| Some(roster.recall(id)?.membership.as_ref()?.epoch);
+        ledger.list_doubted(self.now()).filter_map(place).collect()
+    }
+
     /// How many requests of a lane are under way here.
     pub fn count_running(&self, lane: &Lane) -> u32 {
         self.limits.lock().get(lane).map_or(0, Limit::running)
@@ -243,6 +266,12 @@
         }
     }
 
+    /// Counts a request for which a group was chosen.
+    pub fn admit_chosen(self: &Arc<Self>, lane: &Lane) -> Admitted {
+        self.limits.lock().entry(lane.clone()).or_default().begin();
+        Admitted { node: self.clone(), lane: lane.clone() }
+    }
+
     /// Counts a request that is overdue, if runners have room to spare. It takes none of
     /// what those need that can still be answered in time.
     pub fn admit_overdue(self: &Arc<Self>, lane: &Lane, has_spare_room: bool) -> Option<Admitted> {
@@ -326,5 +355,6 @@
             ledger.end_stream(&self.runner);
         }
         ledger.end(&self.runner);
+        self.node.flight_ended.notify_one();
     }
 }
--- a/crates/node/src/stream.rs
+++ b/crates/node/src/stream.rs
@@ -8,6 +8,7 @@
 
 use bytes::Bytes;
 use cottoncrank::{Millis, id};
+use cottoncrank_fleet::dispatch::{Reply, Urgency};
 use cottoncrank_platform::header;
 use hyper::Response;
 use hyper::header::CONTENT_LENGTH;
@@ -16,6 +17,7 @@
 
 use crate::answer::{Answer, Body, Refusal};
 use crate::attempt::{Job, has_room, has_spare_room};
+use crate::dispatch;
 use crate::plain;
 use crate::relay::Relay;
 use crate::source::{Next, Source, read_first};
@@ -49,12 +51,17 @@
 pub async fn run(node: &Arc<Node>, job: Arc<Job>, running: Running) -> Result<Answer, Refusal> {
     let lane = job.lane();
     let patience = Millis(job.route.objective.0 / WAITS);
-    let admitted = match job.overdue {
-        true => node.admit_overdue(&lane, has_spare_room(node, &job)),
-        false => node.admit(&lane, patience, || has_room(node, &job)).await,
+    let left = (job.arrived + job.route.objective).since(node.now());
+    let urgency = if job.overdue { Urgency::Overdue } else { Urgency::Within(left.0) };
+    let reply = dispatch::ask(node, &job, urgency, &[]).await;
+    let admitted = match reply {
+        Some(Reply::Take(_)) => Some(node.admit_chosen(&lane)),
+        Some(Reply::Full(_)) => None,
+        None | Some(Reply::Unknown) if job.overdue => node.admit_overdue(&lane, has_spare_room(node, &job)),
+        None | Some(Reply::Unknown) => node.admit(&lane, patience, || has_room(node, &job)).await,
     };
     let admitted = admitted.ok_or_else(|| Refusal::Full(node.count_running(&lane)))?;
-    let mut tries = Tries::default();
+    let mut tries = Tries::choosing(reply);
     let opened = open(node, &job, &mut tries).await;
     note_opening(node, &job, &tries, &admitted, opened.as_ref().err());
     let begun = match opened? {
--- a/crates/node/src/tries.rs
+++ b/crates/node/src/tries.rs
@@ -3,9 +3,12 @@
 use std::sync::Arc;
 
 use cottoncrank::id;
+use cottoncrank_fleet::dispatch::{Reply, Urgency};
+use cottoncrank_fleet::runner::Epoch;
 
 use crate::answer::Refusal;
-use crate::attempt::{Attempt, AttemptError, Job, pick, send};
+use crate::attempt::{Attempt, AttemptError, Job, find_pick, pick, send};
+use crate::dispatch;
 use crate::figures;
 use crate::source::wait_unless_silent;
 use crate::state::Node;
@@ -24,9 +27,16 @@
     pub full: u32,
     /// Whether it has reached a runner: from then on sending it costs a retry.
     arrived: bool,
+    /// The group that was chosen for the next try.
+    chosen: Option<Epoch>,
 }
 
 impl Tries {
+    /// No tries so far; the first one goes where the hall's collector said.
+    pub fn choosing(reply: Option<Reply>) -> Tries {
+        Tries { chosen: read_choice(reply), ..Tries::default() }
+    }
+
     /// Takes a try in that gave no answer.
     pub fn note(&mut self, job: &Job, error: &AttemptError) {
         match error {
@@ -41,6 +51,13 @@
     }
 }
 
+fn read_choice(reply: Option<Reply>) -> Option<Epoch> {
+    match reply? {
+        Reply::Take(epoch) => Some(epoch),
+        Reply::Full(_) | Reply::Unknown => None,
+    }
+}
+
 /// Gets the head of an answer out of the next runner.
 pub async fn next_attempt(
     node: &Arc<Node>,
@@ -58,7 +75,11 @@
         if tries.tried.len() >= TRIES || tries.sent >= job.route.attempts || !repeatable {
             return Err(refusal);
         }
-        let Some(pick) = pick(node, job, &tries.tried) else { return Err(refusal) };
+        if !tries.tried.is_empty() {
+            tries.chosen = read_choice(dispatch::ask(node, job, Urgency::Again, &tries.tried).await);
+        }
+        let chosen = tries.chosen.take().and_then(|epoch| find_pick(node, job, epoch, &tries.tried));
+        let Some(pick) = chosen.or_else(|| pick(node, job, &tries.tried)) else { return Err(refusal) };
         if tries.arrived && !node.retries.lock().spend() {
             log::info!("request {}: not sent again, the retries are spent", job.id());
             return Err(refusal);
