--- a/crates/fleet/src/decide.rs
+++ b/crates/fleet/src/decide.rs
@@ -14,8 +14,9 @@
 
 use crate::catalog::{Model, Service};
 use crate::form::{find_top, form_groups};
+use crate::halt::Halts;
 use crate::loads::{Loads, Purpose};
-use crate::loss::{release_groups, retire_groups};
+use crate::loss::{mark_halted, release_groups, retire_groups};
 use crate::order::{Desk, Order, REPEAT_TAKEN, list_orders};
 use crate::plan::{Document, Group, find_state};
 use crate::preempt::preempt_groups;
@@ -81,6 +82,11 @@
 }
 
 impl Memory {
+    /// What a node starts with that begins to decide.
+    pub fn resume(halts: &Halts) -> Memory {
+        Memory { halted: halts.list(), ..Memory::default() }
+    }
+
     /// How many things are remembered; bounded by the runners and groups there are.
     pub fn count_remembered(&self) -> usize {
         let orders = self.given.len() + self.first.len() + self.taken.len() + self.staged.len();
@@ -221,6 +227,7 @@
     let mut lost = 0;
     for site in &mut sites {
         lost += retire_groups(scene, site, memory);
+        mark_halted(site, memory);
         release_groups(scene, site, memory);
     }
     let members = sites.iter().flat_map(|site| &site.plan.groups).map(|group| group.members.len()).sum();
--- a/crates/fleet/src/form.rs
+++ b/crates/fleet/src/form.rs
@@ -84,6 +84,7 @@
             model,
             members: choice.members,
             state: State::Active,
+            still: false,
         });
     }
     false
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod event;
 pub mod form;
 pub mod freshness;
+pub mod halt;
 pub mod limit;
 pub mod loads;
 pub mod loss;
--- a/crates/fleet/src/loss.rs
+++ b/crates/fleet/src/loss.rs
@@ -102,6 +102,13 @@
     }
 }
 
+/// Writes down which groups that were given up stand still by now.
+pub(crate) fn mark_halted(site: &mut Site, memory: &Memory) {
+    for group in site.plan.groups.iter_mut().filter(|group| group.is_retired()) {
+        group.still |= memory.halted.contains_key(&(group.name.clone(), group.epoch));
+    }
+}
+
 /// Releases the members of groups given up, once that is safe.
 pub(crate) fn release_groups(scene: &Scene, site: &mut Site, memory: &Memory) {
     let reasons = &mut site.reasons;
--- a/crates/fleet/src/plan.rs
+++ b/crates/fleet/src/plan.rs
@@ -23,6 +23,9 @@
     pub members: Vec<id::Runner>,
     /// What is meant to become of it.
     pub state: State,
+    /// Whether it is given up and a member is known to be away, so that it stands still.
+    #[serde(default)]
+    pub still: bool,
 }
 
 /// What is meant to become of a group.
--- a/crates/fleet/src/probe.rs
+++ b/crates/fleet/src/probe.rs
@@ -36,8 +36,10 @@
     pub runner: id::Runner,
     /// The data hall it stands in.
     pub hall: id::Hall,
-    /// What it said.
+    /// What it said, to the last question of the round.
     pub reported: Reported,
+    /// How many questions were put to it.
+    pub asked: u32,
 }
 
 /// What is known of a runner from its answers.
@@ -128,8 +130,8 @@
             let gone = before.is_some_and(|record| record.gone) || answer.reported == Reported::Gone;
             let record = Record {
                 hall: answer.hall.clone(),
-                misses: if matches!(answer.reported, Reported::Pace(_)) { 0 } else { misses + 1 },
-                asked: before.map_or(0, |record| record.asked) + 1,
+                misses: if matches!(answer.reported, Reported::Pace(_)) { 0 } else { misses + answer.asked },
+                asked: before.map_or(0, |record| record.asked) + answer.asked,
                 slow: match answer.reported {
                     Reported::Pace(pace) if pace >= SLOW => slow + 1,
                     Reported::Pace(_) => 0,
--- a/crates/fleet/tests/belief.rs
+++ b/crates/fleet/tests/belief.rs
@@ -35,6 +35,7 @@
         model: "large".parse().unwrap(),
         members: vec!["r0".parse().unwrap(), "r1".parse().unwrap()],
         state,
+        still: false,
     };
     Plans::from([("d0".parse().unwrap(), Document { top: Epoch(1), groups: vec![group] })])
 }
@@ -119,6 +120,7 @@
         runner: format!("{hall}-{number}").parse().unwrap(),
         hall: hall.parse().unwrap(),
         reported: if silent.contains(&number) { Reported::Silent } else { Reported::Pace(1.0) },
+        asked: 1,
     };
     (0..of).map(answer).collect()
 }
@@ -141,6 +143,18 @@
     assert_eq!(sign(&probes, "a-3"), Sign::Unknown, "it was not asked any more");
 }
 
+#[test]
+fn a_runner_that_was_asked_twice_in_a_round_is_silent_after_it() {
+    let mut probes = Probes::default();
+    probes.take(&answers(&[], 4, "a"));
+    let mut round = answers(&[1], 4, "a");
+    round[1].asked = 2;
+    let fresh = probes.take(&round);
+    assert_eq!(fresh, ["a-1".parse().unwrap()]);
+    assert_eq!(sign(&probes, "a-1"), Sign::Silent);
+    assert_eq!(sign(&probes, "a-0"), Sign::Heard);
+}
+
 #[test]
 fn a_runner_is_slow_after_two_slow_answers() {
     let mut probes = Probes::default();
--- a/crates/fleet/tests/census.rs
+++ b/crates/fleet/tests/census.rs
@@ -45,6 +45,7 @@
         model: "m".parse().unwrap(),
         members: members.iter().map(|member| format!("r{member}").parse().unwrap()).collect(),
         state,
+        still: false,
     }
 }
 
--- a/crates/fleet/tests/decide.rs
+++ b/crates/fleet/tests/decide.rs
@@ -5,6 +5,7 @@
 use cottoncrank::{Millis, id};
 use cottoncrank_fleet::catalog::{Engine, Model, Service, Speed};
 use cottoncrank_fleet::decide::{Memory, Scene, Step, step};
+use cottoncrank_fleet::halt::Halts;
 use cottoncrank_fleet::loads::{Loads, Purpose};
 use cottoncrank_fleet::loss::STALL_MARGIN;
 use cottoncrank_fleet::order::{FINISH, Order, REPEAT};
@@ -100,6 +101,7 @@
                 (false, true) => Reported::Pace(12.0),
                 (false, false) => Reported::Pace(1.0),
             },
+            asked: 1,
         };
         let round: Vec<Answer> = members.iter().map(answer).collect();
         self.probes.take(&round);
@@ -447,6 +449,33 @@
     }
 }
 
+#[test]
+fn a_new_decider_waits_no_longer_than_it_must_where_it_has_read_that_a_group_stands_still() {
+    let mut world = at_rest(6);
+    let group = world.find("large");
+    world.crash(&group.members[0]);
+    world.run(2);
+    let mut halts = Halts::default();
+    halts.note(&world.plans, world.now);
+    let read = world.now;
+    // One decider after the other is stopped, each well before the group must have broken.
+    for _ in 0..5 {
+        world.memory = Memory::resume(&halts);
+        world.run(4);
+        halts.note(&world.plans, world.now);
+    }
+    while world.now < read + STALL {
+        let held = world.groups().any(|known| known.name == group.name && known.is_retired());
+        assert!(held, "after {} the head may still be open", world.now.since(read));
+        world.run(1);
+    }
+    world.now = read + STALL + STALL_MARGIN;
+    world.run(1);
+    assert!(!world.groups().any(|known| known.name == group.name), "its members are free");
+    halts.note(&world.plans, world.now);
+    assert_eq!(Memory::resume(&halts).count_remembered(), 0, "and nothing is remembered of it");
+}
+
 #[test]
 fn a_leaving_member_closes_the_head_before_anything_else() {
     let mut world = at_rest(6);
--- a/crates/fleet/tests/world/mod.rs
+++ b/crates/fleet/tests/world/mod.rs
@@ -6,6 +6,7 @@
 use cottoncrank::{Millis, id};
 use cottoncrank_fleet::catalog::{Engine, Model, Service, Speed};
 use cottoncrank_fleet::decide::{Memory, Scene, step};
+use cottoncrank_fleet::halt::Halts;
 use cottoncrank_fleet::order::Order;
 use cottoncrank_fleet::plan::Plans;
 use cottoncrank_fleet::probe::{Answer, Probes, Reported};
@@ -67,6 +68,8 @@
     pub serving: bool,
     pub plans: Plans,
     pub memory: Memory,
+    /// What the other nodes have read of groups that stand still.
+    halts: Halts,
     roster: Roster,
     probes: Probes,
     actors: BTreeMap<id::Runner, Actor>,
@@ -109,6 +112,7 @@
             serving: false,
             plans: Plans::new(),
             memory: Memory::default(),
+            halts: Halts::default(),
             roster: Roster::default(),
             probes: Probes::default(),
             actors: BTreeMap::new(),
@@ -198,7 +202,7 @@
 
     /// The decider is lost, and another one knows nothing but the plans and the entries.
     pub fn replace_decider(&mut self) {
-        self.memory = Memory::default();
+        self.memory = Memory::resume(&self.halts);
         self.probes = Probes::default();
     }
 
@@ -344,6 +348,7 @@
                 runner: id.clone(),
                 hall: self.actors[id].entry.hall.clone(),
                 reported: if self.actors[id].alive { Reported::Pace(1.0) } else { Reported::Silent },
+                asked: if self.actors[id].alive { 1 } else { 2 },
             })
             .collect();
         self.probes.take(&round);
@@ -364,6 +369,7 @@
         for (domain, document, _) in step.writes {
             self.plans.insert(domain, document);
         }
+        self.halts.note(&self.plans, self.now);
         for (id, order) in step.orders {
             if self.rng.random::<f64>() < self.late {
                 let at = self.now + Millis(self.rng.random_range(2000..12_000));
@@ -443,7 +449,10 @@
         let taken = match order {
             Order::Join(group, epoch, name, members) => {
                 let fits = *epoch >= actor.epoch;
-                if fits {
+                let place = actor.entry.membership.as_ref();
+                // A repeated order already holds.
+                let holds = place.is_some_and(|place| place.group == *group && place.epoch == *epoch);
+                if fits && !holds {
                     actor.epoch = *epoch;
                     let model = find(name);
                     let rank = members.iter().position(|member| member == id).unwrap();
--- a/crates/node/src/decider.rs
+++ b/crates/node/src/decider.rs
@@ -13,7 +13,7 @@
 use cottoncrank_fleet::decide::{Memory, Scene, Step, step};
 use cottoncrank_fleet::order::Order;
 use cottoncrank_fleet::plan::Document;
-use cottoncrank_fleet::probe::{Answer, Probes};
+use cottoncrank_fleet::probe::{Answer, Probes, Reported};
 use cottoncrank_fleet::runner::Runner;
 use cottoncrank_net::client::{Client, Traffic};
 use cottoncrank_platform::order::{self, Reply};
@@ -178,7 +178,7 @@
         revision,
         until: asked + ttl,
         plans,
-        memory: Arc::default(),
+        memory: Arc::new(Mutex::new(Memory::resume(&node.halts.lock()))),
         probes: Arc::default(),
         census: HashMap::new(),
     }))
@@ -201,11 +201,8 @@
         };
         let mut asking = JoinSet::new();
         for runner in known {
-            let client = client.clone();
-            asking.spawn(async move {
-                let reported = order::probe(&client, runner.address, &runner.id, PROBE).await;
-                Answer { runner: runner.id, hall: runner.hall, reported }
-            });
+            let silent = probes.lock().is_silent(&runner.id);
+            asking.spawn(ask_member(client.clone(), runner, silent));
         }
         let round = asking.join_all().await;
         let fresh = probes.lock().take(&round);
@@ -220,6 +217,18 @@
     }
 }
 
+/// Asks a member how it is, and one that is not known to be silent once more if it does
+/// not answer: a lost one is known half a second sooner than after another round.
+async fn ask_member(client: Client, runner: Runner, silent: bool) -> Answer {
+    let mut asked = 1;
+    let mut reported = order::probe(&client, runner.address, &runner.id, PROBE).await;
+    if reported == Reported::Silent && !silent {
+        asked += 1;
+        reported = order::probe(&client, runner.address, &runner.id, PROBE).await;
+    }
+    Answer { runner: runner.id, hall: runner.hall, reported, asked }
+}
+
 async fn read_plans(node: &Node) -> Result<BTreeMap<id::Domain, Kept>, EndError> {
     let mut plans = BTreeMap::new();
     for item in node.store.read_own().await? {
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -12,6 +12,7 @@
 use cottoncrank_fleet::directory::Directory;
 use cottoncrank_fleet::dispatch::Dispatcher;
 use cottoncrank_fleet::freshness::Freshness;
+use cottoncrank_fleet::halt::Halts;
 use cottoncrank_fleet::limit::Limit;
 use cottoncrank_fleet::occupancy::{Sum, Table, View};
 use cottoncrank_fleet::patience::Patience;
@@ -63,6 +64,8 @@
     pub roster: Mutex<Roster>,
     /// The plans of the groups, as the store tells.
     pub plans: Mutex<Plans>,
+    /// Since when groups stand still, as far as this node has read it.
+    pub halts: Mutex<Halts>,
     /// Rises whenever a plan changes.
     pub plans_changed: watch::Sender<u64>,
     /// What was seen of the runners.
@@ -115,6 +118,7 @@
             freshness: Mutex::default(),
             roster: Mutex::default(),
             plans: Mutex::default(),
+            halts: Mutex::default(),
             plans_changed: watch::Sender::new(0),
             ledger: Mutex::default(),
             view: Mutex::default(),
--- a/crates/node/src/sync.rs
+++ b/crates/node/src/sync.rs
@@ -46,8 +46,8 @@
 
 /// A node that starts looks this often for a reader that knows what the store holds,
 /// with this pause: readers start at the same time and need a few calls to the store.
-const STARTS: usize = 6;
-const START_PAUSE: Millis = Millis(200);
+const STARTS: usize = 15;
+const START_PAUSE: Millis = Millis(40);
 
 /// Of so many readers each time. One that is dead costs 0.4 s.
 const START_READERS: usize = 2;
@@ -371,7 +371,10 @@
     }
     match decider::read_plan(item) {
         Ok(Some((domain, document))) => {
-            node.plans.lock().insert(domain, document);
+            let mut plans = node.plans.lock();
+            plans.insert(domain, document);
+            node.halts.lock().note(&plans, node.now());
+            drop(plans);
             node.plans_changed.send_modify(|version| *version += 1);
         }
         Ok(None) => log::warn!("store: `{}` is of no kind that is known", item.key),
