--- a/crates/fleet/src/preempt.rs
+++ b/crates/fleet/src/preempt.rs
@@ -37,13 +37,13 @@
         }
         let is_lower = |model: &&Model| model.size < large.size && part(large, 0) < part(model, 1);
         let lower: Vec<&Model> = models.iter().filter(is_lower).collect();
-        close_victim(scene, &mut sites[at], large, &lower);
+        close_victims(scene, &mut sites[at], large, &lower);
     }
 }
 
-/// Closes one group of `lower` in a domain that lacks few runners for a group of
-/// `large`, if that brings the runners nearer to it.
-fn close_victim(scene: &Scene, site: &mut Site, large: &Model, lower: &[&Model]) {
+/// Closes groups of `lower` in a domain that lacks few runners for a group of `large`,
+/// if their members complete it.
+fn close_victims(scene: &Scene, site: &mut Site, large: &Model, lower: &[&Model]) {
     let free = site.list_free().into_iter().filter(|runner| time_join(runner, large) < large.load).count();
     let retired = site.plan.groups.iter().filter(|group| group.is_retired());
     let coming: usize = retired.map(|group| count_holders(scene, group, large)).sum();
@@ -52,17 +52,43 @@
         return;
     }
     let missing = large.size - free - coming;
-    let victims = site
-        .plan
-        .groups
-        .iter_mut()
-        .filter(|group| !group.is_retired() && lower.iter().any(|model| model.name == group.model));
-    let victim = victims.max_by_key(|group| count_holders(scene, group, large).min(missing));
-    let Some(victim) = victim.filter(|group| count_holders(scene, group, large) > 0) else { return };
-    victim.state = State::Closing;
-    let reason =
-        format!("retire {} of {}: {} lacks {missing} more runners", victim.name, victim.model, large.name);
-    site.reasons.push(reason);
+    let Some(victims) = find_victims(scene, site, large, lower, missing) else { return };
+    for name in victims {
+        let Some(victim) = site.plan.groups.iter_mut().find(|group| group.name == name) else { continue };
+        victim.state = State::Closing;
+        let reason = format!(
+            "retire {} of {}: {} lacks {missing} more runners",
+            victim.name, victim.model, large.name
+        );
+        site.reasons.push(reason);
+    }
+}
+
+/// The groups of `lower` whose members make up for the `missing` ones, as few as there
+/// can be. None if all of them do not, or if as many runners would stop to serve as
+/// begin: a group closed for nothing is formed anew, and closed again.
+fn find_victims(
+    scene: &Scene,
+    site: &Site,
+    large: &Model,
+    lower: &[&Model],
+    missing: usize,
+) -> Option<Vec<id::Group>> {
+    let serving = site.plan.groups.iter().filter(|group| !group.is_retired());
+    let below = serving.filter(|group| lower.iter().any(|model| model.name == group.model));
+    let mut rows: Vec<(usize, &Group)> =
+        below.map(|group| (count_holders(scene, group, large), group)).collect();
+    rows.sort_by_key(|(holders, _)| std::cmp::Reverse(*holders));
+    let (mut found, mut closed, mut victims) = (0, 0, Vec::new());
+    for (holders, group) in rows {
+        if found >= missing {
+            break;
+        }
+        found += holders;
+        closed += group.members.len();
+        victims.push(group.name.clone());
+    }
+    (found >= missing && closed < large.size).then_some(victims)
 }
 
 /// The members of a group that can join one of `model` without a load.
