--- a/crates/fleet/src/dispatch.rs
+++ b/crates/fleet/src/dispatch.rs
@@ -141,12 +141,12 @@
         rng: &mut impl Rng,
     ) -> Reply {
         self.backlogs.retain(|_, backlog| backlog.left(now) > 0.0);
-        let reading = read_time(choice, question.prompt);
+        let reading = time_reading(choice, question.prompt);
         let places = choice.heads.iter().filter_map(|head| Some((*head, head.membership.as_ref()?.epoch)));
         let fresh = places.filter(|(_, epoch)| !question.tried.contains(epoch));
         let rated = fresh.map(|(head, epoch)| {
             let wait = self.rate(choice, head, epoch, load(epoch), now) + reading;
-            (wait, rng.random::<u32>(), epoch, fills(head, load(epoch)))
+            (wait, rng.random::<u32>(), epoch, part_used(head, load(epoch)))
         });
         let best = rated.min_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
         let Some((wait, _, epoch, filled)) = best else { return Reply::Unknown };
@@ -179,12 +179,12 @@
 }
 
 /// The part of its slots that a group has in use.
-fn fills(head: &Runner, load: Load) -> f64 {
+fn part_used(head: &Runner, load: Load) -> f64 {
     f64::from(load.running) / f64::from(head.slots.max(1))
 }
 
 /// How long a group reads a prompt, in milliseconds.
-fn read_time(choice: &Choice, tokens: u32) -> f64 {
+fn time_reading(choice: &Choice, tokens: u32) -> f64 {
     if choice.speed.read <= 0.0 { 0.0 } else { choice.model.pace * f64::from(tokens) / choice.speed.read }
 }
 
--- a/crates/fleet/src/source.rs
+++ b/crates/fleet/src/source.rs
@@ -27,8 +27,8 @@
 const PAUSE_GROWTH: u64 = 16;
 
 /// All nodes that are not readers together call the store once in this time at most,
-/// where no reader can say what it holds. At three hundred nodes the calls of an outage
-/// are a tenth of what they were with a pause of 0.2 to 0.4 s at each node.
+/// where no reader can say what it holds. Simulated, an outage of 8 s costs three hundred
+/// nodes 410 calls, and 8,000 where each pauses for 0.2 to 0.4 s.
 const OTHERS: Millis = Millis(50);
 
 /// Where a node learns next.
--- a/crates/node/src/answer.rs
+++ b/crates/node/src/answer.rs
@@ -74,8 +74,13 @@
     #[error("no runner can take it at present")]
     NoRunner,
     /// As many requests as its runners can take in time are under way; it has not run.
-    #[error("its runners have all they can take in time, {0} of them from here")]
-    Full(u32),
+    #[error("its runners have all they can take in time, {running} of them from here{}", show_wait(.wait))]
+    Full {
+        /// Requests of its model under way at this node.
+        running: u32,
+        /// How far away the earliest first event is, as far as the hall's collector knows.
+        wait: Option<Millis>,
+    },
     /// Runners were asked, and all said that they did not run it.
     #[error("the runners asked did not run it")]
     NotRun,
@@ -87,6 +92,10 @@
     Late,
 }
 
+fn show_wait(wait: &Option<Millis>) -> String {
+    wait.map_or(String::new(), |wait| format!(", the earliest first event is {wait} away"))
+}
+
 /// When a caller should come back where no runner can take its request. Lost
 /// groups are formed anew within two or three seconds; callers come back after
 /// a third of the time they have left at the latest.
@@ -108,7 +117,7 @@
             Refusal::Key => StatusCode::UNAUTHORIZED,
             Refusal::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Refusal::Body => StatusCode::BAD_REQUEST,
-            Refusal::Unsure | Refusal::NoRunner | Refusal::NotRun | Refusal::Full(_) => {
+            Refusal::Unsure | Refusal::NoRunner | Refusal::NotRun | Refusal::Full { .. } => {
                 StatusCode::SERVICE_UNAVAILABLE
             }
             Refusal::MayHaveRun => StatusCode::BAD_GATEWAY,
@@ -125,7 +134,7 @@
             Refusal::Body => "body",
             Refusal::Unsure => "unsure",
             Refusal::NoRunner => "no_runner",
-            Refusal::Full(_) => "full",
+            Refusal::Full { .. } => "full",
             Refusal::NotRun => "not_run",
             Refusal::MayHaveRun => "may_have_run",
             Refusal::Late => "late",
@@ -134,13 +143,13 @@
 
     /// Whether coming back later helps.
     fn is_passing(&self) -> bool {
-        matches!(self, Refusal::Unsure | Refusal::NoRunner | Refusal::NotRun | Refusal::Full(_))
+        matches!(self, Refusal::Unsure | Refusal::NoRunner | Refusal::NotRun | Refusal::Full { .. })
     }
 
     /// When the caller should come back.
     fn pick_return(&self) -> Millis {
         match self {
-            Refusal::Full(_) => COME_BACK_FULL + Millis(rand::rng().random_range(0..SPREAD_FULL.0)),
+            Refusal::Full { .. } => COME_BACK_FULL + Millis(rand::rng().random_range(0..SPREAD_FULL.0)),
             _ => COME_BACK,
         }
     }
--- a/crates/node/src/decider.rs
+++ b/crates/node/src/decider.rs
@@ -5,7 +5,7 @@
 //! unawares writes nothing. Orders follow what was written, and an order that
 //! comes late names an epoch that is over.
 
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 
 use cottoncrank::{Millis, id};
@@ -13,16 +13,15 @@
 use cottoncrank_fleet::decide::{Memory, Scene, Step, step};
 use cottoncrank_fleet::order::Order;
 use cottoncrank_fleet::plan::Document;
-use cottoncrank_fleet::probe::{Answer, Probes, Reported};
-use cottoncrank_fleet::runner::Runner;
+use cottoncrank_fleet::probe::Probes;
 use cottoncrank_net::client::{Client, Traffic};
 use cottoncrank_platform::order::{self, Reply};
 use cottoncrank_platform::store::{Commit, Item, Outcome, StoreError};
 use parking_lot::Mutex;
 use rand::Rng;
 use thiserror::Error;
-use tokio::task::JoinSet;
 
+use crate::prober;
 use crate::state::{Holder, Node};
 
 /// The key that goes with the lease; its value names the deciding node.
@@ -67,14 +66,6 @@
 /// How long an order may take. Runners answer within milliseconds.
 const ORDER: Millis = Millis(1000);
 
-/// How long a question to a runner may take; the way there and back takes a few
-/// milliseconds.
-const PROBE: Millis = Millis(250);
-
-/// The pause between two rounds of questions. A runner lost for good is known
-/// after two rounds, twice as fast as by its lapsing entry.
-const PROBE_PAUSE: Millis = Millis(450);
-
 /// A write takes at most this many documents at once, the store's limit less the lease.
 const WRITES_MAX: usize = 15;
 
@@ -142,7 +133,7 @@
             Ok(Some(mut term)) => {
                 log::info!("decider: this node decides from revision {}", term.revision);
                 let (node, client, probes) = (node.clone(), term.client.clone(), term.probes.clone());
-                let prober = tokio::spawn(probe_members(node, client, probes));
+                let prober = tokio::spawn(prober::run(node, client, probes));
                 term.node.set_deciding(true);
                 let Err(end) = term.hold().await;
                 term.node.set_deciding(false);
@@ -184,51 +175,6 @@
     }))
 }
 
-/// Asks all members of groups, in rounds, how they are. Those whose
-/// entry is gone are asked where they were last.
-async fn probe_members(node: Arc<Node>, client: Client, probes: Arc<Mutex<Probes>>) {
-    loop {
-        let mut members: HashSet<id::Runner> = {
-            let plans = node.plans.lock();
-            let groups = plans.values().flat_map(|plan| &plan.groups);
-            groups.flat_map(|group| group.members.iter().cloned()).collect()
-        };
-        // A slow runner is asked on, to be used again once it is not.
-        members.extend(probes.lock().list_slow());
-        let known: Vec<Runner> = {
-            let roster = node.roster.lock();
-            members.iter().filter_map(|id| roster.recall(id).cloned()).collect()
-        };
-        let mut asking = JoinSet::new();
-        for runner in known {
-            let silent = probes.lock().is_silent(&runner.id);
-            asking.spawn(ask_member(client.clone(), runner, silent));
-        }
-        let round = asking.join_all().await;
-        let fresh = probes.lock().take(&round);
-        if !fresh.is_empty() {
-            log::info!(
-                "decider: no answer from {}",
-                fresh.iter().map(id::Runner::as_str).collect::<Vec<_>>().join(" ")
-            );
-            node.changed.notify_one();
-        }
-        tokio::time::sleep(PROBE_PAUSE.duration()).await;
-    }
-}
-
-/// Asks a member how it is, and one that is not known to be silent once more if it does
-/// not answer: a lost one is known half a second sooner than after another round.
-async fn ask_member(client: Client, runner: Runner, silent: bool) -> Answer {
-    let mut asked = 1;
-    let mut reported = order::probe(&client, runner.address, &runner.id, PROBE).await;
-    if reported == Reported::Silent && !silent {
-        asked += 1;
-        reported = order::probe(&client, runner.address, &runner.id, PROBE).await;
-    }
-    Answer { runner: runner.id, hall: runner.hall, reported, asked }
-}
-
 async fn read_plans(node: &Node) -> Result<BTreeMap<id::Domain, Kept>, EndError> {
     let mut plans = BTreeMap::new();
     for item in node.store.read_own().await? {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -1,13 +1,13 @@
 //! A node on the users' platform: one process a box.
 //!
 //! [`sync`] keeps what the node believes in step with the platform's store, read
-//! here or by another node ([`peer`], [`feed`], [`member`]),
-//! [`collect`] tells nodes what the others have in flight,
-//! [`front`] takes callers' requests, [`request`] admits and routes them,
-//! [`plain`] and [`stream`] run them at runners (a stream try by try, in `tries`, from a
-//! `source`, passed on by `relay`), and [`decider`] gives orders to
-//! the runners while this node holds the lease for that. All state stands in
-//! [`state::Node`].
+//! here or by another node ([`peer`], [`feed`], [`member`]), and `intake` takes it in.
+//! [`collect`] tells nodes what the others have in flight, and `dispatch` asks one of
+//! them which group takes a request. [`front`] takes callers' requests, [`request`]
+//! admits and routes them, [`plain`] and [`stream`] run them at runners (a stream try by
+//! try, in `tries`, from a `source`, passed on by `relay`), and [`decider`] gives orders
+//! to the runners, which `prober` asks how they are, while this node holds the lease for
+//! that. All state stands in [`state::Node`].
 
 pub mod answer;
 pub mod attempt;
@@ -19,10 +19,12 @@
 pub mod feed;
 pub mod figures;
 pub mod front;
+mod intake;
 pub mod log;
 pub mod member;
 pub mod peer;
 pub mod plain;
+mod prober;
 mod relay;
 pub mod request;
 mod source;
--- /dev/null
+++ b/crates/node/src/prober.rs
@@ -0,0 +1,67 @@
+//! Asking the members of groups how they are, for the node that decides.
+
+use std::collections::HashSet;
+use std::sync::Arc;
+
+use cottoncrank::{Millis, id};
+use cottoncrank_fleet::probe::{Answer, Probes, Reported};
+use cottoncrank_fleet::runner::Runner;
+use cottoncrank_net::client::Client;
+use cottoncrank_platform::order;
+use parking_lot::Mutex;
+use tokio::task::JoinSet;
+
+use crate::state::Node;
+
+/// How long a question to a runner may take; the way there and back takes a few
+/// milliseconds.
+const PROBE: Millis = Millis(250);
+
+/// The pause between two rounds of questions. A runner lost for good is known
+/// within one round, three times as fast as by its lapsing entry.
+const PROBE_PAUSE: Millis = Millis(450);
+
+/// Asks all members of groups, in rounds, how they are. Those whose
+/// entry is gone are asked where they were last.
+pub async fn run(node: Arc<Node>, client: Client, probes: Arc<Mutex<Probes>>) {
+    loop {
+        let mut members: HashSet<id::Runner> = {
+            let plans = node.plans.lock();
+            let groups = plans.values().flat_map(|plan| &plan.groups);
+            groups.flat_map(|group| group.members.iter().cloned()).collect()
+        };
+        // A slow runner is asked on, to be used again once it is not.
+        members.extend(probes.lock().list_slow());
+        let known: Vec<Runner> = {
+            let roster = node.roster.lock();
+            members.iter().filter_map(|id| roster.recall(id).cloned()).collect()
+        };
+        let mut asking = JoinSet::new();
+        for runner in known {
+            let silent = probes.lock().is_silent(&runner.id);
+            asking.spawn(ask_member(client.clone(), runner, silent));
+        }
+        let round = asking.join_all().await;
+        let fresh = probes.lock().take(&round);
+        if !fresh.is_empty() {
+            log::info!(
+                "decider: no answer from {}",
+                fresh.iter().map(id::Runner::as_str).collect::<Vec<_>>().join(" ")
+            );
+            node.changed.notify_one();
+        }
+        tokio::time::sleep(PROBE_PAUSE.duration()).await;
+    }
+}
+
+/// Asks a member how it is, and one that is not known to be silent once more if it does
+/// not answer: a lost one is known half a second sooner than after another round.
+async fn ask_member(client: Client, runner: Runner, silent: bool) -> Answer {
+    let mut asked = 1;
+    let mut reported = order::probe(&client, runner.address, &runner.id, PROBE).await;
+    if reported == Reported::Silent && !silent {
+        asked += 1;
+        reported = order::probe(&client, runner.address, &runner.id, PROBE).await;
+    }
+    Answer { runner: runner.id, hall: runner.hall, reported, asked }
+}
--- a/crates/node/src/stream.rs
+++ b/crates/node/src/stream.rs
@@ -60,7 +60,11 @@
         None | Some(Reply::Unknown) if job.overdue => node.admit_overdue(&lane, has_spare_room(node, &job)),
         None | Some(Reply::Unknown) => node.admit(&lane, patience, || has_room(node, &job)).await,
     };
-    let admitted = admitted.ok_or_else(|| Refusal::Full(node.count_running(&lane)))?;
+    let wait = match reply {
+        Some(Reply::Full(wait)) => Some(Millis(wait)),
+        _ => None,
+    };
+    let admitted = admitted.ok_or_else(|| Refusal::Full { running: node.count_running(&lane), wait })?;
     let mut tries = Tries::choosing(reply);
     let opened = open(node, &job, &mut tries).await;
     note_opening(node, &job, &tries, &admitted, opened.as_ref().err());
--- a/crates/node/src/sync.rs
+++ b/crates/node/src/sync.rs
@@ -4,16 +4,15 @@
 use std::sync::Arc;
 
 use cottoncrank::Millis;
-use cottoncrank_fleet::catalog::Catalog;
 use cottoncrank_fleet::directory::Peer;
 use cottoncrank_fleet::source::{Failure, Source, Sources};
 use cottoncrank_net::client::{CallError, Client, Traffic};
-use cottoncrank_platform::store::{Batch, Change, Item, ItemError, StoreError, decode};
+use cottoncrank_platform::store::{Batch, StoreError};
 use rand::Rng;
 use thiserror::Error;
 
-use crate::decider::{self, LEASE_KEY};
 use crate::feed::{self, UnpackError};
+use crate::intake::{Learned, Proof, take_in};
 use crate::member;
 use crate::peer::{self, Ask, AskError};
 use crate::state::Node;
@@ -80,22 +79,6 @@
     }
 }
 
-/// What was learned.
-struct Learned {
-    batch: Batch,
-    /// Whether items that are not in the batch are gone.
-    whole: bool,
-    /// When the store surely held nothing newer.
-    proven: Proof,
-}
-
-enum Proof {
-    /// The answer was asked for at that time.
-    Read(Millis),
-    /// A watch was begun at that time and waited so long.
-    Watch(Millis, Millis),
-}
-
 /// Where this node learns.
 struct Sync {
     node: Arc<Node>,
@@ -277,134 +260,3 @@
         }
     }
 }
-
-fn take_in(node: &Node, learned: Learned) {
-    match learned.whole {
-        true => node.feed.replace(&learned.batch),
-        false => node.feed.extend(&learned.batch),
-    }
-    let changes = learned.batch.items.len();
-    let caught_up = match learned.whole {
-        true => take_all(node, learned.batch),
-        false => take_changes(node, learned.batch),
-    };
-    if caught_up {
-        let mut freshness = node.freshness.lock();
-        match learned.proven {
-            Proof::Read(asked) => freshness.prove_read(asked),
-            Proof::Watch(asked, waited) => freshness.prove_watch(asked, waited),
-        }
-    }
-    if changes > 0 {
-        node.changed.notify_one();
-    }
-}
-
-fn take_all(node: &Node, batch: Batch) -> bool {
-    let mut runners = Vec::new();
-    let mut decider = None;
-    let mut caught_up = true;
-    let revision = batch.revision;
-    for item in batch.items {
-        match decode(item) {
-            Ok(Change::Runner(runner)) => runners.push(runner),
-            Ok(Change::Own(item)) if item.key == LEASE_KEY => decider = Some(decider::read_holder(&item)),
-            other => caught_up &= take_change(node, other),
-        }
-    }
-    log::info!("store: read whole at revision {revision}, {} runners", runners.len());
-    node.roster.lock().replace(runners, node.now());
-    node.decider.send_replace(decider);
-    node.set_synced();
-    caught_up
-}
-
-fn take_changes(node: &Node, batch: Batch) -> bool {
-    let mut caught_up = true;
-    for item in batch.items {
-        caught_up &= take_change(node, decode(item));
-    }
-    caught_up
-}
-
-/// Takes a change in. Returns false if the configuration held here is older
-/// than the one in the store now.
-fn take_change(node: &Node, change: Result<Change, ItemError>) -> bool {
-    match change {
-        Ok(Change::Catalog(catalog)) => take_catalog(node, catalog),
-        Ok(Change::Runner(runner)) => {
-            log::debug!("roster: {} is {:?} draining {}", runner.id, runner.membership, runner.draining);
-            node.roster.lock().put(runner);
-        }
-        Ok(Change::RunnerGone(id)) => {
-            log::info!("roster: the entry of {id} is gone");
-            node.roster.lock().remove(&id, node.now());
-            if node.roster.lock().get(&id).is_none() {
-                node.ledger.lock().forget(&id);
-            }
-        }
-        Ok(Change::Own(item)) => take_own(node, &item),
-        Ok(Change::OwnGone(key)) => take_own_gone(node, &key),
-        Err(error @ ItemError::Catalog(_)) => {
-            log::error!("catalog: {error}");
-            return false;
-        }
-        Err(error) => log::error!("store: {error}"),
-    }
-    true
-}
-
-fn take_own(node: &Node, item: &Item) {
-    if item.key == LEASE_KEY {
-        node.decider.send_replace(Some(decider::read_holder(item)));
-        return;
-    }
-    if let Some(entry) = member::read_entry(item) {
-        match entry {
-            Ok(peer) => {
-                node.directory.lock().put(peer);
-                node.share_retries();
-            }
-            Err(error) => log::error!("store: `{}` cannot be read: {error}", item.key),
-        }
-        return;
-    }
-    match decider::read_plan(item) {
-        Ok(Some((domain, document))) => {
-            let mut plans = node.plans.lock();
-            plans.insert(domain, document);
-            node.halts.lock().note(&plans, node.now());
-            drop(plans);
-            node.plans_changed.send_modify(|version| *version += 1);
-        }
-        Ok(None) => log::warn!("store: `{}` is of no kind that is known", item.key),
-        Err(error) => log::error!("store: {error}"),
-    }
-}
-
-fn take_own_gone(node: &Node, key: &str) {
-    if key == LEASE_KEY {
-        node.decider.send_replace(None);
-    } else if let Some(name) = member::read_name(key) {
-        node.directory.lock().remove(&name);
-        node.share_retries();
-    } else {
-        log::warn!("store: `{key}` was removed");
-    }
-}
-
-fn take_catalog(node: &Node, catalog: Catalog) {
-    let mut held = node.catalog.lock();
-    let here = held.as_ref().map(|catalog| catalog.version);
-    if here.is_some_and(|here| catalog.version < here) {
-        log::error!(
-            "catalog: the store has version {}, older than {here:?} here; keeping it",
-            catalog.version
-        );
-        return;
-    }
-    if here != Some(catalog.version) {
-        log::info!("catalog: version {} is in force, {} routes", catalog.version, catalog.count_routes());
-    }
-    *held = Some(Arc::new(catalog));
-}
