--- a/crates/fleet/tests/world/mod.rs
+++ b/crates/fleet/tests/world/mod.rs
@@ -1,11 +1,13 @@
 //! A fleet of runners on a set clock that takes as long as real ones: loads share the
 //! weight store, entries and answers come late, losses are noticed by questions.
 
+#![allow(dead_code, reason = "tests and benches use a part each")]
+
 use std::collections::{BTreeMap, HashMap, HashSet};
 
 use cottoncrank::{Millis, id};
 use cottoncrank_fleet::catalog::{Engine, Model, Service, Speed};
-use cottoncrank_fleet::decide::{Memory, Scene, step};
+use cottoncrank_fleet::decide::{Memory, Scene, Step, step};
 use cottoncrank_fleet::halt::Halts;
 use cottoncrank_fleet::order::Order;
 use cottoncrank_fleet::plan::Plans;
@@ -355,17 +357,7 @@
     }
 
     fn decide(&mut self) {
-        let scene = Scene {
-            service: &self.service,
-            roster: &self.roster,
-            plans: &self.plans,
-            probes: &self.probes,
-            serving: self.serving,
-            ceiling: &CEILING,
-            stall: STALL,
-            now: self.now,
-        };
-        let step = step(&scene, &mut self.memory);
+        let step = self.look();
         for (domain, document, _) in step.writes {
             self.plans.insert(domain, document);
         }
@@ -384,6 +376,21 @@
         }
     }
 
+    /// What the decider would do now.
+    pub fn look(&mut self) -> Step {
+        let scene = Scene {
+            service: &self.service,
+            roster: &self.roster,
+            plans: &self.plans,
+            probes: &self.probes,
+            serving: self.serving,
+            ceiling: &CEILING,
+            stall: STALL,
+            now: self.now,
+        };
+        step(&scene, &mut self.memory)
+    }
+
     /// Carries out orders that were long under way. Nobody learns what became of them.
     fn obey_late(&mut self) {
         let (due, later) = std::mem::take(&mut self.slow).into_iter().partition(|(at, ..)| *at <= self.now);
