--- a/crates/fleet/src/decide.rs
+++ b/crates/fleet/src/decide.rs
@@ -18,7 +18,7 @@
 use crate::loads::{Loads, Purpose};
 use crate::loss::{mark_halted, release_groups, retire_groups};
 use crate::order::{Desk, Order, REPEAT_TAKEN, list_orders};
-use crate::plan::{Document, Group, find_state};
+use crate::plan::{Document, Group};
 use crate::preempt::preempt_groups;
 use crate::preload::{is_solo, order_preloads};
 use crate::probe::{Probes, Sign};
@@ -128,7 +128,9 @@
     /// Forgets what was given to runners, and known of groups, that are gone.
     fn forget(&mut self, scene: &Scene) {
         let known = |runner: &id::Runner| scene.roster.recall(runner).is_some();
-        let planned = |group: &id::Group, epoch: Epoch| find_state(scene.plans, group, epoch).is_some();
+        let groups = scene.plans.values().flat_map(|plan| &plan.groups);
+        let names: HashSet<(&id::Group, Epoch)> = groups.map(|group| (&group.name, group.epoch)).collect();
+        let planned = |group: &id::Group, epoch: Epoch| names.contains(&(group, epoch));
         let matters = |(runner, order): &(id::Runner, Order)| {
             known(runner) && order.group().is_none_or(|(group, epoch)| planned(group, epoch))
         };
--- a/crates/fleet/src/preempt.rs
+++ b/crates/fleet/src/preempt.rs
@@ -20,13 +20,13 @@
 pub(crate) fn preempt_groups(scene: &Scene, models: &[Model], risk: &Risk, sites: &mut [Site]) {
     let Some(large) = models.iter().max_by_key(|model| model.size) else { return };
     let wanted = list_wanted(models, sites, risk);
+    let mut alive = count_alive(models, sites);
     for at in 0..sites.len() {
-        let alive = count_alive(models, sites);
         let parts: Vec<(&Model, usize, f64)> = models
             .iter()
-            .zip(alive)
+            .zip(&alive)
             .zip(&wanted)
-            .map(|((model, alive), wanted)| (model, alive, *wanted))
+            .map(|((model, alive), wanted)| (model, *alive, *wanted))
             .collect();
         let part = |model: &Model, less: usize| {
             let row = parts.iter().find(|(known, ..)| known.name == model.name);
@@ -37,22 +37,24 @@
         }
         let is_lower = |model: &&Model| model.size < large.size && part(large, 0) < part(model, 1);
         let lower: Vec<&Model> = models.iter().filter(is_lower).collect();
-        close_victims(scene, &mut sites[at], large, &lower);
+        if close_victims(scene, &mut sites[at], large, &lower) {
+            alive = count_alive(models, sites);
+        }
     }
 }
 
 /// Closes groups of `lower` in a domain that lacks few runners for a group of `large`,
-/// if their members complete it.
-fn close_victims(scene: &Scene, site: &mut Site, large: &Model, lower: &[&Model]) {
+/// if their members complete it. Returns whether it closed one.
+fn close_victims(scene: &Scene, site: &mut Site, large: &Model, lower: &[&Model]) -> bool {
     let free = site.list_free().into_iter().filter(|runner| time_join(runner, large) < large.load).count();
     let retired = site.plan.groups.iter().filter(|group| group.is_retired());
     let coming: usize = retired.map(|group| count_holders(scene, group, large)).sum();
     // Most of the group must be there: what is closed takes requests at present.
     if 2 * free < large.size || free + coming >= large.size {
-        return;
+        return false;
     }
     let missing = large.size - free - coming;
-    let Some(victims) = find_victims(scene, site, large, lower, missing) else { return };
+    let Some(victims) = find_victims(scene, site, large, lower, missing) else { return false };
     for name in victims {
         let Some(victim) = site.plan.groups.iter_mut().find(|group| group.name == name) else { continue };
         victim.state = State::Closing;
@@ -62,6 +64,7 @@
         );
         site.reasons.push(reason);
     }
+    true
 }
 
 /// The groups of `lower` whose members make up for the `missing` ones, as few as there
--- a/crates/fleet/src/preload.rs
+++ b/crates/fleet/src/preload.rs
@@ -13,9 +13,10 @@
 use crate::order::{Desk, Order};
 use crate::runner::{Epoch, Runner};
 
-/// The group that a runner joins on its own.
+/// The group that a runner joins on its own has the runner's id as its name: whatever is
+/// put before that may be too long for a name.
 fn name_solo(runner: &id::Runner) -> id::Group {
-    format!("solo-{runner}").parse().expect("a runner's id is a name")
+    runner.as_str().parse().expect("both kinds of names have the same rules")
 }
 
 /// Whether a runner is in the group that it joins on its own, and so in none that
--- a/crates/fleet/tests/decide.rs
+++ b/crates/fleet/tests/decide.rs
@@ -895,3 +895,22 @@
     let before = groups.iter().filter(|group| group.model.as_str() == "small");
     assert_eq!(names, before.map(|group| &group.name).collect::<Vec<_>>(), "none is closed and formed anew");
 }
+
+#[test]
+fn a_runner_with_the_longest_name_there_can_be_is_preloaded() {
+    let mut world = World::new(1);
+    let mut long = runner(0, 99);
+    long.id = "r".repeat(id::NAME_MAX).parse().unwrap();
+    long.staged = vec!["large".parse().unwrap()];
+    world.roster.put(long.clone());
+    let mut preloaded = false;
+    for _ in 0..60 {
+        let step = world.step();
+        preloaded |= step.orders.iter().any(|(id, order)| {
+            *id == long.id && matches!(order, Order::Join(.., members) if members.len() == 1)
+        });
+        world.obey(&step);
+        world.now = world.now + Millis(200);
+    }
+    assert!(preloaded || world.groups().any(|group| group.members.contains(&long.id)));
+}
