Ask other halls where the readers of a hall know nothing of the store

A configuration was in force 3.4 s after it was accepted (bound 3 s). Ruled out: the store (stable for these boxes), the deciding node (it had been killed a moment before, its successor knew all).

Change: such a node asks the first readers of two other halls and the deciding node, and goes on with the store itself once that has answered it.

Replayed on a set clock, what the nodes of such a hall know is at most 1.5 s old.

--- a/crates/fleet/src/directory.rs
+++ b/crates/fleet/src/directory.rs
@@ -93,6 +93,16 @@
         sources
     }
 
+    /// The first readers of the other halls, in the order in which `me` asks them: each
+    /// node has its own.
+    pub fn list_distant(&self, me: &id::Node, hall: &id::Hall) -> Vec<Peer> {
+        let halls = self.list_halls().into_iter().filter(|other| *other != hall);
+        let firsts = halls.filter_map(|other| self.list_readers(other).first().copied());
+        let mut firsts: Vec<Peer> = firsts.cloned().collect();
+        firsts.sort_by_key(|peer| score(me.as_str(), peer.node.as_str()));
+        firsts
+    }
+
     /// How many nodes stand for deciding before `me` does: those with more processor
     /// time, for deciding takes more of it than serving, and of the others some.
     pub fn rank_candidate(&self, me: &id::Node) -> usize {
--- a/crates/fleet/src/source.rs
+++ b/crates/fleet/src/source.rs
@@ -3,9 +3,11 @@
 //!
 //! The deciding node reads the store, for all others wait for what it does. The readers
 //! of the halls ask it, and all others ask those. While nobody decides, the first reader
-//! of each hall reads the store and the readers after it ask that one. When the store is
-//! away, all nodes would call it at once and as long as that lasts: so a node calls it
-//! the less often the more nodes there are, and readers go first.
+//! of each hall reads the store and the readers after it ask that one. Where the readers of
+//! a hall know nothing, those of other halls are asked, and the deciding node: the store
+//! may turn single boxes away and serve all others. When the store is away, all nodes
+//! would call it at once and as long as that lasts: so a node calls it the less often the
+//! more nodes there are, and readers go first.
 
 use cottoncrank::{Millis, id};
 use rand::Rng;
@@ -31,6 +33,14 @@
 /// nodes 410 calls, and 8,000 where each pauses for 0.2 to 0.4 s.
 const OTHERS: Millis = Millis(50);
 
+/// So many other halls' first readers are asked where the readers of the own hall do not
+/// know what the store holds. Each costs a call between halls every 0.6 s of an outage.
+const HALLS: usize = 2;
+
+/// Where the store itself has answered a node no longer ago than this, it is called
+/// without a pause while no other node can say what it holds.
+const REACHED: Millis = Millis(2000);
+
 /// Where a node learns next.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Source {
@@ -63,6 +73,8 @@
     store: Option<Millis>,
     /// Failed calls to the store in a row.
     failures: u32,
+    /// When the store itself last answered this node.
+    reached: Option<Millis>,
 }
 
 impl Sources {
@@ -79,8 +91,8 @@
         self.avoided.retain(|(_, until)| now < *until);
         let readers = directory.list_readers(hall);
         let rank = readers.iter().position(|peer| peer.node == *me);
-        let Some(rank) = rank else { return self.pick_reader(me, directory, hall, now, rng) };
         let decider = decider.filter(|decider| *decider != me).and_then(|decider| directory.get(decider));
+        let Some(rank) = rank else { return self.pick_reader(me, directory, hall, decider, now, rng) };
         let seniors = decider.into_iter().chain(readers[..rank].iter().copied());
         match seniors.into_iter().find(|peer| self.may_ask(peer)) {
             Some(senior) => Source::Senior(senior.clone()),
@@ -93,6 +105,7 @@
         me: &id::Node,
         directory: &Directory,
         hall: &id::Hall,
+        decider: Option<&Peer>,
         now: Millis,
         rng: &mut impl Rng,
     ) -> Source {
@@ -100,10 +113,13 @@
         if sources.is_empty() {
             return self.wait_for_store(now);
         }
-        if let Some(reader) = sources.iter().find(|peer| self.may_ask(peer)) {
-            return Source::Reader(reader.clone());
+        let others = directory.list_distant(me, hall).into_iter().take(HALLS);
+        let others = others.chain(decider.cloned());
+        if let Some(reader) = sources.into_iter().chain(others).find(|peer| self.may_ask(peer)) {
+            return Source::Reader(reader);
         }
-        if self.store.is_none() && self.failures == 0 {
+        let reached = self.reached.is_some_and(|reached| now < reached + REACHED);
+        if self.store.is_none() && self.failures == 0 && !reached {
             self.store = Some(now + Millis(rng.random_range(0..=share_calls(directory).0)));
         }
         self.wait_for_store(now)
@@ -154,7 +170,13 @@
         self.store = Some(now + least + Millis(rng.random_range(0..=least.0)));
     }
 
-    /// The store, or a node, has answered.
+    /// The store itself has answered.
+    pub fn note_store_answer(&mut self, now: Millis) {
+        self.reached = Some(now);
+        self.note_answer();
+    }
+
+    /// A node has answered.
     pub fn note_answer(&mut self) {
         self.store = None;
         self.failures = 0;
--- a/crates/fleet/tests/source.rs
+++ b/crates/fleet/tests/source.rs
@@ -63,6 +63,7 @@
             }
             let Peer { node, hall, .. } = followers[at].peer.clone();
             let source = followers[at].sources.pick(&node, &hall, None, &directory, now, &mut rng);
+            let from_store = source == Source::Store;
             let (proven, wait) = match source {
                 Source::Store if away(now) => {
                     calls += 1;
@@ -84,7 +85,10 @@
                 Source::Nobody(pause) => (None, pause.max(CALL)),
             };
             if let Some(proven) = proven {
-                followers[at].sources.note_answer();
+                match from_store {
+                    true => followers[at].sources.note_store_answer(now),
+                    false => followers[at].sources.note_answer(),
+                }
                 followers[at].proven = proven;
             }
             followers[at].next = now + wait;
@@ -167,6 +171,64 @@
     assert!((1..=5).contains(&calls), "{calls} calls in a minute");
 }
 
+/// A store that turns the boxes of one hall away and serves all others: how old what the
+/// nodes of that hall know becomes, but for those that are turned away. The readers of the
+/// hall are; the others are not, as far as `served` says.
+fn turn_away(served: impl Fn(&Peer) -> bool) -> Millis {
+    let directory = directory(3, 23);
+    let hall: id::Hall = "hall-0".parse().unwrap();
+    let readers: Vec<id::Node> =
+        directory.list_readers(&hall).into_iter().map(|peer| peer.node.clone()).collect();
+    let decider: id::Node = "n1-0".parse().unwrap();
+    let mut rng = SmallRng::seed_from_u64(7);
+    let mut oldest = Millis(0);
+    for number in 0..23 {
+        let me = peer(0, number, 120).node;
+        if readers.contains(&me) {
+            continue;
+        }
+        let (mut sources, mut now, mut proven) = (Sources::default(), Millis(0), Millis(0));
+        while now < Millis(20_000) {
+            match sources.pick(&me, &hall, Some(&decider), &directory, now, &mut rng) {
+                Source::Reader(asked) | Source::Senior(asked) if !served(&asked) => {
+                    sources.note_failure(asked.node, Failure::Unsure, now);
+                    now = now + CALL;
+                }
+                Source::Reader(_) | Source::Senior(_) => {
+                    proven = now;
+                    sources.note_answer();
+                    now = now + WATCH;
+                }
+                Source::Store => {
+                    proven = now;
+                    sources.note_store_answer(now);
+                    now = now + WATCH;
+                }
+                Source::Nobody(pause) => now = now + pause.max(Millis(1)),
+            }
+            oldest = oldest.max(now.since(proven));
+        }
+    }
+    oldest
+}
+
+#[test]
+fn nodes_whose_readers_are_turned_away_learn_from_other_halls() {
+    let hall: id::Hall = "hall-0".parse().unwrap();
+    let oldest = turn_away(|peer| peer.hall != hall);
+    assert!(oldest < Millis(1500), "what a node knows became {oldest} old");
+}
+
+#[test]
+fn nodes_that_the_store_serves_go_on_asking_it_where_no_other_node_knows() {
+    // Each finds out at its own time, so that an outage does not make all of them call.
+    let mut oldest = turn_away(|_| false);
+    assert!(oldest < Millis(4500), "what a node knows became {oldest} old");
+    // Who has found out does not wait again.
+    oldest = turn_away(|peer| peer.node.as_str() == "n1-0");
+    assert!(oldest < Millis(1500), "what a node knows became {oldest} old");
+}
+
 #[test]
 fn candidates_with_more_processor_time_stand_first_and_each_has_its_turn() {
     let directory = directory(5, 60);
--- a/crates/node/src/sync.rs
+++ b/crates/node/src/sync.rs
@@ -147,7 +147,10 @@
         let now = self.node.now();
         match (outcome, source) {
             (Ok(learned), source) => {
-                self.sources.note_answer();
+                match source {
+                    Source::Store => self.sources.note_store_answer(now),
+                    _ => self.sources.note_answer(),
+                }
                 let serving = !matches!(source, Source::Reader(_));
                 self.take(learned, serving).await;
             }
