Take no caller for one that comes late; refuse none while a group has room

What cannot be in time is refused, unless a group has less than six tenths of its slots in use: there it delays nobody.

--- a/crates/fleet/src/balance.rs
+++ b/crates/fleet/src/balance.rs
@@ -215,25 +215,6 @@
     measure(candidates, ledger, now, |runner| count(runner, ledger, view)).map(|used| used < FULL)
 }
 
-/// Whether runners have room to spare. Where nobody knows what the others of `nodes`
-/// nodes have in flight, they are taken to have as much as this one.
-pub fn has_spare_room(
-    candidates: &[&Runner],
-    ledger: &Ledger,
-    view: &View,
-    nodes: usize,
-    now: Millis,
-) -> bool {
-    let used = match view.is_usable(now) {
-        true => measure(candidates, ledger, now, |runner| count(runner, ledger, view)),
-        false => {
-            let nodes = u32::try_from(nodes).unwrap_or(u32::MAX);
-            measure(candidates, ledger, now, |runner| ledger.get(&runner.id).running.saturating_mul(nodes))
-        }
-    };
-    used.is_some_and(|used| used < EASY)
-}
-
 /// The part of the slots of sound runners that is in use, none if they have none.
 fn measure(
     candidates: &[&Runner],
--- a/crates/fleet/src/dispatch.rs
+++ b/crates/fleet/src/dispatch.rs
@@ -42,8 +42,8 @@
 /// in milliseconds.
 const STREAM_UNSET: f64 = 1000.0;
 
-/// A request that is overdue takes no slot of a group of which more than this part is in
-/// use: those that can still be in time need the rest.
+/// A request that cannot be in time goes to a group of which less than this part of the
+/// slots is in use: it delays nobody there, and its caller would come back later still.
 const SPARE: f64 = 0.6;
 
 /// How soon a request needs its first event.
@@ -51,8 +51,6 @@
 pub enum Urgency {
     /// It is in time within so many milliseconds.
     Within(u64),
-    /// It is late already, and takes only room to spare.
-    Overdue,
     /// It was sent to a runner that failed it: it goes on wherever it can.
     Again,
 }
@@ -124,6 +122,18 @@
     pub speed: &'a Speed,
 }
 
+/// What a group promises a request.
+#[derive(Clone, Copy, Debug)]
+struct Rating {
+    /// How long its first event would take, in milliseconds.
+    wait: f64,
+    /// Decides between groups that promise the same.
+    tie: u32,
+    epoch: Epoch,
+    /// The part of its slots in use.
+    used: f64,
+}
+
 /// What the node that chooses remembers of prompts.
 #[derive(Clone, Debug, Default)]
 pub struct Dispatcher {
@@ -144,20 +154,21 @@
         let reading = time_reading(choice, question.prompt);
         let places = choice.heads.iter().filter_map(|head| Some((*head, head.membership.as_ref()?.epoch)));
         let fresh = places.filter(|(_, epoch)| !question.tried.contains(epoch));
-        let rated = fresh.map(|(head, epoch)| {
-            let wait = self.rate(choice, head, epoch, load(epoch), now) + reading;
-            (wait, rng.random::<u32>(), epoch, part_used(head, load(epoch)))
+        let rated = fresh.map(|(head, epoch)| Rating {
+            wait: self.rate(choice, head, epoch, load(epoch), now) + reading,
+            tie: rng.random(),
+            epoch,
+            used: part_used(head, load(epoch)),
         });
-        let best = rated.min_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
-        let Some((wait, _, epoch, filled)) = best else { return Reply::Unknown };
-        let fits = match question.urgency {
-            Urgency::Within(millis) => wait <= millis as f64,
-            Urgency::Overdue => filled < SPARE,
+        let rated: Vec<Rating> = rated.collect();
+        let Some(best) = pick_earliest(rated.iter()) else { return Reply::Unknown };
+        let fits = |rating: &&Rating| match question.urgency {
+            Urgency::Within(millis) => rating.wait <= millis as f64,
             Urgency::Again => true,
         };
-        if !fits {
-            return Reply::Full(wait as u64);
-        }
+        let has_room = |rating: &&Rating| rating.used < SPARE;
+        let taken = Some(best).filter(fits).or_else(|| pick_earliest(rated.iter().filter(has_room)));
+        let Some(Rating { epoch, .. }) = taken.copied() else { return Reply::Full(best.wait as u64) };
         let left = self.backlogs.get(&epoch).map_or(0.0, |backlog| backlog.left(now));
         self.backlogs.insert(epoch, Backlog { millis: left + reading, since: now });
         Reply::Take(epoch)
@@ -178,6 +189,10 @@
     }
 }
 
+fn pick_earliest<'a>(ratings: impl Iterator<Item = &'a Rating>) -> Option<&'a Rating> {
+    ratings.min_by(|a, b| a.wait.total_cmp(&b.wait).then(a.tie.cmp(&b.tie)))
+}
+
 /// The part of its slots that a group has in use.
 fn part_used(head: &Runner, load: Load) -> f64 {
     f64::from(load.running) / f64::from(head.slots.max(1))
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -22,7 +22,6 @@
 pub mod loss;
 pub mod occupancy;
 pub mod order;
-pub mod patience;
 pub mod plan;
 pub mod preempt;
 mod preload;
--- a/crates/node/src/attempt.rs
+++ b/crates/node/src/attempt.rs
@@ -38,8 +38,6 @@
     pub account: Option<id::Account>,
     /// Its urgency, 0 first.
     pub priority: u8,
-    /// Whether its answer was wanted before it came here: an earlier try failed.
-    pub overdue: bool,
     /// When it came.
     pub arrived: Millis,
     /// When it has to be answered.
@@ -160,15 +158,6 @@
     balance::has_room(&candidates, &ledger, &view, node.now())
 }
 
-/// Whether the runners of a request have room to spare for one that is overdue.
-pub fn has_spare_room(node: &Node, job: &Job) -> bool {
-    let nodes = node.directory.lock().count();
-    let roster = node.roster.lock();
-    let candidates = list_candidates(node, &roster, job);
-    let (ledger, view) = (node.ledger.lock(), node.view.lock());
-    balance::has_spare_room(&candidates, &ledger, &view, nodes, node.now())
-}
-
 /// The head of the group that was chosen, if it is known here and nothing that this node
 /// has seen speaks against it.
 pub fn find_pick(node: &Node, job: &Job, epoch: Epoch, tried: &[id::Runner]) -> Option<Pick> {
--- a/crates/node/src/request.rs
+++ b/crates/node/src/request.rs
@@ -21,10 +21,6 @@
 /// The urgency of a request where neither account nor route says one.
 const PRIORITY_MAX: u8 = 9;
 
-/// A request that cannot be answered in time any more is this much less urgent than
-/// one that still can: its answer is worth as much a second later.
-const OVERDUE: u8 = 4;
-
 /// A request that comes while the node starts waits for this long for what the store
 /// holds. That is read 20 to 60 ms after the start; callers who were sent away came
 /// back too late to be answered in time.
@@ -101,11 +97,7 @@
     let priority = account.and_then(|account| account.priority).unwrap_or(route.priority).min(PRIORITY_MAX);
     let target = route.pick_target(rand::rng().random()).ok_or(Refusal::NoRoute)?;
     let wait = terms.wait.unwrap_or(WAIT_UNSET).min(route.timeout);
-    let age = terms.wait.map_or(Millis(0), |wait| node.patience.lock().note(&route.name, wait, arrived));
-    let overdue = age >= route.objective;
-    let priority = if overdue { (priority + OVERDUE).min(PRIORITY_MAX) } else { priority };
     Ok(Job {
-        overdue,
         account: account.map(|account| account.id.clone()),
         service: target.service.clone(),
         head,
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -15,7 +15,6 @@
 use cottoncrank_fleet::halt::Halts;
 use cottoncrank_fleet::limit::Limit;
 use cottoncrank_fleet::occupancy::{Sum, Table, View};
-use cottoncrank_fleet::patience::Patience;
 use cottoncrank_fleet::plan::Plans;
 use cottoncrank_fleet::roster::Roster;
 use cottoncrank_fleet::runner::Epoch;
@@ -86,8 +85,6 @@
     pub limits: Mutex<HashMap<Lane, Limit>>,
     /// Told when a request ended, and another one may begin.
     pub ended: Notify,
-    /// How long callers wait, by route.
-    pub patience: Mutex<Patience>,
     /// Pays for requests that are sent again.
     pub retries: Mutex<Budget>,
     /// Who decides, as the store tells, if anyone does.
@@ -129,7 +126,6 @@
             flight_ended: Notify::new(),
             limits: Mutex::default(),
             ended: Notify::new(),
-            patience: Mutex::default(),
             retries: Mutex::new(retries),
             decider: watch::Sender::new(None),
             changed: Notify::new(),
@@ -276,16 +272,6 @@
         Admitted { node: self.clone(), lane: lane.clone() }
     }
 
-    /// Counts a request that is overdue, if runners have room to spare. It takes none of
-    /// what those need that can still be answered in time.
-    pub fn admit_overdue(self: &Arc<Self>, lane: &Lane, has_spare_room: bool) -> Option<Admitted> {
-        if !has_spare_room {
-            return None;
-        }
-        self.limits.lock().entry(lane.clone()).or_default().begin();
-        Some(Admitted { node: self.clone(), lane: lane.clone() })
-    }
-
     /// Counts a request at a runner until the guard is dropped.
     pub fn begin_attempt(self: &Arc<Self>, runner: &id::Runner) -> Attempting {
         self.ledger.lock().begin(runner);
--- a/crates/node/src/stream.rs
+++ b/crates/node/src/stream.rs
@@ -16,7 +16,7 @@
 use tokio::sync::mpsc;
 
 use crate::answer::{Answer, Body, Refusal};
-use crate::attempt::{Job, has_room, has_spare_room};
+use crate::attempt::{Job, has_room};
 use crate::dispatch;
 use crate::plain;
 use crate::relay::Relay;
@@ -52,12 +52,10 @@
     let lane = job.lane();
     let patience = Millis(job.route.objective.0 / WAITS);
     let left = (job.arrived + job.route.objective).since(node.now());
-    let urgency = if job.overdue { Urgency::Overdue } else { Urgency::Within(left.0) };
-    let reply = dispatch::ask(node, &job, urgency, &[]).await;
+    let reply = dispatch::ask(node, &job, Urgency::Within(left.0), &[]).await;
     let admitted = match reply {
         Some(Reply::Take(_)) => Some(node.admit_chosen(&lane)),
         Some(Reply::Full(_)) => None,
-        None | Some(Reply::Unknown) if job.overdue => node.admit_overdue(&lane, has_spare_room(node, &job)),
         None | Some(Reply::Unknown) => node.admit(&lane, patience, || has_room(node, &job)).await,
     };
     let wait = match reply {
@@ -87,7 +85,7 @@
 /// Tells the limit how the first event came. A request that met a silent runner
 /// says nothing of how much the others have to do.
 fn note_opening(node: &Node, job: &Job, tries: &Tries, admitted: &Admitted, refusal: Option<&Refusal>) {
-    let first_try = !job.overdue && tries.tried.len() == 1 && tries.sent == 0;
+    let first_try = tries.tried.len() == 1 && tries.sent == 0;
     let waited = node.now().since(job.arrived);
     let in_time = waited <= job.route.objective;
     if refusal.is_none() && !in_time {
@@ -100,9 +98,7 @@
         );
     }
     match refusal {
-        None if first_try || (!job.overdue && tries.full > 0) => {
-            admitted.note_first(in_time && tries.full == 0)
-        }
+        None if first_try || tries.full > 0 => admitted.note_first(in_time && tries.full == 0),
         Some(Refusal::NotRun) => admitted.note_first(false),
         _ => {}
     }
