Let the parts of the runners follow what callers keep in use

After losses large groups came back and small ones did not: 22 of 30 were open, and first events wanted within 0.2 s came late.

Change: the deciding node averages over eight seconds which part of the slots of each model is in use. Where one has more than half, the parts of those clearly less busy shrink, until half as much or three tenths of their slots would be in use; large groups beyond that are not formed anew from what is left of them.

False for a model that mostly reads prompts: its slots say little of how busy it is. Then it has a group fewer than published while it uses under three tenths.

--- a/crates/fleet/src/decide.rs
+++ b/crates/fleet/src/decide.rs
@@ -12,11 +12,13 @@
 
 use cottoncrank::{Millis, id};
 
-use crate::catalog::{Model, Service};
+use crate::catalog::{Engine, Model, Service};
+use crate::demand::Demand;
 use crate::form::{find_top, form_groups};
 use crate::halt::Halts;
 use crate::loads::{Loads, Purpose};
 use crate::loss::{mark_halted, release_groups, retire_groups};
+use crate::occupancy::Counts;
 use crate::order::{Desk, Order, REPEAT_TAKEN, list_orders};
 use crate::plan::{Document, Group};
 use crate::preempt::preempt_groups;
@@ -76,6 +78,8 @@
     pub(crate) loads: Loads,
     /// Members lost so far.
     losses: Losses,
+    /// How busy the groups of each model are, by service.
+    demands: HashMap<id::Service, Demand>,
     /// The most runners seen so far, and since when.
     runners: usize,
     grown: Millis,
@@ -183,6 +187,8 @@
     pub ceiling: &'a Ceiling,
     /// After this long a group that stands still is broken.
     pub stall: Millis,
+    /// What all nodes have in flight at each group, if enough of them say so.
+    pub in_flight: Option<&'a Counts>,
     /// The time.
     pub now: Millis,
 }
@@ -223,8 +229,13 @@
 
 /// Decides what to do next.
 pub fn step(scene: &Scene, memory: &mut Memory) -> Step {
-    let Some(engine) = &scene.service.engine else { return Step::default() };
+    let Some(published) = &scene.service.engine else { return Step::default() };
     memory.forget(scene);
+    let demand = memory.demands.entry(scene.service.id.clone()).or_default();
+    if let Some(in_flight) = scene.in_flight.filter(|_| scene.serving) {
+        demand.note(list_used(scene, &published.models, in_flight), scene.now);
+    }
+    let engine = &Engine { models: demand.adjust(&published.models), ..published.clone() };
     let mut sites = list_sites(scene);
     let mut lost = 0;
     for site in &mut sites {
@@ -282,6 +293,21 @@
     sites.collect()
 }
 
+/// The part of its slots in use, for each model that has open groups.
+fn list_used(scene: &Scene, models: &[Model], in_flight: &Counts) -> Vec<(id::Model, f64)> {
+    let used = |model: &Model| {
+        let heads = scene.roster.list_heads(&scene.service.id, &model.name, scene.plans);
+        let running = |head: &Runner| {
+            let epoch = head.membership.as_ref().map(|place| place.epoch)?;
+            Some(in_flight.get(&epoch).copied().unwrap_or(0).min(head.slots))
+        };
+        let slots: u32 = heads.iter().map(|head| head.slots).sum();
+        let running: u32 = heads.iter().filter_map(|head| running(head)).sum();
+        (slots > 0).then(|| (model.name.clone(), f64::from(running) / f64::from(slots)))
+    };
+    models.iter().filter_map(used).collect()
+}
+
 /// How far a runner is in a group, if it is in it.
 pub(crate) fn find_phase(runner: &Runner, group: &Group) -> Option<Phase> {
     let membership = runner.membership.as_ref()?;
--- /dev/null
+++ b/crates/fleet/src/demand.rs
@@ -0,0 +1,80 @@
+//! Which part of the runners each model needs, by the work that callers bring.
+//!
+//! The load this answers: operators publish what part of the runners each model is to have,
+//! and callers ask for something else. Then the groups of one model stand nearly idle while
+//! requests for another find all slots taken. What nodes have in flight shows that. Slots
+//! in use say little of engines that mostly read prompts, so only a clear difference counts;
+//! up to that the published parts hold.
+
+use std::collections::HashMap;
+
+use cottoncrank::{Millis, id};
+
+use crate::catalog::Model;
+
+/// The part of its slots in use may differ from one model to another by this factor: one
+/// that reads long prompts and writes short answers is as busy with half of the slots.
+const UNEVEN: f64 = 2.0;
+
+/// Where no model has more than this part of its slots in use, nobody waits for room.
+const EASY: f64 = 0.5;
+
+/// From this part on, the difference counts in full.
+const PRESSED: f64 = 0.7;
+
+/// No model gives so much that its groups would have more than this part of their slots in
+/// use: what is left must bear the loss of some of them.
+const IDLE: f64 = 0.3;
+
+/// What is in flight is averaged over about this time, in milliseconds: several times what
+/// a burst lasts, and a third of a minute less than a group of the largest model needs to
+/// be worth its loads.
+const SMOOTHING: f64 = 8000.0;
+
+/// Nothing follows from what was seen for less than this.
+const SEEN: Millis = Millis(5000);
+
+/// What the deciding node has seen of how busy the groups of each model are.
+#[derive(Clone, Debug, Default)]
+pub struct Demand {
+    /// The part of the slots in use, by model.
+    used: HashMap<id::Model, f64>,
+    /// When it was first and last noted.
+    seen: Option<(Millis, Millis)>,
+}
+
+impl Demand {
+    /// Takes in which part of the slots of each model is in use at `now`. A model without
+    /// open groups has none.
+    pub fn note(&mut self, used: impl IntoIterator<Item = (id::Model, f64)>, now: Millis) {
+        let (first, last) = self.seen.unwrap_or((now, now));
+        let weight = 1.0 - (-(now.since(last).0 as f64) / SMOOTHING).exp();
+        for (model, part) in used {
+            let mean = self.used.entry(model).or_insert(part);
+            *mean += weight * (part - *mean);
+        }
+        self.seen = Some((first, now));
+    }
+
+    /// The models with the parts that they need. The parts of those that are clearly less
+    /// busy than the busiest one shrink, until they would be half as busy.
+    pub fn adjust(&self, models: &[Model]) -> Vec<Model> {
+        let mut adjusted = models.to_vec();
+        let most = models.iter().filter_map(|model| self.used.get(&model.name)).copied().fold(0.0, f64::max);
+        let pressed = ((most - EASY) / (PRESSED - EASY)).clamp(0.0, 1.0);
+        if pressed == 0.0 || self.seen.is_none_or(|(first, last)| last < first + SEEN) {
+            return adjusted;
+        }
+        for model in &mut adjusted {
+            let used = self.used.get(&model.name).copied().unwrap_or(most);
+            let needed = (used * UNEVEN / most).max(used / IDLE).min(1.0);
+            model.share *= 1.0 - pressed * (1.0 - needed);
+        }
+        let before: f64 = models.iter().map(|model| model.share).sum();
+        let after: f64 = adjusted.iter().map(|model| model.share).sum();
+        for model in adjusted.iter_mut().filter(|_| after > 0.0) {
+            model.share *= before / after;
+        }
+        adjusted
+    }
+}
--- a/crates/fleet/src/form.rs
+++ b/crates/fleet/src/form.rs
@@ -152,7 +152,9 @@
             // The free runners that hold a large model are what is left of a group and
             // what completes it: they go before all else, also beyond what is meant where
             // they have all served it, for serving another model would make them lose it.
-            let kept = members.iter().all(|runner| runner.has_served(&model.name));
+            // Not so where callers want less of it than was published.
+            let kept =
+                !is_lowered(scene, model) && members.iter().all(|runner| runner.has_served(&model.name));
             let whole = scene.serving && loads == 0 && model.size == largest && (part < 1.0 || kept);
             let score = part
                 + time.0 as f64 / FORM_SCALE.0 as f64
@@ -168,6 +170,12 @@
     best
 }
 
+/// Whether a model needs a smaller part of the runners than operators published for it.
+fn is_lowered(scene: &Scene, model: &Model) -> bool {
+    let published = scene.service.engine.iter().flat_map(|engine| &engine.models);
+    published.filter(|known| known.name == model.name).any(|known| model.share < known.share)
+}
+
 /// Whether a group of `model` takes the room of the first large group of a domain that
 /// is meant to have one. Runners of a fleet that starts appear one by one: without
 /// this, small groups of the first ones left domains that no large group fitted into.
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod catalog;
 pub mod census;
 pub mod decide;
+pub mod demand;
 pub mod directory;
 pub mod dispatch;
 pub mod event;
--- a/crates/fleet/src/occupancy.rs
+++ b/crates/fleet/src/occupancy.rs
@@ -185,6 +185,11 @@
         self.enough && self.asked.is_some_and(|asked| now < asked + KEPT)
     }
 
+    /// What the other nodes have in flight at each group.
+    pub fn list(&self) -> &Counts {
+        &self.others
+    }
+
     /// What the other nodes have in flight at a group.
     pub fn count(&self, epoch: Epoch) -> u32 {
         self.others.get(&epoch).copied().unwrap_or(0)
--- a/crates/fleet/tests/census.rs
+++ b/crates/fleet/tests/census.rs
@@ -59,6 +59,7 @@
         serving: true,
         ceiling: &Ceiling { window: Millis(5000), overshoot: 1.1 },
         stall: Millis(4000),
+        in_flight: None,
         now: Millis(1_000_000),
     };
     census::count(&scene, &engine())
--- a/crates/fleet/tests/decide.rs
+++ b/crates/fleet/tests/decide.rs
@@ -117,6 +117,7 @@
             serving: self.serving,
             ceiling: &CEILING,
             stall: STALL,
+            in_flight: None,
             now: self.now,
         };
         let step = step(&scene, &mut self.memory);
--- a/crates/fleet/tests/world/mod.rs
+++ b/crates/fleet/tests/world/mod.rs
@@ -9,6 +9,7 @@
 use cottoncrank_fleet::catalog::{Engine, Model, Service, Speed};
 use cottoncrank_fleet::decide::{Memory, Scene, Step, step};
 use cottoncrank_fleet::halt::Halts;
+use cottoncrank_fleet::occupancy::Counts;
 use cottoncrank_fleet::order::Order;
 use cottoncrank_fleet::plan::Plans;
 use cottoncrank_fleet::probe::{Answer, Probes, Reported};
@@ -91,6 +92,8 @@
     pub loads: usize,
     /// The part of all orders that are carried out seconds later, without an answer.
     pub late: f64,
+    /// How many slots callers would use, by model.
+    pub wanted: HashMap<id::Model, u32>,
     /// Orders on their way.
     slow: Vec<(Millis, id::Runner, Order)>,
 }
@@ -130,6 +133,7 @@
             alive: 0.0,
             loads: 0,
             late: 0.0,
+            wanted: HashMap::new(),
             slow: Vec::new(),
         };
         for domain in 0..domains {
@@ -376,8 +380,22 @@
         }
     }
 
+    /// What is in flight at each group where callers keep so many slots of each model in
+    /// use, as far as there are any. None if nobody says what callers want.
+    fn spread_requests(&self) -> Option<Counts> {
+        let mut counts = Counts::new();
+        for (name, wanted) in &self.wanted {
+            let heads = self.roster.list_heads(&self.service.id, name, &self.plans);
+            let epochs = heads.iter().filter_map(|head| Some(head.membership.as_ref()?.epoch));
+            let each = wanted / heads.len().max(1) as u32;
+            counts.extend(epochs.map(|epoch| (epoch, each)));
+        }
+        (!self.wanted.is_empty()).then_some(counts)
+    }
+
     /// What the decider would do now.
     pub fn look(&mut self) -> Step {
+        let in_flight = self.spread_requests();
         let scene = Scene {
             service: &self.service,
             roster: &self.roster,
@@ -386,6 +404,7 @@
             serving: self.serving,
             ceiling: &CEILING,
             stall: STALL,
+            in_flight: in_flight.as_ref(),
             now: self.now,
         };
         step(&scene, &mut self.memory)
--- a/crates/node/src/decider.rs
+++ b/crates/node/src/decider.rs
@@ -248,6 +248,7 @@
             let bounds = self.node.settings().bounds.clone();
             let documents =
                 self.plans.iter().map(|(domain, kept)| (domain.clone(), kept.document.clone())).collect();
+            let in_flight = self.node.sum_all_in_flight();
             let (step, census) = {
                 let roster = self.node.roster.lock();
                 let probes = self.probes.lock();
@@ -259,6 +260,7 @@
                     serving: self.node.is_serving(),
                     ceiling: &bounds.ceiling,
                     stall: bounds.stall,
+                    in_flight: in_flight.as_ref(),
                     now: self.node.now(),
                 };
                 (step(&scene, &mut self.memory.lock()), census::count(&scene, engine))
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -14,7 +14,7 @@
 use cottoncrank_fleet::freshness::Freshness;
 use cottoncrank_fleet::halt::Halts;
 use cottoncrank_fleet::limit::Limit;
-use cottoncrank_fleet::occupancy::{Sum, Table, View};
+use cottoncrank_fleet::occupancy::{Counts, Sum, Table, View};
 use cottoncrank_fleet::plan::Plans;
 use cottoncrank_fleet::roster::Roster;
 use cottoncrank_fleet::runner::Epoch;
@@ -228,6 +228,19 @@
         Sum::of_node(busy.filter_map(|(id, count)| Some((place(id)?, count))).collect())
     }
 
+    /// The requests of all nodes in flight at each group, if enough of them tell.
+    pub fn sum_all_in_flight(&self) -> Option<Counts> {
+        let mut own = self.sum_in_flight().counts;
+        let view = self.view.lock();
+        if !view.is_usable(self.now()) {
+            return None;
+        }
+        for (epoch, count) in view.list() {
+            *own.entry(*epoch).or_default() += count;
+        }
+        Some(own)
+    }
+
     /// The groups that failed a request of this node lately, or do not get on.
     pub fn list_doubted(&self) -> Vec<Epoch> {
         let (roster, ledger) = (self.roster.lock(), self.ledger.lock());
