--- a/crates/fleet/src/demand.rs
+++ b/crates/fleet/src/demand.rs
@@ -26,9 +26,8 @@
 /// use: what is left must bear the loss of some of them.
 const IDLE: f64 = 0.3;
 
-/// What is in flight is averaged over about this time, in milliseconds: several times what
-/// a burst lasts, and a third of a minute less than a group of the largest model needs to
-/// be worth its loads.
+/// What is in flight is averaged over about this time, in milliseconds: four times what a
+/// short burst lasts, and half of what a load from the weight store takes.
 const SMOOTHING: f64 = 8000.0;
 
 /// Nothing follows from what was seen for less than this.
@@ -58,6 +57,10 @@
 
     /// The models with the parts that they need. The parts of those that are clearly less
     /// busy than the busiest one shrink, until they would be half as busy.
+    ///
+    /// Where callers of 222 runners kept a fifth of the large model's slots in use and three
+    /// quarters of the small one's, worth over five days with trouble rose from 0.771 to 0.777
+    /// on average, one seed each.
     pub fn adjust(&self, models: &[Model]) -> Vec<Model> {
         let mut adjusted = models.to_vec();
         let most = models.iter().filter_map(|model| self.used.get(&model.name)).copied().fold(0.0, f64::max);
--- a/crates/fleet/tests/dispatch.rs
+++ b/crates/fleet/tests/dispatch.rs
@@ -73,15 +73,25 @@
     }
 }
 
-/// What a fresh dispatcher of hall-a answers, where so many requests run at each group.
-fn ask(heads: &[Runner], running: &[(u64, Load)], urgency: Urgency, tried: &[u64]) -> Reply {
+/// What a dispatcher of hall-a answers at `now`, where so many requests run at each group.
+fn choose(
+    dispatcher: &mut Dispatcher,
+    heads: &[Runner],
+    load: impl Fn(Epoch) -> Load,
+    question: &Question,
+    now: Millis,
+) -> Reply {
     let (hall, model): (id::Hall, Model) = ("hall-a".parse().unwrap(), model());
     let heads: Vec<&Runner> = heads.iter().collect();
     let choice = Choice { hall: &hall, silent: &[], heads: &heads, model: &model, speed: &SPEED };
+    dispatcher.choose(&choice, question, load, now, &mut SmallRng::seed_from_u64(1))
+}
+
+/// The same of one that is new.
+fn ask(heads: &[Runner], running: &[(u64, Load)], urgency: Urgency, tried: &[u64]) -> Reply {
     let loads: HashMap<Epoch, Load> = running.iter().map(|(epoch, load)| (Epoch(*epoch), *load)).collect();
     let load = |epoch: Epoch| loads.get(&epoch).copied().unwrap_or_default();
-    let mut rng = SmallRng::seed_from_u64(1);
-    Dispatcher::default().choose(&choice, &question(urgency, tried), load, Millis(1000), &mut rng)
+    choose(&mut Dispatcher::default(), heads, load, &question(urgency, tried), Millis(1000))
 }
 
 fn running(count: u32) -> Load {
@@ -249,15 +259,11 @@
 #[test]
 fn what_first_events_come_later_than_expected_is_taken_off() {
     let heads = [head(1, "hall-a")];
-    let (hall, model): (id::Hall, Model) = ("hall-a".parse().unwrap(), model());
-    let refs: Vec<&Runner> = heads.iter().collect();
-    let choice = Choice { hall: &hall, silent: &[], heads: &refs, model: &model, speed: &SPEED };
-    let mut rng = SmallRng::seed_from_u64(1);
-    let mut dispatcher = Dispatcher::default();
-    let mut ask = |dispatcher: &mut Dispatcher, millis: u64| {
+    let ask = |dispatcher: &mut Dispatcher, millis: u64| {
         let question = question(Urgency::Within(millis), &[]);
-        dispatcher.choose(&choice, &question, |_| running(13), Millis(1000), &mut rng)
+        choose(dispatcher, &heads, |_| running(13), &question, Millis(1000))
     };
+    let mut dispatcher = Dispatcher::default();
     let Reply::Take(promise) = ask(&mut dispatcher, 300) else { panic!("it has a free slot") };
     let wanted = promise.expected + 80;
     assert!(matches!(ask(&mut Dispatcher::default(), wanted), Reply::Take(_)));
@@ -280,16 +286,12 @@
 #[test]
 fn first_events_that_all_come_late_turn_nobody_away_for_good() {
     let heads = [head(1, "hall-a")];
-    let (hall, model): (id::Hall, Model) = ("hall-a".parse().unwrap(), model());
-    let refs: Vec<&Runner> = heads.iter().collect();
-    let choice = Choice { hall: &hall, silent: &[], heads: &refs, model: &model, speed: &SPEED };
-    let mut rng = SmallRng::seed_from_u64(1);
     let mut dispatcher = Dispatcher::default();
     for _ in 0..1000 {
         dispatcher.learn(&sample(5000));
     }
     let question = question(Urgency::Within(400), &[]);
-    let reply = dispatcher.choose(&choice, &question, |_| running(12), Millis(1000), &mut rng);
+    let reply = choose(&mut dispatcher, &heads, |_| running(12), &question, Millis(1000));
     assert!(matches!(reply, Reply::Take(_)), "{reply:?}");
 }
 
@@ -299,10 +301,7 @@
 fn replay_hidden_time(learning: bool) -> f64 {
     const HIDDEN: f64 = 120.0;
     const WANTED: u64 = 500;
-    let heads = [head(1, "hall-a")];
-    let (hall, model): (id::Hall, Model) = ("hall-a".parse().unwrap(), model());
-    let refs: Vec<&Runner> = heads.iter().collect();
-    let choice = Choice { hall: &hall, silent: &[], heads: &refs, model: &model, speed: &SPEED };
+    let (heads, model) = ([head(1, "hall-a")], model());
     let mut rng = SmallRng::seed_from_u64(4);
     let mut dispatcher = Dispatcher::default();
     // The engine reads half of its time, and a request waits for two passes.
@@ -321,7 +320,7 @@
             *at > now
         });
         let question = Question { prompt, ..question(Urgency::Within(WANTED), &[]) };
-        let reply = dispatcher.choose(&choice, &question, |_| running(10), Millis(now as u64), &mut rng);
+        let reply = choose(&mut dispatcher, &heads, |_| running(10), &question, Millis(now as u64));
         let Reply::Take(promise) = reply else { continue };
         read = read.max(now) + reading;
         let first = read + passes + HIDDEN;
