Say in the log which part of the runners each model gets, and why

The deciding node logs the published part, the part it follows and the slots in use, once one has moved by 0.04: else groups that are not formed anew could not be explained. A test holds the line's form.

--- a/crates/fleet/src/decide.rs
+++ b/crates/fleet/src/decide.rs
@@ -13,7 +13,7 @@
 use cottoncrank::{Millis, id};
 
 use crate::catalog::{Engine, Model, Service};
-use crate::demand::Demand;
+use crate::demand::{Demand, Part};
 use crate::form::{find_top, form_groups};
 use crate::halt::Halts;
 use crate::loads::{Loads, Purpose};
@@ -91,6 +91,12 @@
         Memory { halted: halts.list(), ..Memory::default() }
     }
 
+    /// Which part of the runners each model of a service is to have.
+    pub fn list_parts(&self, service: &Service) -> Vec<Part> {
+        let models = service.engine.iter().flat_map(|engine| &engine.models).cloned().collect::<Vec<_>>();
+        self.demands.get(&service.id).map_or(Vec::new(), |demand| demand.list_parts(&models))
+    }
+
     /// How many things are remembered; bounded by the runners and groups there are.
     pub fn count_remembered(&self) -> usize {
         let orders = self.given.len() + self.first.len() + self.taken.len() + self.staged.len();
--- a/crates/fleet/src/demand.rs
+++ b/crates/fleet/src/demand.rs
@@ -7,6 +7,7 @@
 //! up to that the published parts hold.
 
 use std::collections::HashMap;
+use std::fmt;
 
 use cottoncrank::{Millis, id};
 
@@ -33,6 +34,10 @@
 /// Nothing follows from what was seen for less than this.
 const SEEN: Millis = Millis(5000);
 
+/// Parts are told anew once one has moved by this: half a group of sixteen in two hundred
+/// runners.
+const TOLD: f64 = 0.04;
+
 /// What the deciding node has seen of how busy the groups of each model are.
 #[derive(Clone, Debug, Default)]
 pub struct Demand {
@@ -42,6 +47,34 @@
     seen: Option<(Millis, Millis)>,
 }
 
+/// Which part of the runners a model is to have, and why.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Part {
+    /// The model.
+    pub model: id::Model,
+    /// What operators published, 0 to 1.
+    pub published: f64,
+    /// What it is to have, 0 to 1.
+    pub needed: f64,
+    /// The part of its slots in use, if it had open groups.
+    pub used: Option<f64>,
+}
+
+impl Part {
+    /// Whether what it is to have differs from `other` by enough to say so.
+    pub fn differs(&self, other: &Part) -> bool {
+        self.model != other.model || (self.needed - other.needed).abs() >= TOLD
+    }
+}
+
+impl fmt::Display for Part {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Part { model, published, needed, used } = self;
+        let used = used.map_or("unknown".to_owned(), |used| format!("{used:.2}"));
+        write!(f, "{model} gets {needed:.2} of the runners, published {published:.2}, slots in use {used}")
+    }
+}
+
 impl Demand {
     /// Takes in which part of the slots of each model is in use at `now`. A model without
     /// open groups has none.
@@ -80,4 +113,16 @@
         }
         adjusted
     }
+
+    /// The parts of all models, for the log.
+    pub fn list_parts(&self, models: &[Model]) -> Vec<Part> {
+        let adjusted = self.adjust(models);
+        let parts = models.iter().zip(adjusted).map(|(published, needed)| Part {
+            model: published.name.clone(),
+            published: published.share,
+            needed: needed.share,
+            used: self.used.get(&published.name).copied(),
+        });
+        parts.collect()
+    }
 }
--- a/crates/fleet/tests/demand.rs
+++ b/crates/fleet/tests/demand.rs
@@ -86,6 +86,18 @@
     assert_eq!(shares(&demand), [0.5, 0.5], "both are as busy again");
 }
 
+#[test]
+fn what_moves_the_parts_is_told() {
+    let mut demand = Demand::default();
+    for at in 0..80 {
+        let used = [(name("large"), 0.1), (name("small"), 0.8)];
+        demand.note(used, Millis(1_000_000 + 250 * at));
+    }
+    let parts = demand.list_parts(&models());
+    assert_eq!(parts[0].to_string(), "large gets 0.25 of the runners, published 0.50, slots in use 0.10");
+    assert!(parts[0].differs(&Demand::default().list_parts(&models())[0]));
+}
+
 #[test]
 fn a_wave_of_demand_makes_no_groups_swing() {
     let mut world = started(60, 250, 5);
--- a/crates/node/src/decider.rs
+++ b/crates/node/src/decider.rs
@@ -9,8 +9,10 @@
 use std::sync::Arc;
 
 use cottoncrank::{Millis, id};
+use cottoncrank_fleet::catalog::Service;
 use cottoncrank_fleet::census::{self, Census};
 use cottoncrank_fleet::decide::{Memory, Scene, Step, step};
+use cottoncrank_fleet::demand::Part;
 use cottoncrank_fleet::order::Order;
 use cottoncrank_fleet::plan::Document;
 use cottoncrank_fleet::probe::Probes;
@@ -110,6 +112,8 @@
     probes: Arc<Mutex<Probes>>,
     /// What was last logged of each service, and when.
     census: HashMap<id::Service, (Census, Millis)>,
+    /// The parts of the runners that were last logged of each service.
+    parts: HashMap<id::Service, Vec<Part>>,
 }
 
 /// Stands for the lease whenever it is free, and decides while holding it.
@@ -172,6 +176,7 @@
         memory: Arc::new(Mutex::new(Memory::resume(&node.halts.lock()))),
         probes: Arc::default(),
         census: HashMap::new(),
+        parts: HashMap::new(),
     }))
 }
 
@@ -266,6 +271,7 @@
                 (step(&scene, &mut self.memory.lock()), census::count(&scene, engine))
             };
             self.log_census(&service.id, census);
+            self.log_parts(service);
             self.carry_out(step).await?;
         }
         Ok(())
@@ -282,6 +288,21 @@
         self.census.insert(service.clone(), (census, now));
     }
 
+    /// Says which part of the runners each model is to have, when that has changed.
+    fn log_parts(&mut self, service: &Service) {
+        let parts = self.memory.lock().list_parts(service);
+        let told = self.parts.entry(service.id.clone()).or_default();
+        let same =
+            told.len() == parts.len() && !parts.iter().zip(&*told).any(|(part, told)| part.differs(told));
+        if same {
+            return;
+        }
+        for part in &parts {
+            log::info!("decider: {}: {part}", service.id);
+        }
+        *told = parts;
+    }
+
     /// Writes the plans that changed, then gives the orders that follow from them.
     async fn carry_out(&mut self, step: Step) -> Result<(), EndError> {
         for writes in step.writes.chunks(WRITES_MAX) {
