--- /dev/null
+++ b/crates/fleet/tests/loss.rs
@@ -0,0 +1,311 @@
+//! Giving groups up, holding their members and forming them anew: every step on a set clock.
+
+mod instant;
+
+use std::collections::HashSet;
+
+use cottoncrank::{Millis, id};
+use cottoncrank_fleet::decide::{Memory, Step};
+use cottoncrank_fleet::halt::Halts;
+use cottoncrank_fleet::loss::STALL_MARGIN;
+use cottoncrank_fleet::order::{FINISH, Order, REPEAT};
+use cottoncrank_fleet::plan::Group;
+use cottoncrank_fleet::probe::Probes;
+use cottoncrank_fleet::runner::{Membership, Phase};
+use instant::{STALL, World, at_rest, runner};
+
+#[test]
+fn a_lost_member_is_replaced_by_the_staged_spare() {
+    let mut world = at_rest(6);
+    let spare = world.list_free()[0];
+    let site = spare.domain.clone().unwrap();
+    let groups = world.plans[&site].groups.iter();
+    let group = groups.clone().find(|group| group.model.as_str() == "large").unwrap().clone();
+    world.crash(&group.members[2]);
+    world.run(4);
+    assert_eq!(world.count("large"), 6);
+    let formed = world.groups().find(|formed| {
+        formed.members.contains(&group.members[0]) && formed.members.contains(&group.members[1])
+    });
+    let formed = formed.expect("the survivors stand in a new group");
+    assert!(formed.epoch > group.epoch);
+    assert_eq!(world.phase(&formed.members[0]), Some(Phase::Open));
+}
+
+#[test]
+fn members_of_a_lost_head_are_held_until_it_must_be_broken() {
+    let mut world = at_rest(6);
+    let group = world.find("large");
+    world.crash(&group.members[0]);
+    world.run(1);
+    let held = |world: &World| world.groups().any(|known| known.name == group.name && known.is_retired());
+    assert!(held(&world));
+    let until = world.now + STALL + STALL_MARGIN;
+    while world.now + Millis(200) < until {
+        world.run(1);
+        assert!(held(&world), "released {} too early", until.since(world.now));
+    }
+    world.run(3);
+    assert!(!held(&world));
+}
+
+#[test]
+fn a_silent_head_is_treated_as_one_that_may_still_be_open() {
+    let mut world = at_rest(6);
+    let group = world.find("small");
+    world.probe(&group.members[..1]);
+    let step = world.step();
+    let leave = Order::Leave(group.name.clone(), group.epoch);
+    assert!(step.orders.contains(&(group.members[1].clone(), leave.clone())));
+    world.obey(&step);
+    world.now = world.now + Millis(1000);
+    world.step();
+    assert!(world.groups().any(|known| known.name == group.name && known.is_retired()));
+    // It answers again: it is told to leave, and the members are free at once.
+    world.probe(&[]);
+    let step = world.step();
+    assert!(step.orders.contains(&(group.members[0].clone(), leave)));
+    world.obey(&step);
+    world.now = world.now + Millis(200);
+    world.step();
+    assert!(!world.groups().any(|known| known.name == group.name));
+}
+
+#[test]
+fn a_group_is_over_at_once_when_another_runner_answers_at_the_address_of_its_head() {
+    let mut world = at_rest(6);
+    let group = world.find("large");
+    let planned = |world: &World| world.groups().any(|known| known.name == group.name);
+    // All members are gone, so no order to one of them shows that the head stands still.
+    for id in &group.members {
+        world.crash(id);
+    }
+    world.run(2);
+    assert!(planned(&world), "the head may be cut off and open");
+    world.reborn.insert(group.members[0].clone());
+    world.probe(&[]);
+    world.run(1);
+    assert!(!planned(&world), "the head is no more");
+}
+
+#[test]
+fn a_new_decider_waits_as_long_as_it_must() {
+    let mut world = at_rest(6);
+    let group = world.find("large");
+    world.crash(&group.members[0]);
+    world.run(10);
+    world.memory = Memory::default();
+    let taken_over = world.now;
+    while world.now < taken_over + STALL {
+        world.run(1);
+        let held = world.groups().any(|known| known.name == group.name && known.is_retired());
+        assert!(held, "the new decider cannot know how long the group has stood still");
+    }
+}
+
+#[test]
+fn a_new_decider_waits_no_longer_than_it_must_where_it_has_read_that_a_group_stands_still() {
+    let mut world = at_rest(6);
+    let group = world.find("large");
+    world.crash(&group.members[0]);
+    world.run(2);
+    let mut halts = Halts::default();
+    halts.note(&world.plans, world.now);
+    let read = world.now;
+    // One decider after the other is stopped, each well before the group must have broken.
+    for _ in 0..5 {
+        world.memory = Memory::resume(&halts);
+        world.run(4);
+        halts.note(&world.plans, world.now);
+    }
+    while world.now < read + STALL {
+        let held = world.groups().any(|known| known.name == group.name && known.is_retired());
+        assert!(held, "after {} the head may still be open", world.now.since(read));
+        world.run(1);
+    }
+    world.now = read + STALL + STALL_MARGIN;
+    world.run(1);
+    assert!(!world.groups().any(|known| known.name == group.name), "its members are free");
+    halts.note(&world.plans, world.now);
+    assert_eq!(Memory::resume(&halts).count_remembered(), 0, "and nothing is remembered of it");
+}
+
+#[test]
+fn a_leaving_member_closes_the_head_before_anything_else() {
+    let mut world = at_rest(6);
+    let group = world.find("large");
+    let mut leaving = world.roster.get(&group.members[3]).cloned().unwrap();
+    leaving.draining = true;
+    world.roster.put(leaving);
+    let step = world.step();
+    let close = Order::Close(group.name.clone(), group.epoch);
+    assert!(step.orders.contains(&(group.members[0].clone(), close)), "{:?}", step.orders);
+    assert!(!step.orders.iter().any(|(_, order)| matches!(order, Order::Leave(..))));
+    world.obey(&step);
+    world.now = world.now + Millis(200);
+    let step = world.step();
+    let leave = Order::Leave(group.name.clone(), group.epoch);
+    assert!(step.orders.contains(&(group.members[0].clone(), leave)), "{:?}", step.orders);
+}
+
+#[test]
+fn an_order_without_answer_is_repeated_after_a_while_only() {
+    let mut world = World::new(1);
+    let first = world.step();
+    assert!(!first.orders.is_empty());
+    world.now = world.now + (REPEAT - Millis(1));
+    let joins = |step: &Step| {
+        let joins = step.orders.iter().filter(|(_, order)| matches!(order, Order::Join(..)));
+        joins.map(|(id, _)| id.clone()).collect::<HashSet<_>>()
+    };
+    let early = joins(&world.step());
+    assert!(early.is_disjoint(&joins(&first)));
+    world.now = world.now + Millis(1);
+    assert!(joins(&world.step()).is_superset(&joins(&first)));
+}
+
+#[test]
+fn a_runner_in_a_group_that_nobody_planned_is_told_to_leave() {
+    let mut world = at_rest(6);
+    let mut stray = world.list_free()[0].clone();
+    let old = Membership {
+        group: "g0".parse().unwrap(),
+        epoch: cottoncrank_fleet::runner::Epoch(0),
+        rank: 1,
+        phase: Phase::Joining,
+    };
+    stray.membership = Some(old.clone());
+    world.roster.put(stray.clone());
+    let step = world.step();
+    assert!(step.orders.contains(&(stray.id, Order::Leave(old.group, old.epoch))));
+}
+
+#[test]
+fn a_member_cut_off_from_the_store_alone_keeps_its_group() {
+    let mut world = at_rest(6);
+    let (kept, lost) = (world.find("large"), world.find("small"));
+    world.probe(&[]);
+    world.lapse(&kept.members[2]);
+    world.lapse(&lost.members[0]);
+    world.step();
+    let is_retired = |world: &World, group: &Group| {
+        world.groups().all(|known| known.name != group.name || known.is_retired())
+    };
+    assert!(!is_retired(&world, &kept), "its members still answer");
+    assert!(is_retired(&world, &lost), "no head may be sent requests without an entry");
+    world.probe(&kept.members[2..3]);
+    world.step();
+    assert!(is_retired(&world, &kept), "now it does not answer either");
+}
+
+#[test]
+fn a_hall_that_is_cut_off_loses_no_group() {
+    let mut world = at_rest(6);
+    let members: Vec<id::Runner> = world.groups().flat_map(|group| group.members.clone()).collect();
+    world.probe(&members);
+    for member in &members {
+        world.lapse(member);
+    }
+    let step = world.step();
+    assert!(step.writes.is_empty(), "{:?}", step.writes.iter().map(|write| &write.2).collect::<Vec<_>>());
+    assert_eq!((world.count("large"), world.count("small")), (6, 12));
+}
+
+#[test]
+fn a_head_without_entry_that_answers_finishes_leaves_and_frees_its_members() {
+    let mut world = at_rest(6);
+    let group = world.find("large");
+    world.probe(&[]);
+    world.lapse(&group.members[0]);
+    let step = world.step();
+    let close = Order::Close(group.name.clone(), group.epoch);
+    assert!(step.orders.contains(&(group.members[0].clone(), close)), "it finishes first: {:?}", step.orders);
+    world.now = world.now + FINISH;
+    let step = world.step();
+    let leave = Order::Leave(group.name.clone(), group.epoch);
+    assert!(step.orders.contains(&(group.members[0].clone(), leave.clone())), "{:?}", step.orders);
+    world.memory.note_taken(&group.members[0], &leave, world.now);
+    world.now = world.now + Millis(200);
+    world.step();
+    assert!(!world.groups().any(|known| known.name == group.name));
+}
+
+#[test]
+fn a_new_decider_asks_before_it_gives_a_group_up() {
+    let mut world = at_rest(6);
+    let group = world.find("large");
+    world.lapse(&group.members[2]);
+    world.memory = Memory::default();
+    world.probes = Probes::default();
+    world.step();
+    assert!(world.groups().any(|known| known.name == group.name && !known.is_retired()));
+    world.probe(&group.members[2..3]);
+    world.step();
+    assert!(world.groups().all(|known| known.name != group.name || known.is_retired()));
+}
+
+#[test]
+fn a_slow_member_is_replaced_and_used_again_once_it_is_not_slow() {
+    let mut world = at_rest(6);
+    let group = world.find("large");
+    let slow = group.members[1].clone();
+    world.slow.insert(slow.clone());
+    world.probe(&[]);
+    let step = world.step();
+    let leave = Order::Leave(group.name.clone(), group.epoch);
+    assert!(step.orders.contains(&(group.members[0].clone(), leave)), "its streams go on elsewhere");
+    world.obey(&step);
+    world.run(20);
+    assert_eq!(world.count("large"), 6);
+    assert!(world.groups().all(|known| known.is_retired() || !known.members.contains(&slow)));
+}
+
+#[test]
+fn what_is_remembered_of_runners_and_groups_that_are_gone_is_forgotten() {
+    let mut world = at_rest(6);
+    let mut early = 0;
+    for turn in 0..60 {
+        // A member is lost and an empty runner comes: the fleet's size stays.
+        let victim = world.find(if turn % 2 == 0 { "large" } else { "small" }).members[1].clone();
+        let domain = world.roster.get(&victim).unwrap().domain.clone();
+        world.crash(&victim);
+        let mut fresh = runner(0, 100 + turn);
+        fresh.domain = domain;
+        world.roster.put(fresh);
+        world.run(40);
+        world.now = world.now + Millis(60_000);
+        world.run(1);
+        if turn == 20 {
+            early = world.memory.count_remembered();
+        }
+    }
+    let late = world.memory.count_remembered();
+    assert!(late <= early + early / 4, "it grows from {early} to {late}");
+}
+
+#[test]
+fn a_group_whose_entries_are_all_gone_holds_its_members_while_they_may_live() {
+    let mut world = at_rest(1);
+    world.loading = true;
+    let group = world.find("small");
+    let (head, member) = (group.members[0].clone(), group.members[1].clone());
+    let returning = world.roster.get(&member).unwrap().clone();
+    for id in &group.members {
+        world.lapse(id);
+    }
+    world.probe(&[]);
+    world.run(3);
+    // The member is back first. The head may still be open: it was not reached.
+    world.roster.put(returning);
+    world.probe(std::slice::from_ref(&head));
+    world.run(5);
+    let taken = |world: &World| world.groups().any(|g| !g.is_retired() && g.members.contains(&member));
+    assert!(!taken(&world), "{:?}", world.plans);
+    // Without its member the head has broken after a time, and another runner comes.
+    world.roster.put(runner(0, 50));
+    world.loading = false;
+    world.now = world.now + STALL + STALL_MARGIN;
+    world.probe(&[head]);
+    world.run(10);
+    assert!(taken(&world), "{:?}", world.plans);
+}
