Look for no room behind a cut

Cause: while a hall was cut off, its collector took the groups of the other halls for empty, for nobody told what was in flight there, and sent them what its own groups could not take in time.

Change: a group whose hall does not tell, and at which a request has failed lately, has no room to spare.

--- a/crates/fleet/src/dispatch.rs
+++ b/crates/fleet/src/dispatch.rs
@@ -161,6 +161,13 @@
     pub speed: &'a Speed,
 }
 
+impl Choice<'_> {
+    /// Whether nobody tells what is in flight at this head's hall.
+    fn is_silent(&self, head: &Runner) -> bool {
+        self.silent.contains(&head.hall)
+    }
+}
+
 /// What a group promises a request.
 #[derive(Clone, Copy, Debug)]
 struct Rating {
@@ -171,7 +178,9 @@
     /// Decides between groups that promise the same.
     tie: u32,
     epoch: Epoch,
-    /// The part of its slots in use.
+    /// The part of its slots in use; all of them where the way there seems cut: its hall does
+    /// not tell, and a request has failed there lately. It would fail there first, and then
+    /// meet groups that are full.
     used: f64,
 }
 
@@ -217,7 +226,9 @@
             let load = load(epoch);
             let expected = self.expect(choice, head, epoch, load, now) + reading;
             let wait = expected + penalize(choice, head, load);
-            Rating { expected, wait, tie: rng.random(), epoch, used: part_used(head, load) }
+            let cut = choice.is_silent(head) && load.doubts > 0;
+            let used = if cut { 1.0 } else { part_used(head, load) };
+            Rating { expected, wait, tie: rng.random(), epoch, used }
         });
         let rated: Vec<Rating> = rated.collect();
         let later = self.find_later(question);
@@ -250,7 +261,7 @@
 fn penalize(choice: &Choice, head: &Runner, load: Load) -> f64 {
     let away = match head.hall == *choice.hall {
         true => 0.0,
-        false if choice.silent.contains(&head.hall) => SILENT,
+        false if choice.is_silent(head) => SILENT,
         false => AWAY,
     };
     away + DOUBT * f64::from(load.doubts)
--- a/crates/fleet/tests/dispatch.rs
+++ b/crates/fleet/tests/dispatch.rs
@@ -179,6 +179,31 @@
     assert_eq!(taken(reply), Some(Epoch(1)));
 }
 
+#[test]
+fn a_group_behind_a_cut_has_no_room_to_spare() {
+    let hall: id::Hall = "hall-a".parse().unwrap();
+    let model = model();
+    let (here, there) = (head(1, "hall-a"), head(2, "hall-b"));
+    let heads = [&here, &there];
+    let ask = |silent: &[id::Hall], doubts: u32| {
+        let choice = Choice { hall: &hall, silent, heads: &heads, model: &model, speed: &SPEED };
+        let load = |epoch: Epoch| match epoch {
+            Epoch(1) => running(20),
+            _ => Load { running: 0, doubts },
+        };
+        let mut rng = SmallRng::seed_from_u64(1);
+        let question = question(Urgency::Within(20), &[]);
+        Dispatcher::default().choose(&choice, &question, load, Millis(1000), &mut rng)
+    };
+    let silent = ["hall-b".parse().unwrap()];
+    // Nobody tells of the other hall, and a request to its group has failed.
+    assert!(matches!(ask(&silent, 1), Reply::Full(_)));
+    // Its collector may have died: its groups are tried.
+    assert_eq!(taken(ask(&silent, 0)), Some(Epoch(2)));
+    // The hall tells: one request that failed does not fill a group.
+    assert_eq!(taken(ask(&[], 1)), Some(Epoch(2)));
+}
+
 /// How requests find their groups.
 #[derive(Clone, Copy, PartialEq, Eq)]
 enum Policy {
