Count the sources passed over, by reason; show the highest age of the proof

A node that learned nothing for 2 s could not be told from its metrics: they are fetched every five seconds, and its log of that moment was not kept. The new counter tells a store that refuses from nodes that know nothing and from nodes that are gone, which sets the three hypotheses apart. No change of logic.

--- a/crates/node/src/figures.rs
+++ b/crates/node/src/figures.rs
@@ -1,5 +1,6 @@
 //! The figures of a node, as the metrics port shows them.
 
+use std::collections::VecDeque;
 use std::convert::Infallible;
 use std::sync::Arc;
 
@@ -25,6 +26,10 @@
 /// How often figures that are states are taken.
 const SAMPLE: Millis = Millis(1000);
 
+/// How many samples the highest age of the proof is taken of: figures that are fetched
+/// less often than that miss what came between.
+const SAMPLES: usize = 10;
+
 /// The bounds of latency histograms, in seconds: around what is wanted of first
 /// events today, 0.15 to 0.5 s.
 const LATENCY: [f64; 9] = [0.05, 0.1, 0.15, 0.2, 0.3, 0.5, 1.0, 2.0, 5.0];
@@ -40,6 +45,13 @@
     metrics::counter!("cottoncrank_attempts_failed_total", "reason" => reason).increment(1);
 }
 
+/// A source of what the store holds gave nothing that can be used: one of the nodes or
+/// the store itself.
+pub fn count_source_failure(source: &'static str, reason: &'static str) {
+    metrics::counter!("cottoncrank_sources_failed_total", "source" => source, "reason" => reason)
+        .increment(1);
+}
+
 /// A stream was cut after its first event.
 pub fn count_cut() {
     metrics::counter!("cottoncrank_streams_cut_total").increment(1);
@@ -60,10 +72,16 @@
 
 /// Takes figures that are states, until the process ends.
 pub async fn sample(node: Arc<Node>) {
+    let mut ages = VecDeque::new();
     loop {
-        let age = node.freshness.lock().age(node.now());
-        metrics::gauge!("cottoncrank_store_proof_age_seconds")
-            .set(age.map_or(-1.0, |age| age.0 as f64 / 1000.0));
+        let age = node.freshness.lock().age(node.now()).map_or(-1.0, |age| age.0 as f64 / 1000.0);
+        ages.push_back(age);
+        if ages.len() > SAMPLES {
+            ages.pop_front();
+        }
+        metrics::gauge!("cottoncrank_store_proof_age_seconds").set(age);
+        metrics::gauge!("cottoncrank_store_proof_age_max_seconds")
+            .set(ages.iter().copied().fold(-1.0, f64::max));
         metrics::gauge!("cottoncrank_requests_running").set(node.running() as f64);
         metrics::gauge!("cottoncrank_runners_known").set(node.roster.lock().iter().count() as f64);
         metrics::gauge!("cottoncrank_nodes_known").set(node.directory.lock().count() as f64);
--- a/crates/node/src/sync.rs
+++ b/crates/node/src/sync.rs
@@ -12,6 +12,7 @@
 use thiserror::Error;
 
 use crate::feed::{self, UnpackError};
+use crate::figures;
 use crate::intake::{Learned, Proof, take_in};
 use crate::member;
 use crate::peer::{self, Ask, AskError};
@@ -77,6 +78,18 @@
             _ => Failure::Useless,
         }
     }
+
+    /// What the metrics say of it.
+    fn reason(&self) -> &'static str {
+        match self {
+            SyncError::Ask(AskError::Call(CallError::Status { .. })) => "unsure",
+            SyncError::Store(StoreError::Busy(_)) => "refused",
+            SyncError::Ask(AskError::Call(_)) | SyncError::Store(StoreError::Call(_)) => "no_answer",
+            SyncError::Old(_) => "old",
+            SyncError::Behind { .. } => "behind",
+            SyncError::Ask(AskError::Unpack(_)) | SyncError::Unpack(_) | SyncError::Store(_) => "unreadable",
+        }
+    }
 }
 
 /// Where this node learns.
@@ -159,10 +172,12 @@
                 self.revision = None;
             }
             (Err(error), Source::Reader(peer) | Source::Senior(peer)) => {
+                figures::count_source_failure("node", error.reason());
                 log::info!("sync: {} is passed over: {error}", peer.node);
                 self.sources.note_failure(peer.node, error.failure(), now);
             }
             (Err(error), Source::Store | Source::Nobody(_)) => {
+                figures::count_source_failure("store", error.reason());
                 if self.reached {
                     log::warn!("sync: {error}; going on with what is known at {:?}", self.revision);
                 }
