--- a/crates/fleet/src/directory.rs
+++ b/crates/fleet/src/directory.rs
@@ -82,25 +82,31 @@
     }
 
     /// The readers that `me` may ask, best first. None if it is one of them.
-    pub fn list_sources(&self, me: &id::Node, hall: &id::Hall) -> Vec<Peer> {
+    pub fn list_sources(&self, me: &id::Node, hall: &id::Hall) -> Vec<&Peer> {
         let readers = self.list_readers(hall);
         if readers.iter().any(|peer| peer.node == *me) {
             return Vec::new();
         }
-        let mut sources: Vec<Peer> = readers.into_iter().cloned().collect();
-        // Each node has its own order, so that the readers of a hall share the work.
-        sources.sort_by_key(|peer| score(me.as_str(), peer.node.as_str()));
-        sources
+        sort_for(me, readers.into_iter())
     }
 
-    /// The first readers of the other halls, in the order in which `me` asks them: each
-    /// node has its own.
-    pub fn list_distant(&self, me: &id::Node, hall: &id::Hall) -> Vec<Peer> {
+    /// The readers of the other halls, in the order in which `me` asks them: each node has
+    /// its own.
+    pub fn list_distant(&self, me: &id::Node, hall: &id::Hall) -> Vec<&Peer> {
         let halls = self.list_halls().into_iter().filter(|other| *other != hall);
-        let firsts = halls.filter_map(|other| self.list_readers(other).first().copied());
-        let mut firsts: Vec<Peer> = firsts.cloned().collect();
-        firsts.sort_by_key(|peer| score(me.as_str(), peer.node.as_str()));
-        firsts
+        sort_for(me, halls.flat_map(|other| self.list_readers(other)))
+    }
+
+    /// The nodes that are no readers, `me` left out, in the order in which it asks them.
+    pub fn list_further(&self, me: &id::Node) -> Vec<&Peer> {
+        let readers: BTreeSet<&id::Node> = self
+            .list_halls()
+            .into_iter()
+            .flat_map(|hall| self.list_readers(hall))
+            .map(|peer| &peer.node)
+            .collect();
+        let others = self.0.values().filter(|peer| peer.node != *me && !readers.contains(&peer.node));
+        sort_for(me, others)
     }
 
     /// How many nodes stand for deciding before `me` does: those with more processor
@@ -126,3 +132,11 @@
         ranked
     }
 }
+
+/// Nodes in the order in which `me` asks them. Each has its own, so that those asked share
+/// the work.
+fn sort_for<'a>(me: &id::Node, peers: impl Iterator<Item = &'a Peer>) -> Vec<&'a Peer> {
+    let mut sorted: Vec<&Peer> = peers.collect();
+    sorted.sort_by_cached_key(|peer| score(me.as_str(), peer.node.as_str()));
+    sorted
+}
--- a/crates/fleet/src/settings.rs
+++ b/crates/fleet/src/settings.rs
@@ -41,6 +41,8 @@
     pub grace: Millis,
     /// A group that lacks a member stands still for this long and is broken then.
     pub stall: Millis,
+    /// A configuration that was accepted is in force everywhere within this.
+    pub apply: Millis,
     /// How fast runners may load from the shared weight store.
     pub ceiling: Ceiling,
     /// How many requests may be sent again, as a ratio of all.
--- a/crates/node/src/intake.rs
+++ b/crates/node/src/intake.rs
@@ -18,6 +18,8 @@
     pub whole: bool,
     /// When the store surely held nothing newer.
     pub proven: Proof,
+    /// Up to when all that the store held is known, unless a watch was deaf.
+    pub contact: Millis,
 }
 
 /// What an answer proves of the store's age.
@@ -40,6 +42,7 @@
         false => take_changes(node, learned.batch),
     };
     if caught_up {
+        node.note_contact(learned.contact);
         let mut freshness = node.freshness.lock();
         match learned.proven {
             Proof::Read(asked) => freshness.prove_read(asked),
--- a/crates/node/src/peer.rs
+++ b/crates/node/src/peer.rs
@@ -42,6 +42,10 @@
 /// How much longer than it asked to wait a question may take.
 const SLACK: Millis = Millis(400);
 
+/// A question without news is answered no sooner than this, for each costs a call; a
+/// question waits for 0.7 s on average, as long as a watch of the store.
+const RENEWED: Millis = Millis(200);
+
 /// A question for what is new.
 #[derive(Clone, Copy, Debug, Serialize, Deserialize)]
 pub struct Ask {
@@ -62,6 +66,8 @@
     pub waited_ms: u64,
     /// How long ago it was proven that the store held nothing newer, in milliseconds.
     pub age_ms: u64,
+    /// For how long this node may have missed changes of the store, in milliseconds.
+    pub silence_ms: u64,
     /// The items, packed.
     pub items: Bytes,
 }
@@ -160,7 +166,9 @@
     if !*serving.borrow() {
         return reply(StatusCode::SERVICE_UNAVAILABLE, Bytes::new());
     }
-    let Some((news, age)) = node.feed.read(question.after).zip(node.freshness.lock().age(node.now())) else {
+    let age = node.freshness.lock().age(node.now());
+    let told = node.feed.read(question.after).zip(age).zip(node.silence());
+    let Some(((news, age), silence)) = told else {
         return reply(StatusCode::SERVICE_UNAVAILABLE, Bytes::new());
     };
     match feed::pack(&news.items) {
@@ -169,6 +177,7 @@
             whole: news.whole,
             waited_ms: node.now().since(started).0,
             age_ms: age.0,
+            silence_ms: silence.0,
             items,
         }),
         Err(error) => fail_encoding(&error),
@@ -187,13 +196,21 @@
     reply(StatusCode::INTERNAL_SERVER_ERROR, Bytes::new())
 }
 
-/// Waits until there is something newer than the asking node has, or its time is over.
+/// Waits until there is something newer than the asking node has, or its time is over. An
+/// answer without news is given when this node has just been in contact with the store
+/// itself, so that those that ask it are hardly longer without than it is.
 async fn wait_newer(node: &Node, question: Ask) {
     let Some(after) = question.after else { return };
+    let least = node.now() + RENEWED;
     let mut revision = node.feed.subscribe();
+    let mut contact = node.contact.subscribe();
     let newer = revision.wait_for(|revision| revision.is_some_and(|revision| revision > after));
-    // Either way the feed is read next, and says what there is.
-    let _ = tokio::time::timeout(Millis(question.wait_ms).duration(), newer).await;
+    let renewed = contact.wait_for(|contact| contact.is_some_and(|contact| contact > least));
+    let either = async {
+        // Whichever comes first: the feed is read next, and says what there is.
+        tokio::select! { _ = newer => {} _ = renewed => {} }
+    };
+    let _ = tokio::time::timeout(Millis(question.wait_ms).duration(), either).await;
 }
 
 fn reply(status: StatusCode, bytes: Bytes) -> Answer {
--- a/crates/node/src/request.rs
+++ b/crates/node/src/request.rs
@@ -83,7 +83,7 @@
     node.wait_synced(START).await;
     let catalog = node.catalog.lock().clone().ok_or(Refusal::Unsure)?;
     let body = read_body(body, catalog.limits.body_bytes).await?;
-    let route = find_route(&catalog, &head)?;
+    let route = find_route(&catalog, &head).map_err(|refusal| verify(node, refusal))?;
     let account = match route.anonymous || !catalog.has_accounts() {
         true => None,
         false => {
@@ -91,7 +91,7 @@
                 return Err(Refusal::Unsure);
             }
             let key = terms.key.as_deref().ok_or(Refusal::Key)?;
-            Some(catalog.find_account(key).ok_or(Refusal::Key)?)
+            Some(catalog.find_account(key).ok_or_else(|| verify(node, Refusal::Key))?)
         }
     };
     let priority = account.and_then(|account| account.priority).unwrap_or(route.priority).min(PRIORITY_MAX);
@@ -111,6 +111,12 @@
     })
 }
 
+/// What a refusal for want of a route or a key becomes where a newer configuration may
+/// have it: the caller may come back, and others may know.
+fn verify(node: &Node, refusal: Refusal) -> Refusal {
+    if node.knows_catalog() { refusal } else { Refusal::Unsure }
+}
+
 fn find_route(catalog: &Catalog, head: &Parts) -> Result<Arc<Route>, Refusal> {
     let host = head.headers.get(HOST).and_then(|host| host.to_str().ok()).unwrap_or_default();
     let name = host.split_once(':').map_or(host, |(name, _)| name);
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -11,7 +11,7 @@
 use cottoncrank_fleet::catalog::Catalog;
 use cottoncrank_fleet::directory::Directory;
 use cottoncrank_fleet::dispatch::{Dispatcher, Sample};
-use cottoncrank_fleet::freshness::Freshness;
+use cottoncrank_fleet::freshness::{Freshness, MARGIN};
 use cottoncrank_fleet::halt::Halts;
 use cottoncrank_fleet::limit::Limit;
 use cottoncrank_fleet::occupancy::{Counts, Sum, Table, View};
@@ -55,6 +55,8 @@
     pub catalog: Mutex<Option<Arc<Catalog>>>,
     /// What is proven of the configuration's age.
     pub freshness: Mutex<Freshness>,
+    /// Up to when this node surely knows all that the store held, as far as it can tell.
+    pub contact: watch::Sender<Option<Millis>>,
     /// What the store holds, for other nodes.
     pub feed: Feed,
     /// The nodes.
@@ -114,6 +116,7 @@
             directory: Mutex::default(),
             clock: System::new(),
             catalog: Mutex::default(),
+            contact: watch::Sender::new(None),
             freshness: Mutex::default(),
             roster: Mutex::default(),
             plans: Mutex::default(),
@@ -203,6 +206,28 @@
         self.freshness.lock().allows(self.now(), self.settings().bounds.revoke)
     }
 
+    /// This node knew all that the store held at `at`.
+    pub fn note_contact(&self, at: Millis) {
+        self.contact.send_if_modified(|contact| {
+            let renewed = Some(at) > *contact;
+            *contact = (*contact).max(Some(at));
+            renewed
+        });
+    }
+
+    /// For how long this node may have missed changes of the store.
+    pub fn silence(&self) -> Option<Millis> {
+        self.contact.borrow().map(|contact| self.now().since(contact))
+    }
+
+    /// Whether the configuration held here is the one that has to be in force. A node that
+    /// has missed changes for longer cannot say that there is no such route or key: it
+    /// refused routes with 404 that had been accepted more than 3 s before.
+    pub fn knows_catalog(&self) -> bool {
+        let bound = self.settings().bounds.apply - MARGIN;
+        self.silence().is_some_and(|silence| silence < bound)
+    }
+
     /// Whether the node takes callers.
     pub fn is_ready(&self) -> bool {
         !*self.draining.borrow() && self.is_synced() && self.catalog.lock().is_some() && self.trusts_keys()
--- a/crates/node/src/sync.rs
+++ b/crates/node/src/sync.rs
@@ -5,6 +5,7 @@
 
 use cottoncrank::Millis;
 use cottoncrank_fleet::directory::Peer;
+use cottoncrank_fleet::settings::Settings;
 use cottoncrank_fleet::source::{Failure, Source, Sources};
 use cottoncrank_net::client::{CallError, Client, Traffic};
 use cottoncrank_platform::store::{Batch, StoreError};
@@ -24,9 +25,17 @@
 /// configuration has to be in force, also at nodes that ask this one.
 const WATCH: Millis = Millis(700);
 
-/// How long another node is asked to wait. Shorter than a watch: the proof it
-/// passes on has an age already.
-const ASK: Millis = Millis(700);
+/// How long another node is asked to wait: longer than a watch, for it answers when its
+/// own is over.
+const ASK: Millis = Millis(1000);
+
+/// A question that fails within this was refused or broken at once: to ask again costs
+/// nothing.
+const AT_ONCE: Millis = Millis(100);
+
+/// A question gets this much time also where the store has to be called next: nodes of
+/// another hall answer within some 10 ms.
+const ASK_LEAST: Millis = Millis(100);
 
 /// The pause after a batch of changes, so that the next watch brings several at
 /// once: each costs a call, and the strictest bound is two seconds.
@@ -35,10 +44,6 @@
 /// The same at the node that decides: groups stand still until it knows.
 const GATHER_DECIDING: Millis = Millis(50);
 
-/// Another node's proof older than this is not good enough: the store is read
-/// here instead. A watch begun then still proves the keys in time.
-const AGE_MAX: Millis = Millis(3000);
-
 /// When the whole system starts for the first time, a node waits for this long, and up
 /// to half as long again, until the others have written their entries: they take some
 /// 0.2 s. Callers come seconds later.
@@ -64,18 +69,27 @@
     Ask(#[from] AskError),
     #[error("node: {0}")]
     Unpack(#[from] UnpackError),
-    #[error("node: what it knows of the store is {0} old")]
+    #[error("node: it may have missed changes of the store for {0}")]
     Old(Millis),
+    #[error("node: no answer within {0}, after which the store is called")]
+    Overdue(Millis),
     #[error("node: it is at revision {there}, this one at {here}")]
     Behind { there: u64, here: u64 },
 }
 
 impl SyncError {
     /// What it says of the node that was asked.
-    fn failure(&self) -> Failure {
+    fn failure(&self, took: Millis) -> Failure {
         match self {
-            SyncError::Ask(AskError::Call(CallError::Status { .. })) => Failure::Unsure,
-            _ => Failure::Useless,
+            SyncError::Ask(AskError::Call(CallError::Status { .. }))
+            | SyncError::Old(_)
+            | SyncError::Behind { .. } => Failure::Unsure,
+            SyncError::Ask(AskError::Call(CallError::Connect { .. } | CallError::Broken { .. }))
+                if took < AT_ONCE =>
+            {
+                Failure::Ended
+            }
+            _ => Failure::Silent,
         }
     }
 
@@ -84,7 +98,9 @@
         match self {
             SyncError::Ask(AskError::Call(CallError::Status { .. })) => "unsure",
             SyncError::Store(StoreError::Busy(_)) => "refused",
-            SyncError::Ask(AskError::Call(_)) | SyncError::Store(StoreError::Call(_)) => "no_answer",
+            SyncError::Ask(AskError::Call(_))
+            | SyncError::Store(StoreError::Call(_))
+            | SyncError::Overdue(_) => "no_answer",
             SyncError::Old(_) => "old",
             SyncError::Behind { .. } => "behind",
             SyncError::Ask(AskError::Unpack(_)) | SyncError::Unpack(_) | SyncError::Store(_) => "unreadable",
@@ -105,7 +121,8 @@
 /// Follows the store until the process ends.
 pub async fn run(node: Arc<Node>) {
     let client = Client::new(Traffic::default());
-    let mut sync = Sync { node, client, revision: None, sources: Sources::default(), reached: true };
+    let sources = Sources::new(node.settings().bounds.apply);
+    let mut sync = Sync { node, client, revision: None, sources, reached: true };
     sync.start().await;
     loop {
         sync.follow().await;
@@ -126,14 +143,18 @@
                 Ok(items) => member::take_entries(&self.node, &items),
                 Err(error) => return log::info!("sync: other nodes are not known: {error}"),
             }
-            let readers = self.node.directory.lock().list_sources(&settings.node, &settings.hall);
             let mut unsure = false;
-            for reader in readers.into_iter().take(START_READERS) {
+            for reader in self.list_starters(&settings) {
+                let asked = self.node.now();
                 match self.ask(&reader, Millis(0)).await {
-                    Ok(learned) => return self.take(learned, false).await,
+                    Ok(learned) => {
+                        self.sources.note_answer(learned.contact, self.node.now());
+                        return self.take(learned, false).await;
+                    }
                     Err(error) => {
                         log::info!("sync: {} does not say what the store holds: {error}", reader.node);
-                        unsure |= error.failure() == Failure::Unsure;
+                        let took = self.node.now().since(asked);
+                        unsure |= error.failure(took) == Failure::Unsure;
                     }
                 }
             }
@@ -144,13 +165,22 @@
         }
     }
 
+    /// The readers that a node asks when it starts.
+    fn list_starters(&self, settings: &Settings) -> Vec<Peer> {
+        let directory = self.node.directory.lock();
+        let readers = directory.list_sources(&settings.node, &settings.hall);
+        readers.into_iter().take(START_READERS).cloned().collect()
+    }
+
     async fn follow(&mut self) {
         let source = self.pick_source();
+        let began = self.node.now();
         if matches!(source, Source::Reader(_)) {
             self.node.feed.set_serving(false);
         }
         let outcome = match &source {
-            Source::Reader(peer) | Source::Senior(peer) => self.ask(peer, ASK).await,
+            Source::Reader(peer) => self.ask_patiently(peer, false).await,
+            Source::Senior(peer) => self.ask_patiently(peer, true).await,
             Source::Store => self.read_store().await,
             Source::Nobody(pause) => {
                 self.note_away();
@@ -162,7 +192,7 @@
             (Ok(learned), source) => {
                 match source {
                     Source::Store => self.sources.note_store_answer(now),
-                    _ => self.sources.note_answer(),
+                    _ => self.sources.note_answer(learned.contact, now),
                 }
                 let serving = !matches!(source, Source::Reader(_));
                 self.take(learned, serving).await;
@@ -174,7 +204,7 @@
             (Err(error), Source::Reader(peer) | Source::Senior(peer)) => {
                 figures::count_source_failure("node", error.reason());
                 log::info!("sync: {} is passed over: {error}", peer.node);
-                self.sources.note_failure(peer.node, error.failure(), now);
+                self.sources.note_failure(peer.node, error.failure(now.since(began)), now);
             }
             (Err(error), Source::Store | Source::Nobody(_)) => {
                 figures::count_source_failure("store", error.reason());
@@ -212,9 +242,12 @@
         let directory = self.node.directory.lock();
         let holder = self.node.decider.borrow().clone().and_then(|holder| holder.node);
         let (now, rng) = (self.node.now(), &mut rand::rng());
-        if self.node.is_deciding() || self.revision.is_none() {
+        if self.revision.is_none() {
             return self.sources.wait_for_store(now);
         }
+        if self.node.is_deciding() {
+            return self.sources.pick_store(&settings.node, &settings.hall, &directory, now);
+        }
         self.sources.pick(&settings.node, &settings.hall, holder.as_ref(), &directory, now, rng)
     }
 
@@ -222,20 +255,32 @@
         let asked = self.node.now();
         let Some(after) = self.revision else {
             let batch = self.node.store.read_all().await?;
-            return Ok(Learned { batch, whole: true, proven: Proof::Read(asked) });
+            return Ok(Learned { batch, whole: true, proven: Proof::Read(asked), contact: asked });
         };
         let batch = self.node.store.watch(after, WATCH).await?;
         let waited = if batch.items.is_empty() { WATCH } else { Millis(0) };
-        Ok(Learned { batch, whole: false, proven: Proof::Watch(asked, waited) })
+        let contact = self.node.now();
+        Ok(Learned { batch, whole: false, proven: Proof::Watch(asked, waited), contact })
+    }
+
+    /// Asks another node, for no longer than until the store has to be called.
+    async fn ask_patiently(&self, peer: &Peer, reader: bool) -> Result<Learned, SyncError> {
+        let Some(left) = self.sources.patience(reader, self.node.now()) else {
+            return self.ask(peer, ASK).await;
+        };
+        let left = left.max(ASK_LEAST);
+        tokio::time::timeout(left.duration(), self.ask(peer, ASK))
+            .await
+            .unwrap_or(Err(SyncError::Overdue(left)))
     }
 
     async fn ask(&self, peer: &Peer, wait: Millis) -> Result<Learned, SyncError> {
         let asked = self.node.now();
         let question = Ask { after: self.revision, wait_ms: wait.0 };
         let told = peer::ask(&self.client, peer.address, question).await?;
-        let age = Millis(told.age_ms);
-        if age > AGE_MAX {
-            return Err(SyncError::Old(age));
+        let silence = Millis(told.silence_ms);
+        if !self.sources.accepts(silence) {
+            return Err(SyncError::Old(silence));
         }
         let here = self.revision.unwrap_or(0);
         if told.revision < here {
@@ -243,8 +288,9 @@
         }
         let batch = Batch { items: feed::unpack(&told.items)?, revision: told.revision };
         // The answer was given after it was asked for and had waited.
-        let proven = Proof::Read((asked + Millis(told.waited_ms)) - age);
-        Ok(Learned { batch, whole: told.whole, proven })
+        let answered = asked + Millis(told.waited_ms);
+        let proven = Proof::Read(answered - Millis(told.age_ms));
+        Ok(Learned { batch, whole: told.whole, proven, contact: answered - silence })
     }
 
     async fn take(&mut self, learned: Learned, serving: bool) {
