Tell the lives of a runner apart, which may start again under its id

A runner was believed to have a new id after every start of its process. One that started again under its id was taken to join without a load, an order that its former life had taken was repeated after 5 s only, a Leave taken then counted as done, and a group with a member back within two questions stood in the plans as whole.

The start of its process is decoded from its entry and its report; the newest of any source wins, and an entry of a former life is passed over. The plan names the lives of a group's members, so any deciding node sees that one has started again: the group is given up, and where it was the head, its members are free at once. What is remembered of orders, questions and failed requests goes with the life. Where no start is told, a member that vanished from an open group is a loss.

--- a/crates/fleet/src/balance.rs
+++ b/crates/fleet/src/balance.rs
@@ -123,6 +123,15 @@
         record.avoid = now + AVOID;
     }
 
+    /// A runner has started again under its id: what speaks against it was seen of its
+    /// former life. Requests in flight there count until their connections have ended.
+    pub fn restart(&mut self, id: &id::Runner) {
+        if let Some(record) = self.records.get_mut(id) {
+            record.avoid = Millis(0);
+            record.streams = 0;
+        }
+    }
+
     /// Forgets a runner that is gone.
     pub fn forget(&mut self, id: &id::Runner) {
         self.records.remove(id);
--- a/crates/fleet/src/decide.rs
+++ b/crates/fleet/src/decide.rs
@@ -26,7 +26,7 @@
 use crate::probe::{Probes, Sign};
 use crate::reserve::{Losses, Risk};
 use crate::roster::Roster;
-use crate::runner::{Epoch, Phase, Runner};
+use crate::runner::{Epoch, Life, Phase, Runner, is_later};
 use crate::settings::Ceiling;
 use crate::share::list_lacking;
 use crate::staging::order_staging;
@@ -68,6 +68,8 @@
     pub(crate) first: HashMap<(id::Runner, Order), Millis>,
     /// Orders that the runner answered as done or begun.
     pub(crate) taken: HashSet<(id::Runner, Order)>,
+    /// The lives of the runners that the above were given to.
+    lives: HashMap<id::Runner, Life>,
     /// What each runner was last told to stage.
     staged: HashMap<id::Runner, Staging>,
     /// Groups whose members were refused in a way that no repeat mends.
@@ -104,12 +106,33 @@
     }
 
     /// A runner answered an order as done or begun at `now`.
-    pub fn note_taken(&mut self, runner: &id::Runner, order: &Order, now: Millis) {
+    ///
+    /// The answer is of the life it was given in: `life`. What a former life took, the
+    /// present one knows nothing of.
+    pub fn note_taken(&mut self, runner: &id::Runner, life: Option<Life>, order: &Order, now: Millis) {
         if let Order::Leave(group, epoch) = order {
             // Whichever member left: the group stands still from now on.
             self.halted.entry((group.clone(), *epoch)).or_insert(now);
         }
-        self.taken.insert((runner.clone(), order.clone()));
+        let present = self.lives.get(runner).copied();
+        if !is_later(present, life) {
+            self.taken.insert((runner.clone(), order.clone()));
+        }
+    }
+
+    /// Forgets what was told to former lives of runners.
+    fn notice_lives(&mut self, roster: &Roster) {
+        for runner in roster.iter() {
+            let Some(life) = runner.life else { continue };
+            let before = self.lives.insert(runner.id.clone(), life);
+            if is_later(Some(life), before) {
+                let other = |(id, _): &(id::Runner, Order)| *id != runner.id;
+                self.given.retain(|key, _| other(key));
+                self.first.retain(|key, _| other(key));
+                self.taken.retain(other);
+                self.staged.remove(&runner.id);
+            }
+        }
     }
 
     /// A runner is told to load a model on the side.
@@ -137,6 +160,7 @@
 
     /// Forgets what was given to runners, and known of groups, that are gone.
     fn forget(&mut self, scene: &Scene) {
+        self.notice_lives(scene.roster);
         let known = |runner: &id::Runner| scene.roster.recall(runner).is_some();
         let groups = scene.plans.values().flat_map(|plan| &plan.groups);
         let names: HashSet<(&id::Group, Epoch)> = groups.map(|group| (&group.name, group.epoch)).collect();
@@ -148,6 +172,7 @@
         self.given.retain(|key, at| matters(key) || lately(at));
         self.first.retain(|key, _| matters(key));
         self.taken.retain(matters);
+        self.lives.retain(|runner, _| known(runner));
         self.staged.retain(|runner, _| known(runner));
         self.refused.retain(|(group, epoch)| planned(group, *epoch));
         self.halted.retain(|(group, epoch), _| planned(group, *epoch));
@@ -205,6 +230,12 @@
         !runner.draining && !matches!(self.probes.sign(&runner.id), Sign::Silent | Sign::Slow)
     }
 
+    /// Whether a member of a group has started again since the group was planned.
+    pub(crate) fn has_restarted(&self, group: &Group, member: &id::Runner) -> bool {
+        let planned = group.find_life(member);
+        self.roster.recall(member).is_some_and(|runner| is_later(runner.life, planned))
+    }
+
     /// A runner that is there and answers.
     pub(crate) fn find(&self, id: &id::Runner) -> Option<&'a Runner> {
         self.roster.get(id).filter(|_| !self.probes.is_silent(id))
--- a/crates/fleet/src/form.rs
+++ b/crates/fleet/src/form.rs
@@ -82,6 +82,7 @@
             epoch,
             service: scene.service.id.clone(),
             model,
+            lives: choice.members.iter().map(|id| scene.roster.get(id)?.life).collect(),
             members: choice.members,
             state: State::Active,
             still: false,
--- a/crates/fleet/src/loss.rs
+++ b/crates/fleet/src/loss.rs
@@ -31,6 +31,12 @@
     let head = group.head().and_then(|id| scene.roster.get(id));
     let open = head.is_some_and(|head| matches!(find_phase(head, group), Some(Phase::Open | Phase::Closing)));
     let losses = group.members.iter().filter_map(|member| match scene.roster.get(member) {
+        _ if scene.has_restarted(group, member) => {
+            Some(Loss::lost(format!("member {member} has started again")))
+        }
+        Some(runner) if open && find_phase(runner, group).is_none() => {
+            Some(Loss::lost(format!("member {member} is in the group no more")))
+        }
         Some(runner) => find_fault(scene, group, runner),
         None => find_absence(scene, group, member, open),
     });
@@ -86,7 +92,8 @@
 /// store alone, and come back one after the other.
 fn is_over(scene: &Scene, group: &Group, memory: &Memory) -> bool {
     let Some(head) = group.head() else { return true };
-    if scene.probes.is_gone(head) {
+    // Its process is no more, and what it served has ended with that.
+    if scene.probes.is_gone(head) || scene.has_restarted(group, head) {
         return true;
     }
     let left = memory.taken.contains(&(head.clone(), Order::Leave(group.name.clone(), group.epoch)));
--- a/crates/fleet/src/plan.rs
+++ b/crates/fleet/src/plan.rs
@@ -6,7 +6,7 @@
 use cottoncrank::id;
 use serde::{Deserialize, Serialize};
 
-use crate::runner::Epoch;
+use crate::runner::{Epoch, Life};
 
 /// A group as planned.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -26,6 +26,11 @@
     /// Whether it is given up and a member is known to be away, so that it stands still.
     #[serde(default)]
     pub still: bool,
+    /// The lives of its members by rank, as they were known when it was planned: a member
+    /// that has started again is in no group, though its id is the same. Nodes that
+    /// knew no lives wrote none.
+    #[serde(default)]
+    pub lives: Vec<Option<Life>>,
 }
 
 /// What is meant to become of a group.
@@ -46,6 +51,12 @@
         self.state != State::Active
     }
 
+    /// The life in which a member was planned, where that was known.
+    pub fn find_life(&self, member: &id::Runner) -> Option<Life> {
+        let rank = self.members.iter().position(|id| id == member)?;
+        *self.lives.get(rank)?
+    }
+
     /// The member that takes the requests.
     pub fn head(&self) -> Option<&id::Runner> {
         self.members.first()
--- a/crates/fleet/src/probe.rs
+++ b/crates/fleet/src/probe.rs
@@ -5,6 +5,8 @@
 
 use cottoncrank::id;
 
+use crate::runner::{Life, is_later};
+
 /// Questions in a row without an answer after which a runner counts as silent.
 pub const MISSES: u32 = 2;
 
@@ -38,6 +40,8 @@
     pub hall: id::Hall,
     /// What it said, to the last question of the round.
     pub reported: Reported,
+    /// In which life it answered, where it said so.
+    pub life: Option<Life>,
     /// How many questions were put to it.
     pub asked: u32,
 }
@@ -65,6 +69,8 @@
     slow: u32,
     /// Whether another runner has answered at its address.
     gone: bool,
+    /// The life in which it answered last.
+    life: Option<Life>,
 }
 
 /// What rounds of questions have shown so far.
@@ -126,6 +132,8 @@
             self.records.keys().filter(|runner| self.is_silent(runner)).cloned().collect();
         let records = round.iter().map(|answer| {
             let before = self.records.get(&answer.runner);
+            // What was seen of a former life says nothing of this one.
+            let before = before.filter(|record| !is_later(answer.life, record.life));
             let (misses, slow) = before.map_or((0, 0), |record| (record.misses, record.slow));
             let gone = before.is_some_and(|record| record.gone) || answer.reported == Reported::Gone;
             let record = Record {
@@ -138,6 +146,7 @@
                     Reported::Silent | Reported::Gone => slow,
                 },
                 gone,
+                life: answer.life.or(before.and_then(|record| record.life)),
             };
             (answer.runner.clone(), record)
         });
--- a/crates/fleet/src/roster.rs
+++ b/crates/fleet/src/roster.rs
@@ -5,7 +5,7 @@
 use cottoncrank::{Millis, id};
 
 use crate::plan::{Group, Plans};
-use crate::runner::{Phase, Runner};
+use crate::runner::{Life, Phase, Runner, is_later};
 
 /// Runners whose entry lapsed while the store was away are given this long
 /// after its return to write themselves in again. The platform names about two
@@ -23,6 +23,17 @@
     missing: Option<Millis>,
 }
 
+/// What an entry told of a runner's life.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Notice {
+    /// It is the life that was known, or lives are not told.
+    Known,
+    /// The runner has started again under its id.
+    Restarted,
+    /// The entry is of a former life.
+    Outdated,
+}
+
 /// All runners, by id.
 #[derive(Clone, Debug, Default)]
 pub struct Roster {
@@ -40,12 +51,43 @@
 }
 
 impl Roster {
-    /// A runner has written its entry. What it served before is kept.
-    pub fn put(&mut self, mut runner: Runner) {
-        let before = self.recall(&runner.id).and_then(|known| known.served.clone());
-        runner.served = runner.models.first().cloned().or(before);
+    /// A runner has written its entry. What it served before in the same life is kept. An
+    /// entry of a former life, which may come late, is passed over.
+    pub fn put(&mut self, mut runner: Runner) -> Notice {
+        let known = self.recall(&runner.id);
+        let before = known.and_then(|known| known.life);
+        if is_later(before, runner.life) {
+            return Notice::Outdated;
+        }
+        let notice = if is_later(runner.life, before) { Notice::Restarted } else { Notice::Known };
+        let served = known.filter(|_| notice == Notice::Known).and_then(|known| known.served.clone());
+        runner.served = runner.models.first().cloned().or(served);
+        runner.life = runner.life.or(before);
         self.departed.remove(&runner.id);
         self.entries.insert(runner.id.clone(), Entry { runner, missing: None });
+        notice
+    }
+
+    /// A runner has said in which life it is. Returns whether that is a later one than was
+    /// known: its entry then still tells of the former one, and nothing of that holds.
+    pub fn note_life(&mut self, id: &id::Runner, life: Life) -> bool {
+        let entry = self.entries.get_mut(id).map(|entry| &mut entry.runner);
+        let known = entry.or_else(|| self.departed.get_mut(id).map(|(runner, _)| runner));
+        let Some(runner) = known else { return false };
+        if runner.life.is_none() {
+            runner.life = Some(life);
+        }
+        let later = is_later(Some(life), runner.life);
+        if later {
+            runner.restart(life);
+        }
+        later
+    }
+
+    /// A runner's entry cannot be read: it names no runner to use, from now on, whether or
+    /// not the store was away. Requests that run there are not touched.
+    pub fn discard(&mut self, id: &id::Runner, now: Millis) {
+        self.depart(id, now);
     }
 
     /// A runner's entry is gone.
--- a/crates/fleet/src/runner.rs
+++ b/crates/fleet/src/runner.rs
@@ -2,6 +2,8 @@
 
 use std::fmt;
 use std::net::SocketAddr;
+use std::num::ParseIntError;
+use std::str::FromStr;
 
 use cottoncrank::id;
 use serde::{Deserialize, Serialize};
@@ -23,6 +25,31 @@
     }
 }
 
+/// One life of a runner: the start of its process, in milliseconds by the clock of its own
+/// box. A runner may start again under its id, and then holds and knows nothing of
+/// before. Lives are compared for one runner only, and never with a clock of ours.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Life(pub u64);
+
+impl fmt::Display for Life {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        fmt::Display::fmt(&self.0, f)
+    }
+}
+
+impl FromStr for Life {
+    type Err = ParseIntError;
+    fn from_str(text: &str) -> Result<Life, ParseIntError> {
+        text.parse().map(Life)
+    }
+}
+
+/// Whether `told` is a later life of a runner than `known`. Where one of them is not
+/// told, nothing can be concluded.
+pub fn is_later(told: Option<Life>, known: Option<Life>) -> bool {
+    told.zip(known).is_some_and(|(told, known)| told > known)
+}
+
 /// How far a runner is in its group.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Phase {
@@ -54,8 +81,10 @@
 /// A runner.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Runner {
-    /// Its id; every start of its process has a new one.
+    /// Its id. Its process may start again under the same one.
     pub id: id::Runner,
+    /// Which life of it this is about, where the platform says so.
+    pub life: Option<Life>,
     /// The service it belongs to.
     pub service: id::Service,
     /// Where it listens.
@@ -80,6 +109,15 @@
 }
 
 impl Runner {
+    /// Starts it anew: it is in no group and has no model loaded. What its host keeps
+    /// outlasts its process.
+    pub fn restart(&mut self, life: Life) {
+        self.life = Some(life);
+        self.models.clear();
+        self.served = None;
+        self.membership = None;
+    }
+
     /// Whether it served `model` last.
     pub fn has_served(&self, model: &id::Model) -> bool {
         self.served.as_ref() == Some(model)
--- a/crates/fleet/tests/belief.rs
+++ b/crates/fleet/tests/belief.rs
@@ -2,6 +2,7 @@
 
 use assert_matches::assert_matches;
 use cottoncrank::{Millis, id};
+use cottoncrank_fleet::balance::{Ledger, STALLED};
 use cottoncrank_fleet::catalog::{Account, Catalog, Kind, Limits, Route, Target};
 use cottoncrank_fleet::event::{EVENT_MAX, EventError, Splitter};
 use cottoncrank_fleet::freshness::{DEAF, Freshness, MARGIN};
@@ -22,6 +23,7 @@
         draining: false,
         models: vec!["large".parse().unwrap()],
         served: None,
+        life: None,
         staged: Vec::new(),
         membership: Some(Membership { group: "g1".parse().unwrap(), epoch: Epoch(1), rank, phase }),
     }
@@ -36,6 +38,7 @@
         members: vec!["r0".parse().unwrap(), "r1".parse().unwrap()],
         state,
         still: false,
+        lives: Vec::new(),
     };
     Plans::from([("d0".parse().unwrap(), Document { top: Epoch(1), groups: vec![group] })])
 }
@@ -44,6 +47,22 @@
     roster.list_heads(&"llm".parse().unwrap(), &"large".parse().unwrap(), plans).len()
 }
 
+#[test]
+fn a_runner_that_started_again_is_not_passed_over_and_its_requests_count_until_they_end() {
+    let mut ledger = Ledger::default();
+    let known = member(1, 0, Phase::Open);
+    let now = Millis(1000);
+    ledger.begin(&known.id);
+    ledger.begin_stream(&known.id);
+    ledger.blame(&known.id, now);
+    assert!(!ledger.is_sound(&known, now + STALLED));
+    ledger.restart(&known.id);
+    assert!(ledger.is_sound(&known, now + STALLED));
+    ledger.begin(&known.id);
+    ledger.end(&known.id);
+    assert_eq!(ledger.get(&known.id).running, 1);
+}
+
 #[test]
 fn only_open_heads_of_planned_groups_take_requests() {
     let mut roster = Roster::default();
@@ -120,6 +139,7 @@
         runner: format!("{hall}-{number}").parse().unwrap(),
         hall: hall.parse().unwrap(),
         reported: if silent.contains(&number) { Reported::Silent } else { Reported::Pace(1.0) },
+        life: None,
         asked: 1,
     };
     (0..of).map(answer).collect()
--- a/crates/fleet/tests/census.rs
+++ b/crates/fleet/tests/census.rs
@@ -27,6 +27,7 @@
         draining: false,
         models: Vec::new(),
         served: None,
+        life: None,
         staged: Vec::new(),
         membership: place.map(|(group, rank, phase)| Membership {
             group: format!("g{group}").parse().unwrap(),
@@ -46,6 +47,7 @@
         members: members.iter().map(|member| format!("r{member}").parse().unwrap()).collect(),
         state,
         still: false,
+        lives: Vec::new(),
     }
 }
 
--- a/crates/fleet/tests/dispatch.rs
+++ b/crates/fleet/tests/dispatch.rs
@@ -33,6 +33,7 @@
         draining: false,
         models: vec!["small".parse().unwrap()],
         served: None,
+        life: None,
         staged: Vec::new(),
         membership: Some(Membership {
             group: format!("g{number}").parse().unwrap(),
--- a/crates/fleet/tests/instant/mod.rs
+++ b/crates/fleet/tests/instant/mod.rs
@@ -2,7 +2,7 @@
 
 #![allow(dead_code, reason = "each test file uses a part of this module")]
 
-use std::collections::HashSet;
+use std::collections::{HashMap, HashSet};
 
 use cottoncrank::{Millis, id};
 use cottoncrank_fleet::catalog::{Engine, Model, Service, Speed};
@@ -11,7 +11,7 @@
 use cottoncrank_fleet::plan::{Group, Plans};
 use cottoncrank_fleet::probe::{Answer, Probes, Reported};
 use cottoncrank_fleet::roster::Roster;
-use cottoncrank_fleet::runner::{Membership, Phase, Runner};
+use cottoncrank_fleet::runner::{Life, Membership, Phase, Runner};
 use cottoncrank_fleet::settings::Ceiling;
 
 /// After this long a group that stands still is broken.
@@ -31,12 +31,17 @@
     pub slow: HashSet<id::Runner>,
     /// Runners at whose address another one answers.
     pub reborn: HashSet<id::Runner>,
+    /// The lives that runners tell when they are asked.
+    pub told: HashMap<id::Runner, Life>,
     pub serving: bool,
     /// Whether loads begun now take longer than the test.
     pub loading: bool,
     pub now: Millis,
 }
 
+/// The first life of every runner.
+pub const FIRST: Life = Life(1_700_000_000_000);
+
 pub fn model(name: &str, size: usize, load: u64, warm: u64) -> Model {
     let (load, warm) = (Millis(load), Millis(warm));
     Model { name: name.parse().unwrap(), size, share: 0.5, load, warm, pace: 1.0 }
@@ -59,6 +64,7 @@
         draining: false,
         models: Vec::new(),
         served: None,
+        life: Some(FIRST),
         staged: Vec::new(),
         membership: None,
     }
@@ -82,6 +88,7 @@
             dead: HashSet::new(),
             slow: HashSet::new(),
             reborn: HashSet::new(),
+            told: HashMap::new(),
             serving: false,
             loading: false,
             now: Millis(1_000_000),
@@ -103,9 +110,15 @@
                 (false, true) => Reported::Pace(12.0),
                 (false, false) => Reported::Pace(1.0),
             },
+            life: self.told.get(runner).copied(),
             asked: 1,
         };
         let round: Vec<Answer> = members.iter().map(answer).collect();
+        for answer in &round {
+            if let Some(life) = answer.life {
+                self.roster.note_life(&answer.runner, life);
+            }
+        }
         self.probes.take(&round);
         self.probes.take(&round);
     }
@@ -153,7 +166,7 @@
                 Order::Stage(model) => runner.staged = vec![model.clone()],
             }
             self.roster.put(runner);
-            self.memory.note_taken(id, order, self.now);
+            self.memory.note_taken(id, self.roster.get(id).and_then(|runner| runner.life), order, self.now);
         }
     }
 
@@ -182,6 +195,24 @@
         self.roster.remove(id, self.now);
     }
 
+    /// A runner starts again under its id, and its entry tells of it.
+    pub fn restart(&mut self, id: &id::Runner) -> Life {
+        let mut runner = self.roster.recall(id).unwrap().clone();
+        let life = Life(runner.life.unwrap().0 + 300);
+        runner.restart(life);
+        self.told.insert(id.clone(), life);
+        self.roster.put(runner);
+        life
+    }
+
+    /// A runner starts again under its id, and says so when it is asked.
+    pub fn restart_unwritten(&mut self, id: &id::Runner) -> Life {
+        let life = Life(self.roster.recall(id).unwrap().life.unwrap().0 + 300);
+        self.told.insert(id.clone(), life);
+        self.probe(&[]);
+        life
+    }
+
     /// A runner is gone for good.
     pub fn crash(&mut self, id: &id::Runner) {
         self.lapse(id);
--- a/crates/fleet/tests/loss.rs
+++ b/crates/fleet/tests/loss.rs
@@ -224,7 +224,7 @@
     let step = world.step();
     let leave = Order::Leave(group.name.clone(), group.epoch);
     assert!(step.orders.contains(&(group.members[0].clone(), leave.clone())), "{:?}", step.orders);
-    world.memory.note_taken(&group.members[0], &leave, world.now);
+    world.memory.note_taken(&group.members[0], None, &leave, world.now);
     world.now = world.now + Millis(200);
     world.step();
     assert!(!world.groups().any(|known| known.name == group.name));
--- a/crates/fleet/tests/occupancy.rs
+++ b/crates/fleet/tests/occupancy.rs
@@ -20,6 +20,7 @@
         draining: false,
         models: vec!["large".parse().unwrap()],
         served: None,
+        life: None,
         staged: Vec::new(),
         membership: Some(Membership {
             group: format!("g{number}").parse().unwrap(),
--- a/crates/fleet/tests/world/mod.rs
+++ b/crates/fleet/tests/world/mod.rs
@@ -157,6 +157,7 @@
             draining: false,
             models: Vec::new(),
             served: None,
+            life: None,
             staged: Vec::new(),
             membership: None,
         };
@@ -340,7 +341,9 @@
         let due: Vec<(Millis, id::Runner, Option<Runner>)> = due;
         for (_, id, entry) in due {
             match entry {
-                Some(entry) if self.actors[&id].alive => self.roster.put(entry),
+                Some(entry) if self.actors[&id].alive => {
+                    self.roster.put(entry);
+                }
                 Some(_) => {}
                 None => self.roster.remove(&id, self.now),
             }
@@ -354,6 +357,7 @@
                 runner: id.clone(),
                 hall: self.actors[id].entry.hall.clone(),
                 reported: if self.actors[id].alive { Reported::Pace(1.0) } else { Reported::Silent },
+                life: None,
                 asked: if self.actors[id].alive { 1 } else { 2 },
             })
             .collect();
@@ -373,7 +377,7 @@
             } else if self.actors[&id].alive {
                 let taken = self.obey(&id, &order);
                 match taken {
-                    true => self.memory.note_taken(&id, &order, self.now),
+                    true => self.memory.note_taken(&id, None, &order, self.now),
                     false => self.memory.note_refused(&id, &order),
                 }
             }
--- a/crates/node/src/decider.rs
+++ b/crates/node/src/decider.rs
@@ -364,18 +364,17 @@
     }
 
     fn give(&self, runner: id::Runner, order: Order) {
-        let Some(address) = self.node.roster.lock().recall(&runner).map(|runner| runner.address) else {
-            return;
-        };
+        let known = self.node.roster.lock().recall(&runner).map(|runner| (runner.address, runner.life));
+        let Some((address, life)) = known else { return };
         let (node, client, memory) = (self.node.clone(), self.client.clone(), self.memory.clone());
         tokio::spawn(async move {
             let reply = order::give(&client, address, &runner, &order, ORDER).await;
             match reply {
-                Ok(Reply::Taken) => memory.lock().note_taken(&runner, &order, node.now()),
+                Ok(Reply::Taken) => memory.lock().note_taken(&runner, life, &order, node.now()),
                 Ok(Reply::Outdated) => memory.lock().note_refused(&runner, &order),
                 // It is in no such group, or is no more: as good as having left it.
                 Ok(Reply::Unfit | Reply::Gone) if matches!(order, Order::Leave(..)) => {
-                    memory.lock().note_taken(&runner, &order, node.now());
+                    memory.lock().note_taken(&runner, life, &order, node.now());
                 }
                 Ok(Reply::Gone | Reply::Refused(_)) if matches!(order, Order::Stage(_)) => {
                     memory.lock().note_refused(&runner, &order);
--- a/crates/node/src/intake.rs
+++ b/crates/node/src/intake.rs
@@ -88,7 +88,7 @@
         Ok(Change::Catalog(catalog)) => take_catalog(node, catalog),
         Ok(Change::Runner(runner)) => {
             log::debug!("roster: {} is {:?} draining {}", runner.id, runner.membership, runner.draining);
-            node.roster.lock().put(runner);
+            node.put_runner(runner);
         }
         Ok(Change::RunnerGone(id)) => {
             log::info!("roster: the entry of {id} is gone");
--- a/crates/node/src/prober.rs
+++ b/crates/node/src/prober.rs
@@ -42,6 +42,11 @@
             asking.spawn(ask_member(client.clone(), runner, silent));
         }
         let round = asking.join_all().await;
+        for answer in &round {
+            if let Some(life) = answer.life {
+                node.note_life(&answer.runner, life);
+            }
+        }
         let fresh = probes.lock().take(&round);
         if !fresh.is_empty() {
             log::info!(
@@ -58,10 +63,10 @@
 /// not answer: a lost one is known half a second sooner than after another round.
 async fn ask_member(client: Client, runner: Runner, silent: bool) -> Answer {
     let mut asked = 1;
-    let mut reported = order::probe(&client, runner.address, &runner.id, PROBE).await;
+    let (mut reported, mut life) = order::probe(&client, runner.address, &runner.id, PROBE).await;
     if reported == Reported::Silent && !silent {
         asked += 1;
-        reported = order::probe(&client, runner.address, &runner.id, PROBE).await;
+        (reported, life) = order::probe(&client, runner.address, &runner.id, PROBE).await;
     }
-    Answer { runner: runner.id, hall: runner.hall, reported, asked }
+    Answer { runner: runner.id, hall: runner.hall, reported, life, asked }
 }
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -16,8 +16,8 @@
 use cottoncrank_fleet::limit::Limit;
 use cottoncrank_fleet::occupancy::{Counts, Sum, Table, View};
 use cottoncrank_fleet::plan::Plans;
-use cottoncrank_fleet::roster::Roster;
-use cottoncrank_fleet::runner::Epoch;
+use cottoncrank_fleet::roster::{Notice, Roster};
+use cottoncrank_fleet::runner::{Epoch, Life, Runner};
 use cottoncrank_fleet::settings::Settings;
 use cottoncrank_net::client::{Client, Traffic};
 use cottoncrank_platform::store::Store;
@@ -206,6 +206,34 @@
         self.freshness.lock().allows(self.now(), self.settings().bounds.revoke)
     }
 
+    /// Takes a runner's entry in, and notices a new life of it.
+    pub fn put_runner(&self, runner: Runner) {
+        let (id, life) = (runner.id.clone(), runner.life);
+        let notice = self.roster.lock().put(runner);
+        match (notice, life) {
+            (Notice::Restarted, Some(life)) => self.notice_restart(&id, life),
+            (Notice::Outdated, Some(life)) => {
+                log::info!("roster: an entry of {id} is of its former life {life} and is passed over")
+            }
+            _ => {}
+        }
+    }
+
+    /// A runner has said in which life it is.
+    pub fn note_life(&self, id: &id::Runner, life: Life) {
+        if self.roster.lock().note_life(id, life) {
+            self.notice_restart(id, life);
+            self.changed.notify_one();
+        }
+    }
+
+    /// Forgets what was seen of a runner's former life.
+    fn notice_restart(&self, id: &id::Runner, life: Life) {
+        log::info!("roster: {id} has started again, its life is now {life}");
+        metrics::counter!("cottoncrank_runners_restarted_total").increment(1);
+        self.ledger.lock().restart(id);
+    }
+
     /// This node knew all that the store held at `at`.
     pub fn note_contact(&self, at: Millis) {
         self.contact.send_if_modified(|contact| {
