Use no runner whose entry cannot be read; let no item take others with it

An entry that could not be read left the former one in use; a value that was no base64 made a whole read or watch fail, on every node and as long as it stood; any key that was no one's was taken for the configuration, and keys were not trusted any more; a plan that could not be read ended each deciding node, and one with a group without members made it panic; a lease key that goes with no lease kept all nodes from deciding.

Now the key says what an item is, such an entry names no runner, a value of another form counts as one that cannot be read, and the others hold. A domain whose plan cannot be read is left alone by the deciding node, and its groups go on. A runner is in a group only in the place that was planned. One log line for each key and second at most, a counter by part and reason.

--- a/crates/fleet/src/decide.rs
+++ b/crates/fleet/src/decide.rs
@@ -8,7 +8,7 @@
 //! whoever calls it writes them to the store under a condition and sends the
 //! orders after that.
 
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 
 use cottoncrank::{Millis, id};
 
@@ -210,6 +210,9 @@
     pub roster: &'a Roster,
     /// The plan of each domain.
     pub plans: &'a BTreeMap<id::Domain, Document>,
+    /// Domains whose plan cannot be read. Nothing is decided there: groups that nobody
+    /// knows of may stand in it, written by a later version.
+    pub closed: &'a BTreeSet<id::Domain>,
     /// Which runners answer this node.
     pub probes: &'a Probes,
     /// Whether callers have sent requests already. Before that, loads are short.
@@ -318,7 +321,7 @@
         runners.entry(domain).or_default();
     }
     for runner in scene.roster.iter().filter(|runner| runner.service == scene.service.id) {
-        if let Some(domain) = &runner.domain {
+        if let Some(domain) = runner.domain.as_ref().filter(|domain| !scene.closed.contains(*domain)) {
             runners.entry(domain).or_default().extend(scene.is_fit(runner).then_some(runner));
         }
     }
@@ -345,10 +348,11 @@
     models.iter().filter_map(used).collect()
 }
 
-/// How far a runner is in a group, if it is in it.
+/// How far a runner is in a group, if it is in it, and in the place that was planned.
 pub(crate) fn find_phase(runner: &Runner, group: &Group) -> Option<Phase> {
     let membership = runner.membership.as_ref()?;
-    let inside = membership.group == group.name && membership.epoch == group.epoch;
+    let placed = group.members.get(membership.rank) == Some(&runner.id);
+    let inside = membership.group == group.name && membership.epoch == group.epoch && placed;
     inside.then_some(membership.phase)
 }
 
--- a/crates/fleet/src/plan.rs
+++ b/crates/fleet/src/plan.rs
@@ -1,10 +1,11 @@
 //! Which runner is meant for which group: one document a fabric domain, kept
 //! in the platform's store so that any node can take the decisions over.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashSet};
 
 use cottoncrank::id;
 use serde::{Deserialize, Serialize};
+use thiserror::Error;
 
 use crate::runner::{Epoch, Life};
 
@@ -72,6 +73,39 @@
     pub groups: Vec<Group>,
 }
 
+/// Why a document is no plan, though it can be decoded.
+#[derive(Debug, Error, PartialEq, Eq)]
+pub enum Flaw {
+    /// A group has nobody in it.
+    #[error("group {0} has no members")]
+    Empty(id::Group),
+    /// A runner is in two places.
+    #[error("runner {0} is planned twice")]
+    Twice(id::Runner),
+    /// An epoch is beyond those given out.
+    #[error("group {0} is of an epoch that was not given out")]
+    Epoch(id::Group),
+}
+
+impl Document {
+    /// Whether this is a plan: each group has members, and each runner one place.
+    pub fn check(&self) -> Result<(), Flaw> {
+        let mut seen = HashSet::new();
+        for group in &self.groups {
+            if group.members.is_empty() {
+                return Err(Flaw::Empty(group.name.clone()));
+            }
+            if group.epoch > self.top {
+                return Err(Flaw::Epoch(group.name.clone()));
+            }
+            if let Some(twice) = group.members.iter().find(|member| !seen.insert(*member)) {
+                return Err(Flaw::Twice(twice.clone()));
+            }
+        }
+        Ok(())
+    }
+}
+
 /// The plans of all fabric domains.
 pub type Plans = BTreeMap<id::Domain, Document>;
 
--- a/crates/fleet/tests/census.rs
+++ b/crates/fleet/tests/census.rs
@@ -1,5 +1,7 @@
 //! What the deciding node says of the runners that serve nobody.
 
+use std::collections::BTreeSet;
+
 use cottoncrank::Millis;
 use cottoncrank_fleet::catalog::{Engine, Model, Service, Speed};
 use cottoncrank_fleet::census::{self, Census};
@@ -57,6 +59,7 @@
         service: &service,
         roster,
         plans,
+        closed: &BTreeSet::new(),
         probes: &Probes::default(),
         serving: true,
         ceiling: &Ceiling { window: Millis(5000), overshoot: 1.1 },
--- a/crates/fleet/tests/instant/mod.rs
+++ b/crates/fleet/tests/instant/mod.rs
@@ -2,7 +2,7 @@
 
 #![allow(dead_code, reason = "each test file uses a part of this module")]
 
-use std::collections::{HashMap, HashSet};
+use std::collections::{BTreeSet, HashMap, HashSet};
 
 use cottoncrank::{Millis, id};
 use cottoncrank_fleet::catalog::{Engine, Model, Service, Speed};
@@ -128,6 +128,7 @@
             service: &self.service,
             roster: &self.roster,
             plans: &self.plans,
+            closed: &BTreeSet::new(),
             probes: &self.probes,
             serving: self.serving,
             ceiling: &CEILING,
--- a/crates/fleet/tests/world/mod.rs
+++ b/crates/fleet/tests/world/mod.rs
@@ -3,7 +3,7 @@
 
 #![allow(dead_code, reason = "tests and benches use a part each")]
 
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 
 use cottoncrank::{Millis, id};
 use cottoncrank_fleet::catalog::{Engine, Model, Service, Speed};
@@ -404,6 +404,7 @@
             service: &self.service,
             roster: &self.roster,
             plans: &self.plans,
+            closed: &BTreeSet::new(),
             probes: &self.probes,
             serving: self.serving,
             ceiling: &CEILING,
--- a/crates/node/src/decider.rs
+++ b/crates/node/src/decider.rs
@@ -5,7 +5,7 @@
 //! unawares writes nothing. Orders follow what was written, and an order that
 //! comes late names an epoch that is over.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 
 use cottoncrank::{Millis, id};
@@ -98,6 +98,14 @@
     document: Document,
 }
 
+/// The plans as they stand in the store.
+#[derive(Default)]
+struct Plans {
+    kept: BTreeMap<id::Domain, Kept>,
+    /// Domains whose plan cannot be read.
+    closed: BTreeSet<id::Domain>,
+}
+
 /// A term of deciding.
 struct Term {
     node: Arc<Node>,
@@ -107,7 +115,7 @@
     revision: u64,
     /// Until when the lease surely lasts.
     until: Millis,
-    plans: BTreeMap<id::Domain, Kept>,
+    plans: Plans,
     memory: Arc<Mutex<Memory>>,
     probes: Arc<Mutex<Probes>>,
     /// What was last logged of each service, and when.
@@ -121,7 +129,7 @@
     let mut decider = node.decider.subscribe();
     loop {
         // The sender lives as long as the node.
-        let _ = decider.wait_for(Option::is_none).await;
+        let _ = decider.wait_for(|holder| !is_held(holder)).await;
         if !node.is_synced() || *node.draining.borrow() || node.catalog.lock().is_none() {
             tokio::time::sleep(UNABLE.duration()).await;
             continue;
@@ -130,10 +138,12 @@
         let turn = Millis(CANDIDACY.0 * before).min(CANDIDACY_MAX);
         let jitter = rand::rng().random_range(0..CANDIDACY.0);
         tokio::time::sleep((turn + Millis(jitter)).duration()).await;
-        if decider.borrow_and_update().is_some() {
+        let holder = decider.borrow_and_update().clone();
+        if is_held(&holder) {
             continue;
         }
-        match stand(&node).await {
+        let before = holder.map_or(0, |holder| holder.revision);
+        match stand(&node, before).await {
             Ok(Some(mut term)) => {
                 log::info!("decider: this node decides from revision {}", term.revision);
                 let (node, client, probes) = (node.clone(), term.client.clone(), term.probes.clone());
@@ -154,13 +164,19 @@
     }
 }
 
-/// Asks the store for the lease.
-async fn stand(node: &Arc<Node>) -> Result<Option<Term>, EndError> {
+/// Whether a node decides, as far as the lease's key says. One that cannot be read, but goes
+/// with a lease, is held: its holder may decide until the lease is over.
+fn is_held(holder: &Option<Holder>) -> bool {
+    holder.as_ref().is_some_and(|holder| holder.leased)
+}
+
+/// Asks the store for the lease. `before` is the revision of a key that goes with none.
+async fn stand(node: &Arc<Node>, before: u64) -> Result<Option<Term>, EndError> {
     let asked = node.now();
     let ttl = LEASE.max(node.settings().lease_min);
     let lease = node.store.open_lease(ttl).await?;
     let commit = Commit {
-        expect: vec![(LEASE_KEY.to_owned(), 0)],
+        expect: vec![(LEASE_KEY.to_owned(), before)],
         puts: vec![(LEASE_KEY.to_owned(), node.settings().node.as_str().into(), Some(lease))],
         removes: Vec::new(),
     };
@@ -180,13 +196,23 @@
     }))
 }
 
-async fn read_plans(node: &Node) -> Result<BTreeMap<id::Domain, Kept>, EndError> {
-    let mut plans = BTreeMap::new();
+/// Reads all plans. A domain whose plan cannot be read is left alone, for its groups are not
+/// known; all others are decided.
+async fn read_plans(node: &Node) -> Result<Plans, EndError> {
+    let mut plans = Plans::default();
     for item in node.store.read_own().await? {
-        if let Some((domain, document)) = read_plan(&item)? {
-            plans.insert(domain, Kept { revision: item.revision, document });
+        match read_plan(&item) {
+            Ok(Some((domain, document))) => {
+                plans.kept.insert(domain, Kept { revision: item.revision, document });
+            }
+            Ok(None) => {}
+            Err(error) => {
+                log::error!("decider: {error}; nothing is decided in that domain");
+                plans.closed.extend(read_domain(&item.key).and_then(Result::ok));
+            }
         }
     }
+    metrics::gauge!("cottoncrank_domains_closed").set(plans.closed.len() as f64);
     Ok(plans)
 }
 
@@ -196,15 +222,22 @@
     if name.is_none() {
         log::error!("store: `{}` names no node", item.key);
     }
-    Holder { revision: item.revision, node: name }
+    Holder { revision: item.revision, leased: item.leased, node: name }
+}
+
+/// The domain whose plan stands under a key, if it is a plan's.
+fn read_domain(key: &str) -> Option<Result<id::Domain, id::IdError>> {
+    key.strip_prefix(PLAN_PREFIX).map(str::parse)
 }
 
 /// Reads a plan, if the item is one.
 pub fn read_plan(item: &Item) -> Result<Option<(id::Domain, Document)>, PlanError> {
     let unreadable = |reason: String| PlanError { key: item.key.clone(), reason };
-    let Some(name) = item.key.strip_prefix(PLAN_PREFIX) else { return Ok(None) };
-    let domain = name.parse().map_err(|error: id::IdError| unreadable(error.to_string()))?;
-    let document = rmp_serde::from_slice(&item.value).map_err(|error| unreadable(error.to_string()))?;
+    let Some(domain) = read_domain(&item.key) else { return Ok(None) };
+    let domain = domain.map_err(|error| unreadable(error.to_string()))?;
+    let document: Document =
+        rmp_serde::from_slice(&item.value).map_err(|error| unreadable(error.to_string()))?;
+    document.check().map_err(|flaw| unreadable(flaw.to_string()))?;
     Ok(Some((domain, document)))
 }
 
@@ -251,8 +284,12 @@
         for service in &catalog.services {
             let Some(engine) = &service.engine else { continue };
             let bounds = self.node.settings().bounds.clone();
-            let documents =
-                self.plans.iter().map(|(domain, kept)| (domain.clone(), kept.document.clone())).collect();
+            let documents = self
+                .plans
+                .kept
+                .iter()
+                .map(|(domain, kept)| (domain.clone(), kept.document.clone()))
+                .collect();
             let in_flight = self.node.sum_all_in_flight();
             let (step, census) = {
                 let roster = self.node.roster.lock();
@@ -261,6 +298,7 @@
                     service,
                     roster: &roster,
                     plans: &documents,
+                    closed: &self.plans.closed,
                     probes: &probes,
                     serving: self.node.is_serving(),
                     ceiling: &bounds.ceiling,
@@ -329,7 +367,7 @@
             let key = format!("{PLAN_PREFIX}{domain}");
             let bytes = rmp_serde::to_vec(document)
                 .map_err(|error| PlanError { key: key.clone(), reason: error.to_string() })?;
-            let expected = self.plans.get(domain).map_or(0, |kept| kept.revision);
+            let expected = self.plans.kept.get(domain).map_or(0, |kept| kept.revision);
             commit.expect.push((key.clone(), expected));
             commit.puts.push((key, bytes, None));
             for reason in reasons {
@@ -340,7 +378,7 @@
             Ok(Outcome::Done(revision)) => {
                 for (domain, document, _) in writes {
                     let kept = Kept { revision, document: document.clone() };
-                    self.plans.insert(domain.clone(), kept);
+                    self.plans.kept.insert(domain.clone(), kept);
                 }
                 Ok(true)
             }
--- a/crates/node/src/figures.rs
+++ b/crates/node/src/figures.rs
@@ -52,6 +52,11 @@
         .increment(1);
 }
 
+/// An item of the store cannot be read: what it is, and why.
+pub fn count_unreadable(part: &'static str, reason: &'static str) {
+    metrics::counter!("cottoncrank_items_unreadable_total", "part" => part, "reason" => reason).increment(1);
+}
+
 /// A stream was cut after its first event.
 pub fn count_cut() {
     metrics::counter!("cottoncrank_streams_cut_total").increment(1);
--- a/crates/node/src/intake.rs
+++ b/crates/node/src/intake.rs
@@ -9,6 +9,7 @@
 use crate::decider::{self, LEASE_KEY};
 use crate::member;
 use crate::state::Node;
+use crate::unreadable::Part;
 
 /// What was learned.
 pub struct Learned {
@@ -99,11 +100,17 @@
         }
         Ok(Change::Own(item)) => take_own(node, &item),
         Ok(Change::OwnGone(key)) => take_own_gone(node, &key),
+        Ok(Change::Foreign(key)) => node.note_unreadable(&key, Part::Foreign, "key", "nothing of ours"),
         Err(error @ ItemError::Catalog(_)) => {
-            log::error!("catalog: {error}");
+            node.note_unreadable("catalog", Part::Catalog, "form", error);
             return false;
         }
-        Err(error) => log::error!("store: {error}"),
+        Err(ItemError::Runner(name, error)) => {
+            node.note_unreadable(&name, Part::Runner, error.reason(), &error);
+            if let Ok(id) = name.parse() {
+                node.discard_runner(&id);
+            }
+        }
     }
     true
 }
@@ -119,7 +126,7 @@
                 node.directory.lock().put(peer);
                 node.share_retries();
             }
-            Err(error) => log::error!("store: `{}` cannot be read: {error}", item.key),
+            Err(error) => node.note_unreadable(&item.key, Part::Node, "form", error),
         }
         return;
     }
@@ -131,8 +138,9 @@
             drop(plans);
             node.plans_changed.send_modify(|version| *version += 1);
         }
-        Ok(None) => log::warn!("store: `{}` is of no kind that is known", item.key),
-        Err(error) => log::error!("store: {error}"),
+        Ok(None) => node.note_unreadable(&item.key, Part::Foreign, "key", "of no kind that is known"),
+        // The groups that were known go on; the deciding node leaves the domain alone.
+        Err(error) => node.note_unreadable(&item.key, Part::Plan, "form", error),
     }
 }
 
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -7,7 +7,7 @@
 //! admits and routes them, [`plain`] and [`stream`] run them at runners (a stream try by
 //! try, in `tries`, from a `source`, passed on by `relay`), and [`decider`] gives orders
 //! to the runners, which `prober` asks how they are, while this node holds the lease for
-//! that. All state stands in [`state::Node`].
+//! that. `unreadable` bounds what the log tells of items that cannot be read. All state stands in [`state::Node`].
 
 pub mod answer;
 pub mod attempt;
@@ -33,3 +33,4 @@
 pub mod stream;
 pub mod sync;
 mod tries;
+mod unreadable;
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -1,6 +1,7 @@
 //! What a node knows, each part under its own lock.
 
 use std::collections::HashMap;
+use std::fmt::Display;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 
@@ -26,6 +27,8 @@
 
 use crate::avoid::Avoided;
 use crate::feed::Feed;
+use crate::figures;
+use crate::unreadable::{Part, Unreadable};
 
 /// Of the fleet's retries a node spends this part of its share: requests that
 /// arrive twice by other ways count in the rest.
@@ -39,6 +42,9 @@
 pub struct Holder {
     /// The revision of the lease's key.
     pub revision: u64,
+    /// Whether the key goes with a lease. One that does not is no deciding node's: each
+    /// writes it with the lease that it holds.
+    pub leased: bool,
     /// The node; none if its name cannot be read.
     pub node: Option<id::Node>,
 }
@@ -69,6 +75,8 @@
     pub halts: Mutex<Halts>,
     /// Rises whenever a plan changes.
     pub plans_changed: watch::Sender<u64>,
+    /// Items that could not be read, as far as the log tells of them.
+    pub(crate) unreadable: Mutex<Unreadable>,
     /// What was seen of the runners.
     pub ledger: Mutex<Ledger>,
     /// What the others have in flight, as this node was last told.
@@ -122,6 +130,7 @@
             plans: Mutex::default(),
             halts: Mutex::default(),
             plans_changed: watch::Sender::new(0),
+            unreadable: Mutex::default(),
             ledger: Mutex::default(),
             view: Mutex::default(),
             reports: Mutex::default(),
@@ -219,6 +228,21 @@
         }
     }
 
+    /// A runner's entry cannot be read: it is not used any more. Requests that run there
+    /// are not touched.
+    pub fn discard_runner(&self, id: &id::Runner) {
+        self.roster.lock().discard(id, self.now());
+        self.ledger.lock().forget(id);
+    }
+
+    /// An item of the store cannot be read.
+    pub(crate) fn note_unreadable(&self, key: &str, part: Part, reason: &'static str, why: impl Display) {
+        figures::count_unreadable(part.name(), reason);
+        if self.unreadable.lock().tells(key, self.now()) {
+            log::error!("store: `{key}` ({}) is not used: {why}", part.name());
+        }
+    }
+
     /// A runner has said in which life it is.
     pub fn note_life(&self, id: &id::Runner, life: Life) {
         if self.roster.lock().note_life(id, life) {
--- a/crates/node/src/sync.rs
+++ b/crates/node/src/sync.rs
@@ -240,7 +240,8 @@
     fn pick_source(&mut self) -> Source {
         let settings = self.node.settings();
         let directory = self.node.directory.lock();
-        let holder = self.node.decider.borrow().clone().and_then(|holder| holder.node);
+        let holder = self.node.decider.borrow().clone().filter(|holder| holder.leased);
+        let holder = holder.and_then(|holder| holder.node);
         let (now, rng) = (self.node.now(), &mut rand::rng());
         if self.revision.is_none() {
             return self.sources.wait_for_store(now);
