Let the soak start runners again under their id and spoil their entries

At once, after 0.3 s and after 3 s, and entries that another writer leaves, drawn by a generator of their own, so that what a seed drew before stays as it was.

--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -15,6 +15,19 @@
 /// The mean pause between the beginnings of two faults; they overlap.
 const PAUSE: u64 = 400;
 
+/// A runner that starts again does so at once, before two questions to it have gone
+/// unanswered, or after its group was given up; in milliseconds.
+const RESTARTS: [u64; 3] = [1, 300, 3000];
+
+/// The mean pause between runners that start again, and entries by another writer.
+const PAUSE_LIVES: u64 = 1200;
+
+/// Numbers of bad entries; beyond the kinds there are they begin anew.
+const FOREIGN: usize = 64;
+
+/// Keeps what is drawn of lives apart from all else that a seed draws.
+const LIVES: u64 = 0x6c69_7665;
+
 /// How a link misbehaves.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -89,6 +102,11 @@
     Lapse(usize),
     /// A runner leaves for good.
     Leave(usize),
+    /// A runner's process ends, and starts again under its id after the span.
+    Restart(usize),
+    /// Another writer leaves an entry for a runner that cannot be read, of this number
+    /// among the kinds there are.
+    Foreign(usize, usize),
     /// The key of the account changes, and the one before the last is taken away.
     Rekey,
 }
@@ -133,10 +151,30 @@
             events.push(Event { at, span: rng.random_range(SPAN.start..most), fault });
             at += rng.random_range(0..2 * PAUSE);
         }
+        events.extend(draw_lives(seed, engines, length));
+        events.sort_by_key(|event| event.at);
         Plan { seed, nodes, engines, length: length.0, events }
     }
 }
 
+/// Runners that start again under their id, and entries that another writer leaves.
+fn draw_lives(seed: u64, engines: usize, length: Millis) -> Vec<Event> {
+    let mut rng = SmallRng::seed_from_u64(seed ^ LIVES);
+    let mut events = Vec::new();
+    let mut at = CALM.0 + rng.random_range(0..PAUSE_LIVES);
+    while at + CALM.0 < length.0 {
+        let runner = rng.random_range(0..engines);
+        let restart = Fault::Restart(runner);
+        let (fault, span) = match rng.random_range(0..3) {
+            0 => (Fault::Foreign(runner, rng.random_range(0..FOREIGN)), rng.random_range(SPAN.start..2000)),
+            _ => (restart, RESTARTS[rng.random_range(0..RESTARTS.len())]),
+        };
+        events.push(Event { at, span, fault });
+        at += rng.random_range(0..2 * PAUSE_LIVES);
+    }
+    events
+}
+
 fn draw_fault(rng: &mut SmallRng, nodes: usize, engines: usize, leaving: &mut usize) -> Fault {
     let (node, runner) = (rng.random_range(0..nodes), rng.random_range(0..engines));
     match rng.random_range(0..12) {
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -8,6 +8,7 @@
 
 use cottoncrank::Millis;
 use cottoncrank_platform_standin::caller::ask;
+use cottoncrank_platform_standin::foreign;
 use cottoncrank_platform_standin::runner;
 use cottoncrank_platform_standin::store;
 use parking_lot::Mutex;
@@ -183,6 +184,14 @@
                 fleet.engines[runner].runner.drain();
                 self.left.entry(runner).or_insert_with(Instant::now);
             }
+            // One that has left for good does not come back.
+            Fault::Restart(runner) if self.left.contains_key(&runner) => {}
+            Fault::Restart(runner) => fleet.engines[runner].runner.crash(),
+            Fault::Foreign(runner, kind) => {
+                let known = &fleet.engines[runner].runner;
+                let entries = foreign::list_entries(&known.entry());
+                fleet.store.put_entry(known.id(), &entries[kind % entries.len()].1);
+            }
             Fault::Rekey => fleet.rekey(),
         }
     }
@@ -200,7 +209,12 @@
             Fault::RunnerLink(runner, _) => fleet.engines[runner].link.set_harm(None),
             Fault::Store(_) => fleet.store.set_fault(store::Fault::None),
             Fault::Runner(runner, _) => fleet.engines[runner].runner.set_fault(runner::Fault::None),
-            Fault::Lapse(runner) => fleet.engines[runner].runner.enter(),
+            Fault::Lapse(runner) | Fault::Foreign(runner, _) => fleet.engines[runner].runner.enter(),
+            Fault::Restart(runner) if self.left.contains_key(&runner) => {}
+            Fault::Restart(runner) => {
+                fleet.engines[runner].runner.revive();
+                fleet.engines[runner].runner.enter();
+            }
             Fault::Reload(_) | Fault::Forget | Fault::Leave(_) | Fault::Rekey => {}
         }
         let stop = if let Fault::Stop(node) = ended.fault { Some(node) } else { None };
@@ -321,7 +335,10 @@
         (StoreLink(a, _), StoreLink(b, _)) => a == b,
         (RunnerLink(a, _), RunnerLink(b, _)) => a == b,
         (Store(_), Store(_)) => true,
-        (Runner(a, _) | Lapse(a) | Leave(a), Runner(b, _) | Lapse(b) | Leave(b)) => a == b,
+        (
+            Runner(a, _) | Lapse(a) | Leave(a) | Restart(a) | Foreign(a, _),
+            Runner(b, _) | Lapse(b) | Leave(b) | Restart(b) | Foreign(b, _),
+        ) => a == b,
         _ => false,
     }
 }
