Open the circles of files in the fleet crate

Memory, scene, the type of an order and the desk that gives it have files of their own below the steps, and what is in flight at a group stands with the counts it is summed from. No change of logic.

--- a/crates/fleet/src/census.rs
+++ b/crates/fleet/src/census.rs
@@ -7,9 +7,9 @@
 use cottoncrank::id;
 
 use crate::catalog::Engine;
-use crate::decide::{Scene, find_phase, list_sites, time_join};
 use crate::plan::Group;
 use crate::runner::{Phase, Runner};
+use crate::scene::{Scene, find_phase, list_sites, time_join};
 
 /// The groups of one model.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- /dev/null
+++ b/crates/fleet/src/desk.rs
@@ -0,0 +1,43 @@
+//! Giving orders: each once, and again when it shows no effect.
+
+use cottoncrank::{Millis, id};
+
+use crate::memory::Memory;
+use crate::order::{Order, REPEAT, REPEAT_TAKEN};
+use crate::runner::Runner;
+
+/// Gives each order once, and again when it shows no effect.
+pub(crate) struct Desk<'a> {
+    pub(crate) now: Millis,
+    pub(crate) memory: &'a mut Memory,
+    pub(crate) orders: &'a mut Vec<(id::Runner, Order)>,
+    /// Loads for groups that callers need that may still begin in this step.
+    pub(crate) repairs: usize,
+    /// The same for loads in reserve.
+    pub(crate) reserves: usize,
+    pub(crate) serving: bool,
+}
+
+impl Desk<'_> {
+    pub(crate) fn give(&mut self, runner: &id::Runner, order: Order) {
+        let key = (runner.clone(), order);
+        let pause = if self.memory.taken.contains(&key) { REPEAT_TAKEN } else { REPEAT };
+        let due = self.memory.given.get(&key).is_none_or(|at| self.now >= *at + pause);
+        if due {
+            self.memory.given.insert(key.clone(), self.now);
+            self.orders.push(key);
+        }
+    }
+
+    /// Whether an order was first given at least `span` ago.
+    pub(crate) fn has_passed(&mut self, runner: &id::Runner, order: &Order, span: Millis) -> bool {
+        let key = (runner.clone(), order.clone());
+        let first = *self.memory.first.entry(key).or_insert(self.now);
+        self.now >= first + span
+    }
+
+    /// The model that the runner was last told to stage.
+    pub(crate) fn last_staged(&self, runner: &Runner) -> Option<&id::Model> {
+        self.memory.last_staged(runner, self.now)
+    }
+}
--- a/crates/fleet/src/dispatch.rs
+++ b/crates/fleet/src/dispatch.rs
@@ -15,7 +15,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::catalog::{Model, Speed};
-use crate::occupancy::Report;
+use crate::occupancy::{Load, Report};
 use crate::runner::{Epoch, Runner};
 
 /// The share of its time that an engine with work to write spends on prompts.
@@ -138,15 +138,6 @@
     }
 }
 
-/// What is in flight at a group, and how many nodes doubt it.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Load {
-    /// Requests in flight, over all nodes.
-    pub running: u32,
-    /// Nodes that doubt it.
-    pub doubts: u32,
-}
-
 /// The groups of one model, and how fast they are.
 pub struct Choice<'a> {
     /// The hall that is chosen for.
--- a/crates/fleet/src/form.rs
+++ b/crates/fleet/src/form.rs
@@ -3,11 +3,12 @@
 use cottoncrank::{Millis, id};
 
 use crate::catalog::{Engine, Model};
-use crate::decide::{Memory, Scene, Site, time_join};
 use crate::loads::Purpose;
+use crate::memory::Memory;
 use crate::plan::{Group, State};
 use crate::reserve::Risk;
 use crate::runner::{Epoch, Runner};
+use crate::scene::{Scene, Site, time_join};
 use crate::share::{count_alive, list_wanted};
 
 /// Forming a group this much sooner is worth as much as the whole of what a
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -1,17 +1,26 @@
 //! What a node believes of the fleet that a platform's store describes, and
 //! what it decides from that, as pure code: time and randomness are arguments.
 //!
-//! [`catalog`] is what operators want, [`roster`] which runners there are,
-//! [`plan`] which runner is meant for which group. [`decide`] turns the three
-//! into orders, [`balance`] picks a runner for a request by what all nodes have in
-//! flight ([`occupancy`]), [`freshness`] says how long a node may rely on what it
-//! knows, [`event`] splits a stream into the events that can be resumed after.
+//! No file needs one that needs it in turn. From the bottom:
+//!
+//! - What is known: [`catalog`] (what operators want), [`runner`] and [`roster`] (the
+//!   runners and their lives), [`plan`] (which runner is meant for which group),
+//!   [`probe`], [`halt`], [`directory`], [`occupancy`] (what all nodes have in flight),
+//!   [`freshness`] (how long a node may rely on what it knows).
+//! - Decisions for groups: [`scene`] is what the deciding node looks at, [`memory`] what it
+//!   remembers, [`order`] what a runner is told; [`loss`], [`form`], [`preempt`], [`staging`],
+//!   [`orders`] and, for how many of each, [`demand`], [`reserve`], [`loads`] answer one
+//!   question each, and [`decide`] calls them. [`census`] is what the log says of it.
+//! - Choices for requests: [`dispatch`] and [`balance`] pick the runner, [`limit`] admits,
+//!   [`event`] splits a stream into the events that can be resumed after.
+//! - [`source`] says whom a node asks for what the store holds.
 
 pub mod balance;
 pub mod catalog;
 pub mod census;
 pub mod decide;
 pub mod demand;
+mod desk;
 pub mod directory;
 pub mod dispatch;
 pub mod event;
@@ -21,8 +30,10 @@
 pub mod limit;
 pub mod loads;
 pub mod loss;
+pub mod memory;
 pub mod occupancy;
 pub mod order;
+pub mod orders;
 pub mod plan;
 pub mod preempt;
 mod preload;
@@ -30,6 +41,7 @@
 pub mod reserve;
 pub mod roster;
 pub mod runner;
+pub mod scene;
 pub mod settings;
 mod share;
 pub mod source;
--- a/crates/fleet/src/loss.rs
+++ b/crates/fleet/src/loss.rs
@@ -2,11 +2,12 @@
 
 use cottoncrank::{Millis, id};
 
-use crate::decide::{Memory, Scene, Site, find_phase};
+use crate::memory::Memory;
 use crate::order::Order;
 use crate::plan::{Group, State};
 use crate::probe::Sign;
 use crate::runner::{Phase, Runner};
+use crate::scene::{Scene, Site, find_phase};
 
 /// Kept on top of the time after which a group that stands still is broken, for
 /// the way of the order that made it stand still.
--- a/crates/fleet/src/occupancy.rs
+++ b/crates/fleet/src/occupancy.rs
@@ -12,7 +12,6 @@
 use cottoncrank::{Millis, id};
 use serde::{Deserialize, Serialize};
 
-use crate::dispatch::Load;
 use crate::runner::Epoch;
 
 /// A report counts for this long: three of the longest periods between two.
@@ -25,6 +24,15 @@
 /// Requests in flight by group. Epochs name groups: each is given out once.
 pub type Counts = BTreeMap<Epoch, u32>;
 
+/// What is in flight at a group, and how many nodes doubt it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Load {
+    /// Requests in flight, over all nodes.
+    pub running: u32,
+    /// Nodes that doubt it.
+    pub doubts: u32,
+}
+
 /// What some nodes have in flight.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Sum {
--- a/crates/fleet/src/preempt.rs
+++ b/crates/fleet/src/preempt.rs
@@ -9,10 +9,10 @@
 use cottoncrank::id;
 
 use crate::catalog::Model;
-use crate::decide::{Scene, Site, time_join};
 
 use crate::plan::{Group, State};
 use crate::reserve::Risk;
+use crate::scene::{Scene, Site, time_join};
 use crate::share::{count_alive, list_wanted};
 
 /// Closes small groups whose members complete a large one, as long as the large model
--- a/crates/fleet/src/preload.rs
+++ b/crates/fleet/src/preload.rs
@@ -6,24 +6,11 @@
 //! member's place as fast as the others come back, and its host is free to hold
 //! another model.
 
-use cottoncrank::id;
-
 use crate::catalog::Model;
-use crate::decide::Site;
-use crate::order::{Desk, Order};
-use crate::runner::{Epoch, Runner};
-
-/// The group that a runner joins on its own has the runner's id as its name: whatever is
-/// put before that may be too long for a name.
-fn name_solo(runner: &id::Runner) -> id::Group {
-    runner.as_str().parse().expect("both kinds of names have the same rules")
-}
-
-/// Whether a runner is in the group that it joins on its own, and so in none that
-/// takes requests.
-pub(crate) fn is_solo(runner: &Runner) -> bool {
-    runner.membership.as_ref().is_some_and(|place| place.group == name_solo(&runner.id))
-}
+use crate::desk::Desk;
+use crate::order::Order;
+use crate::runner::Epoch;
+use crate::scene::{Site, name_solo};
 
 /// Orders free runners that have never served to join their own groups.
 ///
--- a/crates/fleet/src/share.rs
+++ b/crates/fleet/src/share.rs
@@ -1,8 +1,8 @@
 //! How many groups of each model are meant to be, and how many runners stand by.
 
 use crate::catalog::Model;
-use crate::decide::Site;
 use crate::reserve::Risk;
+use crate::scene::Site;
 
 /// One more group is meant to be where a model's share falls short of it by no more
 /// than the rest of this: a fleet that loses a few runners gives none up, and one with
--- a/crates/fleet/src/staging.rs
+++ b/crates/fleet/src/staging.rs
@@ -8,11 +8,12 @@
 use cottoncrank::id;
 
 use crate::catalog::{Engine, Model};
-use crate::decide::{Scene, Site, time_join};
+use crate::desk::Desk;
 use crate::loads::Purpose;
-use crate::order::{Desk, Order};
+use crate::order::Order;
 use crate::reserve::Risk;
 use crate::runner::Runner;
+use crate::scene::{Scene, Site, time_join};
 use crate::share::Lack;
 
 /// Orders models onto hosts, in this order: the largest model onto members of small
--- a/crates/fleet/tests/census.rs
+++ b/crates/fleet/tests/census.rs
@@ -5,11 +5,11 @@
 use cottoncrank::Millis;
 use cottoncrank_fleet::catalog::{Engine, Model, Service, Speed};
 use cottoncrank_fleet::census::{self, Census};
-use cottoncrank_fleet::decide::Scene;
 use cottoncrank_fleet::plan::{Document, Group, Plans, State};
 use cottoncrank_fleet::probe::Probes;
 use cottoncrank_fleet::roster::Roster;
 use cottoncrank_fleet::runner::{Epoch, Membership, Phase, Runner};
+use cottoncrank_fleet::scene::Scene;
 use cottoncrank_fleet::settings::Ceiling;
 
 fn engine() -> Engine {
--- a/crates/fleet/tests/form.rs
+++ b/crates/fleet/tests/form.rs
@@ -5,7 +5,8 @@
 use std::collections::HashSet;
 
 use cottoncrank::{Millis, id};
-use cottoncrank_fleet::decide::{Memory, Step};
+use cottoncrank_fleet::decide::Step;
+use cottoncrank_fleet::memory::Memory;
 use cottoncrank_fleet::order::Order;
 use cottoncrank_fleet::plan::Group;
 use cottoncrank_fleet::runner::{Membership, Phase};
--- a/crates/fleet/tests/instant/mod.rs
+++ b/crates/fleet/tests/instant/mod.rs
@@ -6,12 +6,14 @@
 
 use cottoncrank::{Millis, id};
 use cottoncrank_fleet::catalog::{Engine, Model, Service, Speed};
-use cottoncrank_fleet::decide::{Memory, Scene, Step, step};
+use cottoncrank_fleet::decide::{Step, step};
+use cottoncrank_fleet::memory::Memory;
 use cottoncrank_fleet::order::Order;
 use cottoncrank_fleet::plan::{Group, Plans};
 use cottoncrank_fleet::probe::{Answer, Probes, Reported};
 use cottoncrank_fleet::roster::Roster;
 use cottoncrank_fleet::runner::{Life, Membership, Phase, Runner};
+use cottoncrank_fleet::scene::Scene;
 use cottoncrank_fleet::settings::Ceiling;
 
 /// After this long a group that stands still is broken.
--- a/crates/fleet/tests/lives.rs
+++ b/crates/fleet/tests/lives.rs
@@ -4,8 +4,8 @@
 mod instant;
 
 use cottoncrank::{Millis, id};
-use cottoncrank_fleet::decide::Memory;
 use cottoncrank_fleet::halt::Halts;
+use cottoncrank_fleet::memory::Memory;
 use cottoncrank_fleet::order::{Order, REPEAT};
 use cottoncrank_fleet::plan::Group;
 use cottoncrank_fleet::probe::{Probes, Sign};
--- a/crates/fleet/tests/loss.rs
+++ b/crates/fleet/tests/loss.rs
@@ -5,10 +5,12 @@
 use std::collections::HashSet;
 
 use cottoncrank::{Millis, id};
-use cottoncrank_fleet::decide::{Memory, Step};
+use cottoncrank_fleet::decide::Step;
 use cottoncrank_fleet::halt::Halts;
 use cottoncrank_fleet::loss::STALL_MARGIN;
-use cottoncrank_fleet::order::{FINISH, Order, REPEAT};
+use cottoncrank_fleet::memory::Memory;
+use cottoncrank_fleet::order::{Order, REPEAT};
+use cottoncrank_fleet::orders::FINISH;
 use cottoncrank_fleet::plan::Group;
 use cottoncrank_fleet::probe::Probes;
 use cottoncrank_fleet::runner::{Membership, Phase};
--- a/crates/fleet/tests/staging.rs
+++ b/crates/fleet/tests/staging.rs
@@ -5,8 +5,8 @@
 use std::collections::HashSet;
 
 use cottoncrank::{Millis, id};
-use cottoncrank_fleet::decide::Memory;
 use cottoncrank_fleet::loads::{Loads, Purpose};
+use cottoncrank_fleet::memory::Memory;
 use cottoncrank_fleet::order::Order;
 use instant::{CEILING, World, at_rest, runner, service};
 
--- a/crates/fleet/tests/world/mod.rs
+++ b/crates/fleet/tests/world/mod.rs
@@ -7,14 +7,16 @@
 
 use cottoncrank::{Millis, id};
 use cottoncrank_fleet::catalog::{Engine, Model, Service, Speed};
-use cottoncrank_fleet::decide::{Memory, Scene, Step, step};
+use cottoncrank_fleet::decide::{Step, step};
 use cottoncrank_fleet::halt::Halts;
+use cottoncrank_fleet::memory::Memory;
 use cottoncrank_fleet::occupancy::Counts;
 use cottoncrank_fleet::order::Order;
 use cottoncrank_fleet::plan::Plans;
 use cottoncrank_fleet::probe::{Answer, Probes, Reported};
 use cottoncrank_fleet::roster::Roster;
 use cottoncrank_fleet::runner::{Epoch, Membership, Phase, Runner};
+use cottoncrank_fleet::scene::Scene;
 use cottoncrank_fleet::settings::Ceiling;
 use rand::rngs::SmallRng;
 use rand::seq::IteratorRandom;
--- a/crates/node/src/dispatch.rs
+++ b/crates/node/src/dispatch.rs
@@ -3,7 +3,8 @@
 use std::sync::Arc;
 
 use cottoncrank::{Millis, id};
-use cottoncrank_fleet::dispatch::{Choice, Load, Promise, Question, Reply, Sample, Urgency};
+use cottoncrank_fleet::dispatch::{Choice, Promise, Question, Reply, Sample, Urgency};
+use cottoncrank_fleet::occupancy::Load;
 use cottoncrank_fleet::occupancy::{COVERED, Scope};
 use cottoncrank_fleet::runner::Epoch;
 
