--- a/crates/fleet/src/source.rs
+++ b/crates/fleet/src/source.rs
@@ -40,7 +40,7 @@
 
 /// All nodes that are not readers together call the store once in this time at most,
 /// where no reader can say what it holds. Simulated, an outage of 8 s costs three hundred
-/// nodes 414 calls, and 8,000 where each pauses for 0.2 to 0.4 s.
+/// nodes 517 calls, and 8,000 where each pauses for 0.2 to 0.4 s.
 const OTHERS: Millis = Millis(50);
 
 /// So many readers of other halls are asked where those of the own hall do not know what
