Ask others where the store has forgotten its history and turns a node away

A node that has to read all anew asked the store and nobody else: turned away, it learned nothing for as long as that lasted. It asks other nodes now, which may not be behind what it knew. The test with a store that turns one node after the other away, alone and for reads of ranges only, did not come to its end before.

--- a/crates/node/src/sync.rs
+++ b/crates/node/src/sync.rs
@@ -113,6 +113,9 @@
     node: Arc<Node>,
     client: Client,
     revision: Option<u64>,
+    /// The highest revision that was known here. What another node tells may not be older,
+    /// also where all is read anew.
+    newest: u64,
     sources: Sources,
     /// Whether the store was reached last, here or by the node asked.
     reached: bool,
@@ -122,7 +125,7 @@
 pub async fn run(node: Arc<Node>) {
     let client = Client::new(Traffic::default());
     let sources = Sources::new(node.settings().bounds.apply);
-    let mut sync = Sync { node, client, revision: None, sources, reached: true };
+    let mut sync = Sync { node, client, revision: None, newest: 0, sources, reached: true };
     sync.start().await;
     loop {
         sync.follow().await;
@@ -235,18 +238,15 @@
         self.node.feed.set_serving(false);
     }
 
-    /// Where to learn from. A node that knows nothing yet, and the deciding one, read
-    /// the store.
+    /// Where to learn from. The deciding node and one that has to read all anew ask the
+    /// store, and others only where it turns them away.
     fn pick_source(&mut self) -> Source {
         let settings = self.node.settings();
         let directory = self.node.directory.lock();
         let holder = self.node.decider.borrow().clone().filter(|holder| holder.leased);
         let holder = holder.and_then(|holder| holder.node);
         let (now, rng) = (self.node.now(), &mut rand::rng());
-        if self.revision.is_none() {
-            return self.sources.wait_for_store(now);
-        }
-        if self.node.is_deciding() {
+        if self.node.is_deciding() || self.revision.is_none() {
             return self.sources.pick_store(&settings.node, &settings.hall, &directory, now);
         }
         self.sources.pick(&settings.node, &settings.hall, holder.as_ref(), &directory, now, rng)
@@ -283,9 +283,8 @@
         if !self.sources.accepts(silence) {
             return Err(SyncError::Old(silence));
         }
-        let here = self.revision.unwrap_or(0);
-        if told.revision < here {
-            return Err(SyncError::Behind { there: told.revision, here });
+        if told.revision < self.newest {
+            return Err(SyncError::Behind { there: told.revision, here: self.newest });
         }
         let batch = Batch { items: feed::unpack(&told.items)?, revision: told.revision };
         // The answer was given after it was asked for and had waited.
@@ -301,6 +300,7 @@
         }
         self.reached = true;
         self.revision = Some(learned.batch.revision);
+        self.newest = self.newest.max(learned.batch.revision);
         let changes = learned.batch.items.len();
         take_in(&self.node, learned);
         self.node.feed.set_serving(serving);
--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -13,7 +13,7 @@
 use cottoncrank_platform_standin::caller::{Answer, ask};
 use cottoncrank_platform_standin::operator::{ENGINES, PLAIN, config};
 use cottoncrank_platform_standin::runner::Runner;
-use cottoncrank_platform_standin::store::Store;
+use cottoncrank_platform_standin::store::{Door, Store};
 use tokio::net::TcpListener;
 use tokio::task::JoinSet;
 
@@ -39,7 +39,7 @@
     pub plain: Vec<Runner>,
 }
 
-async fn start_node(store: &Store, number: usize, hall: &str) -> Running {
+async fn start_node(store: SocketAddr, number: usize, hall: &str) -> Running {
     let bind = async || TcpListener::bind("127.0.0.1:0").await.unwrap();
     let listeners = Listeners { callers: bind().await, ready: bind().await, peers: bind().await };
     let address = |listener: &TcpListener| listener.local_addr().unwrap();
@@ -49,7 +49,7 @@
         callers: address(&listeners.callers),
         ready: address(&listeners.ready),
         peers: address(&listeners.peers),
-        store: store.address(),
+        store,
         processor: Processor(1000),
         first_start: false,
         lease_min: Millis(1000),
@@ -83,7 +83,7 @@
         let (engines, plain) = ((0..5).map(engine).collect(), (0..2).map(plain).collect());
         let mut running = Vec::new();
         for (number, hall) in halls.iter().enumerate() {
-            running.push(start_node(&store, number, hall).await);
+            running.push(start_node(store.address(), number, hall).await);
         }
         Fleet { store, nodes: running, engines, plain }
     }
@@ -96,10 +96,22 @@
         fleet
     }
 
+    /// Nodes of one hall, each with its own way to the store, configured and serving.
+    pub async fn behind_doors(nodes: usize) -> (Fleet, Vec<Door>) {
+        let mut fleet = Fleet::bare(0).await;
+        let doors: Vec<Door> = (0..nodes).map(|_| Door::open(&fleet.store).unwrap()).collect();
+        for (number, door) in doors.iter().enumerate() {
+            fleet.nodes.push(start_node(door.address(), number, "hall-a").await);
+        }
+        fleet.store.configure(&config(1, &[KEY]));
+        fleet.wait("all nodes know two open groups", |fleet| fleet.all_know(2)).await;
+        (fleet, doors)
+    }
+
     /// One more node of the first hall.
     pub async fn add_node(&mut self) {
         let number = self.nodes.len();
-        self.nodes.push(start_node(&self.store, number, "hall-a").await);
+        self.nodes.push(start_node(self.store.address(), number, "hall-a").await);
     }
 
     /// Whether every node that runs knows that many groups which take requests.
--- a/crates/node/tests/fleet.rs
+++ b/crates/node/tests/fleet.rs
@@ -14,7 +14,7 @@
 use cottoncrank_platform::order::{self, Reply};
 use cottoncrank_platform_standin::caller::ask;
 use cottoncrank_platform_standin::operator::{STREAM, config};
-use cottoncrank_platform_standin::store::{self, Store};
+use cottoncrank_platform_standin::store::{self, Closed, Store};
 
 #[tokio::test]
 async fn one_node_reads_the_store_and_the_others_learn_from_it() {
@@ -71,6 +71,33 @@
     fleet.wait("the other one reads the store itself", |fleet| held(&fleet.nodes[0]) == Some(22)).await;
 }
 
+/// A node that reads all anew, for the store has forgotten the history, asked nobody but the
+/// store. Where the store turned just this node away, it learned nothing until that was over.
+#[tokio::test]
+async fn whichever_node_the_store_turns_away_learns_from_the_others_also_after_a_forgotten_history() {
+    let (fleet, doors) = Fleet::behind_doors(3).await;
+    fleet
+        .wait("all nodes know each other", |fleet| {
+            fleet.nodes.iter().all(|running| running.node.directory.lock().count() == 3)
+        })
+        .await;
+    let knows = |fleet: &Fleet, version: u64| {
+        let held = |r: &common::Running| r.node.catalog.lock().as_ref().map(|catalog| catalog.version);
+        fleet.nodes.iter().all(|running| held(running) == Some(version))
+    };
+    let mut version = 1;
+    for door in &doors {
+        for closed in [Closed::Ranges, Closed::All] {
+            door.set_closed(closed);
+            version += 1;
+            fleet.store.configure_and_forget(&config(version, &["key-1"]));
+            fleet.wait("the change is in force on all", |fleet| knows(fleet, version)).await;
+            assert!(fleet.nodes.iter().all(|running| running.node.knows_catalog()));
+            door.set_closed(Closed::Not);
+        }
+    }
+}
+
 #[tokio::test]
 async fn saved_up_retries_are_shared_by_the_nodes_there_are() {
     let fleet = Fleet::bare(4).await;
