--- a/crates/soak/tests/soak.rs
+++ b/crates/soak/tests/soak.rs
@@ -1,12 +1,15 @@
 //! A short run with a seed, and what plans promise.
 
 use cottoncrank::Millis;
-use cottoncrank_soak::plan::Plan;
+use cottoncrank_soak::plan::{Fault, Plan};
 use cottoncrank_soak::run::play;
 
 /// The seed that every run of the tests plays.
 const SEED: u64 = 11;
 
+/// One whose plan has runners that start again after 0.3 and 3 s, and spoiled entries.
+const LIVES: u64 = 15;
+
 #[test]
 fn the_same_seed_gives_the_same_plan_and_it_can_be_kept() {
     let plan = Plan::draw(SEED, 4, 12, Millis(15_000));
@@ -16,14 +19,25 @@
     assert_eq!(toml::from_str::<Plan>(&text).unwrap(), plan);
 }
 
+#[test]
+fn the_plan_of_lives_has_both_of_its_faults() {
+    let plan = Plan::draw(LIVES, 3, 6, Millis(6000));
+    let restarts = plan.events.iter().filter(|event| matches!(event.fault, Fault::Restart(_)));
+    let spans: Vec<u64> = restarts.map(|event| event.span).collect();
+    assert_eq!(spans, [3000, 300]);
+    assert!(plan.events.iter().any(|event| matches!(event.fault, Fault::Foreign(..))));
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_short_run_keeps_all_promises() {
-    let folder = std::env::temp_dir().join(format!("cottoncrank-soak-{}", std::process::id()));
-    let plan = Plan::draw(SEED, 3, 6, Millis(6000));
-    let report = play(&plan, &folder).await.unwrap();
-    assert_eq!(report.breaches, [], "settings and logs are in {}", folder.display());
-    assert!(report.served > 0);
-    std::fs::remove_dir_all(&folder).unwrap();
+    for seed in [SEED, LIVES] {
+        let folder = std::env::temp_dir().join(format!("cottoncrank-soak-{}", std::process::id()));
+        let plan = Plan::draw(seed, 3, 6, Millis(6000));
+        let report = play(&plan, &folder).await.unwrap();
+        assert_eq!(report.breaches, [], "settings and logs are in {}", folder.display());
+        assert!(report.served > 0);
+        std::fs::remove_dir_all(&folder).unwrap();
+    }
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
