--- a/crates/node/src/decider.rs
+++ b/crates/node/src/decider.rs
@@ -61,6 +61,10 @@
 /// How often a decider looks at the fleet when nothing has changed.
 const LOOK: Millis = Millis(250);
 
+/// While the plan of a domain cannot be read, all are read anew this often: an operator may
+/// have removed it.
+const REREAD: Millis = Millis(2000);
+
 /// What the runners of a service are doing is logged once in this time at most.
 const CENSUS: Millis = Millis(500);
 
@@ -106,6 +110,8 @@
     kept: BTreeMap<id::Domain, Kept>,
     /// Domains whose plan cannot be read.
     closed: BTreeSet<id::Domain>,
+    /// When they were read.
+    read: Millis,
 }
 
 /// A term of deciding.
@@ -201,7 +207,7 @@
 /// Reads all plans. A domain whose plan cannot be read is left alone, for its groups are not
 /// known; all others are decided.
 async fn read_plans(node: &Node) -> Result<Plans, EndError> {
-    let mut plans = Plans::default();
+    let mut plans = Plans { read: node.now(), ..Plans::default() };
     for item in node.store.read_own().await? {
         match read_plan(&item) {
             Ok(Some((domain, document))) => {
@@ -259,6 +265,7 @@
             if *self.node.draining.borrow() {
                 return Err(EndError::Deposed);
             }
+            self.reread(now).await;
             self.decide().await?;
             // A change wakes the decider early; both ways it looks again.
             let _ = tokio::time::timeout(LOOK.duration(), self.node.changed.notified()).await;
@@ -266,6 +273,18 @@
         }
     }
 
+    /// Looks whether plans that could not be read can be, or are gone.
+    async fn reread(&mut self, now: Millis) {
+        if self.plans.closed.is_empty() || now < self.plans.read + REREAD {
+            return;
+        }
+        self.plans.read = now;
+        match read_plans(&self.node).await {
+            Ok(plans) => self.plans = plans,
+            Err(error) => log::info!("decider: plans were not read anew: {error}"),
+        }
+    }
+
     async fn renew(&mut self) -> Result<(), EndError> {
         let asked = self.node.now();
         match self.node.store.keep_lease(self.lease).await {
--- a/crates/node/tests/foreign.rs
+++ b/crates/node/tests/foreign.rs
@@ -97,6 +97,14 @@
         fleet.engines.iter().map(Runner::joins).sum::<usize>(),
         "nothing is told in that domain"
     );
+    // An operator removes it: the domain is decided again.
+    fleet.store.remove(&plans[0]);
+    fleet
+        .wait("its groups are formed anew", |fleet| {
+            fleet.engines.iter().map(Runner::joins).sum::<usize>() >= joins + 4
+        })
+        .await;
+    fleet.wait("and serve", |fleet| fleet.all_know(3)).await;
 }
 
 #[tokio::test]
