Bound whole exchanges with the store; refuse routes as unknown only with a proof

Only the head of the store's answers was waited for with a bound. One that went silent within its body held a node for good, and bytes that were long under way counted as fresh. Exchanges with the store and runners are bounded to their end, in one place, and an unknown route or key is said only while the proof of the store, which counts from when it was asked, is within the bound.

--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -287,6 +287,26 @@
         }
     }
 
+    /// Sends a request and reads the answer to its end, all within `wait`: a connection may go
+    /// silent within an answer, and the rest of it would be waited for for good.
+    pub async fn exchange(
+        &self,
+        address: SocketAddr,
+        method: Method,
+        path: &str,
+        headers: HeaderMap,
+        body: Bytes,
+        wait: Millis,
+    ) -> Result<(StatusCode, Bytes), CallError> {
+        let exchange = async {
+            let answer = self.send(address, method, path, headers, body, wait).await?;
+            let status = answer.status();
+            Ok((status, read_all(address, answer.into_body()).await?))
+        };
+        let in_time = tokio::time::timeout(wait.duration(), exchange).await;
+        in_time.unwrap_or(Err(CallError::Late { address, wait }))
+    }
+
     /// Calls `path` with one message and reads one back, both in MessagePack.
     pub async fn call<Q: Serialize, A: DeserializeOwned>(
         &self,
@@ -297,16 +317,12 @@
     ) -> Result<A, CallError> {
         let message = |reason: String| CallError::Message { address, reason };
         let body = rmp_serde::to_vec(question).map_err(|error| message(error.to_string()))?;
-        let exchange = async {
-            let answer = self.send(address, Method::POST, path, HeaderMap::new(), body.into(), wait).await?;
-            if !answer.status().is_success() {
-                return Err(CallError::Status { address, status: answer.status() });
-            }
-            let bytes = read_all(address, answer.into_body()).await?;
-            rmp_serde::from_slice(&bytes).map_err(|error| message(error.to_string()))
-        };
-        let in_time = tokio::time::timeout(wait.duration(), exchange).await;
-        in_time.unwrap_or(Err(CallError::Late { address, wait }))
+        let exchanged = self.exchange(address, Method::POST, path, HeaderMap::new(), body.into(), wait);
+        let (status, bytes) = exchanged.await?;
+        if !status.is_success() {
+            return Err(CallError::Status { address, status });
+        }
+        rmp_serde::from_slice(&bytes).map_err(|error| message(error.to_string()))
     }
 }
 
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -12,7 +12,7 @@
 use cottoncrank_fleet::catalog::Catalog;
 use cottoncrank_fleet::directory::Directory;
 use cottoncrank_fleet::dispatch::{Dispatcher, Sample};
-use cottoncrank_fleet::freshness::{Freshness, MARGIN};
+use cottoncrank_fleet::freshness::Freshness;
 use cottoncrank_fleet::halt::Halts;
 use cottoncrank_fleet::limit::Limit;
 use cottoncrank_fleet::occupancy::{Counts, Sum, Table, View};
@@ -272,12 +272,13 @@
         self.contact.borrow().map(|contact| self.now().since(contact))
     }
 
-    /// Whether the configuration held here is the one that has to be in force. A node that
-    /// has missed changes for longer cannot say that there is no such route or key: it
-    /// refused routes with 404 that had been accepted more than 3 s before.
+    /// Whether the configuration held here is surely one that may be in force. A node that
+    /// may have missed changes for longer cannot say that there is no such route or key: it
+    /// refused routes with 404 that had been accepted 3.7 s before. Contact does not tell:
+    /// what arrives may have been under way for a second, and a watch deaf for another.
     pub fn knows_catalog(&self) -> bool {
-        let bound = self.settings().bounds.apply - MARGIN;
-        self.silence().is_some_and(|silence| silence < bound)
+        let bound = self.settings().bounds.apply;
+        self.freshness.lock().allows(self.now(), Some(bound))
     }
 
     /// Whether the node takes callers.
--- a/crates/node/tests/fleet.rs
+++ b/crates/node/tests/fleet.rs
@@ -6,6 +6,7 @@
 
 use common::Fleet;
 use cottoncrank::{Millis, id};
+use cottoncrank_fleet::freshness::Freshness;
 use cottoncrank_fleet::order::Order;
 use cottoncrank_fleet::probe::Reported;
 use cottoncrank_fleet::runner::Epoch;
@@ -98,6 +99,32 @@
     }
 }
 
+/// Only the head of an answer was waited for with a bound: a store whose answer went silent
+/// within its body held the node for good, and nothing else was asked.
+#[tokio::test]
+async fn an_answer_of_the_store_that_goes_silent_within_its_body_is_given_up() {
+    let fleet = Fleet::serving(2).await;
+    fleet.store.set_fault(store::Fault::Halting);
+    fleet.wait("no node trusts its keys", |fleet| fleet.nodes.iter().all(|r| !r.node.trusts_keys())).await;
+    fleet.store.set_fault(store::Fault::None);
+    fleet.wait("the keys are trusted again", |fleet| fleet.nodes.iter().all(|r| r.node.trusts_keys())).await;
+}
+
+/// What arrives may have been under way for long: with 300 nodes a route was refused with 404
+/// that had been accepted 3.7 s before, by a node that had just been told what the store held.
+#[tokio::test]
+async fn a_node_without_a_fresh_proof_does_not_say_that_there_is_no_such_route() {
+    let fleet = Fleet::serving(1).await;
+    let node = &fleet.nodes[0].node;
+    assert!(node.knows_catalog());
+    fleet.store.set_fault(store::Fault::Silent);
+    *node.freshness.lock() = Freshness::default();
+    node.note_contact(node.now());
+    assert!(!node.knows_catalog());
+    let answer = fleet.ask("/nowhere/", "r1").await;
+    assert_eq!((answer.status, fleet.runs("r1")), (503, 0));
+}
+
 #[tokio::test]
 async fn saved_up_retries_are_shared_by_the_nodes_there_are() {
     let fleet = Fleet::bare(4).await;
