--- a/crates/controller/src/listing.rs
+++ b/crates/controller/src/listing.rs
@@ -39,9 +39,8 @@
 
 async fn fetch(state: &State) -> Option<wire::List> {
     let address = state.settings.list;
-    let answer =
-        state.client.send(address, Verb::GET, "/list", HeaderMap::new(), Bytes::new(), WAIT).await.ok()?;
-    let bytes = read_all(address, answer.into_body()).await.ok()?;
+    let exchange = state.client.exchange(address, Verb::GET, "/list", HeaderMap::new(), Bytes::new(), WAIT);
+    let (_, bytes) = exchange.await.ok()?;
     rmp_serde::from_slice(&bytes).ok()
 }
 
