--- a/crates/controller/src/listing.rs
+++ b/crates/controller/src/listing.rs
@@ -7,7 +7,6 @@
 use cottoncrank::member::{list_readers, live_in};
 use cottoncrank::row::{Body, Key, Listed, Row};
 use cottoncrank::{Millis, config, id, wire};
-use cottoncrank_net::client::read_all;
 use cottoncrank_net::server::{HeaderMap, Verb};
 
 use crate::state::State;
