Show which requests are the same, and whether a runner ended under them

The hypotheses of the incident differ in whether one request is in flight at every end of a runner, and the logs named only the caller's id of each try. Each request now has a fingerprint of caller, method, path and body (BLAKE3: nobody can choose a body that collides with another caller's). Where the connection of a try breaks, the node asks once whether the runner has ended: its port refuses, another runner or a later life answers. One log line and a counter by finding. No decision follows from it yet.

--- /dev/null
+++ b/crates/fleet/src/fingerprint.rs
@@ -0,0 +1,84 @@
+//! What makes two requests the same, whichever node they come to.
+
+use std::fmt::{self, Write};
+use std::str::FromStr;
+
+use cottoncrank::id;
+use serde::{Deserialize, Serialize};
+use thiserror::Error;
+
+/// The length of a fingerprint in bytes: to find a request that has the same one as a given
+/// request takes some 2^128 tries.
+const LENGTH: usize = 16;
+
+/// The fingerprint of a request. Two requests with the same one have the same caller,
+/// method, path and body.
+///
+/// The hash is one for which nobody can choose a body that collides: else a caller could
+/// have another caller's request refused.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Fingerprint([u8; LENGTH]);
+
+/// A fingerprint that could not be read.
+#[derive(Debug, Error, PartialEq, Eq)]
+#[error("`{0}` is not a fingerprint of {digits} hexadecimal digits", digits = 2 * LENGTH)]
+pub struct FingerprintError(String);
+
+/// What a request is told apart by.
+#[derive(Clone, Copy, Debug)]
+pub struct Request<'a> {
+    /// The account that sends it, if it has to name one.
+    pub account: Option<&'a id::Account>,
+    /// The method.
+    pub method: &'a str,
+    /// The path with its query.
+    pub path: &'a str,
+    /// The body.
+    pub body: &'a [u8],
+}
+
+impl Fingerprint {
+    /// The fingerprint of a request.
+    pub fn of(request: &Request) -> Fingerprint {
+        let mut hasher = blake3::Hasher::new();
+        let account = request.account.map_or("", id::Account::as_str);
+        for part in [account.as_bytes(), request.method.as_bytes(), request.path.as_bytes(), request.body] {
+            // Lengths keep the parts apart: no part can pass for the end of another.
+            hasher.update(&(part.len() as u64).to_le_bytes());
+            hasher.update(part);
+        }
+        let mut bytes = [0; LENGTH];
+        hasher.finalize_xof().fill(&mut bytes);
+        Fingerprint(bytes)
+    }
+}
+
+impl fmt::Display for Fingerprint {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.iter().try_for_each(|byte| write!(f, "{byte:02x}"))
+    }
+}
+
+impl fmt::Debug for Fingerprint {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("Fingerprint(")?;
+        fmt::Display::fmt(self, f)?;
+        f.write_char(')')
+    }
+}
+
+impl FromStr for Fingerprint {
+    type Err = FingerprintError;
+
+    fn from_str(text: &str) -> Result<Fingerprint, FingerprintError> {
+        let unreadable = || FingerprintError(text.to_owned());
+        if text.len() != 2 * LENGTH || !text.is_ascii() {
+            return Err(unreadable());
+        }
+        let mut bytes = [0; LENGTH];
+        for (at, byte) in bytes.iter_mut().enumerate() {
+            *byte = u8::from_str_radix(&text[2 * at..2 * at + 2], 16).map_err(|_| unreadable())?;
+        }
+        Ok(Fingerprint(bytes))
+    }
+}
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod directory;
 pub mod dispatch;
 pub mod event;
+pub mod fingerprint;
 pub mod form;
 pub mod freshness;
 pub mod halt;
--- a/crates/node/src/attempt.rs
+++ b/crates/node/src/attempt.rs
@@ -7,9 +7,10 @@
 use cottoncrank::{Millis, id};
 use cottoncrank_fleet::balance;
 use cottoncrank_fleet::catalog::{Catalog, Engine, Route};
+use cottoncrank_fleet::fingerprint::Fingerprint;
 use cottoncrank_fleet::plan::{State, find_state};
 use cottoncrank_fleet::roster::Roster;
-use cottoncrank_fleet::runner::{Epoch, Runner};
+use cottoncrank_fleet::runner::{Epoch, Life, Runner};
 use cottoncrank_platform::header::{self, Forward, Terms, Verdict};
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -38,6 +39,8 @@
     pub account: Option<id::Account>,
     /// Its urgency, 0 first.
     pub priority: u8,
+    /// What it has in common with the same request sent again.
+    pub fingerprint: Fingerprint,
     /// When it came.
     pub arrived: Millis,
     /// When it has to be answered.
@@ -80,9 +83,17 @@
     /// It may have run there.
     #[error("may have run: {0}")]
     MayHaveRun(String),
+    /// The same, and the connection broke: the runner may have ended.
+    #[error("may have run: {0}")]
+    Broken(String),
 }
 
 impl AttemptError {
+    /// Whether the request may have run.
+    pub fn may_have_run(&self) -> bool {
+        matches!(self, AttemptError::MayHaveRun(_) | AttemptError::Broken(_))
+    }
+
     /// Whether the request reached the runner: only then does sending it again count
     /// as a retry, which has to be paid for.
     pub fn has_arrived(&self) -> bool {
@@ -95,7 +106,7 @@
             AttemptError::Unreached(_) => "unreached",
             AttemptError::NotRun(_) => "not_run",
             AttemptError::Full => "full",
-            AttemptError::MayHaveRun(_) => "may_have_run",
+            AttemptError::MayHaveRun(_) | AttemptError::Broken(_) => "may_have_run",
         }
     }
 }
@@ -119,6 +130,8 @@
     pub id: id::Runner,
     /// Where it listens.
     pub address: SocketAddr,
+    /// In which life it was picked, where that is told.
+    pub life: Option<Life>,
     /// The data hall it stands in.
     hall: id::Hall,
     /// The group it heads, if the request goes to one.
@@ -171,7 +184,13 @@
 
 fn write_pick(job: &Job, runner: &Runner) -> Pick {
     let group = job.engine().and(runner.membership.as_ref()).map(|place| (place.group.clone(), place.epoch));
-    Pick { id: runner.id.clone(), address: runner.address, hall: runner.hall.clone(), group }
+    Pick {
+        id: runner.id.clone(),
+        address: runner.address,
+        life: runner.life,
+        hall: runner.hall.clone(),
+        group,
+    }
 }
 
 /// Picks the runner for the next try.
@@ -208,7 +227,7 @@
         Ok(response) => response,
         Err(error @ (ChannelError::Broken(_) | ChannelError::Connect(_))) => {
             node.ledger.lock().blame(&pick.id, node.now());
-            return Err(AttemptError::MayHaveRun(error.to_string()));
+            return Err(AttemptError::Broken(error.to_string()));
         }
     };
     let status = response.status().as_u16();
--- a/crates/node/src/figures.rs
+++ b/crates/node/src/figures.rs
@@ -45,6 +45,11 @@
     metrics::counter!("cottoncrank_attempts_failed_total", "reason" => reason).increment(1);
 }
 
+/// What became of a runner whose connection broke.
+pub fn count_finding(finding: &'static str) {
+    metrics::counter!("cottoncrank_broken_runners_total", "finding" => finding).increment(1);
+}
+
 /// A source of what the store holds gave nothing that can be used: one of the nodes or
 /// the store itself.
 pub fn count_source_failure(source: &'static str, reason: &'static str) {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -7,13 +7,15 @@
 //! admits and routes them, [`plain`] and [`stream`] run them at runners (a stream try by
 //! try, in `tries`, from a `source`, passed on by `relay`), and [`decider`] gives orders
 //! to the runners, which `prober` asks how they are, while this node holds the lease for
-//! that. `unreadable` bounds what the log tells of items that cannot be read. All state stands in [`state::Node`].
+//! that. `crash` finds out whether a runner has ended whose connection broke. `unreadable` bounds
+//! what the log tells of items that cannot be read. All state stands in [`state::Node`].
 
 pub mod answer;
 pub mod attempt;
 mod avoid;
 pub mod channel;
 pub mod collect;
+mod crash;
 pub mod decider;
 mod dispatch;
 pub mod feed;
--- a/crates/node/src/plain.rs
+++ b/crates/node/src/plain.rs
@@ -10,6 +10,7 @@
 
 use crate::answer::{Answer, Body, Refusal};
 use crate::attempt::{Attempt, AttemptError, Job, pick, send};
+use crate::crash;
 use crate::figures;
 use crate::state::Node;
 
@@ -43,7 +44,10 @@
                 figures::count_failed_attempt(error.reason());
                 log::info!("request {}: try {} at {}: {error}", job.id(), tried.len(), pick.id);
                 arrived |= error.has_arrived();
-                if let AttemptError::MayHaveRun(_) = error {
+                if let AttemptError::Broken(_) = error {
+                    crash::report(node, job, &pick);
+                }
+                if error.may_have_run() {
                     sent += 1;
                     may_have_run = true;
                     if !job.route.is_repeatable() {
@@ -66,7 +70,7 @@
     let collected = Limited::new(body, ANSWER_MAX).collect().await;
     let bytes = collected.map_err(|error| {
         node.ledger.lock().blame(&attempt.pick.id, node.now());
-        AttemptError::MayHaveRun(format!("its answer broke off: {error}"))
+        AttemptError::Broken(format!("its answer broke off: {error}"))
     })?;
     node.ledger.lock().progress(&attempt.pick.id, node.now());
     Ok(pass_on(head.status, &head.headers, bytes.to_bytes()))
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -113,13 +113,13 @@
 
     /// Takes the stream up at another runner.
     async fn go_on(&mut self, error: &AttemptError) -> Result<(), Refusal> {
-        self.tries.note(&self.job, error);
+        self.tries.note(&self.node, &self.job, error);
         let last = self.source.splitter.last();
         loop {
             let attempt = next_attempt(&self.node, &self.job, &mut self.tries, last).await?;
             if !attempt.response.status().is_success() {
                 let error = AttemptError::MayHaveRun(format!("it answered {}", attempt.response.status()));
-                self.tries.note(&self.job, &error);
+                self.tries.note(&self.node, &self.job, &error);
                 continue;
             }
             self.source = Source::open(attempt, last).1;
--- a/crates/node/src/request.rs
+++ b/crates/node/src/request.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use cottoncrank::Millis;
 use cottoncrank_fleet::catalog::{Catalog, Kind, Route};
+use cottoncrank_fleet::fingerprint::{self, Fingerprint};
 use cottoncrank_platform::header::{self, Terms};
 use http_body_util::{BodyExt, Limited};
 use hyper::Request;
@@ -97,6 +98,12 @@
     let priority = account.and_then(|account| account.priority).unwrap_or(route.priority).min(PRIORITY_MAX);
     let target = route.pick_target(rand::rng().random()).ok_or(Refusal::NoRoute)?;
     let wait = terms.wait.unwrap_or(WAIT_UNSET).min(route.timeout);
+    let fingerprint = Fingerprint::of(&fingerprint::Request {
+        account: account.map(|account| &account.id),
+        method: head.method.as_str(),
+        path: head.uri.path_and_query().map_or("/", |path| path.as_str()),
+        body: &body,
+    });
     Ok(Job {
         account: account.map(|account| account.id.clone()),
         service: target.service.clone(),
@@ -106,6 +113,7 @@
         route,
         catalog,
         priority,
+        fingerprint,
         arrived,
         end: arrived + wait,
     })
--- a/crates/node/src/source.rs
+++ b/crates/node/src/source.rs
@@ -89,10 +89,10 @@
         let frame = match source.body.frame().await {
             Some(Ok(frame)) => frame,
             Some(Err(error)) => {
-                return Err(AttemptError::MayHaveRun(format!("the stream broke off: {error}")));
+                return Err(AttemptError::Broken(format!("the stream broke off: {error}")));
             }
             None if source.splitter.is_at_boundary() => return Ok(Next::End),
-            None => return Err(AttemptError::MayHaveRun("the stream ended within an event".to_owned())),
+            None => return Err(AttemptError::Broken("the stream ended within an event".to_owned())),
         };
         let Ok(piece) = frame.into_data() else { continue };
         node.ledger.lock().progress(&source.pick.id, node.now());
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -26,6 +26,7 @@
 use tokio::sync::{Notify, watch};
 
 use crate::avoid::Avoided;
+use crate::crash::Findings;
 use crate::feed::Feed;
 use crate::figures;
 use crate::unreadable::{Part, Unreadable};
@@ -87,6 +88,8 @@
     pub(crate) samples: Mutex<Vec<Sample>>,
     /// Collectors that did not answer a question for a group.
     pub(crate) unanswering: Mutex<Avoided>,
+    /// What became of runners whose connections broke.
+    pub(crate) findings: Mutex<Findings>,
     /// Asks other nodes for groups.
     pub(crate) client: Client,
     /// Told when a request at a runner ended.
@@ -137,6 +140,7 @@
             dispatcher: Mutex::default(),
             samples: Mutex::default(),
             unanswering: Mutex::default(),
+            findings: Mutex::default(),
             client: Client::new(Traffic::default()),
             flight_ended: Notify::new(),
             limits: Mutex::default(),
--- a/crates/node/src/stream.rs
+++ b/crates/node/src/stream.rs
@@ -116,7 +116,7 @@
         if !attempt.response.status().is_success() {
             match plain::read_whole(node, attempt).await {
                 Ok(answer) => return Ok(Opening::Whole(answer)),
-                Err(error) => tries.note(job, &error),
+                Err(error) => tries.note(node, job, &error),
             }
             continue;
         }
@@ -130,7 +130,7 @@
                 let begun = Begun { head, first: Bytes::new(), source, ended: true };
                 return Ok(Opening::Stream(Box::new(begun)));
             }
-            Err(error) => tries.note(job, &error),
+            Err(error) => tries.note(node, job, &error),
         }
     }
 }
--- a/crates/node/src/tries.rs
+++ b/crates/node/src/tries.rs
@@ -6,7 +6,8 @@
 use cottoncrank_fleet::dispatch::{Promise, Reply, Urgency};
 
 use crate::answer::Refusal;
-use crate::attempt::{Attempt, AttemptError, Job, find_pick, pick, send};
+use crate::attempt::{Attempt, AttemptError, Job, Pick, find_pick, pick, send};
+use crate::crash;
 use crate::dispatch;
 use crate::figures;
 use crate::source::wait_unless_silent;
@@ -20,6 +21,8 @@
 pub struct Tries {
     /// The runners, in the order in which they were tried.
     pub tried: Vec<id::Runner>,
+    /// The last of them.
+    last: Option<Pick>,
     /// Runners at which it may have run.
     pub sent: u32,
     /// Runners that had no place for it.
@@ -39,9 +42,9 @@
     }
 
     /// Takes a try in that gave no answer.
-    pub fn note(&mut self, job: &Job, error: &AttemptError) {
+    pub fn note(&mut self, node: &Arc<Node>, job: &Job, error: &AttemptError) {
         match error {
-            AttemptError::MayHaveRun(_) => self.sent += 1,
+            AttemptError::MayHaveRun(_) | AttemptError::Broken(_) => self.sent += 1,
             AttemptError::Full => self.full += 1,
             AttemptError::Unreached(_) | AttemptError::NotRun(_) => {}
         }
@@ -49,6 +52,9 @@
         figures::count_failed_attempt(error.reason());
         let runner = self.tried.last().map_or("-", id::Runner::as_str);
         log::info!("request {}: try {} at {runner}: {error}", job.id(), self.tried.len());
+        if let (AttemptError::Broken(_), Some(pick)) = (error, &self.last) {
+            crash::report(node, job, pick);
+        }
     }
 }
 
@@ -88,11 +94,12 @@
             return Err(refusal);
         }
         tries.tried.push(pick.id.clone());
+        tries.last = Some(pick.clone());
         let started = node.now();
         let sending = send(node, job, &pick, last);
         match wait_unless_silent(node, job, &pick, started, sending).await {
             Ok(attempt) => return Ok(attempt),
-            Err(error) => tries.note(job, &error),
+            Err(error) => tries.note(node, job, &error),
         }
     }
 }
