--- a/crates/fleet/tests/fingerprint.rs
+++ b/crates/fleet/tests/fingerprint.rs
@@ -34,7 +34,8 @@
     let text = fingerprint.to_string();
     assert_eq!(text.len(), 32);
     assert_eq!(text.parse(), Ok(fingerprint));
-    for wrong in ["", "12", &text[1..], &format!("{text}0"), &text.replace(&text[..1], "x"), &"ä".repeat(16)] {
+    for wrong in ["", "12", &text[1..], &format!("{text}0"), &text.replace(&text[..1], "x"), &"ä".repeat(16)]
+    {
         assert!(wrong.parse::<Fingerprint>().is_err(), "{wrong}");
     }
 }
--- a/crates/soak/tests/checks.rs
+++ b/crates/soak/tests/checks.rs
@@ -25,6 +25,7 @@
         priority: None,
         last_event: None,
         run: true,
+        deadly: false,
         leaving: false,
         group: None,
         at,
