Tell requests that end runners from those that were only there

A table of such requests, merged from what all nodes see in any order: an end counts for the request that was at the most ends, a run to the end anywhere clears, three lives are enough, two that were at all the same ends are told apart by one more run. Bounded by account. An entry's release of the software is read.

Nine tests on a set clock, among them tables that hear the same in any order and a million deadly requests of one account (release build). Not used yet.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -47,3 +47,5 @@
 mod share;
 pub mod source;
 pub mod staging;
+pub mod suspects;
+pub mod trials;
--- a/crates/fleet/src/runner.rs
+++ b/crates/fleet/src/runner.rs
@@ -44,6 +44,16 @@
     }
 }
 
+/// The release of a runner's software.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Release(pub String);
+
+impl fmt::Display for Release {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
 /// Whether `told` is a later life of a runner than `known`. Where one of them is not
 /// told, nothing can be concluded.
 pub fn is_later(told: Option<Life>, known: Option<Life>) -> bool {
@@ -85,6 +95,8 @@
     pub id: id::Runner,
     /// Which life of it this is about, where the platform says so.
     pub life: Option<Life>,
+    /// The release of its software, where the platform says so.
+    pub release: Option<Release>,
     /// The service it belongs to.
     pub service: id::Service,
     /// Where it listens.
--- a/crates/fleet/tests/belief.rs
+++ b/crates/fleet/tests/belief.rs
@@ -22,6 +22,7 @@
         slots: 10,
         draining: false,
         models: vec!["large".parse().unwrap()],
+        release: None,
         served: None,
         life: None,
         staged: Vec::new(),
--- a/crates/fleet/tests/census.rs
+++ b/crates/fleet/tests/census.rs
@@ -28,6 +28,7 @@
         slots: 10,
         draining: false,
         models: Vec::new(),
+        release: None,
         served: None,
         life: None,
         staged: Vec::new(),
--- a/crates/fleet/tests/dispatch.rs
+++ b/crates/fleet/tests/dispatch.rs
@@ -33,6 +33,7 @@
         slots: SLOTS,
         draining: false,
         models: vec!["small".parse().unwrap()],
+        release: None,
         served: None,
         life: None,
         staged: Vec::new(),
--- a/crates/fleet/tests/instant/mod.rs
+++ b/crates/fleet/tests/instant/mod.rs
@@ -65,6 +65,7 @@
         slots: 10,
         draining: false,
         models: Vec::new(),
+        release: None,
         served: None,
         life: Some(FIRST),
         staged: Vec::new(),
--- a/crates/fleet/tests/occupancy.rs
+++ b/crates/fleet/tests/occupancy.rs
@@ -19,6 +19,7 @@
         slots: SLOTS,
         draining: false,
         models: vec!["large".parse().unwrap()],
+        release: None,
         served: None,
         life: None,
         staged: Vec::new(),
--- /dev/null
+++ b/crates/fleet/tests/suspects.rs
@@ -0,0 +1,211 @@
+//! Which requests are held to end runners, from what all nodes have seen.
+
+use std::collections::BTreeSet;
+
+use cottoncrank::{Millis, id};
+use cottoncrank_fleet::fingerprint::{Fingerprint, Request};
+use cottoncrank_fleet::runner::Life;
+use cottoncrank_fleet::suspects::{Audience, Crash, KEPT, Level, Origin, Row, Table};
+use rand::rngs::SmallRng;
+use rand::seq::SliceRandom;
+use rand::{Rng, SeedableRng};
+
+const NOW: Millis = Millis(1_000_000);
+
+fn fingerprint(name: &str) -> Fingerprint {
+    Fingerprint::of(&Request { account: None, method: "POST", path: name, body: b"" })
+}
+
+fn crash(runner: u64, life: u64) -> Crash {
+    Crash { runner: format!("r-{runner}").parse().unwrap(), life: Some(Life(life)), release: None }
+}
+
+/// A request at the ends of the first lives of these runners.
+fn row(name: &str, runners: &[u64]) -> Row {
+    let account: id::Account = "acme".parse().unwrap();
+    let crashes = runners.iter().map(|runner| crash(*runner, 1)).collect();
+    Row {
+        fingerprint: fingerprint(name),
+        account: Some(account),
+        route: "write".to_owned(),
+        crashes,
+        void: BTreeSet::new(),
+        cleared: false,
+    }
+}
+
+fn table(rows: &[Row]) -> Table {
+    let mut table = Table::default();
+    for row in rows {
+        table.merge(row, Origin::Hall, NOW);
+    }
+    table
+}
+
+fn level(table: &Table, name: &str) -> Level {
+    table.level(&fingerprint(name))
+}
+
+#[test]
+fn three_lives_that_ended_under_a_request_tell_that_it_ends_them() {
+    let mut table = table(&[row("k", &[1])]);
+    assert_eq!(level(&table, "k"), Level::Suspected(1));
+    assert_eq!(level(&table, "other"), Level::Clear);
+    // The same end, told again by another node, is no further one; another life is.
+    assert!(table.merge(&row("k", &[1]), Origin::Elsewhere, NOW).is_empty());
+    let again = Row { crashes: [crash(1, 2)].into(), ..row("k", &[]) };
+    let changes = table.merge(&again, Origin::Elsewhere, NOW);
+    assert_eq!((changes[0].before, changes[0].after), (Level::Suspected(1), Level::Suspected(2)));
+    table.merge(&row("k", &[7]), Origin::Elsewhere, NOW);
+    assert_eq!(level(&table, "k"), Level::Deadly(3));
+}
+
+#[test]
+fn ends_that_a_deadly_request_explains_count_for_no_other() {
+    let mut table = table(&[row("k", &[1, 2]), row("a", &[1, 2]), row("b", &[2]), row("c", &[9])]);
+    assert_eq!(level(&table, "a"), Level::Suspected(2));
+    assert_eq!(level(&table, "b"), Level::Clear, "two others were there, and at one end more");
+    let changes = table.merge(&row("k", &[3]), Origin::Hall, NOW);
+    assert_eq!(level(&table, "k"), Level::Deadly(3));
+    assert_eq!((level(&table, "a"), level(&table, "b")), (Level::Clear, Level::Clear));
+    assert_eq!(level(&table, "c"), Level::Suspected(1), "another end is not explained by it");
+    assert_eq!(changes.len(), 2, "all whose level changes are told of");
+}
+
+#[test]
+fn a_request_that_was_at_all_ends_by_chance_is_told_apart_before_it_is_held_back() {
+    let mut table = table(&[row("k", &[1, 2, 3]), row("a", &[1, 2, 3])]);
+    assert_eq!((level(&table, "k"), level(&table, "a")), (Level::Suspected(3), Level::Suspected(3)));
+    table.merge(&row("k", &[4]), Origin::Hall, NOW);
+    assert_eq!((level(&table, "k"), level(&table, "a")), (Level::Deadly(4), Level::Clear));
+    // And the same when the other one runs to its end instead.
+    let mut table = self::table(&[row("k", &[1, 2, 3]), row("a", &[1, 2, 3])]);
+    table.note_completed(&fingerprint("a"), NOW);
+    assert_eq!((level(&table, "k"), level(&table, "a")), (Level::Deadly(3), Level::Clear));
+    // Two that cannot be told apart are both held back in the end.
+    let table = self::table(&[row("k", &[1, 2, 3, 4, 5]), row("a", &[1, 2, 3, 4, 5])]);
+    assert_eq!((level(&table, "k"), level(&table, "a")), (Level::Deadly(5), Level::Deadly(5)));
+}
+
+#[test]
+fn what_has_run_to_its_end_anywhere_is_cleared_whenever_that_is_heard_of() {
+    let mut table = table(&[row("a", &[1, 2])]);
+    let cleared = Row { cleared: true, ..row("a", &[1]) };
+    let changes = table.merge(&cleared, Origin::Elsewhere, NOW);
+    assert_eq!((changes[0].before, changes[0].after), (Level::Suspected(2), Level::Clear));
+    table.merge(&row("a", &[3, 4]), Origin::Hall, NOW);
+    assert_eq!(level(&table, "a"), Level::Clear, "what ends each runner cannot have run to its end");
+}
+
+#[test]
+fn an_entry_that_was_lifted_needs_three_new_ends() {
+    let mut table = table(&[row("k", &[1, 2, 3])]);
+    table.lift(&fingerprint("k"), NOW);
+    assert_eq!(level(&table, "k"), Level::Clear);
+    // A node that has not heard of it tells the old ends again.
+    table.merge(&row("k", &[1, 2, 3]), Origin::Elsewhere, NOW);
+    assert_eq!(level(&table, "k"), Level::Clear);
+    table.merge(&row("k", &[4, 5]), Origin::Hall, NOW);
+    assert_eq!(level(&table, "k"), Level::Suspected(2));
+    table.merge(&row("k", &[6]), Origin::Hall, NOW);
+    assert_eq!(level(&table, "k"), Level::Deadly(3));
+}
+
+#[test]
+fn tables_that_hear_the_same_in_any_order_and_number_come_to_the_same_levels() {
+    let names = ["k", "a", "b", "c", "d"];
+    for seed in 0..40 {
+        let rng = &mut SmallRng::seed_from_u64(seed);
+        let mut rows: Vec<Row> = (0..30)
+            .map(|_| Row {
+                cleared: rng.random_bool(0.05),
+                ..row(names[rng.random_range(0..names.len())], &[rng.random_range(0..6)])
+            })
+            .collect();
+        let mut levels = BTreeSet::new();
+        for _ in 0..10 {
+            rows.shuffle(rng);
+            let repeated = rows.iter().filter(|_| rng.random_bool(0.3)).cloned().collect::<Vec<_>>();
+            let mut table = Table::default();
+            for row in rows.iter().chain(&repeated) {
+                table.merge(row, Origin::Hall, NOW);
+            }
+            levels.insert(format!("{:?}", names.map(|name| level(&table, name))));
+        }
+        assert_eq!(levels.len(), 1, "seed {seed}: {levels:?}");
+    }
+}
+
+#[test]
+fn single_nodes_are_told_of_what_ended_two_runners_and_collectors_of_all_that_is_new_here() {
+    let mut table = table(&[row("a", &[1]), row("k", &[1, 2])]);
+    let names = |audience, after| {
+        let (rows, upto) = table.list_news(after, audience, 10);
+        (rows.iter().map(|row| row.fingerprint).collect::<Vec<_>>(), upto)
+    };
+    let (told, upto) = names(Audience::Collector, 0);
+    assert_eq!(told, [fingerprint("a"), fingerprint("k")]);
+    assert_eq!(names(Audience::Collector, upto).0, []);
+    assert_eq!(names(Audience::Node, 0).0, [fingerprint("k")]);
+    // What came from another hall is passed on to nodes, not back to collectors.
+    table.merge(&row("far", &[3, 4, 5]), Origin::Elsewhere, NOW);
+    assert!(table.list_news(upto, Audience::Collector, 10).0.is_empty());
+    assert_eq!(table.list_news(upto, Audience::Node, 10).0.len(), 1);
+    // More than fits is told in parts, and nothing is left out.
+    for number in 0..20 {
+        table.merge(&row(&format!("m{number}"), &[10 + number]), Origin::Hall, NOW);
+    }
+    let (mut after, mut seen) = (upto, BTreeSet::new());
+    for _ in 0..4 {
+        let (rows, upto) = table.list_news(after, Audience::Collector, 6);
+        seen.extend(rows.iter().map(|row| row.fingerprint));
+        after = upto;
+    }
+    assert_eq!(seen.len(), 20);
+}
+
+#[test]
+fn an_account_with_a_million_deadly_requests_pushes_out_nobody_elses() {
+    let mut table = Table::default();
+    let other: id::Account = "globex".parse().unwrap();
+    let theirs = Row { account: Some(other), ..row("theirs", &[1, 2, 3]) };
+    table.merge(&theirs, Origin::Hall, NOW);
+    let most = if cfg!(debug_assertions) { 5_000 } else { 1_000_000 };
+    for number in 0..most {
+        let runners = [3 * number + 10, 3 * number + 11, 3 * number + 12];
+        table.merge(&row(&number.to_string(), &runners), Origin::Hall, NOW);
+    }
+    assert_eq!(level(&table, "theirs"), Level::Deadly(3));
+    assert_eq!(level(&table, &(most - 1).to_string()), Level::Deadly(3), "the latest ones are held back");
+    assert!(table.iter().count() <= 129);
+    // With as many accounts the whole stays bounded as well, and each keeps some.
+    for account_number in 0..100 {
+        for number in 0..100 {
+            let name = format!("{account_number}-{number}");
+            let account: id::Account = format!("account-{account_number}").parse().unwrap();
+            let runner = 10_000_000 + 100 * account_number + number;
+            table.merge(&Row { account: Some(account), ..row(&name, &[runner]) }, Origin::Hall, NOW);
+        }
+    }
+    assert!(table.iter().count() <= 2048);
+    assert_eq!(level(&table, "theirs"), Level::Deadly(3));
+}
+
+#[test]
+fn what_is_old_is_forgotten_and_the_store_told_to() {
+    let mut table = table(&[row("k", &[1, 2, 3]), row("a", &[8])]);
+    let unstored: Vec<Fingerprint> = table.list_unstored().iter().map(|(row, _)| row.fingerprint).collect();
+    assert_eq!(unstored, [fingerprint("k")], "a single end is exchanged and not stored");
+    table.note_stored(&row("k", &[1, 2, 3]));
+    assert!(table.list_unstored().is_empty());
+    table.merge(&row("k", &[4]), Origin::Hall, NOW);
+    assert_eq!(table.list_unstored().len(), 1, "it has one end more than the store holds");
+    assert!(table.list_needless().is_empty());
+    table.expire(NOW + KEPT - Millis(1));
+    assert_eq!(level(&table, "k"), Level::Deadly(4));
+    table.expire(NOW + KEPT);
+    assert_eq!(level(&table, "k"), Level::Clear);
+    assert_eq!(table.list_needless(), [fingerprint("k")]);
+    assert!(!table.note_removed(&fingerprint("k")));
+    assert!(table.list_needless().is_empty());
+}
--- a/crates/fleet/tests/world/mod.rs
+++ b/crates/fleet/tests/world/mod.rs
@@ -171,6 +171,7 @@
             slots: 14,
             draining: false,
             models: Vec::new(),
+            release: None,
             served: None,
             life: Some(Life(self.now.0)),
             staged: Vec::new(),
