--- a/crates/fleet/src/dispatch.rs
+++ b/crates/fleet/src/dispatch.rs
@@ -15,6 +15,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::catalog::{Model, Speed};
+use crate::fingerprint::Fingerprint;
 use crate::occupancy::{Load, Report};
 use crate::runner::{Epoch, Runner};
 
@@ -85,6 +86,8 @@
     pub urgency: Urgency,
     /// Groups that were tried.
     pub tried: Vec<Epoch>,
+    /// What the request has in common with others that are the same.
+    pub fingerprint: Fingerprint,
     /// First events that came to the asking node since it last asked.
     pub samples: Vec<Sample>,
 }
@@ -122,6 +125,11 @@
     /// Nothing can be said: no group of the model is known, or too little of what is in
     /// flight.
     Unknown,
+    /// Runners have ended under it, and it is not let run at present: another run of it is
+    /// undecided, or only one group is left.
+    Held,
+    /// It ends the runners that run it.
+    Deadly,
 }
 
 /// Prompts sent to a group that it may not have read yet.
@@ -150,6 +158,8 @@
     pub model: &'a Model,
     /// How fast the engine is.
     pub speed: &'a Speed,
+    /// Groups that a suspected request is kept away from: another one has a run there.
+    pub trials: &'a [Epoch],
 }
 
 impl Choice<'_> {
@@ -221,7 +231,7 @@
             let used = if cut { 1.0 } else { part_used(head, load) };
             Rating { expected, wait, tie: rng.random(), epoch, used }
         });
-        let rated: Vec<Rating> = rated.collect();
+        let rated: Vec<Rating> = keep_apart(rated.collect(), choice.trials);
         let later = self.find_later(question);
         let Some(best) = pick_earliest(rated.iter()) else { return Reply::Unknown };
         let fits = |rating: &&Rating| match question.urgency {
@@ -248,6 +258,15 @@
     }
 }
 
+/// Leaves out the groups that have a run of another suspected request, if there are others.
+fn keep_apart(rated: Vec<Rating>, trials: &[Epoch]) -> Vec<Rating> {
+    let is_apart = |rating: &Rating| !trials.contains(&rating.epoch);
+    match trials.is_empty() || !rated.iter().any(is_apart) {
+        true => rated,
+        false => rated.into_iter().filter(is_apart).collect(),
+    }
+}
+
 /// What speaks against a group, as so many milliseconds.
 fn penalize(choice: &Choice, head: &Runner, load: Load) -> f64 {
     let away = match head.hall == *choice.hall {
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -16,6 +16,7 @@
 //! - [`source`] says whom a node asks for what the store holds.
 
 pub mod balance;
+pub mod breaks;
 pub mod catalog;
 pub mod census;
 pub mod decide;
@@ -27,6 +28,7 @@
 pub mod fingerprint;
 pub mod form;
 pub mod freshness;
+pub mod gossip;
 pub mod halt;
 pub mod limit;
 pub mod loads;
--- a/crates/fleet/src/roster.rs
+++ b/crates/fleet/src/roster.rs
@@ -1,11 +1,11 @@
 //! The runners a node believes in, and the groups they stand in.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 
 use cottoncrank::{Millis, id};
 
 use crate::plan::{Group, Plans};
-use crate::runner::{Life, Phase, Runner, is_later};
+use crate::runner::{Life, Phase, Release, Runner, is_later};
 
 /// Runners whose entry lapsed while the store was away are given this long
 /// after its return to write themselves in again. The platform names about two
@@ -163,6 +163,12 @@
             .collect()
     }
 
+    /// The releases of the runners of a service, as far as they are told.
+    pub fn list_releases(&self, service: &id::Service) -> BTreeSet<Release> {
+        let runners = self.iter().filter(|runner| runner.service == *service);
+        runners.filter_map(|runner| runner.release.clone()).collect()
+    }
+
     /// The runners of a plain service that may be sent requests.
     pub fn list_plain<'a>(&'a self, service: &id::Service) -> Vec<&'a Runner> {
         self.iter().filter(|runner| runner.service == *service && !runner.draining).collect()
--- a/crates/fleet/src/suspects.rs
+++ b/crates/fleet/src/suspects.rs
@@ -48,6 +48,9 @@
     pub runner: id::Runner,
     /// The life that ended, where lives are told.
     pub life: Option<Life>,
+    /// How many of its ends the node that tells had seen before in that life: while the
+    /// store is away nodes learn of no new life.
+    pub nth: u32,
     /// The release of its software, where it is told.
     pub release: Option<Release>,
 }
@@ -84,6 +87,13 @@
         if self.cleared { 0 } else { self.list_counted().count() }
     }
 
+    /// Whether it has ended runners of certain releases, and none of those is left.
+    pub fn is_outlived(&self, releases: &BTreeSet<Release>) -> bool {
+        let mut ended = self.list_counted().map(|crash| crash.release.as_ref());
+        !releases.is_empty()
+            && ended.all(|release| release.is_some_and(|release| !releases.contains(release)))
+    }
+
     fn list_counted(&self) -> impl Iterator<Item = &Crash> {
         self.crashes.difference(&self.void)
     }
--- a/crates/fleet/tests/dispatch.rs
+++ b/crates/fleet/tests/dispatch.rs
@@ -8,6 +8,7 @@
 use cottoncrank_fleet::balance::{Ledger, pick};
 use cottoncrank_fleet::catalog::{Model, Speed};
 use cottoncrank_fleet::dispatch::{Choice, Dispatcher, Question, Reply, Sample, Urgency};
+use cottoncrank_fleet::fingerprint::{Fingerprint, Request};
 use cottoncrank_fleet::occupancy::Load;
 use cottoncrank_fleet::occupancy::{Report, Scope, Sum, Table, View};
 use cottoncrank_fleet::runner::{Epoch, Membership, Phase, Runner};
@@ -56,6 +57,8 @@
     }
 }
 
+const REQUEST: Request = Request { account: None, method: "POST", path: "/write/x", body: b"body" };
+
 fn question(urgency: Urgency, tried: &[u64]) -> Question {
     Question {
         report: report("n1", &[]),
@@ -64,6 +67,7 @@
         prompt: 700,
         urgency,
         tried: tried.iter().map(|epoch| Epoch(*epoch)).collect(),
+        fingerprint: Fingerprint::of(&REQUEST),
         samples: Vec::new(),
     }
 }
@@ -72,7 +76,7 @@
 fn taken(reply: Reply) -> Option<Epoch> {
     match reply {
         Reply::Take(promise) => Some(promise.epoch),
-        Reply::Full(_) | Reply::Unknown => None,
+        Reply::Full(_) | Reply::Unknown | Reply::Held | Reply::Deadly => None,
     }
 }
 
@@ -86,7 +90,8 @@
 ) -> Reply {
     let (hall, model): (id::Hall, Model) = ("hall-a".parse().unwrap(), model());
     let heads: Vec<&Runner> = heads.iter().collect();
-    let choice = Choice { hall: &hall, silent: &[], heads: &heads, model: &model, speed: &SPEED };
+    let choice =
+        Choice { hall: &hall, silent: &[], heads: &heads, model: &model, speed: &SPEED, trials: &[] };
     dispatcher.choose(&choice, question, load, now, &mut SmallRng::seed_from_u64(1))
 }
 
@@ -174,7 +179,8 @@
     let (here, there) = (head(1, "hall-a"), head(2, "hall-b"));
     let heads = [&here, &there];
     let silent = ["hall-b".parse().unwrap()];
-    let choice = Choice { hall: &hall, silent: &silent, heads: &heads, model: &model, speed: &SPEED };
+    let choice =
+        Choice { hall: &hall, silent: &silent, heads: &heads, model: &model, speed: &SPEED, trials: &[] };
     let load = |epoch: Epoch| if epoch == Epoch(1) { running(15) } else { running(0) };
     let mut rng = SmallRng::seed_from_u64(1);
     let question = question(Urgency::Again, &[]);
@@ -189,7 +195,7 @@
     let (here, there) = (head(1, "hall-a"), head(2, "hall-b"));
     let heads = [&here, &there];
     let ask = |silent: &[id::Hall], doubts: u32| {
-        let choice = Choice { hall: &hall, silent, heads: &heads, model: &model, speed: &SPEED };
+        let choice = Choice { hall: &hall, silent, heads: &heads, model: &model, speed: &SPEED, trials: &[] };
         let load = |epoch: Epoch| match epoch {
             Epoch(1) => running(20),
             _ => Load { running: 0, doubts },
@@ -223,7 +229,7 @@
     let heads: Vec<Runner> = (1..=13).map(|number| head(number, "hall-a")).collect();
     let refs: Vec<&Runner> = heads.iter().collect();
     let (hall, model): (id::Hall, Model) = ("hall-a".parse().unwrap(), model());
-    let choice = Choice { hall: &hall, silent: &[], heads: &refs, model: &model, speed: &SPEED };
+    let choice = Choice { hall: &hall, silent: &[], heads: &refs, model: &model, speed: &SPEED, trials: &[] };
     let mut rng = SmallRng::seed_from_u64(11);
     let mut dispatcher = Dispatcher::default();
     let mut running_at: HashMap<Epoch, u32> = HashMap::new();
@@ -365,3 +371,20 @@
     assert!(published < 0.1, "the load shows the harm: {published}");
     assert!(learned > 0.66, "learned {learned}, by the published figures {published}");
 }
+
+#[test]
+fn a_suspected_request_is_kept_away_from_groups_that_have_another_one() {
+    let heads = [head(1, "hall-a"), head(2, "hall-a")];
+    let (hall, model): (id::Hall, Model) = ("hall-a".parse().unwrap(), model());
+    let refs: Vec<&Runner> = heads.iter().collect();
+    let load = |epoch: Epoch| running(if epoch == Epoch(1) { 0 } else { 6 });
+    let pick = |trials: &[Epoch]| {
+        let choice = Choice { hall: &hall, silent: &[], heads: &refs, model: &model, speed: &SPEED, trials };
+        let question = question(Urgency::Again, &[]);
+        let rng = &mut SmallRng::seed_from_u64(1);
+        taken(Dispatcher::default().choose(&choice, &question, load, Millis(1000), rng))
+    };
+    assert_eq!(pick(&[]), Some(Epoch(1)), "the idle one");
+    assert_eq!(pick(&[Epoch(1)]), Some(Epoch(2)));
+    assert_eq!(pick(&[Epoch(1), Epoch(2)]), Some(Epoch(1)), "where all have one, it runs all the same");
+}
--- /dev/null
+++ b/crates/fleet/tests/gossip.rs
@@ -0,0 +1,145 @@
+//! How what nodes have seen of suspected requests reaches all nodes, on what they exchange anyway.
+
+use std::collections::BTreeSet;
+
+use cottoncrank::{Millis, id};
+use cottoncrank_fleet::breaks::{Break, Breaks, KEPT};
+use cottoncrank_fleet::fingerprint::{Fingerprint, Request};
+use cottoncrank_fleet::gossip::{Book, answer};
+use cottoncrank_fleet::occupancy::Scope;
+use cottoncrank_fleet::runner::Life;
+use cottoncrank_fleet::suspects::{Crash, Level, Origin, Row, Table};
+
+const NOW: Millis = Millis(1000);
+
+fn row(name: &str, runners: &[u64]) -> Row {
+    let crash = |runner: &u64| Crash {
+        runner: format!("r-{runner}").parse().unwrap(),
+        life: None,
+        nth: 0,
+        release: None,
+    };
+    Row {
+        fingerprint: Fingerprint::of(&Request { account: None, method: "POST", path: name, body: b"" }),
+        account: None,
+        route: "write".to_owned(),
+        crashes: runners.iter().map(crash).collect(),
+        void: BTreeSet::new(),
+        cleared: false,
+    }
+}
+
+/// A node: its table, and what it keeps in mind of others.
+struct Node {
+    name: id::Node,
+    instance: u64,
+    table: Table,
+    book: Book,
+}
+
+impl Node {
+    fn new(name: &str, instance: u64) -> Node {
+        Node { name: name.parse().unwrap(), instance, table: Table::default(), book: Book::default() }
+    }
+
+    fn see(&mut self, name: &str, runners: &[u64]) {
+        self.table.merge(&row(name, runners), Origin::Hall, NOW);
+    }
+
+    /// Tells `other` and hears from it. Returns how many rows went there and back.
+    fn exchange(&mut self, other: &mut Node, scope: Scope) -> (usize, usize) {
+        let (push, upto) = self.book.write(&self.table, &other.name);
+        let origin = if scope == Scope::Node { Origin::Hall } else { Origin::Elsewhere };
+        for row in &push.rows {
+            other.table.merge(row, origin, NOW);
+        }
+        let pull = answer(&other.table, other.instance, &push, scope);
+        self.book.note(&other.name, upto, pull.mark);
+        for row in &pull.rows {
+            self.table.merge(row, Origin::Elsewhere, NOW);
+        }
+        (push.rows.len(), pull.rows.len())
+    }
+
+    fn level(&self, name: &str) -> Level {
+        self.table.level(&row(name, &[]).fingerprint)
+    }
+}
+
+#[test]
+fn three_ends_that_three_nodes_saw_are_known_to_a_fourth_after_one_exchange_each() {
+    let mut collector = Node::new("c", 1);
+    let mut nodes: Vec<Node> = (0..4).map(|number| Node::new(&format!("n{number}"), 10 + number)).collect();
+    for number in 0..3 {
+        nodes[number as usize].see("k", &[number]);
+        nodes[number as usize].see(&format!("by chance {number}"), &[number]);
+        nodes[number as usize].exchange(&mut collector, Scope::Node);
+    }
+    assert_eq!(collector.level("k"), Level::Deadly(3));
+    assert_eq!(nodes[3].exchange(&mut collector, Scope::Node), (0, 1), "nodes need no single ends");
+    assert_eq!(nodes[3].level("k"), Level::Deadly(3));
+    assert_eq!(nodes[3].exchange(&mut collector, Scope::Node), (0, 0), "nothing is told twice");
+    assert_eq!(nodes[0].exchange(&mut collector, Scope::Node), (0, 1));
+    assert_eq!(nodes[0].exchange(&mut collector, Scope::Node), (0, 0));
+}
+
+#[test]
+fn collectors_tell_each_other_what_their_halls_have_seen_and_not_what_they_were_told() {
+    let (mut a, mut b, mut c) = (Node::new("a", 1), Node::new("b", 2), Node::new("c", 3));
+    a.see("k", &[1]);
+    b.see("k", &[2, 3]);
+    assert_eq!(a.exchange(&mut b, Scope::Hall), (1, 0));
+    assert_eq!(b.level("k"), Level::Deadly(3));
+    assert_eq!(b.exchange(&mut a, Scope::Hall), (1, 0));
+    assert_eq!(a.level("k"), Level::Deadly(3));
+    // What a knows of b's hall is b's to tell: it passes its own row on, and no others.
+    b.see("other", &[9]);
+    b.exchange(&mut a, Scope::Hall);
+    assert_eq!(a.exchange(&mut c, Scope::Hall), (1, 0));
+    assert_eq!(c.level("other"), Level::Clear);
+    assert_eq!(a.exchange(&mut b, Scope::Hall), (0, 0));
+}
+
+#[test]
+fn a_node_that_started_again_is_told_all_anew_and_tells_what_it_knows() {
+    let mut collector = Node::new("c", 1);
+    let mut node = Node::new("n", 2);
+    node.see("k", &[1, 2, 3]);
+    node.exchange(&mut collector, Scope::Node);
+    assert_eq!(node.exchange(&mut collector, Scope::Node), (0, 0));
+    let mut collector = Node::new("c", 7);
+    node.exchange(&mut collector, Scope::Node);
+    node.exchange(&mut collector, Scope::Node);
+    assert_eq!(collector.level("k"), Level::Deadly(3));
+    let mut node = Node::new("n", 8);
+    node.exchange(&mut collector, Scope::Node);
+    assert_eq!(node.level("k"), Level::Deadly(3));
+}
+
+fn broken(name: &str, life: u64, at: Millis) -> Break {
+    Break {
+        row: row(name, &[1]),
+        runner: "r-1".parse().unwrap(),
+        life: Some(Life(life)),
+        address: "10.0.0.1:80".parse().unwrap(),
+        at,
+    }
+}
+
+#[test]
+fn a_later_life_or_another_runner_at_the_address_tells_that_a_runner_has_ended() {
+    let (runner, other): (id::Runner, id::Runner) = ("r-1".parse().unwrap(), "r-2".parse().unwrap());
+    let address = "10.0.0.1:80".parse().unwrap();
+    let mut breaks = Breaks::default();
+    breaks.note(broken("a", 5, NOW));
+    assert!(breaks.take_former(&runner, Life(5), NOW).is_empty(), "it lives on");
+    assert!(breaks.take_former(&other, Life(9), NOW).is_empty());
+    assert!(breaks.take_replaced(&runner, address, NOW).is_empty(), "it is that runner itself");
+    assert_eq!(breaks.take_former(&runner, Life(6), NOW), [row("a", &[1])]);
+    assert!(breaks.take_former(&runner, Life(7), NOW).is_empty(), "each counts once");
+    breaks.note(broken("b", 6, NOW));
+    assert_eq!(breaks.take_replaced(&other, address, NOW), [row("b", &[1])]);
+    // A runner that ends much later did not end under it.
+    breaks.note(broken("c", 6, NOW));
+    assert!(breaks.take_former(&runner, Life(7), NOW + KEPT).is_empty());
+}
--- a/crates/fleet/tests/suspects.rs
+++ b/crates/fleet/tests/suspects.rs
@@ -17,7 +17,7 @@
 }
 
 fn crash(runner: u64, life: u64) -> Crash {
-    Crash { runner: format!("r-{runner}").parse().unwrap(), life: Some(Life(life)), release: None }
+    Crash { runner: format!("r-{runner}").parse().unwrap(), life: Some(Life(life)), nth: 0, release: None }
 }
 
 /// A request at the ends of the first lives of these runners.
--- a/crates/node/src/answer.rs
+++ b/crates/node/src/answer.rs
@@ -81,6 +81,12 @@
         /// How far away the earliest first event is, as far as the hall's collector knows.
         wait: Option<Millis>,
     },
+    /// Runners have ended under it, and another run of it is undecided; it has not run.
+    #[error("runners have ended under it, and it is not clear yet whether because of it")]
+    Held,
+    /// It ends the runners that run it. It will do so again: nobody is served by that.
+    #[error("it ends the runners that run it and is not run any more; it is no use to send it again")]
+    Deadly,
     /// Runners were asked, and all said that they did not run it.
     #[error("the runners asked did not run it")]
     NotRun,
@@ -116,8 +122,9 @@
             Refusal::NoRoute => StatusCode::NOT_FOUND,
             Refusal::Key => StatusCode::UNAUTHORIZED,
             Refusal::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
-            Refusal::Body => StatusCode::BAD_REQUEST,
-            Refusal::Unsure | Refusal::NoRunner | Refusal::NotRun | Refusal::Full { .. } => {
+            // The status after which callers do not come again.
+            Refusal::Body | Refusal::Deadly => StatusCode::BAD_REQUEST,
+            Refusal::Unsure | Refusal::NoRunner | Refusal::Held | Refusal::NotRun | Refusal::Full { .. } => {
                 StatusCode::SERVICE_UNAVAILABLE
             }
             Refusal::MayHaveRun => StatusCode::BAD_GATEWAY,
@@ -135,6 +142,8 @@
             Refusal::Unsure => "unsure",
             Refusal::NoRunner => "no_runner",
             Refusal::Full { .. } => "full",
+            Refusal::Held => "held",
+            Refusal::Deadly => "deadly",
             Refusal::NotRun => "not_run",
             Refusal::MayHaveRun => "may_have_run",
             Refusal::Late => "late",
@@ -143,7 +152,10 @@
 
     /// Whether coming back later helps.
     fn is_passing(&self) -> bool {
-        matches!(self, Refusal::Unsure | Refusal::NoRunner | Refusal::NotRun | Refusal::Full { .. })
+        matches!(
+            self,
+            Refusal::Unsure | Refusal::NoRunner | Refusal::Held | Refusal::NotRun | Refusal::Full { .. }
+        )
     }
 
     /// When the caller should come back.
--- a/crates/node/src/attempt.rs
+++ b/crates/node/src/attempt.rs
@@ -10,7 +10,7 @@
 use cottoncrank_fleet::fingerprint::Fingerprint;
 use cottoncrank_fleet::plan::{State, find_state};
 use cottoncrank_fleet::roster::Roster;
-use cottoncrank_fleet::runner::{Epoch, Life, Runner};
+use cottoncrank_fleet::runner::{Epoch, Life, Release, Runner};
 use cottoncrank_platform::header::{self, Forward, Terms, Verdict};
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -86,12 +86,24 @@
     /// The same, and the connection broke: the runner may have ended.
     #[error("may have run: {0}")]
     Broken(String),
+    /// The same, and nothing was heard of the runner for long.
+    #[error("may have run: {0}")]
+    Silent(String),
+    /// It was found to end runners while it was under way.
+    #[error("may have run: it is found to end the runners that run it")]
+    Stopped,
 }
 
 impl AttemptError {
     /// Whether the request may have run.
     pub fn may_have_run(&self) -> bool {
-        matches!(self, AttemptError::MayHaveRun(_) | AttemptError::Broken(_))
+        match self {
+            AttemptError::MayHaveRun(_)
+            | AttemptError::Broken(_)
+            | AttemptError::Silent(_)
+            | AttemptError::Stopped => true,
+            AttemptError::Unreached(_) | AttemptError::NotRun(_) | AttemptError::Full => false,
+        }
     }
 
     /// Whether the request reached the runner: only then does sending it again count
@@ -106,7 +118,8 @@
             AttemptError::Unreached(_) => "unreached",
             AttemptError::NotRun(_) => "not_run",
             AttemptError::Full => "full",
-            AttemptError::MayHaveRun(_) | AttemptError::Broken(_) => "may_have_run",
+            AttemptError::MayHaveRun(_) | AttemptError::Broken(_) | AttemptError::Silent(_) => "may_have_run",
+            AttemptError::Stopped => "stopped",
         }
     }
 }
@@ -132,6 +145,8 @@
     pub address: SocketAddr,
     /// In which life it was picked, where that is told.
     pub life: Option<Life>,
+    /// The release of its software, where that is told.
+    pub release: Option<Release>,
     /// The data hall it stands in.
     hall: id::Hall,
     /// The group it heads, if the request goes to one.
@@ -163,6 +178,11 @@
     }
 }
 
+/// How many runners or groups can take a request.
+pub fn count_takers(node: &Node, job: &Job) -> usize {
+    list_candidates(node, &node.roster.lock(), job).len()
+}
+
 /// Whether the runners of a request have room for it; none if nobody knows.
 pub fn has_room(node: &Node, job: &Job) -> Option<bool> {
     let roster = node.roster.lock();
@@ -188,6 +208,7 @@
         id: runner.id.clone(),
         address: runner.address,
         life: runner.life,
+        release: runner.release.clone(),
         hall: runner.hall.clone(),
         group,
     }
--- a/crates/node/src/collect.rs
+++ b/crates/node/src/collect.rs
@@ -35,18 +35,18 @@
 /// Tells and learns until the process ends.
 pub async fn run(node: Arc<Node>) {
     let client = Client::new(Traffic::default());
-    let mut avoided = Avoided::default();
     loop {
         let settings = node.settings();
-        avoided.forget(node.now());
-        let failed = match find_collector(&node, &settings.hall, &avoided) {
+        node.untold.lock().forget(node.now());
+        let collector = find_collector(&node, &settings.hall, &node.untold.lock());
+        let failed = match collector {
             Some(collector) if collector.node != settings.node => {
                 tell(&node, &client, &collector).await.err().into_iter().collect()
             }
-            _ => tell_halls(&node, &client, list_others(&node, &settings.hall, &avoided)).await,
+            _ => tell_halls(&node, &client, list_others(&node, &settings.hall)).await,
         };
         for name in failed {
-            avoided.add(name, node.now() + AVOID);
+            node.untold.lock().add(name, node.now() + AVOID);
         }
         wait_turn(&node).await;
     }
@@ -70,17 +70,17 @@
 }
 
 /// The collectors of the other halls.
-fn list_others(node: &Node, hall: &id::Hall, avoided: &Avoided) -> Vec<Peer> {
+fn list_others(node: &Node, hall: &id::Hall) -> Vec<Peer> {
     let halls: Vec<id::Hall> = node.directory.lock().list_halls().into_iter().cloned().collect();
     let others = halls.iter().filter(|other| *other != hall);
-    others.filter_map(|other| find_collector(node, other, avoided)).collect()
+    others.filter_map(|other| find_collector(node, other, &node.untold.lock())).collect()
 }
 
 /// Tells the collector of this hall. Returns its name if it does not answer.
 async fn tell(node: &Node, client: &Client, collector: &Peer) -> Result<(), id::Node> {
     let asked = node.now();
     let report = write_report(node, Scope::Node, node.sum_in_flight());
-    let told = peer::report(client, collector.address, &report, ANSWER).await;
+    let told = peer::report(node, client, collector, &report, ANSWER).await;
     match told {
         Ok(others) => {
             put_view(node, others, asked);
@@ -103,7 +103,7 @@
         let (node, client) = (node.clone(), client.clone());
         let report = write_report(&node, Scope::Hall, sum.clone());
         telling.spawn(async move {
-            let told = peer::report(&client, collector.address, &report, ANSWER).await;
+            let told = peer::report(&node, &client, &collector, &report, ANSWER).await;
             told.map_err(|error| {
                 log::info!("collect: {} is not told for {AVOID}: {error}", collector.node);
                 collector.node
--- a/crates/node/src/dispatch.rs
+++ b/crates/node/src/dispatch.rs
@@ -7,6 +7,7 @@
 use cottoncrank_fleet::occupancy::Load;
 use cottoncrank_fleet::occupancy::{COVERED, Scope};
 use cottoncrank_fleet::runner::Epoch;
+use cottoncrank_fleet::trials::Ruling;
 
 use crate::attempt::Job;
 use crate::collect::{find_collector, write_report};
@@ -45,6 +46,7 @@
         prompt: job.terms.prompt.unwrap_or(0),
         urgency,
         tried: list_epochs(node, tried),
+        fingerprint: job.fingerprint,
         samples: std::mem::take(&mut *node.samples.lock()),
     };
     let now = node.now();
@@ -56,7 +58,7 @@
     if collector.node == settings.node {
         return Some(choose(node, &question));
     }
-    match peer::ask_group(&node.client, collector.address, &question, ANSWER).await {
+    match peer::ask_group(node, &collector, &question, ANSWER).await {
         Ok(reply) => Some(reply),
         Err(error) => {
             log::info!("request {}: {} does not choose a group: {error}", job.id(), collector.node);
@@ -108,11 +110,37 @@
     let roster = node.roster.lock();
     let heads = roster.list_heads(&question.service, &question.model, &node.plans.lock());
     let loads = node.reports.lock().sum_loads(&own, now);
-    let choice = Choice { hall: &settings.hall, silent: &silent, heads: &heads, model, speed: &engine.speed };
+    let ruling = rule(node, question, heads.len(), now);
+    let trials = match ruling {
+        Ruling::Run => Vec::new(),
+        Ruling::Trial => node.trials.lock().list_groups(&question.fingerprint, now),
+        Ruling::Hold => return Reply::Held,
+        Ruling::Refuse => return Reply::Deadly,
+    };
+    let choice = Choice {
+        hall: &settings.hall,
+        silent: &silent,
+        heads: &heads,
+        model,
+        speed: &engine.speed,
+        trials: &trials,
+    };
     let load = |epoch: Epoch| loads.get(&epoch).copied().unwrap_or(Load::default());
     let mut dispatcher = node.dispatcher.lock();
     for sample in &question.samples {
         dispatcher.learn(sample);
     }
-    dispatcher.choose(&choice, question, load, now, &mut rand::rng())
+    let reply = dispatcher.choose(&choice, question, load, now, &mut rand::rng());
+    if let (Ruling::Trial, Reply::Take(promise)) = (ruling, reply) {
+        node.trials.lock().begin(question.fingerprint, Some(promise.epoch), now);
+    }
+    reply
+}
+
+/// What becomes of a request that a node asks for, as far as this hall knows.
+fn rule(node: &Node, question: &Question, groups: usize, now: Millis) -> Ruling {
+    let level = node.suspects.lock().level(&question.fingerprint);
+    let mut trials = node.trials.lock();
+    trials.end_at(&question.fingerprint, &question.tried);
+    trials.rule(&question.fingerprint, level, groups, now)
 }
--- a/crates/node/src/figures.rs
+++ b/crates/node/src/figures.rs
@@ -6,6 +6,7 @@
 
 use bytes::Bytes;
 use cottoncrank::Millis;
+use cottoncrank_fleet::suspects::Level;
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_TYPE, HeaderValue};
 use hyper::server::conn::http1;
@@ -50,6 +51,16 @@
     metrics::counter!("cottoncrank_broken_runners_total", "finding" => finding).increment(1);
 }
 
+/// The level of suspicion of a request has changed.
+pub fn count_suspect(level: &Level) {
+    let level = match level {
+        Level::Clear => "clear",
+        Level::Suspected(_) => "suspected",
+        Level::Deadly(_) => "deadly",
+    };
+    metrics::counter!("cottoncrank_suspects_total", "level" => level).increment(1);
+}
+
 /// A source of what the store holds gave nothing that can be used: one of the nodes or
 /// the store itself.
 pub fn count_source_failure(source: &'static str, reason: &'static str) {
@@ -96,6 +107,7 @@
         metrics::gauge!("cottoncrank_runners_known").set(node.roster.lock().iter().count() as f64);
         metrics::gauge!("cottoncrank_nodes_known").set(node.directory.lock().count() as f64);
         metrics::gauge!("cottoncrank_deciding").set(f64::from(u8::from(node.is_deciding())));
+        metrics::gauge!("cottoncrank_suspects_known").set(node.suspects.lock().iter().count() as f64);
         let version = node.catalog.lock().as_ref().map_or(0, |catalog| catalog.version);
         metrics::gauge!("cottoncrank_config_version").set(version as f64);
         let groups = node.plans.lock().values().map(|plan| plan.groups.len()).sum::<usize>();
--- a/crates/node/src/intake.rs
+++ b/crates/node/src/intake.rs
@@ -1,5 +1,6 @@
 //! Taking in what the store holds, however it was learned.
 
+use std::collections::HashSet;
 use std::sync::Arc;
 
 use cottoncrank::Millis;
@@ -8,6 +9,7 @@
 
 use crate::decider::{self, LEASE_KEY};
 use crate::member;
+use crate::record;
 use crate::state::Node;
 use crate::unreadable::Part;
 
@@ -60,14 +62,20 @@
     let mut decider = None;
     let mut caught_up = true;
     let revision = batch.revision;
+    let mut suspects = HashSet::new();
     for item in batch.items {
         match decode(item) {
             Ok(Change::Runner(runner)) => runners.push(runner),
             Ok(Change::Own(item)) if item.key == LEASE_KEY => decider = Some(decider::read_holder(&item)),
+            Ok(Change::Own(item)) => {
+                suspects.extend(record::read_entry(&item).and_then(Result::ok).map(|row| row.fingerprint));
+                take_own(node, &item);
+            }
             other => caught_up &= take_change(node, other),
         }
     }
     log::info!("store: read whole at revision {revision}, {} runners", runners.len());
+    record::retain(node, &suspects);
     node.roster.lock().replace(runners, node.now());
     node.decider.send_replace(decider);
     node.set_synced();
@@ -130,6 +138,13 @@
         }
         return;
     }
+    if let Some(entry) = record::read_entry(item) {
+        match entry {
+            Ok(row) => record::take(node, &row),
+            Err(error) => node.note_unreadable(&item.key, Part::Suspect, "form", error),
+        }
+        return;
+    }
     match decider::read_plan(item) {
         Ok(Some((domain, document))) => {
             let mut plans = node.plans.lock();
@@ -150,7 +165,7 @@
     } else if let Some(name) = member::read_name(key) {
         node.directory.lock().remove(&name);
         node.share_retries();
-    } else {
+    } else if !record::take_gone(node, key) {
         log::warn!("store: `{key}` was removed");
     }
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -7,8 +7,10 @@
 //! admits and routes them, [`plain`] and [`stream`] run them at runners (a stream try by
 //! try, in `tries`, from a `source`, passed on by `relay`), and [`decider`] gives orders
 //! to the runners, which `prober` asks how they are, while this node holds the lease for
-//! that. `crash` finds out whether a runner has ended whose connection broke. `unreadable` bounds
-//! what the log tells of items that cannot be read. All state stands in [`state::Node`].
+//! that. `crash` finds out whether a runner ended under a request, `suspects` exchanges that
+//! with other nodes and says what becomes of the request, and `record` keeps it in the store.
+//! `unreadable` bounds what the log tells of items that cannot be read. All state stands in
+//! [`state::Node`].
 
 pub mod answer;
 pub mod attempt;
@@ -27,12 +29,14 @@
 pub mod peer;
 pub mod plain;
 mod prober;
+mod record;
 mod relay;
 pub mod request;
 mod source;
 pub mod start;
 pub mod state;
 pub mod stream;
+mod suspects;
 pub mod sync;
 mod tries;
 mod unreadable;
--- a/crates/node/src/peer.rs
+++ b/crates/node/src/peer.rs
@@ -5,8 +5,9 @@
 
 use bytes::Bytes;
 use cottoncrank::Millis;
+use cottoncrank_fleet::directory::Peer;
 use cottoncrank_fleet::dispatch::{Question, Reply};
-use cottoncrank_fleet::occupancy::{Report, Sum};
+use cottoncrank_fleet::occupancy::{Report, Scope, Sum};
 use cottoncrank_net::client::{CallError, Client};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
@@ -25,6 +26,7 @@
 use crate::feed::{self, UnpackError};
 use crate::front::pause_accepting;
 use crate::state::Node;
+use crate::suspects::{self, Letter};
 
 /// The path of the question.
 const PATH: &str = "/news";
@@ -36,8 +38,9 @@
 const REPORT_PATH: &str = "/in-flight";
 
 /// The largest question or report, in bytes: a report has some five bytes for each
-/// group, of which there are a thousand at most.
-const ASK_MAX: usize = 16 * 1024;
+/// group, of which there are a thousand at most, and some hundred for each suspected
+/// request that is new.
+const ASK_MAX: usize = 64 * 1024;
 
 /// How much longer than it asked to wait a question may take.
 const SLACK: Millis = Millis(400);
@@ -91,22 +94,23 @@
 
 /// Tells another node what is in flight. Returns what others have.
 pub async fn report(
+    node: &Node,
     client: &Client,
-    address: SocketAddr,
+    to: &Peer,
     report: &Report,
     wait: Millis,
 ) -> Result<Sum, CallError> {
-    client.call(address, REPORT_PATH, report, wait).await
+    suspects::exchange(node, client, to, REPORT_PATH, report, wait).await
 }
 
 /// Asks the collector of the hall which group takes a request.
 pub async fn ask_group(
-    client: &Client,
-    address: SocketAddr,
+    node: &Node,
+    to: &Peer,
     question: &Question,
     wait: Millis,
 ) -> Result<Reply, CallError> {
-    client.call(address, GROUP_PATH, question, wait).await
+    suspects::exchange(node, &node.client, to, GROUP_PATH, question, wait).await
 }
 
 /// Answers other nodes until the process ends.
@@ -139,12 +143,14 @@
     let body = Limited::new(request.into_body(), ASK_MAX).collect().await;
     let bytes = body.map(|body| body.to_bytes()).unwrap_or_default();
     if path == REPORT_PATH {
-        if let Ok(report) = rmp_serde::from_slice::<Report>(&bytes) {
-            return reply_encoded(&collect::take(node, report));
+        if let Ok(Letter { question, push }) = rmp_serde::from_slice::<Letter<Report>>(&bytes) {
+            let pull = suspects::answer(node, &push, question.scope);
+            return reply_encoded(&suspects::Reply { answer: collect::take(node, question), pull });
         }
     } else if path == GROUP_PATH {
-        if let Ok(question) = rmp_serde::from_slice::<Question>(&bytes) {
-            return reply_encoded(&dispatch::take(node, question));
+        if let Ok(Letter { question, push }) = rmp_serde::from_slice::<Letter<Question>>(&bytes) {
+            let pull = suspects::answer(node, &push, Scope::Node);
+            return reply_encoded(&suspects::Reply { answer: dispatch::take(node, question), pull });
         }
     } else if path == PATH
         && let Ok(question) = rmp_serde::from_slice::<Ask>(&bytes)
--- a/crates/node/src/plain.rs
+++ b/crates/node/src/plain.rs
@@ -3,16 +3,18 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
+use cottoncrank_fleet::trials::Ruling;
 use cottoncrank_platform::header;
 use http_body_util::{BodyExt, Limited};
 use hyper::Response;
 use hyper::header::{CONTENT_LENGTH, HeaderMap};
 
 use crate::answer::{Answer, Body, Refusal};
-use crate::attempt::{Attempt, AttemptError, Job, pick, send};
+use crate::attempt::{Attempt, AttemptError, Job, Pick, pick, send};
 use crate::crash;
 use crate::figures;
 use crate::state::Node;
+use crate::suspects;
 
 /// The largest answer that is held until it is whole, in bytes.
 const ANSWER_MAX: usize = 4 << 20;
@@ -28,25 +30,32 @@
     let mut may_have_run = false;
     let mut arrived = false;
     while tried.len() < TRIES && sent < job.route.attempts {
+        match suspects::rule(node, job) {
+            Ruling::Run | Ruling::Trial => {}
+            Ruling::Refuse => return Err(Refusal::Deadly),
+            Ruling::Hold if may_have_run => break,
+            Ruling::Hold => return Err(Refusal::Held),
+        }
         let Some(pick) = pick(node, job, &tried) else { break };
         if arrived && !node.retries.lock().spend() {
             log::info!("request {}: not sent again, the retries are spent", job.id());
             break;
         }
         tried.push(pick.id.clone());
-        let outcome = match send(node, job, &pick, None).await {
-            Ok(attempt) => read_whole(node, attempt).await,
-            Err(error) => Err(error),
+        let outcome = tokio::select! {
+            outcome = try_at(node, job, &pick) => outcome,
+            () = suspects::wait_deadly(node, job) => Err(AttemptError::Stopped),
         };
         match outcome {
-            Ok(answer) => return Ok(answer),
+            Ok(answer) => {
+                suspects::note_completed(node, &job.fingerprint);
+                return Ok(answer);
+            }
             Err(error) => {
                 figures::count_failed_attempt(error.reason());
                 log::info!("request {}: try {} at {}: {error}", job.id(), tried.len(), pick.id);
                 arrived |= error.has_arrived();
-                if let AttemptError::Broken(_) = error {
-                    crash::report(node, job, &pick);
-                }
+                crash::investigate(node, job, &pick, &error).await;
                 if error.may_have_run() {
                     sent += 1;
                     may_have_run = true;
@@ -64,6 +73,11 @@
     })
 }
 
+async fn try_at(node: &Arc<Node>, job: &Job, pick: &Pick) -> Result<Answer, AttemptError> {
+    let attempt = send(node, job, pick, None).await?;
+    read_whole(node, attempt).await
+}
+
 /// Reads an answer to its end. A length that it names must be met.
 pub async fn read_whole(node: &Node, attempt: Attempt) -> Result<Answer, AttemptError> {
     let (head, body) = attempt.response.into_parts();
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -12,6 +12,7 @@
 use crate::figures;
 use crate::source::{Next, PATIENCE, Source, read_next};
 use crate::state::{Admitted, Node, Running};
+use crate::suspects::{note_completed, wait_deadly};
 use crate::tries::{Tries, next_attempt};
 
 /// Passes the rest of a stream on.
@@ -75,7 +76,10 @@
                         return Ok(());
                     }
                 }
-                Ok(Next::End) => return Ok(()),
+                Ok(Next::End) => {
+                    note_completed(&self.node, &self.job.fingerprint);
+                    return Ok(());
+                }
                 Err(error) => self.go_on(&error).await?,
             }
         }
@@ -103,8 +107,9 @@
         tokio::select! {
             next = next => next.unwrap_or_else(|_| {
                 self.node.ledger.lock().blame(&pick.id, self.node.now());
-                Err(AttemptError::MayHaveRun(format!("no event for {PATIENCE}")))
+                Err(AttemptError::Silent(format!("no event for {PATIENCE}")))
             }),
+            () = wait_deadly(&self.node, &self.job) => Err(AttemptError::Stopped),
             () = pick.wait_lost(&self.node), if self.job.route.is_repeatable() => {
                 Err(AttemptError::MayHaveRun("its group lost a member".to_owned()))
             }
@@ -113,13 +118,13 @@
 
     /// Takes the stream up at another runner.
     async fn go_on(&mut self, error: &AttemptError) -> Result<(), Refusal> {
-        self.tries.note(&self.node, &self.job, error);
+        self.tries.note(&self.node, &self.job, error).await;
         let last = self.source.splitter.last();
         loop {
             let attempt = next_attempt(&self.node, &self.job, &mut self.tries, last).await?;
             if !attempt.response.status().is_success() {
                 let error = AttemptError::MayHaveRun(format!("it answered {}", attempt.response.status()));
-                self.tries.note(&self.node, &self.job, &error);
+                self.tries.note(&self.node, &self.job, &error).await;
                 continue;
             }
             self.source = Source::open(attempt, last).1;
--- a/crates/node/src/request.rs
+++ b/crates/node/src/request.rs
@@ -17,7 +17,7 @@
 use crate::answer::{Answer, Refusal};
 use crate::attempt::Job;
 use crate::state::{Node, Running};
-use crate::{figures, plain, stream};
+use crate::{figures, plain, stream, suspects};
 
 /// The urgency of a request where neither account nor route says one.
 const PRIORITY_MAX: u8 = 9;
@@ -73,6 +73,9 @@
 
 async fn run(node: &Arc<Node>, job: Arc<Job>, running: Running) -> Result<Answer, Refusal> {
     node.retries.lock().earn();
+    if suspects::is_deadly(node, &job) {
+        return Err(Refusal::Deadly);
+    }
     match job.route.kind {
         Kind::Stream => stream::run(node, job, running).await,
         Kind::Idempotent | Kind::Once => plain::run(node, &job).await,
--- a/crates/node/src/source.rs
+++ b/crates/node/src/source.rs
@@ -11,6 +11,7 @@
 use crate::attempt::{Attempt, AttemptError, Job, Pick};
 use crate::channel::Channel;
 use crate::state::{Attempting, Node};
+use crate::suspects::wait_deadly;
 
 /// A runner that sends nothing for this long is given up on. A group that lost a
 /// member is known to all nodes sooner than that; one that is only busy must not
@@ -59,17 +60,20 @@
     tokio::pin!(waiting);
     let lost = pick.wait_lost(node);
     tokio::pin!(lost);
+    let deadly = wait_deadly(node, job);
+    tokio::pin!(deadly);
     loop {
         tokio::select! {
             outcome = &mut waiting => return outcome,
             () = &mut lost, if job.route.is_repeatable() => {
                 return Err(AttemptError::MayHaveRun("its group lost a member".to_owned()));
             }
+            () = &mut deadly => return Err(AttemptError::Stopped),
             () = tokio::time::sleep(PATIENCE.duration()) => {
                 let mut ledger = node.ledger.lock();
                 if job.route.is_repeatable() && ledger.is_silent(&pick.id, started) {
                     ledger.blame(&pick.id, node.now());
-                    return Err(AttemptError::MayHaveRun(format!("silent for {PATIENCE}")));
+                    return Err(AttemptError::Silent(format!("silent for {PATIENCE}")));
                 }
             }
         }
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -9,26 +9,32 @@
 use cottoncrank::retry::Budget;
 use cottoncrank::{Clock, Millis, id};
 use cottoncrank_fleet::balance::Ledger;
+use cottoncrank_fleet::breaks::Breaks;
 use cottoncrank_fleet::catalog::Catalog;
 use cottoncrank_fleet::directory::Directory;
 use cottoncrank_fleet::dispatch::{Dispatcher, Sample};
 use cottoncrank_fleet::freshness::Freshness;
+use cottoncrank_fleet::gossip::Book;
 use cottoncrank_fleet::halt::Halts;
 use cottoncrank_fleet::limit::Limit;
-use cottoncrank_fleet::occupancy::{Counts, Sum, Table, View};
+use cottoncrank_fleet::occupancy::{self, Counts, Sum, View};
 use cottoncrank_fleet::plan::Plans;
 use cottoncrank_fleet::roster::{Notice, Roster};
 use cottoncrank_fleet::runner::{Epoch, Life, Runner};
 use cottoncrank_fleet::settings::Settings;
+use cottoncrank_fleet::suspects::{Origin, Table};
+use cottoncrank_fleet::trials::Trials;
 use cottoncrank_net::client::{Client, Traffic};
 use cottoncrank_platform::store::Store;
 use parking_lot::Mutex;
+use rand::Rng;
 use tokio::sync::{Notify, watch};
 
 use crate::avoid::Avoided;
 use crate::crash::Findings;
 use crate::feed::Feed;
 use crate::figures;
+use crate::suspects;
 use crate::unreadable::{Part, Unreadable};
 
 /// Of the fleet's retries a node spends this part of its share: requests that
@@ -86,8 +92,22 @@
     pub dispatcher: Mutex<Dispatcher>,
     /// First events that the collector was not told of yet.
     pub(crate) samples: Mutex<Vec<Sample>>,
+    /// Collectors that did not answer when told what is in flight.
+    pub(crate) untold: Mutex<Avoided>,
     /// Collectors that did not answer a question for a group.
     pub(crate) unanswering: Mutex<Avoided>,
+    /// Requests that end runners, as far as this node knows.
+    pub suspects: Mutex<Table>,
+    /// Up to where other nodes were told of them.
+    pub(crate) book: Mutex<Book>,
+    /// Runs of suspected requests that this node has let begin.
+    pub(crate) trials: Mutex<Trials>,
+    /// Tries that broke off at runners of which nothing could be found out.
+    pub(crate) breaks: Mutex<Breaks>,
+    /// Rises whenever a request is found to end runners.
+    pub(crate) deadly_found: watch::Sender<u64>,
+    /// Tells this process from others of the same node.
+    pub(crate) instance: u64,
     /// What became of runners whose connections broke.
     pub(crate) findings: Mutex<Findings>,
     /// Asks other nodes for groups.
@@ -95,7 +115,7 @@
     /// Told when a request at a runner ended.
     pub(crate) flight_ended: Notify,
     /// What nodes have told this one that they have in flight.
-    pub reports: Mutex<Table>,
+    pub reports: Mutex<occupancy::Table>,
     /// How many requests may be under way, by service and model.
     pub limits: Mutex<HashMap<Lane, Limit>>,
     /// Told when a request ended, and another one may begin.
@@ -139,7 +159,14 @@
             reports: Mutex::default(),
             dispatcher: Mutex::default(),
             samples: Mutex::default(),
+            untold: Mutex::default(),
             unanswering: Mutex::default(),
+            suspects: Mutex::default(),
+            book: Mutex::default(),
+            trials: Mutex::default(),
+            breaks: Mutex::default(),
+            deadly_found: watch::Sender::new(0),
+            instance: rand::rng().random(),
             findings: Mutex::default(),
             client: Client::new(Traffic::default()),
             flight_ended: Notify::new(),
@@ -222,6 +249,8 @@
     /// Takes a runner's entry in, and notices a new life of it.
     pub fn put_runner(&self, runner: Runner) {
         let (id, life) = (runner.id.clone(), runner.life);
+        let ended = self.breaks.lock().take_replaced(&id, runner.address, self.now());
+        suspects::take(self, &ended, Origin::Hall);
         let notice = self.roster.lock().put(runner);
         match (notice, life) {
             (Notice::Restarted, Some(life)) => self.notice_restart(&id, life),
@@ -260,6 +289,8 @@
         log::info!("roster: {id} has started again, its life is now {life}");
         metrics::counter!("cottoncrank_runners_restarted_total").increment(1);
         self.ledger.lock().restart(id);
+        let ended = self.breaks.lock().take_former(id, life, self.now());
+        suspects::take(self, &ended, Origin::Hall);
     }
 
     /// This node knew all that the store held at `at`.
--- a/crates/node/src/stream.rs
+++ b/crates/node/src/stream.rs
@@ -22,7 +22,8 @@
 use crate::relay::Relay;
 use crate::source::{Next, Source, read_first};
 use crate::state::{Admitted, Node, Running};
-use crate::tries::{Tries, next_attempt};
+use crate::suspects::note_completed;
+use crate::tries::{Tries, next_attempt, refuse_suspect};
 
 /// Events held for a caller that reads slowly.
 const FEED_DEPTH: usize = 8;
@@ -53,10 +54,15 @@
     let patience = Millis(job.route.objective.0 / WAITS);
     let left = (job.arrived + job.route.objective).since(node.now());
     let reply = dispatch::ask(node, &job, Urgency::Within(left.0), &[]).await;
+    if let Some(refusal) = refuse_suspect(node, &job, reply) {
+        return Err(refusal);
+    }
     let admitted = match reply {
         Some(Reply::Take(_)) => Some(node.admit_chosen(&lane)),
         Some(Reply::Full(_)) => None,
-        None | Some(Reply::Unknown) => node.admit(&lane, patience, || has_room(node, &job)).await,
+        None | Some(Reply::Unknown | Reply::Held | Reply::Deadly) => {
+            node.admit(&lane, patience, || has_room(node, &job)).await
+        }
     };
     let wait = match reply {
         Some(Reply::Full(wait)) => Some(Millis(wait)),
@@ -115,8 +121,11 @@
         let attempt = next_attempt(node, job, tries, last).await?;
         if !attempt.response.status().is_success() {
             match plain::read_whole(node, attempt).await {
-                Ok(answer) => return Ok(Opening::Whole(answer)),
-                Err(error) => tries.note(node, job, &error),
+                Ok(answer) => {
+                    note_completed(node, &job.fingerprint);
+                    return Ok(Opening::Whole(answer));
+                }
+                Err(error) => tries.note(node, job, &error).await,
             }
             continue;
         }
@@ -127,10 +136,11 @@
                 return Ok(Opening::Stream(Box::new(begun)));
             }
             Ok(Next::End) => {
+                note_completed(node, &job.fingerprint);
                 let begun = Begun { head, first: Bytes::new(), source, ended: true };
                 return Ok(Opening::Stream(Box::new(begun)));
             }
-            Err(error) => tries.note(node, job, &error),
+            Err(error) => tries.note(node, job, &error).await,
         }
     }
 }
--- /dev/null
+++ b/crates/node/src/suspects.rs
@@ -0,0 +1,171 @@
+//! What this node and others have seen of requests that end runners: taking it in, telling it
+//! along with what nodes exchange anyway, and asking what becomes of a request.
+
+use cottoncrank::Millis;
+use cottoncrank_fleet::directory::Peer;
+use cottoncrank_fleet::fingerprint::Fingerprint;
+use cottoncrank_fleet::gossip::{self, Pull, Push};
+use cottoncrank_fleet::occupancy::Scope;
+use cottoncrank_fleet::suspects::{Change, Crash, Level, Origin, Row};
+use cottoncrank_fleet::trials::Ruling;
+use cottoncrank_net::client::{CallError, Client};
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+
+use crate::attempt::{Job, Pick, count_takers};
+use crate::figures;
+use crate::state::Node;
+
+/// A question to another node, with what this one tells of suspected requests.
+#[derive(Serialize, Deserialize)]
+pub(crate) struct Letter<Q> {
+    /// The question.
+    pub(crate) question: Q,
+    /// What is new here.
+    pub(crate) push: Push,
+}
+
+/// The answer to it.
+#[derive(Serialize, Deserialize)]
+pub(crate) struct Reply<A> {
+    /// The answer.
+    pub(crate) answer: A,
+    /// What the asking node has to know.
+    pub(crate) pull: Pull,
+}
+
+/// Puts a question to another node, and exchanges what both know of suspected requests.
+pub(crate) async fn exchange<Q: Serialize, A: DeserializeOwned>(
+    node: &Node,
+    client: &Client,
+    peer: &Peer,
+    path: &str,
+    question: Q,
+    wait: Millis,
+) -> Result<A, CallError> {
+    let (push, upto) = node.book.lock().write(&node.suspects.lock(), &peer.node);
+    let letter = Letter { question, push };
+    let reply: Reply<A> = client.call(peer.address, path, &letter, wait).await?;
+    node.book.lock().note(&peer.node, upto, reply.pull.mark);
+    take(node, &reply.pull.rows, Origin::Elsewhere);
+    Ok(reply.answer)
+}
+
+/// Takes in what another node pushes, and says what it has to know.
+pub(crate) fn answer(node: &Node, push: &Push, scope: Scope) -> Pull {
+    let origin = match scope {
+        Scope::Node => Origin::Hall,
+        Scope::Hall => Origin::Elsewhere,
+    };
+    take(node, &push.rows, origin);
+    gossip::answer(&node.suspects.lock(), node.instance, push, scope)
+}
+
+/// Takes rows in, from wherever they come.
+pub(crate) fn take(node: &Node, rows: &[Row], origin: Origin) {
+    for row in rows {
+        let changes = {
+            let mut table = node.suspects.lock();
+            let before = table.version();
+            let changes = table.merge(row, origin, node.now());
+            if table.version() == before {
+                continue;
+            }
+            changes
+        };
+        // An end or a run to the end: either way the run that was under way is over.
+        node.trials.lock().end(&row.fingerprint);
+        tell(node, &changes);
+    }
+}
+
+/// A request has run to its end at a runner that lives on.
+pub(crate) fn note_completed(node: &Node, fingerprint: &Fingerprint) {
+    node.trials.lock().end(fingerprint);
+    let changes = node.suspects.lock().note_completed(fingerprint, node.now());
+    tell(node, &changes);
+}
+
+/// What speaks against a request counts no more.
+pub(crate) fn lift(node: &Node, fingerprint: &Fingerprint, why: &str) {
+    let changes = node.suspects.lock().lift(fingerprint, node.now());
+    if !changes.is_empty() {
+        log::info!("suspects: what speaks against {fingerprint} is lifted: {why}");
+    }
+    tell(node, &changes);
+}
+
+/// Logs each change of a level with its evidence, and wakes requests that wait.
+fn tell(node: &Node, changes: &[Change]) {
+    for Change { row, before, after } in changes {
+        figures::count_suspect(after);
+        let account = row.account.as_ref().map_or("-", |account| account.as_str());
+        let ends: Vec<String> = row.crashes.iter().map(Crash::to_string).collect();
+        let line = format!(
+            "suspects: request {} of account {account} on route {} is {after}, was {before}: ended {}",
+            row.fingerprint,
+            row.route,
+            ends.join(", ")
+        );
+        match after {
+            Level::Deadly(_) => log::warn!("{line}"),
+            Level::Clear | Level::Suspected(_) => log::info!("{line}"),
+        }
+    }
+    if changes.iter().any(|change| matches!(change.after, Level::Deadly(_))) {
+        node.deadly_found.send_modify(|count| *count += 1);
+    }
+}
+
+/// A request as a row with one end, that of the runner of a try.
+pub(crate) fn write_row(job: &Job, pick: &Pick) -> Row {
+    let crash = Crash { runner: pick.id.clone(), life: pick.life, nth: 0, release: pick.release.clone() };
+    Row {
+        fingerprint: job.fingerprint,
+        account: job.account.clone(),
+        route: job.route.name.clone(),
+        crashes: [crash].into(),
+        void: [].into(),
+        cleared: false,
+    }
+}
+
+/// Whether a request ends the runners that run it. One that has ended runners of releases of
+/// which none is left may run again: the release may have mended it.
+pub(crate) fn is_deadly(node: &Node, job: &Job) -> bool {
+    if !matches!(node.suspects.lock().level(&job.fingerprint), Level::Deadly(_)) {
+        return false;
+    }
+    let releases = node.roster.lock().list_releases(&job.service);
+    let outlived = node.suspects.lock().get(&job.fingerprint).is_some_and(|row| row.is_outlived(&releases));
+    if outlived {
+        lift(node, &job.fingerprint, "no runner is left of the releases that it has ended");
+    }
+    !outlived
+}
+
+/// What becomes of a request at present, as far as this node alone can tell. A run that is
+/// let begin counts from now.
+pub(crate) fn rule(node: &Node, job: &Job) -> Ruling {
+    let level = node.suspects.lock().level(&job.fingerprint);
+    if level == Level::Clear {
+        return Ruling::Run;
+    }
+    let (takers, now) = (count_takers(node, job), node.now());
+    let mut trials = node.trials.lock();
+    let ruling = trials.rule(&job.fingerprint, level, takers, now);
+    if ruling == Ruling::Trial {
+        trials.begin(job.fingerprint, None, now);
+    }
+    ruling
+}
+
+/// Waits until a request is found to end runners; forever if it is not.
+pub(crate) async fn wait_deadly(node: &Node, job: &Job) {
+    let mut found = node.deadly_found.subscribe();
+    while !is_deadly(node, job) {
+        if found.changed().await.is_err() {
+            return std::future::pending().await;
+        }
+    }
+}
--- a/crates/node/src/tries.rs
+++ b/crates/node/src/tries.rs
@@ -4,6 +4,7 @@
 
 use cottoncrank::id;
 use cottoncrank_fleet::dispatch::{Promise, Reply, Urgency};
+use cottoncrank_fleet::trials::Ruling;
 
 use crate::answer::Refusal;
 use crate::attempt::{Attempt, AttemptError, Job, Pick, find_pick, pick, send};
@@ -12,6 +13,7 @@
 use crate::figures;
 use crate::source::wait_unless_silent;
 use crate::state::Node;
+use crate::suspects;
 
 /// Tries of one request, refused ones included.
 const TRIES: usize = 4;
@@ -42,26 +44,38 @@
     }
 
     /// Takes a try in that gave no answer.
-    pub fn note(&mut self, node: &Arc<Node>, job: &Job, error: &AttemptError) {
-        match error {
-            AttemptError::MayHaveRun(_) | AttemptError::Broken(_) => self.sent += 1,
-            AttemptError::Full => self.full += 1,
-            AttemptError::Unreached(_) | AttemptError::NotRun(_) => {}
-        }
+    pub async fn note(&mut self, node: &Arc<Node>, job: &Job, error: &AttemptError) {
+        self.sent += u32::from(error.may_have_run());
+        self.full += u32::from(matches!(error, AttemptError::Full));
         self.arrived |= error.has_arrived();
         figures::count_failed_attempt(error.reason());
         let runner = self.tried.last().map_or("-", id::Runner::as_str);
         log::info!("request {}: try {} at {runner}: {error}", job.id(), self.tried.len());
-        if let (AttemptError::Broken(_), Some(pick)) = (error, &self.last) {
-            crash::report(node, job, pick);
+        if let Some(pick) = &self.last {
+            crash::investigate(node, job, pick, error).await;
         }
     }
 }
 
+/// Why a suspected request is not run at present, as the collector says or, where it says
+/// nothing, as this node knows.
+pub fn refuse_suspect(node: &Node, job: &Job, reply: Option<Reply>) -> Option<Refusal> {
+    match reply {
+        Some(Reply::Take(_) | Reply::Full(_)) => None,
+        Some(Reply::Held) => Some(Refusal::Held),
+        Some(Reply::Deadly) => Some(Refusal::Deadly),
+        Some(Reply::Unknown) | None => match suspects::rule(node, job) {
+            Ruling::Run | Ruling::Trial => None,
+            Ruling::Hold => Some(Refusal::Held),
+            Ruling::Refuse => Some(Refusal::Deadly),
+        },
+    }
+}
+
 fn read_choice(reply: Option<Reply>) -> Option<Promise> {
     match reply? {
         Reply::Take(promise) => Some(promise),
-        Reply::Full(_) | Reply::Unknown => None,
+        Reply::Full(_) | Reply::Unknown | Reply::Held | Reply::Deadly => None,
     }
 }
 
@@ -82,8 +96,16 @@
         if tries.tried.len() >= TRIES || tries.sent >= job.route.attempts || !repeatable {
             return Err(refusal);
         }
+        if suspects::is_deadly(node, job) {
+            return Err(Refusal::Deadly);
+        }
         if !tries.tried.is_empty() {
-            tries.chosen = read_choice(dispatch::ask(node, job, Urgency::Again, &tries.tried).await);
+            let reply = dispatch::ask(node, job, Urgency::Again, &tries.tried).await;
+            match refuse_suspect(node, job, reply) {
+                Some(Refusal::Held) => return Err(if tries.sent == 0 { Refusal::Held } else { refusal }),
+                Some(deadly) => return Err(deadly),
+                None => tries.chosen = read_choice(reply),
+            }
         }
         let promise = tries.chosen.take();
         let chosen = promise.and_then(|promise| find_pick(node, job, promise.epoch, &tries.tried));
@@ -99,7 +121,7 @@
         let sending = send(node, job, &pick, last);
         match wait_unless_silent(node, job, &pick, started, sending).await {
             Ok(attempt) => return Ok(attempt),
-            Err(error) => tries.note(node, job, &error),
+            Err(error) => tries.note(node, job, &error).await,
         }
     }
 }
--- a/crates/node/src/unreadable.rs
+++ b/crates/node/src/unreadable.rs
@@ -22,6 +22,8 @@
     Plan,
     /// A node's entry.
     Node,
+    /// What is known of a request that ends runners.
+    Suspect,
     /// Something that is no one's here.
     Foreign,
 }
@@ -34,6 +36,7 @@
             Part::Catalog => "catalog",
             Part::Plan => "plan",
             Part::Node => "node",
+            Part::Suspect => "suspect",
             Part::Foreign => "foreign",
         }
     }
--- a/crates/node/tests/deadly.rs
+++ b/crates/node/tests/deadly.rs
@@ -15,8 +15,10 @@
 
 use common::{Fleet, KEY};
 use cottoncrank::Millis;
+use cottoncrank_fleet::suspects::{Level, Row};
 use cottoncrank_platform_standin::caller::{Answer, Question, WAIT_MS};
 use cottoncrank_platform_standin::operator::{READ, STREAM};
+use cottoncrank_platform_standin::store;
 use tokio::task::JoinSet;
 
 /// All nodes know what ends runners within this after the third has ended.
@@ -77,6 +79,101 @@
     assert!(served >= others.len() / 2, "{served} of {} others are served", others.len());
 }
 
+/// Sends the deadly request until three runners have ended under it and it is refused for good.
+async fn end_three(fleet: &Fleet, path: &'static str) -> Answer {
+    for turn in 0..100 {
+        let node = fleet.nodes[turn % fleet.nodes.len()].callers;
+        let answer = ask(node, path, format!("d-{turn}"), BODY.to_owned()).await;
+        if answer.status == 400 {
+            return answer;
+        }
+        tokio::time::sleep(PAUSE.duration()).await;
+    }
+    panic!("it is never refused for good");
+}
+
+fn count_deadly(fleet: &Fleet, node: usize) -> usize {
+    let table = fleet.nodes[node].node.suspects.lock();
+    table.iter().filter(|row| matches!(table.level(&row.fingerprint), Level::Deadly(_))).count()
+}
+
+#[tokio::test]
+async fn its_caller_is_told_not_to_come_again_and_nobody_else_is() {
+    let fleet = Fleet::serving(2).await;
+    let answer = end_three(&fleet, STREAM).await;
+    assert!(answer.body.contains("no use to send it again"), "{answer:?}");
+    assert_eq!(answer.header("retry-after"), None);
+    assert_eq!(list_runs(&fleet).len(), 3);
+    fleet.wait("all nodes know", |fleet| (0..2).all(|node| count_deadly(fleet, node) == 1)).await;
+    fleet.wait("two groups serve", |fleet| fleet.all_know(2)).await;
+    for (number, running) in fleet.nodes.iter().enumerate() {
+        let again = ask(running.callers, STREAM, format!("again-{number}"), BODY.to_owned()).await;
+        assert_eq!(again.status, 400, "{again:?}");
+        let other = ask(running.callers, STREAM, format!("other-{number}"), "a usual body".to_owned()).await;
+        assert_eq!((other.status, other.whole), (200, true), "{other:?}");
+    }
+    assert_eq!(list_runs(&fleet).len(), 3);
+}
+
+#[tokio::test]
+async fn what_is_known_outlasts_all_nodes_in_the_store_until_operators_remove_it() {
+    let mut fleet = Fleet::serving(2).await;
+    end_three(&fleet, READ).await;
+    let key = format!(
+        "cottoncrank/suspects/{}",
+        fleet.nodes[0].node.suspects.lock().iter().next().unwrap().fingerprint
+    );
+    let is_stored = |fleet: &Fleet| {
+        let lacks = |node: usize| !fleet.nodes[node].node.suspects.lock().list_unstored().is_empty();
+        !fleet.store.list(&key).is_empty() && !lacks(0) && !lacks(1)
+    };
+    fleet.wait("the store holds all that is known", is_stored).await;
+    for running in fleet.nodes.drain(..) {
+        drop(running.tasks);
+    }
+    fleet.add_node().await;
+    fleet.wait("the new node knows it", |fleet| count_deadly(fleet, 0) == 1).await;
+    assert_eq!(ask(fleet.nodes[0].callers, READ, "new".to_owned(), BODY.to_owned()).await.status, 400);
+    fleet.store.remove(&key);
+    fleet.wait("the new node has forgotten it", |fleet| count_deadly(fleet, 0) == 0).await;
+    let before = list_runs(&fleet).len();
+    end_three(&fleet, READ).await;
+    assert_eq!(list_runs(&fleet).len(), before + 3, "three new ends are needed");
+}
+
+#[tokio::test]
+async fn nodes_tell_each_other_while_the_store_is_away() {
+    let fleet = Fleet::serving(3).await;
+    fleet.store.set_fault(store::Fault::Busy);
+    end_three(&fleet, READ).await;
+    fleet.wait("all nodes know", |fleet| (0..3).all(|node| count_deadly(fleet, node) == 1)).await;
+    fleet.store.set_fault(store::Fault::None);
+    fleet.wait("the store holds it", |fleet| !fleet.store.list("cottoncrank/suspects/").is_empty()).await;
+}
+
+#[tokio::test]
+async fn requests_that_were_only_there_are_cleared_when_they_run_to_their_end() {
+    let fleet = Fleet::serving(2).await;
+    for engine in &fleet.engines {
+        engine.set_pace(Millis(60));
+    }
+    let mut others = JoinSet::new();
+    for number in 0..6 {
+        let node = fleet.nodes[number % 2].callers;
+        others.spawn(ask(node, STREAM, format!("o-{number}"), format!("usual {number}")));
+    }
+    let ran = |fleet: &Fleet| (0..6).all(|number| fleet.runs(&format!("o-{number}")) > 0);
+    fleet.wait("all run", ran).await;
+    fleet.heads()[0].crash();
+    for answer in others.join_all().await {
+        assert_eq!((answer.status, answer.whole), (200, true), "{answer:?}");
+    }
+    let tables: Vec<_> = fleet.nodes.iter().map(|running| running.node.suspects.lock()).collect();
+    let rows: Vec<&Row> = tables.iter().flat_map(|table| table.iter()).collect();
+    assert!(!rows.is_empty(), "some were in flight at the runner that ended");
+    assert!(rows.iter().all(|row| row.cleared), "{rows:?}");
+}
+
 #[tokio::test]
 async fn a_stream_that_ends_runners_is_held_back_at_every_node() {
     check(STREAM).await;
