--- a/crates/fleet/src/suspects.rs
+++ b/crates/fleet/src/suspects.rs
@@ -28,6 +28,12 @@
 /// until then they can be told apart by another run of each, apart from the other.
 pub const SURE: usize = 5;
 
+/// A request is held back for good this long after its third end was heard of: what ended the
+/// same runners may be known better at other nodes, and collectors tell each other every
+/// 0.15 s. Simulated with one deadly request, it spares the ones that were at three of its
+/// ends by chance, five on twenty days.
+const SETTLED: Millis = Millis(300);
+
 /// Ends that are kept of one request: [`SURE`], and some that were under way meanwhile.
 const CRASHES_MAX: usize = 8;
 
@@ -36,10 +42,14 @@
 pub const KEPT: Millis = Millis(3_600_000);
 
 /// The requests that are remembered, over all accounts: 1 MB.
-const ROWS_MAX: usize = 2048;
+const ROWS_MAX: usize = 4096;
+
+/// And of one account. Nobody can push out what is known of others. Most requests of a
+/// fleet may be of one account: 128 were too few, simulated with twenty deadly requests.
+const ROWS_ACCOUNT_MAX: usize = 1024;
 
-/// And of one account. Nobody can push out what is known of others.
-const ROWS_ACCOUNT_MAX: usize = 128;
+/// So many rows are dropped at once, for to find them takes a look at all.
+const DROPPED_AT_ONCE: usize = ROWS_ACCOUNT_MAX / 8;
 
 /// The end of a runner's process, with a request in flight there.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -48,7 +58,7 @@
     pub runner: id::Runner,
     /// The life that ended, where lives are told.
     pub life: Option<Life>,
-    /// How many of its ends the node that tells had seen before in that life: while the
+    /// How many ends in that life were known before the request was sent there: while the
     /// store is away nodes learn of no new life.
     pub nth: u32,
     /// The release of its software, where it is told.
@@ -118,8 +128,12 @@
 pub enum Level {
     /// Nothing speaks against it.
     Clear,
-    /// So many ends are explained by it, or by one that was there as well.
+    /// Runners have ended under it, so many of them with no other request there that explains
+    /// the end better. What is explained is still run with care, for it may end runners too.
     Suspected(usize),
+    /// It seems to end the runners that run it, so many so far. More may be heard of it: until
+    /// then it is not run.
+    Pending(usize),
     /// It ends the runners that run it, so many so far: it is not run any more.
     Deadly(usize),
 }
@@ -128,8 +142,9 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Level::Clear => f.write_str("clear"),
-            Level::Suspected(ends) => write!(f, "suspected after {ends}"),
-            Level::Deadly(ends) => write!(f, "deadly after {ends}"),
+            Level::Suspected(ends) => write!(f, "suspected, {ends} unexplained ends"),
+            Level::Pending(ends) => write!(f, "probably deadly, after {ends} ends"),
+            Level::Deadly(ends) => write!(f, "deadly, after {ends} ends"),
         }
     }
 }
@@ -167,22 +182,36 @@
 #[derive(Clone, Debug)]
 struct Entry {
     row: Row,
+    /// The ends that count, as [`Row::count`] says.
+    count: usize,
     /// When an end was last added.
     since: Millis,
     /// The version at which it was last changed.
     changed: u64,
     /// The same for changes that were seen in this hall; 0 for none.
     changed_here: u64,
+    /// When enough ends of it were known.
+    enough: Option<Millis>,
+    /// Whether it is held back for good, if nothing else explains its ends.
+    settled: bool,
     /// The ends that the store holds of it, if it holds any.
     stored: Option<usize>,
 }
 
+/// The requests that were in flight at an end.
+#[derive(Clone, Debug)]
+struct Present {
+    requests: BTreeSet<Fingerprint>,
+    /// When this node first heard of it.
+    heard: Millis,
+}
+
 /// All that a node knows of such requests.
 #[derive(Clone, Debug, Default)]
 pub struct Table {
     entries: HashMap<Fingerprint, Entry>,
-    /// The requests that were in flight at each end.
-    present: HashMap<Crash, BTreeSet<Fingerprint>>,
+    /// The ends, and which requests were in flight at each.
+    present: HashMap<Crash, Present>,
     /// How many rows there are of each account.
     counts: HashMap<Option<id::Account>, usize>,
     /// Rises with each change.
@@ -209,31 +238,39 @@
 
     /// How strongly a request is suspected.
     pub fn level(&self, fingerprint: &Fingerprint) -> Level {
-        let Some(row) = self.get(fingerprint) else { return Level::Clear };
-        let own = row.count();
+        let Some(entry) = self.entries.get(fingerprint) else { return Level::Clear };
+        match self.judge(entry) {
+            Level::Deadly(ends) if !entry.settled => Level::Pending(ends),
+            level => level,
+        }
+    }
+
+    /// How strongly a request is suspected if nothing more is heard of it.
+    fn judge(&self, entry: &Entry) -> Level {
+        let (row, own) = (&entry.row, entry.count);
         if own == 0 {
             return Level::Clear;
         }
-        let explained = |crash: &&Crash| self.list_present(crash).any(|other| other.count() > own);
+        let explained = |crash: &&Crash| self.list_present(crash).any(|other| other.count > own);
         let left: Vec<&Crash> = row.list_counted().filter(|crash| !explained(crash)).collect();
-        match left.len() {
-            0 => Level::Clear,
-            ends if ends < ENOUGH || (ends < SURE && self.has_twin(row, &left)) => Level::Suspected(ends),
-            ends => Level::Deadly(ends),
+        match own >= SURE || (left.len() >= ENOUGH && !self.has_twin(row, &left)) {
+            true => Level::Deadly(own),
+            false => Level::Suspected(left.len()),
         }
     }
 
     /// Whether another request was in flight at all of these ends as well.
     fn has_twin(&self, row: &Row, ends: &[&Crash]) -> bool {
         let Some(first) = ends.first() else { return false };
-        let was_there = |other: &Row| ends.iter().all(|end| other.crashes.contains(*end));
-        let mut others = self.list_present(first).filter(|other| other.fingerprint != row.fingerprint);
-        others.any(|other| other.count() > 0 && was_there(other))
+        let was_there = |other: &Entry| ends.iter().all(|end| other.row.crashes.contains(*end));
+        let mut others = self.list_present(first).filter(|other| other.row.fingerprint != row.fingerprint);
+        others.any(|other| other.count > 0 && was_there(other))
     }
 
     /// The requests that were in flight at an end.
-    fn list_present(&self, crash: &Crash) -> impl Iterator<Item = &Row> {
-        self.present.get(crash).into_iter().flatten().filter_map(|fingerprint| self.get(fingerprint))
+    fn list_present(&self, crash: &Crash) -> impl Iterator<Item = &Entry> {
+        let requests = self.present.get(crash).map(|present| &present.requests);
+        requests.into_iter().flatten().filter_map(|fingerprint| self.entries.get(fingerprint))
     }
 
     /// Takes in what was seen or told of a request. Returns the requests whose level that
@@ -248,13 +285,15 @@
     }
 
     /// The levels that can change with a row: its own, and those of all that were in flight
-    /// at one of its ends.
+    /// at one of its ends, unless it was at one only and so explains none of them.
     fn list_levels(&self, row: &Row) -> Vec<(Fingerprint, Level)> {
         let known = self.get(&row.fingerprint).map(|known| &known.crashes);
-        let crashes = row.crashes.iter().chain(known.into_iter().flatten());
-        let mut touched: HashSet<Fingerprint> =
-            crashes.filter_map(|crash| self.present.get(crash)).flatten().copied().collect();
-        touched.insert(row.fingerprint);
+        let crashes: BTreeSet<&Crash> = row.crashes.iter().chain(known.into_iter().flatten()).collect();
+        let mut touched = HashSet::from([row.fingerprint]);
+        if crashes.len() > 1 {
+            let present = crashes.into_iter().filter_map(|crash| self.present.get(crash));
+            touched.extend(present.flat_map(|present| &present.requests));
+        }
         touched.into_iter().map(|fingerprint| (fingerprint, self.level(&fingerprint))).collect()
     }
 
@@ -275,13 +314,28 @@
         let unknown = Row { crashes: BTreeSet::new(), void: BTreeSet::new(), cleared: false, ..row.clone() };
         let fresh = || {
             *self.counts.entry(row.account.clone()).or_default() += 1;
-            Entry { row: unknown, since: now, changed: 0, changed_here: 0, stored: None }
+            Entry {
+                row: unknown,
+                count: 0,
+                since: now,
+                changed: 0,
+                changed_here: 0,
+                enough: None,
+                settled: false,
+                stored: None,
+            }
         };
         let entry = self.entries.entry(row.fingerprint).or_insert_with(fresh);
         let ends = entry.row.crashes.len();
         if !entry.row.unite(row) {
             return false;
         }
+        entry.count = entry.row.count();
+        if entry.count >= ENOUGH {
+            entry.enough.get_or_insert(now);
+        } else {
+            (entry.enough, entry.settled) = (None, false);
+        }
         if entry.row.crashes.len() > ends {
             entry.since = now;
         }
@@ -291,12 +345,46 @@
             entry.changed_here = self.version;
         }
         for crash in &entry.row.crashes {
-            self.present.entry(crash.clone()).or_default().insert(row.fingerprint);
+            let fresh = || Present { requests: BTreeSet::new(), heard: now };
+            let present = self.present.entry(crash.clone()).or_insert_with(fresh);
+            present.requests.insert(row.fingerprint);
         }
         self.dropped.remove(&row.fingerprint);
         true
     }
 
+    /// Holds back for good what has been at enough ends for [`SETTLED`]. Returns the requests
+    /// whose level that has changed.
+    pub fn settle(&mut self, now: Millis) -> Vec<Change> {
+        let is_due = |entry: &&Entry| entry.enough.is_some_and(|enough| now >= enough + SETTLED);
+        let due = self.entries.values().filter(|entry| !entry.settled).filter(is_due);
+        let deadly = due.filter(|entry| matches!(self.judge(entry), Level::Deadly(_)));
+        let settled: Vec<Fingerprint> = deadly.map(|entry| entry.row.fingerprint).collect();
+        let before = settled.iter().map(|fingerprint| (*fingerprint, self.level(fingerprint))).collect();
+        for fingerprint in &settled {
+            if let Some(entry) = self.entries.get_mut(fingerprint) {
+                entry.settled = true;
+            }
+        }
+        self.list_changes(before)
+    }
+
+    /// The end of a runner under a request that was sent there at `sent`: it is not one that
+    /// had been heard of before.
+    pub fn name_crash(
+        &self,
+        runner: &id::Runner,
+        life: Option<Life>,
+        release: Option<Release>,
+        sent: Millis,
+    ) -> Crash {
+        let mut crash = Crash { runner: runner.clone(), life, nth: 0, release };
+        while self.present.get(&crash).is_some_and(|present| present.heard < sent) {
+            crash.nth += 1;
+        }
+        crash
+    }
+
     /// A request has run to its end here: it does not end runners. Only one that is
     /// suspected is noted.
     pub fn note_completed(&mut self, fingerprint: &Fingerprint, now: Millis) -> Vec<Change> {
@@ -355,7 +443,7 @@
     /// others has one more to add. With when the last end was added.
     pub fn list_unstored(&self) -> Vec<(&Row, Millis)> {
         let missing = |entry: &&Entry| {
-            entry.row.count() > 1 && entry.stored.is_none_or(|stored| stored < entry.row.crashes.len())
+            entry.count > 1 && entry.stored.is_none_or(|stored| stored < entry.row.crashes.len())
         };
         self.entries.values().filter(missing).map(|entry| (&entry.row, entry.since)).collect()
     }
@@ -363,7 +451,7 @@
     /// What the store should not hold any more: requests that count for nothing, or were
     /// dropped.
     pub fn list_needless(&self) -> Vec<Fingerprint> {
-        let needless = self.entries.values().filter(|entry| entry.stored.is_some() && entry.row.count() == 0);
+        let needless = self.entries.values().filter(|entry| entry.stored.is_some() && entry.count == 0);
         needless.map(|entry| entry.row.fingerprint).chain(self.dropped.iter().copied()).collect()
     }
 
@@ -389,11 +477,13 @@
         }
     }
 
-    /// Drops the row of an account that says least, the oldest first.
+    /// Drops the rows of an account that say least, the oldest first.
     fn drop_least(&mut self, account: &Option<id::Account>) {
         let of_account = self.entries.values().filter(|entry| entry.row.account == *account);
-        let least = of_account.min_by_key(|entry| (entry.row.count(), entry.changed));
-        if let Some(fingerprint) = least.map(|entry| entry.row.fingerprint) {
+        let rank = |entry: &Entry| (entry.count, entry.changed, entry.row.fingerprint);
+        let mut ranked: Vec<_> = of_account.map(rank).collect();
+        ranked.sort_unstable();
+        for (_, _, fingerprint) in ranked.into_iter().take(DROPPED_AT_ONCE) {
             self.drop_row(&fingerprint);
         }
     }
@@ -411,8 +501,8 @@
         }
         for crash in &entry.row.crashes {
             if let Some(present) = self.present.get_mut(crash) {
-                present.remove(fingerprint);
-                if present.is_empty() {
+                present.requests.remove(fingerprint);
+                if present.requests.is_empty() {
                     self.present.remove(crash);
                 }
             }
--- a/crates/node/src/attempt.rs
+++ b/crates/node/src/attempt.rs
@@ -11,6 +11,7 @@
 use cottoncrank_fleet::plan::{State, find_state};
 use cottoncrank_fleet::roster::Roster;
 use cottoncrank_fleet::runner::{Epoch, Life, Release, Runner};
+use cottoncrank_fleet::trials::Takers;
 use cottoncrank_platform::header::{self, Forward, Terms, Verdict};
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -147,6 +148,8 @@
     pub life: Option<Life>,
     /// The release of its software, where that is told.
     pub release: Option<Release>,
+    /// When it was picked.
+    pub at: Millis,
     /// The data hall it stands in.
     hall: id::Hall,
     /// The group it heads, if the request goes to one.
@@ -178,9 +181,17 @@
     }
 }
 
-/// How many runners or groups can take a request.
-pub fn count_takers(node: &Node, job: &Job) -> usize {
-    list_candidates(node, &node.roster.lock(), job).len()
+/// How many groups or runners can take a request, as far as this node has seen.
+pub fn count_takers(node: &Node, job: &Job) -> Takers {
+    let now = node.now();
+    let sound = {
+        let roster = node.roster.lock();
+        let candidates = list_candidates(node, &roster, job);
+        let ledger = node.ledger.lock();
+        candidates.into_iter().filter(|runner| ledger.is_sound(runner, now)).count()
+    };
+    let (service, model) = job.lane();
+    node.usual.lock().note(&service, model.as_ref(), sound, now)
 }
 
 /// Whether the runners of a request have room for it; none if nobody knows.
@@ -199,16 +210,17 @@
     let head =
         candidates.into_iter().find(|head| head.membership.as_ref().is_some_and(|p| p.epoch == epoch))?;
     let sound = node.ledger.lock().is_sound(head, node.now()) && !tried.contains(&head.id);
-    sound.then(|| write_pick(job, head))
+    sound.then(|| write_pick(node, job, head))
 }
 
-fn write_pick(job: &Job, runner: &Runner) -> Pick {
+fn write_pick(node: &Node, job: &Job, runner: &Runner) -> Pick {
     let group = job.engine().and(runner.membership.as_ref()).map(|place| (place.group.clone(), place.epoch));
     Pick {
         id: runner.id.clone(),
         address: runner.address,
         life: runner.life,
         release: runner.release.clone(),
+        at: node.now(),
         hall: runner.hall.clone(),
         group,
     }
@@ -221,7 +233,7 @@
     let (ledger, view) = (node.ledger.lock(), node.view.lock());
     let now = node.now();
     let picked = balance::pick(&candidates, tried, &ledger, &view, now, &mut rand::rng())?;
-    Some(write_pick(job, picked))
+    Some(write_pick(node, job, picked))
 }
 
 /// Sends the request to a runner and waits for the head of the answer.
--- a/crates/node/src/crash.rs
+++ b/crates/node/src/crash.rs
@@ -7,8 +7,8 @@
 use cottoncrank::{Millis, id};
 use cottoncrank_fleet::breaks::Break;
 use cottoncrank_fleet::probe::Reported;
-use cottoncrank_fleet::runner::{Life, is_later};
-use cottoncrank_fleet::suspects::{Crash, Origin, Row};
+use cottoncrank_fleet::runner::is_later;
+use cottoncrank_fleet::suspects::{Origin, Row};
 use cottoncrank_platform::order;
 use tokio::sync::OnceCell;
 
@@ -22,10 +22,6 @@
 /// so within some milliseconds, and a new life takes seconds to start.
 const HOLDS: Millis = Millis(500);
 
-/// A runner that ended is remembered for this long: lives that the store does not tell, for
-/// it is away, are told apart by the ends seen.
-const REMEMBERED: Millis = Millis(60_000);
-
 /// How long the question which runner answers may take; it does so within milliseconds.
 const ANSWER: Millis = Millis(150);
 
@@ -54,48 +50,21 @@
 /// A finding, made once for all requests that broke off there.
 type Shared = Arc<OnceCell<Finding>>;
 
-/// What was last found out of a runner.
-#[derive(Debug)]
-struct Look {
-    begun: Millis,
-    /// The life that was known then.
-    life: Option<Life>,
-    /// How many ends had been seen in that life.
-    before: u32,
-    finding: Shared,
-}
-
 /// What was lately found out of runners.
 #[derive(Debug, Default)]
-pub(crate) struct Findings(HashMap<id::Runner, Look>);
-
-impl Look {
-    fn has_ended(&self) -> bool {
-        self.finding.get() == Some(&Finding::Ended)
-    }
-}
+pub(crate) struct Findings(HashMap<id::Runner, (Millis, Shared)>);
 
 impl Findings {
-    /// The finding that holds for a runner at `now`, and how many of its ends in the life
-    /// known were seen before.
-    fn share(&mut self, pick: &Pick, now: Millis) -> (Shared, u32) {
-        self.0.retain(|_, look| now < look.begun + REMEMBERED);
-        let last = self.0.get(&pick.id).filter(|look| look.life == pick.life);
-        if let Some(look) = last.filter(|look| now < look.begun + HOLDS) {
-            return (look.finding.clone(), look.before);
-        }
-        let before = last.map_or(0, |look| look.before + u32::from(look.has_ended()));
-        let finding = Shared::default();
-        let look = Look { begun: now, life: pick.life, before, finding: finding.clone() };
-        self.0.insert(pick.id.clone(), look);
-        (finding, before)
+    fn share(&mut self, id: &id::Runner, now: Millis) -> Shared {
+        self.0.retain(|_, (begun, _)| now < *begun + HOLDS);
+        self.0.entry(id.clone()).or_insert_with(|| (now, Shared::default())).1.clone()
     }
 }
 
 /// Takes in what a try without an answer says of its request: whether the runner ended under
 /// it. That is found out to its end also where the caller leaves meanwhile.
 pub(crate) async fn investigate(node: &Arc<Node>, job: &Job, pick: &Pick, error: &AttemptError) {
-    let row = suspects::write_row(job, pick);
+    let row = suspects::write_row(node, job, pick);
     match error {
         AttemptError::Broken(_) => {
             let (request, node, pick) = (job.id().to_owned(), node.clone(), pick.clone());
@@ -114,7 +83,7 @@
 }
 
 async fn judge(node: &Node, request: &str, pick: &Pick, row: Row) {
-    let (finding, before) = examine(node, pick).await;
+    let finding = examine(node, pick).await;
     let life = pick.life.map_or("-".to_owned(), |life| life.to_string());
     log::info!(
         "request {request}: {} in life {life} is found {} after a try broke off there, fingerprint {}",
@@ -123,28 +92,21 @@
         row.fingerprint
     );
     match finding {
-        Finding::Ended => suspects::take(node, &[count_end(row, before)], Origin::Hall),
+        Finding::Ended => suspects::take(node, &[row], Origin::Hall),
         Finding::Sound => {}
         Finding::Unknown => note_break(node, pick, row),
     }
 }
 
-/// A row with one end, as one that follows so many others in the same life.
-fn count_end(row: Row, before: u32) -> Row {
-    let crashes = row.crashes.into_iter().map(|crash| Crash { nth: before, ..crash }).collect();
-    Row { crashes, ..row }
-}
-
 fn note_break(node: &Node, pick: &Pick, row: Row) {
     let (runner, life, address) = (pick.id.clone(), pick.life, pick.address);
     node.breaks.lock().note(Break { row, runner, life, address, at: node.now() });
 }
 
-/// Finds out what became of the runner of a try that broke off, and how many of its ends in
-/// the life known were seen before.
-async fn examine(node: &Node, pick: &Pick) -> (Finding, u32) {
-    let (shared, before) = node.findings.lock().share(pick, node.now());
-    (*shared.get_or_init(|| look(node, pick)).await, before)
+/// Finds out what became of the runner of a try that broke off.
+async fn examine(node: &Node, pick: &Pick) -> Finding {
+    let shared = node.findings.lock().share(&pick.id, node.now());
+    *shared.get_or_init(|| look(node, pick)).await
 }
 
 async fn look(node: &Node, pick: &Pick) -> Finding {
--- a/crates/node/src/dispatch.rs
+++ b/crates/node/src/dispatch.rs
@@ -110,7 +110,11 @@
     let roster = node.roster.lock();
     let heads = roster.list_heads(&question.service, &question.model, &node.plans.lock());
     let loads = node.reports.lock().sum_loads(&own, now);
-    let ruling = rule(node, question, heads.len(), now);
+    let sound = {
+        let ledger = node.ledger.lock();
+        heads.iter().filter(|head| ledger.is_sound(head, now)).count()
+    };
+    let ruling = rule(node, question, sound, now);
     let trials = match ruling {
         Ruling::Run => Vec::new(),
         Ruling::Trial => node.trials.lock().list_groups(&question.fingerprint, now),
@@ -139,8 +143,9 @@
 
 /// What becomes of a request that a node asks for, as far as this hall knows.
 fn rule(node: &Node, question: &Question, groups: usize, now: Millis) -> Ruling {
+    let takers = node.usual.lock().note(&question.service, Some(&question.model), groups, now);
     let level = node.suspects.lock().level(&question.fingerprint);
     let mut trials = node.trials.lock();
     trials.end_at(&question.fingerprint, &question.tried);
-    trials.rule(&question.fingerprint, level, groups, now)
+    trials.rule(&question.fingerprint, level, takers, now)
 }
--- a/crates/node/src/figures.rs
+++ b/crates/node/src/figures.rs
@@ -56,6 +56,7 @@
     let level = match level {
         Level::Clear => "clear",
         Level::Suspected(_) => "suspected",
+        Level::Pending(_) => "pending",
         Level::Deadly(_) => "deadly",
     };
     metrics::counter!("cottoncrank_suspects_total", "level" => level).increment(1);
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -23,7 +23,7 @@
 use cottoncrank_fleet::runner::{Epoch, Life, Runner};
 use cottoncrank_fleet::settings::Settings;
 use cottoncrank_fleet::suspects::{Origin, Table};
-use cottoncrank_fleet::trials::Trials;
+use cottoncrank_fleet::trials::{Trials, Usual};
 use cottoncrank_net::client::{Client, Traffic};
 use cottoncrank_platform::store::Store;
 use parking_lot::Mutex;
@@ -100,6 +100,8 @@
     pub suspects: Mutex<Table>,
     /// Up to where other nodes were told of them.
     pub(crate) book: Mutex<Book>,
+    /// How many groups or runners there usually are for requests.
+    pub(crate) usual: Mutex<Usual>,
     /// Runs of suspected requests that this node has let begin.
     pub(crate) trials: Mutex<Trials>,
     /// Tries that broke off at runners of which nothing could be found out.
@@ -163,6 +165,7 @@
             unanswering: Mutex::default(),
             suspects: Mutex::default(),
             book: Mutex::default(),
+            usual: Mutex::default(),
             trials: Mutex::default(),
             breaks: Mutex::default(),
             deadly_found: watch::Sender::new(0),
--- a/crates/node/src/suspects.rs
+++ b/crates/node/src/suspects.rs
@@ -86,6 +86,16 @@
     tell(node, &changes);
 }
 
+/// Holds back what nothing more is heard of, and forgets what is old.
+pub(crate) fn settle(node: &Node) {
+    let changes = {
+        let mut table = node.suspects.lock();
+        table.expire(node.now());
+        table.settle(node.now())
+    };
+    tell(node, &changes);
+}
+
 /// What speaks against a request counts no more.
 pub(crate) fn lift(node: &Node, fingerprint: &Fingerprint, why: &str) {
     let changes = node.suspects.lock().lift(fingerprint, node.now());
@@ -109,7 +119,7 @@
         );
         match after {
             Level::Deadly(_) => log::warn!("{line}"),
-            Level::Clear | Level::Suspected(_) => log::info!("{line}"),
+            Level::Clear | Level::Suspected(_) | Level::Pending(_) => log::info!("{line}"),
         }
     }
     if changes.iter().any(|change| matches!(change.after, Level::Deadly(_))) {
@@ -118,8 +128,8 @@
 }
 
 /// A request as a row with one end, that of the runner of a try.
-pub(crate) fn write_row(job: &Job, pick: &Pick) -> Row {
-    let crash = Crash { runner: pick.id.clone(), life: pick.life, nth: 0, release: pick.release.clone() };
+pub(crate) fn write_row(node: &Node, job: &Job, pick: &Pick) -> Row {
+    let crash = node.suspects.lock().name_crash(&pick.id, pick.life, pick.release.clone(), pick.at);
     Row {
         fingerprint: job.fingerprint,
         account: job.account.clone(),
@@ -148,9 +158,6 @@
 /// let begin counts from now.
 pub(crate) fn rule(node: &Node, job: &Job) -> Ruling {
     let level = node.suspects.lock().level(&job.fingerprint);
-    if level == Level::Clear {
-        return Ruling::Run;
-    }
     let (takers, now) = (count_takers(node, job), node.now());
     let mut trials = node.trials.lock();
     let ruling = trials.rule(&job.fingerprint, level, takers, now);
