Count the time in which a box was suspended

The clock of all programs read the wall clock once and went on with the steady clock, which stands still while a box is suspended: after 5 s of sleep a proof of the store, a lease, a configuration and a deadline looked 5 s younger for good. Gap tells a suspension from a process that was held up, by how far the clocks run apart. The wall clock is still never compared.

--- a/crates/kernel/src/clock.rs
+++ b/crates/kernel/src/clock.rs
@@ -5,8 +5,9 @@
 use std::str::FromStr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
+use rustix::time::{ClockId, clock_gettime};
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
@@ -73,18 +74,27 @@
     fn now(&self) -> Millis;
 }
 
-/// The machine's clock: wall time read once, then carried on by the monotonic clock.
+/// The machine's clock: wall time read once, then carried on by the time since boot.
+///
+/// That counts the time in which the machine was suspended, which [`std::time::Instant`] and
+/// the timers of tokio do not. A lease or a proof from before would look younger by it.
 #[derive(Clone, Debug)]
 pub struct System {
     wall: Millis,
-    start: Instant,
+    start: Millis,
+}
+
+/// The time for which processes could run since boot, or time in general.
+fn read(clock: ClockId) -> Millis {
+    let time = clock_gettime(clock);
+    Millis(time.tv_sec as u64 * 1000 + time.tv_nsec as u64 / 1_000_000)
 }
 
 impl System {
     /// Reads the wall clock once.
     pub fn new() -> System {
         let wall = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        System { wall: Millis(wall.as_millis() as u64), start: Instant::now() }
+        System { wall: Millis(wall.as_millis() as u64), start: read(ClockId::Boottime) }
     }
 }
 
@@ -96,7 +106,73 @@
 
 impl Clock for System {
     fn now(&self) -> Millis {
-        self.wall + Millis(self.start.elapsed().as_millis() as u64)
+        self.wall + read(ClockId::Boottime).since(self.start)
+    }
+}
+
+/// A time in which this process did not run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Gap {
+    /// The machine was suspended: its timers stood still as well.
+    Suspended(Millis),
+    /// The process was held up, and its timers ran on.
+    Frozen(Millis),
+}
+
+impl fmt::Display for Gap {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Gap::Suspended(span) => write!(f, "suspended for {span}"),
+            Gap::Frozen(span) => write!(f, "held up for {span}"),
+        }
+    }
+}
+
+/// The clocks run apart by less than this where the machine was not suspended: they are
+/// read one after the other, and a busy machine may do other things in between for 0.1 s.
+const SUSPENDED: Millis = Millis(200);
+
+/// A timer that is later than this shows that the process was held up. One that waits for
+/// its share of a busy machine is late by 0.1 to 0.3 s.
+const FROZEN: Millis = Millis(500);
+
+impl Gap {
+    /// What `total` time tells, of which `steady` was counted by timers, one of which was to
+    /// end after `planned`.
+    pub fn find(planned: Millis, steady: Millis, total: Millis) -> Option<Gap> {
+        let suspended = total.since(steady);
+        let late = steady.since(planned);
+        if suspended >= SUSPENDED {
+            Some(Gap::Suspended(suspended))
+        } else if late >= FROZEN {
+            Some(Gap::Frozen(late))
+        } else {
+            None
+        }
+    }
+}
+
+/// Notices when this process did not run.
+#[derive(Debug)]
+pub struct Watch {
+    clock: System,
+    /// When it was last looked at, by the clock and by the one that timers use.
+    total: Millis,
+    steady: Millis,
+}
+
+impl Watch {
+    /// Watches from now on.
+    pub fn new(clock: System) -> Watch {
+        Watch { total: clock.now(), clock, steady: read(ClockId::Monotonic) }
+    }
+
+    /// What the time since the last look tells, which a timer of `planned` has ended.
+    pub fn look(&mut self, planned: Millis) -> Option<Gap> {
+        let (total, steady) = (self.clock.now(), read(ClockId::Monotonic));
+        let gap = Gap::find(planned, steady.since(self.steady), total.since(self.total));
+        (self.total, self.steady) = (total, steady);
+        gap
     }
 }
 
@@ -135,6 +211,27 @@
         assert!("99999999999999999999s".parse::<Millis>().is_err());
     }
 
+    #[test]
+    fn a_suspended_machine_is_told_from_a_process_that_was_held_up() {
+        let find = |steady, total| Gap::find(Millis(100), Millis(steady), Millis(total));
+        assert_eq!(find(101, 101), None);
+        assert_eq!(find(101, 290), None, "the clocks are not read at once");
+        assert_eq!(find(101, 401), Some(Gap::Suspended(Millis(300))));
+        assert_eq!(find(3100, 13_100), Some(Gap::Suspended(Millis(10_000))));
+        assert_eq!(find(400, 400), None, "a busy machine");
+        assert_eq!(find(3100, 3100), Some(Gap::Frozen(Millis(3000))));
+    }
+
+    #[test]
+    fn the_system_clock_goes_on_as_the_time_since_boot_does() {
+        let clock = System::new();
+        let (start, now) = (read(ClockId::Boottime), clock.now());
+        std::thread::park_timeout(Duration::from_millis(30));
+        let passed = read(ClockId::Boottime).since(start);
+        assert!(clock.now().since(now) <= passed + Millis(2));
+        assert!(clock.now().since(now) + Millis(2) >= passed);
+    }
+
     #[test]
     fn a_manual_clock_moves_only_when_told() {
         let clock = Manual::new(Millis(5));
