Wake what waits for a point in time when a box was suspended

Timers stand still while a box is suspended, and so did all that waited by them: a request whose time was over in a sleep of 3 s was held for 2.5 s more, and one whose runner had ended meanwhile was sent to another one with no time left. Now one task compares the clocks ten times a second, logs and counts a gap and wakes what waits for a point in time (requests, streams), which looks at the clock again; a request whose time is over is not sent on; an answer of the store, a node or a runner that lay here longer than it may take counts as late; an order decided on before a sleep is not given when the lease may be over. Proofs, contact and the lease are kept by the clock that counts sleep.

--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -9,7 +9,8 @@
 use std::task::{Context, Poll};
 
 use bytes::Bytes;
-use cottoncrank::Millis;
+use cottoncrank::clock::System;
+use cottoncrank::{Clock, Millis};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_TYPE, HeaderMap};
@@ -29,6 +30,10 @@
 /// How long an idle connection is kept.
 const IDLE: Millis = Millis(20_000);
 
+/// An answer later than its time by more than this came while the box was suspended, or lay
+/// here: a timer on a busy box is late by 0.1 to 0.3 s.
+const OVERSLEPT: Millis = Millis(500);
+
 /// How long a connection may take to be made.
 const CONNECT: Millis = Millis(400);
 
@@ -225,6 +230,7 @@
     inner: hyper_util::client::legacy::Client<Connector, Full<Bytes>>,
     traffic: Traffic,
     reach: Option<Reach>,
+    clock: System,
 }
 
 /// An answer whose body still streams.
@@ -248,7 +254,7 @@
             .pool_idle_timeout(IDLE.duration())
             .pool_timer(TokioTimer::new())
             .build(Connector(traffic.clone()));
-        Client { inner, traffic, reach }
+        Client { inner, traffic, reach, clock: System::new() }
     }
 
     /// Sends a request and waits for the head of the answer.
@@ -288,7 +294,8 @@
     }
 
     /// Sends a request and reads the answer to its end, all within `wait`: a connection may go
-    /// silent within an answer, and the rest of it would be waited for for good.
+    /// silent within an answer, and the rest of it would be waited for for good. An answer that
+    /// lay here while the box was suspended is as late as one that came late.
     pub async fn exchange(
         &self,
         address: SocketAddr,
@@ -303,8 +310,10 @@
             let status = answer.status();
             Ok((status, read_all(address, answer.into_body()).await?))
         };
+        let begun = self.clock.now();
         let in_time = tokio::time::timeout(wait.duration(), exchange).await;
-        in_time.unwrap_or(Err(CallError::Late { address, wait }))
+        let overslept = self.clock.now().since(begun) > wait + OVERSLEPT;
+        in_time.ok().filter(|_| !overslept).unwrap_or(Err(CallError::Late { address, wait }))
     }
 
     /// Calls `path` with one message and reads one back, both in MessagePack.
--- a/crates/node/src/attempt.rs
+++ b/crates/node/src/attempt.rs
@@ -63,6 +63,12 @@
         self.catalog.find_service(&self.service).and_then(|service| service.engine.as_ref())
     }
 
+    /// Whether the time it had is over: nobody waits for an answer, and no runner may be
+    /// given a time that is not there.
+    pub fn is_over(&self, node: &Node) -> bool {
+        node.now() >= self.end
+    }
+
     /// The caller's id of the request, for the log.
     pub fn id(&self) -> &str {
         self.terms.request.as_deref().unwrap_or("-")
--- a/crates/node/src/decider.rs
+++ b/crates/node/src/decider.rs
@@ -426,7 +426,13 @@
         let known = self.node.roster.lock().recall(&runner).map(|runner| (runner.address, runner.life));
         let Some((address, life)) = known else { return };
         let (node, client, memory) = (self.node.clone(), self.client.clone(), self.memory.clone());
+        let until = self.until;
         tokio::spawn(async move {
+            // The box may have been suspended since the order was decided on.
+            if node.now() + LEASE_MARGIN >= until {
+                log::warn!("decider: {order:?} to {runner} is not given, the lease may be over");
+                return;
+            }
             let reply = order::give(&client, address, &runner, &order, ORDER).await;
             match reply {
                 Ok(Reply::Taken) => memory.lock().note_taken(&runner, life, &order, node.now()),
--- a/crates/node/src/figures.rs
+++ b/crates/node/src/figures.rs
@@ -6,6 +6,7 @@
 
 use bytes::Bytes;
 use cottoncrank::Millis;
+use cottoncrank::clock::Gap;
 use cottoncrank_fleet::suspects::Level;
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_TYPE, HeaderValue};
@@ -46,6 +47,15 @@
     metrics::counter!("cottoncrank_attempts_failed_total", "reason" => reason).increment(1);
 }
 
+/// The process did not run for a while.
+pub fn count_gap(gap: &Gap) {
+    let kind = match gap {
+        Gap::Suspended(_) => "suspended",
+        Gap::Frozen(_) => "frozen",
+    };
+    metrics::counter!("cottoncrank_gaps_total", "kind" => kind).increment(1);
+}
+
 /// What became of a runner whose connection broke.
 pub fn count_finding(finding: &'static str) {
     metrics::counter!("cottoncrank_broken_runners_total", "finding" => finding).increment(1);
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -8,7 +8,8 @@
 //! try, in `tries`, from a `source`, passed on by `relay`), and [`decider`] gives orders
 //! to the runners, which `prober` asks how they are, while this node holds the lease for
 //! that. `crash` finds out whether a runner ended under a request, `suspects` exchanges that
-//! with other nodes and says what becomes of the request, and `record` keeps it in the store.
+//! with other nodes and says what becomes of the request, and `record` keeps it in the store. `pulse`
+//! notices that the process did not run for a while.
 //! `unreadable` bounds what the log tells of items that cannot be read. All state stands in
 //! [`state::Node`].
 
@@ -29,6 +30,7 @@
 pub mod peer;
 pub mod plain;
 mod prober;
+mod pulse;
 mod record;
 mod relay;
 pub mod request;
--- a/crates/node/src/plain.rs
+++ b/crates/node/src/plain.rs
@@ -30,6 +30,9 @@
     let mut may_have_run = false;
     let mut arrived = false;
     while tried.len() < TRIES && sent < job.route.attempts {
+        if job.is_over(node) {
+            return Err(Refusal::Late);
+        }
         match suspects::rule(node, job) {
             Ruling::Run | Ruling::Trial => {}
             Ruling::Refuse => return Err(Refusal::Deadly),
--- a/crates/node/src/record.rs
+++ b/crates/node/src/record.rs
@@ -17,8 +17,8 @@
 /// The prefix of the entries; a request's fingerprint follows.
 const PREFIX: &str = "suspects/";
 
-/// How often a node looks what is settled, and what the store lacks.
-const LOOK: Millis = Millis(100);
+/// How often a node looks what the store lacks.
+const LOOK: Millis = Millis(200);
 
 /// The collectors write one after the other, so that most find it written: a write is
 /// known to the others within some 0.3 s.
@@ -89,7 +89,6 @@
 pub async fn run(node: Arc<Node>) {
     loop {
         tokio::time::sleep(LOOK.duration()).await;
-        suspects::settle(&node);
         let commit = list_writes(&node);
         if commit.puts.is_empty() && commit.removes.is_empty() {
             continue;
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -43,9 +43,8 @@
 
     /// Passes events on until the stream, the caller or the time is over.
     pub async fn run(mut self) {
-        let left = self.job.end.since(self.node.now());
         let feed = self.feed.clone();
-        let job = self.job.clone();
+        let (job, node) = (self.job.clone(), self.node.clone());
         let request = job.id();
         tokio::select! {
             outcome = self.pass_on() => match outcome {
@@ -58,7 +57,7 @@
                 }
             },
             () = feed.closed() => log::info!("request {request}: the caller left"),
-            () = tokio::time::sleep(left.duration()) => {
+            () = node.wait_until(job.end) => {
                 figures::count_cut();
                 log::warn!("request {request}: the stream is cut: its time is over");
                 let _ = feed.try_send(Err(Cut));
--- a/crates/node/src/request.rs
+++ b/crates/node/src/request.rs
@@ -41,9 +41,11 @@
     let outcome = match admit(&node, head, body, terms).await {
         Ok(job) => {
             kind = job.route.kind.name();
-            let left = job.end.since(node.now());
-            let run = run(&node, Arc::new(job), running);
-            tokio::time::timeout(left.duration(), run).await.unwrap_or(Err(Refusal::Late))
+            let end = job.end;
+            tokio::select! {
+                outcome = run(&node, Arc::new(job), running) => outcome,
+                () = node.wait_until(end) => Err(Refusal::Late),
+            }
         }
         Err(refusal) => Err(refusal),
     };
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -106,6 +106,8 @@
     pub(crate) trials: Mutex<Trials>,
     /// Tries that broke off at runners of which nothing could be found out.
     pub(crate) breaks: Mutex<Breaks>,
+    /// Rises whenever the process did not run for a while.
+    pub(crate) woken: watch::Sender<u64>,
     /// Rises whenever a request is found to end runners.
     pub(crate) deadly_found: watch::Sender<u64>,
     /// Tells this process from others of the same node.
@@ -168,6 +170,7 @@
             usual: Mutex::default(),
             trials: Mutex::default(),
             breaks: Mutex::default(),
+            woken: watch::Sender::new(0),
             deadly_found: watch::Sender::new(0),
             instance: rand::rng().random(),
             findings: Mutex::default(),
@@ -209,6 +212,20 @@
         self.clock.now()
     }
 
+    /// Waits for a point in time. A timer alone would be late by as long as the box was
+    /// suspended.
+    pub async fn wait_until(&self, end: Millis) {
+        let mut woken = self.woken.subscribe();
+        loop {
+            let left = end.since(self.now());
+            if left == Millis(0) {
+                return;
+            }
+            // Either way the clock is looked at again.
+            let _ = tokio::time::timeout(left.duration(), woken.changed()).await;
+        }
+    }
+
     /// Whether the store has been read whole once.
     pub fn is_synced(&self) -> bool {
         *self.synced.borrow()
--- a/crates/node/src/tries.rs
+++ b/crates/node/src/tries.rs
@@ -96,6 +96,9 @@
         if tries.tried.len() >= TRIES || tries.sent >= job.route.attempts || !repeatable {
             return Err(refusal);
         }
+        if job.is_over(node) {
+            return Err(Refusal::Late);
+        }
         if suspects::is_deadly(node, job) {
             return Err(Refusal::Deadly);
         }
--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -39,7 +39,8 @@
     pub plain: Vec<Runner>,
 }
 
-async fn start_node(store: SocketAddr, number: usize, hall: &str) -> Running {
+/// Starts a node in the runtime of the caller.
+pub async fn start_node(store: SocketAddr, number: usize, hall: &str) -> Running {
     let bind = async || TcpListener::bind("127.0.0.1:0").await.unwrap();
     let listeners = Listeners { callers: bind().await, ready: bind().await, peers: bind().await };
     let address = |listener: &TcpListener| listener.local_addr().unwrap();
@@ -69,6 +70,12 @@
     Running { node, callers, ready, tasks }
 }
 
+/// How many groups that take requests a node knows.
+pub fn count_heads(node: &Node) -> usize {
+    let (service, model) = (ENGINES.parse().unwrap(), "m1".parse().unwrap());
+    node.roster.lock().list_heads(&service, &model, &node.plans.lock()).len()
+}
+
 impl Fleet {
     /// Nodes, five engines in one domain: two groups and one that stands by, two plain runners; no configuration yet.
     pub async fn bare(nodes: usize) -> Fleet {
@@ -116,12 +123,7 @@
 
     /// Whether every node that runs knows that many groups which take requests.
     pub fn all_know(&self, groups: usize) -> bool {
-        self.nodes.iter().all(|running| self.count_heads(&running.node) == groups)
-    }
-
-    fn count_heads(&self, node: &Node) -> usize {
-        let (service, model) = (ENGINES.parse().unwrap(), "m1".parse().unwrap());
-        node.roster.lock().list_heads(&service, &model, &node.plans.lock()).len()
+        self.nodes.iter().all(|running| count_heads(&running.node) == groups)
     }
 
     /// Waits for a state that must come.
