Show what a runner that turns a request away asks for, and who chose it

The line has both now, and failed tries count apart by 'rest' and 'full'. Nothing is decided by it yet.

--- a/crates/node/src/attempt.rs
+++ b/crates/node/src/attempt.rs
@@ -15,6 +15,7 @@
 use cottoncrank_platform::header::{self, Forward, Terms, Verdict};
 use http_body_util::Full;
 use hyper::body::Incoming;
+use hyper::header::HeaderMap;
 use hyper::http::request::Parts;
 use hyper::{Request, Response};
 use thiserror::Error;
@@ -84,9 +85,10 @@
     /// The runner surely did not run it.
     #[error("not run: {0}")]
     NotRun(String),
-    /// The runner had no place for it, and did not run it.
-    #[error("not run: no place")]
-    Full,
+    /// The runner had no place for it, and did not run it. It may have said for how long it
+    /// wants nothing from this node.
+    #[error("not run: no place{}", show_rest(.0))]
+    Full(Option<Millis>),
     /// It may have run there.
     #[error("may have run: {0}")]
     MayHaveRun(String),
@@ -109,7 +111,7 @@
             | AttemptError::Broken(_)
             | AttemptError::Silent(_)
             | AttemptError::Stopped => true,
-            AttemptError::Unreached(_) | AttemptError::NotRun(_) | AttemptError::Full => false,
+            AttemptError::Unreached(_) | AttemptError::NotRun(_) | AttemptError::Full(_) => false,
         }
     }
 
@@ -124,13 +126,18 @@
         match self {
             AttemptError::Unreached(_) => "unreached",
             AttemptError::NotRun(_) => "not_run",
-            AttemptError::Full => "full",
+            AttemptError::Full(None) => "full",
+            AttemptError::Full(Some(_)) => "rest",
             AttemptError::MayHaveRun(_) | AttemptError::Broken(_) | AttemptError::Silent(_) => "may_have_run",
             AttemptError::Stopped => "stopped",
         }
     }
 }
 
+fn show_rest(rest: &Option<Millis>) -> String {
+    rest.map_or(String::new(), |rest| format!(", it wants no request for {rest}"))
+}
+
 /// A try that got the head of an answer.
 pub struct Attempt {
     /// The runner.
@@ -270,10 +277,11 @@
         }
     };
     let status = response.status().as_u16();
+    let rest = read_rest(pick, status, response.headers());
     let attempt = Attempt { pick: pick.clone(), response, channel, counted };
     match header::read_verdict(status, attempt.response.headers(), job.terms.request.as_deref()) {
         Verdict::Ran => Ok(attempt),
-        Verdict::NotRun if status == 503 => Err(AttemptError::Full),
+        Verdict::NotRun if status == 503 => Err(AttemptError::Full(rest)),
         Verdict::NotRun => Err(AttemptError::NotRun(format!("it answered {status}"))),
         Verdict::Foreign => {
             node.ledger.lock().blame(&pick.id, node.now());
@@ -285,6 +293,14 @@
     }
 }
 
+/// For how long a runner wants no request from this node, as its answer says.
+fn read_rest(pick: &Pick, status: u16, headers: &HeaderMap) -> Option<Millis> {
+    header::read_rest(status, headers).unwrap_or_else(|error| {
+        log::warn!("runner {}: {error}", pick.id);
+        None
+    })
+}
+
 fn write_request(node: &Node, job: &Job, pick: &Pick, last_event: Option<u64>) -> Request<Full<Bytes>> {
     let mut request = Request::new(Full::new(job.body.clone()));
     *request.method_mut() = job.head.method.clone();
--- a/crates/node/src/crash.rs
+++ b/crates/node/src/crash.rs
@@ -76,7 +76,7 @@
         AttemptError::Silent(_) => note_break(node, pick, row),
         AttemptError::Unreached(_)
         | AttemptError::NotRun(_)
-        | AttemptError::Full
+        | AttemptError::Full(_)
         | AttemptError::MayHaveRun(_)
         | AttemptError::Stopped => {}
     }
--- a/crates/node/src/tries.rs
+++ b/crates/node/src/tries.rs
@@ -46,11 +46,16 @@
     /// Takes a try in that gave no answer.
     pub async fn note(&mut self, node: &Arc<Node>, job: &Job, error: &AttemptError) {
         self.sent += u32::from(error.may_have_run());
-        self.full += u32::from(matches!(error, AttemptError::Full));
+        self.full += u32::from(matches!(error, AttemptError::Full(_)));
         self.arrived |= error.has_arrived();
         figures::count_failed_attempt(error.reason());
         let runner = self.tried.last().map_or("-", id::Runner::as_str);
-        log::info!("request {}: try {} at {runner}: {error}", job.id(), self.tried.len());
+        let chooser = if self.promise.is_some() { "the collector" } else { "this node" };
+        log::info!(
+            "request {}: try {} at {runner}, chosen by {chooser}: {error}",
+            job.id(),
+            self.tried.len()
+        );
         if let Some(pick) = &self.last {
             crash::investigate(node, job, pick, error).await;
         }
