--- /dev/null
+++ b/crates/node/tests/leaving.rs
@@ -0,0 +1,69 @@
+//! A runner that is about to leave says so in all its answers, sooner than in its entry: entries
+//! lag by a second, and stand still while the store is away. No node read that, and those that
+//! had passed such an answer on went on sending requests there until the runner had ended.
+
+mod common;
+
+use std::time::Instant;
+
+use common::Fleet;
+use cottoncrank::Millis;
+use cottoncrank_platform_standin::operator::{READ, STREAM};
+use cottoncrank_platform_standin::runner::Runner;
+use cottoncrank_platform_standin::store;
+
+/// A node that was told by a runner that it leaves sends it nothing any more after this.
+const DRAIN: Millis = Millis(2000);
+
+/// For so long requests come, and this often.
+const TIME: Millis = Millis(3000);
+const PAUSE: Millis = Millis(40);
+
+async fn play(fleet: &Fleet, path: &str) {
+    let mut turns = tokio::time::interval(PAUSE.duration());
+    for turn in 0..TIME.0 / PAUSE.0 {
+        turns.tick().await;
+        let answer = fleet.ask(path, &format!("r-{turn}")).await;
+        assert_eq!((answer.status, answer.whole), (200, true), "others have room: {answer:?}");
+    }
+}
+
+/// How many requests reached a runner later than [`DRAIN`] after the first answer that told.
+fn count_late(runner: &Runner) -> usize {
+    let told: Vec<Instant> =
+        runner.seen().into_iter().filter(|seen| seen.leaving).map(|seen| seen.at).collect();
+    let first = told.first().copied().expect("the runner was asked while it was about to leave");
+    told.into_iter().filter(|at| *at > first + DRAIN.duration()).count()
+}
+
+#[tokio::test]
+async fn a_head_that_says_it_leaves_gets_no_new_requests() {
+    let fleet = Fleet::serving(1).await;
+    let head = fleet.heads()[0];
+    head.announce();
+    play(&fleet, STREAM).await;
+    assert_eq!(count_late(head), 0, "of {} requests", head.seen().len());
+}
+
+#[tokio::test]
+async fn a_plain_runner_that_says_it_leaves_gets_none_while_the_store_is_away() {
+    let fleet = Fleet::serving(1).await;
+    fleet.store.set_fault(store::Fault::Silent);
+    fleet.plain[0].announce();
+    play(&fleet, READ).await;
+    assert_eq!(count_late(&fleet.plain[0]), 0, "of {} requests", fleet.plain[0].seen().len());
+}
+
+#[tokio::test]
+async fn the_group_of_a_member_that_says_it_leaves_is_replaced_at_once() {
+    let fleet = Fleet::serving(1).await;
+    let head = fleet.heads()[0];
+    let place = head.place().unwrap();
+    head.announce();
+    fleet
+        .wait("its group is closed and another one open", |fleet| {
+            let others = fleet.heads().iter().filter(|open| open.id() != head.id()).count();
+            head.place().as_ref() != Some(&place) && others == 2
+        })
+        .await;
+}
