Take a runner that says it leaves as leaving from that answer on

What callers saw: requests sent to a runner that had said in its answers that it leaves, which was to get none, until its entry told as well; while the store is away, until it had ended.

Cause: the header was read by nobody, and the roster knew leaving by the entry alone. Class: as for the backoffs, what runners say in answers had no place in what a node believes.

Now the roster keeps who has said so, by life, and lays that over every entry that comes later; requests, the questions of the deciding node and its orders see the same. A later life, told by entry or report, is not leaving. The client's exchange returns the whole head now instead of the status alone.

--- a/crates/controller/src/listing.rs
+++ b/crates/controller/src/listing.rs
@@ -39,7 +39,7 @@
 async fn fetch(state: &State) -> Option<wire::List> {
     let address = state.settings.list;
     let exchange = state.client.exchange(address, Verb::GET, "/list", HeaderMap::new(), Bytes::new(), WAIT);
-    let (_, bytes) = exchange.await.ok()?;
+    let bytes = exchange.await.ok()?.into_body();
     rmp_serde::from_slice(&bytes).ok()
 }
 
--- a/crates/fleet/src/roster.rs
+++ b/crates/fleet/src/roster.rs
@@ -40,6 +40,8 @@
     entries: HashMap<id::Runner, Entry>,
     /// Runners whose entry is gone, and since when. They may still be there.
     departed: HashMap<id::Runner, (Runner, Millis)>,
+    /// Runners that have said in an answer that they are about to leave, and in which life.
+    leaving: HashMap<id::Runner, Option<Life>>,
     /// Until when a missing entry may still come back.
     grace: Millis,
 }
@@ -63,6 +65,8 @@
         let served = known.filter(|_| notice == Notice::Known).and_then(|known| known.served.clone());
         runner.served = runner.models.first().cloned().or(served);
         runner.life = runner.life.or(before);
+        // Entries lag behind answers, and stand still while the store is away.
+        runner.draining |= self.is_leaving(&runner.id, runner.life);
         self.departed.remove(&runner.id);
         self.entries.insert(runner.id.clone(), Entry { runner, missing: None });
         notice
@@ -84,6 +88,26 @@
         later
     }
 
+    /// A runner has said in an answer, given in this life as far as that is told, that it is
+    /// about to leave: from now on it is, whatever its entry says. Returns whether that is new.
+    pub fn note_leaving(&mut self, id: &id::Runner, life: Option<Life>) -> bool {
+        let Some(known) = self.recall(id) else { return false };
+        if is_later(known.life, life) || self.is_leaving(id, known.life) {
+            return false;
+        }
+        let new = !known.draining;
+        self.leaving.insert(id.clone(), life.or(known.life));
+        if let Some(entry) = self.entries.get_mut(id) {
+            entry.runner.draining = true;
+        }
+        new
+    }
+
+    /// Whether a runner has said in this life that it is about to leave.
+    fn is_leaving(&self, id: &id::Runner, life: Option<Life>) -> bool {
+        self.leaving.get(id).is_some_and(|told| !is_later(life, *told))
+    }
+
     /// A runner's entry cannot be read: it names no runner to use, from now on, whether or
     /// not the store was away. Requests that run there are not touched.
     pub fn discard(&mut self, id: &id::Runner, now: Millis) {
@@ -134,6 +158,7 @@
         if let Some(entry) = self.entries.remove(id) {
             self.departed.insert(id.clone(), (entry.runner, now));
         }
+        self.leaving.retain(|id, _| self.entries.contains_key(id) || self.departed.contains_key(id));
     }
 
     /// A runner as it last described itself, its entry may be gone.
--- a/crates/fleet/src/runner.rs
+++ b/crates/fleet/src/runner.rs
@@ -125,6 +125,7 @@
     /// outlasts its process.
     pub fn restart(&mut self, life: Life) {
         self.life = Some(life);
+        self.draining = false;
         self.models.clear();
         self.served = None;
         self.membership = None;
--- a/crates/fleet/tests/lives.rs
+++ b/crates/fleet/tests/lives.rs
@@ -9,7 +9,7 @@
 use cottoncrank_fleet::order::{Order, REPEAT};
 use cottoncrank_fleet::plan::Group;
 use cottoncrank_fleet::probe::{Probes, Sign};
-use cottoncrank_fleet::roster::Notice;
+use cottoncrank_fleet::roster::{Notice, Roster};
 use cottoncrank_fleet::runner::{Life, Phase, Runner};
 use instant::{FIRST, World, at_rest, runner};
 
@@ -291,3 +291,37 @@
     world.restart_unwritten(&member);
     assert_eq!(world.probes.sign(&member), Sign::Heard);
 }
+
+#[test]
+fn a_runner_that_says_it_leaves_is_leaving_until_it_starts_again() {
+    let (service, id) = ("llm".parse().unwrap(), runner(0, 0).id);
+    let count = |roster: &Roster| roster.list_plain(&service).len();
+    let mut roster = Roster::default();
+    roster.put(runner(0, 0));
+    assert!(roster.note_leaving(&id, Some(FIRST)));
+    assert!(!roster.note_leaving(&id, Some(FIRST)), "it is known already");
+    assert_eq!(count(&roster), 0);
+    // Its entry lags behind, lapses, and comes back.
+    roster.put(runner(0, 0));
+    assert_eq!(count(&roster), 0);
+    roster.remove(&id, Millis(10_000));
+    roster.put(runner(0, 0));
+    assert_eq!(count(&roster), 0);
+    let later = Life(FIRST.0 + 1);
+    roster.put(Runner { life: Some(later), ..runner(0, 0) });
+    assert_eq!(count(&roster), 1, "it has started again");
+    assert!(!roster.note_leaving(&id, Some(FIRST)), "an answer of its former life says nothing");
+    assert_eq!(count(&roster), 1);
+    assert!(roster.note_leaving(&id, None), "where lives are not told, it is about this one");
+    assert!(!roster.note_leaving(&"r9-9".parse().unwrap(), None), "nobody knows it");
+}
+
+#[test]
+fn a_later_life_that_is_told_in_a_report_is_not_leaving() {
+    let (service, id) = ("llm".parse().unwrap(), runner(0, 0).id);
+    let mut roster = Roster::default();
+    roster.put(runner(0, 0));
+    roster.note_leaving(&id, Some(FIRST));
+    assert!(roster.note_life(&id, Life(FIRST.0 + 1)));
+    assert_eq!(roster.list_plain(&service).len(), 1);
+}
--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -304,11 +304,11 @@
         headers: HeaderMap,
         body: Bytes,
         wait: Millis,
-    ) -> Result<(StatusCode, Bytes), CallError> {
+    ) -> Result<Response<Bytes>, CallError> {
         let exchange = async {
             let answer = self.send(address, method, path, headers, body, wait).await?;
-            let status = answer.status();
-            Ok((status, read_all(address, answer.into_body()).await?))
+            let (head, body) = answer.into_parts();
+            Ok(Response::from_parts(head, read_all(address, body).await?))
         };
         let begun = self.clock.now();
         let in_time = tokio::time::timeout(wait.duration(), exchange).await;
@@ -327,11 +327,12 @@
         let message = |reason: String| CallError::Message { address, reason };
         let body = rmp_serde::to_vec(question).map_err(|error| message(error.to_string()))?;
         let exchanged = self.exchange(address, Method::POST, path, HeaderMap::new(), body.into(), wait);
-        let (status, bytes) = exchanged.await?;
+        let answer = exchanged.await?;
+        let status = answer.status();
         if !status.is_success() {
             return Err(CallError::Status { address, status });
         }
-        rmp_serde::from_slice(&bytes).map_err(|error| message(error.to_string()))
+        rmp_serde::from_slice(answer.body()).map_err(|error| message(error.to_string()))
     }
 }
 
--- a/crates/node/src/attempt.rs
+++ b/crates/node/src/attempt.rs
@@ -311,6 +311,9 @@
         }
     };
     let status = response.status().as_u16();
+    if header::is_leaving(response.headers()) {
+        node.note_leaving(&pick.id, pick.life);
+    }
     let backoff = backoff::note(node, &pick.id, pick.life, status, response.headers());
     let attempt = Attempt { pick: pick.clone(), response, channel, counted };
     match header::read_verdict(status, attempt.response.headers(), job.terms.request.as_deref()) {
--- a/crates/node/src/crash.rs
+++ b/crates/node/src/crash.rs
@@ -131,10 +131,11 @@
         }
         Err(_) => return Finding::Unknown,
     }
-    match order::probe(&node.client, pick.address, &pick.id, ANSWER).await {
-        (Reported::Gone, _) => Finding::Ended,
-        (Reported::Pace(_), life) if is_later(life, pick.life) => Finding::Ended,
-        (Reported::Pace(_), _) => Finding::Sound,
-        (Reported::Silent, _) => Finding::Unknown,
+    let probed = order::probe(&node.client, pick.address, &pick.id, ANSWER).await;
+    match probed.reported {
+        Reported::Gone => Finding::Ended,
+        Reported::Pace(_) if is_later(probed.life, pick.life) => Finding::Ended,
+        Reported::Pace(_) => Finding::Sound,
+        Reported::Silent => Finding::Unknown,
     }
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -7,7 +7,8 @@
 //! admits and routes them, [`plain`] and [`stream`] run them at runners (a stream try by
 //! try, in `tries`, from a `source`, passed on by `relay`), and [`decider`] gives orders
 //! to the runners, which `prober` asks how they are, while this node holds the lease for
-//! that. `backoff` keeps for how long runners want no requests. `crash` finds out whether a runner ended under a request, `suspects` exchanges that
+//! that. `backoff` keeps for how long runners want no requests. `crash` finds out whether a runner
+//! ended under a request, `suspects` exchanges that
 //! with other nodes and says what becomes of the request, and `record` keeps it in the store. `pulse`
 //! notices that the process did not run for a while.
 //! `unreadable` bounds what the log tells of items that cannot be read. All state stands in
--- a/crates/node/src/prober.rs
+++ b/crates/node/src/prober.rs
@@ -7,7 +7,7 @@
 use cottoncrank_fleet::probe::{Answer, Probes, Reported};
 use cottoncrank_fleet::runner::Runner;
 use cottoncrank_net::client::Client;
-use cottoncrank_platform::order;
+use cottoncrank_platform::order::{self, Probed};
 use parking_lot::Mutex;
 use tokio::task::JoinSet;
 
@@ -42,12 +42,17 @@
             asking.spawn(ask_member(client.clone(), runner, silent));
         }
         let round = asking.join_all().await;
-        for answer in &round {
+        let mut answers = Vec::with_capacity(round.len());
+        for (answer, leaving) in round {
             if let Some(life) = answer.life {
                 node.note_life(&answer.runner, life);
             }
+            if leaving {
+                node.note_leaving(&answer.runner, answer.life);
+            }
+            answers.push(answer);
         }
-        let fresh = probes.lock().take(&round);
+        let fresh = probes.lock().take(&answers);
         if !fresh.is_empty() {
             log::info!(
                 "decider: no answer from {}",
@@ -60,13 +65,15 @@
 }
 
 /// Asks a member how it is, and one that is not known to be silent once more if it does
-/// not answer: a lost one is known half a second sooner than after another round.
-async fn ask_member(client: Client, runner: Runner, silent: bool) -> Answer {
+/// not answer: a lost one is known half a second sooner than after another round. Returns
+/// its answer, and whether it is about to leave.
+async fn ask_member(client: Client, runner: Runner, silent: bool) -> (Answer, bool) {
     let mut asked = 1;
-    let (mut reported, mut life) = order::probe(&client, runner.address, &runner.id, PROBE).await;
-    if reported == Reported::Silent && !silent {
+    let mut probed = order::probe(&client, runner.address, &runner.id, PROBE).await;
+    if probed.reported == Reported::Silent && !silent {
         asked += 1;
-        (reported, life) = order::probe(&client, runner.address, &runner.id, PROBE).await;
+        probed = order::probe(&client, runner.address, &runner.id, PROBE).await;
     }
-    Answer { runner: runner.id, hall: runner.hall, reported, life, asked }
+    let Probed { reported, life, leaving } = probed;
+    (Answer { runner: runner.id, hall: runner.hall, reported, life, asked }, leaving)
 }
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -308,6 +308,15 @@
         }
     }
 
+    /// A runner has said in an answer that it is about to leave.
+    pub(crate) fn note_leaving(&self, id: &id::Runner, life: Option<Life>) {
+        if self.roster.lock().note_leaving(id, life) {
+            log::info!("roster: {id} says that it is about to leave");
+            metrics::counter!("cottoncrank_runners_leaving_total").increment(1);
+            self.changed.notify_one();
+        }
+    }
+
     /// Forgets what was seen of a runner's former life.
     fn notice_restart(&self, id: &id::Runner, life: Life) {
         log::info!("roster: {id} has started again, its life is now {life}");
--- a/crates/node/tests/leaving.rs
+++ b/crates/node/tests/leaving.rs
@@ -1,6 +1,11 @@
 //! A runner that is about to leave says so in all its answers, sooner than in its entry: entries
 //! lag by a second, and stand still while the store is away. No node read that, and those that
-//! had passed such an answer on went on sending requests there until the runner had ended.
+//! had passed such an answer on went on sending requests there until its entry told: 11 of 35
+//! came later than 2 s after the first answer that told, 9 of 29 while the store was away.
+//!
+//! The cause was the same as for runners that want no requests for a while: what a runner says of
+//! itself in an answer had no place among what a node believes. Now it is leaving from that
+//! answer on, in that life, whatever its entry says.
 
 mod common;
 
