Tell positions in the store's history by era, and put plans back

Symptoms where the store came back from an older copy: what the copy lacks was known for good by nodes whose watch went on after a revision that had been given out again; those that knew more passed over every node that had read the store anew; plans written since were lost to the next deciding node; and a lease or a write could meet numbers that belong to somebody else.

Cause: a revision alone stood for a position. Now a position is an era and a revision, without a way to compare bare revisions outside the adapter; the era is read from every answer of the store, refusals and watches included, and an answer of a former era, without one, or with one that is no number is a typed error. A watch, a write and a lease of a former era end with an error before anything is sent. What was in force here and is later than what the copy holds, the configuration and the plans, is kept and passed on; plans count their writes for that, and the next deciding node puts them back before anything else. The one that decided when the era ended stands at once; all others wait for as long as a lease lasts, for it may be cut off and sure of its own.

Two ways for the plans: what nodes remember merged by the higher count (this), or the store's word and runners adopted anew; with the second, groups that serve were stopped in the failing test.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -3,7 +3,7 @@
 //!
 //! No file needs one that needs it in turn. From the bottom:
 //!
-//! - What is known: [`catalog`] (what operators want), [`runner`] and [`roster`] (the
+//! - What is known: [`position`] (where in the store's history), [`catalog`] (what operators want), [`runner`] and [`roster`] (the
 //!   runners and their lives), [`plan`] (which runner is meant for which group),
 //!   [`probe`], [`halt`], [`directory`], [`occupancy`] (what all nodes have in flight),
 //!   [`freshness`] (how long a node may rely on what it knows).
@@ -40,6 +40,7 @@
 pub mod order;
 pub mod orders;
 pub mod plan;
+pub mod position;
 pub mod preempt;
 mod preload;
 pub mod probe;
--- a/crates/fleet/src/plan.rs
+++ b/crates/fleet/src/plan.rs
@@ -71,6 +71,10 @@
     pub top: Epoch,
     /// The groups.
     pub groups: Vec<Group>,
+    /// How often it was written: of two, the later one has more, also where the store has come
+    /// back from an older copy.
+    #[serde(default)]
+    pub version: u64,
 }
 
 /// Why a document is no plan, though it can be decoded.
--- a/crates/fleet/tests/belief.rs
+++ b/crates/fleet/tests/belief.rs
@@ -41,7 +41,7 @@
         still: false,
         lives: Vec::new(),
     };
-    Plans::from([("d0".parse().unwrap(), Document { top: Epoch(1), groups: vec![group] })])
+    Plans::from([("d0".parse().unwrap(), Document { top: Epoch(1), groups: vec![group], version: 1 })])
 }
 
 fn heads(roster: &Roster, plans: &Plans) -> usize {
--- a/crates/node/src/decider.rs
+++ b/crates/node/src/decider.rs
@@ -16,15 +16,17 @@
 use cottoncrank_fleet::memory::Memory;
 use cottoncrank_fleet::order::Order;
 use cottoncrank_fleet::plan::Document;
+use cottoncrank_fleet::position::Position;
 use cottoncrank_fleet::probe::Probes;
 use cottoncrank_fleet::scene::Scene;
 use cottoncrank_net::client::{Client, Traffic};
 use cottoncrank_platform::order::{self, Reply};
-use cottoncrank_platform::store::{Commit, Item, Outcome, StoreError};
+use cottoncrank_platform::store::{Commit, Item, Lease, Outcome, StoreError};
 use parking_lot::Mutex;
 use rand::Rng;
 use thiserror::Error;
 
+use crate::era;
 use crate::prober;
 use crate::state::{Holder, Node};
 
@@ -86,6 +88,8 @@
     Deposed,
     #[error("the lease may be over")]
     Expired,
+    #[error("the store has come back from an older copy, which has another lease or none")]
+    CameBack,
     #[error(transparent)]
     Plan(#[from] PlanError),
 }
@@ -100,7 +104,8 @@
 
 /// A plan as it stands in the store.
 struct Kept {
-    revision: u64,
+    /// None if the store does not hold it.
+    position: Option<Position>,
     document: Document,
 }
 
@@ -118,9 +123,9 @@
 struct Term {
     node: Arc<Node>,
     client: Client,
-    lease: u64,
-    /// The revision of the lease's key.
-    revision: u64,
+    lease: Lease,
+    /// Where the lease's key was written.
+    position: Position,
     /// Until when the lease surely lasts.
     until: Millis,
     plans: Plans,
@@ -135,6 +140,8 @@
 /// Stands for the lease whenever it is free, and decides while holding it.
 pub async fn run(node: Arc<Node>) {
     let mut decider = node.decider.subscribe();
+    // The era in which this node last stood, and whether it decided when that ended.
+    let (mut era, mut led) = (None, false);
     loop {
         // The sender lives as long as the node.
         let _ = decider.wait_for(|holder| !is_held(holder)).await;
@@ -142,22 +149,28 @@
             tokio::time::sleep(UNABLE.duration()).await;
             continue;
         }
-        let before = node.directory.lock().rank_candidate(&node.settings().node) as u64;
-        let turn = Millis(CANDIDACY.0 * before).min(CANDIDACY_MAX);
-        let jitter = rand::rng().random_range(0..CANDIDACY.0);
-        tokio::time::sleep((turn + Millis(jitter)).duration()).await;
+        let now_in = node.store.era();
+        let turn = match era.is_some_and(|era| now_in > era) {
+            true if led => Millis(0),
+            // Whoever decided before may be cut off from the store, and sure of its lease.
+            true => LEASE.max(node.settings().lease_min),
+            false => find_turn(&node),
+        };
+        tokio::time::sleep(turn.duration()).await;
+        (era, led) = (Some(now_in), false);
         let holder = decider.borrow_and_update().clone();
         if is_held(&holder) {
             continue;
         }
-        let before = holder.map_or(0, |holder| holder.revision);
+        let before = holder.map(|holder| holder.position);
         match stand(&node, before).await {
             Ok(Some(mut term)) => {
-                log::info!("decider: this node decides from revision {}", term.revision);
+                log::info!("decider: this node decides from {}", term.position);
                 let (node, client, probes) = (node.clone(), term.client.clone(), term.probes.clone());
                 let prober = tokio::spawn(prober::run(node, client, probes));
                 term.node.set_deciding(true);
                 let Err(end) = term.hold().await;
+                led = matches!(end, EndError::CameBack);
                 term.node.set_deciding(false);
                 prober.abort();
                 log::warn!("decider: this node decides no more: {end}");
@@ -172,14 +185,21 @@
     }
 }
 
+/// How long a candidate waits for those before it.
+fn find_turn(node: &Node) -> Millis {
+    let before = node.directory.lock().rank_candidate(&node.settings().node) as u64;
+    let jitter = Millis(rand::rng().random_range(0..CANDIDACY.0));
+    Millis(CANDIDACY.0 * before).min(CANDIDACY_MAX) + jitter
+}
+
 /// Whether a node decides, as far as the lease's key says. One that cannot be read, but goes
 /// with a lease, is held: its holder may decide until the lease is over.
 fn is_held(holder: &Option<Holder>) -> bool {
     holder.as_ref().is_some_and(|holder| holder.leased)
 }
 
-/// Asks the store for the lease. `before` is the revision of a key that goes with none.
-async fn stand(node: &Arc<Node>, before: u64) -> Result<Option<Term>, EndError> {
+/// Asks the store for the lease. `before` is where a key was written that goes with none.
+async fn stand(node: &Arc<Node>, before: Option<Position>) -> Result<Option<Term>, EndError> {
     let asked = node.now();
     let ttl = LEASE.max(node.settings().lease_min);
     let lease = node.store.open_lease(ttl).await?;
@@ -188,13 +208,13 @@
         puts: vec![(LEASE_KEY.to_owned(), node.settings().node.as_str().into(), Some(lease))],
         removes: Vec::new(),
     };
-    let Outcome::Done(revision) = node.store.commit(&commit).await? else { return Ok(None) };
+    let Outcome::Done(position) = node.store.commit(&commit).await? else { return Ok(None) };
     let plans = read_plans(node).await?;
     Ok(Some(Term {
         node: node.clone(),
         client: Client::new(Traffic::default()),
         lease,
-        revision,
+        position,
         until: asked + ttl,
         plans,
         memory: Arc::new(Mutex::new(Memory::resume(&node.halts.lock()))),
@@ -211,7 +231,7 @@
     for item in node.store.read_own().await? {
         match read_plan(&item) {
             Ok(Some((domain, document))) => {
-                plans.kept.insert(domain, Kept { revision: item.revision, document });
+                plans.kept.insert(domain, Kept { position: Some(item.position), document });
             }
             Ok(None) => {}
             Err(error) => {
@@ -230,7 +250,7 @@
     if name.is_none() {
         log::error!("store: `{}` names no node", item.key);
     }
-    Holder { revision: item.revision, leased: item.leased, node: name }
+    Holder { position: item.position, leased: item.leased, node: name }
 }
 
 /// The domain whose plan stands under a key, if it is a plan's.
@@ -250,14 +270,48 @@
 }
 
 impl Term {
+    /// Whether this node may still decide.
+    fn check(&self) -> Result<(), EndError> {
+        if self.node.store.era() != self.position.era() {
+            return Err(EndError::CameBack);
+        }
+        match self.node.now() + LEASE_MARGIN >= self.until {
+            true => Err(EndError::Expired),
+            false => Ok(()),
+        }
+    }
+
+    /// Writes the plans again that the store has lost. Groups serve by them, and epochs were
+    /// given out.
+    async fn put_back(&mut self) -> Result<(), EndError> {
+        let mut writes = Vec::new();
+        for (domain, document) in era::list_plans(&self.node, self.position.era()) {
+            let kept = self.plans.kept.get(&domain);
+            if self.plans.closed.contains(&domain)
+                || kept.is_some_and(|kept| kept.document.version >= document.version)
+            {
+                continue;
+            }
+            let position = kept.and_then(|kept| kept.position);
+            self.plans.kept.insert(domain.clone(), Kept { position, document: document.clone() });
+            writes.push((domain, document, vec!["put back, the store had lost it".to_owned()]));
+        }
+        for writes in writes.chunks(WRITES_MAX) {
+            if !self.write(writes).await? {
+                // What is held now is the older one: nothing is decided from that.
+                return Err(EndError::CameBack);
+            }
+        }
+        Ok(())
+    }
+
     /// Decides until the lease is lost.
     async fn hold(&mut self) -> Result<std::convert::Infallible, EndError> {
+        self.put_back().await?;
         let mut renewed = self.node.now();
         loop {
             let now = self.node.now();
-            if now + LEASE_MARGIN >= self.until {
-                return Err(EndError::Expired);
-            }
+            self.check()?;
             if now >= renewed + RENEW {
                 self.renew().await?;
                 renewed = now;
@@ -371,24 +425,30 @@
                 return Ok(());
             }
         }
-        if self.node.now() + LEASE_MARGIN >= self.until {
-            return Err(EndError::Expired);
-        }
+        self.check()?;
         for (runner, order) in step.orders {
             self.give(runner, order);
         }
         Ok(())
     }
 
+    /// The version of the plan that is written next.
+    fn next_version(&self, domain: &id::Domain) -> u64 {
+        self.plans.kept.get(domain).map_or(0, |kept| kept.document.version) + 1
+    }
+
     /// Writes plans. Returns false if they are not known to stand; what the store
     /// holds has been read then.
     async fn write(&mut self, writes: &[(id::Domain, Document, Vec<String>)]) -> Result<bool, EndError> {
-        let mut commit = Commit { expect: vec![(LEASE_KEY.to_owned(), self.revision)], ..Commit::default() };
+        let mut commit =
+            Commit { expect: vec![(LEASE_KEY.to_owned(), Some(self.position))], ..Commit::default() };
         for (domain, document, reasons) in writes {
             let key = format!("{PLAN_PREFIX}{domain}");
-            let bytes = rmp_serde::to_vec(document)
+            let mut document = document.clone();
+            document.version = self.next_version(domain);
+            let bytes = rmp_serde::to_vec(&document)
                 .map_err(|error| PlanError { key: key.clone(), reason: error.to_string() })?;
-            let expected = self.plans.kept.get(domain).map_or(0, |kept| kept.revision);
+            let expected = self.plans.kept.get(domain).and_then(|kept| kept.position);
             commit.expect.push((key.clone(), expected));
             commit.puts.push((key, bytes, None));
             for reason in reasons {
@@ -396,10 +456,11 @@
             }
         }
         match self.node.store.commit(&commit).await {
-            Ok(Outcome::Done(revision)) => {
+            Ok(Outcome::Done(position)) => {
                 for (domain, document, _) in writes {
-                    let kept = Kept { revision, document: document.clone() };
-                    self.plans.kept.insert(domain.clone(), kept);
+                    let version = self.next_version(domain);
+                    let document = Document { version, ..document.clone() };
+                    self.plans.kept.insert(domain.clone(), Kept { position: Some(position), document });
                 }
                 Ok(true)
             }
@@ -407,13 +468,14 @@
             // show as a conflict at the next write, and the plans are read anew.
             Ok(Outcome::Conflict) => {
                 self.plans = read_plans(&self.node).await?;
-                let holder = self.node.decider.borrow().as_ref().map_or(0, |holder| holder.revision);
-                match holder > self.revision {
+                let holder = self.node.decider.borrow().as_ref().map(|holder| holder.position);
+                match holder > Some(self.position) {
                     true => Err(EndError::Deposed),
                     false => Ok(false),
                 }
             }
             Err(StoreError::LeaseOver) => Err(StoreError::LeaseOver.into()),
+            Err(StoreError::CameBack(_)) => Err(EndError::CameBack),
             Err(error) => {
                 log::warn!("decider: plans were perhaps not written: {error}");
                 self.plans = read_plans(&self.node).await?;
@@ -426,10 +488,10 @@
         let known = self.node.roster.lock().recall(&runner).map(|runner| (runner.address, runner.life));
         let Some((address, life)) = known else { return };
         let (node, client, memory) = (self.node.clone(), self.client.clone(), self.memory.clone());
-        let until = self.until;
+        let (until, era) = (self.until, self.position.era());
         tokio::spawn(async move {
             // The box may have been suspended since the order was decided on.
-            if node.now() + LEASE_MARGIN >= until {
+            if node.now() + LEASE_MARGIN >= until || node.store.era() != era {
                 log::warn!("decider: {order:?} to {runner} is not given, the lease may be over");
                 return;
             }
--- /dev/null
+++ b/crates/node/src/era.rs
@@ -0,0 +1,65 @@
+//! What a node carries over when the store comes back from an older copy.
+//!
+//! Operators and runners write again what was theirs. What the nodes themselves had written since
+//! the copy is known to them alone: plans are put back by the next deciding node, which finds
+//! them among what this one passes on, under the position that they had. Until an operator has written again,
+//! the configuration that was in force stays so, here and at nodes that learn from this one.
+
+use cottoncrank::id;
+use cottoncrank_fleet::plan::Document;
+use cottoncrank_fleet::position::{Era, Position};
+use cottoncrank_platform::store::{Batch, Change, Raw, decode, is_catalog};
+
+use crate::decider::read_plan;
+use crate::figures;
+use crate::state::Node;
+
+/// What a value that nodes or operators keep in force says of its age: the greater, the later.
+/// None for all other items, which their writers write again.
+fn read_version(raw: &Raw) -> Option<u64> {
+    match decode(raw.clone()) {
+        Ok(Change::Catalog(catalog)) => Some(catalog.version),
+        Ok(Change::Own(item)) => Some(read_plan(&item).ok()??.1.version),
+        _ => None,
+    }
+}
+
+/// Takes in that the store has come back from an older copy, which `batch` is all of. What was
+/// in force here and is later than that takes its place.
+pub(crate) fn enter(node: &Node, before: Position, batch: &mut Batch) {
+    log::warn!("sync: the store came back from an older copy: at {}, after {before}", batch.position);
+    figures::count_era();
+    node.store.raise_era(batch.position.era());
+    // Runners write their entries again within seconds; none is given up for that.
+    node.roster.lock().regain(node.now());
+    let held = node.feed.list(|raw| read_version(raw).is_some());
+    for raw in held {
+        carry(batch, raw);
+    }
+}
+
+/// Puts an item that is held here into a batch that has an earlier one, or none.
+fn carry(batch: &mut Batch, held: Raw) {
+    let place = batch.items.iter().position(|raw| raw.key == held.key);
+    let there = place.and_then(|place| read_version(&batch.items[place]));
+    if there >= read_version(&held) {
+        return;
+    }
+    let kind = if is_catalog(&held) { "catalog" } else { "plan" };
+    log::info!("sync: `{}` of {} is kept, the store has an older one", held.key, held.position);
+    figures::count_carried(kind);
+    match place {
+        Some(place) => batch.items[place] = held,
+        None => batch.items.push(held),
+    }
+}
+
+/// The plans that this node has carried over from before an era, and the store may lack.
+pub(crate) fn list_plans(node: &Node, era: Era) -> Vec<(id::Domain, Document)> {
+    let former = node.feed.list(|raw| raw.position.era() < era);
+    let plans = former.into_iter().filter_map(|raw| match decode(raw) {
+        Ok(Change::Own(item)) => read_plan(&item).ok()?,
+        _ => None,
+    });
+    plans.collect()
+}
--- a/crates/node/src/feed.rs
+++ b/crates/node/src/feed.rs
@@ -3,6 +3,7 @@
 use std::collections::{HashMap, VecDeque};
 
 use bytes::Bytes;
+use cottoncrank_fleet::position::Position;
 use cottoncrank_platform::store::{Batch, Raw};
 use parking_lot::Mutex;
 use tokio::sync::watch;
@@ -15,26 +16,26 @@
 struct Held {
     items: HashMap<String, Raw>,
     recent: VecDeque<Raw>,
-    /// Every change after this revision is in `recent`.
-    from: u64,
+    /// Every change after this position is in `recent`.
+    from: Position,
 }
 
 /// The items of the store, and the latest changes.
 pub struct Feed {
     held: Mutex<Held>,
-    revision: watch::Sender<Option<u64>>,
+    position: watch::Sender<Option<Position>>,
     /// Whether this node answers others: it reads the store, or asks the deciding
     /// node for its hall, and had an answer last.
     serving: watch::Sender<bool>,
 }
 
-/// What is new after a revision.
+/// What is new after a position.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct News {
     /// The items; all there are if `whole`.
     pub items: Vec<Raw>,
     /// Up to here.
-    pub revision: u64,
+    pub position: Position,
     /// Whether items that are not among these are gone.
     pub whole: bool,
 }
@@ -43,7 +44,7 @@
     fn default() -> Feed {
         Feed {
             held: Mutex::default(),
-            revision: watch::Sender::new(None),
+            position: watch::Sender::new(None),
             serving: watch::Sender::new(false),
         }
     }
@@ -55,8 +56,8 @@
         let mut held = self.held.lock();
         held.items = batch.items.iter().map(|item| (item.key.clone(), item.clone())).collect();
         held.recent.clear();
-        held.from = batch.revision;
-        self.revision.send_replace(Some(batch.revision));
+        held.from = batch.position;
+        self.position.send_replace(Some(batch.position));
     }
 
     /// Adds changes.
@@ -71,9 +72,9 @@
         }
         while held.recent.len() > KEPT {
             let dropped = held.recent.pop_front();
-            held.from = dropped.map_or(held.from, |item| item.revision.max(held.from));
+            held.from = dropped.map_or(held.from, |item| item.position.max(held.from));
         }
-        self.revision.send_replace(Some(batch.revision));
+        self.position.send_replace(Some(batch.position));
     }
 
     /// Says whether this node answers others. Nodes that ask it are sent away as
@@ -87,21 +88,26 @@
         self.serving.subscribe()
     }
 
-    /// The revision held, and a way to wait for the next.
-    pub fn subscribe(&self) -> watch::Receiver<Option<u64>> {
-        self.revision.subscribe()
+    /// The position held, and a way to wait for the next.
+    pub fn subscribe(&self) -> watch::Receiver<Option<Position>> {
+        self.position.subscribe()
+    }
+
+    /// The items that `wanted` picks.
+    pub fn list(&self, wanted: impl Fn(&Raw) -> bool) -> Vec<Raw> {
+        self.held.lock().items.values().filter(|item| wanted(item)).cloned().collect()
     }
 
     /// What is new after `after`; everything if that is not known any more.
-    pub fn read(&self, after: Option<u64>) -> Option<News> {
-        let revision = (*self.revision.borrow())?;
+    pub fn read(&self, after: Option<Position>) -> Option<News> {
+        let position = (*self.position.borrow())?;
         let held = self.held.lock();
         let news = match after.filter(|after| *after >= held.from) {
             Some(after) => {
-                let fresh = held.recent.iter().filter(|item| item.revision > after);
-                News { items: fresh.cloned().collect(), revision, whole: false }
+                let fresh = held.recent.iter().filter(|item| item.position > after);
+                News { items: fresh.cloned().collect(), position, whole: false }
             }
-            None => News { items: held.items.values().cloned().collect(), revision, whole: true },
+            None => News { items: held.items.values().cloned().collect(), position, whole: true },
         };
         Some(news)
     }
--- a/crates/node/src/figures.rs
+++ b/crates/node/src/figures.rs
@@ -56,6 +56,16 @@
     metrics::counter!("cottoncrank_gaps_total", "kind" => kind).increment(1);
 }
 
+/// The store came back from an older copy.
+pub fn count_era() {
+    metrics::counter!("cottoncrank_store_eras_total").increment(1);
+}
+
+/// Something that was in force here is kept, for the store has an older one or none.
+pub fn count_carried(kind: &'static str) {
+    metrics::counter!("cottoncrank_items_carried_total", "kind" => kind).increment(1);
+}
+
 /// What became of a runner whose connection broke.
 pub fn count_finding(finding: &'static str) {
     metrics::counter!("cottoncrank_broken_runners_total", "finding" => finding).increment(1);
@@ -114,6 +124,7 @@
         metrics::gauge!("cottoncrank_store_proof_age_seconds").set(age);
         metrics::gauge!("cottoncrank_store_proof_age_max_seconds")
             .set(ages.iter().copied().fold(-1.0, f64::max));
+        metrics::gauge!("cottoncrank_store_era").set(node.store.era().0 as f64);
         metrics::gauge!("cottoncrank_requests_running").set(node.running() as f64);
         metrics::gauge!("cottoncrank_runners_known").set(node.roster.lock().iter().count() as f64);
         metrics::gauge!("cottoncrank_nodes_known").set(node.directory.lock().count() as f64);
--- a/crates/node/src/intake.rs
+++ b/crates/node/src/intake.rs
@@ -5,9 +5,11 @@
 
 use cottoncrank::Millis;
 use cottoncrank_fleet::catalog::Catalog;
+use cottoncrank_fleet::position::Position;
 use cottoncrank_platform::store::{Batch, Change, Item, ItemError, decode};
 
 use crate::decider::{self, LEASE_KEY};
+use crate::era;
 use crate::member;
 use crate::record;
 use crate::state::Node;
@@ -33,8 +35,13 @@
     Watch(Millis, Millis),
 }
 
-/// Takes in what was learned, and keeps it for nodes that ask this one.
-pub fn take_in(node: &Node, learned: Learned) {
+/// Takes in what was learned, and keeps it for nodes that ask this one. `before` is the latest
+/// position that was known; none at the start.
+pub fn take_in(node: &Node, mut learned: Learned, before: Option<Position>) {
+    let former = before.filter(|before| before.era() < learned.batch.position.era());
+    if let Some(before) = former {
+        era::enter(node, before, &mut learned.batch);
+    }
     match learned.whole {
         true => node.feed.replace(&learned.batch),
         false => node.feed.extend(&learned.batch),
@@ -61,7 +68,7 @@
     let mut runners = Vec::new();
     let mut decider = None;
     let mut caught_up = true;
-    let revision = batch.revision;
+    let position = batch.position;
     let mut suspects = HashSet::new();
     for item in batch.items {
         match decode(item) {
@@ -74,7 +81,7 @@
             other => caught_up &= take_change(node, other),
         }
     }
-    log::info!("store: read whole at revision {revision}, {} runners", runners.len());
+    log::info!("store: read whole at {position}, {} runners", runners.len());
     record::retain(node, &suspects);
     node.roster.lock().replace(runners, node.now());
     node.decider.send_replace(decider);
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -1,7 +1,8 @@
 //! A node on the users' platform: one process a box.
 //!
 //! [`sync`] keeps what the node believes in step with the platform's store, read
-//! here or by another node ([`peer`], [`feed`], [`member`]), and `intake` takes it in.
+//! here or by another node ([`peer`], [`feed`], [`member`]), and `intake` takes it in; `era` says
+//! what is carried over when the store comes back from an older copy.
 //! [`collect`] tells nodes what the others have in flight, and `dispatch` asks one of
 //! them which group takes a request. [`front`] takes callers' requests, [`request`]
 //! admits and routes them, [`plain`] and [`stream`] run them at runners (a stream try by
@@ -23,6 +24,7 @@
 mod crash;
 pub mod decider;
 mod dispatch;
+mod era;
 pub mod feed;
 pub mod figures;
 pub mod front;
--- a/crates/node/src/member.rs
+++ b/crates/node/src/member.rs
@@ -4,8 +4,10 @@
 
 use cottoncrank::{Millis, id};
 use cottoncrank_fleet::directory::Peer;
-use cottoncrank_platform::store::{Commit, Item, Outcome, StoreError};
+use cottoncrank_fleet::position::Era;
+use cottoncrank_platform::store::{Commit, Item, Lease, Outcome, StoreError};
 use rand::Rng;
+use tokio::sync::watch;
 
 use crate::state::Node;
 
@@ -29,6 +31,7 @@
 /// Keeps the entry until the process ends.
 pub async fn run(node: Arc<Node>) {
     let mut lease = None;
+    let mut era = node.store.subscribe_era();
     loop {
         let outcome = match lease {
             None => enter(&node).await.map(|entered| lease = Some(entered)),
@@ -45,11 +48,25 @@
                 Millis(least.0 + rand::rng().random_range(0..least.0))
             }
         };
-        tokio::time::sleep(pause.duration()).await;
+        // A lease of a former era keeps nothing: the entry is gone with what it was written to.
+        let back = wait_back(&node, &mut era);
+        if tokio::time::timeout(pause.duration(), back).await.is_ok() {
+            lease = None;
+        }
     }
 }
 
-async fn enter(node: &Node) -> Result<u64, StoreError> {
+/// Waits until the store has come back from an older copy, and for this node's turn then.
+async fn wait_back(node: &Node, era: &mut watch::Receiver<Option<Era>>) {
+    let known = *era.borrow_and_update();
+    // The sender lives as long as the node.
+    let _ = era.wait_for(|era| known.is_some() && *era > known).await;
+    let spread = ALL.0 * node.directory.lock().count() as u64;
+    let turn = Millis(rand::rng().random_range(0..spread.max(1)));
+    tokio::time::sleep(turn.duration()).await;
+}
+
+async fn enter(node: &Node) -> Result<Lease, StoreError> {
     let settings = node.settings();
     let lease = node.store.open_lease(LEASE.max(settings.lease_min)).await?;
     let peer = Peer {
--- a/crates/node/src/peer.rs
+++ b/crates/node/src/peer.rs
@@ -8,6 +8,7 @@
 use cottoncrank_fleet::directory::Peer;
 use cottoncrank_fleet::dispatch::{Question, Reply};
 use cottoncrank_fleet::occupancy::{Report, Scope, Sum};
+use cottoncrank_fleet::position::Position;
 use cottoncrank_net::client::{CallError, Client};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
@@ -52,8 +53,8 @@
 /// A question for what is new.
 #[derive(Clone, Copy, Debug, Serialize, Deserialize)]
 pub struct Ask {
-    /// The revision up to which the asking node knows everything.
-    pub after: Option<u64>,
+    /// Up to where the asking node knows everything.
+    pub after: Option<Position>,
     /// How long to wait for something new, in milliseconds.
     pub wait_ms: u64,
 }
@@ -61,8 +62,8 @@
 /// What is new.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Told {
-    /// The revision up to which this node knows everything.
-    pub revision: u64,
+    /// Up to where this node knows everything.
+    pub position: Position,
     /// Whether the items are all there are.
     pub whole: bool,
     /// How long the answer was held back for something new, in milliseconds.
@@ -179,7 +180,7 @@
     };
     match feed::pack(&news.items) {
         Ok(items) => reply_encoded(&Told {
-            revision: news.revision,
+            position: news.position,
             whole: news.whole,
             waited_ms: node.now().since(started).0,
             age_ms: age.0,
@@ -208,9 +209,9 @@
 async fn wait_newer(node: &Node, question: Ask) {
     let Some(after) = question.after else { return };
     let least = node.now() + RENEWED;
-    let mut revision = node.feed.subscribe();
+    let mut position = node.feed.subscribe();
     let mut contact = node.contact.subscribe();
-    let newer = revision.wait_for(|revision| revision.is_some_and(|revision| revision > after));
+    let newer = position.wait_for(|position| position.is_some_and(|position| position > after));
     let renewed = contact.wait_for(|contact| contact.is_some_and(|contact| contact > least));
     let either = async {
         // Whichever comes first: the feed is read next, and says what there is.
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -20,6 +20,7 @@
 use cottoncrank_fleet::limit::Limit;
 use cottoncrank_fleet::occupancy::{self, Counts, Sum, View};
 use cottoncrank_fleet::plan::Plans;
+use cottoncrank_fleet::position::Position;
 use cottoncrank_fleet::roster::{Notice, Roster};
 use cottoncrank_fleet::runner::{Epoch, Life, Runner};
 use cottoncrank_fleet::settings::Settings;
@@ -48,8 +49,8 @@
 /// The node that holds the lease for deciding.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Holder {
-    /// The revision of the lease's key.
-    pub revision: u64,
+    /// Where the lease's key was last written.
+    pub position: Position,
     /// Whether the key goes with a lease. One that does not is no deciding node's: each
     /// writes it with the lease that it holds.
     pub leased: bool,
--- a/crates/node/src/sync.rs
+++ b/crates/node/src/sync.rs
@@ -5,6 +5,7 @@
 
 use cottoncrank::Millis;
 use cottoncrank_fleet::directory::Peer;
+use cottoncrank_fleet::position::Position;
 use cottoncrank_fleet::settings::Settings;
 use cottoncrank_fleet::source::{Failure, Source, Sources};
 use cottoncrank_net::client::{CallError, Client, Traffic};
@@ -73,8 +74,8 @@
     Old(Millis),
     #[error("node: no answer within {0}, after which the store is called")]
     Overdue(Millis),
-    #[error("node: it is at revision {there}, this one at {here}")]
-    Behind { there: u64, here: u64 },
+    #[error("node: it is at {there}, this one at {here}")]
+    Behind { there: Position, here: Position },
 }
 
 impl SyncError {
@@ -112,10 +113,10 @@
 struct Sync {
     node: Arc<Node>,
     client: Client,
-    revision: Option<u64>,
-    /// The highest revision that was known here. What another node tells may not be older,
+    position: Option<Position>,
+    /// The latest position that was known here. What another node tells may not be older,
     /// also where all is read anew.
-    newest: u64,
+    newest: Position,
     sources: Sources,
     /// Whether the store was reached last, here or by the node asked.
     reached: bool,
@@ -125,7 +126,7 @@
 pub async fn run(node: Arc<Node>) {
     let client = Client::new(Traffic::default());
     let sources = Sources::new(node.settings().bounds.apply);
-    let mut sync = Sync { node, client, revision: None, newest: 0, sources, reached: true };
+    let mut sync = Sync { node, client, position: None, newest: Position::default(), sources, reached: true };
     sync.start().await;
     loop {
         sync.follow().await;
@@ -200,9 +201,10 @@
                 let serving = !matches!(source, Source::Reader(_));
                 self.take(learned, serving).await;
             }
-            (Err(SyncError::Store(StoreError::Forgotten)), _) => {
-                log::warn!("store: changes after {:?} are forgotten; reading all anew", self.revision);
-                self.revision = None;
+            (Err(SyncError::Store(error @ (StoreError::Forgotten | StoreError::CameBack(_)))), _) => {
+                let position = self.position.map_or("-".to_owned(), |position| position.to_string());
+                log::warn!("sync: {error}; reading all anew, at {position} now");
+                self.position = None;
             }
             (Err(error), Source::Reader(peer) | Source::Senior(peer)) => {
                 figures::count_source_failure("node", error.reason());
@@ -212,7 +214,8 @@
             (Err(error), Source::Store | Source::Nobody(_)) => {
                 figures::count_source_failure("store", error.reason());
                 if self.reached {
-                    log::warn!("sync: {error}; going on with what is known at {:?}", self.revision);
+                    let position = self.position.map_or("-".to_owned(), |position| position.to_string());
+                    log::warn!("sync: {error}; going on with what is known at {position}");
                 }
                 self.note_away();
                 let settings = self.node.settings();
@@ -246,7 +249,7 @@
         let holder = self.node.decider.borrow().clone().filter(|holder| holder.leased);
         let holder = holder.and_then(|holder| holder.node);
         let (now, rng) = (self.node.now(), &mut rand::rng());
-        if self.node.is_deciding() || self.revision.is_none() {
+        if self.node.is_deciding() || self.position.is_none() {
             return self.sources.pick_store(&settings.node, &settings.hall, &directory, now);
         }
         self.sources.pick(&settings.node, &settings.hall, holder.as_ref(), &directory, now, rng)
@@ -254,7 +257,7 @@
 
     async fn read_store(&self) -> Result<Learned, SyncError> {
         let asked = self.node.now();
-        let Some(after) = self.revision else {
+        let Some(after) = self.position else {
             let batch = self.node.store.read_all().await?;
             return Ok(Learned { batch, whole: true, proven: Proof::Read(asked), contact: asked });
         };
@@ -277,16 +280,16 @@
 
     async fn ask(&self, peer: &Peer, wait: Millis) -> Result<Learned, SyncError> {
         let asked = self.node.now();
-        let question = Ask { after: self.revision, wait_ms: wait.0 };
+        let question = Ask { after: self.position, wait_ms: wait.0 };
         let told = peer::ask(&self.client, peer.address, question).await?;
         let silence = Millis(told.silence_ms);
         if !self.sources.accepts(silence) {
             return Err(SyncError::Old(silence));
         }
-        if told.revision < self.newest {
-            return Err(SyncError::Behind { there: told.revision, here: self.newest });
+        if told.position < self.newest {
+            return Err(SyncError::Behind { there: told.position, here: self.newest });
         }
-        let batch = Batch { items: feed::unpack(&told.items)?, revision: told.revision };
+        let batch = Batch { items: feed::unpack(&told.items)?, position: told.position };
         // The answer was given after it was asked for and had waited.
         let answered = asked + Millis(told.waited_ms);
         let proven = Proof::Read(answered - Millis(told.age_ms));
@@ -295,14 +298,16 @@
 
     async fn take(&mut self, learned: Learned, serving: bool) {
         if !self.reached {
-            log::info!("sync: the store is reached again, at revision {}", learned.batch.revision);
+            log::info!("sync: the store is reached again, at {}", learned.batch.position);
             self.node.roster.lock().regain(self.node.now());
         }
         self.reached = true;
-        self.revision = Some(learned.batch.revision);
-        self.newest = self.newest.max(learned.batch.revision);
+        let before = self.newest;
+        self.position = Some(learned.batch.position);
+        self.newest = before.max(learned.batch.position);
         let changes = learned.batch.items.len();
-        take_in(&self.node, learned);
+        let started = before != Position::default();
+        take_in(&self.node, learned, started.then_some(before));
         self.node.feed.set_serving(serving);
         if changes > 0 {
             let pause = if self.node.is_deciding() { GATHER_DECIDING } else { GATHER };
--- a/crates/node/tests/eras.rs
+++ b/crates/node/tests/eras.rs
@@ -9,9 +9,12 @@
 
 use common::{Fleet, KEY, start_node};
 use cottoncrank::Millis;
+use cottoncrank_fleet::position::Era;
+use cottoncrank_platform::store::{Commit, EraError, Store, StoreError};
 use cottoncrank_platform_standin::caller::{Question, WAIT_MS, ask};
 use cottoncrank_platform_standin::operator::{PLAIN, READ, STREAM, config};
 use cottoncrank_platform_standin::runner::{Place, Runner};
+use cottoncrank_platform_standin::store;
 
 /// Runners and operators write again within about this.
 const AGAIN: Millis = Millis(1000);
@@ -229,3 +232,24 @@
     }
     fleet.wait("nobody knows it any more", |fleet| know(fleet) == 0).await;
 }
+
+#[tokio::test]
+async fn answers_and_leases_of_a_former_era_are_not_used() {
+    let store = store::Store::start().unwrap();
+    let client = Store::new(store.address());
+    let lease = client.open_lease(Millis(5000)).await.unwrap();
+    client.keep_lease(lease).await.unwrap();
+    let read = client.read_all().await.unwrap();
+    store.go_back(&store.copy());
+    // Its number is there in the copy too, and may be given to somebody else.
+    let watched = client.watch(read.position, Millis(0)).await;
+    assert!(matches!(watched, Err(StoreError::CameBack(era)) if era > read.position.era()), "{watched:?}");
+    assert!(matches!(client.keep_lease(lease).await, Err(StoreError::LeaseOver)));
+    let expect = vec![("a".to_owned(), Some(read.position))];
+    let commit = client.commit(&Commit { expect, ..Commit::default() }).await;
+    assert!(matches!(commit, Err(StoreError::CameBack(_))), "{commit:?}");
+    // Others have seen a later era: this answer was under way for long.
+    client.raise_era(Era(9));
+    let former = client.read_all().await;
+    assert!(matches!(former, Err(StoreError::Era(EraError::Former { .. }))), "{former:?}");
+}
--- a/crates/node/tests/fleet.rs
+++ b/crates/node/tests/fleet.rs
@@ -8,6 +8,7 @@
 use cottoncrank::{Millis, id};
 use cottoncrank_fleet::freshness::Freshness;
 use cottoncrank_fleet::order::Order;
+use cottoncrank_fleet::position::{Era, Position};
 use cottoncrank_fleet::probe::Reported;
 use cottoncrank_fleet::runner::Epoch;
 use cottoncrank_net::client::{CallError, Client, Traffic};
@@ -169,7 +170,7 @@
     let client = Client::new(Traffic::default());
     let address = fleet.nodes[0].node.settings().peers;
     // It would wait for a change for longer than the test is run for.
-    let question = Ask { after: Some(u64::MAX), wait_ms: 3_600_000 };
+    let question = Ask { after: Some(Position::new(Era(u64::MAX), 0)), wait_ms: 3_600_000 };
     let asking = tokio::spawn(async move { peer::ask(&client, address, question).await });
     fleet.store.set_fault(store::Fault::Busy);
     let told = asking.await.unwrap();
