Write suspected requests again when the store came back without them

Symptom: a request that had ended runners was in no store any more after it came back from an older copy; it ran again once all nodes had been replaced, and at nodes that read the store anew.

Cause: an entry that a whole read lacks was taken for one that operators had removed, and what had been stored counted as stored for good. The first whole read of an era proves no removal now, and all that nodes know is to be written again.

--- a/crates/fleet/src/suspects.rs
+++ b/crates/fleet/src/suspects.rs
@@ -432,6 +432,13 @@
         self.entries.get_mut(fingerprint).is_some_and(|entry| entry.stored.take().is_some())
     }
 
+    /// The store may hold nothing any more of what it held: it came back from an older copy.
+    pub fn forget_stored(&mut self) {
+        for entry in self.entries.values_mut() {
+            entry.stored = None;
+        }
+    }
+
     /// The requests that the store holds, as far as this node knows.
     pub fn list_stored(&self) -> Vec<Fingerprint> {
         let stored = self.entries.iter().filter(|(_, entry)| entry.stored.is_some());
--- a/crates/node/src/era.rs
+++ b/crates/node/src/era.rs
@@ -2,7 +2,8 @@
 //!
 //! Operators and runners write again what was theirs. What the nodes themselves had written since
 //! the copy is known to them alone: plans are put back by the next deciding node, which finds
-//! them among what this one passes on, under the position that they had. Until an operator has written again,
+//! them among what this one passes on, under the position that they had; requests that end
+//! runners are written again by those that know of them. Until an operator has written again,
 //! the configuration that was in force stays so, here and at nodes that learn from this one.
 
 use cottoncrank::id;
@@ -32,6 +33,7 @@
     node.store.raise_era(batch.position.era());
     // Runners write their entries again within seconds; none is given up for that.
     node.roster.lock().regain(node.now());
+    node.suspects.lock().forget_stored();
     let held = node.feed.list(|raw| read_version(raw).is_some());
     for raw in held {
         carry(batch, raw);
--- a/crates/node/src/intake.rs
+++ b/crates/node/src/intake.rs
@@ -48,7 +48,7 @@
     }
     let changes = learned.batch.items.len();
     let caught_up = match learned.whole {
-        true => take_all(node, learned.batch),
+        true => take_all(node, learned.batch, former.is_some()),
         false => take_changes(node, learned.batch),
     };
     if caught_up {
@@ -64,7 +64,8 @@
     }
 }
 
-fn take_all(node: &Node, batch: Batch) -> bool {
+/// Takes all in that the store holds. `back` says that it came back from an older copy.
+fn take_all(node: &Node, batch: Batch, back: bool) -> bool {
     let mut runners = Vec::new();
     let mut decider = None;
     let mut caught_up = true;
@@ -82,7 +83,10 @@
         }
     }
     log::info!("store: read whole at {position}, {} runners", runners.len());
-    record::retain(node, &suspects);
+    // What a copy lacks was not removed by operators.
+    if !back {
+        record::retain(node, &suspects);
+    }
     node.roster.lock().replace(runners, node.now());
     node.decider.send_replace(decider);
     node.set_synced();
