Pass over entries that tell of an earlier moment of a runner's life

Symptom: after the store came back from an older copy, a group that served was stopped: the copy had the entry that a member had written before it joined.

Cause: within a life, any entry was taken for the newest. Orders taken are counted up within a life and stand in the entry: one with fewer than known is passed over, where both lives are told and the same. Without that nothing is concluded, as before.

--- a/crates/fleet/src/roster.rs
+++ b/crates/fleet/src/roster.rs
@@ -30,7 +30,7 @@
     Known,
     /// The runner has started again under its id.
     Restarted,
-    /// The entry is of a former life.
+    /// The entry is of a former life, or of an earlier moment of this one.
     Outdated,
 }
 
@@ -58,7 +58,7 @@
     pub fn put(&mut self, mut runner: Runner) -> Notice {
         let known = self.recall(&runner.id);
         let before = known.and_then(|known| known.life);
-        if is_later(before, runner.life) {
+        if is_later(before, runner.life) || known.is_some_and(|known| runner.is_before(known)) {
             return Notice::Outdated;
         }
         let notice = if is_later(runner.life, before) { Notice::Restarted } else { Notice::Known };
--- a/crates/fleet/src/runner.rs
+++ b/crates/fleet/src/runner.rs
@@ -97,6 +97,8 @@
     pub life: Option<Life>,
     /// The release of its software, where the platform says so.
     pub release: Option<Release>,
+    /// How many orders it has taken in this life, where the platform says so.
+    pub orders: Option<u64>,
     /// The service it belongs to.
     pub service: id::Service,
     /// Where it listens.
@@ -125,12 +127,20 @@
     /// outlasts its process.
     pub fn restart(&mut self, life: Life) {
         self.life = Some(life);
+        self.orders = None;
         self.draining = false;
         self.models.clear();
         self.served = None;
         self.membership = None;
     }
 
+    /// Whether this tells of an earlier moment of the same life than `known`: orders are only
+    /// counted up. The store may have come back from an older copy.
+    pub fn is_before(&self, known: &Runner) -> bool {
+        let same_life = self.life.is_some() && self.life == known.life;
+        same_life && self.orders.zip(known.orders).is_some_and(|(told, known)| told < known)
+    }
+
     /// Whether it served `model` last.
     pub fn has_served(&self, model: &id::Model) -> bool {
         self.served.as_ref() == Some(model)
--- a/crates/fleet/tests/belief.rs
+++ b/crates/fleet/tests/belief.rs
@@ -23,6 +23,7 @@
         draining: false,
         models: vec!["large".parse().unwrap()],
         release: None,
+        orders: None,
         served: None,
         life: None,
         staged: Vec::new(),
--- a/crates/fleet/tests/census.rs
+++ b/crates/fleet/tests/census.rs
@@ -29,6 +29,7 @@
         draining: false,
         models: Vec::new(),
         release: None,
+        orders: None,
         served: None,
         life: None,
         staged: Vec::new(),
--- a/crates/fleet/tests/dispatch.rs
+++ b/crates/fleet/tests/dispatch.rs
@@ -35,6 +35,7 @@
         draining: false,
         models: vec!["small".parse().unwrap()],
         release: None,
+        orders: None,
         served: None,
         life: None,
         staged: Vec::new(),
--- a/crates/fleet/tests/instant/mod.rs
+++ b/crates/fleet/tests/instant/mod.rs
@@ -66,6 +66,7 @@
         draining: false,
         models: Vec::new(),
         release: None,
+        orders: None,
         served: None,
         life: Some(FIRST),
         staged: Vec::new(),
--- a/crates/fleet/tests/lives.rs
+++ b/crates/fleet/tests/lives.rs
@@ -325,3 +325,24 @@
     assert!(roster.note_life(&id, Life(FIRST.0 + 1)));
     assert_eq!(roster.list_plain(&service).len(), 1);
 }
+
+#[test]
+fn an_entry_of_an_earlier_moment_of_a_life_is_passed_over() {
+    let told = |orders, life, staged: &[&str]| Runner {
+        orders,
+        life,
+        staged: staged.iter().map(|model| model.parse().unwrap()).collect(),
+        ..runner(0, 0)
+    };
+    let mut roster = Roster::default();
+    roster.put(told(Some(3), Some(FIRST), &["large"]));
+    assert_eq!(roster.put(told(Some(2), Some(FIRST), &[])), Notice::Outdated);
+    assert_eq!(roster.get(&runner(0, 0).id).unwrap().staged.len(), 1);
+    assert_eq!(roster.put(told(Some(3), Some(FIRST), &[])), Notice::Known, "a change without an order");
+    assert_eq!(roster.put(told(None, Some(FIRST), &[])), Notice::Known, "it does not say");
+    // In a later life it counts anew, and where lives are not told nothing can be concluded.
+    roster.put(told(Some(3), Some(FIRST), &[]));
+    assert_eq!(roster.put(told(Some(0), Some(Life(FIRST.0 + 1)), &[])), Notice::Restarted);
+    assert_eq!(roster.put(told(Some(4), None, &[])), Notice::Known);
+    assert_eq!(roster.put(told(Some(1), None, &[])), Notice::Known);
+}
--- a/crates/fleet/tests/occupancy.rs
+++ b/crates/fleet/tests/occupancy.rs
@@ -20,6 +20,7 @@
         draining: false,
         models: vec!["large".parse().unwrap()],
         release: None,
+        orders: None,
         served: None,
         life: None,
         staged: Vec::new(),
--- a/crates/fleet/tests/unwilling.rs
+++ b/crates/fleet/tests/unwilling.rs
@@ -78,6 +78,7 @@
         draining: false,
         models: vec!["small".parse().unwrap()],
         release: None,
+        orders: None,
         served: None,
         life: None,
         staged: Vec::new(),
--- a/crates/fleet/tests/world/mod.rs
+++ b/crates/fleet/tests/world/mod.rs
@@ -172,6 +172,7 @@
             draining: false,
             models: Vec::new(),
             release: None,
+            orders: None,
             served: None,
             life: Some(Life(self.now.0)),
             staged: Vec::new(),
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -280,7 +280,9 @@
         match (notice, life) {
             (Notice::Restarted, Some(life)) => self.notice_restart(&id, life),
             (Notice::Outdated, Some(life)) => {
-                log::info!("roster: an entry of {id} is of its former life {life} and is passed over")
+                log::info!(
+                    "roster: an entry of {id} in life {life} is older than what is known and is passed over"
+                )
             }
             _ => {}
         }
