--- a/crates/node/src/intake.rs
+++ b/crates/node/src/intake.rs
@@ -82,7 +82,7 @@
             other => caught_up &= take_change(node, other),
         }
     }
-    log::info!("store: read whole at {position}, {} runners", runners.len());
+    log::info!("store: read whole at revision {position}, {} runners", runners.len());
     // What a copy lacks was not removed by operators.
     if !back {
         record::retain(node, &suspects);
