Ask runners again of which nothing could be said when a try broke off

Symptom: where the way to a runner goes on taking connections while it is down, an end under a request was found only by the entry of its next life; with the store away, never, and the request ended more runners meanwhile.

Cause: what became of a runner was asked once, within 0.15 s. One that could not be judged is asked four more times over 5 s now; a later life there counts as an end for what broke off in the one before.

--- a/crates/fleet/src/breaks.rs
+++ b/crates/fleet/src/breaks.rs
@@ -57,6 +57,11 @@
         self.take(now, |broken| broken.runner != *runner && broken.address == address)
     }
 
+    /// A runner has ended since it was in this life: returns what broke off in it.
+    pub fn take_ended(&mut self, runner: &id::Runner, life: Option<Life>, now: Millis) -> Vec<Row> {
+        self.take(now, |broken| broken.runner == *runner && broken.life == life)
+    }
+
     fn take(&mut self, now: Millis, ended: impl Fn(&Break) -> bool) -> Vec<Row> {
         let mut rows = Vec::new();
         self.0.retain(|broken| {
--- a/crates/fleet/tests/gossip.rs
+++ b/crates/fleet/tests/gossip.rs
@@ -139,6 +139,10 @@
     assert!(breaks.take_former(&runner, Life(7), NOW).is_empty(), "each counts once");
     breaks.note(broken("b", 6, NOW));
     assert_eq!(breaks.take_replaced(&other, address, NOW), [row("b", &[1])]);
+    // One that was asked in that life and has ended since.
+    breaks.note(broken("d", 6, NOW));
+    assert!(breaks.take_ended(&runner, Some(Life(5)), NOW).is_empty());
+    assert_eq!(breaks.take_ended(&runner, Some(Life(6)), NOW), [row("d", &[1])]);
     // A runner that ends much later did not end under it.
     breaks.note(broken("c", 6, NOW));
     assert!(breaks.take_former(&runner, Life(7), NOW + KEPT).is_empty());
--- a/crates/node/src/crash.rs
+++ b/crates/node/src/crash.rs
@@ -25,6 +25,10 @@
 /// How long the question which runner answers may take; it does so within milliseconds.
 const ANSWER: Millis = Millis(150);
 
+/// A runner of which nothing could be said is asked again after these pauses: one that ended
+/// is back after some seconds, and its entry may take longer, or the store be away.
+const AGAIN: [Millis; 4] = [Millis(500), Millis(1000), Millis(1500), Millis(2000)];
+
 /// What became of a runner.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Finding {
@@ -82,7 +86,7 @@
     }
 }
 
-async fn judge(node: &Node, request: &str, pick: &Pick, row: Row) {
+async fn judge(node: &Arc<Node>, request: &str, pick: &Pick, row: Row) {
     let finding = examine(node, pick).await;
     let life = pick.life.map_or("-".to_owned(), |life| life.to_string());
     log::info!(
@@ -104,20 +108,40 @@
 }
 
 /// Finds out what became of the runner of a try that broke off.
-async fn examine(node: &Node, pick: &Pick) -> Finding {
+async fn examine(node: &Arc<Node>, pick: &Pick) -> Finding {
     let shared = node.findings.lock().share(&pick.id, node.now());
     *shared.get_or_init(|| look(node, pick)).await
 }
 
-async fn look(node: &Node, pick: &Pick) -> Finding {
+async fn look(node: &Arc<Node>, pick: &Pick) -> Finding {
     let finding = match is_leaving(node, pick) {
         true => Finding::Sound,
         false => ask(node, pick).await,
     };
     figures::count_finding(finding.name());
+    if finding == Finding::Unknown {
+        tokio::spawn(follow(node.clone(), pick.clone()));
+    }
     finding
 }
 
+/// Asks a runner again of which nothing could be said.
+async fn follow(node: Arc<Node>, pick: Pick) {
+    for pause in AGAIN {
+        tokio::time::sleep(pause.duration()).await;
+        let finding = ask(&node, &pick).await;
+        if finding == Finding::Unknown {
+            continue;
+        }
+        let rows = node.breaks.lock().take_ended(&pick.id, pick.life, node.now());
+        if finding == Finding::Ended && !rows.is_empty() {
+            log::info!("crash: {} has ended under {} requests", pick.id, rows.len());
+            suspects::take(&node, &rows, Origin::Hall);
+        }
+        return;
+    }
+}
+
 /// Whether a runner was about to leave, as far as this node knows.
 fn is_leaving(node: &Node, pick: &Pick) -> bool {
     node.roster.lock().get(&pick.id).is_none_or(|runner| runner.draining)
--- a/crates/node/tests/deadly.rs
+++ b/crates/node/tests/deadly.rs
@@ -19,6 +19,7 @@
 use cottoncrank_platform_standin::caller::{Answer, Question, WAIT_MS};
 use cottoncrank_platform_standin::operator::{PLAIN, READ, STREAM};
 use cottoncrank_platform_standin::store;
+use tokio::net::{TcpListener, TcpStream};
 use tokio::task::JoinSet;
 
 /// All nodes know what ends runners within this after the third has ended.
@@ -203,3 +204,43 @@
 async fn a_plain_request_that_ends_runners_is_held_back_at_every_node() {
     check(READ).await;
 }
+
+/// Passes connections on to a runner, and holds those open that it does not take: its end does
+/// not show there.
+async fn relay(to: SocketAddr) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        while let Ok((mut caller, _)) = listener.accept().await {
+            tokio::spawn(async move {
+                let Ok(mut runner) = TcpStream::connect(to).await else {
+                    return std::future::pending().await;
+                };
+                // Either side may break off, and that ends both.
+                let _ = tokio::io::copy_bidirectional(&mut caller, &mut runner).await;
+            });
+        }
+    });
+    address
+}
+
+#[tokio::test]
+async fn an_end_that_does_not_show_at_once_counts_once_the_runner_is_back() {
+    let fleet = Fleet::serving(1).await;
+    for runner in &fleet.plain {
+        runner.advertise(relay(runner.address()).await);
+    }
+    let node = &fleet.nodes[0].node;
+    let listed = |fleet: &Fleet| {
+        let addresses: Vec<_> = fleet.plain.iter().map(|runner| runner.entry()["address"].clone()).collect();
+        let roster = fleet.nodes[0].node.roster.lock();
+        let plain = roster.list_plain(&PLAIN.parse().unwrap());
+        plain.iter().all(|runner| addresses.contains(&runner.address.to_string().into()))
+    };
+    fleet.wait("the node knows the way", listed).await;
+    // No entry tells of the next life.
+    fleet.store.set_fault(store::Fault::Silent);
+    ask(fleet.nodes[0].callers, READ, "d-0".to_owned(), BODY.to_owned()).await;
+    assert!(!list_runs(&fleet).is_empty());
+    fleet.wait("the end is known", |_| node.suspects.lock().iter().count() == 1).await;
+}
