--- a/crates/node/src/suspects.rs
+++ b/crates/node/src/suspects.rs
@@ -1,6 +1,8 @@
 //! What this node and others have seen of requests that end runners: taking it in, telling it
 //! along with what nodes exchange anyway, and asking what becomes of a request.
 
+use std::mem::discriminant;
+
 use cottoncrank::Millis;
 use cottoncrank_fleet::directory::Peer;
 use cottoncrank_fleet::fingerprint::Fingerprint;
@@ -105,9 +107,11 @@
     tell(node, &changes);
 }
 
-/// Logs each change of a level with its evidence, and wakes requests that wait.
+/// Logs each change of a level with its evidence, and wakes requests that wait. That there is
+/// more of the same evidence is no news.
 fn tell(node: &Node, changes: &[Change]) {
-    for Change { row, before, after } in changes {
+    let other = |change: &&Change| discriminant(&change.before) != discriminant(&change.after);
+    for Change { row, before, after } in changes.iter().filter(other) {
         figures::count_suspect(after);
         let account = row.account.as_ref().map_or("-", |account| account.as_str());
         let ends: Vec<String> = row.crashes.iter().map(Crash::to_string).collect();
