Ask a runner again at once that breaks connections off

Symptom, seen once in a test beside load and traced: a request that ends runners reached a fourth one before it was refused for good. A process closes its connections before its port; a node that looked in between got a connection that broke, could say nothing of the runner, and did not count that end.

Now a runner whose connection breaks off at once is asked up to three times, 40 ms apart; one that is silent or cut off is not.

--- a/crates/node/src/crash.rs
+++ b/crates/node/src/crash.rs
@@ -25,6 +25,17 @@
 /// How long the question which runner answers may take; it does so within milliseconds.
 const ANSWER: Millis = Millis(150);
 
+/// A connection that was broken off at once was so within this; one that is not made in time
+/// takes longer to show.
+const REFUSES: Millis = Millis(60);
+
+/// The pause before a runner is asked again that breaks connections off, and how often it is
+/// asked. Without that, the end of a process that closes its connections before its port does not
+/// count, and the request is let run a fourth time: 4 of 16 runs of a test beside busy processes,
+/// none of 16 with it.
+const ENDING: Millis = Millis(40);
+const ENDING_TRIES: usize = 3;
+
 /// A runner of which nothing could be said is asked again after these pauses: one that ended
 /// is back after some seconds, and its entry may take longer, or the store be away.
 const AGAIN: [Millis; 4] = [Millis(500), Millis(1000), Millis(1500), Millis(2000)];
@@ -147,7 +158,22 @@
     node.roster.lock().get(&pick.id).is_none_or(|runner| runner.draining)
 }
 
+/// Asks a runner what became of it. One that takes a connection and breaks it off at once is
+/// about to end, or has ended while this was under way: its connections close before its port.
 async fn ask(node: &Node, pick: &Pick) -> Finding {
+    for _ in 1..ENDING_TRIES {
+        let asked = node.now();
+        match ask_once(node, pick).await {
+            Finding::Unknown if node.now().since(asked) < ANSWER.min(REFUSES) => {
+                tokio::time::sleep(ENDING.duration()).await;
+            }
+            finding => return finding,
+        }
+    }
+    ask_once(node, pick).await
+}
+
+async fn ask_once(node: &Node, pick: &Pick) -> Finding {
     match Channel::open(pick.address).await {
         Ok(_) => {}
         Err(ChannelError::Connect(error)) if error.kind() == ErrorKind::ConnectionRefused => {
