Pass over runners that turn requests away in a row

What callers saw: with three runners in ten that turn all away for 12 s, naming no time, 2 to 7 of a hundred requests were refused: such a runner has nothing in flight and looks best, to the collector as to the node.

Now a runner that turns two requests of a node away in a row (429 or 503) is passed over for 0.3 s, twice as long with each further one, up to 2.5 s; one that it takes clears it, so that one which is merely full is not passed over. Unlike one that named a time it is used where nobody else is left. The node names such groups to the collector, and the hall doubts them.

On a set clock, 30 nodes and 40 groups: at least 0.95 served instead of at most 0.7, a fifth of the refused tries or less.

--- a/crates/fleet/src/balance.rs
+++ b/crates/fleet/src/balance.rs
@@ -17,6 +17,15 @@
 /// takes some 0.11 s by the figures that engines publish, twice as long in a slow group.
 pub const STALLED: Millis = Millis(400);
 
+/// A runner that turns away this many requests in a row is passed over: one that is merely
+/// full takes some in between. It has nothing in flight, so it would get more than all others.
+/// With three runners in ten that turn all away for 12 s, 0.94 to 1.00 of the requests are served
+/// in time instead of 0.91 to 0.96 (three seeds, two statuses).
+const REFUSED: u32 = 2;
+
+/// For how long it is passed over then; twice as long with each further one, up to [`AVOID`].
+const AVOID_REFUSED: Millis = Millis(300);
+
 /// What a node has seen of a runner.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Record {
@@ -28,6 +37,8 @@
     avoid: Millis,
     /// When a request of this node last got something from there.
     progress: Millis,
+    /// Requests of this node in a row that it turned away without naming a time.
+    refused: u32,
 }
 
 /// Where connections to this many runners of a hall in a row are not made in time,
@@ -110,6 +121,17 @@
         let record = self.records.entry(id.clone()).or_default();
         record.progress = now;
         record.avoid = Millis(0);
+        record.refused = 0;
+    }
+
+    /// A runner turned a request away and named no time.
+    pub fn refuse(&mut self, id: &id::Runner, now: Millis) {
+        let record = self.records.entry(id.clone()).or_default();
+        record.refused += 1;
+        if let Some(further) = record.refused.checked_sub(REFUSED) {
+            let span = Millis(AVOID_REFUSED.0 << further.min(8)).min(AVOID);
+            record.avoid = record.avoid.max(now + span);
+        }
     }
 
     /// Whether a runner has sent nothing of any answer since `start`.
@@ -128,6 +150,7 @@
     pub fn restart(&mut self, id: &id::Runner) {
         if let Some(record) = self.records.get_mut(id) {
             record.avoid = Millis(0);
+            record.refused = 0;
             record.streams = 0;
         }
     }
@@ -144,6 +167,12 @@
         self.records.iter().filter(move |(id, record)| doubted(id, record)).map(|(id, _)| id)
     }
 
+    /// The runners that are passed over for having turned requests of this node away.
+    pub fn list_refusing(&self, now: Millis) -> impl Iterator<Item = &id::Runner> {
+        let refusing = move |record: &Record| record.refused >= REFUSED && now < record.avoid;
+        self.records.iter().filter(move |(_, record)| refusing(record)).map(|(id, _)| id)
+    }
+
     /// The runners at which requests of this node are in flight, and how many.
     pub fn list_busy(&self) -> impl Iterator<Item = (&id::Runner, u32)> {
         self.records.iter().map(|(id, record)| (id, record.running)).filter(|(_, running)| *running > 0)
--- a/crates/fleet/tests/belief.rs
+++ b/crates/fleet/tests/belief.rs
@@ -303,3 +303,38 @@
     }
     assert!(limit.admits());
 }
+
+#[test]
+fn a_runner_that_turns_requests_away_in_a_row_is_passed_over_for_ever_longer() {
+    let (mut ledger, runner) = (Ledger::default(), member(1, 0, Phase::Open));
+    let mut now = Millis(10_000);
+    ledger.refuse(&runner.id, now);
+    assert!(ledger.is_sound(&runner, now), "one says little: it may have been full for a moment");
+    let mut spans = Vec::new();
+    for _ in 0..6 {
+        ledger.refuse(&runner.id, now);
+        assert!(!ledger.is_sound(&runner, now));
+        assert_eq!(ledger.list_refusing(now).count(), 1);
+        let from = now;
+        while !ledger.is_sound(&runner, now) {
+            now = now + Millis(100);
+        }
+        spans.push(now.since(from).0);
+    }
+    assert_eq!(spans, [300, 600, 1200, 2400, 2500, 2500]);
+    // Then one is tried, and what it takes clears it.
+    ledger.progress(&runner.id, now);
+    ledger.refuse(&runner.id, now);
+    assert!(ledger.is_sound(&runner, now) && ledger.list_refusing(now).next().is_none());
+}
+
+#[test]
+fn a_runner_that_takes_some_in_between_is_merely_full() {
+    let (mut ledger, runner) = (Ledger::default(), member(1, 0, Phase::Open));
+    for turn in 0..20 {
+        let now = Millis(10_000 + 10 * turn);
+        ledger.refuse(&runner.id, now);
+        assert!(ledger.is_sound(&runner, now));
+        ledger.progress(&runner.id, now);
+    }
+}
--- a/crates/fleet/tests/unwilling.rs
+++ b/crates/fleet/tests/unwilling.rs
@@ -9,6 +9,7 @@
 
 use cottoncrank::{Millis, id};
 use cottoncrank_fleet::backoff;
+use cottoncrank_fleet::balance::Ledger;
 use cottoncrank_fleet::catalog::{Model, Speed};
 use cottoncrank_fleet::dispatch::{Choice, Dispatcher, Question, Reply, Urgency};
 use cottoncrank_fleet::fingerprint::{Fingerprint, Request};
@@ -44,6 +45,8 @@
     Doubted,
     /// Those that want none from one node get none from any of the hall.
     Shared,
+    /// No time is named, and those that turn some in a row away are passed over and doubted.
+    PassedOver,
 }
 
 /// What came of it, while some turned all away.
@@ -99,6 +102,7 @@
     /// Whether those that turn away do so to every other node only.
     partly: bool,
     backoffs: Vec<backoff::Table>,
+    ledgers: Vec<Ledger>,
     /// When a node was last turned away with a backoff, and what it sent there since.
     asked: HashMap<(usize, Epoch), (Millis, u32)>,
     running: HashMap<Epoch, u32>,
@@ -115,6 +119,7 @@
             refusing,
             partly: false,
             backoffs: vec![backoff::Table::default(); nodes],
+            ledgers: vec![Ledger::default(); nodes],
             asked: HashMap::new(),
             running: HashMap::new(),
             ends: BinaryHeap::new(),
@@ -132,12 +137,16 @@
             Way::Forgotten => Vec::new(),
             Way::Named | Way::Doubted => of(node).map(epoch).collect(),
             Way::Shared => (0..self.backoffs.len()).flat_map(of).map(epoch).collect(),
+            Way::PassedOver => {
+                let refusing: Vec<&id::Runner> = self.ledgers[node].list_refusing(now).collect();
+                self.heads.iter().filter(|head| refusing.contains(&&head.id)).map(epoch).collect()
+            }
         }
     }
 
     fn choose(&mut self, node: usize, tried: &[Epoch], now: Millis) -> Reply {
         let doubts: HashMap<Epoch, u32> = match self.way {
-            Way::Doubted => {
+            Way::Doubted | Way::PassedOver => {
                 let all = (0..self.backoffs.len()).flat_map(|node| self.list_unwilling(node, now));
                 all.fold(HashMap::new(), |mut sum, epoch| {
                     *sum.entry(epoch).or_default() += 1;
@@ -194,13 +203,19 @@
                 *sent += u32::from(binds.contains(&now.0));
             }
             if !self.is_refusing(node, epoch, now) {
+                self.ledgers[node].progress(&self.heads[epoch.0 as usize - 1].id, now);
                 *self.running.entry(epoch).or_default() += 1;
                 self.ends.push(Reverse((now.0 + self.rng.random_range(300..1700), epoch)));
                 return (tried.len() as u32, true);
             }
             tried.push(epoch);
             let id = self.heads[epoch.0 as usize - 1].id.clone();
-            self.backoffs[node].put(&id, None, SPAN, now);
+            match self.way {
+                Way::PassedOver => self.ledgers[node].refuse(&id, now),
+                _ => {
+                    self.backoffs[node].put(&id, None, SPAN, now);
+                }
+            }
             let first = self.asked.entry((node, epoch)).or_insert((now, 0));
             if now >= first.0 + SPAN {
                 *first = (now, first.1);
@@ -282,3 +297,14 @@
     let served = [&doubted, &shared].map(|all| mean(all, Outcome::served));
     assert!(served[0] > 0.95 && served[1] < 0.9, "served where nodes doubt, and share: {served:?}");
 }
+
+#[test]
+fn runners_that_turn_all_away_and_name_no_time_are_passed_over() {
+    let (nodes, groups) = HALL;
+    let forgotten = play(Way::Forgotten, nodes, groups, 0.3, 0.6, false);
+    let passed = play(Way::PassedOver, nodes, groups, 0.3, 0.6, false);
+    let refused = [&forgotten, &passed].map(|all| mean(all, Outcome::refused));
+    let served = [&forgotten, &passed].map(|all| mean(all, Outcome::served));
+    assert!(refused[1] < refused[0] / 5.0, "tries that were turned away: {refused:?}");
+    assert!(served[0] < 0.7 && served[1] > 0.95, "served: {served:?}");
+}
--- a/crates/node/src/attempt.rs
+++ b/crates/node/src/attempt.rs
@@ -318,7 +318,12 @@
     let attempt = Attempt { pick: pick.clone(), response, channel, counted };
     match header::read_verdict(status, attempt.response.headers(), job.terms.request.as_deref()) {
         Verdict::Ran => Ok(attempt),
-        Verdict::NotRun if status == 503 => Err(AttemptError::Full(backoff)),
+        Verdict::TurnedAway => {
+            if backoff.is_none() {
+                node.ledger.lock().refuse(&pick.id, node.now());
+            }
+            Err(AttemptError::Full(backoff))
+        }
         Verdict::NotRun => Err(AttemptError::NotRun(format!("it answered {status}"))),
         Verdict::Foreign => {
             node.ledger.lock().blame(&pick.id, node.now());
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -403,8 +403,10 @@
 
     /// The groups whose heads want no requests from this node.
     pub(crate) fn list_unwilling(&self) -> Vec<Epoch> {
-        let (roster, backoffs) = (self.roster.lock(), self.backoffs.lock());
-        backoffs.list(self.now()).filter_map(|id| find_epoch(&roster, id)).collect()
+        let (roster, ledger) = (self.roster.lock(), self.ledger.lock());
+        let backoffs = self.backoffs.lock();
+        let unwilling = backoffs.list(self.now()).chain(ledger.list_refusing(self.now()));
+        unwilling.filter_map(|id| find_epoch(&roster, id)).collect()
     }
 
     /// How many requests of a lane are under way here.
