Let the soak end runners by requests, suspend boxes and take the store back

Requests that end the runners which run them come to all nodes in turn; in a fleet without faults each may run six times more, the three ends that tell and three besides; no other request is answered 400. Boxes are suspended by a node's program of the soak's own, whose timers stop with it. The store is away and comes back from a copy two to six seconds old; operators and runners write again. Drawn apart from all else, so that former seeds give the same plans.

--- a/crates/node/src/bin/cottoncrank-node.rs
+++ b/crates/node/src/bin/cottoncrank-node.rs
@@ -1,23 +1,9 @@
 //! A node on the users' platform.
 
-use std::net::SocketAddr;
 use std::process::ExitCode;
-use std::sync::Arc;
 
 use clap::Parser;
-use cottoncrank::Millis;
-use cottoncrank::program::StartError;
-use cottoncrank_net::server::wait_for_stop;
-use cottoncrank_node::start::{Listeners, drain, start};
-use cottoncrank_node::state::Node;
-use cottoncrank_node::{figures, log};
-use cottoncrank_platform::settings::{self, SettingsError};
-use thiserror::Error;
-use tokio::net::TcpListener;
-use tokio::signal::unix::{Signal, SignalKind, signal};
-
-/// How often the settings are looked at without being told.
-const REREAD: Millis = Millis(10_000);
+use cottoncrank_node::program;
 
 /// Takes requests and decides for the fleet, as the platform's settings say.
 #[derive(Debug, Parser)]
@@ -28,18 +14,9 @@
     check: bool,
 }
 
-/// Why the program did not start.
-#[derive(Debug, Error)]
-enum MainError {
-    #[error(transparent)]
-    Settings(#[from] SettingsError),
-    #[error(transparent)]
-    Start(#[from] StartError),
-}
-
 fn main() -> ExitCode {
     let args = Args::parse();
-    match run(&args) {
+    match program::run(args.check, std::future::pending()) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("{error}");
@@ -47,61 +24,3 @@
         }
     }
 }
-
-fn run(args: &Args) -> Result<(), MainError> {
-    let log = log::start("info").map_err(StartError::from)?;
-    let settings = settings::read()?;
-    if args.check {
-        println!("{}: the settings can be used", settings.node);
-        return Ok(());
-    }
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-    let runtime = runtime.map_err(StartError::from)?;
-    let served = runtime.block_on(serve(Node::new(settings)));
-    // Lines that cannot be written in time are lost, as at any other time.
-    log.flush();
-    Ok(served.map_err(StartError::from)?)
-}
-
-async fn serve(node: Arc<Node>) -> Result<(), std::io::Error> {
-    let settings = node.settings();
-    ::log::info!("node: {} starts in {}", settings.node, settings.hall);
-    let listeners = Listeners::bind(&settings).await?;
-    let reload = signal(SignalKind::hangup())?;
-    tokio::spawn(reread_settings(node.clone(), reload));
-    let _tasks = start(&node, listeners);
-    show_figures(&node).await;
-    wait_for_stop().await?;
-    drain(&node).await;
-    Ok(())
-}
-
-/// Shows the figures. A node without them serves all the same.
-async fn show_figures(node: &Arc<Node>) {
-    let address = SocketAddr::new(node.settings().peers.ip(), figures::PORT);
-    let (Some(handle), listener) = (figures::install(), TcpListener::bind(address).await) else { return };
-    match listener {
-        Ok(listener) => {
-            tokio::spawn(figures::sample(node.clone()));
-            tokio::spawn(figures::serve(listener, handle));
-        }
-        Err(error) => ::log::warn!("figures: not shown, {address}: {error}"),
-    }
-}
-
-/// Reads the settings anew on SIGHUP, and now and then, for the file may change
-/// without one. Addresses are those of the start until the next start.
-async fn reread_settings(node: Arc<Node>, mut reload: Signal) {
-    loop {
-        let told = tokio::time::timeout(REREAD.duration(), reload.recv()).await.is_ok();
-        match settings::reread(&node.settings()) {
-            Ok(Some(settings)) => {
-                ::log::info!("node: the settings have changed and are in force");
-                node.set_settings(settings);
-            }
-            Ok(None) if told => ::log::info!("node: told to read the settings, which have not changed"),
-            Ok(None) => {}
-            Err(error) => ::log::error!("node: going on with the settings held: {error}"),
-        }
-    }
-}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -34,6 +34,7 @@
 pub mod peer;
 pub mod plain;
 mod prober;
+pub mod program;
 mod pulse;
 mod record;
 mod relay;
--- a/crates/soak/src/check.rs
+++ b/crates/soak/src/check.rs
@@ -51,6 +51,12 @@
     /// A runner joined a group while the head of its former one was open.
     #[error("{0} joined {1} while {2} of its former group {3} was open")]
     Two(String, String, String, String),
+    /// A request that ends runners reached them too often in a fleet without faults.
+    #[error("{0}: {1} runs, and {2} more after all faults")]
+    Deadly(String, usize, usize),
+    /// A request that ends nothing was refused as one that does.
+    #[error("{0}: it was answered 400")]
+    Wronged(String),
     /// A fleet without faults does not serve.
     #[error("after all faults node {0} does not serve {1:?}: status {2}")]
     Recover(usize, Kind, u16),
@@ -94,6 +100,8 @@
     pub revoked: Vec<Option<Instant>>,
     /// When something was wrong.
     pub troubles: Vec<Trouble>,
+    /// When all faults were over, and all nodes could know what had happened.
+    pub settled: Option<Instant>,
     /// What was noticed while it ran.
     pub noticed: Vec<Breach>,
 }
@@ -108,8 +116,10 @@
         breaches.extend(check_runs(call, runs));
         breaches.extend(check_key(call, runs, record));
         breaches.extend(check_stop(call, runs, record));
+        breaches.extend(check_wronged(call));
     }
     breaches.extend(check_reverts(record));
+    breaches.extend(check_deadly(record));
     for witness in &record.witnesses {
         breaches.extend(check_drain(witness, record));
         breaches.extend(check_groups(witness, record));
@@ -165,6 +175,29 @@
     (runs > 0 && late > bound).then(|| Breach::Revoked(call.id.clone(), call.key, late))
 }
 
+fn check_wronged(call: &Call) -> Option<Breach> {
+    let status = call.answer.as_ref().map_or(0, |answer| answer.status);
+    (status == 400).then(|| Breach::Wronged(call.id.clone()))
+}
+
+/// So many runners have to end under a request before it can be held back, and so many more
+/// runs are allowed then. Nodes that saw former ends may have been killed before they told.
+const DEADLY_ENDS: usize = 3;
+const DEADLY_MORE: usize = 3;
+
+fn check_deadly(record: &Record) -> Vec<Breach> {
+    let Some(settled) = record.settled else { return Vec::new() };
+    let mut runs: HashMap<&str, (usize, usize)> = HashMap::new();
+    let seen = record.witnesses.iter().flat_map(|witness| &witness.seen);
+    for seen in seen.filter(|seen| seen.run && seen.deadly) {
+        let name = seen.request.rsplit_once('-').map_or(seen.request.as_str(), |(name, _)| name);
+        let (before, after) = runs.entry(name).or_default();
+        *(if seen.at < settled { before } else { after }) += 1;
+    }
+    let late = runs.into_iter().filter(|(_, (_, after))| *after > DEADLY_ENDS + DEADLY_MORE);
+    late.map(|(name, (before, after))| Breach::Deadly(name.to_owned(), before, after)).collect()
+}
+
 /// A request that a node which was told to stop has passed on is answered whole,
 /// unless something else was wrong.
 fn check_stop(call: &Call, runs: usize, record: &Record) -> Option<Breach> {
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -18,6 +18,9 @@
 /// The data halls that nodes and runners stand in by turns.
 const HALLS: [&str; 2] = ["hall-a", "hall-b"];
 
+/// A node whose box can be suspended; it is a node in all else.
+const PROGRAM: &str = "suspendable-node";
+
 /// Runners in a fabric domain: three groups of two.
 const DOMAIN: usize = 6;
 
@@ -84,9 +87,9 @@
 pub fn find_program() -> io::Result<PathBuf> {
     let here = std::env::current_exe()?;
     let folders = here.ancestors().skip(1).take(2);
-    let found = folders.map(|folder| folder.join("cottoncrank-node")).find(|path| path.exists());
+    let found = folders.map(|folder| folder.join(PROGRAM)).find(|path| path.exists());
     found.ok_or_else(|| {
-        io::Error::new(io::ErrorKind::NotFound, "cottoncrank-node is not built beside this program")
+        io::Error::new(io::ErrorKind::NotFound, format!("{PROGRAM} is not built beside this program"))
     })
 }
 
@@ -175,15 +178,21 @@
     pub fn rekey(&mut self) {
         let version = self.keys.len() as u64 + 1;
         self.keys.push((format!("key-{version}"), None));
+        self.configure();
         let last = self.keys.len().saturating_sub(2);
-        let held: Vec<&str> = self.keys[last..].iter().map(|(key, _)| key.as_str()).collect();
-        self.store.configure(&config(version, &held));
         let now = Instant::now();
         for (_, taken) in &mut self.keys[..last] {
             taken.get_or_insert(now);
         }
     }
 
+    /// Writes the configuration with the last two keys.
+    pub fn configure(&self) {
+        let last = self.keys.len().saturating_sub(2);
+        let held: Vec<&str> = self.keys[last..].iter().map(|(key, _)| key.as_str()).collect();
+        self.store.configure(&config(self.keys.len() as u64, &held));
+    }
+
     /// All runners.
     pub fn servers(&self) -> impl Iterator<Item = &Server> {
         self.engines.iter().chain(&self.plain)
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -6,14 +6,19 @@
 //! killed, paused, stopped and told to read their settings; links are delayed,
 //! reset, cut one way or silenced; the store and runners misbehave. [`load`] sends
 //! requests over connections that are kept, [`groups`] watches who is in which, and
-//! [`run`] plays a plan. What callers
+//! [`run`] plays a plan.
+//! A request that ends runners comes from [`deadly`]. What callers
 //! and runners saw is judged by [`check`], and [`shrink`] looks for the few faults
 //! of a failing plan that are needed.
 //!
 //! The clock of a machine is not changed, which needs rights that a test does not
-//! have; a paused process sees its clocks jump by the length of the pause.
+//! have; a paused process sees its clocks jump by the length of the pause. A box is suspended
+//! by a node's program of the soak's own, `suspendable-node`: told to by SIGUSR1, it stops the
+//! clock of its timers and then itself. What that leaves out: the kernel's steady clock, and
+//! the other processes of the box.
 
 pub mod check;
+pub mod deadly;
 pub mod fleet;
 pub mod groups;
 pub mod load;
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -36,6 +36,9 @@
     /// How long a run lasts, in seconds.
     #[arg(long, default_value_t = 15)]
     seconds: u64,
+    /// Leaves out requests that end runners, and boxes that are suspended.
+    #[arg(long)]
+    plain: bool,
     /// Plays the plan in this file instead of drawn ones.
     #[arg(long)]
     plan: Option<PathBuf>,
@@ -97,7 +100,8 @@
     }
     let length = Millis(1000 * args.seconds);
     let seeds = args.seed..args.seed + args.runs;
-    Ok(seeds.map(|seed| Plan::draw(seed, args.processes, args.engines, length)).collect())
+    let draw = |seed| Plan::draw(seed, args.processes, args.engines, length);
+    Ok(seeds.map(|seed| if args.plain { draw(seed) } else { draw(seed).with_deadly() }).collect())
 }
 
 fn print_report(plan: &Plan, report: &Report) {
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -28,6 +28,22 @@
 /// Keeps what is drawn of lives apart from all else that a seed draws.
 const LIVES: u64 = 0x6c69_7665;
 
+/// The same for requests that end runners, and boxes that are suspended.
+const DEADLY: u64 = 0x6465_6164;
+
+/// Different requests that end runners, in one run.
+const DEADLY_MOST: usize = 4;
+
+/// How long a box is suspended, in milliseconds: within all bounds, beyond a lease, and
+/// beyond the time in which keys may be honoured.
+const SLEEPS: [u64; 3] = [300, 3000, 6000];
+
+/// The store is away for at most this long before it comes back older, in milliseconds.
+const AWAY: u64 = 1500;
+
+/// The mean pause between such requests or sleeps.
+const PAUSE_DEADLY: u64 = 1500;
+
 /// How a link misbehaves.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -109,6 +125,12 @@
     Foreign(usize, usize),
     /// The key of the account changes, and the one before the last is taken away.
     Rekey,
+    /// A request of this number comes that ends the runners which run it.
+    Deadly(usize),
+    /// The box of a node is suspended: its timers stand still.
+    Suspend(usize),
+    /// The store is away for the span and comes back from a copy some seconds old.
+    Older,
 }
 
 /// A fault and its time.
@@ -155,6 +177,30 @@
         events.sort_by_key(|event| event.at);
         Plan { seed, nodes, engines, length: length.0, events }
     }
+
+    /// The same plan with requests that end runners, boxes that are suspended, and a store that
+    /// comes back older.
+    pub fn with_deadly(mut self) -> Plan {
+        let mut rng = SmallRng::seed_from_u64(self.seed ^ DEADLY);
+        let mut at = CALM.0 + rng.random_range(0..PAUSE_DEADLY);
+        while at + CALM.0 < self.length {
+            let event = match rng.random_range(0..5) {
+                0 | 1 => {
+                    let fault = Fault::Deadly(rng.random_range(0..DEADLY_MOST));
+                    Event { at, span: rng.random_range(1000..SPAN.end), fault }
+                }
+                2 => Event { at, span: rng.random_range(SPAN.start..AWAY), fault: Fault::Older },
+                _ => {
+                    let fault = Fault::Suspend(rng.random_range(0..self.nodes));
+                    Event { at, span: SLEEPS[rng.random_range(0..SLEEPS.len())], fault }
+                }
+            };
+            self.events.push(event);
+            at += rng.random_range(0..2 * PAUSE_DEADLY);
+        }
+        self.events.sort_by_key(|event| event.at);
+        self
+    }
 }
 
 /// Runners that start again under their id, and entries that another writer leaves.
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -1,6 +1,6 @@
 //! Playing a plan.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::io;
 use std::path::Path;
 use std::sync::Arc;
@@ -14,8 +14,10 @@
 use parking_lot::Mutex;
 use rustix::process::Signal;
 use tokio::sync::watch;
+use tokio::task::{JoinHandle, JoinSet};
 
 use crate::check::{Breach, Record, Trouble, Witness, check};
+use crate::deadly::Deadly;
 use crate::fleet::Fleet;
 use crate::groups::{Row, Watch};
 use crate::load::{Call, Caller, Hint, Kind};
@@ -34,6 +36,22 @@
 /// How long a node that was told to stop may take beyond its grace.
 const STOPPING: Duration = Duration::from_secs(6);
 
+/// All nodes know what ends runners within this.
+const KNOWN: Millis = Millis(3000);
+
+/// So often each node is asked again then, and the pause between two: the way to a runner
+/// leads over a relay here, so that its end shows only by its next life, 1.5 s later.
+const AGAIN: usize = 4;
+const AGAIN_PAUSE: Millis = Millis(400);
+
+/// Copies of a request that ends runners are numbered in steps of this, so that no id comes twice.
+const COPIES: usize = 10_000;
+
+/// A copy of the store is taken this often, and so many are kept: it comes back from one that
+/// is two to six seconds old.
+const COPY_PAUSE: Duration = Duration::from_secs(2);
+const COPIES_KEPT: usize = 3;
+
 /// Events of a stream are this far apart: streams are under way at most moments.
 const PACE: Millis = Millis(40);
 
@@ -65,6 +83,12 @@
     left: HashMap<usize, Instant>,
     noticed: Vec<Breach>,
     groups: Watch,
+    /// Requests that end runners, and how many copies of each were sent; aborted once over.
+    deadly: HashMap<usize, JoinHandle<()>>,
+    copies: usize,
+    settled: Option<Instant>,
+    /// What the store held every two seconds, the latest last.
+    kept: VecDeque<(Instant, store::Copy)>,
 }
 
 /// Plays a plan. Settings and logs of the nodes go into `folder`.
@@ -80,6 +104,10 @@
         left: HashMap::new(),
         noticed: Vec::new(),
         groups: Watch::default(),
+        deadly: HashMap::new(),
+        copies: 0,
+        settled: None,
+        kept: VecDeque::new(),
     };
     run.tell();
     run.await_service().await;
@@ -89,6 +117,7 @@
     let calls = run.load().await;
     run.heal_all();
     run.await_service().await;
+    run.end_deadly().await;
     let record = run.collect(calls);
     let served = record.calls.iter().filter(|call| is_served(call)).count();
     Ok(Report { calls: record.calls.len(), served, breaches: check(&record) })
@@ -140,6 +169,7 @@
         }
         self.look_at_nodes();
         self.look_at_groups(now);
+        self.keep_copy(now);
     }
 
     fn begin(&mut self, fault: Fault, span: Duration) {
@@ -193,6 +223,70 @@
                 fleet.store.put_entry(known.id(), &entries[kind % entries.len()].1);
             }
             Fault::Rekey => fleet.rekey(),
+            Fault::Deadly(number) => self.send_deadly(number),
+            Fault::Suspend(node) => fleet.nodes[node].signal(Signal::USR1),
+            Fault::Older => fleet.store.set_fault(store::Fault::Silent),
+        }
+    }
+
+    /// Keeps a copy of the store now and then.
+    fn keep_copy(&mut self, now: Instant) {
+        if self.kept.back().is_none_or(|(at, _)| now >= *at + COPY_PAUSE) {
+            self.kept.push_back((now, self.fleet.store.copy()));
+        }
+        if self.kept.len() > COPIES_KEPT {
+            self.kept.pop_front();
+        }
+    }
+
+    /// The store is back from the oldest copy that is kept, and all but the nodes write again.
+    fn come_back(&mut self) {
+        if let Some((_, copy)) = self.kept.pop_front() {
+            self.fleet.store.go_back(&copy);
+            // Later copies are of what is gone.
+            self.kept.clear();
+        }
+        self.fleet.store.set_fault(store::Fault::None);
+        self.fleet.configure();
+        for (number, server) in self.fleet.engines.iter().enumerate() {
+            let ended = |active: &Active| matches!(active.fault, Fault::Restart(r) | Fault::Lapse(r) | Fault::Foreign(r, _) if r == number);
+            if !self.active.iter().any(ended) {
+                server.runner.enter();
+            }
+        }
+        for server in &self.fleet.plain {
+            server.runner.enter();
+        }
+    }
+
+    /// A request that ends runners comes from now on.
+    fn send_deadly(&mut self, number: usize) {
+        let nodes = self.fleet.nodes.iter().map(|node| node.callers).collect();
+        self.copies += COPIES;
+        let coming = Deadly(number).come(nodes, self.hint.subscribe(), self.copies);
+        self.deadly.insert(number, tokio::spawn(coming));
+    }
+
+    /// In a fleet without faults, each request that ends runners comes to all nodes some more
+    /// times, one after the other.
+    async fn end_deadly(&mut self) {
+        if self.deadly.is_empty() {
+            return;
+        }
+        tokio::time::sleep(KNOWN.duration()).await;
+        self.settled = Some(Instant::now());
+        let numbers: Vec<usize> = self.deadly.keys().copied().collect();
+        let key = self.fleet.keys.last().map_or(String::new(), |(key, _)| key.clone());
+        for copy in 0..AGAIN * self.fleet.nodes.len() {
+            let to = self.fleet.nodes[copy % self.fleet.nodes.len()].callers;
+            let mut asking = JoinSet::new();
+            for number in &numbers {
+                let (deadly, key) = (Deadly(*number), key.clone());
+                asking.spawn(async move { deadly.ask(to, copy, &key).await });
+            }
+            tokio::time::sleep(AGAIN_PAUSE.duration()).await;
+            asking.join_all().await;
+            self.look();
         }
     }
 
@@ -204,7 +298,7 @@
                 fleet.nodes[node].kill();
                 self.restart(node);
             }
-            Fault::Pause(node) => fleet.nodes[node].signal(Signal::CONT),
+            Fault::Pause(node) | Fault::Suspend(node) => fleet.nodes[node].signal(Signal::CONT),
             Fault::StoreLink(node, _) => fleet.nodes[node].store.set_harm(None),
             Fault::RunnerLink(runner, _) => fleet.engines[runner].link.set_harm(None),
             Fault::Store(_) => fleet.store.set_fault(store::Fault::None),
@@ -215,6 +309,12 @@
                 fleet.engines[runner].runner.revive();
                 fleet.engines[runner].runner.enter();
             }
+            Fault::Deadly(number) => {
+                if let Some(coming) = self.deadly.get(&number) {
+                    coming.abort();
+                }
+            }
+            Fault::Older => self.come_back(),
             Fault::Reload(_) | Fault::Forget | Fault::Leave(_) | Fault::Rekey => {}
         }
         let stop = if let Fault::Stop(node) = ended.fault { Some(node) } else { None };
@@ -323,6 +423,7 @@
             revoked: self.fleet.keys.iter().map(|(_, taken)| *taken).collect(),
             troubles: std::mem::take(&mut self.troubles),
             noticed: std::mem::take(&mut self.noticed),
+            settled: self.settled,
         }
     }
 }
@@ -331,10 +432,14 @@
 fn shares_place(one: &Fault, other: &Fault) -> bool {
     use Fault::*;
     match (one, other) {
-        (Kill(a) | Pause(a) | Stop(a) | Reload(a), Kill(b) | Pause(b) | Stop(b) | Reload(b)) => a == b,
+        (
+            Kill(a) | Pause(a) | Stop(a) | Reload(a) | Suspend(a),
+            Kill(b) | Pause(b) | Stop(b) | Reload(b) | Suspend(b),
+        ) => a == b,
+        (Deadly(a), Deadly(b)) => a == b,
         (StoreLink(a, _), StoreLink(b, _)) => a == b,
         (RunnerLink(a, _), RunnerLink(b, _)) => a == b,
-        (Store(_), Store(_)) => true,
+        (Store(_) | Older, Store(_) | Older) => true,
         (
             Runner(a, _) | Lapse(a) | Leave(a) | Restart(a) | Foreign(a, _),
             Runner(b, _) | Lapse(b) | Leave(b) | Restart(b) | Foreign(b, _),
