Give what speaks against a request a file of its own

The end of a runner, the row and the level stand in evidence.rs now; nothing else is changed. The crate's page names these files.

--- a/crates/fleet/src/breaks.rs
+++ b/crates/fleet/src/breaks.rs
@@ -9,8 +9,8 @@
 
 use cottoncrank::{Millis, id};
 
+use crate::evidence::Row;
 use crate::runner::{Life, is_later};
-use crate::suspects::Row;
 
 /// A runner that ended is back within seconds. One that ends later than this did not end
 /// under the try that broke off.
--- a/crates/fleet/src/gossip.rs
+++ b/crates/fleet/src/gossip.rs
@@ -10,8 +10,9 @@
 use cottoncrank::id;
 use serde::{Deserialize, Serialize};
 
+use crate::evidence::Row;
 use crate::occupancy::Scope;
-use crate::suspects::{Audience, Row, Table};
+use crate::suspects::{Audience, Table};
 
 /// Rows told at once: some 100 bytes each. All that a node has in flight at a runner fits.
 pub const ROWS_MAX: usize = 256;
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -14,6 +14,8 @@
 //! - Choices for requests: [`dispatch`] and [`balance`] pick the runner, of those that want
 //!   requests ([`backoff`]), [`limit`] admits,
 //!   [`event`] splits a stream into the events that can be resumed after.
+//! - Requests that end runners: [`fingerprint`] and [`evidence`] of one, [`breaks`] that are undecided,
+//!   [`suspects`] (what all nodes know), [`gossip`] (how they tell it), [`trials`] (what is run).
 //! - [`source`] says whom a node asks for what the store holds.
 
 pub mod backoff;
@@ -27,6 +29,7 @@
 pub mod directory;
 pub mod dispatch;
 pub mod event;
+pub mod evidence;
 pub mod fingerprint;
 pub mod form;
 pub mod freshness;
--- a/crates/fleet/src/trials.rs
+++ b/crates/fleet/src/trials.rs
@@ -10,9 +10,9 @@
 
 use cottoncrank::{Millis, id};
 
+use crate::evidence::Level;
 use crate::fingerprint::Fingerprint;
 use crate::runner::Epoch;
-use crate::suspects::Level;
 
 /// A run of which nothing was heard counts for this long: usual answers take less, and what
 /// ends a runner does so sooner. A caller that leaves tells nothing.
--- a/crates/fleet/tests/gossip.rs
+++ b/crates/fleet/tests/gossip.rs
@@ -4,11 +4,12 @@
 
 use cottoncrank::{Millis, id};
 use cottoncrank_fleet::breaks::{Break, Breaks, KEPT};
+use cottoncrank_fleet::evidence::{Crash, Level, Row};
 use cottoncrank_fleet::fingerprint::{Fingerprint, Request};
 use cottoncrank_fleet::gossip::{Book, answer};
 use cottoncrank_fleet::occupancy::Scope;
 use cottoncrank_fleet::runner::Life;
-use cottoncrank_fleet::suspects::{Crash, Level, Origin, Row, Table};
+use cottoncrank_fleet::suspects::{Origin, Table};
 
 const NOW: Millis = Millis(1000);
 
--- a/crates/fleet/tests/outbreak/mod.rs
+++ b/crates/fleet/tests/outbreak/mod.rs
@@ -10,11 +10,12 @@
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
 
 use cottoncrank::{Millis, id};
+use cottoncrank_fleet::evidence::{Crash, Level, Row};
 use cottoncrank_fleet::fingerprint::{self, Fingerprint};
 use cottoncrank_fleet::gossip::{Book, answer};
 use cottoncrank_fleet::occupancy::Scope;
 use cottoncrank_fleet::runner::{Epoch, Life};
-use cottoncrank_fleet::suspects::{Crash, ENOUGH, Level, Origin, Row, Table};
+use cottoncrank_fleet::suspects::{ENOUGH, Origin, Table};
 use cottoncrank_fleet::trials::{Ruling, Takers, Trials};
 use rand::rngs::SmallRng;
 use rand::seq::IndexedRandom;
--- a/crates/fleet/tests/suspects.rs
+++ b/crates/fleet/tests/suspects.rs
@@ -3,9 +3,10 @@
 use std::collections::BTreeSet;
 
 use cottoncrank::{Millis, id};
+use cottoncrank_fleet::evidence::{Crash, Level, Row};
 use cottoncrank_fleet::fingerprint::{Fingerprint, Request};
 use cottoncrank_fleet::runner::Life;
-use cottoncrank_fleet::suspects::{Audience, Crash, KEPT, Level, Origin, Row, Table};
+use cottoncrank_fleet::suspects::{Audience, KEPT, Origin, Table};
 use rand::rngs::SmallRng;
 use rand::seq::SliceRandom;
 use rand::{Rng, SeedableRng};
--- a/crates/fleet/tests/trials.rs
+++ b/crates/fleet/tests/trials.rs
@@ -1,9 +1,9 @@
 //! Runs of suspected requests: one at a time, apart from each other, and not at any price.
 
 use cottoncrank::Millis;
+use cottoncrank_fleet::evidence::Level;
 use cottoncrank_fleet::fingerprint::{Fingerprint, Request};
 use cottoncrank_fleet::runner::Epoch;
-use cottoncrank_fleet::suspects::Level;
 use cottoncrank_fleet::trials::{LASTS, Ruling, Takers, Trials, Usual};
 
 const NOW: Millis = Millis(1000);
--- a/crates/node/src/crash.rs
+++ b/crates/node/src/crash.rs
@@ -6,9 +6,10 @@
 
 use cottoncrank::{Millis, id};
 use cottoncrank_fleet::breaks::Break;
+use cottoncrank_fleet::evidence::Row;
 use cottoncrank_fleet::probe::Reported;
 use cottoncrank_fleet::runner::is_later;
-use cottoncrank_fleet::suspects::{Origin, Row};
+use cottoncrank_fleet::suspects::Origin;
 use cottoncrank_platform::order;
 use tokio::sync::OnceCell;
 
--- a/crates/node/src/figures.rs
+++ b/crates/node/src/figures.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use cottoncrank::Millis;
 use cottoncrank::clock::Gap;
-use cottoncrank_fleet::suspects::Level;
+use cottoncrank_fleet::evidence::Level;
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_TYPE, HeaderValue};
 use hyper::server::conn::http1;
--- a/crates/node/src/record.rs
+++ b/crates/node/src/record.rs
@@ -5,8 +5,9 @@
 use std::sync::Arc;
 
 use cottoncrank::Millis;
+use cottoncrank_fleet::evidence::Row;
 use cottoncrank_fleet::fingerprint::{Fingerprint, FingerprintError};
-use cottoncrank_fleet::suspects::{Origin, Row};
+use cottoncrank_fleet::suspects::Origin;
 use cottoncrank_platform::store::{Commit, Item, Outcome};
 use thiserror::Error;
 
--- a/crates/node/src/suspects.rs
+++ b/crates/node/src/suspects.rs
@@ -5,10 +5,11 @@
 
 use cottoncrank::Millis;
 use cottoncrank_fleet::directory::Peer;
+use cottoncrank_fleet::evidence::{Crash, Level, Row};
 use cottoncrank_fleet::fingerprint::Fingerprint;
 use cottoncrank_fleet::gossip::{self, Pull, Push};
 use cottoncrank_fleet::occupancy::Scope;
-use cottoncrank_fleet::suspects::{Change, Crash, Level, Origin, Row};
+use cottoncrank_fleet::suspects::{Change, Origin};
 use cottoncrank_fleet::trials::Ruling;
 use cottoncrank_net::client::{CallError, Client};
 use serde::de::DeserializeOwned;
--- a/crates/node/tests/deadly.rs
+++ b/crates/node/tests/deadly.rs
@@ -15,7 +15,7 @@
 
 use common::{Fleet, KEY, Running};
 use cottoncrank::Millis;
-use cottoncrank_fleet::suspects::Level;
+use cottoncrank_fleet::evidence::Level;
 use cottoncrank_platform_standin::caller::{Answer, Question, WAIT_MS};
 use cottoncrank_platform_standin::operator::{PLAIN, READ, STREAM};
 use cottoncrank_platform_standin::store;
