--- a/crates/node/src/era.rs
+++ b/crates/node/src/era.rs
@@ -9,7 +9,8 @@
 use cottoncrank::id;
 use cottoncrank_fleet::plan::Document;
 use cottoncrank_fleet::position::{Era, Position};
-use cottoncrank_platform::store::{Batch, Change, Raw, decode, is_catalog};
+use cottoncrank_platform::item::{Change, Raw, decode, is_catalog};
+use cottoncrank_platform::store::Batch;
 
 use crate::decider::read_plan;
 use crate::figures;
--- a/crates/node/src/feed.rs
+++ b/crates/node/src/feed.rs
@@ -4,7 +4,8 @@
 
 use bytes::Bytes;
 use cottoncrank_fleet::position::Position;
-use cottoncrank_platform::store::{Batch, Raw};
+use cottoncrank_platform::item::Raw;
+use cottoncrank_platform::store::Batch;
 use parking_lot::Mutex;
 use tokio::sync::watch;
 
--- a/crates/node/src/intake.rs
+++ b/crates/node/src/intake.rs
@@ -6,7 +6,8 @@
 use cottoncrank::Millis;
 use cottoncrank_fleet::catalog::Catalog;
 use cottoncrank_fleet::position::Position;
-use cottoncrank_platform::store::{Batch, Change, Item, ItemError, decode};
+use cottoncrank_platform::item::{Change, Item, ItemError, decode};
+use cottoncrank_platform::store::Batch;
 
 use crate::decider::{self, LEASE_KEY};
 use crate::era;
--- a/crates/node/src/member.rs
+++ b/crates/node/src/member.rs
@@ -5,7 +5,8 @@
 use cottoncrank::{Millis, id};
 use cottoncrank_fleet::directory::Peer;
 use cottoncrank_fleet::position::Era;
-use cottoncrank_platform::store::{Commit, Item, Lease, Outcome, StoreError};
+use cottoncrank_platform::item::Item;
+use cottoncrank_platform::store::{Commit, Lease, Outcome, StoreError};
 use rand::Rng;
 use tokio::sync::watch;
 
--- a/crates/node/src/record.rs
+++ b/crates/node/src/record.rs
@@ -8,7 +8,8 @@
 use cottoncrank_fleet::evidence::Row;
 use cottoncrank_fleet::fingerprint::{Fingerprint, FingerprintError};
 use cottoncrank_fleet::suspects::Origin;
-use cottoncrank_platform::store::{Commit, Item, Outcome};
+use cottoncrank_platform::item::Item;
+use cottoncrank_platform::store::{Commit, Outcome};
 use thiserror::Error;
 
 use crate::collect::find_collector;
