Read and write plans in a file of their own

decider.rs held the lease, the decisions of a term and the form of plans, and era.rs needed it in turn. plans.rs has the plans as they stand in the store; nothing else is changed.

--- a/crates/node/src/decider.rs
+++ b/crates/node/src/decider.rs
@@ -5,7 +5,7 @@
 //! unawares writes nothing. Orders follow what was written, and an order that
 //! comes late names an epoch that is over.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::HashMap;
 use std::sync::Arc;
 
 use cottoncrank::{Millis, id};
@@ -28,15 +28,13 @@
 use thiserror::Error;
 
 use crate::era;
+use crate::plans::{Kept, PlanError, Plans, read_plans, write_plan};
 use crate::prober;
 use crate::state::{Holder, Node};
 
 /// The key that goes with the lease; its value names the deciding node.
 pub const LEASE_KEY: &str = "decider";
 
-/// The prefix of the plans; a fabric domain's name follows.
-const PLAN_PREFIX: &str = "plan/";
-
 /// How long the lease lasts without being renewed. A lost decider leaves groups
 /// unrepaired for this long.
 const LEASE: Millis = Millis(1600);
@@ -95,31 +93,6 @@
     Plan(#[from] PlanError),
 }
 
-/// A plan that cannot be read or written.
-#[derive(Debug, Error)]
-#[error("the plan `{key}` cannot be encoded or decoded: {reason}")]
-pub struct PlanError {
-    key: String,
-    reason: String,
-}
-
-/// A plan as it stands in the store.
-struct Kept {
-    /// None if the store does not hold it.
-    position: Option<Position>,
-    document: Document,
-}
-
-/// The plans as they stand in the store.
-#[derive(Default)]
-struct Plans {
-    kept: BTreeMap<id::Domain, Kept>,
-    /// Domains whose plan cannot be read.
-    closed: BTreeSet<id::Domain>,
-    /// When they were read.
-    read: Millis,
-}
-
 /// A term of deciding.
 struct Term {
     node: Arc<Node>,
@@ -225,26 +198,6 @@
     }))
 }
 
-/// Reads all plans. A domain whose plan cannot be read is left alone, for its groups are not
-/// known; all others are decided.
-async fn read_plans(node: &Node) -> Result<Plans, EndError> {
-    let mut plans = Plans { read: node.now(), ..Plans::default() };
-    for item in node.store.read_own().await? {
-        match read_plan(&item) {
-            Ok(Some((domain, document))) => {
-                plans.kept.insert(domain, Kept { position: Some(item.position), document });
-            }
-            Ok(None) => {}
-            Err(error) => {
-                log::error!("decider: {error}; nothing is decided in that domain");
-                plans.closed.extend(read_domain(&item.key).and_then(Result::ok));
-            }
-        }
-    }
-    metrics::gauge!("cottoncrank_domains_closed").set(plans.closed.len() as f64);
-    Ok(plans)
-}
-
 /// Reads who decides from the lease's key.
 pub fn read_holder(item: &Item) -> Holder {
     let name = std::str::from_utf8(&item.value).ok().and_then(|name| name.parse().ok());
@@ -254,22 +207,6 @@
     Holder { position: item.position, leased: item.leased, node: name }
 }
 
-/// The domain whose plan stands under a key, if it is a plan's.
-fn read_domain(key: &str) -> Option<Result<id::Domain, id::IdError>> {
-    key.strip_prefix(PLAN_PREFIX).map(str::parse)
-}
-
-/// Reads a plan, if the item is one.
-pub fn read_plan(item: &Item) -> Result<Option<(id::Domain, Document)>, PlanError> {
-    let unreadable = |reason: String| PlanError { key: item.key.clone(), reason };
-    let Some(domain) = read_domain(&item.key) else { return Ok(None) };
-    let domain = domain.map_err(|error| unreadable(error.to_string()))?;
-    let document: Document =
-        rmp_serde::from_slice(&item.value).map_err(|error| unreadable(error.to_string()))?;
-    document.check().map_err(|flaw| unreadable(flaw.to_string()))?;
-    Ok(Some((domain, document)))
-}
-
 impl Term {
     /// Whether this node may still decide.
     fn check(&self) -> Result<(), EndError> {
@@ -444,11 +381,8 @@
         let mut commit =
             Commit { expect: vec![(LEASE_KEY.to_owned(), Some(self.position))], ..Commit::default() };
         for (domain, document, reasons) in writes {
-            let key = format!("{PLAN_PREFIX}{domain}");
-            let mut document = document.clone();
-            document.version = self.next_version(domain);
-            let bytes = rmp_serde::to_vec(&document)
-                .map_err(|error| PlanError { key: key.clone(), reason: error.to_string() })?;
+            let document = Document { version: self.next_version(domain), ..document.clone() };
+            let (key, bytes) = write_plan(domain, &document)?;
             let expected = self.plans.kept.get(domain).and_then(|kept| kept.position);
             commit.expect.push((key.clone(), expected));
             commit.puts.push((key, bytes, None));
--- a/crates/node/src/era.rs
+++ b/crates/node/src/era.rs
@@ -12,8 +12,8 @@
 use cottoncrank_platform::item::{Change, Raw, decode, is_catalog};
 use cottoncrank_platform::store::Batch;
 
-use crate::decider::read_plan;
 use crate::figures;
+use crate::plans::read_plan;
 use crate::state::Node;
 
 /// What a value that nodes or operators keep in force says of its age: the greater, the later.
--- a/crates/node/src/intake.rs
+++ b/crates/node/src/intake.rs
@@ -12,6 +12,7 @@
 use crate::decider::{self, LEASE_KEY};
 use crate::era;
 use crate::member;
+use crate::plans::read_plan;
 use crate::record;
 use crate::state::Node;
 use crate::unreadable::Part;
@@ -157,7 +158,7 @@
         }
         return;
     }
-    match decider::read_plan(item) {
+    match read_plan(item) {
         Ok(Some((domain, document))) => {
             let mut plans = node.plans.lock();
             plans.insert(domain, document);
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod member;
 pub mod peer;
 pub mod plain;
+pub mod plans;
 mod prober;
 pub mod program;
 mod pulse;
