Adopt groups that serve when their plan was lost with the store

A test (a store without plans, the deciding node lost, the other one turned away for a second) showed all groups stopped at once and the same epochs given out again.

Cause: what stands in no plan was taken for remains, though epochs are planned before any order names them, so that one beyond all plans proves that a plan was lost. Now such groups are found by what their members tell, added to the plans before anything is decided, and serve on; a domain in which one is seen in part only is left alone until all is read anew. A node that knows of no former era stands later than those that do.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -10,7 +10,7 @@
 //! - Decisions for groups: [`scene`] is what the deciding node looks at, [`memory`] what it
 //!   remembers, [`order`] what a runner is told; [`loss`], [`form`], [`preempt`], [`staging`],
 //!   [`orders`] and, for how many of each, [`demand`], [`reserve`], [`loads`] answer one
-//!   question each, and [`decide`] calls them. [`census`] is what the log says of it.
+//!   question each, and [`decide`] calls them; [`adopt`] finds groups whose plan was lost. [`census`] is what the log says of it.
 //! - Choices for requests: [`dispatch`] and [`balance`] pick the runner, of those that want
 //!   requests ([`backoff`]), [`limit`] admits,
 //!   [`event`] splits a stream into the events that can be resumed after.
@@ -18,6 +18,7 @@
 //!   [`suspects`] (what all nodes know), [`gossip`] (how they tell it), [`trials`] (what is run).
 //! - [`source`] says whom a node asks for what the store holds.
 
+pub mod adopt;
 pub mod backoff;
 pub mod balance;
 pub mod breaks;
--- a/crates/node/src/decider.rs
+++ b/crates/node/src/decider.rs
@@ -9,6 +9,7 @@
 use std::sync::Arc;
 
 use cottoncrank::{Millis, id};
+use cottoncrank_fleet::adopt::adopt;
 use cottoncrank_fleet::catalog::Service;
 use cottoncrank_fleet::census::{self, Census};
 use cottoncrank_fleet::decide::{Step, step};
@@ -16,7 +17,7 @@
 use cottoncrank_fleet::memory::Memory;
 use cottoncrank_fleet::order::Order;
 use cottoncrank_fleet::plan::Document;
-use cottoncrank_fleet::position::Position;
+use cottoncrank_fleet::position::{Era, Position};
 use cottoncrank_fleet::probe::Probes;
 use cottoncrank_fleet::scene::Scene;
 use cottoncrank_net::client::{Client, Traffic};
@@ -124,11 +125,15 @@
             continue;
         }
         let now_in = node.store.era();
-        let turn = match era.is_some_and(|era| now_in > era) {
-            true if led => Millis(0),
+        let lease = LEASE.max(node.settings().lease_min);
+        let turn = match era {
+            Some(era) if now_in > era && led => Millis(0),
             // Whoever decided before may be cut off from the store, and sure of its lease.
-            true => LEASE.max(node.settings().lease_min),
-            false => find_turn(&node),
+            Some(era) if now_in > era => lease,
+            // The store may have come back just now without the plans that groups serve by: those
+            // that know them go first.
+            None if now_in > Era::default() => lease + lease,
+            _ => find_turn(&node),
         };
         tokio::time::sleep(turn.duration()).await;
         (era, led) = (Some(now_in), false);
@@ -234,6 +239,7 @@
             self.plans.kept.insert(domain.clone(), Kept { position, document: document.clone() });
             writes.push((domain, document, vec!["put back, the store had lost it".to_owned()]));
         }
+        writes.extend(self.adopt());
         for writes in writes.chunks(WRITES_MAX) {
             if !self.write(writes).await? {
                 // What is held now is the older one: nothing is decided from that.
@@ -243,6 +249,29 @@
         Ok(())
     }
 
+    /// The plans with groups that serve and stand in none, for the store has lost theirs. A
+    /// domain in which one is seen in part is left alone until all is read anew.
+    fn adopt(&mut self) -> Vec<(id::Domain, Document, Vec<String>)> {
+        let Some(catalog) = self.node.catalog.lock().clone() else { return Vec::new() };
+        let adoption = adopt(&catalog.services, &self.node.roster.lock(), &self.plans.list_documents());
+        for domain in &adoption.unclear {
+            log::warn!(
+                "decider: {domain}: a group is seen in part that stands in no plan; nothing is decided there"
+            );
+        }
+        self.plans.closed.extend(adoption.unclear);
+        let plans = adoption.plans.into_iter().filter(|(domain, _)| !self.plans.closed.contains(domain));
+        let reason = || vec!["adopt groups that serve, the store had lost their plan".to_owned()];
+        let plans: Vec<_> = plans.map(|(domain, document)| (domain, document, reason())).collect();
+        for (domain, document, _) in &plans {
+            let kept = self.plans.kept.get(domain);
+            let (position, version) = kept.map_or((None, 0), |kept| (kept.position, kept.document.version));
+            let document = Document { version, ..document.clone() };
+            self.plans.kept.insert(domain.clone(), Kept { position, document });
+        }
+        plans
+    }
+
     /// Decides until the lease is lost.
     async fn hold(&mut self) -> Result<std::convert::Infallible, EndError> {
         self.put_back().await?;
@@ -297,12 +326,7 @@
         for service in &catalog.services {
             let Some(engine) = &service.engine else { continue };
             let bounds = self.node.settings().bounds.clone();
-            let documents = self
-                .plans
-                .kept
-                .iter()
-                .map(|(domain, kept)| (domain.clone(), kept.document.clone()))
-                .collect();
+            let documents = self.plans.list_documents();
             let in_flight = self.node.sum_all_in_flight();
             let (step, census) = {
                 let roster = self.node.roster.lock();
--- a/crates/node/src/plans.rs
+++ b/crates/node/src/plans.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use cottoncrank::{Millis, id};
-use cottoncrank_fleet::plan::Document;
+use cottoncrank_fleet::plan::{self, Document};
 use cottoncrank_fleet::position::Position;
 use cottoncrank_platform::item::Item;
 use cottoncrank_platform::store::StoreError;
@@ -41,6 +41,13 @@
     pub(crate) read: Millis,
 }
 
+impl Plans {
+    /// What is planned, by domain.
+    pub(crate) fn list_documents(&self) -> plan::Plans {
+        self.kept.iter().map(|(domain, kept)| (domain.clone(), kept.document.clone())).collect()
+    }
+}
+
 /// Reads all plans. A domain whose plan cannot be read is left alone, for its groups are not
 /// known; all others are decided.
 pub(crate) async fn read_plans(node: &Node) -> Result<Plans, StoreError> {
--- a/crates/node/tests/eras.rs
+++ b/crates/node/tests/eras.rs
@@ -14,7 +14,7 @@
 use cottoncrank_platform_standin::caller::{Question, WAIT_MS, ask};
 use cottoncrank_platform_standin::operator::{PLAIN, READ, STREAM, config};
 use cottoncrank_platform_standin::runner::{Place, Runner};
-use cottoncrank_platform_standin::store;
+use cottoncrank_platform_standin::store::{self, Closed, Door};
 
 /// Runners and operators write again within about this.
 const AGAIN: Millis = Millis(1000);
@@ -253,3 +253,43 @@
     let former = client.read_all().await;
     assert!(matches!(former, Err(StoreError::Era(EraError::Former { .. }))), "{former:?}");
 }
+
+#[tokio::test]
+async fn a_node_that_starts_just_then_does_not_decide_before_those_that_know() {
+    let mut fleet = Fleet::bare(0).await;
+    let copy = fleet.store.copy();
+    let doors = [Door::open(&fleet.store).unwrap(), Door::open(&fleet.store).unwrap()];
+    for (number, door) in doors.iter().enumerate() {
+        fleet.nodes.push(start_node(door.address(), number, "hall-a").await);
+    }
+    fleet.store.configure(&config(1, &[KEY]));
+    fleet.wait("all nodes know two open groups", |fleet| fleet.all_know(2)).await;
+    let before = list_places(&fleet);
+    // The node that decides is lost as well, and the other one is turned away for a moment: the
+    // store has no plan, and nobody else can say so to a node that starts.
+    let deciding = fleet.nodes.iter().position(|running| running.node.is_deciding()).unwrap();
+    fleet.nodes.remove(deciding);
+    let door = &doors[1 - deciding];
+    door.set_closed(Closed::All);
+    fleet.store.go_back(&copy);
+    fleet.store.configure(&config(1, &[KEY]));
+    for runner in fleet.engines.iter().chain(&fleet.plain) {
+        runner.enter();
+    }
+    fleet.nodes.push(start_node(fleet.store.address(), 7, "hall-a").await);
+    let decides = |fleet: &Fleet| fleet.nodes.iter().any(|running| running.node.is_deciding());
+    let mut decided = 0;
+    for look in 0.. {
+        if look == 20 {
+            door.set_closed(Closed::Not);
+        }
+        assert_eq!(list_places(&fleet), before, "groups that served are stopped");
+        decided += usize::from(decides(&fleet));
+        if decided > 30 {
+            break;
+        }
+        assert!(look < 400, "nobody decides");
+        tokio::time::sleep(Millis(50).duration()).await;
+    }
+    assert_epochs_once(&fleet);
+}
