--- a/crates/node/tests/rest.rs
+++ b/crates/node/tests/rest.rs
@@ -80,7 +80,7 @@
     let fleet = Fleet::serving(3).await;
     let since = Instant::now();
     let head = fleet.heads()[0];
-    head.set_fault(Fault::Rest(REST));
+    head.set_fault(Fault::BackOff(REST));
     let answers = play(&fleet, STREAM, REST).await;
     assert_rested(&fleet, head, since);
     assert!(list_times(head, 0).len() + list_times(head, 1).len() + list_times(head, 2).len() > 0);
@@ -91,7 +91,7 @@
 async fn a_plain_runner_that_asks_for_rest_gets_it_from_every_node() {
     let fleet = Fleet::serving(3).await;
     let since = Instant::now();
-    fleet.plain[0].set_fault(Fault::Rest(REST));
+    fleet.plain[0].set_fault(Fault::BackOff(REST));
     let answers = play(&fleet, READ, REST).await;
     assert_rested(&fleet, &fleet.plain[0], since);
     assert_eq!(count_served(&answers), answers.len(), "the other runner has room for all");
@@ -102,7 +102,7 @@
     let fleet = Fleet::serving(1).await;
     let since = Instant::now();
     for runner in fleet.heads().into_iter().chain(&fleet.plain) {
-        runner.set_fault(Fault::Rest(REST));
+        runner.set_fault(Fault::BackOff(REST));
     }
     for path in [STREAM, READ] {
         // Both are asked once, by the first request.
@@ -128,7 +128,7 @@
 async fn a_runner_that_has_rested_gets_requests_again() {
     let fleet = Fleet::serving(1).await;
     for runner in fleet.heads() {
-        runner.set_fault(Fault::Rest(REST));
+        runner.set_fault(Fault::BackOff(REST));
     }
     fleet.ask(STREAM, "0-first").await;
     for runner in fleet.heads() {
--- a/crates/soak/src/check.rs
+++ b/crates/soak/src/check.rs
@@ -8,6 +8,7 @@
 
 use crate::fleet::REVOKE_MS;
 use crate::load::{Call, Kind};
+use crate::plan::Fault;
 
 /// A runner that leaves gets nothing new after this.
 const DRAIN: Duration = Duration::from_millis(2000);
@@ -54,6 +55,9 @@
     /// A request that ends runners reached them too often in a fleet without faults.
     #[error("{0}: {1} runs, and {2} more after all faults")]
     Deadly(String, usize, usize),
+    /// A runner that wanted no requests for a while got some from a node that it had told.
+    #[error("{0} wanted no requests and got {1} from node {2}")]
+    BackOff(String, usize, usize),
     /// A request that ends nothing was refused as one that does.
     #[error("{0}: it was answered 400")]
     Wronged(String),
@@ -74,6 +78,8 @@
     pub to: Instant,
     /// The node that was told to stop, if that is all it is.
     pub stop: Option<usize>,
+    /// What it was, where that matters.
+    pub fault: Option<Fault>,
 }
 
 /// What a runner saw.
@@ -123,10 +129,50 @@
     for witness in &record.witnesses {
         breaches.extend(check_drain(witness, record));
         breaches.extend(check_groups(witness, record));
+        breaches.extend(check_backoff(witness, record));
     }
     breaches
 }
 
+/// What is under way may come for this long after a runner has said that it wants none, and so
+/// many more after that.
+const UNDER_WAY: Duration = Duration::from_millis(500);
+const BACKOFF_MORE: usize = 2;
+
+/// A runner that wants no requests for a while gets none from a node that it has told, unless
+/// that node's process did not run, or the way there was harmed.
+fn check_backoff(witness: &Witness, record: &Record) -> Vec<Breach> {
+    let nodes: HashMap<&str, usize> = record.calls.iter().map(|call| (call.id.as_str(), call.node)).collect();
+    let seen: Vec<(&Seen, usize)> =
+        witness.seen.iter().filter_map(|seen| Some((seen, *nodes.get(seen.request.as_str())?))).collect();
+    let mut breaches = Vec::new();
+    for (told, node) in &seen {
+        let Some(span) = told.backoff else { continue };
+        let binds = told.at + UNDER_WAY..told.at + span.duration();
+        let came = seen
+            .iter()
+            .filter(|(other, from)| from == node && other.life == told.life && binds.contains(&other.at));
+        let came = came.count();
+        let excused = record
+            .troubles
+            .iter()
+            .any(|trouble| trouble.from < binds.end && trouble.to > told.at && excuses(trouble.fault, *node));
+        if came > BACKOFF_MORE && !excused {
+            breaches.push(Breach::BackOff(witness.id.clone(), came, *node));
+        }
+    }
+    breaches
+}
+
+fn excuses(fault: Option<Fault>, node: usize) -> bool {
+    use Fault::*;
+    match fault {
+        Some(Kill(at) | Pause(at) | Stop(at) | Suspend(at)) => at == node,
+        Some(RunnerLink(..)) => true,
+        _ => false,
+    }
+}
+
 fn count_runs(record: &Record) -> HashMap<&str, usize> {
     let mut runs = HashMap::new();
     let seen = record.witnesses.iter().flat_map(|witness| &witness.seen);
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -38,6 +38,9 @@
 /// beyond the time in which keys may be honoured.
 const SLEEPS: [u64; 3] = [300, 3000, 6000];
 
+/// For how long a runner wants no requests that says so.
+pub const BACKOFF: Millis = Millis(2000);
+
 /// The store is away for at most this long before it comes back older, in milliseconds.
 const AWAY: u64 = 1500;
 
@@ -90,6 +93,8 @@
     Mute,
     /// It answers nothing at all.
     Dark,
+    /// It turns requests away and wants no other one from there for [`BACKOFF`].
+    BackOff,
 }
 
 /// What goes wrong.
@@ -178,18 +183,22 @@
         Plan { seed, nodes, engines, length: length.0, events }
     }
 
-    /// The same plan with requests that end runners, boxes that are suspended, and a store that
-    /// comes back older.
+    /// The same plan with requests that end runners, boxes that are suspended, runners that want
+    /// no requests for a while, and a store that comes back older.
     pub fn with_deadly(mut self) -> Plan {
         let mut rng = SmallRng::seed_from_u64(self.seed ^ DEADLY);
         let mut at = CALM.0 + rng.random_range(0..PAUSE_DEADLY);
         while at + CALM.0 < self.length {
-            let event = match rng.random_range(0..5) {
+            let event = match rng.random_range(0..7) {
                 0 | 1 => {
                     let fault = Fault::Deadly(rng.random_range(0..DEADLY_MOST));
                     Event { at, span: rng.random_range(1000..SPAN.end), fault }
                 }
                 2 => Event { at, span: rng.random_range(SPAN.start..AWAY), fault: Fault::Older },
+                3 | 4 => {
+                    let fault = Fault::Runner(rng.random_range(0..self.engines), RunnerFault::BackOff);
+                    Event { at, span: rng.random_range(1000..SPAN.end), fault }
+                }
                 _ => {
                     let fault = Fault::Suspend(rng.random_range(0..self.nodes));
                     Event { at, span: SLEEPS[rng.random_range(0..SLEEPS.len())], fault }
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -21,7 +21,7 @@
 use crate::fleet::Fleet;
 use crate::groups::{Row, Watch};
 use crate::load::{Call, Caller, Hint, Kind};
-use crate::plan::{Fault, Plan, RunnerFault, StoreFault};
+use crate::plan::{BACKOFF, Fault, Plan, RunnerFault, StoreFault};
 
 /// Callers for each node.
 const CALLERS: usize = 6;
@@ -208,6 +208,7 @@
                 RunnerFault::Short => runner::Fault::Short,
                 RunnerFault::Mute => runner::Fault::Mute,
                 RunnerFault::Dark => runner::Fault::Dark,
+                RunnerFault::BackOff => runner::Fault::BackOff(BACKOFF),
             }),
             Fault::Lapse(runner) => fleet.engines[runner].runner.lapse(),
             Fault::Leave(runner) => {
@@ -320,7 +321,12 @@
         let stop = if let Fault::Stop(node) = ended.fault { Some(node) } else { None };
         // Neither a hangup nor a new key excuses anything.
         if !matches!(ended.fault, Fault::Reload(_) | Fault::Rekey | Fault::Leave(_)) {
-            self.troubles.push(Trouble { from: ended.from, to: Instant::now(), stop });
+            self.troubles.push(Trouble {
+                from: ended.from,
+                to: Instant::now(),
+                stop,
+                fault: Some(ended.fault),
+            });
         }
         self.tell();
     }
--- a/crates/soak/tests/checks.rs
+++ b/crates/soak/tests/checks.rs
@@ -2,11 +2,13 @@
 
 use std::time::{Duration, Instant};
 
+use cottoncrank::Millis;
 use cottoncrank_platform_standin::caller::Answer;
 use cottoncrank_platform_standin::runner::{EVENTS, Join, Place, Seen};
 use cottoncrank_soak::check::{Breach, Record, Trouble, Witness, check};
 use cottoncrank_soak::groups::{Row, Watch};
 use cottoncrank_soak::load::{Call, Kind};
+use cottoncrank_soak::plan::Fault;
 
 fn seconds(count: u64) -> Duration {
     Duration::from_secs(count)
@@ -26,6 +28,8 @@
         last_event: None,
         run: true,
         deadly: false,
+        backoff: None,
+        life: 1,
         leaving: false,
         group: None,
         at,
@@ -111,7 +115,7 @@
     let mut late = record(Vec::new(), vec![Seen { leaving: true, ..seen("a", now + seconds(4)) }]);
     late.witnesses[0].left = Some(now);
     assert!(matches!(check(&late)[..], [Breach::Drain(..)]));
-    late.troubles = vec![Trouble { from: now, to: now + seconds(2), stop: None }];
+    late.troubles = vec![Trouble { from: now, to: now + seconds(2), stop: None, fault: None }];
     assert_eq!(check(&late), []);
 }
 
@@ -121,9 +125,9 @@
     let mut broken = call("a", Kind::Read, now + seconds(1), Answer::default());
     broken.answer.as_mut().unwrap().whole = false;
     let mut cut = record(vec![broken], vec![seen("a", now + seconds(1))]);
-    cut.troubles = vec![Trouble { from: now, to: now + seconds(3), stop: Some(0) }];
+    cut.troubles = vec![Trouble { from: now, to: now + seconds(3), stop: Some(0), fault: None }];
     assert_eq!(check(&cut), [Breach::Cut("a".into(), 0)]);
-    cut.troubles.push(Trouble { from: now, to: now + seconds(1), stop: None });
+    cut.troubles.push(Trouble { from: now, to: now + seconds(1), stop: None, fault: None });
     assert_eq!(check(&cut), [], "something else was wrong as well");
 }
 
@@ -165,3 +169,31 @@
     let broken = [row("e-0", "g1", false), row("e-1", "g2", false)];
     assert!(watch.look(&broken, now).breaches.is_empty(), "its head takes nothing any more");
 }
+
+#[test]
+fn requests_to_a_runner_that_wants_none_are_noticed() {
+    let now = Instant::now();
+    let told = |name: &str, at: Instant| Seen { backoff: Some(Millis(2000)), run: false, ..seen(name, at) };
+    let names = ["a", "b", "c", "d"];
+    let calls = || names.map(|name| call(name, Kind::Read, now, Answer::default())).to_vec();
+    let after = |life: u64| {
+        names[1..].iter().map(move |name| Seen { life, ..told(name, now + seconds(1)) }).collect::<Vec<_>>()
+    };
+    let mut seen_all = vec![told("a", now)];
+    seen_all.extend(after(1));
+    let mut sent = record(calls(), vec![]);
+    sent.witnesses = vec![witness("e-0", seen_all)];
+    assert!(matches!(check(&sent)[..], [Breach::BackOff(_, 3, 0)]), "{:?}", check(&sent));
+    // The node's process did not run meanwhile, or it is another one's that was.
+    let trouble = |fault| Trouble { from: now, to: now + seconds(1), stop: None, fault: Some(fault) };
+    sent.troubles = vec![trouble(Fault::Kill(1))];
+    assert_eq!(check(&sent).len(), 1);
+    sent.troubles = vec![trouble(Fault::Kill(0))];
+    assert_eq!(check(&sent), []);
+    // The runner has started again.
+    let mut again = vec![told("a", now)];
+    again.extend(after(2));
+    let mut sent = record(calls(), vec![]);
+    sent.witnesses = vec![witness("e-0", again)];
+    assert_eq!(check(&sent), []);
+}
--- a/crates/soak/tests/soak.rs
+++ b/crates/soak/tests/soak.rs
@@ -1,7 +1,7 @@
 //! A short run with a seed, and what plans promise.
 
 use cottoncrank::Millis;
-use cottoncrank_soak::plan::{Fault, Plan};
+use cottoncrank_soak::plan::{Fault, Plan, RunnerFault};
 use cottoncrank_soak::run::play;
 
 /// The seed that every run of the tests plays.
@@ -19,6 +19,26 @@
     assert_eq!(toml::from_str::<Plan>(&text).unwrap(), plan);
 }
 
+/// One whose plan has requests that end runners, a suspended box, a runner that wants no requests
+/// for a while, and a store that comes back older.
+const DEADLY: u64 = 45;
+
+fn draw_deadly(seed: u64) -> Plan {
+    Plan::draw(seed, 3, 6, Millis(8000)).with_deadly()
+}
+
+#[test]
+fn the_plan_of_deadly_requests_has_all_of_its_faults_and_what_was_drawn_before() {
+    let plan = draw_deadly(DEADLY);
+    let has = |wanted: fn(&Fault) -> bool| plan.events.iter().any(|event| wanted(&event.fault));
+    assert!(has(|fault| matches!(fault, Fault::Deadly(_))), "{plan:?}");
+    assert!(has(|fault| matches!(fault, Fault::Suspend(_))), "{plan:?}");
+    assert!(has(|fault| matches!(fault, Fault::Older)), "{plan:?}");
+    assert!(has(|fault| matches!(fault, Fault::Runner(_, RunnerFault::BackOff))), "{plan:?}");
+    let before = Plan::draw(DEADLY, 3, 6, Millis(8000));
+    assert!(before.events.iter().all(|event| plan.events.contains(event)));
+}
+
 #[test]
 fn the_plan_of_lives_has_both_of_its_faults() {
     let plan = Plan::draw(LIVES, 3, 6, Millis(6000));
@@ -40,6 +60,15 @@
     }
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_short_run_with_deadly_requests_and_a_store_that_comes_back_keeps_all_promises() {
+    let folder = std::env::temp_dir().join(format!("cottoncrank-deadly-{}", std::process::id()));
+    let report = play(&draw_deadly(DEADLY), &folder).await.unwrap();
+    assert_eq!(report.breaches, [], "settings and logs are in {}", folder.display());
+    assert!(report.served > 0);
+    std::fs::remove_dir_all(&folder).unwrap();
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn plans_that_failed_once_are_kept_now() {
     let package = std::env::var_os("CARGO_MANIFEST_DIR").expect("cargo names the package's folder");
