Take no other runner's word for one that leaves

An answer 421 comes from another runner at the address; that it leaves says nothing of the one that was meant. Found by reading; the test failed to hold for 421 before, the first such answer would have put the one meant out of use.

--- a/crates/node/src/attempt.rs
+++ b/crates/node/src/attempt.rs
@@ -311,7 +311,7 @@
         }
     };
     let status = response.status().as_u16();
-    if header::is_leaving(response.headers()) {
+    if header::is_leaving(status, response.headers()) {
         node.note_leaving(&pick.id, pick.life);
     }
     let backoff = backoff::note(node, &pick.id, pick.life, status, response.headers());
