Stand at once after any end of a term with its era

A term that ended because its lease was of a former era, before the look at the era itself, did not count as one: the node that knew what it had written waited for a lease longer than it had to. Found by reading; no test shows the time.

--- a/crates/node/src/decider.rs
+++ b/crates/node/src/decider.rs
@@ -149,7 +149,7 @@
                 let prober = tokio::spawn(prober::run(node, client, probes));
                 term.node.set_deciding(true);
                 let Err(end) = term.hold().await;
-                led = matches!(end, EndError::CameBack);
+                led = term.node.store.era() != term.position.era();
                 term.node.set_deciding(false);
                 prober.abort();
                 log::warn!("decider: this node decides no more: {end}");
