Keep the entries of nodes without a call for each node at all times

Cause: calls grew with the nodes, all the time, for what hardly ever changes. Three ways were weighed: a longer lease (calls still grow with the nodes), one lease of a hall (one hall's entries stand and fall with it, and all write again whenever it has to be opened anew), and this one. Change: entries go with no lease. The collector of a hall, which hears of its nodes anyway, removes those of nodes it hears of no more for 12 s, after 120 s where most of a hall or a whole hall is silent; a node whose entry is gone writes it again, and one that starts again leaves it where it stands. A node that starts reads the entries of its own hall, once, in place of all entries up to fifteen times. Nodes that went while the store's history was forgotten are forgotten with it.

--- a/crates/fleet/src/directory.rs
+++ b/crates/fleet/src/directory.rs
@@ -121,6 +121,11 @@
         self.0.values().filter(|peer| key(peer) < own).count()
     }
 
+    /// The names of the nodes of a hall.
+    pub fn list_names(&self, hall: &id::Hall) -> impl Iterator<Item = &id::Node> {
+        self.0.values().filter(move |peer| peer.hall == *hall).map(|peer| &peer.node)
+    }
+
     /// The halls there are nodes in.
     pub fn list_halls(&self) -> BTreeSet<&id::Hall> {
         self.0.values().map(|peer| &peer.hall).collect()
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -5,7 +5,7 @@
 //!
 //! - What is known: [`position`] (where in the store's history), [`catalog`] (what operators want), [`runner`] and [`roster`] (the
 //!   runners and their lives), [`plan`] (which runner is meant for which group),
-//!   [`probe`], [`halt`], [`directory`], [`occupancy`] (what all nodes have in flight),
+//!   [`probe`], [`halt`], [`directory`], [`presence`] (which nodes are gone), [`occupancy`] (what all nodes have in flight),
 //!   [`freshness`] (how long a node may rely on what it knows).
 //! - Decisions for groups: [`scene`] is what the deciding node looks at, [`memory`] what it
 //!   remembers, [`order`] what a runner is told; [`loss`], [`form`], [`preempt`], [`staging`],
@@ -51,6 +51,7 @@
 pub mod position;
 pub mod preempt;
 mod preload;
+pub mod presence;
 pub mod probe;
 pub mod rate;
 pub mod refusals;
--- /dev/null
+++ b/crates/fleet/tests/presence.rs
@@ -0,0 +1,158 @@
+//! With nearly a thousand nodes, 6,389 calls to the store in a calm day cost callers a tenth of the
+//! worth of all their requests: nearly all of them renewed a lease for the entry of a node, which
+//! hardly ever changes. A longer lease would only have moved that to a larger fleet.
+//!
+//! Now entries go with no lease. The collector of a hall, which hears of its nodes anyway, removes
+//! the entries of those it hears of no more, so that calls go with the changes.
+
+use std::collections::BTreeSet;
+
+use cottoncrank::{Millis, id};
+use cottoncrank_fleet::directory::{Directory, Peer, Processor};
+use cottoncrank_fleet::presence::{ABSENT, ABSENT_MANY, Presence};
+
+const HALLS: usize = 5;
+const LOOK: Millis = Millis(1000);
+
+fn name(hall: usize, number: usize) -> id::Node {
+    format!("n{hall}-{number}").parse().unwrap()
+}
+
+fn hall(number: usize) -> id::Hall {
+    format!("hall-{number}").parse().unwrap()
+}
+
+/// A fleet with the collector of each hall, which is its node 0.
+struct Fleet {
+    directory: Directory,
+    dead: BTreeSet<id::Node>,
+    /// Halls whose collectors hear of nobody, and of which nobody hears.
+    cut: BTreeSet<usize>,
+    collectors: Vec<Presence>,
+    per_hall: usize,
+    now: Millis,
+    /// Entries removed so far.
+    removed: usize,
+}
+
+impl Fleet {
+    fn new(nodes: usize) -> Fleet {
+        let mut directory = Directory::default();
+        let per_hall = nodes / HALLS;
+        for at in 0..HALLS {
+            for number in 0..per_hall {
+                directory.put(Peer {
+                    node: name(at, number),
+                    hall: hall(at),
+                    address: "127.0.0.1:9".parse().unwrap(),
+                    processor: Processor(120),
+                });
+            }
+        }
+        let collectors = vec![Presence::default(); HALLS];
+        let (dead, cut) = (BTreeSet::new(), BTreeSet::new());
+        Fleet { directory, dead, cut, collectors, per_hall, now: Millis(1), removed: 0 }
+    }
+
+    fn kill(&mut self, at: usize, numbers: std::ops::Range<usize>) {
+        self.dead.extend(numbers.map(|number| name(at, number)));
+    }
+
+    /// Goes on for `span`.
+    fn run(&mut self, span: Millis) {
+        let end = self.now + span;
+        while self.now < end {
+            self.now = self.now + LOOK;
+            for at in 0..HALLS {
+                self.look(at);
+            }
+        }
+    }
+
+    fn look(&mut self, at: usize) {
+        let me = name(at, 0);
+        if self.dead.contains(&me) {
+            return;
+        }
+        let collector = &mut self.collectors[at];
+        collector.begin();
+        if !self.cut.contains(&at) {
+            let living = (1..self.per_hall).map(|number| name(at, number));
+            for node in living.filter(|node| !self.dead.contains(node)) {
+                collector.hear(&node, self.now);
+            }
+            let others = (0..HALLS).filter(|other| *other != at && !self.cut.contains(other));
+            for other in others.filter(|other| !self.dead.contains(&name(*other, 0))) {
+                collector.hear_hall(&hall(other), self.now);
+            }
+        }
+        for node in collector.list_gone(&me, &hall(at), &self.directory, self.now) {
+            self.directory.remove(&node);
+            self.removed += 1;
+        }
+    }
+
+    fn knows(&self, at: usize, number: usize) -> bool {
+        self.directory.get(&name(at, number)).is_some()
+    }
+}
+
+#[test]
+fn a_calm_fleet_of_any_size_makes_no_call() {
+    for nodes in [10, 300, 985, 1970] {
+        let mut fleet = Fleet::new(nodes);
+        fleet.run(Millis(180_000));
+        assert_eq!(fleet.removed, 0, "{nodes} nodes");
+    }
+}
+
+#[test]
+fn nodes_that_are_gone_are_removed_once_and_no_others() {
+    let mut fleet = Fleet::new(985);
+    fleet.run(Millis(60_000));
+    fleet.kill(1, 3..17);
+    fleet.run(ABSENT - LOOK);
+    assert_eq!(fleet.removed, 0, "a box that starts again is away for seconds");
+    fleet.run(LOOK + LOOK);
+    assert_eq!(fleet.removed, 14);
+    assert!(!fleet.knows(1, 3) && !fleet.knows(1, 16) && fleet.knows(1, 17));
+    fleet.run(Millis(300_000));
+    assert_eq!(fleet.removed, 14);
+}
+
+#[test]
+fn a_collector_that_is_cut_off_removes_nobody_soon() {
+    let mut fleet = Fleet::new(985);
+    fleet.run(Millis(60_000));
+    fleet.cut.insert(2);
+    fleet.run(ABSENT_MANY - LOOK);
+    assert_eq!(fleet.removed, 0, "it hears of none of the others, and they of none of its hall");
+    fleet.cut.clear();
+    fleet.run(Millis(300_000));
+    assert_eq!(fleet.removed, 0);
+}
+
+#[test]
+fn a_hall_that_is_lost_for_good_is_removed_by_one_other() {
+    let mut fleet = Fleet::new(985);
+    fleet.run(Millis(60_000));
+    fleet.kill(0, 0..197);
+    fleet.kill(3, 1..150);
+    fleet.run(ABSENT_MANY - LOOK);
+    assert_eq!(fleet.removed, 0, "most of two halls are not heard of");
+    fleet.run(LOOK + LOOK);
+    assert_eq!(fleet.removed, 197 + 149);
+    assert!(fleet.knows(3, 0) && fleet.knows(3, 150) && !fleet.knows(0, 0));
+}
+
+#[test]
+fn a_node_that_collects_no_more_removes_nobody() {
+    let mut fleet = Fleet::new(90);
+    fleet.run(Millis(60_000));
+    fleet.kill(1, 3..5);
+    fleet.run(ABSENT - LOOK);
+    // Another node of the hall answers it, and was heard by the others meanwhile.
+    fleet.collectors[1].resign();
+    let gone = fleet.collectors[1].list_gone(&name(1, 0), &hall(1), &fleet.directory, fleet.now + ABSENT);
+    assert!(gone.is_empty(), "{gone:?}");
+}
--- a/crates/node/src/collect.rs
+++ b/crates/node/src/collect.rs
@@ -44,7 +44,11 @@
         let collector = find_collector(&node, &settings.hall, &node.untold.lock());
         let failed = match collector {
             Some(collector) if collector.node != settings.node => {
-                tell(&node, &client, &collector).await.err().into_iter().collect()
+                let told = tell(&node, &client, &collector).await;
+                if told.is_ok() {
+                    node.presence.lock().resign();
+                }
+                told.err().into_iter().collect()
             }
             _ => tell_halls(&node, &client, list_others(&node, &settings.hall)).await,
         };
@@ -101,6 +105,7 @@
 /// those that do not answer.
 async fn tell_halls(node: &Arc<Node>, client: &Client, others: Vec<Peer>) -> Vec<id::Node> {
     let asked = node.now();
+    node.presence.lock().begin();
     let sum = node.reports.lock().sum_hall(&node.sum_in_flight(), asked);
     let mut telling = JoinSet::new();
     for collector in others {
@@ -153,11 +158,16 @@
 
 /// Keeps what a report says.
 pub fn note(node: &Node, report: Report) {
+    let now = node.now();
     news::take(node, &report.news, report.scope);
-    if report.scope == Scope::Hall {
-        node.rations.lock().hear(&report.hall, &report.wants);
+    match report.scope {
+        Scope::Node => node.presence.lock().hear(&report.node, now),
+        Scope::Hall => {
+            node.presence.lock().hear_hall(&report.hall, now);
+            node.rations.lock().hear(&report.hall, &report.wants);
+        }
     }
-    node.reports.lock().put(report, node.now());
+    node.reports.lock().put(report, now);
 }
 
 fn sum_others(node: &Node, own: &Sum, scope: Scope) -> Sum {
--- a/crates/node/src/intake.rs
+++ b/crates/node/src/intake.rs
@@ -93,6 +93,11 @@
         node.directory.lock().retain(|name| nodes.contains(name));
         node.share_retries();
     }
+    let own = &node.settings().node;
+    if !nodes.contains(own) {
+        node.directory.lock().remove(own);
+        node.entry_gone.notify_one();
+    }
     node.roster.lock().replace(runners, node.now());
     node.decider.send_replace(decider);
     node.set_synced();
@@ -180,6 +185,9 @@
     if key == LEASE_KEY {
         node.decider.send_replace(None);
     } else if let Some(name) = member::read_name(key) {
+        if name == node.settings().node {
+            node.entry_gone.notify_one();
+        }
         node.directory.lock().remove(&name);
         node.share_retries();
     } else if !record::take_gone(node, key) {
--- a/crates/node/src/member.rs
+++ b/crates/node/src/member.rs
@@ -1,26 +1,24 @@
-//! Keeping this node's entry in the store, so that other nodes find it.
+//! Writing this node's entry into the store, so that other nodes find it.
 
 use std::sync::Arc;
 
 use cottoncrank::{Millis, id};
 use cottoncrank_fleet::directory::Peer;
-use cottoncrank_fleet::position::Era;
 use cottoncrank_platform::item::Item;
-use cottoncrank_platform::store::{Commit, Lease, Outcome, StoreError};
+use cottoncrank_platform::store::{Commit, Outcome, StoreError};
 use rand::Rng;
-use tokio::sync::watch;
 
 use crate::state::Node;
 
-/// The prefix of the entries; a node's name follows.
-pub const PREFIX: &str = "node/";
+/// The prefix of the entries; the hall's name and the node's follow.
+const PREFIX: &str = "node/";
 
-/// How long an entry outlasts its node. Nodes that ask a lost one find out by
-/// themselves, at once; the entry only says how many there are.
-const LEASE: Millis = Millis(12_000);
+/// A node that starts again waits for this long at the most until it knows whether its entry
+/// still stands.
+const KNOWN: Millis = Millis(1000);
 
-/// How often the lease is renewed; two renewals may fail.
-const RENEW: Millis = Millis(3500);
+/// What is written to the store is known here within this, as a rule.
+const SEEN: Millis = Millis(500);
 
 /// The pause after a failed call: at least this, at most twice.
 const PAUSE: Millis = Millis(1000);
@@ -29,62 +27,59 @@
 /// written late harms nobody, and an outage strikes all nodes at once.
 const ALL: Millis = Millis(15);
 
-/// Keeps the entry until the process ends.
+/// Writes the entry, and again when it is gone, until the process ends.
 pub async fn run(node: Arc<Node>) {
-    let mut lease = None;
-    let mut era = node.store.subscribe_era();
+    if !node.settings().first_start {
+        node.wait_synced(KNOWN).await;
+    }
+    let own = write_peer(&node);
+    let is_entered = || node.directory.lock().get(&own.node) == Some(&own);
+    let mut entered = is_entered();
     loop {
-        let outcome = match lease {
-            None => enter(&node).await.map(|entered| lease = Some(entered)),
-            Some(held) => node.store.keep_lease(held).await,
-        };
-        let pause = match outcome {
-            Ok(()) => RENEW,
-            Err(error) => {
-                log::info!("member: the entry of this node is not kept: {error}");
-                if matches!(error, StoreError::LeaseOver) {
-                    lease = None;
-                }
-                let least = PAUSE.max(Millis(ALL.0 * node.directory.lock().count() as u64));
-                Millis(least.0 + rand::rng().random_range(0..least.0))
-            }
-        };
-        // A lease of a former era keeps nothing: the entry is gone with what it was written to.
-        let back = wait_back(&node, &mut era);
-        if tokio::time::timeout(pause.duration(), back).await.is_ok() {
-            lease = None;
+        if !entered && let Err(error) = enter(&node, &own).await {
+            log::info!("member: the entry of this node is not written: {error}");
+            wait_turn(&node, PAUSE).await;
+            continue;
         }
+        node.entry_gone.notified().await;
+        wait_turn(&node, SEEN).await;
+        entered = is_entered();
     }
 }
 
-/// Waits until the store has come back from an older copy, and for this node's turn then.
-async fn wait_back(node: &Node, era: &mut watch::Receiver<Option<Era>>) {
-    let known = *era.borrow_and_update();
-    // The sender lives as long as the node.
-    let _ = era.wait_for(|era| known.is_some() && *era > known).await;
-    let spread = ALL.0 * node.directory.lock().count() as u64;
-    let turn = Millis(rand::rng().random_range(0..spread.max(1)));
+/// Waits for this node's turn among all: at least for `least`.
+async fn wait_turn(node: &Node, least: Millis) {
+    let spread = Millis(ALL.0 * node.directory.lock().count() as u64).max(least);
+    let turn = least + Millis(rand::rng().random_range(0..spread.0));
     tokio::time::sleep(turn.duration()).await;
 }
 
-async fn enter(node: &Node) -> Result<Lease, StoreError> {
+/// What this node tells of itself.
+fn write_peer(node: &Node) -> Peer {
     let settings = node.settings();
-    let lease = node.store.open_lease(LEASE.max(settings.lease_min)).await?;
-    let peer = Peer {
+    Peer {
         node: settings.node.clone(),
         hall: settings.hall.clone(),
         address: settings.peers,
         processor: settings.processor,
-    };
-    let value = rmp_serde::to_vec(&peer).map_err(|error| StoreError::Unreadable(error.to_string()))?;
-    let commit =
-        Commit { puts: vec![(format!("{PREFIX}{}", peer.node), value, Some(lease))], ..Commit::default() };
+    }
+}
+
+async fn enter(node: &Node, own: &Peer) -> Result<(), StoreError> {
+    let value = rmp_serde::to_vec(own).map_err(|error| StoreError::Unreadable(error.to_string()))?;
+    let key = format!("{}{}", write_prefix(&own.hall), own.node);
+    let commit = Commit { puts: vec![(key, value, None)], ..Commit::default() };
     match node.store.commit(&commit).await? {
-        Outcome::Done(_) => Ok(lease),
+        Outcome::Done(_) => Ok(()),
         Outcome::Conflict => Err(StoreError::Unreadable("a write without a condition met one".to_owned())),
     }
 }
 
+/// What the keys of the entries of a hall's nodes begin with.
+pub fn write_prefix(hall: &id::Hall) -> String {
+    format!("{PREFIX}{hall}/")
+}
+
 /// Reads a node's entry, if the item is one.
 pub fn read_entry(item: &Item) -> Option<Result<Peer, rmp_serde::decode::Error>> {
     item.key.strip_prefix(PREFIX)?;
@@ -102,7 +97,8 @@
     node.share_retries();
 }
 
-/// The node whose entry has this key, if it is one's.
+/// The node whose entry has this key, if it is one's. Earlier versions left the hall out.
 pub fn read_name(key: &str) -> Option<id::Node> {
-    key.strip_prefix(PREFIX)?.parse().ok()
+    let place = key.strip_prefix(PREFIX)?;
+    place.rsplit_once('/').map_or(place, |(_, name)| name).parse().ok()
 }
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -21,6 +21,7 @@
 use cottoncrank_fleet::occupancy::{self, Counts, Sum, View};
 use cottoncrank_fleet::plan::Plans;
 use cottoncrank_fleet::position::Position;
+use cottoncrank_fleet::presence::Presence;
 use cottoncrank_fleet::refusals;
 use cottoncrank_fleet::roster::{Notice, Roster};
 use cottoncrank_fleet::runner::{Epoch, Life, Runner};
@@ -76,6 +77,10 @@
     pub feed: Feed,
     /// The nodes.
     pub directory: Mutex<Directory>,
+    /// As the collector of its hall, which of them it hears of.
+    pub(crate) presence: Mutex<Presence>,
+    /// Told when this node's own entry is gone from the store.
+    pub(crate) entry_gone: Notify,
     /// The runners.
     pub roster: Mutex<Roster>,
     /// The plans of the groups, as the store tells.
@@ -161,6 +166,8 @@
             settings: Mutex::new(Arc::new(settings)),
             feed: Feed::default(),
             directory: Mutex::default(),
+            presence: Mutex::default(),
+            entry_gone: Notify::new(),
             clock: System::new(),
             catalog: Mutex::default(),
             contact: watch::Sender::new(None),
--- a/crates/node/src/sync.rs
+++ b/crates/node/src/sync.rs
@@ -50,9 +50,10 @@
 /// 0.2 s. Callers come seconds later.
 const FIRST_START: Millis = Millis(400);
 
-/// A node that starts looks this often for a reader that knows what the store holds,
-/// with this pause: readers start at the same time and need a few calls to the store.
-const STARTS: usize = 15;
+/// A node that starts looks this often for a reader that knows what the store holds, with this
+/// pause, twice as long each time: readers start at the same time and need a few calls to the
+/// store, which take the longer the more it holds.
+const STARTS: u32 = 5;
 const START_PAUSE: Millis = Millis(40);
 
 /// Of so many readers each time. One that is dead costs 0.4 s.
@@ -153,31 +154,49 @@
             let pause = FIRST_START.0 + rand::rng().random_range(0..FIRST_START.0 / 2);
             tokio::time::sleep(Millis(pause).duration()).await;
         }
-        for _ in 0..STARTS {
-            match self.node.store.read_own_stale(member::PREFIX).await {
-                Ok(items) => member::take_entries(&self.node, &items),
-                Err(error) => return log::info!("sync: other nodes are not known: {error}"),
-            }
-            let mut unsure = false;
-            for reader in self.list_starters(&settings) {
-                let asked = self.node.now();
-                match self.ask(&reader, Millis(0)).await {
-                    Ok(learned) => {
-                        self.sources.note_answer(learned.contact, self.node.now());
-                        return self.take(learned, false).await;
-                    }
-                    Err(error) => {
-                        log::info!("sync: {} does not say what the store holds: {error}", reader.node);
-                        let took = self.node.now().since(asked);
-                        unsure |= error.failure(took) == Failure::Unsure;
-                    }
-                }
+        for look in 0..STARTS {
+            if self.list_starters(&settings).is_empty() && !self.read_entries(&settings).await {
+                return;
             }
-            if !unsure {
+            if !self.ask_starters(&settings).await {
                 return;
             }
-            tokio::time::sleep(START_PAUSE.duration()).await;
+            tokio::time::sleep(Millis(START_PAUSE.0 << look).duration()).await;
+        }
+    }
+
+    /// Reads which nodes there are in this hall. Returns whether that succeeded.
+    async fn read_entries(&self, settings: &Settings) -> bool {
+        match self.node.store.read_own_stale(&member::write_prefix(&settings.hall)).await {
+            Ok(items) => member::take_entries(&self.node, &items),
+            Err(error) => {
+                log::info!("sync: other nodes are not known: {error}");
+                return false;
+            }
+        }
+        true
+    }
+
+    /// Asks the readers of the hall for all that the store holds. Returns whether one of them may
+    /// know it soon, and none has told it.
+    async fn ask_starters(&mut self, settings: &Settings) -> bool {
+        let mut unsure = false;
+        for reader in self.list_starters(settings) {
+            let asked = self.node.now();
+            match self.ask(&reader, Millis(0)).await {
+                Ok(learned) => {
+                    self.sources.note_answer(learned.contact, self.node.now());
+                    self.take(learned, false).await;
+                    return false;
+                }
+                Err(error) => {
+                    log::info!("sync: {} does not say what the store holds: {error}", reader.node);
+                    let took = self.node.now().since(asked);
+                    unsure |= error.failure(took) == Failure::Unsure;
+                }
+            }
         }
+        unsure
     }
 
     /// The readers that a node asks when it starts.
--- a/crates/node/tests/fleet.rs
+++ b/crates/node/tests/fleet.rs
@@ -355,3 +355,19 @@
     };
     fleet.wait("all have a proof again", |fleet| fleet.nodes.iter().zip(&cleared).all(fresh)).await;
 }
+
+/// Entries go with no lease: a node whose entry is gone from the store writes it again by itself,
+/// and one that starts again finds it there and leaves it.
+#[tokio::test]
+async fn a_node_keeps_its_entry_with_as_few_writes_as_it_takes() {
+    let fleet = Fleet::serving(3).await;
+    let entries = |fleet: &Fleet| fleet.store.list("cottoncrank/node/").len();
+    fleet.wait("all entries are there", |fleet| entries(fleet) == 3).await;
+    let before = fleet.store.calls().commits;
+    tokio::time::sleep(Millis(4000).duration()).await;
+    let calm = fleet.store.calls().commits - before;
+    assert!(calm <= 2, "{calm} writes of three nodes in four calm seconds");
+    fleet.store.remove("cottoncrank/node/hall-a/node-1");
+    fleet.wait("the entry is gone", |fleet| entries(fleet) == 2).await;
+    fleet.wait("its node has written it again", |fleet| entries(fleet) == 3).await;
+}
