Lend retries that the even parts of many nodes leave over

Callers got the failures of runners as they came: from 833 nodes on no node sent a request again that had arrived at a runner. Cause: each node may save up an even part of what the fleet may send again, 0.84 of a retry at 986 nodes, and a retry costs one. Three ways: a part saved up over more time (still less than one), retries by chance (a node in six has none for good at 986, three in five at 1,972), and this one. Change: a node keeps the whole retries of its part; what is left over of the parts of those nodes that report to a collector is lent by that, one at a time, to nodes that ask. A collector that has just become one lends what is earned alone for one window.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -12,7 +12,7 @@
 //!   [`orders`] and, for how many of each, [`demand`], [`reserve`], [`loads`] answer one
 //!   question each, and [`decide`] calls them; [`adopt`] finds groups whose plan was lost. [`census`] is what the log says of it.
 //! - Choices for requests: [`dispatch`] and [`balance`] pick the runner, [`limit`] admits,
-//!   [`event`] splits a stream into the events that can be resumed after.
+//!   [`retries`] shares how many requests are sent again, [`event`] splits a stream into the events that can be resumed after.
 //! - What runners say of themselves in answers ([`said`]): for how long they want nothing from a node
 //!   ([`backoff`]), and how many requests a second ([`rate`]) they take from all nodes together
 //!   ([`throttle`]), which [`apportion`] shares among the halls. [`refusals`] keeps which turn
@@ -56,6 +56,7 @@
 pub mod rate;
 pub mod refusals;
 pub mod reserve;
+pub mod retries;
 pub mod roster;
 pub mod runner;
 pub mod said;
--- a/crates/fleet/src/settings.rs
+++ b/crates/fleet/src/settings.rs
@@ -49,6 +49,8 @@
     pub retry_ratio: f64,
     /// How many more the whole fleet may send again in a window.
     pub retry_slack: f64,
+    /// The length of the window.
+    pub retry_window: Millis,
 }
 
 /// How many loads may begin in any window, against the rate of the weight store.
--- /dev/null
+++ b/crates/fleet/tests/retries.rs
@@ -0,0 +1,149 @@
+//! From 833 nodes on no node sent a request again that had arrived at a runner, although the fleet
+//! may make a thousand retries in ten seconds: callers got the failures of runners as they came.
+//!
+//! The cause: the retries that the fleet may save up were divided evenly, and a part of less than
+//! one pays for none. Now what is left over of the parts is lent by the collectors of the halls.
+//! Both together never exceed what the fleet may send again, for a collector lends for those nodes
+//! alone that report to it.
+
+use std::collections::VecDeque;
+
+use cottoncrank::Millis;
+use cottoncrank::retry::Budget;
+use cottoncrank_fleet::retries::{Pool, Share};
+
+/// What the fleet may send again beyond a part of all requests, in any window.
+const SLACK: f64 = 832.0;
+const RATIO: f64 = 0.16;
+const WINDOW: Millis = Millis(10_000);
+const HALLS: usize = 5;
+const TICK: Millis = Millis(50);
+
+/// What befalls a fleet while it wants retries.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Trouble {
+    None,
+    /// The collector of hall 0 is lost, and another node collects from then on.
+    CollectorLost,
+    /// Half of the nodes of hall 0 are cut off from its collector and report to another one.
+    Split,
+}
+
+/// Retries made, and the most in any window beyond what is allowed.
+struct Outcome {
+    made: usize,
+    wanted: usize,
+    most_over: f64,
+}
+
+/// `nodes` that each want `per_second` retries a second for `span`, while each has one request
+/// in two seconds.
+fn play(nodes: usize, per_second: f64, span: Millis, trouble: Trouble) -> Outcome {
+    let share = Share::of(SLACK, nodes);
+    let mut own: Vec<Budget> = (0..nodes).map(|_| Budget::new(RATIO * share.part(), share.own)).collect();
+    // Two collectors a hall: the second one collects only in trouble.
+    let mut pools = vec![[Pool::default(), Pool::default()]; HALLS];
+    let begin = Millis(25_000);
+    let end = begin + span;
+    let mut debt = vec![0.0; nodes];
+    let (mut made, mut requests): (VecDeque<Millis>, VecDeque<Millis>) = Default::default();
+    let mut outcome = Outcome { made: 0, wanted: 0, most_over: f64::MIN };
+    let mut now = Millis(1);
+    while now < end {
+        let troubled = now >= begin + Millis(2000);
+        let place = |node: usize| match (trouble, node % HALLS) {
+            (Trouble::CollectorLost, 0) if troubled => 1,
+            (Trouble::Split, 0) if troubled && (node / HALLS).is_multiple_of(2) => 1,
+            _ => 0,
+        };
+        let mut told = [[0; 2]; HALLS];
+        (0..nodes).for_each(|node| told[node % HALLS][place(node)] += 1);
+        for (pool, told) in pools.iter_mut().flatten().zip(told.into_iter().flatten()) {
+            match told {
+                0 => pool.resign(),
+                _ => pool.keep(share.left * f64::from(told), WINDOW, now),
+            }
+        }
+        for node in 0..nodes {
+            let pool = &mut pools[node % HALLS][place(node)];
+            if (now.0 / TICK.0) as usize % 40 == node % 40 {
+                own[node].earn();
+                pool.earn(RATIO * (1.0 - share.part()));
+                requests.push_back(now);
+            }
+            if now < begin {
+                continue;
+            }
+            debt[node] += per_second * TICK.0 as f64 / 1000.0;
+            while debt[node] >= 1.0 {
+                debt[node] -= 1.0;
+                outcome.wanted += 1;
+                if own[node].spend() || pool.lend() {
+                    outcome.made += 1;
+                    made.push_back(now);
+                }
+            }
+        }
+        made.retain(|at| now < *at + WINDOW);
+        requests.retain(|at| now < *at + WINDOW);
+        outcome.most_over = outcome.most_over.max(made.len() as f64 - RATIO * requests.len() as f64);
+        now = now + TICK;
+    }
+    outcome
+}
+
+#[test]
+fn a_fleet_of_any_size_uses_the_retries_that_it_may_make() {
+    for nodes in [10, 300, 410, 830, 985, 1970] {
+        let outcome = play(nodes, 600.0 / nodes as f64, Millis(40_000), Trouble::None);
+        let allowed = SLACK + RATIO * (nodes as f64 / 2.0) * 40.0;
+        let used = outcome.made as f64 / allowed.min(outcome.wanted as f64);
+        assert!(
+            used >= 0.8,
+            "{nodes} nodes: {} of {allowed} allowed, {} wanted",
+            outcome.made,
+            outcome.wanted
+        );
+    }
+}
+
+#[test]
+fn it_never_makes_more_whichever_collector_lends() {
+    for trouble in [Trouble::None, Trouble::CollectorLost, Trouble::Split] {
+        for nodes in [90, 830, 985, 1970] {
+            for per_second in [600.0, 20_000.0] {
+                let outcome = play(nodes, per_second / nodes as f64, Millis(15_000), trouble);
+                assert!(
+                    outcome.most_over <= SLACK / 0.8,
+                    "{nodes} nodes, {trouble:?}: {:.0} beyond what requests pay for",
+                    outcome.most_over
+                );
+            }
+        }
+    }
+}
+
+#[test]
+fn what_few_nodes_want_is_not_divided_evenly() {
+    // One node in fifty meets a runner that fails.
+    let mut lent = 0;
+    let share = Share::of(SLACK, 985);
+    let mut pool = Pool::default();
+    pool.keep(share.left * 197.0, WINDOW, Millis(0));
+    pool.keep(share.left * 197.0, WINDOW, WINDOW);
+    for _ in 0..4 {
+        lent += (0..40).filter(|_| pool.lend()).count();
+    }
+    assert_eq!(lent, 160, "a hall of 197 nodes has 166, and each of four nodes wants forty");
+}
+
+#[test]
+fn a_collector_that_has_just_become_one_lends_what_is_earned_alone() {
+    let mut pool = Pool::default();
+    pool.keep(100.0, WINDOW, Millis(5));
+    assert!(!pool.lend(), "whoever collected before may have lent as much just now");
+    pool.earn(1.5);
+    assert!(pool.lend() && !pool.lend());
+    pool.keep(100.0, WINDOW, Millis(5) + WINDOW);
+    assert_eq!((0..200).filter(|_| pool.lend()).count(), 100);
+}
--- a/crates/kernel/src/retry.rs
+++ b/crates/kernel/src/retry.rs
@@ -40,6 +40,11 @@
         self.full = full;
     }
 
+    /// From now on a request pays for `ratio` retries.
+    pub fn set_ratio(&mut self, ratio: f64) {
+        self.gain = (ratio * PRICE as f64) as u64;
+    }
+
     /// A request came that pays for its part of a retry.
     pub fn earn(&mut self) {
         self.level = (self.level + self.gain).min(self.full);
--- a/crates/node/src/collect.rs
+++ b/crates/node/src/collect.rs
@@ -13,6 +13,7 @@
 use crate::avoid::Avoided;
 use crate::news;
 use crate::peer;
+use crate::retries;
 use crate::state::Node;
 use crate::throttle;
 
@@ -47,6 +48,7 @@
                 let told = tell(&node, &client, &collector).await;
                 if told.is_ok() {
                     node.presence.lock().resign();
+                    node.pool.lock().resign();
                 }
                 told.err().into_iter().collect()
             }
@@ -106,6 +108,7 @@
 async fn tell_halls(node: &Arc<Node>, client: &Client, others: Vec<Peer>) -> Vec<id::Node> {
     let asked = node.now();
     node.presence.lock().begin();
+    retries::keep_pool(node);
     let sum = node.reports.lock().sum_hall(&node.sum_in_flight(), asked);
     let mut telling = JoinSet::new();
     for collector in others {
--- a/crates/node/src/dispatch.rs
+++ b/crates/node/src/dispatch.rs
@@ -13,6 +13,7 @@
 use crate::attempt::Job;
 use crate::collect::{self, find_collector, write_report};
 use crate::peer;
+use crate::retries;
 use crate::state::Node;
 use crate::throttle;
 
@@ -110,6 +111,9 @@
 }
 
 fn choose(node: &Node, question: &Question) -> Reply {
+    if question.urgency != Urgency::Again {
+        retries::earn_pooled(node);
+    }
     let Some(catalog) = node.catalog.lock().clone() else { return Reply::Unknown };
     let engine = catalog.find_service(&question.service).and_then(|service| service.engine.as_ref());
     let Some(engine) = engine else { return Reply::Unknown };
--- a/crates/node/src/figures.rs
+++ b/crates/node/src/figures.rs
@@ -48,6 +48,12 @@
     metrics::counter!("cottoncrank_attempts_failed_total", "reason" => reason).increment(1);
 }
 
+/// A node of this hall was lent a retry, or there was none.
+pub fn count_loan(lent: bool) {
+    let outcome = if lent { "lent" } else { "none" };
+    metrics::counter!("cottoncrank_retries_lent_total", "outcome" => outcome).increment(1);
+}
+
 /// A runner of a hall that names a rate has answered a request of this node.
 pub fn count_limited(hall: &id::Hall) {
     metrics::counter!("cottoncrank_limited_sent_total", "hall" => hall.to_string()).increment(1);
--- a/crates/node/src/intake.rs
+++ b/crates/node/src/intake.rs
@@ -14,6 +14,7 @@
 use crate::member;
 use crate::plans::read_plan;
 use crate::record;
+use crate::retries;
 use crate::state::Node;
 use crate::unreadable::Part;
 
@@ -91,7 +92,7 @@
     if !back {
         record::retain(node, &suspects);
         node.directory.lock().retain(|name| nodes.contains(name));
-        node.share_retries();
+        retries::take_share(node);
     }
     let own = &node.settings().node;
     if !nodes.contains(own) {
@@ -154,7 +155,7 @@
         match entry {
             Ok(peer) => {
                 node.directory.lock().put(peer);
-                node.share_retries();
+                retries::take_share(node);
             }
             Err(error) => node.note_unreadable(&item.key, Part::Node, "form", error),
         }
@@ -189,7 +190,7 @@
             node.entry_gone.notify_one();
         }
         node.directory.lock().remove(&name);
-        node.share_retries();
+        retries::take_share(node);
     } else if !record::take_gone(node, key) {
         log::warn!("store: `{key}` was removed");
     }
--- a/crates/node/src/member.rs
+++ b/crates/node/src/member.rs
@@ -8,6 +8,7 @@
 use cottoncrank_platform::store::{Commit, Outcome, StoreError};
 use rand::Rng;
 
+use crate::retries;
 use crate::state::Node;
 
 /// The prefix of the entries; the hall's name and the node's follow.
@@ -94,7 +95,7 @@
             Err(error) => log::error!("member: the entry of a node cannot be read: {error}"),
         }
     }
-    node.share_retries();
+    retries::take_share(node);
 }
 
 /// The node whose entry has this key, if it is one's. Earlier versions left the hall out.
--- a/crates/node/src/peer.rs
+++ b/crates/node/src/peer.rs
@@ -26,6 +26,7 @@
 use crate::dispatch;
 use crate::feed::UnpackError;
 use crate::front::pause_accepting;
+use crate::retries::{self, Loan};
 use crate::state::Node;
 use crate::suspects::{self, Letter};
 use crate::throttle::{self, Place, Plea};
@@ -39,6 +40,9 @@
 /// The path of the question for a place at a runner that names a rate.
 const PLACE_PATH: &str = "/place";
 
+/// The path of the question for a retry.
+const LOAN_PATH: &str = "/retry";
+
 /// The path of a report of what is in flight.
 const REPORT_PATH: &str = "/in-flight";
 
@@ -125,6 +129,11 @@
     suspects::exchange(node, &node.client, to, PLACE_PATH, plea, wait).await
 }
 
+/// Asks the collector of the hall for a retry. Returns whether it lends one.
+pub(crate) async fn ask_loan(node: &Node, to: &Peer, loan: &Loan, wait: Millis) -> Result<bool, CallError> {
+    suspects::exchange(node, &node.client, to, LOAN_PATH, loan, wait).await
+}
+
 /// Answers other nodes until the process ends.
 pub async fn serve(node: Arc<Node>, listener: TcpListener) {
     loop {
@@ -169,6 +178,11 @@
             let pull = suspects::answer(node, &push, Scope::Node);
             return reply_encoded(&suspects::Reply { answer: throttle::give_place(node, &question), pull });
         }
+    } else if path == LOAN_PATH {
+        if let Ok(Letter { question, push }) = rmp_serde::from_slice::<Letter<Loan>>(&bytes) {
+            let pull = suspects::answer(node, &push, Scope::Node);
+            return reply_encoded(&suspects::Reply { answer: retries::lend(node, &question), pull });
+        }
     } else if path == PATH
         && let Ok(question) = rmp_serde::from_slice::<Ask>(&bytes)
     {
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -23,6 +23,7 @@
 use cottoncrank_fleet::position::Position;
 use cottoncrank_fleet::presence::Presence;
 use cottoncrank_fleet::refusals;
+use cottoncrank_fleet::retries::Pool;
 use cottoncrank_fleet::roster::{Notice, Roster};
 use cottoncrank_fleet::runner::{Epoch, Life, Runner};
 use cottoncrank_fleet::said::Said;
@@ -40,13 +41,10 @@
 use crate::feed::Feed;
 use crate::figures;
 use crate::flight::Lane;
+use crate::retries;
 use crate::suspects;
 use crate::unreadable::{Part, Unreadable};
 
-/// Of the fleet's retries a node spends this part of its share: requests that
-/// arrive twice by other ways count in the rest.
-const RETRY_PART: f64 = 0.8;
-
 /// The node that holds the lease for deciding.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Holder {
@@ -143,6 +141,8 @@
     pub ended: Notify,
     /// Pays for requests that are sent again.
     pub retries: Mutex<Budget>,
+    /// As the collector, the retries that it lends.
+    pub(crate) pool: Mutex<Pool>,
     /// Who decides, as the store tells, if anyone does.
     pub decider: watch::Sender<Option<Holder>>,
     /// Told when runners or configuration have changed.
@@ -160,7 +160,6 @@
 impl Node {
     /// A node that knows nothing yet.
     pub fn new(settings: Settings) -> Arc<Node> {
-        let retries = Budget::new(settings.bounds.retry_ratio * RETRY_PART, 0.0);
         Arc::new(Node {
             store: Store::new(settings.store),
             settings: Mutex::new(Arc::new(settings)),
@@ -202,7 +201,8 @@
             flight_ended: Notify::new(),
             limits: Mutex::default(),
             ended: Notify::new(),
-            retries: Mutex::new(retries),
+            retries: Mutex::new(Budget::new(0.0, 0.0)),
+            pool: Mutex::default(),
             decider: watch::Sender::new(None),
             changed: Notify::new(),
             draining: watch::Sender::new(false),
@@ -222,13 +222,7 @@
     /// Takes settings that were read anew.
     pub fn set_settings(&self, settings: Settings) {
         *self.settings.lock() = Arc::new(settings);
-        self.share_retries();
-    }
-
-    /// Takes this node's share of the retries that the fleet may save up.
-    pub fn share_retries(&self) {
-        let nodes = self.directory.lock().count() as f64;
-        self.retries.lock().set_full(self.settings().bounds.retry_slack * RETRY_PART / nodes);
+        retries::take_share(self);
     }
 
     /// The time.
--- a/crates/node/src/tries.rs
+++ b/crates/node/src/tries.rs
@@ -12,6 +12,7 @@
 use crate::crash;
 use crate::dispatch;
 use crate::figures;
+use crate::retries;
 use crate::source::wait_unless_silent;
 use crate::state::Node;
 use crate::suspects;
@@ -133,8 +134,7 @@
         let chosen = promise.and_then(|promise| find_pick(node, job, promise.epoch, &tries.tried));
         tries.promise = promise.filter(|_| chosen.is_some());
         let Some(pick) = chosen.or_else(|| pick(node, job, &tries.tried)) else { return Err(refusal) };
-        if tries.arrived && !node.retries.lock().spend() {
-            log::info!("request {}: not sent again, the retries are spent", job.id());
+        if tries.arrived && !retries::spend(node, job).await {
             return Err(refusal);
         }
         tries.tried.push(pick.id.clone());
--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -62,6 +62,7 @@
             ceiling: Ceiling { window: Millis(1000), overshoot: 1.0 },
             retry_ratio: 0.2,
             retry_slack: 100.0,
+            retry_window: Millis(10_000),
         },
     };
     let (callers, ready) = (settings.callers, settings.ready);
