--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -39,8 +39,22 @@
     pub plain: Vec<Runner>,
 }
 
+/// How many requests a fleet may send again beyond a part of all, and in which window.
+const SLACK: f64 = 100.0;
+const WINDOW: Millis = Millis(10_000);
+
 /// Starts a node in the runtime of the caller.
 pub async fn start_node(store: SocketAddr, number: usize, hall: &str) -> Running {
+    start_node_with(store, number, hall, SLACK, WINDOW).await
+}
+
+async fn start_node_with(
+    store: SocketAddr,
+    number: usize,
+    hall: &str,
+    retry_slack: f64,
+    retry_window: Millis,
+) -> Running {
     let bind = async || TcpListener::bind("127.0.0.1:0").await.unwrap();
     let listeners = Listeners { callers: bind().await, ready: bind().await, peers: bind().await };
     let address = |listener: &TcpListener| listener.local_addr().unwrap();
@@ -61,8 +75,8 @@
             apply: Millis(4000),
             ceiling: Ceiling { window: Millis(1000), overshoot: 1.0 },
             retry_ratio: 0.2,
-            retry_slack: 100.0,
-            retry_window: Millis(10_000),
+            retry_slack,
+            retry_window,
         },
     };
     let (callers, ready) = (settings.callers, settings.ready);
@@ -96,6 +110,18 @@
         Fleet { store, nodes: running, engines, plain }
     }
 
+    /// The same, configured and serving, where the fleet may send few requests again in a second.
+    pub async fn with_slack(nodes: usize, slack: f64) -> Fleet {
+        let mut fleet = Fleet::bare(0).await;
+        for number in 0..nodes {
+            let store = fleet.store.address();
+            fleet.nodes.push(start_node_with(store, number, "hall-a", slack, Millis(1000)).await);
+        }
+        fleet.store.configure(&config(1, &[KEY]));
+        fleet.wait("all nodes know two open groups", |fleet| fleet.all_know(2)).await;
+        fleet
+    }
+
     /// The same, configured and serving.
     pub async fn serving(nodes: usize) -> Fleet {
         let fleet = Fleet::bare(nodes).await;
