Let the boxes with the most processor time read for their hall, and serve the more

Callers saw: halls that stayed behind when all nodes needed much at once. Cause: one node in twelve reads for its hall, chosen by name alone; a box of 0.12 of a core and 20 Mbit/s sends what the store holds to twelve others for two seconds, and answers nobody meanwhile. Change: readers are the boxes with the most time, in the order in which collectors are, and as many as the time of the least one for twelve nodes gives: two of a whole core for a hall of 197 nodes instead of 17, 17 where all are small, two at least where there are nodes for it.

--- a/crates/fleet/src/directory.rs
+++ b/crates/fleet/src/directory.rs
@@ -6,14 +6,21 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
-use cottoncrank::hash::{pick_owners, score};
+use cottoncrank::hash::score;
 use cottoncrank::id;
 use serde::{Deserialize, Serialize};
 
-/// One node of a hall in this many reads the store: so that a reader, which answers
-/// the others a few times a second each, has some tens of questions a second.
+/// A reader with the least processor time serves so many nodes of its hall: it answers each a
+/// few times a second, and so has some tens of questions a second. Others serve the more.
 pub const NODES_PER_READER: usize = 12;
 
+/// The least processor time of a reader, and what one that does not tell is taken to have.
+const READER_LEAST: Processor = Processor(120);
+
+/// So many readers there are in any case where the hall has nodes for as many of the least: a
+/// lost one must not send all the others to another hall.
+const READERS_LEAST: usize = 2;
+
 /// The key by which readers are chosen among the nodes of a hall.
 const READERS: &str = "readers";
 
@@ -71,18 +78,29 @@
         self.0.len().max(1)
     }
 
-    /// The nodes of a hall that read for it, first the one that reads while nobody decides.
+    /// The nodes of a hall that read for it, first the one that reads while nobody decides. Those
+    /// with more processor time come first and serve more: when all nodes start, a reader sends
+    /// each that asks it all that the store holds.
     pub fn list_readers(&self, hall: &id::Hall) -> Vec<&Peer> {
-        let here: Vec<&Peer> = self.0.values().filter(|peer| peer.hall == *hall).collect();
-        let owners = pick_owners(
-            READERS,
-            here.iter().map(|peer| peer.node.as_str()),
-            here.len().div_ceil(NODES_PER_READER),
-        );
-        owners
-            .into_iter()
-            .filter_map(|name| here.iter().copied().find(|peer| peer.node.as_str() == name))
-            .collect()
+        let ranked = self.rank(hall, READERS);
+        let most = ranked.len().div_ceil(NODES_PER_READER);
+        let mut served = 0;
+        let needed = ranked.iter().take_while(|peer| {
+            let more = served < ranked.len();
+            served +=
+                NODES_PER_READER * peer.processor.max(READER_LEAST).0 as usize / READER_LEAST.0 as usize;
+            more
+        });
+        let count = needed.count().max(READERS_LEAST).min(most);
+        ranked.into_iter().take(count).collect()
+    }
+
+    /// The nodes of a hall in the order of a role: those with more processor time first, and of
+    /// the others each role has its own order.
+    fn rank(&self, hall: &id::Hall, role: &str) -> Vec<&Peer> {
+        let mut ranked: Vec<&Peer> = self.0.values().filter(|peer| peer.hall == *hall).collect();
+        ranked.sort_by_cached_key(|peer| (Reverse(peer.processor), Reverse(score(role, peer.node.as_str()))));
+        ranked
     }
 
     /// The readers that `me` may ask, best first. None if it is one of them.
@@ -134,11 +152,7 @@
     /// The nodes of a hall in the order in which they collect its reports: the
     /// first does, unless it does not answer.
     pub fn list_collectors(&self, hall: &id::Hall) -> Vec<&Peer> {
-        let here: Vec<&Peer> = self.0.values().filter(|peer| peer.hall == *hall).collect();
-        let mut ranked = here;
-        // Those with more processor time first: a collector answers for its whole hall.
-        ranked.sort_by_key(|peer| (Reverse(peer.processor), Reverse(score(COLLECTOR, peer.node.as_str()))));
-        ranked
+        self.rank(hall, COLLECTOR)
     }
 }
 
--- a/crates/fleet/tests/forgotten.rs
+++ b/crates/fleet/tests/forgotten.rs
@@ -153,3 +153,16 @@
         assert!(last < BOUND, "{nodes} nodes: a change was known everywhere after {last}");
     }
 }
+
+#[test]
+fn readers_are_the_boxes_with_the_most_time() {
+    let (directory, _) = build(985, 10);
+    let readers = directory.list_readers(&"hall-1".parse().unwrap());
+    assert!(readers.iter().all(|peer| peer.processor == LARGE), "a small box reads for a hall");
+    // Each has the time of eight small ones, which serve twelve nodes each.
+    assert_eq!(readers.len(), 2, "of a hall of 197 nodes");
+    let (directory, _) = build(985, 0);
+    assert_eq!(directory.list_readers(&"hall-1".parse().unwrap()).len(), 17, "of small boxes alone");
+    let (directory, _) = build(100, 10);
+    assert_eq!(directory.list_readers(&"hall-1".parse().unwrap()).len(), 2, "one alone may be lost");
+}
