Load no model in reserve that spares next to nothing while callers are there

Cause of 576 loads and as many orders in 25 calm seconds on which no group broke: whoever had served got another model onto its host, however little that spares; the lead before callers come leaves what does not fit into the rate of the weight store. Change: while callers are there, such a load has to spare a hundredth of a runner from standing idle on average.

--- a/crates/fleet/src/staging.rs
+++ b/crates/fleet/src/staging.rs
@@ -16,6 +16,10 @@
 use crate::scene::{Scene, Site, time_join};
 use crate::share::Lack;
 
+/// While callers are there, a model is put in reserve only where it spares at least this many
+/// runners from standing idle: each such load takes a place at the weight store that repairs need.
+const SPARED_LEAST: f64 = 0.01;
+
 /// Orders models onto hosts, in this order: the largest model onto members of small
 /// groups that complete what is left of a large one; whole sets for models that lack
 /// groups, worst first, where the fewest loads complete one; onto free runners what
@@ -130,8 +134,9 @@
         }
     }
     wanted.sort_by(|a, b| b.0.total_cmp(&a.0));
-    for (_, runner, model) in wanted {
-        if desk.reserves <= kept_free || !order_load(model, runner, desk, Purpose::Reserve) {
+    for (worth, runner, model) in wanted {
+        let idle = desk.serving && worth < SPARED_LEAST;
+        if idle || desk.reserves <= kept_free || !order_load(model, runner, desk, Purpose::Reserve) {
             return;
         }
     }
