Renew the lease between writes, and count questions by kind, looks and probes

Cause: the deciding node renewed its lease between looks only; 160 plans are eleven writes one after the other, 2.6 s at a store that takes 240 ms, and the lease lasts 1.6 s. Change: it is renewed between them as well, when due. Not reproduced by a test: the stand-in's fleet has one domain. The figures tell questions between nodes by kind with their bytes, how long a look takes, how many questions runners were put, and which node reads or collects.

--- a/crates/node/src/decider.rs
+++ b/crates/node/src/decider.rs
@@ -29,6 +29,7 @@
 use thiserror::Error;
 
 use crate::era;
+use crate::figures;
 use crate::news;
 use crate::plans::{Kept, PlanError, Plans, read_plans, write_plan};
 use crate::prober;
@@ -104,6 +105,8 @@
     position: Position,
     /// Until when the lease surely lasts.
     until: Millis,
+    /// When it was last renewed.
+    renewed: Millis,
     plans: Plans,
     memory: Arc<Mutex<Memory>>,
     probes: Arc<Mutex<Probes>>,
@@ -196,6 +199,7 @@
         lease,
         position,
         until: asked + ttl,
+        renewed: asked,
         plans,
         memory: Arc::new(Mutex::new(Memory::resume(&node.halts.lock()))),
         probes: Arc::default(),
@@ -242,6 +246,7 @@
         }
         writes.extend(self.adopt());
         for writes in writes.chunks(WRITES_MAX) {
+            self.renew().await?;
             if !self.write(writes).await? {
                 // What is held now is the older one: nothing is decided from that.
                 return Err(EndError::CameBack);
@@ -276,14 +281,10 @@
     /// Decides until the lease is lost.
     async fn hold(&mut self) -> Result<std::convert::Infallible, EndError> {
         self.put_back().await?;
-        let mut renewed = self.node.now();
         loop {
             let now = self.node.now();
             self.check()?;
-            if now >= renewed + RENEW {
-                self.renew().await?;
-                renewed = now;
-            }
+            self.renew().await?;
             if *self.node.draining.borrow() {
                 return Err(EndError::Deposed);
             }
@@ -307,8 +308,13 @@
         }
     }
 
+    /// Renews the lease, if that is due.
     async fn renew(&mut self) -> Result<(), EndError> {
         let asked = self.node.now();
+        if asked < self.renewed + RENEW {
+            return Ok(());
+        }
+        self.renewed = asked;
         match self.node.store.keep_lease(self.lease).await {
             Ok(()) => {
                 self.until = asked + LEASE.max(self.node.settings().lease_min);
@@ -330,6 +336,7 @@
             let documents = self.plans.list_documents();
             let in_flight = self.node.sum_all_in_flight();
             let refusing = news::list_lasting(&self.node);
+            let begun = self.node.now();
             let (step, census) = {
                 let roster = self.node.roster.lock();
                 let probes = self.probes.lock();
@@ -348,6 +355,7 @@
                 };
                 (step(&scene, &mut self.memory.lock()), census::count(&scene, engine))
             };
+            figures::record_look(self.node.now().since(begun));
             self.log_census(&service.id, census);
             self.log_parts(service);
             self.carry_out(step).await?;
@@ -382,8 +390,12 @@
     }
 
     /// Writes the plans that changed, then gives the orders that follow from them.
+    ///
+    /// The lease is renewed between the writes: of a fleet with many domains they take longer than
+    /// it lasts where the store is slow.
     async fn carry_out(&mut self, step: Step) -> Result<(), EndError> {
         for writes in step.writes.chunks(WRITES_MAX) {
+            self.renew().await?;
             if !self.write(writes).await? {
                 // Orders follow what is written and nothing else: were the plan made
                 // anew, its epochs would be given out a second time.
--- a/crates/node/src/figures.rs
+++ b/crates/node/src/figures.rs
@@ -48,6 +48,25 @@
     metrics::counter!("cottoncrank_attempts_failed_total", "reason" => reason).increment(1);
 }
 
+/// Another node has put a question of this kind, of so many bytes, and got an answer.
+pub fn count_question(kind: &'static str, asked: usize, answered: usize) {
+    metrics::counter!("cottoncrank_questions_total", "kind" => kind).increment(1);
+    metrics::counter!("cottoncrank_question_bytes_total", "kind" => kind, "direction" => "in")
+        .increment(asked as u64);
+    metrics::counter!("cottoncrank_question_bytes_total", "kind" => kind, "direction" => "out")
+        .increment(answered as u64);
+}
+
+/// This node, which decides, has put so many questions to runners.
+pub fn count_probes(count: usize) {
+    metrics::counter!("cottoncrank_runner_questions_total").increment(count as u64);
+}
+
+/// A look of the deciding node at the fleet took so long.
+pub fn record_look(took: Millis) {
+    metrics::histogram!("cottoncrank_look_seconds").record(took.0 as f64 / 1000.0);
+}
+
 /// A node of this hall was lent a retry, or there was none.
 pub fn count_loan(lent: bool) {
     let outcome = if lent { "lent" } else { "none" };
@@ -141,6 +160,10 @@
         metrics::gauge!("cottoncrank_runners_known").set(node.roster.lock().iter().count() as f64);
         metrics::gauge!("cottoncrank_nodes_known").set(node.directory.lock().count() as f64);
         metrics::gauge!("cottoncrank_deciding").set(f64::from(u8::from(node.is_deciding())));
+        metrics::gauge!("cottoncrank_reading")
+            .set(f64::from(u8::from(*node.feed.subscribe_serving().borrow())));
+        metrics::gauge!("cottoncrank_nodes_reporting")
+            .set(node.reports.lock().count_nodes(node.now()) as f64);
         metrics::gauge!("cottoncrank_suspects_known").set(node.suspects.lock().iter().count() as f64);
         let version = node.catalog.lock().as_ref().map_or(0, |catalog| catalog.version);
         metrics::gauge!("cottoncrank_config_version").set(version as f64);
--- a/crates/node/src/peer.rs
+++ b/crates/node/src/peer.rs
@@ -11,7 +11,7 @@
 use cottoncrank_fleet::position::Position;
 use cottoncrank_net::client::{CallError, Client};
 use http_body_util::{BodyExt, Limited};
-use hyper::body::Incoming;
+use hyper::body::{Body as _, Incoming};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
@@ -25,6 +25,7 @@
 use crate::collect;
 use crate::dispatch;
 use crate::feed::UnpackError;
+use crate::figures;
 use crate::front::pause_accepting;
 use crate::retries::{self, Loan};
 use crate::state::Node;
@@ -159,10 +160,30 @@
     }
 }
 
+/// What the figures call a question.
+fn find_kind(path: &str) -> &'static str {
+    match path {
+        PATH => "news",
+        GROUP_PATH => "group",
+        PLACE_PATH => "place",
+        LOAN_PATH => "retry",
+        REPORT_PATH => "report",
+        _ => "other",
+    }
+}
+
 async fn answer(node: &Node, request: Request<Incoming>) -> Answer {
     let path = request.uri().path().to_owned();
     let body = Limited::new(request.into_body(), ASK_MAX).collect().await;
     let bytes = body.map(|body| body.to_bytes()).unwrap_or_default();
+    let asked = bytes.len();
+    let answer = answer_read(node, &path, bytes).await;
+    let answered = answer.body().size_hint().exact().unwrap_or(0) as usize;
+    figures::count_question(find_kind(&path), asked, answered);
+    answer
+}
+
+async fn answer_read(node: &Node, path: &str, bytes: Bytes) -> Answer {
     if path == REPORT_PATH {
         if let Ok(Letter { question, push }) = rmp_serde::from_slice::<Letter<Report>>(&bytes) {
             let pull = suspects::answer(node, &push, question.scope);
