--- a/crates/node/src/plain.rs
+++ b/crates/node/src/plain.rs
@@ -3,7 +3,6 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use cottoncrank::Millis;
 use cottoncrank_fleet::trials::Ruling;
 use cottoncrank_platform::header;
 use http_body_util::{BodyExt, Limited};
@@ -15,7 +14,6 @@
 use crate::candidates::{has_free, pick as pick_free, pick_at, refuse_unwilling};
 use crate::crash;
 use crate::figures;
-use crate::retries;
 use crate::state::Node;
 use crate::suspects;
 use crate::throttle::{self, Place};
@@ -27,20 +25,8 @@
 /// once; more would only find the others refusing as well.
 const TRIES: usize = 3;
 
-/// A failure that a runner answered is passed on this long before the request's time is over,
-/// if no other runner has answered by then.
-const LAST: Millis = Millis(20);
-
-/// Runs a request and answers with the whole of the runner's answer. A failure that a runner
-/// answered is passed on only where no other try of a request that may be repeated brought more.
+/// Runs a request and answers with the whole of the runner's answer.
 pub async fn run(node: &Arc<Node>, job: &Job) -> Result<Answer, Refusal> {
-    let mut failure = None;
-    let outcome = try_in_turn(node, job, &mut failure).await;
-    outcome.or_else(|refusal| failure.ok_or(refusal))
-}
-
-/// Tries one runner after the other. What a runner answered that failed is put into `failure`.
-async fn try_in_turn(node: &Arc<Node>, job: &Job, failure: &mut Option<Answer>) -> Result<Answer, Refusal> {
     let mut tried = Vec::new();
     let mut sent = 0;
     let mut may_have_run = false;
@@ -69,30 +55,16 @@
             Some(Place::Wait(_)) | None => None,
         };
         let Some(pick) = pick.or_else(|| pick_free(node, job, &tried)) else { break };
-        if arrived && !retries::spend(node, job).await {
+        if arrived && !node.retries.lock().spend() {
+            log::info!("request {}: not sent again, the retries are spent", job.id());
             break;
         }
         tried.push(pick.id.clone());
         let outcome = tokio::select! {
             outcome = try_at(node, job, &pick) => outcome,
             () = suspects::wait_deadly(node, job) => Err(AttemptError::Stopped),
-            () = node.wait_until(job.end - LAST), if failure.is_some() => return Err(Refusal::Late),
         };
         match outcome {
-            Ok(answer) if answer.status().is_server_error() && job.route.is_repeatable() => {
-                figures::count_failed_attempt("failed");
-                log::info!(
-                    "request {}: try {} at {}: it ran and failed: {}",
-                    job.id(),
-                    tried.len(),
-                    pick.id,
-                    answer.status()
-                );
-                suspects::note_completed(node, &job.fingerprint);
-                (arrived, may_have_run) = (true, true);
-                sent += 1;
-                *failure = Some(answer);
-            }
             Ok(answer) => {
                 suspects::note_completed(node, &job.fingerprint);
                 return Ok(answer);
