Close no small group for runners that complete the large one as soon as they have left theirs

Callers saw a group that took requests closed for nothing: a member of a large group left, its other members were still about to leave a group that was over, neither planned nor free, and a small group was closed to complete what they and a spare runner completed a moment later. Change: where free, returning and released runners together complete the large group, none is closed for it; where they do not, released ones change nothing in which is.

--- a/crates/fleet/src/preempt.rs
+++ b/crates/fleet/src/preempt.rs
@@ -53,6 +53,12 @@
     if 2 * free < large.size || free + coming >= large.size {
         return false;
     }
+    // Those of a group that is over are told to leave it and are free in a moment. Where they
+    // complete the large one, no group is closed for it; where not, they do not change which is.
+    let released = site.list_released().filter(|runner| time_join(runner, large) < large.load).count();
+    if free + coming + released >= large.size {
+        return false;
+    }
     let missing = large.size - free - coming;
     let Some(victims) = find_victims(scene, site, large, lower, missing) else { return false };
     for name in victims {
--- a/crates/fleet/src/scene.rs
+++ b/crates/fleet/src/scene.rs
@@ -69,13 +69,18 @@
 impl<'a> Site<'a> {
     /// The runners that may join a new group now.
     pub(crate) fn list_free(&self) -> Vec<&'a Runner> {
+        self.list_unplanned().filter(|runner| runner.membership.is_none() || is_solo(runner)).collect()
+    }
+
+    /// The runners that may as soon as they have left a group which is planned no more.
+    pub(crate) fn list_released(&self) -> impl Iterator<Item = &'a Runner> {
+        self.list_unplanned().filter(|runner| runner.membership.is_some() && !is_solo(runner))
+    }
+
+    fn list_unplanned(&self) -> impl Iterator<Item = &'a Runner> {
         let planned: HashSet<&id::Runner> =
             self.plan.groups.iter().flat_map(|group| &group.members).collect();
-        let free = self.runners.iter().copied();
-        free.filter(|runner| {
-            !planned.contains(&runner.id) && (runner.membership.is_none() || is_solo(runner))
-        })
-        .collect()
+        self.runners.iter().copied().filter(move |runner| !planned.contains(&runner.id))
     }
 }
 
