--- a/crates/node/tests/failed.rs
+++ b/crates/node/tests/failed.rs
@@ -24,7 +24,7 @@
     fleet.plain.iter().for_each(|runner| runner.set_fault(Fault::Failed));
     for (path, request) in [(READ, "r1"), (ONCE, "r2")] {
         let answer = fleet.ask(path, request).await;
-        assert_eq!((answer.status, answer.body), (500, format!("failed {request}")));
+        assert_eq!((answer.status, &*answer.body), (500, &*format!("failed {request}")));
         assert!(answer.is_signed(request), "the answer is the runner's");
         assert_eq!(count_runs(&fleet, request).iter().sum::<usize>(), 1);
     }
