--- a/crates/node/src/plain.rs
+++ b/crates/node/src/plain.rs
@@ -14,6 +14,7 @@
 use crate::candidates::{has_free, pick as pick_free, pick_at, refuse_unwilling};
 use crate::crash;
 use crate::figures;
+use crate::retries;
 use crate::state::Node;
 use crate::suspects;
 use crate::throttle::{self, Place};
@@ -55,8 +56,7 @@
             Some(Place::Wait(_)) | None => None,
         };
         let Some(pick) = pick.or_else(|| pick_free(node, job, &tried)) else { break };
-        if arrived && !node.retries.lock().spend() {
-            log::info!("request {}: not sent again, the retries are spent", job.id());
+        if arrived && !retries::spend(node, job).await {
             break;
         }
         tried.push(pick.id.clone());
--- a/crates/node/tests/failed.rs
+++ b/crates/node/tests/failed.rs
@@ -34,7 +34,7 @@
 #[tokio::test]
 async fn a_node_without_a_retry_of_its_own_is_lent_one() {
     let fleet = Fleet::with_slack(3, 2.0).await;
-    fleet.plain[0].set_fault(Fault::Lost);
+    fleet.plain[0].set_fault(Fault::Foreign);
     fleet
         .wait("all nodes know each other", |fleet| {
             fleet.nodes.iter().all(|running| running.node.directory.lock().count() == 3)
@@ -52,5 +52,5 @@
         // The collector lends what is saved up once the window has passed in which retries count.
         tokio::time::sleep(Millis(20).duration()).await;
     }
-    panic!("no request that a runner lost was sent again");
+    panic!("no request that a runner answered wrongly was sent again");
 }
