--- a/crates/node/src/feed.rs
+++ b/crates/node/src/feed.rs
@@ -87,7 +87,8 @@
         after.filter(|after| *after >= self.from && !in_gap(after))
     }
 
-    /// What has changed after a position, in order.
+    /// What has changed after a position, in order. The range begins with the changes at that
+    /// position itself, for no key comes before the empty one.
     fn list_after(&self, after: Position) -> Vec<Raw> {
         let changed = self.changes.range((after, Arc::from(""))..).filter(|(position, _)| *position > after);
         changed.filter_map(|(_, key)| self.items.get(key).cloned()).collect()
