Count and log how connections to runners end, by hall

A refused connection was logged as a failed try at one runner, so the logs of the incident could not tell a runner that ended from a path that was closed, nor whether this node reached any runner at that moment.

Nothing is decided by it.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -11,6 +11,7 @@
 //! - [`runner`] and [`roster`]: one runner as its entry describes it, and all known runners.
 //! - [`plan`]: the placement of groups on the runners of a domain.
 //! - [`probe`]: the health of runners.
+//! - [`path`]: the network paths to the runners of each hall.
 //! - [`stall`]: since when retired groups are stalled.
 //! - [`directory`]: the nodes and their roles.
 //! - [`presence`]: the nodes that are gone for good.
@@ -93,6 +94,7 @@
 pub mod occupancy;
 pub mod order;
 pub mod orders;
+pub mod path;
 pub mod plan;
 pub mod position;
 pub mod preempt;
--- a/crates/node/src/attempt.rs
+++ b/crates/node/src/attempt.rs
@@ -20,6 +20,7 @@
 use crate::channel::{Channel, ChannelError};
 use crate::evacuation;
 use crate::in_flight::{AttemptGuard, ModelKey};
+use crate::paths;
 use crate::state::Node;
 use crate::telemetry;
 use crate::throttle;
@@ -202,6 +203,7 @@
 ) -> Result<Attempt, AttemptError> {
     let guard = node.begin_attempt(&pick.id);
     let opened = Channel::open(pick.address).await;
+    paths::record(node, pick, opened.as_ref().err());
     let mut channel = opened.map_err(|error| {
         if error.is_refused() {
             node.record_end(pick);
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -36,6 +36,7 @@
 //!   after another, `runner_stream` reads the events of one attempt, and `relay` forwards
 //!   them to the caller.
 //! - [`attempt`] sends a request to a runner over a [`channel`].
+//! - `paths` records how connections to runners end.
 //! - `admission` asks the collector to admit a request that competes with others of different priority,
 //!   and as the collector holds those that wait for a place.
 //! - `returns` recognises callers that return as told, and plans when refused ones should.
@@ -82,6 +83,7 @@
 pub mod in_flight;
 mod invalid_items;
 pub mod log;
+mod paths;
 pub mod peer;
 pub mod plain;
 pub mod plans;
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -19,6 +19,7 @@
 use cottoncrank_fleet::interruptions::Interruptions;
 use cottoncrank_fleet::limit::Limit;
 use cottoncrank_fleet::occupancy::{self, Counts, FleetLoad, InFlight};
+use cottoncrank_fleet::path::Paths;
 use cottoncrank_fleet::plan::Plans;
 use cottoncrank_fleet::position::Position;
 use cottoncrank_fleet::presence::Presence;
@@ -98,6 +99,8 @@
     pub(crate) invalid_items: Mutex<InvalidItems>,
     /// What this node observed of each runner: requests in flight, failures, rejections.
     pub ledger: Mutex<Ledger>,
+    /// The network paths to the runners of each hall.
+    pub(crate) paths: Mutex<Paths>,
     /// What runners reported about themselves in answers.
     pub(crate) feedback: Mutex<Feedback>,
     /// Rejecting runners, as the nodes report them to each other.
@@ -191,6 +194,7 @@
             plans_changed: watch::Sender::new(0),
             invalid_items: Mutex::default(),
             ledger: Mutex::default(),
+            paths: Mutex::default(),
             feedback: Mutex::default(),
             rejections: Mutex::default(),
             allocations: Mutex::default(),
--- a/crates/node/src/telemetry.rs
+++ b/crates/node/src/telemetry.rs
@@ -9,6 +9,7 @@
 use cottoncrank::{Millis, id};
 use cottoncrank_fleet::catalog::Engine;
 use cottoncrank_fleet::evidence::Level;
+use cottoncrank_fleet::path::Outcome;
 use cottoncrank_fleet::pressure::{Pressure, Strain};
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_TYPE, HeaderValue};
@@ -51,6 +52,12 @@
     metrics::counter!("cottoncrank_attempts_failed_total", "reason" => reason).increment(1);
 }
 
+/// Counts an attempt to connect to a runner.
+pub fn count_connection(hall: &id::Hall, outcome: Outcome) {
+    metrics::counter!("cottoncrank_runner_connections_total", "hall" => hall.to_string(), "outcome" => outcome.name())
+        .increment(1);
+}
+
 /// Counts a request that the collector refused, or that waited there. `outcome` is `served`, `left` or the
 /// reason of the refusal.
 pub fn count_admission(model: &id::Model, priority: u8, outcome: &'static str) {
