--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -17,7 +17,8 @@
 use std::sync::Arc;
 
 use cottoncrank::clock::System;
-use cottoncrank_net::client::{Client, Reach, Tally, Traffic};
+use cottoncrank_net::client::{Client, Tally, Traffic};
+use cottoncrank_net::reach::Reach;
 use cottoncrank_net::server::{Server, serve};
 use cottoncrank_net::store::{Calls, Store};
 use tokio::runtime::Handle;
--- a/crates/demo/src/fleet.rs
+++ b/crates/demo/src/fleet.rs
@@ -15,7 +15,7 @@
 use cottoncrank_controller::settings::{Settings as ControllerSettings, Spread};
 use cottoncrank_entry::Entry;
 use cottoncrank_entry::settings::Settings as EntrySettings;
-use cottoncrank_net::client::Reach;
+use cottoncrank_net::reach::Reach;
 use cottoncrank_standin::engine::{Engines, Speed};
 use cottoncrank_standin::list::List;
 use cottoncrank_standin::listen;
--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -1,6 +1,5 @@
 //! The HTTP client for calls to other processes. It counts the bytes on the wire.
 
-use std::collections::HashSet;
 use std::io;
 use std::net::SocketAddr;
 use std::pin::Pin;
@@ -22,7 +21,8 @@
 use thiserror::Error;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
-use tokio::sync::watch;
+
+use crate::reach::Reach;
 
 /// The largest answer body that is read to its end, in bytes.
 pub const ANSWER_MAX: usize = 8 << 20;
@@ -100,35 +100,6 @@
     calls: AtomicU64,
 }
 
-/// The addresses that a client cannot reach, for tests of network partitions. A cut address never
-/// answers, not even a call that is in flight when it is cut.
-#[derive(Clone, Debug)]
-pub struct Reach(Arc<watch::Sender<HashSet<SocketAddr>>>);
-
-impl Default for Reach {
-    fn default() -> Reach {
-        Reach(Arc::new(watch::Sender::new(HashSet::new())))
-    }
-}
-
-impl Reach {
-    /// Cuts off these addresses from now on.
-    pub fn cut(&self, addresses: impl IntoIterator<Item = SocketAddr>) {
-        self.0.send_modify(|cut| cut.extend(addresses));
-    }
-
-    /// Makes all addresses reachable again.
-    pub fn heal(&self) {
-        self.0.send_modify(HashSet::clear);
-    }
-
-    /// Waits until the address is cut off.
-    async fn wait_until_cut(&self, address: SocketAddr) {
-        // The sender lives as long as `self`, so the wait ends only when the address is cut off.
-        let _ = self.0.subscribe().wait_for(|cut| cut.contains(&address)).await;
-    }
-}
-
 /// What a client has sent and received.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Tally {
@@ -275,22 +246,27 @@
             .map_err(|error| message(error.to_string()))?;
         *request.headers_mut() = headers;
         self.traffic.0.calls.fetch_add(1, Ordering::Relaxed);
+        let request = async {
+            match self.inner.request(request).await {
+                Ok(answer) => Ok(answer),
+                Err(error) if error.is_connect() => {
+                    Err(CallError::Connect { address, reason: format_sources(&error) })
+                }
+                Err(error) => Err(CallError::Broken { address, reason: format_sources(&error) }),
+            }
+        };
         let answer = async {
-            let Some(reach) = &self.reach else { return self.inner.request(request).await };
+            let Some(reach) = &self.reach else { return request.await };
+            let refused = |error: io::Error| CallError::Connect { address, reason: error.to_string() };
+            reach.check(address).await.map_err(refused)?;
             tokio::select! {
                 biased;
                 () = reach.wait_until_cut(address) => std::future::pending().await,
-                answer = self.inner.request(request) => answer,
+                answer = request => answer,
             }
         };
-        match tokio::time::timeout(timeout.duration(), answer).await {
-            Ok(Ok(answer)) => Ok(answer),
-            Ok(Err(error)) if error.is_connect() => {
-                Err(CallError::Connect { address, reason: format_sources(&error) })
-            }
-            Ok(Err(error)) => Err(CallError::Broken { address, reason: format_sources(&error) }),
-            Err(_) => Err(CallError::Timeout { address, timeout }),
-        }
+        let answer = tokio::time::timeout(timeout.duration(), answer).await;
+        answer.unwrap_or(Err(CallError::Timeout { address, timeout }))
     }
 
     /// Sends a request and reads the answer to its end, all within `timeout`. The timeout covers the
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -15,6 +15,7 @@
 
 pub mod client;
 pub mod public;
+pub mod reach;
 pub mod server;
 pub mod store;
 pub mod trace;
--- a/crates/node/src/attempt.rs
+++ b/crates/node/src/attempt.rs
@@ -202,7 +202,7 @@
     last_event: Option<u64>,
 ) -> Result<Attempt, AttemptError> {
     let guard = node.begin_attempt(&pick.id);
-    let opened = Channel::open(pick.address).await;
+    let opened = Channel::open(&node.reach, pick.address).await;
     paths::record(node, pick, opened.as_ref().err());
     let mut channel = opened.map_err(|error| {
         if error.is_refused() {
--- a/crates/node/src/channel.rs
+++ b/crates/node/src/channel.rs
@@ -9,13 +9,13 @@
 
 use bytes::Bytes;
 use cottoncrank::Millis;
+use cottoncrank_net::reach::Reach;
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
 use thiserror::Error;
-use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 
 /// The longest time to make a connection. It is more than ten round trips between halls plus the
@@ -54,8 +54,8 @@
 
 impl Channel {
     /// Connects to a runner.
-    pub async fn open(address: SocketAddr) -> Result<Channel, ChannelError> {
-        let connecting = tokio::time::timeout(CONNECT_TIMEOUT.duration(), TcpStream::connect(address));
+    pub async fn open(reach: &Reach, address: SocketAddr) -> Result<Channel, ChannelError> {
+        let connecting = tokio::time::timeout(CONNECT_TIMEOUT.duration(), reach.connect(address));
         let timed_out = |_| ChannelError::Connect(ErrorKind::TimedOut.into());
         let stream = connecting.await.map_err(timed_out)?.map_err(ChannelError::Connect)?;
         stream.set_nodelay(true).map_err(ChannelError::Connect)?;
--- a/crates/node/src/crash.rs
+++ b/crates/node/src/crash.rs
@@ -184,7 +184,7 @@
 }
 
 async fn probe_once(node: &Node, pick: &Pick) -> Finding {
-    match Channel::open(pick.address).await {
+    match Channel::open(&node.reach, pick.address).await {
         Ok(_) => {}
         Err(error) if error.is_refused() => return Finding::Crashed,
         Err(_) => return Finding::Unknown,
--- a/crates/node/src/decider.rs
+++ b/crates/node/src/decider.rs
@@ -200,7 +200,7 @@
     let plans = read_plans(node).await?;
     Ok(Some(Term {
         node: node.clone(),
-        client: Client::new(Traffic::default()),
+        client: Client::with_reach(Traffic::default(), node.reach.clone()),
         lease,
         lease_position: position,
         lease_end: asked + ttl,
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -32,6 +32,7 @@
 use cottoncrank_fleet::suspects::{Origin, Table};
 use cottoncrank_fleet::trials::{Baseline, Trials};
 use cottoncrank_net::client::{Client, Traffic};
+use cottoncrank_net::reach::Reach;
 use cottoncrank_platform::store::Store;
 use parking_lot::Mutex;
 use rand::Rng;
@@ -69,6 +70,8 @@
     settings: Mutex<Arc<Settings>>,
     /// The client of the platform's store.
     pub store: Store,
+    /// The runners that this node cannot reach, for tests of partitions.
+    pub reach: Reach,
     /// The clock, which also counts the time that the box was suspended.
     pub clock: System,
     /// The operators' configuration, once it has been received.
@@ -183,6 +186,7 @@
             directory: Mutex::default(),
             presence: Mutex::default(),
             entry_gone: Notify::new(),
+            reach: Reach::default(),
             clock: System::new(),
             catalog: Mutex::default(),
             last_contact: watch::Sender::new(None),
