Connect to runners through another node where a node's own path is cut

The tunnel carries bytes only: the node that opens it keeps the request with its account, permits, deadline, retry budget and evidence, and is the one that sends it, so nothing is decided twice. A node that carries a tunnel connects to the runner itself, so none leads through a second node.

--- a/crates/fleet/src/directory.rs
+++ b/crates/fleet/src/directory.rs
@@ -10,6 +10,8 @@
 
 use cottoncrank::hash::score;
 use cottoncrank::id;
+use rand::Rng;
+use rand::seq::SliceRandom;
 use serde::{Deserialize, Serialize};
 
 /// The number of nodes of its hall that a reader with the minimum CPU serves. It answers each a few
@@ -133,6 +135,34 @@
         sort_for(me, others)
     }
 
+    /// Returns the nodes other than `me` through which it may connect to a runner of a hall, best first:
+    /// in turn one of the runner's hall, one of its own and one of each other hall, because all nodes
+    /// of a hall may be cut off together. Within a hall the order is random, which spreads the load.
+    pub fn list_tunnel_nodes(
+        &self,
+        me: &id::Node,
+        my_hall: &id::Hall,
+        runner_hall: &id::Hall,
+        rng: &mut impl Rng,
+    ) -> Vec<&Peer> {
+        let mut halls: BTreeMap<&id::Hall, Vec<&Peer>> = BTreeMap::new();
+        for peer in self.0.values().filter(|peer| peer.node != *me) {
+            halls.entry(&peer.hall).or_default().push(peer);
+        }
+        let mut ranked: Vec<(usize, bool, bool, u32, &Peer)> = Vec::new();
+        for peers in halls.values_mut() {
+            peers.shuffle(rng);
+            let (is_far, is_other) = (peers[0].hall != *runner_hall, peers[0].hall != *my_hall);
+            let tie_breaker = rng.random();
+            let peers = peers.iter().enumerate();
+            ranked.extend(peers.map(|(round, peer)| (round, is_far, is_other, tie_breaker, *peer)));
+        }
+        ranked.sort_by_key(|(round, is_far, is_other, tie_breaker, _)| {
+            (*round, *is_far, *is_other, *tie_breaker)
+        });
+        ranked.into_iter().map(|(.., peer)| peer).collect()
+    }
+
     /// Returns how many nodes come before `me` as candidates for decider. Nodes with more CPU come
     /// first, because deciding takes more of it than serving.
     pub fn rank_candidate(&self, me: &id::Node) -> usize {
--- a/crates/node/src/attempt.rs
+++ b/crates/node/src/attempt.rs
@@ -17,10 +17,10 @@
 use thiserror::Error;
 
 use crate::backoff;
-use crate::channel::{Channel, ChannelError};
+use crate::channel::Channel;
+use crate::connect::{self, Target};
 use crate::evacuation;
 use crate::in_flight::{AttemptGuard, ModelKey};
-use crate::paths;
 use crate::state::Node;
 use crate::telemetry;
 use crate::throttle;
@@ -202,8 +202,7 @@
     last_event: Option<u64>,
 ) -> Result<Attempt, AttemptError> {
     let guard = node.begin_attempt(&pick.id);
-    let opened = Channel::open(&node.reach, pick.address).await;
-    paths::record(node, pick, opened.as_ref().err());
+    let opened = connect::open(node, Target::of_pick(pick), job.deadline).await;
     let mut channel = opened.map_err(|error| {
         if error.is_refused() {
             node.record_end(pick);
@@ -216,6 +215,9 @@
         AttemptError::Unreached(error.to_string())
     })?;
     node.ledger.lock().record_connect(&pick.hall);
+    if let Some(through) = channel.through() {
+        log::info!("request {}: sent to {} through {through}", job.id(), pick.id);
+    }
     // The runner may have announced a backoff while this connection was made. Requests that have not
     // reached the runner by then are not sent.
     if backoff::is_backing_off(node, &pick.id, pick.incarnation) {
@@ -230,7 +232,7 @@
     let sent_at = node.now();
     let response = match channel.send(request).await {
         Ok(response) => response,
-        Err(error @ (ChannelError::Broken(_) | ChannelError::Connect(_))) => {
+        Err(error) => {
             node.ledger.lock().record_failure(&pick.id, node.now());
             return Err(AttemptError::Broken(error.to_string()));
         }
--- a/crates/node/src/channel.rs
+++ b/crates/node/src/channel.rs
@@ -5,30 +5,27 @@
 //! apart from one that ran.
 
 use std::io::ErrorKind;
-use std::net::SocketAddr;
 
 use bytes::Bytes;
-use cottoncrank::Millis;
-use cottoncrank_net::reach::Reach;
+use cottoncrank::id;
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
+use hyper::rt::{Read, Write};
 use hyper::{Request, Response};
-use hyper_util::rt::TokioIo;
 use thiserror::Error;
 use tokio::task::JoinHandle;
 
-/// The longest time to make a connection. It is more than ten round trips between halls plus the
-/// runner's own delay, and short enough that another runner can still send its first event within
-/// 0.3 s, the target of most requests.
-const CONNECT_TIMEOUT: Millis = Millis(80);
-
 /// Why a runner gave no answer.
 #[derive(Debug, Error)]
 pub enum ChannelError {
     /// No connection was made: nothing was sent.
     #[error("no connection: {0}")]
     Connect(std::io::Error),
+    /// No connection was made: it was refused, and it is not known whether the runner has ended or the
+    /// path to it is cut.
+    #[error("no connection: refused, like all others in its hall")]
+    Unconfirmed,
     /// The connection broke: the request may have run.
     #[error("the connection broke: {0}")]
     Broken(#[from] hyper::Error),
@@ -50,23 +47,29 @@
 pub struct Channel {
     sender: SendRequest<Full<Bytes>>,
     driver: JoinHandle<()>,
+    through: Option<id::Node>,
 }
 
 impl Channel {
-    /// Connects to a runner.
-    pub async fn open(reach: &Reach, address: SocketAddr) -> Result<Channel, ChannelError> {
-        let connecting = tokio::time::timeout(CONNECT_TIMEOUT.duration(), reach.connect(address));
-        let timed_out = |_| ChannelError::Connect(ErrorKind::TimedOut.into());
-        let stream = connecting.await.map_err(timed_out)?.map_err(ChannelError::Connect)?;
-        stream.set_nodelay(true).map_err(ChannelError::Connect)?;
-        let (sender, connection) = http1::Builder::new().handshake(TokioIo::new(stream)).await?;
+    /// Starts a channel on a connection to a runner. `through` is the node that carries it if it is a
+    /// tunnel.
+    pub(crate) async fn start(
+        connection: impl Read + Write + Unpin + Send + 'static,
+        through: Option<id::Node>,
+    ) -> Result<Channel, ChannelError> {
+        let (sender, connection) = http1::handshake(connection).await?;
         let driver = tokio::spawn(async move {
             // The sender or the body reports a failure, and it is handled there.
             if let Err(error) = connection.await {
-                log::debug!("channel: {address}: {error}");
+                log::debug!("channel: {error}");
             }
         });
-        Ok(Channel { sender, driver })
+        Ok(Channel { sender, driver, through })
+    }
+
+    /// Returns the node that carries the connection; `None` if it is direct.
+    pub(crate) fn through(&self) -> Option<&id::Node> {
+        self.through.as_ref()
     }
 
     /// Sends the request and waits for the head of the answer.
--- a/crates/node/src/crash.rs
+++ b/crates/node/src/crash.rs
@@ -13,7 +13,7 @@
 use tokio::sync::OnceCell;
 
 use crate::attempt::{AttemptError, Job, Pick};
-use crate::channel::Channel;
+use crate::connect::{self, Target};
 use crate::state::Node;
 use crate::suspects;
 use crate::telemetry;
@@ -170,7 +170,7 @@
 
 /// Probes a runner. One that accepts a connection and closes it at once is about to end, or ended during
 /// the probe, because its connections close before its port; it is probed again.
-async fn probe(node: &Node, pick: &Pick) -> Finding {
+async fn probe(node: &Arc<Node>, pick: &Pick) -> Finding {
     for _ in 1..MAX_PROBES {
         let started = node.now();
         match probe_once(node, pick).await {
@@ -183,8 +183,9 @@
     probe_once(node, pick).await
 }
 
-async fn probe_once(node: &Node, pick: &Pick) -> Finding {
-    match Channel::open(&node.reach, pick.address).await {
+async fn probe_once(node: &Arc<Node>, pick: &Pick) -> Finding {
+    let deadline = node.now() + PROBE_TIMEOUT;
+    match connect::open(node, Target::of_pick(pick), deadline).await {
         Ok(_) => {}
         Err(error) if error.is_refused() => return Finding::Crashed,
         Err(_) => return Finding::Unknown,
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -36,7 +36,8 @@
 //!   after another, `runner_stream` reads the events of one attempt, and `relay` forwards
 //!   them to the caller.
 //! - [`attempt`] sends a request to a runner over a [`channel`].
-//! - `paths` records how connections to runners end.
+//! - `connect` makes the connection, through a [`tunnel`] that another node carries where this node's path
+//!   to the runner is cut. `paths` keeps track of that.
 //! - `admission` asks the collector to admit a request that competes with others of different priority,
 //!   and as the collector holds those that wait for a place.
 //! - `returns` recognises callers that return as told, and plans when refused ones should.
@@ -71,6 +72,7 @@
 mod candidates;
 pub mod channel;
 mod cold;
+mod connect;
 mod crash;
 pub mod decider;
 mod denylist;
@@ -108,3 +110,4 @@
 pub mod telemetry;
 mod throttle;
 mod tries;
+pub mod tunnel;
--- a/crates/node/src/peer.rs
+++ b/crates/node/src/peer.rs
@@ -1,5 +1,5 @@
 //! The queries between nodes, both their client and their server: change polls, in-flight reports,
-//! and queries for a group, a permit or a retry.
+//! and queries for a group, a permit, a retry or a tunnel.
 
 use std::convert::Infallible;
 use std::sync::Arc;
@@ -17,7 +17,7 @@
 use hyper::body::{Body as _, Incoming};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper::{Request, Response, StatusCode};
+use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
@@ -34,6 +34,7 @@
 use crate::suspects::{self, Envelope};
 use crate::telemetry;
 use crate::throttle::{self, Permit};
+use crate::tunnel;
 
 /// The path of a change poll.
 const CHANGES_PATH: &str = "/news";
@@ -192,7 +193,8 @@
         let node = node.clone();
         async move { Ok::<Answer, Infallible>(handle_request(&node, request).await) }
     });
-    if let Err(error) = http1::Builder::new().serve_connection(TokioIo::new(stream), service).await {
+    let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+    if let Err(error) = connection.with_upgrades().await {
         log::debug!("peer: a connection failed: {error}");
     }
 }
@@ -211,7 +213,10 @@
     }
 }
 
-async fn handle_request(node: &Node, request: Request<Incoming>) -> Answer {
+async fn handle_request(node: &Arc<Node>, request: Request<Incoming>) -> Answer {
+    if request.method() == Method::CONNECT {
+        return tunnel::answer(node, request).await;
+    }
     let path = request.uri().path().to_owned();
     let body = Limited::new(request.into_body(), MAX_QUERY_BYTES).collect().await;
     let bytes = body.map(|body| body.to_bytes()).unwrap_or_default();
--- a/crates/node/src/start.rs
+++ b/crates/node/src/start.rs
@@ -10,8 +10,8 @@
 
 use crate::state::Node;
 use crate::{
-    decider, evacuation, front, peer, presence, pressure, registration, reporting, suspect_store, suspension,
-    sync,
+    decider, evacuation, front, paths, peer, presence, pressure, registration, reporting, suspect_store,
+    suspension, sync,
 };
 
 /// The part of the time between the stop signal and the kill that is not used for draining.
@@ -50,6 +50,7 @@
     tasks.spawn(registration::run(node.clone()));
     tasks.spawn(presence::run(node.clone()));
     tasks.spawn(reporting::run(node.clone()));
+    tasks.spawn(paths::run(node.clone()));
     tasks.spawn(pressure::run(node.clone()));
     tasks.spawn(suspect_store::run(node.clone()));
     tasks.spawn(suspension::run(node.clone()));
@@ -63,16 +64,17 @@
 /// Drains the node before it stops.
 ///
 /// The node reports that it is not ready but accepts requests until the balancer must have noticed. Then
-/// it rejects new requests, which might not finish before the kill, and waits for those in flight as long
-/// as the grace period allows.
+/// it rejects new requests, which might not finish before the kill, and waits for those in flight and for
+/// the tunnels that it carries, as long as the grace period allows.
 pub async fn drain(node: &Node) {
     let end = node.now() + (node.settings().bounds.grace - STOP_MARGIN);
     log::info!("node: received a stop signal, {} requests in flight", node.running());
     node.draining.send_replace(true);
     tokio::time::sleep(front::DRAIN_NOTICE.duration()).await;
     node.closed.send_replace(true);
-    while node.running() > 0 && node.now() < end {
+    while node.running() + node.carried_tunnels.count() > 0 && node.now() < end {
         tokio::time::sleep(POLL_INTERVAL.duration()).await;
     }
-    log::info!("node: stops, {} requests under way", node.running());
+    let carried = node.carried_tunnels.count();
+    log::info!("node: stops, {} requests under way, {carried} tunnels of other nodes", node.running());
 }
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -40,6 +40,7 @@
 
 use crate::admission;
 use crate::attempt::Pick;
+use crate::connect::Opening;
 use crate::crash::Findings;
 use crate::denylist::Denylist;
 use crate::evacuation;
@@ -51,6 +52,7 @@
 use crate::returns;
 use crate::suspects;
 use crate::telemetry;
+use crate::tunnel::Carried;
 
 /// The decider lease, as the store last had it.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -130,6 +132,12 @@
     pub(crate) unreachable_for_reports: Mutex<Denylist>,
     /// Collectors that did not answer a query. They are avoided for a while.
     pub(crate) unreachable_for_queries: Mutex<Denylist>,
+    /// Nodes that did not carry a tunnel. They are avoided for a while.
+    pub(crate) unreachable_for_tunnels: Mutex<Denylist>,
+    /// The tunnels that this node is opening through others.
+    pub(crate) opening_tunnels: Opening,
+    /// The tunnels that this node carries for others.
+    pub carried_tunnels: Carried,
     /// The evidence about requests that crash the runners that execute them.
     pub suspects: Mutex<Table>,
     /// How much of that evidence each other node already has.
@@ -213,6 +221,9 @@
             unsent_samples: Mutex::default(),
             unreachable_for_reports: Mutex::default(),
             unreachable_for_queries: Mutex::default(),
+            unreachable_for_tunnels: Mutex::default(),
+            opening_tunnels: Opening::default(),
+            carried_tunnels: Carried::default(),
             suspects: Mutex::default(),
             gossip_peers: Mutex::default(),
             trial_baseline: Mutex::default(),
--- a/crates/node/src/telemetry.rs
+++ b/crates/node/src/telemetry.rs
@@ -58,6 +58,17 @@
         .increment(1);
 }
 
+/// Counts an attempt to connect to a runner through other nodes, by whether one of them reached it.
+pub fn count_tunnel(opened: bool) {
+    let outcome = if opened { "opened" } else { "unreached" };
+    metrics::counter!("cottoncrank_tunnels_total", "outcome" => outcome).increment(1);
+}
+
+/// Counts a query of another node for a tunnel, by what became of it.
+pub fn count_carried_tunnel(outcome: &'static str) {
+    metrics::counter!("cottoncrank_carried_tunnels_total", "outcome" => outcome).increment(1);
+}
+
 /// Counts a request that the collector refused, or that waited there. `outcome` is `served`, `left` or the
 /// reason of the refusal.
 pub fn count_admission(model: &id::Model, priority: u8, outcome: &'static str) {
@@ -232,6 +243,8 @@
         metrics::gauge!("cottoncrank_suspects_known").set(node.suspects.lock().iter().count() as f64);
         let version = node.catalog.lock().as_ref().map_or(0, |catalog| catalog.version);
         metrics::gauge!("cottoncrank_config_version").set(version as f64);
+        metrics::gauge!("cottoncrank_paths_cut").set(node.paths.lock().list_cut().count() as f64);
+        metrics::gauge!("cottoncrank_tunnels_carried").set(node.carried_tunnels.count() as f64);
         let groups = node.plans.lock().values().map(|plan| plan.groups.len()).sum::<usize>();
         metrics::gauge!("cottoncrank_groups_planned").set(groups as f64);
         set_limits(&node);
