Hold nothing against runners that a node sees over a cut path

A node that was cut off from its runners took its own path for their fault: it doubted every group whose streams hung, 0.4 s after the cut began, and told its hall's collector, which adds a penalty to such groups for all nodes; a refused connection made a runner count as ended and cold; probes after a broken connection led over the same cut path; a dead node that carried tunnels made all runners behind it count as failed.

Doubts are told only where the path is trusted: not cut, nor just restored, and for a stalled stream only if a connection to the hall was made since. Where that is open the node checks, directly and through other nodes, so a cut is known before a silent runner is given up. When it is known, failures that may have been the path's do not count any more. A refused connection means an ended runner only if this node reaches others in its hall. Probes of a runner take the way that requests take, and a tunnel that breaks counts against the node that carries it. No request is suspected for what hung on a cut path.

With the two conditions on doubts taken out, the test of streams in flight at the begin of a cut fails after 395 ms (both groups doubted); it passes with them. Further tests: the cut's end, the store away, the carrying node killed under streams, a node of an earlier build beside it, all nodes cut (refused at once, nothing runs, no tunnel is left), and the deadline.

--- a/crates/fleet/src/balance.rs
+++ b/crates/fleet/src/balance.rs
@@ -1,6 +1,6 @@
 //! Picks the runner for a request from what this node and the fleet have in flight.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 
 use cottoncrank::{Millis, id};
 use rand::Rng;
@@ -17,6 +17,10 @@
 /// s, and twice as long in a slow group.
 pub const STALL_TIMEOUT: Millis = Millis(400);
 
+/// How long after its last progress a connection to the hall of a stalled runner proves the path: longer
+/// than the usual pause between two events.
+const STALL_PROOF_DELAY: Millis = Millis(STALL_TIMEOUT.0 / 2);
+
 /// The number of consecutive rejections after which a runner is avoided. A runner that is merely
 /// full accepts some requests in between. One that rejects everything has nothing in flight and
 /// would otherwise get more requests than all others.
@@ -43,6 +47,12 @@
     denied: Option<(Epoch, Millis)>,
 }
 
+impl Record {
+    fn is_stalled(&self, now: Millis) -> bool {
+        self.streams > 0 && now >= self.last_progress + STALL_TIMEOUT
+    }
+}
+
 /// The number of consecutive connect timeouts to different runners of a hall after which the
 /// network path to it counts as cut. Two lost runners are seldom met in a row.
 pub const MIN_CONNECT_TIMEOUTS: u32 = 2;
@@ -65,6 +75,8 @@
 pub struct Ledger {
     records: HashMap<id::Runner, Record>,
     paths: HashMap<id::Hall, Path>,
+    /// The halls that this node reaches through other nodes only.
+    cut: HashSet<id::Hall>,
 }
 
 impl Ledger {
@@ -87,13 +99,31 @@
         }
     }
 
-    /// Whether a runner is neither avoided nor stalled, and the path to its hall not cut.
+    /// Records that the path to a hall is cut. Failures of its `runners` may have been the fault of the
+    /// path, and do not count any more.
+    pub fn begin_cut<'a>(&mut self, hall: &id::Hall, runners: impl Iterator<Item = &'a id::Runner>) {
+        self.cut.insert(hall.clone());
+        self.paths.remove(hall);
+        for runner in runners {
+            if let Some(record) = self.records.get_mut(runner).filter(|record| record.rejections == 0) {
+                record.avoid_until = Millis(0);
+            }
+        }
+    }
+
+    /// Records that the path to a hall is no longer cut.
+    pub fn end_cut(&mut self, hall: &id::Hall) {
+        self.cut.remove(hall);
+    }
+
+    /// Whether a runner is neither avoided nor stalled, and its hall not avoided. Where the path is cut,
+    /// streams of before it say nothing about the runner.
     pub fn is_healthy(&self, runner: &Runner, now: Millis) -> bool {
         let path = self.paths.get(&runner.hall).copied().unwrap_or_default();
         self.get(&runner.id).avoid_until <= now
             && path.avoid_until <= now
             && !self.has_denied(runner, now)
-            && !self.is_stalled(&runner.id, now)
+            && (self.cut.contains(&runner.hall) || !self.is_stalled(&runner.id, now))
     }
 
     /// Whether a runner lately denied being the head of the group that its entry names.
@@ -104,8 +134,14 @@
 
     /// Whether a runner has streams in flight and none of them makes progress.
     pub fn is_stalled(&self, id: &id::Runner, now: Millis) -> bool {
-        let record = self.get(id);
-        record.streams > 0 && now >= record.last_progress + STALL_TIMEOUT
+        self.get(id).is_stalled(now)
+    }
+
+    /// Lists the stalled runners. For each, a connection made to its hall since the returned time proves
+    /// that the runner is at fault and not the path to it.
+    pub fn list_stalled(&self, now: Millis) -> impl Iterator<Item = (&id::Runner, Millis)> {
+        let stalled = self.records.iter().filter(move |(_, record)| record.is_stalled(now));
+        stalled.map(|(id, record)| (id, record.last_progress + STALL_PROOF_DELAY))
     }
 
     /// Records the first event of a stream.
@@ -186,12 +222,9 @@
         self.records.remove(id);
     }
 
-    /// Lists the runners that failed a request of this node lately, or that make no progress on its
-    /// streams.
-    pub fn list_doubted(&self, now: Millis) -> impl Iterator<Item = &id::Runner> {
-        let doubted =
-            move |id: &id::Runner, record: &Record| now < record.avoid_until || self.is_stalled(id, now);
-        self.records.iter().filter(move |(id, record)| doubted(id, record)).map(|(id, _)| id)
+    /// Lists the runners that failed a request of this node lately.
+    pub fn list_failed(&self, now: Millis) -> impl Iterator<Item = &id::Runner> {
+        self.records.iter().filter(move |(_, record)| now < record.avoid_until).map(|(id, _)| id)
     }
 
     /// Lists the groups for which a runner lately denied being the head.
--- a/crates/fleet/src/path.rs
+++ b/crates/fleet/src/path.rs
@@ -99,9 +99,6 @@
 /// How long a runner that only another node reached is connected to through other nodes at once.
 pub const RUNNER_TUNNEL_TIME: Millis = Millis(1000);
 
-/// How recently a connection to a hall was made that proves the path.
-pub const PROOF_TTL: Millis = Millis(1000);
-
 #[derive(Clone, Debug, Default)]
 struct Path {
     /// What failed since a connection was last made.
@@ -190,11 +187,6 @@
         let Some(path) = self.0.get(hall) else { return true };
         !path.is_cut && path.restored.is_none_or(|restored| now >= restored + FAILURE_AVOID_TIME)
     }
-
-    /// Whether a connection to a hall was made lately.
-    pub fn is_proven(&self, hall: &id::Hall, now: Millis) -> bool {
-        self.0.get(hall).and_then(|path| path.made).is_some_and(|made| now < made + PROOF_TTL)
-    }
 }
 
 impl Path {
--- a/crates/node/src/attempt.rs
+++ b/crates/node/src/attempt.rs
@@ -21,6 +21,7 @@
 use crate::connect::{self, Target};
 use crate::evacuation;
 use crate::in_flight::{AttemptGuard, ModelKey};
+use crate::paths;
 use crate::state::Node;
 use crate::telemetry;
 use crate::throttle;
@@ -233,7 +234,7 @@
     let response = match channel.send(request).await {
         Ok(response) => response,
         Err(error) => {
-            node.ledger.lock().record_failure(&pick.id, node.now());
+            paths::record_failure(node, pick, channel.through());
             return Err(AttemptError::Broken(error.to_string()));
         }
     };
--- a/crates/node/src/connect.rs
+++ b/crates/node/src/connect.rs
@@ -118,7 +118,11 @@
 }
 
 /// Races a direct connection against tunnels that start once it is late or has failed.
-async fn open_hedged(node: &Arc<Node>, target: Target, deadline: Millis) -> Result<Channel, ChannelError> {
+pub(crate) async fn open_hedged(
+    node: &Arc<Node>,
+    target: Target,
+    deadline: Millis,
+) -> Result<Channel, ChannelError> {
     let started = node.now();
     let mut direct = Box::pin(connect_directly(node.clone(), target.clone()));
     let early = tokio::time::timeout(HEDGE_DELAY.duration(), &mut direct).await;
@@ -258,15 +262,16 @@
     tunnel
 }
 
-/// Lists the nodes through which a connection to a runner is tried.
+/// Lists the nodes through which a connection to a runner is tried, those that are avoided last.
 fn list_nodes(node: &Node, target: &Target) -> Vec<Peer> {
     let settings = node.settings();
     let mut avoided = node.unreachable_for_tunnels.lock();
     avoided.evict_expired(node.now());
     let directory = node.directory.lock();
     let ranked = directory.list_tunnel_nodes(&settings.node, &settings.hall, &target.hall, &mut rand::rng());
-    let usable = ranked.into_iter().filter(|peer| !avoided.contains(&peer.node));
-    usable.take(MAX_NODES).cloned().collect()
+    let (last, first): (Vec<&Peer>, Vec<&Peer>) =
+        ranked.into_iter().partition(|peer| avoided.contains(&peer.node));
+    first.into_iter().chain(last).take(MAX_NODES).cloned().collect()
 }
 
 /// Avoids a node whose failure to carry a tunnel does not concern a single runner.
--- a/crates/node/src/plain.rs
+++ b/crates/node/src/plain.rs
@@ -13,6 +13,7 @@
 use crate::attempt::{Attempt, AttemptError, Job, Pick, send};
 use crate::candidates::{has_unlimited, pick_by_id, pick_locally, refuse_if_closed};
 use crate::crash;
+use crate::paths;
 use crate::retries;
 use crate::state::Node;
 use crate::suspects;
@@ -105,7 +106,7 @@
     let (head, body) = attempt.response.into_parts();
     let collected = Limited::new(body, MAX_ANSWER_BYTES).collect().await;
     let bytes = collected.map_err(|error| {
-        node.ledger.lock().record_failure(&attempt.pick.id, node.now());
+        paths::record_failure(node, &attempt.pick, attempt.channel.through());
         AttemptError::Broken(format!("its answer broke off: {error}"))
     })?;
     node.ledger.lock().record_progress(&attempt.pick.id, node.now());
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -10,6 +10,7 @@
 use crate::answer::Refusal;
 use crate::attempt::{AttemptError, Job};
 use crate::in_flight::{LimitGuard, RequestGuard};
+use crate::paths;
 use crate::runner_stream::{RunnerStream, SILENCE_TIMEOUT, StreamItem, read_next_events};
 use crate::state::Node;
 use crate::suspects::{record_completed, wait_until_deadly};
@@ -108,7 +109,7 @@
             tokio::time::timeout(SILENCE_TIMEOUT.duration(), read_next_events(&self.node, &mut self.stream));
         tokio::select! {
             next = next => next.unwrap_or_else(|_| {
-                self.node.ledger.lock().record_failure(&pick.id, self.node.now());
+                paths::record_failure(&self.node, &pick, None);
                 Err(AttemptError::Silent(format!("no event for {SILENCE_TIMEOUT}")))
             }),
             () = wait_until_deadly(&self.node, &self.job) => Err(AttemptError::Stopped),
--- a/crates/node/src/runner_stream.rs
+++ b/crates/node/src/runner_stream.rs
@@ -10,7 +10,9 @@
 
 use crate::attempt::{Attempt, AttemptError, Job, Pick};
 use crate::channel::Channel;
+use crate::connect;
 use crate::in_flight::AttemptGuard;
+use crate::paths;
 use crate::state::Node;
 use crate::suspects::wait_until_deadly;
 
@@ -26,7 +28,7 @@
     body: Incoming,
     /// Splits the stream into events, and knows the last event forwarded.
     pub splitter: Splitter,
-    _channel: Channel,
+    channel: Channel,
     guard: AttemptGuard,
 }
 
@@ -45,7 +47,17 @@
         let (head, body) = Response::into_parts(attempt.response);
         let splitter = Splitter::resume_after(last_event);
         let (pick, guard) = (attempt.pick, attempt.guard);
-        (head, RunnerStream { pick, body, splitter, _channel: attempt.channel, guard })
+        (head, RunnerStream { pick, body, splitter, channel: attempt.channel, guard })
+    }
+}
+
+impl RunnerStream {
+    /// Records that the connection broke. The investigation of the runner follows; a node that carried the
+    /// connection is avoided.
+    fn record_break(&self, node: &Node) {
+        if let Some(through) = self.channel.through() {
+            connect::avoid(node, through.clone());
+        }
     }
 }
 
@@ -72,9 +84,9 @@
             }
             () = &mut deadly => return Err(AttemptError::Stopped),
             () = tokio::time::sleep(SILENCE_TIMEOUT.duration()) => {
-                let mut ledger = node.ledger.lock();
-                if job.route.is_repeatable() && ledger.is_silent_since(&pick.id, started) {
-                    ledger.record_failure(&pick.id, node.now());
+                let is_silent = node.ledger.lock().is_silent_since(&pick.id, started);
+                if job.route.is_repeatable() && is_silent {
+                    paths::record_failure(node, pick, None);
                     return Err(AttemptError::Silent(format!("silent for {SILENCE_TIMEOUT}")));
                 }
             }
@@ -99,6 +111,7 @@
         let frame = match stream.body.frame().await {
             Some(Ok(frame)) => frame,
             Some(Err(error)) => {
+                stream.record_break(node);
                 return Err(AttemptError::Broken(format!("the stream broke off: {error}")));
             }
             None if stream.splitter.is_at_boundary() => return Ok(StreamItem::End),
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -420,6 +420,11 @@
         !*self.draining.borrow() && self.is_synced() && self.catalog.lock().is_some() && self.trusts_keys()
     }
 
+    /// Whether this node reaches the runners of some hall through other nodes only.
+    pub fn has_cut_path(&self) -> bool {
+        self.paths.lock().list_cut().next().is_some()
+    }
+
     /// Returns the in-flight requests of this node at each group.
     pub fn sum_in_flight(&self) -> InFlight {
         let (roster, ledger) = (self.roster.lock(), self.ledger.lock());
@@ -442,13 +447,20 @@
 
     /// Lists the groups that failed a request of this node lately, that make no progress, or whose
     /// heads are backing off or denied being the head. The nodes of a hall share this list, because
-    /// otherwise each of them would have to be rejected once.
+    /// otherwise each of them would have to be rejected once. What may be the fault of this node's path
+    /// is left out, because it says nothing to the others.
     pub fn list_doubted(&self) -> Vec<Epoch> {
         let (roster, ledger) = (self.roster.lock(), self.ledger.lock());
-        let feedback = self.feedback.lock();
-        let doubted = ledger.list_doubted(self.now()).chain(feedback.backoffs.list(self.now()));
+        let (feedback, paths, now) = (self.feedback.lock(), self.paths.lock(), self.now());
+        let find_hall = |id: &id::Runner| roster.get_last_known(id).map(|runner| &runner.hall);
+        let is_trusted = |id: &id::Runner| find_hall(id).is_none_or(|hall| paths.is_trusted(hall, now));
+        let is_proven =
+            |id: &id::Runner, since| find_hall(id).is_none_or(|hall| paths.is_made_since(hall, since));
+        let stalled = ledger.list_stalled(now).filter(|(id, since)| is_proven(id, *since));
+        let failed = ledger.list_failed(now).chain(stalled.map(|(id, _)| id));
+        let doubted = failed.filter(|id| is_trusted(id)).chain(feedback.backoffs.list(now));
         let epochs = doubted.filter_map(|id| find_epoch(&roster, id));
-        let epochs: BTreeSet<Epoch> = epochs.chain(ledger.list_denied(self.now())).collect();
+        let epochs: BTreeSet<Epoch> = epochs.chain(ledger.list_denied(now)).collect();
         epochs.into_iter().collect()
     }
 
--- a/crates/node/tests/partition.rs
+++ b/crates/node/tests/partition.rs
@@ -2,11 +2,19 @@
 
 mod common;
 
-use common::{Fleet, KEY};
+use std::time::Instant;
+
+use common::{Fleet, KEY, Running, start_node};
 use cottoncrank::Millis;
+use cottoncrank_fleet::directory::{Millicores, Peer};
 use cottoncrank_net::reach::Block;
-use cottoncrank_platform_standin::caller::send_request;
+use cottoncrank_platform_standin::caller::{Answer, send_request, send_request_within};
 use cottoncrank_platform_standin::operator::{ONCE, READ, STREAM, config};
+use cottoncrank_platform_standin::runner::{EVENTS_PER_STREAM, Fault};
+use cottoncrank_platform_standin::store;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpListener;
+use tokio::task::JoinHandle;
 
 /// How long after the begin of a cut callers are served again. The platform allows 3 s.
 const CONTACT_TIME: Millis = Millis(1000);
@@ -75,3 +83,197 @@
 async fn callers_of_a_whole_hall_whose_nodes_reach_no_runner_are_served() {
     assert_served(&start_fleet().await, &[0, 1, 2]).await;
 }
+
+/// The pause between two events of a stream that is in flight when a cut begins or a node dies.
+const EVENT_INTERVAL: Millis = Millis(250);
+
+/// Returns a node that does not decide.
+fn find_follower(fleet: &Fleet) -> usize {
+    fleet.nodes.iter().position(|running| !running.node.is_deciding()).unwrap()
+}
+
+/// Starts streams at a node, and returns once all are in flight at runners.
+async fn start_streams(fleet: &Fleet, node: usize, count: usize) -> Vec<JoinHandle<Answer>> {
+    fleet.engines.iter().for_each(|engine| engine.set_event_interval(EVENT_INTERVAL));
+    let callers = fleet.nodes[node].callers;
+    let send = |number| async move {
+        send_request(callers, STREAM, &format!("stream-{number}"), KEY).await.unwrap()
+    };
+    let streams = (0..count).map(|number| tokio::spawn(send(number))).collect();
+    let has_run = |fleet: &Fleet| (0..count).all(|number| fleet.count_runs(&format!("stream-{number}")) > 0);
+    fleet.wait("all streams run", has_run).await;
+    tokio::time::sleep(EVENT_INTERVAL.duration()).await;
+    streams
+}
+
+async fn assert_whole(streams: Vec<JoinHandle<Answer>>) {
+    for stream in streams {
+        let answer = stream.await.unwrap();
+        assert_eq!((answer.status, answer.complete), (200, true), "{answer:?}");
+        assert_eq!(answer.events(), (0..EVENTS_PER_STREAM).collect::<Vec<_>>());
+    }
+}
+
+/// Returns the open groups with their epochs.
+fn list_groups(fleet: &Fleet) -> Vec<(String, u64)> {
+    let places = fleet.heads().into_iter().filter_map(|head| head.membership());
+    places.map(|place| (place.group, place.epoch)).collect()
+}
+
+#[tokio::test]
+async fn streams_in_flight_when_a_cut_begins_are_resumed_and_no_runner_is_doubted_for_it() {
+    let fleet = start_fleet().await;
+    let (cut, groups) = (find_follower(&fleet), list_groups(&fleet));
+    let streams = start_streams(&fleet, cut, 4).await;
+    fleet.nodes[cut].node.reach.block(Block::Hang);
+    let begin = Instant::now();
+    while begin.elapsed() < Millis(3000).duration() {
+        let doubted = fleet.nodes[cut].node.list_doubted();
+        assert!(doubted.is_empty(), "after {:?}: {doubted:?}", begin.elapsed());
+        tokio::time::sleep(Millis(10).duration()).await;
+    }
+    assert_whole(streams).await;
+    assert_eq!(list_groups(&fleet), groups, "a group that stands was formed anew");
+    for running in &fleet.nodes {
+        assert_eq!(running.node.suspects.lock().iter().count(), 0, "a request is suspected");
+    }
+}
+
+#[tokio::test]
+async fn connections_refused_on_a_cut_path_do_not_make_runners_count_as_ended() {
+    let fleet = start_fleet().await;
+    fleet.configure_cold_starts().await;
+    let cut = find_follower(&fleet);
+    fleet.nodes[cut].node.reach.block(Block::Refuse);
+    let failures = list_failures(&fleet, cut, "cold").await;
+    assert!(failures.is_empty(), "{failures:#?}");
+    let node = &fleet.nodes[cut].node;
+    let (roster, now) = (node.roster.lock(), node.now());
+    let ended = roster.iter().filter(|runner| roster.is_cold(&runner.id, now)).count();
+    assert_eq!(ended, 0, "runners count as started anew");
+}
+
+#[tokio::test]
+async fn a_node_connects_to_runners_itself_again_when_its_cut_is_over() {
+    let fleet = start_fleet().await;
+    let node = &fleet.nodes[0].node;
+    node.reach.block(Block::Refuse);
+    assert_eq!(list_failures(&fleet, 0, "cut").await, [""; 0]);
+    assert!(node.has_cut_path());
+    node.reach.heal();
+    fleet.wait("no path is cut", |_| !node.has_cut_path()).await;
+    assert_eq!(list_failures(&fleet, 0, "after").await, [""; 0]);
+    let carried: usize = fleet.nodes.iter().map(|running| running.node.carried_tunnels.count()).sum();
+    assert_eq!(carried, 0);
+}
+
+#[tokio::test]
+async fn callers_of_a_cut_node_are_served_while_the_store_is_away() {
+    let fleet = start_fleet().await;
+    fleet.store.set_fault(store::Fault::Silent);
+    fleet.nodes[0].node.reach.block(Block::Hang);
+    let failures = list_failures(&fleet, 0, "away").await;
+    assert!(failures.is_empty(), "{failures:#?}");
+}
+
+/// A node on threads of its own, which end with all of its connections when it is killed.
+struct Killable {
+    running: Running,
+    runtime: tokio::runtime::Runtime,
+}
+
+async fn start_killable(fleet: &Fleet, number: usize) -> Killable {
+    let address = fleet.store.address();
+    let builder = || tokio::runtime::Builder::new_multi_thread().worker_threads(1).enable_all().build();
+    let runtime = builder().unwrap();
+    let running = runtime.spawn(async move { start_node(address, number, "hall-a").await }).await.unwrap();
+    Killable { running, runtime }
+}
+
+#[tokio::test]
+async fn streams_go_on_when_the_node_that_carries_them_is_killed() {
+    let mut fleet = start_fleet().await;
+    let killable = start_killable(&fleet, 7).await;
+    fleet.add_node().await;
+    let last = fleet.nodes.len() - 1;
+    let knows_all = |running: &Running| running.node.directory.lock().count() == 7;
+    fleet.wait("all nodes know each other", |fleet| fleet.nodes.iter().all(knows_all)).await;
+    // Tunnels of the cut node are carried by the node that will be killed, as long as that one lives.
+    let carrier = killable.running.node.settings().node.clone();
+    let cut = &fleet.nodes[last].node;
+    let peers: Vec<Peer> = {
+        let directory = cut.directory.lock();
+        let nodes = fleet.nodes[..last].iter().map(|running| running.node.settings().node.clone());
+        nodes.filter_map(|name| directory.get(&name).cloned()).collect()
+    };
+    cut.directory.lock().retain(|name| *name == carrier || *name == cut.settings().node);
+    cut.reach.block(Block::Refuse);
+    let streams = start_streams(&fleet, last, 3).await;
+    assert!(killable.running.node.carried_tunnels.count() >= 3);
+    peers.into_iter().for_each(|peer| cut.directory.lock().insert(peer));
+    killable.runtime.shutdown_background();
+    assert_whole(streams).await;
+    let failures = list_failures(&fleet, last, "after").await;
+    assert!(failures.is_empty(), "{failures:#?}");
+}
+
+/// Starts a node of a build that knows no tunnels, and that answers every query like that.
+async fn start_earlier_build() -> Peer {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            tokio::spawn(async move {
+                // A query fits into the buffer.
+                if stream.read(&mut [0; 4096]).await.is_ok() {
+                    let _ = stream.write_all(b"HTTP/1.1 400 Bad Request\r\ncontent-length: 0\r\n\r\n").await;
+                }
+            });
+        }
+    });
+    let (node, hall) = ("node-earlier".parse().unwrap(), "hall-a".parse().unwrap());
+    Peer { node, hall, address, processor: Millicores(1) }
+}
+
+#[tokio::test]
+async fn a_cut_node_passes_over_a_node_of_an_earlier_build() {
+    let fleet = Fleet::serving(2).await;
+    let knows_both = |running: &Running| running.node.directory.lock().count() == 2;
+    fleet.wait("both nodes know each other", |fleet| fleet.nodes.iter().all(knows_both)).await;
+    let node = &fleet.nodes[0].node;
+    node.directory.lock().insert(start_earlier_build().await);
+    node.reach.block(Block::Refuse);
+    let failures = list_failures(&fleet, 0, "earlier").await;
+    assert!(failures.is_empty(), "{failures:#?}");
+}
+
+#[tokio::test]
+async fn nodes_that_are_all_cut_off_refuse_at_once_and_pass_nothing_on_in_circles() {
+    let fleet = Fleet::serving(3).await;
+    fleet.nodes.iter().for_each(|running| running.node.reach.block(Block::Refuse));
+    for (path, request) in [(STREAM, "r1"), (READ, "r2"), (ONCE, "r3")] {
+        let begin = Instant::now();
+        let answer = send_request(fleet.nodes[0].callers, path, request, KEY).await.unwrap();
+        assert_eq!(answer.status, 503, "{answer:?}");
+        assert!(begin.elapsed() < Millis(1000).duration(), "{request} was held for {:?}", begin.elapsed());
+        assert_eq!(fleet.count_runs(request), 0);
+    }
+    assert!(fleet.nodes.iter().all(|running| running.node.carried_tunnels.count() == 0));
+    assert!(!fleet.nodes[0].node.has_cut_path(), "nobody reaches the runners, so no path is known to be cut");
+}
+
+#[tokio::test]
+async fn a_tunnel_ends_with_the_deadline_of_its_request() {
+    let fleet = start_fleet().await;
+    fleet.engines.iter().for_each(|engine| engine.set_fault(Fault::NoAnswer));
+    fleet.nodes[0].node.reach.block(Block::Refuse);
+    let callers = fleet.nodes[0].callers;
+    let asking = tokio::spawn(async move { send_request_within(callers, STREAM, "r1", KEY, 600).await });
+    let count = |fleet: &Fleet| -> usize {
+        fleet.nodes.iter().map(|running| running.node.carried_tunnels.count()).sum()
+    };
+    fleet.wait("a tunnel is carried", |fleet| count(fleet) > 0).await;
+    assert_eq!(asking.await.unwrap().unwrap().status, 504);
+    tokio::time::sleep(Millis(200).duration()).await;
+    assert_eq!(count(&fleet), 0);
+}
