Hand the decider lease over from a node that reaches no runner

When the probes of a round find all of a hall silent, the decider finds out whether its path is at fault, by connecting to two runners of the hall directly and through other nodes. A decider whose paths to all halls are cut ends its term, and a node in that state is no candidate. If nobody reaches the runners, no path is known to be cut and the decider stays.

--- a/crates/fleet/src/probe.rs
+++ b/crates/fleet/src/probe.rs
@@ -99,6 +99,11 @@
         self.cut.contains(hall)
     }
 
+    /// Lists the halls to which the path is taken to be cut.
+    pub fn list_cut(&self) -> impl Iterator<Item = &id::Hall> {
+        self.cut.iter()
+    }
+
     /// Whether a runner does not answer.
     pub fn is_silent(&self, runner: &id::Runner) -> bool {
         self.health(runner) == Health::Silent
--- a/crates/node/src/decider.rs
+++ b/crates/node/src/decider.rs
@@ -93,6 +93,8 @@
     Deposed,
     #[error("the lease may be over")]
     Expired,
+    #[error("this node reaches no runner itself, others do")]
+    CutOff,
     #[error("the store was restored from an older copy, which has another lease or none")]
     StoreRestored,
     #[error(transparent)]
@@ -128,7 +130,7 @@
     loop {
         // The sender lives as long as the node.
         let _ = decider.wait_for(|holder| !is_held(holder)).await;
-        if !node.is_synced() || *node.draining.borrow() || node.catalog.lock().is_none() {
+        if !is_candidate(&node) {
             tokio::time::sleep(NOT_READY_PAUSE.duration()).await;
             continue;
         }
@@ -172,6 +174,12 @@
     }
 }
 
+/// Whether this node could act as the decider at present.
+fn is_candidate(node: &Node) -> bool {
+    let knows_fleet = node.is_synced() && node.catalog.lock().is_some();
+    knows_fleet && !*node.draining.borrow() && !node.is_cut_off()
+}
+
 /// Returns how long this node waits for the candidates that rank before it.
 fn find_candidate_delay(node: &Node) -> Millis {
     let rank = node.directory.lock().rank_candidate(&node.settings().node) as u64;
@@ -295,6 +303,9 @@
             if *self.node.draining.borrow() {
                 return Err(EndError::Deposed);
             }
+            if self.node.is_cut_off() {
+                return Err(EndError::CutOff);
+            }
             self.reread_plans(now).await;
             self.plan_services().await?;
             // The next round begins after a change or after the interval, so the outcome is unused.
--- a/crates/node/src/paths.rs
+++ b/crates/node/src/paths.rs
@@ -46,6 +46,7 @@
             let roster = node.roster.lock();
             let runners = roster.iter().filter(|runner| runner.hall == *hall).map(|runner| &runner.id);
             node.ledger.lock().begin_cut(hall, runners);
+            node.fleet_changed.notify_one();
             log::warn!(
                 "path: {hall}: cut, other nodes reach its runners and carry this node's connections: {failures}"
             );
--- a/crates/node/src/prober.rs
+++ b/crates/node/src/prober.rs
@@ -11,6 +11,7 @@
 use parking_lot::Mutex;
 use tokio::task::JoinSet;
 
+use crate::paths;
 use crate::state::Node;
 use crate::telemetry;
 
@@ -57,6 +58,10 @@
             answers.push(answer);
         }
         let newly_silent = probes.lock().record_round(&answers);
+        // A decider that cannot reach the runners itself hands over to a node that can.
+        for hall in probes.lock().list_cut() {
+            tokio::spawn(paths::verify(node.clone(), hall.clone()));
+        }
         if !newly_silent.is_empty() {
             log::info!(
                 "decider: no answer from {}",
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -425,6 +425,12 @@
         self.paths.lock().list_cut().next().is_some()
     }
 
+    /// Whether this node reaches no runner itself, while other nodes do.
+    pub(crate) fn is_cut_off(&self) -> bool {
+        let roster = self.roster.lock();
+        self.paths.lock().is_cut_off(roster.iter().map(|runner| &runner.hall))
+    }
+
     /// Returns the in-flight requests of this node at each group.
     pub fn sum_in_flight(&self) -> InFlight {
         let (roster, ledger) = (self.roster.lock(), self.ledger.lock());
--- a/crates/node/tests/partition.rs
+++ b/crates/node/tests/partition.rs
@@ -139,6 +139,31 @@
     }
 }
 
+/// The time within which a decider that reaches no runner has handed over.
+const HANDOVER_TIME: Millis = Millis(3000);
+
+#[tokio::test]
+async fn a_decider_that_reaches_no_runner_hands_over_to_a_node_that_does() {
+    let fleet = start_fleet().await;
+    let cut = fleet.nodes.iter().position(|running| running.node.is_deciding()).unwrap();
+    let (groups, begin) = (list_groups(&fleet), Instant::now());
+    fleet.nodes[cut].node.reach.block(Block::Hang);
+    let decides_elsewhere = |fleet: &Fleet| {
+        let deciding = fleet.nodes.iter().position(|running| running.node.is_deciding());
+        deciding.is_some_and(|node| node != cut)
+    };
+    fleet.wait("another node decides", decides_elsewhere).await;
+    assert!(begin.elapsed() < HANDOVER_TIME.duration(), "after {:?}", begin.elapsed());
+    assert_eq!(list_groups(&fleet), groups, "a group that stands was formed anew");
+    let lost = fleet.heads()[0];
+    lost.drain();
+    let is_replaced = |fleet: &Fleet| {
+        let others = fleet.heads().iter().filter(|head| head.id() != lost.id()).count();
+        others == 2 && decides_elsewhere(fleet)
+    };
+    fleet.wait("the group of a runner that leaves is replaced", is_replaced).await;
+}
+
 #[tokio::test]
 async fn connections_refused_on_a_cut_path_do_not_make_runners_count_as_ended() {
     let fleet = start_fleet().await;
