Take no group from a runner that pauses for a second

Two probes of 250 ms without an answer made a runner count as silent, so a sound one that paused for a second lost its group, and its callers their streams.

Four probes are needed: two of a round, the pause between rounds and two of the next take 1.45 s. Until then the runner counts as neither responsive nor silent, and what waits for more evidence waits.

The new test failed before (the group was formed anew as g3 within 2 s) and passes now. The fleets that the other tests simulate keep within their bounds.

--- a/crates/fleet/src/probe.rs
+++ b/crates/fleet/src/probe.rs
@@ -6,9 +6,13 @@
 
 use crate::runner::{Incarnation, is_later};
 
-/// The number of consecutive probes without an answer after which a runner counts as silent, and
-/// the number of probes that a conclusion needs.
-pub const MIN_MISSES: u32 = 2;
+/// The number of probes that a conclusion needs.
+pub const MIN_PROBES: u32 = 2;
+
+/// The number of consecutive probes without an answer after which a runner counts as silent. A sound
+/// runner may pause for a second; with the timeouts and the pause between rounds these probes take
+/// longer.
+pub const MIN_MISSES: u32 = 4;
 
 /// If more than this fraction of a data hall is silent at once, the network path there is taken to
 /// be cut, and nothing is concluded about its runners. A whole fabric domain, half of a present
@@ -54,7 +58,8 @@
     Slow,
     /// It does not answer.
     Silent,
-    /// Nothing can be concluded: there were not enough probes, or the path to its hall is cut.
+    /// Nothing can be concluded: there were not enough probes, it has not answered the last ones, or
+    /// the path to its hall is cut.
     Unknown,
 }
 
@@ -83,11 +88,12 @@
     /// Returns the health of a runner.
     pub fn health(&self, runner: &id::Runner) -> Health {
         match self.records.get(runner) {
-            Some(record) if record.asked >= MIN_MISSES && !self.cut.contains(&record.hall) => {
-                match (record.misses >= MIN_MISSES, record.slow >= MIN_MISSES) {
-                    (true, _) => Health::Silent,
-                    (false, true) => Health::Slow,
-                    (false, false) => Health::Responsive,
+            Some(record) if record.asked >= MIN_PROBES && !self.cut.contains(&record.hall) => {
+                match (record.misses, record.slow) {
+                    (MIN_MISSES.., _) => Health::Silent,
+                    (MIN_PROBES.., _) => Health::Unknown,
+                    (_, MIN_PROBES..) => Health::Slow,
+                    _ => Health::Responsive,
                 }
             }
             _ => Health::Unknown,
@@ -125,12 +131,15 @@
         self.records.keys().filter(|runner| self.is_slow(runner)).cloned().collect()
     }
 
-    /// Whether more may be known soon: the path to the runner's hall is cut, or there were not
-    /// enough probes yet.
+    /// Whether more may be known soon: the path to the runner's hall is cut, there were not enough
+    /// probes yet, or it did not answer the last ones.
     pub fn is_pending(&self, runner: &id::Runner) -> bool {
         match self.records.get(runner) {
-            Some(record) => record.asked < MIN_MISSES || self.cut.contains(&record.hall),
-            None => self.rounds < MIN_MISSES,
+            Some(record) => {
+                let is_undecided = (MIN_PROBES..MIN_MISSES).contains(&record.misses);
+                record.asked < MIN_PROBES || is_undecided || self.cut.contains(&record.hall)
+            }
+            None => self.rounds < MIN_PROBES,
         }
     }
 
--- a/crates/fleet/tests/instant/mod.rs
+++ b/crates/fleet/tests/instant/mod.rs
@@ -12,7 +12,7 @@
 use cottoncrank_fleet::order::Order;
 use cottoncrank_fleet::plan::{Group, Plans};
 use cottoncrank_fleet::pressure::Pressure;
-use cottoncrank_fleet::probe::{Answer, Observation, Probes};
+use cottoncrank_fleet::probe::{Answer, MIN_MISSES, Observation, Probes};
 use cottoncrank_fleet::roster::Roster;
 use cottoncrank_fleet::runner::{Incarnation, Membership, Phase, Runner};
 use cottoncrank_fleet::settings::Ceiling;
@@ -108,7 +108,7 @@
         }
     }
 
-    /// Records two rounds of probes that the `silent` runners do not answer.
+    /// Records rounds of probes that the `silent` runners do not answer, until they count as silent.
     pub fn probe(&mut self, silent: &[id::Runner]) {
         let members: Vec<id::Runner> = self.groups().flat_map(|group| group.members.clone()).collect();
         let answer = |runner: &id::Runner| Answer {
@@ -132,8 +132,9 @@
                 self.roster.record_incarnation(&answer.runner, incarnation);
             }
         }
-        self.probes.record_round(&round);
-        self.probes.record_round(&round);
+        for _ in 0..MIN_MISSES {
+            self.probes.record_round(&round);
+        }
     }
 
     pub fn step(&mut self) -> Step {
--- a/crates/node/tests/requests.rs
+++ b/crates/node/tests/requests.rs
@@ -130,6 +130,22 @@
         .await;
 }
 
+/// How long a runner that pauses answers nothing.
+const PAUSE: Millis = Millis(1000);
+
+#[tokio::test]
+async fn the_group_of_a_member_that_pauses_for_a_second_stands() {
+    let fleet = Fleet::serving(1).await;
+    let head = fleet.heads()[0];
+    let place = head.membership();
+    head.set_fault(Fault::Unresponsive);
+    tokio::time::sleep(PAUSE.duration()).await;
+    head.set_fault(Fault::None);
+    // A decision that was made in the meantime reaches the runner within this time.
+    tokio::time::sleep(PAUSE.duration()).await;
+    assert_eq!(head.membership(), place);
+}
+
 #[tokio::test]
 async fn a_draining_member_closes_its_group_and_receives_no_new_requests() {
     let fleet = Fleet::serving(1).await;
