--- a/crates/fleet/src/probe.rs
+++ b/crates/fleet/src/probe.rs
@@ -30,6 +30,8 @@
     Pace(f64),
     /// No answer came.
     Silent,
+    /// No process listens at the address, and others in the hall are reached: its process has ended.
+    Refused,
     /// Another runner answered at the address: the process of the probed one has ended.
     Gone,
 }
@@ -110,6 +112,12 @@
         self.cut.iter()
     }
 
+    /// Whether a runner has not answered its last probes, but not enough of them to be silent.
+    pub fn has_undecided(&self) -> bool {
+        let undecided = |record: &Record| (1..MIN_MISSES).contains(&record.misses);
+        self.records.values().any(undecided)
+    }
+
     /// Whether a runner does not answer.
     pub fn is_silent(&self, runner: &id::Runner) -> bool {
         self.health(runner) == Health::Silent
@@ -156,16 +164,16 @@
             let gone = previous.is_some_and(|record| record.gone) || answer.reported == Observation::Gone;
             let record = Record {
                 hall: answer.hall.clone(),
-                misses: if matches!(answer.reported, Observation::Pace(_)) {
-                    0
-                } else {
-                    misses + answer.asked
+                misses: match answer.reported {
+                    Observation::Pace(_) => 0,
+                    Observation::Refused => MIN_MISSES,
+                    Observation::Silent | Observation::Gone => misses + answer.asked,
                 },
                 asked: previous.map_or(0, |record| record.asked) + answer.asked,
                 slow: match answer.reported {
                     Observation::Pace(pace) if pace >= SLOW_FACTOR => slow + 1,
                     Observation::Pace(_) => 0,
-                    Observation::Silent | Observation::Gone => slow,
+                    Observation::Silent | Observation::Refused | Observation::Gone => slow,
                 },
                 gone,
                 incarnation: answer.incarnation.or(previous.and_then(|record| record.incarnation)),
@@ -186,7 +194,7 @@
     for answer in round {
         let (asked, missed) = halls.entry(&answer.hall).or_default();
         *asked += 1;
-        *missed += usize::from(answer.reported == Observation::Silent);
+        *missed += usize::from(matches!(answer.reported, Observation::Silent | Observation::Refused));
     }
     let cut =
         halls.into_iter().filter(|(_, (asked, missed))| *missed as f64 > CUT_HALL_RATIO * *asked as f64);
--- a/crates/fleet/tests/node_state.rs
+++ b/crates/fleet/tests/node_state.rs
@@ -192,6 +192,19 @@
     assert_eq!(find_health(&probes, "a-3"), Health::Unknown, "it was not probed any more");
 }
 
+#[test]
+fn a_runner_whose_process_has_ended_is_silent_at_once_unless_its_hall_is_cut_off() {
+    let mut probes = Probes::default();
+    probes.record_round(&answers(&[], 4, "a"));
+    let mut round = answers(&[], 4, "a");
+    round[1].reported = Observation::Refused;
+    assert_eq!(probes.record_round(&round).len(), 1);
+    let mut probes = Probes::default();
+    round.iter_mut().for_each(|answer| answer.reported = Observation::Refused);
+    assert!(probes.record_round(&round).is_empty());
+    assert_eq!(find_health(&probes, "a-1"), Health::Unknown);
+}
+
 #[test]
 fn a_runner_that_misses_two_probes_of_each_of_two_rounds_is_silent_after_them() {
     let mut probes = Probes::default();
--- a/crates/node/src/crash.rs
+++ b/crates/node/src/crash.rs
@@ -9,14 +9,11 @@
 use cottoncrank_fleet::probe::Observation;
 use cottoncrank_fleet::runner::is_later;
 use cottoncrank_fleet::suspects::Origin;
-use cottoncrank_platform::order::{self, ProbeResult};
-use http_body_util::BodyExt;
-use hyper::Response;
 use tokio::sync::OnceCell;
 
 use crate::attempt::{AttemptError, Job, Pick};
-use crate::channel::{Channel, ChannelError};
-use crate::connect::{self, Target};
+use crate::connect::Target;
+use crate::prober;
 use crate::state::Node;
 use crate::suspects;
 use crate::telemetry;
@@ -28,9 +25,6 @@
 /// The timeout of a probe of a runner; a runner answers one within milliseconds.
 const PROBE_TIMEOUT: Millis = Millis(150);
 
-/// How long a connection for a probe may last: until it is made, and then [`PROBE_TIMEOUT`].
-const PROBE_LIFETIME: Millis = Millis(500);
-
 /// A probe that fails within this time had its connection closed at once by the runner. A connection
 /// that cannot be established takes longer to fail.
 const EARLY_CLOSE_MAX: Millis = Millis(60);
@@ -192,25 +186,11 @@
 }
 
 async fn probe_once(node: &Arc<Node>, pick: &Pick) -> Finding {
-    let deadline = node.now() + PROBE_LIFETIME;
-    let channel = match connect::open(node, Target::of_pick(pick), deadline).await {
-        Ok(channel) => channel,
-        Err(error) if error.is_refused() => return Finding::Crashed,
-        Err(_) => return Finding::Unknown,
-    };
-    let probing = tokio::time::timeout(PROBE_TIMEOUT.duration(), exchange_probe(channel, pick)).await;
-    let Ok(Ok(answer)) = probing else { return Finding::Unknown };
+    let answer = prober::probe_anyhow(node, Target::of_pick(pick), PROBE_TIMEOUT).await;
     match answer.reported {
-        Observation::Gone => Finding::Crashed,
+        Observation::Gone | Observation::Refused => Finding::Crashed,
         Observation::Pace(_) if is_later(answer.incarnation, pick.incarnation) => Finding::Crashed,
         Observation::Pace(_) => Finding::Alive,
         Observation::Silent => Finding::Unknown,
     }
 }
-
-async fn exchange_probe(mut channel: Channel, pick: &Pick) -> Result<ProbeResult, ChannelError> {
-    let answer = channel.send(order::build_probe(pick.address, &pick.id)).await?;
-    let (head, body) = answer.into_parts();
-    let answer = Response::from_parts(head, body.collect().await?.to_bytes());
-    Ok(order::read_probe(&pick.id, &answer))
-}
--- a/crates/node/src/prober.rs
+++ b/crates/node/src/prober.rs
@@ -1,6 +1,7 @@
-//! Runs health checks against the members of groups, at the decider.
+//! Probes runners: the members of groups in rounds, at the decider, and single ones on demand.
 
 use std::collections::HashSet;
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use cottoncrank::{Millis, id};
@@ -8,9 +9,13 @@
 use cottoncrank_fleet::runner::Runner;
 use cottoncrank_net::client::Client;
 use cottoncrank_platform::order::{self, ProbeResult};
+use http_body_util::BodyExt;
+use hyper::Response;
 use parking_lot::Mutex;
 use tokio::task::JoinSet;
 
+use crate::channel::{Channel, ChannelError};
+use crate::connect::{self, Target};
 use crate::paths;
 use crate::state::Node;
 use crate::telemetry;
@@ -22,6 +27,13 @@
 /// fast as by the expiry of its entry.
 const ROUND_DELAY: Millis = Millis(450);
 
+/// The same while a runner has not answered the last round. Then the probes after which it counts as
+/// silent take 1.3 s at the least: a sound runner may pause for a second.
+const UNDECIDED_DELAY: Millis = Millis(600);
+
+/// How long a connection for a probe may last: until it is made, and then the timeout of the probe.
+const PROBE_LIFETIME: Millis = Millis(500);
+
 /// Probes all members of groups in rounds, until the task is aborted. Members whose entry is gone are
 /// probed at their last known address.
 pub async fn run(node: Arc<Node>, client: Client, probes: Arc<Mutex<Probes>>) {
@@ -40,7 +52,7 @@
         let mut probing = JoinSet::new();
         for runner in known {
             let silent = probes.lock().is_silent(&runner.id);
-            probing.spawn(probe_member(client.clone(), runner, silent));
+            probing.spawn(probe_member(node.clone(), client.clone(), runner, silent));
         }
         let round = probing.join_all().await;
         telemetry::count_probes(round.iter().map(|(answer, ..)| answer.asked as usize).sum());
@@ -69,21 +81,59 @@
             );
             node.fleet_changed.notify_one();
         }
-        tokio::time::sleep(ROUND_DELAY.duration()).await;
+        let delay = if probes.lock().has_undecided() { UNDECIDED_DELAY } else { ROUND_DELAY };
+        tokio::time::sleep(delay.duration()).await;
     }
 }
 
 /// Probes a member. If it does not answer and is not yet known to be silent, it is probed once more at
-/// once, so that a lost member is detected half a second sooner than after another round. Returns its
-/// answer, whether it is about to leave, and how much longer it stays cold.
-async fn probe_member(client: Client, runner: Runner, silent: bool) -> (Answer, bool, Option<Millis>) {
+/// once, through another node if this node does not reach it. Returns its answer, whether it is about to
+/// leave, and how much longer it stays cold.
+async fn probe_member(
+    node: Arc<Node>,
+    client: Client,
+    runner: Runner,
+    silent: bool,
+) -> (Answer, bool, Option<Millis>) {
     let mut attempts = 1;
     let mut probed = order::probe(&client, runner.address, &runner.id, PROBE_TIMEOUT).await;
     if probed.reported == Observation::Silent && !silent {
         attempts += 1;
-        probed = order::probe(&client, runner.address, &runner.id, PROBE_TIMEOUT).await;
+        probed = probe_anyhow(&node, Target::of(&runner), PROBE_TIMEOUT).await;
     }
     let ProbeResult { reported, incarnation, leaving, cold_left } = probed;
     let answer = Answer { runner: runner.id, hall: runner.hall, reported, incarnation, asked: attempts };
     (answer, leaving, cold_left)
 }
+
+/// Probes a runner over a connection of its own, which leads through another node if this node does not
+/// reach it. `timeout` counts from when the connection is made.
+pub(crate) async fn probe_anyhow(node: &Arc<Node>, target: Target, timeout: Millis) -> ProbeResult {
+    let (id, address) = (target.id.clone(), target.address);
+    let channel = match connect::open(node, target, node.now() + PROBE_LIFETIME).await {
+        Ok(channel) => channel,
+        Err(error) if error.is_refused() => return ProbeResult::new(Observation::Refused),
+        Err(_) => return ProbeResult::new(Observation::Silent),
+    };
+    let exchange = exchange_probe(channel, address, &id);
+    let exchanged = tokio::time::timeout(timeout.duration(), exchange).await;
+    match exchanged {
+        Ok(Ok(probed)) => probed,
+        Ok(Err(error)) => {
+            log::debug!("probe: {id}: {error}");
+            ProbeResult::new(Observation::Silent)
+        }
+        Err(_) => ProbeResult::new(Observation::Silent),
+    }
+}
+
+async fn exchange_probe(
+    mut channel: Channel,
+    address: SocketAddr,
+    id: &id::Runner,
+) -> Result<ProbeResult, ChannelError> {
+    let answer = channel.send(order::build_probe(address, id)).await?;
+    let (head, body) = answer.into_parts();
+    let answer = Response::from_parts(head, body.collect().await?.to_bytes());
+    Ok(order::read_probe(id, &answer))
+}
