Tell a runner that pauses from one whose box is down by its connections

A process that pauses still has its connections accepted by its box. A runner whose box takes no connection, neither from the decider nor from another node, counts as silent at once, and so does one that refuses them while others of its hall are reached; only one that takes the connection and does not answer gets four probes.

The new test covers both observations, and a hall that is cut off.

--- a/crates/fleet/src/probe.rs
+++ b/crates/fleet/src/probe.rs
@@ -9,9 +9,9 @@
 /// The number of probes that a conclusion needs.
 pub const MIN_PROBES: u32 = 2;
 
-/// The number of consecutive probes without an answer after which a runner counts as silent. A sound
-/// runner may pause for a second; with the timeouts and the pause between rounds these probes take
-/// longer.
+/// The number of consecutive probes without an answer after which a runner counts as silent that takes
+/// connections. A sound one may pause for a second; with the timeouts and the pause between rounds these
+/// probes take longer.
 pub const MIN_MISSES: u32 = 4;
 
 /// If more than this fraction of a data hall is silent at once, the network path there is taken to
@@ -28,8 +28,11 @@
 pub enum Observation {
     /// The runner answered and works this many times slower than usual.
     Pace(f64),
-    /// No answer came.
+    /// No answer came. A sound runner may pause like that.
     Silent,
+    /// No connection could be made, neither directly nor through another node: its box is down, or cut
+    /// off.
+    Unreachable,
     /// No process listens at the address, and others in the hall are reached: its process has ended.
     Refused,
     /// Another runner answered at the address: the process of the probed one has ended.
@@ -112,12 +115,6 @@
         self.cut.iter()
     }
 
-    /// Whether a runner has not answered its last probes, but not enough of them to be silent.
-    pub fn has_undecided(&self) -> bool {
-        let undecided = |record: &Record| (1..MIN_MISSES).contains(&record.misses);
-        self.records.values().any(undecided)
-    }
-
     /// Whether a runner does not answer.
     pub fn is_silent(&self, runner: &id::Runner) -> bool {
         self.health(runner) == Health::Silent
@@ -166,14 +163,14 @@
                 hall: answer.hall.clone(),
                 misses: match answer.reported {
                     Observation::Pace(_) => 0,
-                    Observation::Refused => MIN_MISSES,
+                    Observation::Unreachable | Observation::Refused => MIN_MISSES,
                     Observation::Silent | Observation::Gone => misses + answer.asked,
                 },
                 asked: previous.map_or(0, |record| record.asked) + answer.asked,
                 slow: match answer.reported {
                     Observation::Pace(pace) if pace >= SLOW_FACTOR => slow + 1,
                     Observation::Pace(_) => 0,
-                    Observation::Silent | Observation::Refused | Observation::Gone => slow,
+                    _ => slow,
                 },
                 gone,
                 incarnation: answer.incarnation.or(previous.and_then(|record| record.incarnation)),
@@ -189,12 +186,17 @@
     }
 }
 
+/// Whether nothing came back from the runner's address but, possibly, a refusal.
+fn is_missed(reported: Observation) -> bool {
+    matches!(reported, Observation::Silent | Observation::Unreachable | Observation::Refused)
+}
+
 fn find_cut_halls(round: &[Answer]) -> HashSet<id::Hall> {
     let mut halls: BTreeMap<&id::Hall, (usize, usize)> = BTreeMap::new();
     for answer in round {
         let (asked, missed) = halls.entry(&answer.hall).or_default();
         *asked += 1;
-        *missed += usize::from(matches!(answer.reported, Observation::Silent | Observation::Refused));
+        *missed += usize::from(is_missed(answer.reported));
     }
     let cut =
         halls.into_iter().filter(|(_, (asked, missed))| *missed as f64 > CUT_HALL_RATIO * *asked as f64);
--- a/crates/fleet/tests/node_state.rs
+++ b/crates/fleet/tests/node_state.rs
@@ -193,16 +193,18 @@
 }
 
 #[test]
-fn a_runner_whose_process_has_ended_is_silent_at_once_unless_its_hall_is_cut_off() {
-    let mut probes = Probes::default();
-    probes.record_round(&answers(&[], 4, "a"));
-    let mut round = answers(&[], 4, "a");
-    round[1].reported = Observation::Refused;
-    assert_eq!(probes.record_round(&round).len(), 1);
-    let mut probes = Probes::default();
-    round.iter_mut().for_each(|answer| answer.reported = Observation::Refused);
-    assert!(probes.record_round(&round).is_empty());
-    assert_eq!(find_health(&probes, "a-1"), Health::Unknown);
+fn a_runner_that_takes_no_connection_is_silent_at_once_unless_its_hall_is_cut_off() {
+    for reported in [Observation::Refused, Observation::Unreachable] {
+        let mut probes = Probes::default();
+        let mut round = answers(&[], 4, "a");
+        probes.record_round(&round);
+        round[1].reported = reported;
+        assert_eq!(probes.record_round(&round).len(), 1, "{reported:?}");
+        let mut probes = Probes::default();
+        round.iter_mut().for_each(|answer| answer.reported = reported);
+        assert!(probes.record_round(&round).is_empty(), "{reported:?}");
+        assert_eq!(find_health(&probes, "a-1"), Health::Unknown);
+    }
 }
 
 #[test]
--- a/crates/node/src/crash.rs
+++ b/crates/node/src/crash.rs
@@ -191,6 +191,6 @@
         Observation::Gone | Observation::Refused => Finding::Crashed,
         Observation::Pace(_) if is_later(answer.incarnation, pick.incarnation) => Finding::Crashed,
         Observation::Pace(_) => Finding::Alive,
-        Observation::Silent => Finding::Unknown,
+        Observation::Silent | Observation::Unreachable => Finding::Unknown,
     }
 }
--- a/crates/node/src/prober.rs
+++ b/crates/node/src/prober.rs
@@ -27,10 +27,6 @@
 /// fast as by the expiry of its entry.
 const ROUND_DELAY: Millis = Millis(450);
 
-/// The same while a runner has not answered the last round. Then the probes after which it counts as
-/// silent take 1.3 s at the least: a sound runner may pause for a second.
-const UNDECIDED_DELAY: Millis = Millis(600);
-
 /// How long a connection for a probe may last: until it is made, and then the timeout of the probe.
 const PROBE_LIFETIME: Millis = Millis(500);
 
@@ -81,8 +77,7 @@
             );
             node.fleet_changed.notify_one();
         }
-        let delay = if probes.lock().has_undecided() { UNDECIDED_DELAY } else { ROUND_DELAY };
-        tokio::time::sleep(delay.duration()).await;
+        tokio::time::sleep(ROUND_DELAY.duration()).await;
     }
 }
 
@@ -113,6 +108,7 @@
     let channel = match connect::open(node, target, node.now() + PROBE_LIFETIME).await {
         Ok(channel) => channel,
         Err(error) if error.is_refused() => return ProbeResult::new(Observation::Refused),
+        Err(ChannelError::Connect(_)) => return ProbeResult::new(Observation::Unreachable),
         Err(_) => return ProbeResult::new(Observation::Silent),
     };
     let exchange = exchange_probe(channel, address, &id);
