Cut nodes off from all runners in the soak, and list what becomes of it

Plans cut one node or all of a hall off now, in series, in three ways; the check compares the cut nodes with the others by the users' bound, from 3 s after the begin on, and excuses nodes out of touch.

docs/FAULTS.md has the cuts as a section whose rows the node's tests check; the matrix still checks every byte of its own part of the page. The node's program hands its state to the additional task, through which the soak's program cuts it off.

--- a/crates/kernel/tests/matrix.rs
+++ b/crates/kernel/tests/matrix.rs
@@ -280,13 +280,19 @@
     // Read at run time, because a shared target folder can outlive the clone it was built from.
     let package = std::env::var_os("CARGO_MANIFEST_DIR").expect("cargo names the package's folder");
     let path = Path::new(&package).join("../../docs/FAULTS.md");
+    let written = std::fs::read_to_string(&path).unwrap();
+    // The section after this heading is checked by the tests of the node.
+    let (written, nodes) = written.split_at(written.find(NODES).expect("the page has the section on nodes"));
     if std::env::var_os("UPDATE_FAULTS").is_some() {
-        std::fs::write(&path, &page).unwrap();
+        std::fs::write(&path, format!("{page}{nodes}")).unwrap();
+        return;
     }
-    let written = std::fs::read_to_string(&path).unwrap();
     assert_eq!(written, page, "docs/FAULTS.md is not what the matrix gives; UPDATE_FAULTS=1 writes it anew");
 }
 
+/// The heading of the section that is not written here.
+const NODES: &str = "\n## Nodes that reach no runner";
+
 const HEAD: &str = "\
 # What every fault does at every step
 
--- a/crates/node/src/bin/cottoncrank-node.rs
+++ b/crates/node/src/bin/cottoncrank-node.rs
@@ -16,7 +16,7 @@
 
 fn main() -> ExitCode {
     let args = Args::parse();
-    match program::run(args.check, std::future::pending()) {
+    match program::run(args.check, |_| std::future::pending()) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("{error}");
--- a/crates/node/src/program.rs
+++ b/crates/node/src/program.rs
@@ -29,9 +29,12 @@
     Start(#[from] StartError),
 }
 
-/// Runs a node until it receives a stop signal, with `background` as an additional task. With `check` it
-/// only checks the settings.
-pub fn run(check: bool, background: impl Future<Output = ()> + Send + 'static) -> Result<(), ProgramError> {
+/// Runs a node until it receives a stop signal, with an additional task that `background` returns. With
+/// `check` it only checks the settings.
+pub fn run<T>(check: bool, background: impl FnOnce(Arc<Node>) -> T) -> Result<(), ProgramError>
+where
+    T: Future<Output = ()> + Send + 'static,
+{
     let log = log::start("info").map_err(StartError::from)?;
     let settings = settings::read()?;
     if check {
@@ -41,8 +44,9 @@
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(StartError::from)?;
     let served = runtime.block_on(async {
-        tokio::spawn(background);
-        serve(Node::new(settings)).await
+        let node = Node::new(settings);
+        tokio::spawn(background(node.clone()));
+        serve(node).await
     });
     // Lines that cannot be written within the timeout of the flush are lost.
     log.flush();
--- a/crates/node/tests/partition.rs
+++ b/crates/node/tests/partition.rs
@@ -2,6 +2,7 @@
 
 mod common;
 
+use std::path::Path;
 use std::time::Instant;
 
 use common::{Fleet, KEY, Running, start_node};
@@ -35,6 +36,14 @@
     fleet
 }
 
+/// Asserts that the page of faults has this row.
+fn assert_documented(row: &str) {
+    // Read at run time, because a shared target folder can outlive the clone it was built from.
+    let package = std::env::var_os("CARGO_MANIFEST_DIR").expect("cargo names the package's folder");
+    let page = std::fs::read_to_string(Path::new(&package).join("../../docs/FAULTS.md")).unwrap();
+    assert!(page.contains(row), "docs/FAULTS.md has no row `{row}`");
+}
+
 /// Sends requests of all kinds to a node, and returns the answers that are no whole success.
 async fn list_failures(fleet: &Fleet, node: usize, label: &str) -> Vec<String> {
     let mut failures = Vec::new();
@@ -50,8 +59,11 @@
     failures
 }
 
-/// Cuts nodes off in each way, one after the other, and asserts that their callers are served.
-async fn assert_served(fleet: &Fleet, cut: &[usize]) {
+/// Cuts nodes off in each way, one after the other, and asserts that their callers are served, as the page
+/// of faults says under `name`.
+async fn assert_served(fleet: &Fleet, name: &str, cut: &[usize]) {
+    let sent = 3 * REQUESTS * cut.len();
+    assert_documented(&format!("| {name} |{}", format!(" {sent} of {sent} |").repeat(BLOCKS.len())));
     for block in BLOCKS {
         cut.iter().for_each(|node| fleet.nodes[*node].node.reach.block(block));
         // Requests keep coming from the begin of the cut on; these may fail.
@@ -71,17 +83,17 @@
 
 #[tokio::test]
 async fn callers_of_one_node_that_reaches_no_runner_are_served() {
-    assert_served(&start_fleet().await, &[0]).await;
+    assert_served(&start_fleet().await, "one node of three", &[0]).await;
 }
 
 #[tokio::test]
 async fn callers_of_most_nodes_of_a_hall_that_reach_no_runner_are_served() {
-    assert_served(&start_fleet().await, &[0, 1]).await;
+    assert_served(&start_fleet().await, "two nodes of three", &[0, 1]).await;
 }
 
 #[tokio::test]
 async fn callers_of_a_whole_hall_whose_nodes_reach_no_runner_are_served() {
-    assert_served(&start_fleet().await, &[0, 1, 2]).await;
+    assert_served(&start_fleet().await, "a whole hall", &[0, 1, 2]).await;
 }
 
 /// The pause between two events of a stream that is in flight when a cut begins or a node dies.
@@ -266,7 +278,8 @@
     let knows_both = |running: &Running| running.node.directory.lock().count() == 2;
     fleet.wait("both nodes know each other", |fleet| fleet.nodes.iter().all(knows_both)).await;
     let node = &fleet.nodes[0].node;
-    node.directory.lock().insert(start_earlier_build().await);
+    let earlier = start_earlier_build().await;
+    node.directory.lock().insert(earlier);
     node.reach.block(Block::Refuse);
     let failures = list_failures(&fleet, 0, "earlier").await;
     assert!(failures.is_empty(), "{failures:#?}");
--- a/crates/soak/src/check.rs
+++ b/crates/soak/src/check.rs
@@ -11,6 +11,7 @@
 use crate::fleet::REVOKE_MS;
 use crate::limits::check_limits;
 use crate::load::{Call, Kind};
+use crate::partition::{Count, check_partition};
 use crate::plan::Fault;
 
 /// A runner that leaves gets nothing new after this.
@@ -76,6 +77,9 @@
     /// A cold runner got more requests in a second than it bears.
     #[error("{0} was cold and got {1} requests in a second, from nodes {2:?}")]
     Cold(String, usize, Vec<usize>),
+    /// Callers of a node that reached no runner were served far worse than those of the others.
+    #[error("node {0} reached no runner and served {1:?}, the others {2:?}")]
+    Partition(usize, Count, Count),
     /// A request that ends nothing was refused as one that does.
     #[error("{0}: it was answered 400")]
     Wronged(String),
@@ -153,6 +157,9 @@
         breaches.extend(check_evacuation(asked, record));
         breaches.extend(check_cold(asked, record));
     }
+    for trouble in &record.troubles {
+        breaches.extend(check_partition(trouble, record));
+    }
     for witness in &record.witnesses {
         breaches.extend(check_drain(witness, record));
         breaches.extend(check_groups(witness, record));
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -14,6 +14,7 @@
 use cottoncrank_platform_standin::store::Store;
 use rustix::process::{Pid, Signal, kill_process};
 
+use crate::plan::Partition;
 use crate::proxy::Proxy;
 
 /// The data halls that nodes and runners stand in by turns.
@@ -248,6 +249,18 @@
 }
 
 impl Node {
+    /// Cuts it off from all runners, or not any more. The node's program looks for the file.
+    pub fn set_partition(&self, partition: Option<Partition>) {
+        let text = partition.map_or("", |partition| match partition {
+            Partition::Refuse => "refuse",
+            Partition::Hang => "hang",
+            Partition::Reset => "reset",
+        });
+        if let Err(error) = std::fs::write(self.file.with_extension("partition"), text) {
+            eprintln!("soak: node-{}: it was not cut off: {error}", self.number);
+        }
+    }
+
     /// Sends a signal to its process, if that runs.
     pub fn signal(&self, signal: Signal) {
         let pid = self.child.as_ref().and_then(|child| Pid::from_raw(child.id() as i32));
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -8,14 +8,15 @@
 //! requests over connections that are kept, [`groups`] watches who is in which, and
 //! [`run`] plays a plan.
 //! A request that ends runners comes from [`deadly`]. What callers
-//! and runners saw is judged by [`check`] `limits`, `evacuation` and `cold`, and [`shrink`] looks for the few faults
+//! and runners saw is judged by [`check`], [`partition`], `limits`, `evacuation` and `cold`, and [`shrink`] looks for the few faults
 //! of a failing plan that are needed.
 //!
 //! The clock of a machine is not changed, which needs rights that a test does not
 //! have; a paused process sees its clocks jump by the length of the pause. A box is suspended
 //! by a node's program of the soak's own, `suspendable-node`: told to by SIGUSR1, it stops the
 //! clock of its timers and then itself. What that leaves out: the kernel's steady clock, and
-//! the other processes of the box.
+//! the other processes of the box. The same program cuts a node off from all runners, as a file beside its
+//! settings says.
 
 pub mod check;
 pub(crate) mod cold;
@@ -25,6 +26,7 @@
 pub mod groups;
 pub(crate) mod limits;
 pub mod load;
+pub mod partition;
 pub mod plan;
 pub mod proxy;
 pub mod run;
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -102,7 +102,10 @@
     let length = Millis(1000 * args.seconds);
     let seeds = args.seed..args.seed + args.runs;
     let draw = |seed| Plan::draw(seed, args.processes, args.engines, length);
-    let all = |seed| draw(seed).with_deadly().with_limits().with_evacuations().with_cold_returns();
+    let all = |seed| {
+        let plan = draw(seed).with_deadly().with_limits().with_evacuations();
+        plan.with_cold_returns().with_partitions()
+    };
     Ok(seeds.map(|seed| if args.plain { draw(seed) } else { all(seed) }).collect())
 }
 
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -81,6 +81,16 @@
 /// Keeps what is drawn of limits apart from all else that a seed draws.
 const LIMIT: u64 = 0x6c69_6d69;
 
+/// How long nodes are cut off from all runners, in milliseconds: longer than the time after which their
+/// callers have to be served again.
+const PARTITION_TIMES: std::ops::Range<u64> = 5000..8000;
+
+/// The mean pause between two such cuts, in milliseconds.
+const PARTITION_PAUSE: u64 = 3000;
+
+/// Mixed into the seed for such cuts, so that drawing them doesn't change what else the seed gives.
+const PARTITION_SEED: u64 = 0x7061_7274;
+
 /// The plain runners of a fleet.
 const PLAIN: usize = 2;
 
@@ -137,6 +147,18 @@
     BackOff,
 }
 
+/// How a cut between a node and all runners shows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Partition {
+    /// New connections are refused, and open ones live on.
+    Refuse,
+    /// Nothing arrives.
+    Hang,
+    /// New connections are refused, and open ones are reset.
+    Reset,
+}
+
 /// What goes wrong.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -178,6 +200,8 @@
     Evacuate(usize),
     /// A runner, plain ones after those that form groups, ends and comes back cold after the span.
     Cold(usize),
+    /// A node is cut off from all runners.
+    Partition(usize, Partition),
     /// The box of a node is suspended: its timers stand still.
     Suspend(usize),
     /// The store is away for the span and comes back from a copy some seconds old.
@@ -309,6 +333,24 @@
         self
     }
 
+    /// The same plan with nodes that are cut off from all runners: one, or all of a hall, in series.
+    pub fn with_partitions(mut self) -> Plan {
+        let mut rng = SmallRng::seed_from_u64(self.seed ^ PARTITION_SEED);
+        let mut at = CALM.0;
+        while at + PARTITION_TIMES.end < self.length {
+            let span = rng.random_range(PARTITION_TIMES);
+            let how = [Partition::Refuse, Partition::Hang, Partition::Reset][rng.random_range(0..3)];
+            let (first, is_hall) = (rng.random_range(0..self.nodes), rng.random());
+            let is_cut =
+                |node: &usize| *node == first || (is_hall && node % HALLS.len() == first % HALLS.len());
+            let nodes = (0..self.nodes).filter(is_cut);
+            self.events.extend(nodes.map(|node| Event { at, span, fault: Fault::Partition(node, how) }));
+            at += span + rng.random_range(0..2 * PARTITION_PAUSE);
+        }
+        self.events.sort_by_key(|event| event.at);
+        self
+    }
+
     /// Whether runners come back cold.
     pub fn is_cold(&self) -> bool {
         self.events.iter().any(|event| matches!(event.fault, Fault::Cold(_)))
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -229,6 +229,7 @@
             Fault::Deadly(number) => self.send_deadly(number),
             Fault::Limit(runner, limit) => fleet.set_limit(runner, Some(LIMITS[limit % LIMITS.len()])),
             Fault::Evacuate(hall) => fleet.store.evacuate(HALLS[hall], b"{}"),
+            Fault::Partition(node, how) => fleet.nodes[node].set_partition(Some(how)),
             Fault::Suspend(node) => fleet.nodes[node].signal(Signal::USR1),
             Fault::Older => fleet.store.set_fault(store::Fault::Silent),
         }
@@ -320,6 +321,7 @@
                 self.restart(node);
             }
             Fault::Pause(node) | Fault::Suspend(node) => fleet.nodes[node].signal(Signal::CONT),
+            Fault::Partition(node, _) => fleet.nodes[node].set_partition(None),
             Fault::StoreLink(node, _) => fleet.nodes[node].store.set_harm(None),
             Fault::RunnerLink(runner, _) => fleet.engines[runner].link.set_harm(None),
             Fault::Store(_) => fleet.store.set_fault(store::Fault::None),
@@ -475,6 +477,7 @@
         (Evacuate(_), Evacuate(_)) => true,
         (Limit(a, _), Limit(b, _)) => a == b,
         (StoreLink(a, _), StoreLink(b, _)) => a == b,
+        (Partition(a, _), Partition(b, _)) => a == b,
         (RunnerLink(a, _), RunnerLink(b, _)) => a == b,
         (Store(_) | Older, Store(_) | Older) => true,
         (
--- a/crates/soak/tests/soak.rs
+++ b/crates/soak/tests/soak.rs
@@ -106,6 +106,24 @@
     std::fs::remove_dir_all(&folder).unwrap();
 }
 
+/// One in which a whole hall is cut off from all runners, twice, while nodes are killed and stopped.
+const PARTITIONED: u64 = 7;
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_short_run_with_nodes_cut_off_from_all_runners_keeps_all_promises() {
+    let folder = std::env::temp_dir().join(format!("cottoncrank-partition-{}", std::process::id()));
+    let mut plan = Plan::draw(PARTITIONED, 4, 12, Millis(22_000)).with_partitions();
+    // What puts nodes out of touch would excuse the cuts.
+    let excuses = |fault: &Fault| matches!(fault, Fault::Store(_) | Fault::StoreLink(..) | Fault::Pause(_));
+    plan.events.retain(|event| !excuses(&event.fault));
+    let cuts = plan.events.iter().filter(|event| matches!(event.fault, Fault::Partition(..)));
+    assert_eq!(cuts.count(), 4, "{plan:?}");
+    let report = play(&plan, &folder).await.unwrap();
+    assert_eq!(report.breaches, [], "settings and logs are in {}", folder.display());
+    assert!(report.served > 0);
+    std::fs::remove_dir_all(&folder).unwrap();
+}
+
 async fn play_cold(plan: Plan) {
     assert!(plan.is_cold(), "{plan:?}");
     let folder = std::env::temp_dir().join(format!("cottoncrank-cold-{}-{}", plan.seed, std::process::id()));
