--- a/crates/fleet/src/balance.rs
+++ b/crates/fleet/src/balance.rs
@@ -61,11 +61,11 @@
 /// that, one is tried again.
 pub const HALL_AVOID_TIME: Millis = Millis(1000);
 
-/// The observations of the network path to a hall.
+/// The connect timeouts of the runners of a hall.
 #[derive(Clone, Copy, Debug, Default)]
-struct Path {
-    /// Consecutive connect timeouts.
-    connect_timeouts: u32,
+struct Timeouts {
+    /// Consecutive ones.
+    count: u32,
     /// The runners of the hall are avoided until then.
     avoid_until: Millis,
 }
@@ -74,7 +74,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Ledger {
     records: HashMap<id::Runner, Record>,
-    paths: HashMap<id::Hall, Path>,
+    timeouts: HashMap<id::Hall, Timeouts>,
     /// The halls that this node reaches through other nodes only.
     cut: HashSet<id::Hall>,
 }
@@ -87,15 +87,15 @@
 
     /// Records a connection made to a runner of a hall.
     pub fn record_connect(&mut self, hall: &id::Hall) {
-        self.paths.remove(hall);
+        self.timeouts.remove(hall);
     }
 
     /// Records a connect timeout to a runner of a hall.
     pub fn record_connect_timeout(&mut self, hall: &id::Hall, now: Millis) {
-        let path = self.paths.entry(hall.clone()).or_default();
-        path.connect_timeouts += 1;
-        if path.connect_timeouts >= MIN_CONNECT_TIMEOUTS {
-            path.avoid_until = now + HALL_AVOID_TIME;
+        let timeouts = self.timeouts.entry(hall.clone()).or_default();
+        timeouts.count += 1;
+        if timeouts.count >= MIN_CONNECT_TIMEOUTS {
+            timeouts.avoid_until = now + HALL_AVOID_TIME;
         }
     }
 
@@ -103,7 +103,7 @@
     /// path, and do not count any more.
     pub fn begin_cut<'a>(&mut self, hall: &id::Hall, runners: impl Iterator<Item = &'a id::Runner>) {
         self.cut.insert(hall.clone());
-        self.paths.remove(hall);
+        self.timeouts.remove(hall);
         for runner in runners {
             if let Some(record) = self.records.get_mut(runner).filter(|record| record.rejections == 0) {
                 record.avoid_until = Millis(0);
@@ -119,9 +119,9 @@
     /// Whether a runner is neither avoided nor stalled, and its hall not avoided. Where the path is cut,
     /// streams of before it say nothing about the runner.
     pub fn is_healthy(&self, runner: &Runner, now: Millis) -> bool {
-        let path = self.paths.get(&runner.hall).copied().unwrap_or_default();
+        let timeouts = self.timeouts.get(&runner.hall).copied().unwrap_or_default();
         self.get(&runner.id).avoid_until <= now
-            && path.avoid_until <= now
+            && timeouts.avoid_until <= now
             && !self.has_denied(runner, now)
             && (self.cut.contains(&runner.hall) || !self.is_stalled(&runner.id, now))
     }
--- a/crates/soak/tests/checks.rs
+++ b/crates/soak/tests/checks.rs
@@ -8,7 +8,7 @@
 use cottoncrank_soak::check::{Breach, Record, Trouble, Witness, check};
 use cottoncrank_soak::groups::{Row, Watch};
 use cottoncrank_soak::load::{Call, Kind};
-use cottoncrank_soak::plan::{Fault, Harm};
+use cottoncrank_soak::plan::{Fault, Harm, Partition};
 
 fn seconds(count: u64) -> Duration {
     Duration::from_secs(count)
@@ -301,3 +301,33 @@
     assert_eq!(breaches(80, 0, vec![cut(3)]).len(), 1, "another one");
     assert_eq!(breaches(80, 0, vec![trouble(Fault::Kill(0))]).len(), 1, "the collector may be killed");
 }
+
+/// Returns a record of a node that was cut off for six seconds and served `served` of a hundred requests
+/// from the third second on, beside one that served all of them.
+fn record_partition(served: usize, excuse: Option<Fault>) -> Record {
+    let begin = Instant::now();
+    let mut calls = Vec::new();
+    for number in 0..100 {
+        let sent = begin + seconds(3) + Duration::from_millis(20 * number as u64);
+        for node in 0..2 {
+            let id = format!("c{node}-{number}");
+            let answer = match node == 1 || number < served {
+                true => Answer::signed(&id, 200, &format!("done {id}")),
+                false => Answer::signed(&id, 503, "no runner"),
+            };
+            calls.push(Call { node, ..call(&id, Kind::Read, sent, answer) });
+        }
+    }
+    let trouble = |fault| Trouble { from: begin, to: begin + seconds(6), stop: None, fault: Some(fault) };
+    let faults = [Fault::Partition(0, Partition::Hang)].into_iter().chain(excuse);
+    Record { troubles: faults.map(trouble).collect(), ..record(calls, Vec::new()) }
+}
+
+#[test]
+fn a_cut_node_that_serves_far_less_than_the_others_is_noticed() {
+    assert!(matches!(check(&record_partition(60, None))[..], [Breach::Partition(0, ..)]));
+    assert_eq!(check(&record_partition(70, None)), [], "two thirds are served");
+    assert_eq!(check(&record_partition(0, Some(Fault::Pause(0)))), [], "the node is out of touch");
+    assert_eq!(check(&record_partition(0, Some(Fault::Pause(1)))), [], "there is no other node");
+    assert!(matches!(check(&record_partition(0, Some(Fault::Forget)))[..], [Breach::Partition(0, ..)]));
+}
