--- a/crates/fleet/src/balance.rs
+++ b/crates/fleet/src/balance.rs
@@ -17,6 +17,10 @@
 /// s, and twice as long in a slow group.
 pub const STALL_TIMEOUT: Millis = Millis(400);
 
+/// How long after its last progress a connection to the hall of a stalled runner proves the path: longer
+/// than the usual pause between two events.
+const STALL_PROOF_DELAY: Millis = Millis(STALL_TIMEOUT.0 / 2);
+
 /// The number of consecutive rejections after which a runner is avoided. A runner that is merely
 /// full accepts some requests in between. One that rejects everything has nothing in flight and
 /// would otherwise get more requests than all others.
@@ -133,16 +137,11 @@
         self.get(id).is_stalled(now)
     }
 
-    /// Lists the stalled runners, and since when each is. What is heard from its hall since then proves
+    /// Lists the stalled runners. For each, a connection made to its hall since the returned time proves
     /// that the runner is at fault and not the path to it.
     pub fn list_stalled(&self, now: Millis) -> impl Iterator<Item = (&id::Runner, Millis)> {
         let stalled = self.records.iter().filter(move |(_, record)| record.is_stalled(now));
-        stalled.map(|(id, record)| (id, record.last_progress + STALL_TIMEOUT))
-    }
-
-    /// Lists the runners that have sent part of an answer since `start`.
-    pub fn list_heard(&self, start: Millis) -> impl Iterator<Item = &id::Runner> {
-        self.records.iter().filter(move |(_, record)| record.last_progress >= start).map(|(id, _)| id)
+        stalled.map(|(id, record)| (id, record.last_progress + STALL_PROOF_DELAY))
     }
 
     /// Records the first event of a stream.
--- a/crates/node/src/paths.rs
+++ b/crates/node/src/paths.rs
@@ -4,9 +4,7 @@
 use std::sync::Arc;
 
 use cottoncrank::{Millis, id};
-use cottoncrank_fleet::balance::Ledger;
-use cottoncrank_fleet::path::{Change, MIN_PROOFS, Outcome, Paths};
-use cottoncrank_fleet::roster::Roster;
+use cottoncrank_fleet::path::{Change, MIN_PROOFS, Outcome};
 use rand::seq::IteratorRandom;
 use tokio::task::JoinSet;
 
@@ -128,26 +126,12 @@
     checks.join_all().await;
 }
 
-/// Whether a connection to a hall was made since `start`, or a runner there has sent part of an answer.
-pub(crate) fn is_heard_since(
-    roster: &Roster,
-    ledger: &Ledger,
-    paths: &Paths,
-    hall: &id::Hall,
-    start: Millis,
-) -> bool {
-    let is_there = |id| roster.get_last_known(id).is_some_and(|runner| runner.hall == *hall);
-    paths.is_made_since(hall, start) || ledger.list_heard(start).any(is_there)
-}
-
 /// Lists the halls with stalled runners whose path is neither proven nor known to be cut.
 fn list_unproven(node: &Node) -> BTreeSet<id::Hall> {
     let (roster, ledger) = (node.roster.lock(), node.ledger.lock());
     let paths = node.paths.lock();
     let stalled =
         ledger.list_stalled(node.now()).filter_map(|(id, since)| Some((&roster.get(id)?.hall, since)));
-    let unproven = stalled.filter(|(hall, since)| {
-        !paths.is_cut(hall) && !is_heard_since(&roster, &ledger, &paths, hall, *since)
-    });
+    let unproven = stalled.filter(|(hall, since)| !paths.is_cut(hall) && !paths.is_made_since(hall, *since));
     unproven.map(|(hall, _)| hall.clone()).collect()
 }
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -47,7 +47,6 @@
 use crate::feed::Feed;
 use crate::in_flight::ModelKey;
 use crate::invalid_items::{InvalidItems, ItemKind};
-use crate::paths::is_heard_since;
 use crate::pressure;
 use crate::retries;
 use crate::returns;
@@ -461,9 +460,8 @@
         let (feedback, paths, now) = (self.feedback.lock(), self.paths.lock(), self.now());
         let find_hall = |id: &id::Runner| roster.get_last_known(id).map(|runner| &runner.hall);
         let is_trusted = |id: &id::Runner| find_hall(id).is_none_or(|hall| paths.is_trusted(hall, now));
-        let is_proven = |id: &id::Runner, since| {
-            find_hall(id).is_none_or(|hall| is_heard_since(&roster, &ledger, &paths, hall, since))
-        };
+        let is_proven =
+            |id: &id::Runner, since| find_hall(id).is_none_or(|hall| paths.is_made_since(hall, since));
         let stalled = ledger.list_stalled(now).filter(|(id, since)| is_proven(id, *since));
         let failed = ledger.list_failed(now).chain(stalled.map(|(id, _)| id));
         let doubted = failed.filter(|id| is_trusted(id)).chain(feedback.backoffs.list(now));
