Send nothing on old knowledge after a gap in a node's running time

A hall had come back cold while nodes were paused. A node that ran again sent 36 to 74 requests in a second to cold runners where 11 may come: its poll of another paused node went unanswered for 1.4 s more, and until then it took all runners for warm. A node alone exceeds the rate sixfold, so what it sends unheard matters as much as how late it hears. That the rate is shared badly among nodes, or that the collector grants too much, is ruled out: no permit was asked for in that time, and nodes that had heard sent none beyond their part.

One rule: a node whose process did not run for half a second is behind until it has an answer to a call made after that, from the store or a node that is not behind itself. While it is, every runner of a service with a cold start counts as cold, so requests go by the hall's collector or by the node's even part; a pick or permit from before the gap does not count; the node answers no polls and no queries for groups, places or admission; and it asks at once, 100 ms for each node, then the store. A call that was under way in the gap says nothing about its source. The state ends after 4 s at the latest, so that an outage costs no more.

--- a/crates/fleet/src/cold.rs
+++ b/crates/fleet/src/cold.rs
@@ -41,6 +41,8 @@
     runners: HashMap<id::Runner, Coldness>,
     /// Since when all runners of a hall count as cold for one cold start.
     halls: HashMap<id::Hall, Millis>,
+    /// Until when any runner may be cold without this node having heard of it.
+    unheard_until: Millis,
 }
 
 impl Table {
@@ -86,11 +88,17 @@
         self.halls.insert(hall.clone(), now);
     }
 
+    /// Counts all runners as cold until `end`.
+    pub(crate) fn assume_until(&mut self, end: Millis) {
+        self.unheard_until = end;
+    }
+
     /// Returns the rate that a runner takes while it is cold; `None` if it is not.
     pub(crate) fn find_rate(&self, runner: &Runner, now: Millis) -> Option<Rate> {
         let start = self.starts.get(&runner.service)?;
         let is_marked = || self.halls.get(&runner.hall).is_some_and(|since| now < *since + start.duration);
-        let is_cold = self.runners.get(&runner.id).is_some_and(|known| now < known.until) || is_marked();
+        let is_known = || self.runners.get(&runner.id).is_some_and(|known| now < known.until);
+        let is_cold = now < self.unheard_until || is_known() || is_marked();
         is_cold.then_some(start.rate)
     }
 
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -71,6 +71,7 @@
 pub mod backoff;
 pub mod balance;
 pub mod catalog;
+pub mod catchup;
 pub mod census;
 mod cold;
 pub mod decide;
--- a/crates/fleet/src/roster.rs
+++ b/crates/fleet/src/roster.rs
@@ -108,6 +108,12 @@
         self.cold.mark_hall(hall, now);
     }
 
+    /// Counts all runners as cold until `end`, because this node may not have heard that they have just
+    /// started. It knows no more of them than that their service has a cold start.
+    pub fn assume_cold_until(&mut self, end: Millis) {
+        self.cold.assume_until(end);
+    }
+
     /// Counts a runner that restarted as cold, before its entry describes the new incarnation.
     pub fn record_cold_start(&mut self, id: &id::Runner, now: Millis) {
         let known = self.entries.get(id).map(|entry| &entry.runner);
--- a/crates/kernel/src/clock.rs
+++ b/crates/kernel/src/clock.rs
@@ -135,7 +135,7 @@
 
 /// The minimum delay of a timer that shows that the process did not run. On a busy machine,
 /// timers are late by 0.1 to 0.3 s because the process waits for the processor.
-const MIN_FROZEN: Millis = Millis(500);
+pub const MIN_FROZEN: Millis = Millis(500);
 
 impl Suspension {
     /// Returns the suspension, if any, in a period in which a timer of `timeout` expired.
--- a/crates/node/src/attempt.rs
+++ b/crates/node/src/attempt.rs
@@ -17,6 +17,7 @@
 use thiserror::Error;
 
 use crate::backoff;
+use crate::catchup;
 use crate::channel::Channel;
 use crate::connect::{self, Target};
 use crate::evacuation;
@@ -224,6 +225,10 @@
     if backoff::is_backing_off(node, &pick.id, pick.incarnation) {
         return Err(AttemptError::Unreached("it wants no requests at present".to_owned()));
     }
+    // Neither the pick nor the permit for it counts any more.
+    if catchup::is_outdated(node, pick) {
+        return Err(AttemptError::Unreached("this process did not run since it was picked".to_owned()));
+    }
     // Its hall may have been closed while this connection was made.
     if evacuation::is_closed(node, pick) {
         telemetry::count_evacuated_attempt();
--- a/crates/node/src/candidates.rs
+++ b/crates/node/src/candidates.rs
@@ -10,6 +10,7 @@
 
 use crate::answer::Refusal;
 use crate::attempt::{Job, Pick};
+use crate::catchup;
 use crate::evacuation;
 use crate::state::Node;
 use crate::throttle;
@@ -164,15 +165,37 @@
     }
 }
 
+/// Picks the best of the candidates that were not tried.
+fn pick_best(node: &Node, job: &Job, candidates: &[&Runner], tried: &[id::Runner]) -> Option<Pick> {
+    let (ledger, fleet_load) = (node.ledger.lock(), node.fleet_load.lock());
+    let picked = balance::pick(candidates, tried, &ledger, &fleet_load, node.now(), &mut rand::rng());
+    drop((ledger, fleet_load));
+    picked.map(|runner| build_pick(node, job, runner))
+}
+
+/// Picks a runner after the collector answered that none is limited: one that announced no rate. A node
+/// that is behind counts all runners as cold, and the collector knows better.
+pub fn pick_unannounced(node: &Node, job: &Job, tried: &[id::Runner]) -> Option<Pick> {
+    if !catchup::check(node) {
+        return None;
+    }
+    let roster = node.roster.lock();
+    let (mut candidates, now) = (list_candidates(node, &roster, job), node.now());
+    let feedback = node.feedback.lock();
+    candidates.retain(|runner| {
+        feedback.find_admission(&runner.id, runner.incarnation, None, now) == Admission::Open
+    });
+    drop(feedback);
+    pick_best(node, job, &candidates, tried)
+}
+
 /// Picks the runner for the next try without the collector: one without a rate limit, or else a
 /// rate-limited one that this node may use without a permit.
 pub fn pick_locally(node: &Node, job: &Job, tried: &[id::Runner]) -> Option<Pick> {
     let unlimited = {
         let roster = node.roster.lock();
         let candidates = list_unlimited(node, &roster, job);
-        let (ledger, fleet_load) = (node.ledger.lock(), node.fleet_load.lock());
-        let picked = balance::pick(&candidates, tried, &ledger, &fleet_load, node.now(), &mut rand::rng());
-        picked.map(|runner| build_pick(node, job, runner))
+        pick_best(node, job, &candidates, tried)
     };
     unlimited.or_else(|| pick_by_id(node, job, &throttle::pick_without_collector(node, job, tried)?))
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -60,7 +60,8 @@
 //! # Process
 //!
 //! - [`program`] runs a node with its settings and signals; [`start`] starts and drains it.
-//! - `suspension` detects that the process did not run for a while.
+//! - `suspension` detects that the process did not run for a while, and `catchup` limits what it sends
+//!   until it has heard what it missed.
 //! - [`log`] writes log lines without blocking, and [`telemetry`] serves the metrics. `cold` logs which
 //!   halls have cold runners.
 
@@ -70,6 +71,7 @@
 pub mod attempt;
 mod backoff;
 mod candidates;
+mod catchup;
 pub mod channel;
 mod cold;
 mod connect;
--- a/crates/node/src/peer.rs
+++ b/crates/node/src/peer.rs
@@ -25,6 +25,7 @@
 use tokio::net::{TcpListener, TcpStream};
 
 use crate::answer::{Answer, Body};
+use crate::catchup;
 use crate::dispatch;
 use crate::feed::UnpackError;
 use crate::front::pause_accepting;
@@ -227,7 +228,15 @@
     answer
 }
 
+/// Whether the answer to a query rests on what this node knows of the store.
+fn needs_current_knowledge(path: &str) -> bool {
+    matches!(path, CHANGES_PATH | GROUP_PATH | ADMISSION_PATH | PERMIT_PATH)
+}
+
 async fn handle_query(node: &Node, path: &str, bytes: Bytes) -> Answer {
+    if needs_current_knowledge(path) && catchup::check(node) {
+        return build_answer(StatusCode::SERVICE_UNAVAILABLE, Bytes::new());
+    }
     if path == REPORT_PATH {
         if let Ok(Envelope { question, push }) = rmp_serde::from_slice::<Envelope<Report>>(&bytes) {
             let pull = suspects::receive_push(node, &push, question.scope);
@@ -285,7 +294,7 @@
         // This cannot fail: the sender lives as long as the node.
         _ = serving.wait_for(|serving| !serving) => {}
     }
-    if !*serving.borrow() {
+    if !*serving.borrow() || catchup::check(node) {
         return build_answer(StatusCode::SERVICE_UNAVAILABLE, Bytes::new());
     }
     let age = node.freshness.lock().age(node.now());
--- a/crates/node/src/plain.rs
+++ b/crates/node/src/plain.rs
@@ -11,7 +11,8 @@
 
 use crate::answer::{Answer, Body, Refusal};
 use crate::attempt::{Attempt, AttemptError, Job, Pick, send};
-use crate::candidates::{has_unlimited, pick_by_id, pick_locally, refuse_if_closed};
+use crate::candidates::{has_unlimited, pick_by_id, pick_locally, pick_unannounced, refuse_if_closed};
+use crate::catchup;
 use crate::crash;
 use crate::paths;
 use crate::retries;
@@ -44,7 +45,9 @@
             Ruling::Quarantine if may_have_run => break,
             Ruling::Quarantine => return Err(Refusal::Quarantined),
         }
-        let pick = match throttle::query_permit(node, job, &tried).await {
+        let permit = throttle::query_permit(node, job, &tried).await;
+        catchup::check(node);
+        let pick = match permit {
             Some(Permit::Take(runner)) => pick_by_id(node, job, &runner),
             Some(Permit::Wait(wait)) if !has_unlimited(node, job, &tried) => {
                 permit_wait = Some(wait);
@@ -52,7 +55,7 @@
             }
             Some(Permit::Free(messages)) => {
                 throttle::receive_rates(node, &messages);
-                None
+                pick_unannounced(node, job, &tried)
             }
             Some(Permit::Wait(_)) | None => None,
         };
--- a/crates/node/src/request.rs
+++ b/crates/node/src/request.rs
@@ -17,6 +17,7 @@
 use crate::answer::{Answer, Refusal};
 use crate::attempt::Job;
 use crate::candidates::refuse_if_closed;
+use crate::catchup;
 use crate::in_flight::RequestGuard;
 use crate::state::Node;
 use crate::{plain, stream, suspects, telemetry};
@@ -77,6 +78,7 @@
 
 async fn run(node: &Arc<Node>, job: Arc<Job>, request_guard: RequestGuard) -> Result<Answer, Refusal> {
     node.retry_budget.lock().deposit();
+    catchup::wait(node, &job).await;
     if suspects::is_deadly(node, &job) {
         return Err(Refusal::Deadly);
     }
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -11,6 +11,7 @@
 use cottoncrank_fleet::allocation::{Allocations, LocalBuckets, RetrySchedule};
 use cottoncrank_fleet::balance::Ledger;
 use cottoncrank_fleet::catalog::Catalog;
+use cottoncrank_fleet::catchup::Tracker;
 use cottoncrank_fleet::directory::Directory;
 use cottoncrank_fleet::dispatch::{Dispatcher, Sample};
 use cottoncrank_fleet::feedback::Feedback;
@@ -148,6 +149,10 @@
     pub(crate) trials: Mutex<Trials>,
     /// Interrupted attempts at runners that may have crashed; it is not known yet.
     pub(crate) interruptions: Mutex<Interruptions>,
+    /// Whether this process has heard what it missed while it did not run.
+    pub(crate) catchup: Mutex<Tracker>,
+    /// Whether it has not yet, for requests that wait for that.
+    pub(crate) behind: watch::Sender<bool>,
     /// Counts the suspensions of this process.
     pub(crate) resumed: watch::Sender<u64>,
     /// Counts the requests that were found to be deadly.
@@ -229,6 +234,8 @@
             trial_baseline: Mutex::default(),
             trials: Mutex::default(),
             interruptions: Mutex::default(),
+            catchup: Mutex::default(),
+            behind: watch::Sender::new(false),
             resumed: watch::Sender::new(0),
             deadly_found: watch::Sender::new(0),
             instance: rand::rng().random(),
@@ -280,6 +287,13 @@
         }
     }
 
+    /// Waits for `span`, or until the process resumes after it did not run for a while.
+    pub(crate) async fn pause(&self, span: Millis) {
+        let mut resumed = self.resumed.subscribe();
+        // The caller goes on in either case.
+        let _ = tokio::time::timeout(span.duration(), resumed.changed()).await;
+    }
+
     /// Whether the whole store has been read once.
     pub fn is_synced(&self) -> bool {
         *self.synced.borrow()
--- a/crates/node/src/suspension.rs
+++ b/crates/node/src/suspension.rs
@@ -8,6 +8,7 @@
 use cottoncrank::Millis;
 use cottoncrank::clock::{Suspension, SuspensionDetector};
 
+use crate::catchup;
 use crate::state::Node;
 use crate::suspects;
 use crate::telemetry;
@@ -21,6 +22,7 @@
     let mut detector = SuspensionDetector::new(node.clock.clone());
     loop {
         tokio::time::sleep(CHECK_INTERVAL.duration()).await;
+        catchup::check(&node);
         if let Some(suspension) = detector.check(CHECK_INTERVAL) {
             handle_resume(&node, suspension);
         }
@@ -29,7 +31,7 @@
 }
 
 /// Wakes the waiting tasks after a suspension. Cached state need not be dropped, because the clock counts
-/// the suspension in its age.
+/// the suspension in its age. What the process may have missed is handled by [`catchup`].
 fn handle_resume(node: &Node, suspension: Suspension) {
     let staleness = node.staleness().map_or("unknown".to_owned(), |staleness| staleness.to_string());
     log::warn!(
--- a/crates/node/src/sync.rs
+++ b/crates/node/src/sync.rs
@@ -16,6 +16,7 @@
 use thiserror::Error;
 
 use crate::apply::{Proof, Update, apply_update};
+use crate::catchup;
 use crate::feed::{self, UnpackError};
 use crate::peer::{self, ChangeQuery, PollError};
 use crate::registration;
@@ -32,6 +33,10 @@
 /// node answers when its own watch ends.
 const QUERY_WAIT: Millis = Millis(1000);
 
+/// How long a node that is behind waits for the answer of another node before it tries the next one.
+/// Queries that wait for no change are answered within about 10 ms.
+const CATCH_UP_TIMEOUT: Millis = Millis(100);
+
 /// A query that fails within this time was refused or disconnected immediately, so that a retry costs
 /// nothing.
 const FAST_FAILURE: Millis = Millis(100);
@@ -192,7 +197,7 @@
             match self.query(&reader, Millis(0)).await {
                 Ok(update) => {
                     self.sources.record_answer(update.last_contact, self.node.now());
-                    self.advance(update, false).await;
+                    self.advance(update, false, asked).await;
                     return false;
                 }
                 Err(error) => {
@@ -214,21 +219,29 @@
 
     /// Obtains one update from the current source and applies it, or records why there was none.
     async fn sync_once(&mut self) {
+        let mut resumed = self.node.resumed.subscribe();
+        let behind = catchup::check(&self.node);
         let source = self.pick_source();
         let began = self.node.now();
         if matches!(source, Source::Reader(_)) {
             self.node.feed.set_serving(false);
         }
-        let outcome = match &source {
-            Source::Reader(peer) => self.query_within_timeout(peer, false).await,
-            Source::Upstream(peer) => self.query_within_timeout(peer, true).await,
-            Source::Store => self.read_store().await,
-            Source::Wait(pause) => {
-                self.record_unreachable();
-                return tokio::time::sleep(pause.duration()).await;
-            }
+        if let Source::Wait(pause) = source {
+            self.record_unreachable();
+            return self.node.pause(pause).await;
+        }
+        let outcome = tokio::select! {
+            biased;
+            outcome = self.fetch(&source, behind) => Some(outcome),
+            _ = resumed.changed() => None,
         };
+        catchup::check(&self.node);
         let now = self.node.now();
+        // A call that lasted while the process did not run says nothing about its source.
+        let was_interrupted = self.node.catchup.lock().has_resumed_since(began);
+        let Some(outcome) = outcome.filter(|outcome| outcome.is_ok() || !was_interrupted) else {
+            return;
+        };
         match (outcome, source) {
             (Ok(update), source) => {
                 match source {
@@ -236,7 +249,7 @@
                     _ => self.sources.record_answer(update.last_contact, now),
                 }
                 let serving = !matches!(source, Source::Reader(_));
-                self.advance(update, serving).await;
+                self.advance(update, serving, began).await;
             }
             (Err(SyncError::Store(StoreError::Compacted)), _) => self.record_compaction(now),
             (Err(SyncError::Store(error @ StoreError::Restored(_))), _) => {
@@ -307,14 +320,29 @@
         self.sources.pick(&settings.node, &settings.hall, holder.as_ref(), &directory, now, rng)
     }
 
-    async fn read_store(&self) -> Result<Update, SyncError> {
+    /// Obtains an update from a source. A node that is `behind` does not wait for changes.
+    async fn fetch(&self, source: &Source, behind: bool) -> Result<Update, SyncError> {
+        match source {
+            Source::Reader(peer) | Source::Upstream(peer) if behind => {
+                let query = self.query(peer, Millis(0));
+                let answer = tokio::time::timeout(CATCH_UP_TIMEOUT.duration(), query).await;
+                answer.unwrap_or(Err(SyncError::Timeout(CATCH_UP_TIMEOUT)))
+            }
+            Source::Reader(peer) => self.query_within_timeout(peer, false).await,
+            Source::Upstream(peer) => self.query_within_timeout(peer, true).await,
+            Source::Store | Source::Wait(_) => self.read_store(behind).await,
+        }
+    }
+
+    async fn read_store(&self, behind: bool) -> Result<Update, SyncError> {
         let asked = self.node.now();
         let Some(after) = self.position.filter(|_| !self.history_compacted) else {
             let batch = self.node.store.read_all().await?;
             return Ok(Update { batch, whole: true, proof: Proof::Read(asked), last_contact: asked });
         };
-        let batch = self.node.store.watch(after, WATCH_TIMEOUT).await?;
-        let waited = if batch.items.is_empty() { WATCH_TIMEOUT } else { Millis(0) };
+        let wait = if behind { Millis(0) } else { WATCH_TIMEOUT };
+        let batch = self.node.store.watch(after, wait).await?;
+        let waited = if batch.items.is_empty() { wait } else { Millis(0) };
         let last_contact = self.node.now();
         Ok(Update { batch, whole: false, proof: Proof::Watch(asked, waited), last_contact })
     }
@@ -349,8 +377,9 @@
         Ok(Update { batch, whole: reply.whole, proof, last_contact: answered - staleness })
     }
 
-    /// Applies an update. `serving` says whether this node answers change polls from now on.
-    async fn advance(&mut self, update: Update, serving: bool) {
+    /// Applies an update, the answer to a call that began at `asked`. `serving` says whether this node
+    /// answers change polls from now on.
+    async fn advance(&mut self, update: Update, serving: bool, asked: Millis) {
         if !self.store_reached {
             log::info!("sync: the store is reachable again, at {}", update.batch.position);
             self.node.roster.lock().start_grace_period(self.node.now());
@@ -364,9 +393,10 @@
         let started = before != Position::default();
         apply_update(&self.node, update, started.then_some(before));
         self.node.feed.set_serving(serving);
+        catchup::record_answer(&self.node, asked);
         if changes > 0 {
             let pause = if self.node.is_deciding() { DECIDER_BATCH_DELAY } else { BATCH_DELAY };
-            tokio::time::sleep(pause.duration()).await;
+            self.node.pause(pause).await;
         }
     }
 }
--- a/crates/node/src/telemetry.rs
+++ b/crates/node/src/telemetry.rs
@@ -152,6 +152,11 @@
     metrics::counter!("cottoncrank_gaps_total", "kind" => kind).increment(1);
 }
 
+/// Records how long after a gap in its running time this process knew all changes again.
+pub fn record_catch_up(behind: Millis) {
+    metrics::histogram!("cottoncrank_catch_up_seconds").record(behind.0 as f64 / 1000.0);
+}
+
 /// Counts a restore of the store from an older copy.
 pub fn count_era() {
     metrics::counter!("cottoncrank_store_eras_total").increment(1);
--- a/crates/node/src/tries.rs
+++ b/crates/node/src/tries.rs
@@ -9,6 +9,7 @@
 use crate::answer::Refusal;
 use crate::attempt::{Attempt, AttemptError, Job, Pick, send};
 use crate::candidates::{pick_by_epoch, pick_locally, refuse_if_closed};
+use crate::catchup;
 use crate::crash;
 use crate::dispatch;
 use crate::retries;
@@ -133,6 +134,7 @@
                 None => tries.next_assignment = read_assignment(reply),
             }
         }
+        catchup::check(node);
         let assignment = tries.next_assignment.take();
         let chosen =
             assignment.and_then(|assignment| pick_by_epoch(node, job, assignment.epoch, &tries.tried));
--- a/crates/node/tests/suspended.rs
+++ b/crates/node/tests/suspended.rs
@@ -12,17 +12,21 @@
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
-use common::{Fleet, KEY, count_heads, start_node};
+use common::{COLD_RATE, Fleet, KEY, count_heads, start_node};
 use cottoncrank::Millis;
 use cottoncrank_node::state::Node;
 use cottoncrank_platform_standin::caller::{Answer, send_request, send_request_within};
-use cottoncrank_platform_standin::operator::{ONCE, READ, STREAM, config};
-use cottoncrank_platform_standin::runner::Fault;
+use cottoncrank_platform_standin::operator::{ONCE, READ, STREAM, config, set_cold_start};
+use cottoncrank_platform_standin::runner::{Fault, Runner};
 use tokio::sync::mpsc::{UnboundedSender, unbounded_channel};
+use tokio::task::JoinSet;
 
 /// Bound on the time until a resumed node detects its suspension and acts on it.
 const RESUME_BOUND: Duration = Duration::from_millis(400);
 
+/// How long runners are cold.
+const COLD_TIME: Millis = Millis(30_000);
+
 /// A command to the thread of a node.
 enum Command {
     Suspend(Duration),
@@ -95,6 +99,36 @@
     (fleet, boxes)
 }
 
+/// Starts a serving fleet whose nodes can all be suspended, and whose services have cold starts. No runner
+/// is cold.
+async fn start_serving_cold(nodes: usize) -> (Fleet, Vec<SuspendableNode>) {
+    let fleet = Fleet::unconfigured(0).await;
+    let boxes: Vec<SuspendableNode> =
+        (0..nodes).map(|number| SuspendableNode::start(fleet.store.address(), number, "hall-a")).collect();
+    fleet.store.configure(&config(1, &[KEY]));
+    let serves =
+        |suspendable: &SuspendableNode| suspendable.node.is_ready() && count_heads(&suspendable.node) == 2;
+    wait_for("the fleet serves", || boxes.iter().all(serves)).await;
+    wait_for("a node decides", || boxes.iter().any(|suspendable| suspendable.node.is_deciding())).await;
+    let mut with_cold_starts = config(2, &[KEY]);
+    set_cold_start(&mut with_cold_starts, COLD_TIME.duration().as_secs_f64(), COLD_RATE);
+    fleet.store.configure(&with_cold_starts);
+    let knows = |suspendable: &SuspendableNode| {
+        suspendable.node.catalog.lock().as_ref().is_some_and(|catalog| catalog.version == 2)
+    };
+    wait_for("all know the cold starts", || boxes.iter().all(knows)).await;
+    (fleet, boxes)
+}
+
+/// Waits until `holds` returns true, and panics with `what` after ten seconds.
+async fn wait_for(what: &str, holds: impl Fn() -> bool) {
+    let end = Instant::now() + Duration::from_secs(10);
+    while !holds() {
+        assert!(Instant::now() < end, "timed out waiting for: {what}");
+        sleep_seconds(0.02).await;
+    }
+}
+
 async fn sleep_seconds(seconds: f64) {
     tokio::time::sleep(Duration::from_secs_f64(seconds)).await;
 }
@@ -226,6 +260,49 @@
     }
 }
 
+/// Sends 60 requests to a node that is suspended beside the one that it polls, once `meanwhile` has
+/// happened. Returns the answers, and how long they took from just before the box resumes.
+async fn ask_while_resuming(boxes: &[SuspendableNode], meanwhile: impl FnOnce()) -> (Vec<Answer>, Duration) {
+    let decider = boxes.iter().position(|suspendable| suspendable.node.is_deciding()).unwrap();
+    let other = &boxes[1 - decider];
+    boxes[decider].suspend(4.5);
+    other.suspend(2.0);
+    sleep_seconds(0.3).await;
+    meanwhile();
+    sleep_seconds(1.6).await;
+    let (callers, started) = (other.callers, Instant::now());
+    let mut asking = JoinSet::new();
+    for number in 0..60 {
+        asking.spawn(async move { send_request(callers, READ, &format!("r-{number}"), KEY).await.unwrap() });
+    }
+    (asking.join_all().await, started.elapsed())
+}
+
+/// A resumed node polled one that was suspended too, and sent without the rate of runners that had become
+/// cold meanwhile until it heard of that.
+#[tokio::test]
+async fn a_resumed_node_keeps_to_the_rate_of_runners_that_became_cold_meanwhile() {
+    let (fleet, boxes) = start_serving_cold(2).await;
+    let restart = |runner: &Runner| {
+        runner.set_cold(COLD_TIME);
+        runner.restart();
+    };
+    let (_, took) = ask_while_resuming(&boxes, || fleet.plain.iter().for_each(restart)).await;
+    let bound = 1.5 * COLD_RATE * took.as_secs_f64().max(1.0) + 5.0;
+    let received: Vec<usize> = fleet.plain.iter().map(|runner| runner.requests().len()).collect();
+    assert!(received.iter().all(|count| *count as f64 <= bound), "{received:?}, at most {bound:.1} each");
+}
+
+/// Keeping to that rate before it has heard would cost the callers of a node where nobody became cold.
+#[tokio::test]
+async fn a_resumed_node_serves_all_callers_where_no_runner_became_cold() {
+    let (_fleet, boxes) = start_serving_cold(2).await;
+    let (answers, took) = ask_while_resuming(&boxes, || ()).await;
+    let served = answers.iter().filter(|answer| answer.status == 200).count();
+    assert_eq!(served, answers.len(), "{answers:?}");
+    assert!(took < Duration::from_millis(100) + 2 * RESUME_BOUND, "{took:?}");
+}
+
 #[tokio::test]
 async fn repeated_suspension_of_half_a_hall_does_not_delay_the_other_nodes() {
     let (fleet, boxes) = start_serving(3).await;
