Repeat an operator's read of the configuration that got no answer

One call that the store is slow to answer, and an operator's change is refused, though repeating a read is safe. Controllers that start do not give up: their watch of the configuration is repeated after 1 to 2 s for as long as the store is away.

A change now makes up to three attempts at that read. Only reads without an answer are repeated; what the store refuses or the budget holds back is told at once, and writes are recognised as before.

The new test holds the first read for 2.3 s.

--- a/crates/controller/src/configure.rs
+++ b/crates/controller/src/configure.rs
@@ -7,6 +7,7 @@
 use cottoncrank::config::{ChangeError, Document, KEY};
 use cottoncrank::member::{list_live, pick_config_watchers};
 use cottoncrank::{Millis, id, wire};
+use cottoncrank_net::client::CallError;
 use cottoncrank_net::store::{StoreError, Swap};
 use rand::Rng;
 use thiserror::Error;
@@ -23,6 +24,9 @@
 /// Shortest delay before a failed watch is retried. Jitter adds up to the same again.
 const RETRY_DELAY: Millis = Millis(1000);
 
+/// Attempts at one read of the document. A store that is slow once has answered by the second one.
+const MAX_READS: usize = 3;
+
 /// Attempts at one change that conflicts with changes by other operators.
 const MAX_ATTEMPTS: usize = 8;
 
@@ -129,7 +133,7 @@
     let mut lost_answer: Option<StoreError> = None;
     for _ in 0..MAX_ATTEMPTS {
         let here = state.config.lock().revision;
-        let value = match state.store.get(KEY, Purpose::Operator).await {
+        let value = match read_value(state).await {
             Ok(value) => value,
             Err(error) => {
                 return Err(match lost_answer {
@@ -168,6 +172,19 @@
     }
 }
 
+/// Reads the document's value. A read that got no answer is repeated, because it changes nothing.
+async fn read_value(state: &State) -> Result<Option<wire::Value>, StoreError> {
+    for attempt in 1..MAX_READS {
+        match state.store.get(KEY, Purpose::Operator).await {
+            Err(error @ StoreError::Unreachable(CallError::Timeout { .. })) => {
+                log::warn!("config: read {attempt} of {MAX_READS} failed, trying again: {error}")
+            }
+            read => return read,
+        }
+    }
+    state.store.get(KEY, Purpose::Operator).await
+}
+
 /// Returns the document with the changes applied, or why one of them is refused.
 ///
 /// `here` is the revision in force on this node before `document` was read. A revision
--- a/crates/demo/tests/config.rs
+++ b/crates/demo/tests/config.rs
@@ -67,6 +67,24 @@
     });
 }
 
+/// An operator's first change was refused because the store was slow once.
+#[test]
+fn a_change_is_made_although_the_store_does_not_answer_its_first_read() {
+    run_on(one_hall(), async |fleet, _| {
+        let now = stored(&fleet).revision;
+        let state = fleet.nodes[0].controller.as_ref().unwrap().state().clone();
+        fleet.outside.store.hold_reads();
+        let change = tokio::spawn(async move { execute(&state, "create account slow token slow").await });
+        fleet.outside.store.wait_held().await;
+        // Longer than the timeout of a call to the store.
+        tokio::time::sleep(Millis(2300).duration()).await;
+        fleet.outside.store.release_reads();
+        let reply = change.await.unwrap();
+        assert!(reply.ok, "{reply:?}");
+        assert_eq!(stored(&fleet).revision, now.next(), "it was made once");
+    });
+}
+
 #[test]
 fn a_change_whose_answer_was_lost_is_recognised_and_made_once() {
     run_on(one_hall(), async |fleet, _| {
