Issue no epoch of an earlier era of the store again

Which node decides cannot be made sure: those that know the plans may be paused or cut off. So the numbers no longer depend on what a decider knows: each era of the store has 2^20 epochs of its own, and a term in an era begins beyond all earlier ones. Nothing changes in the first era. Weighed: letting a node that knows no former era wait longer; it only moves the moment, and repairs wait too.

--- a/crates/fleet/src/form.rs
+++ b/crates/fleet/src/form.rs
@@ -122,12 +122,13 @@
     false
 }
 
-/// Returns the highest known epoch, planned or seen at a runner.
+/// Returns the highest epoch that may be in use: a known one, planned or seen at a runner, or one of an
+/// earlier era of the store.
 pub(crate) fn find_last_epoch(snapshot: &Snapshot, drafts: &[Draft]) -> Epoch {
     let planned = drafts.iter().map(|draft| draft.plan.top);
     let stored = snapshot.plans.values().map(|plan| plan.top);
     let seen = snapshot.roster.iter().filter_map(|runner| Some(runner.membership.as_ref()?.epoch));
-    planned.chain(stored).chain(seen).max().unwrap_or_default()
+    planned.chain(stored).chain(seen).fold(Epoch::before_era(snapshot.era), Epoch::max)
 }
 
 fn find_candidate(
--- a/crates/fleet/src/runner.rs
+++ b/crates/fleet/src/runner.rs
@@ -8,11 +8,22 @@
 use cottoncrank::{Millis, id};
 use serde::{Deserialize, Serialize};
 
+use crate::position::Era;
+
 /// The number of one formation of a group. It only rises, over all groups.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Epoch(pub u64);
 
+/// The number of epochs that each era of the store has for itself, far more than formations in one.
+const EPOCHS_PER_ERA: u64 = 1 << 20;
+
 impl Epoch {
+    /// Returns the epoch after which those of an era of the store begin. A decider that knows neither the
+    /// plans nor the groups of earlier eras issues none of their epochs again.
+    pub fn before_era(era: Era) -> Epoch {
+        Epoch(era.0.saturating_mul(EPOCHS_PER_ERA))
+    }
+
     /// Returns the epoch that follows.
     pub fn next(self) -> Epoch {
         Epoch(self.0 + 1)
--- a/crates/fleet/src/snapshot.rs
+++ b/crates/fleet/src/snapshot.rs
@@ -8,6 +8,7 @@
 use crate::catalog::{Model, Service};
 use crate::occupancy::Counts;
 use crate::plan::{Document, Group};
+use crate::position::Era;
 use crate::pressure::Pressure;
 use crate::probe::{Health, Probes};
 use crate::roster::Roster;
@@ -22,6 +23,8 @@
     pub roster: &'a Roster,
     /// The plan of each domain.
     pub plans: &'a BTreeMap<id::Domain, Document>,
+    /// The era of the store that this term of the decider is in.
+    pub era: Era,
     /// Domains whose plan cannot be decoded. Nothing is planned there, because the plan may hold
     /// groups that a later version wrote and that are unknown here.
     pub closed: &'a BTreeSet<id::Domain>,
--- a/crates/fleet/tests/census.rs
+++ b/crates/fleet/tests/census.rs
@@ -6,6 +6,7 @@
 use cottoncrank_fleet::catalog::{Engine, Model, Service, Speed};
 use cottoncrank_fleet::census::{self, Census};
 use cottoncrank_fleet::plan::{Document, Group, Plans, State};
+use cottoncrank_fleet::position::Era;
 use cottoncrank_fleet::pressure::Pressure;
 use cottoncrank_fleet::probe::Probes;
 use cottoncrank_fleet::roster::Roster;
@@ -70,6 +71,7 @@
         service: &service,
         roster,
         plans,
+        era: Era::default(),
         closed: &BTreeSet::new(),
         probes: &Probes::default(),
         serving: true,
--- a/crates/fleet/tests/instant/mod.rs
+++ b/crates/fleet/tests/instant/mod.rs
@@ -11,6 +11,7 @@
 use cottoncrank_fleet::occupancy::Counts;
 use cottoncrank_fleet::order::Order;
 use cottoncrank_fleet::plan::{Group, Plans};
+use cottoncrank_fleet::position::Era;
 use cottoncrank_fleet::pressure::Pressure;
 use cottoncrank_fleet::probe::{Answer, MIN_MISSES, Observation, Probes};
 use cottoncrank_fleet::roster::Roster;
@@ -142,6 +143,7 @@
             service: &self.service,
             roster: &self.roster,
             plans: &self.plans,
+            era: Era::default(),
             closed: &BTreeSet::new(),
             probes: &self.probes,
             serving: self.serving,
--- a/crates/fleet/tests/world/mod.rs
+++ b/crates/fleet/tests/world/mod.rs
@@ -12,6 +12,7 @@
 use cottoncrank_fleet::occupancy::Counts;
 use cottoncrank_fleet::order::Order;
 use cottoncrank_fleet::plan::Plans;
+use cottoncrank_fleet::position::Era;
 use cottoncrank_fleet::pressure::{self, Pressure, Row, Tally};
 use cottoncrank_fleet::probe::{Answer, Observation, Probes};
 use cottoncrank_fleet::roster::Roster;
@@ -552,6 +553,7 @@
             service: &self.service,
             roster: &self.roster,
             plans: &self.plans,
+            era: Era::default(),
             closed: &BTreeSet::new(),
             probes: &self.probes,
             serving: self.serving,
--- a/crates/node/src/decider.rs
+++ b/crates/node/src/decider.rs
@@ -368,6 +368,7 @@
                     service,
                     roster: &roster,
                     plans: &documents,
+                    era: self.lease_position.era(),
                     closed: &self.plans.closed,
                     probes: &probes,
                     serving: self.node.is_serving(),
--- a/crates/node/tests/eras.rs
+++ b/crates/node/tests/eras.rs
@@ -92,6 +92,34 @@
     }
 }
 
+/// Lists the epochs of all groups that engines have joined.
+fn list_epochs(fleet: &Fleet) -> HashSet<u64> {
+    let joins = fleet.engines.iter().flat_map(Runner::joins);
+    joins.filter(|join| join.members.len() > 1).map(|join| join.epoch).collect()
+}
+
+/// A node that had just started decided after a restore. It knew neither the plans nor the groups of the
+/// former era, and issued their names and epochs to other members.
+#[tokio::test]
+async fn a_decider_that_knows_nothing_of_the_former_era_issues_no_epoch_of_it_again() {
+    let mut fleet = Fleet::unconfigured(1).await;
+    let copy = fleet.store.snapshot();
+    fleet.store.configure(&config(1, &[KEY]));
+    fleet.wait("all nodes know two open groups", |fleet| fleet.all_know(2)).await;
+    let before = list_epochs(&fleet);
+    drop(fleet.nodes.remove(0));
+    fleet.store.restore(&copy);
+    fleet.store.configure(&config(1, &[KEY]));
+    fleet.engines[0].crash();
+    fleet.engines[0].expire_entry();
+    // The entries of the others do not tell of their groups yet.
+    fleet.add_node().await;
+    fleet.wait("a group is formed", |fleet| list_epochs(fleet) != before).await;
+    let new: Vec<u64> = list_epochs(&fleet).difference(&before).copied().collect();
+    assert!(new.iter().all(|epoch| before.iter().all(|old| epoch > old)), "{new:?} after {before:?}");
+    assert_unique_epochs(&fleet);
+}
+
 #[tokio::test]
 async fn groups_are_kept_until_missing_runner_entries_are_rewritten() {
     let fleet = Fleet::unconfigured(2).await;
