--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -40,6 +40,9 @@
     /// evacuations, and halls that come back cold.
     #[arg(long)]
     plain: bool,
+    /// Leaves out nodes that are cut off from all runners.
+    #[arg(long)]
+    no_partitions: bool,
     /// Plays the plan in this file instead of drawn ones.
     #[arg(long)]
     plan: Option<PathBuf>,
@@ -103,8 +106,8 @@
     let seeds = args.seed..args.seed + args.runs;
     let draw = |seed| Plan::draw(seed, args.processes, args.engines, length);
     let all = |seed| {
-        let plan = draw(seed).with_deadly().with_limits().with_evacuations();
-        plan.with_cold_returns().with_partitions()
+        let plan = draw(seed).with_deadly().with_limits().with_evacuations().with_cold_returns();
+        if args.no_partitions { plan } else { plan.with_partitions() }
     };
     Ok(seeds.map(|seed| if args.plain { draw(seed) } else { all(seed) }).collect())
 }
