Count a runner whose connection broke as cold until its process is known to run on

Behind a relay, and wherever a path resets connections, an ended process refuses nothing, so only a later incarnation told of its end, and until then the node sent without a rate.

A broken attempt now makes the runner doubted: it counts as cold, for at most one cold start. A probe that finds the same incarnation ends that, within some milliseconds where only the connection broke; a later incarnation says itself how long it is cold. In a hall where nothing breaks nobody is doubted.

--- a/crates/fleet/src/cold.rs
+++ b/crates/fleet/src/cold.rs
@@ -41,6 +41,8 @@
     runners: HashMap<id::Runner, Coldness>,
     /// Since when all runners of a hall count as cold for one cold start.
     halls: HashMap<id::Hall, Millis>,
+    /// Since when the process of a runner may have ended without this node having found out.
+    doubted: HashMap<id::Runner, Millis>,
     /// Until when any runner may be cold without this node having heard of it.
     unheard_until: Millis,
 }
@@ -67,15 +69,30 @@
             Arrival::First | Arrival::Known => stated.unwrap_or_default(),
         };
         *known = Coldness { stated, until: now + left };
+        if arrival == Arrival::Started {
+            self.doubted.remove(&runner.id);
+        }
     }
 
     /// Records that a runner restarted or its process ended, before its entry describes the new
     /// incarnation. The next statement counts, even if it equals the last one.
     pub(crate) fn record_restart(&mut self, runner: &Runner, now: Millis) {
         let Some(start) = self.starts.get(&runner.service) else { return };
+        self.doubted.remove(&runner.id);
         self.runners.insert(runner.id.clone(), Coldness { stated: None, until: now + start.duration });
     }
 
+    /// Records that the process of a runner may have ended. It counts as cold for one cold start, unless it
+    /// is found to run on.
+    pub(crate) fn doubt(&mut self, id: &id::Runner, now: Millis) {
+        self.doubted.insert(id.clone(), now);
+    }
+
+    /// Records that the process of a runner has not ended.
+    pub(crate) fn trust(&mut self, id: &id::Runner) {
+        self.doubted.remove(id);
+    }
+
     /// Records how much longer a runner stays cold according to its own answer, which is more recent than
     /// any known entry.
     pub(crate) fn record_answer(&mut self, runner: &Runner, left: Millis, now: Millis) {
@@ -96,14 +113,17 @@
     /// Returns the rate that a runner takes while it is cold; `None` if it is not.
     pub(crate) fn find_rate(&self, runner: &Runner, now: Millis) -> Option<Rate> {
         let start = self.starts.get(&runner.service)?;
-        let is_marked = || self.halls.get(&runner.hall).is_some_and(|since| now < *since + start.duration);
+        let lasts = |since: &Millis| now < *since + start.duration;
+        let is_marked = || self.halls.get(&runner.hall).is_some_and(lasts);
+        let is_doubted = || self.doubted.get(&runner.id).is_some_and(lasts);
         let is_known = || self.runners.get(&runner.id).is_some_and(|known| now < known.until);
-        let is_cold = now < self.unheard_until || is_known() || is_marked();
+        let is_cold = now < self.unheard_until || is_known() || is_doubted() || is_marked();
         is_cold.then_some(start.rate)
     }
 
     /// Removes runners that are gone.
     pub(crate) fn retain(&mut self, exists: impl Fn(&id::Runner) -> bool) {
         self.runners.retain(|id, _| exists(id));
+        self.doubted.retain(|id, _| exists(id));
     }
 }
--- a/crates/fleet/src/roster.rs
+++ b/crates/fleet/src/roster.rs
@@ -131,6 +131,17 @@
         }
     }
 
+    /// Records that the process of a runner may have ended, because a connection to it broke. Until that is
+    /// known it counts as cold, for at most one cold start.
+    pub fn doubt(&mut self, id: &id::Runner, now: Millis) {
+        self.cold.doubt(id, now);
+    }
+
+    /// Records that the process of a runner runs on.
+    pub fn trust(&mut self, id: &id::Runner) {
+        self.cold.trust(id);
+    }
+
     /// Records how much longer a runner stays cold, as it said in an answer. `incarnation` is the one that
     /// answered, if known.
     pub fn record_cold(
--- a/crates/fleet/tests/cold.rs
+++ b/crates/fleet/tests/cold.rs
@@ -87,6 +87,26 @@
     assert!(!roster.is_cold(&id(1), Millis(8000)), "never beyond the cold start of the service");
 }
 
+/// A hall came back cold behind relays, which accept connections for runners that have ended. Nodes whose
+/// requests broke off there went on sending without the rate until they heard of the next incarnation.
+#[test]
+fn a_runner_whose_connection_broke_is_cold_until_its_process_is_known_to_run_on() {
+    let mut roster = roster();
+    roster.replace(vec![runner(0, 1, None), runner(1, 1, None)], Millis(0));
+    roster.doubt(&id(0), Millis(1000));
+    assert_eq!(roster.find_cold_rate(&id(0), Millis(1000)), Some(RATE));
+    assert!(!roster.is_cold(&id(1), Millis(1000)));
+    roster.receive(runner(0, 1, None), Millis(1200));
+    assert!(roster.is_cold(&id(0), Millis(1200)), "the entry may have been written before");
+    roster.trust(&id(0));
+    assert!(!roster.is_cold(&id(0), Millis(1300)), "only the connection broke");
+    roster.doubt(&id(0), Millis(2000));
+    roster.receive(runner(0, 2, Some(500)), Millis(3000));
+    assert_eq!(find_end(&roster, 0, 3000), 3500, "the next incarnation says how long");
+    roster.doubt(&id(1), Millis(2000));
+    assert_eq!(find_end(&roster, 1, 2000), 10_000, "it ends without a message");
+}
+
 /// A runner restarts while its entry still describes its earlier incarnation, or says nothing.
 #[test]
 fn a_started_runner_is_cold_for_the_whole_time_unless_its_entry_says_otherwise() {
--- a/crates/node/src/crash.rs
+++ b/crates/node/src/crash.rs
@@ -83,6 +83,7 @@
     let row = suspects::build_row(node, job, pick);
     match error {
         AttemptError::Broken(_) => {
+            node.roster.lock().doubt(&pick.id, node.now());
             let (request, node, pick) = (job.id().to_owned(), node.clone(), pick.clone());
             let task = tokio::spawn(async move { resolve(&node, &request, &pick, row).await });
             if let Err(error) = task.await {
@@ -103,6 +104,9 @@
 /// Logs the finding about an interrupted attempt and records its row accordingly.
 async fn resolve(node: &Arc<Node>, request: &str, pick: &Pick, row: Row) {
     let finding = find_shared(node, pick).await;
+    if finding == Finding::Alive {
+        node.roster.lock().trust(&pick.id);
+    }
     let incarnation_text = pick.incarnation.map_or("-".to_owned(), |incarnation| incarnation.to_string());
     log::info!(
         "request {request}: runner {} in incarnation {incarnation_text} has finding {} after an interrupted attempt, fingerprint {}",
@@ -150,11 +154,10 @@
     for pause in FOLLOW_UP_PAUSES {
         tokio::time::sleep(pause.duration()).await;
         let finding = probe(&node, &pick).await;
-        if finding == Finding::Unknown {
-            continue;
-        }
-        if finding == Finding::Crashed {
-            node.record_end(&pick);
+        match finding {
+            Finding::Unknown => continue,
+            Finding::Alive => node.roster.lock().trust(&pick.id),
+            Finding::Crashed => node.record_end(&pick),
         }
         let rows = node.interruptions.lock().take_crashed(&pick.id, pick.incarnation, node.now());
         if finding == Finding::Crashed && !rows.is_empty() {
