Hear at once what follows a whole read of the store

The pause gathers several changes into one call. After a whole read there is nothing to gather, so the next poll goes out at once.

--- a/crates/node/src/sync.rs
+++ b/crates/node/src/sync.rs
@@ -389,12 +389,13 @@
         let before = self.newest_position;
         self.position = Some(update.batch.position);
         self.newest_position = before.max(update.batch.position);
-        let changes = update.batch.items.len();
+        // Whoever has read everything has waited long enough for it, and hears at once what follows.
+        let batches = !update.whole && !update.batch.items.is_empty();
         let started = before != Position::default();
         apply_update(&self.node, update, started.then_some(before));
         self.node.feed.set_serving(serving);
         catchup::record_answer(&self.node, asked);
-        if changes > 0 {
+        if batches {
             let pause = if self.node.is_deciding() { DECIDER_BATCH_DELAY } else { BATCH_DELAY };
             self.node.pause(pause).await;
         }
