Count what pays for each retry, by service, and show a node's share

The hypotheses on retries beyond the bound differ in the source and the service of the retries, and in a node's budget after a start; no metric showed these. No decision changes.

--- a/crates/node/src/retries.rs
+++ b/crates/node/src/retries.rs
@@ -37,6 +37,7 @@
 /// Sets this node's retry budget to its share of what the fleet may accumulate.
 pub(crate) fn update_budget(node: &Node) {
     let share = compute_share(node);
+    telemetry::set_retry_share(share.budget, share.pooled);
     let mut retries = node.retry_budget.lock();
     retries.set_ratio(compute_ratio(node) * share.budget_fraction());
     retries.set_capacity(share.budget);
@@ -69,9 +70,18 @@
 
 /// Takes a retry token for sending a request again. Returns false if none is left.
 pub(crate) async fn spend(node: &Arc<Node>, job: &Job) -> bool {
-    if node.retry_budget.lock().withdraw() {
-        return true;
-    }
+    let has_own = node.retry_budget.lock().withdraw();
+    let source = match has_own {
+        true => "own",
+        false if query_pool(node, job).await => "pool",
+        false => "none",
+    };
+    telemetry::count_retry(&job.service, source);
+    source != "none"
+}
+
+/// Takes a retry token from the shared retry pool of the hall.
+async fn query_pool(node: &Arc<Node>, job: &Job) -> bool {
     let Some(collector) = find_available_collector(node) else { return deny(job, "no collector to ask") };
     let query = Query { node: node.settings().node.clone() };
     let granted = match collector.node == query.node {
--- a/crates/node/src/telemetry.rs
+++ b/crates/node/src/telemetry.rs
@@ -125,6 +125,18 @@
     metrics::counter!("cottoncrank_retries_lent_total", "outcome" => outcome).increment(1);
 }
 
+/// Counts a retry by what paid for it: the node's `own` budget, the `pool` of the hall, or `none`.
+pub fn count_retry(service: &id::Service, source: &'static str) {
+    let labels = [("service", service.to_string()), ("source", source.to_owned())];
+    metrics::counter!("cottoncrank_retries_total", &labels).increment(1);
+}
+
+/// Records the retries that a node may save, of its own and for the pool of its hall.
+pub fn set_retry_share(own: f64, pooled: f64) {
+    metrics::gauge!("cottoncrank_retry_share", "source" => "own").set(own);
+    metrics::gauge!("cottoncrank_retry_share", "source" => "pool").set(pooled);
+}
+
 /// Records the time after which a refused caller was told to return.
 pub fn record_retry_after(retry: Millis) {
     metrics::histogram!("cottoncrank_retry_after_seconds").record(retry.0 as f64 / 1000.0);
