--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -118,12 +118,12 @@
         Fleet { store, nodes: running, engines, plain }
     }
 
-    /// Starts a configured fleet that serves, with `slack` retries per second for the whole fleet.
-    pub async fn with_retry_slack(nodes: usize, slack: f64) -> Fleet {
+    /// Starts a configured fleet that serves, with `slack` retries per `window` for the whole fleet.
+    pub async fn with_retry_slack(nodes: usize, slack: f64, window: Millis) -> Fleet {
         let mut fleet = Fleet::unconfigured(0).await;
         for number in 0..nodes {
             let store = fleet.store.address();
-            fleet.nodes.push(start_node_with(store, number, "hall-a", slack, Millis(1000)).await);
+            fleet.nodes.push(start_node_with(store, number, "hall-a", slack, window).await);
         }
         fleet.store.configure(&config(1, &[KEY]));
         fleet.wait("all nodes know two open groups", |fleet| fleet.all_know(2)).await;
@@ -174,6 +174,15 @@
         self.nodes.push(start_node(self.store.address(), number, "hall-a").await);
     }
 
+    /// Ends the process of a node, and starts it again at other addresses.
+    pub async fn restart_node(&mut self, number: usize) {
+        let bounds = self.nodes[number].node.settings().bounds.clone();
+        self.nodes[number].tasks.shutdown().await;
+        let (slack, window) = (bounds.retry_slack, bounds.retry_window);
+        self.nodes[number] = start_node_with(self.store.address(), number, "hall-a", slack, window).await;
+        self.wait("the node that started again knows two open groups", |fleet| fleet.all_know(2)).await;
+    }
+
     /// Whether every running node knows exactly `groups` groups that take requests.
     pub fn all_know(&self, groups: usize) -> bool {
         self.nodes.iter().all(|running| count_heads(&running.node) == groups)
--- a/crates/node/tests/failed.rs
+++ b/crates/node/tests/failed.rs
@@ -34,7 +34,7 @@
 /// the shared retry pool.
 #[tokio::test]
 async fn a_node_with_an_empty_retry_budget_is_granted_a_retry() {
-    let fleet = Fleet::with_retry_slack(3, 2.0).await;
+    let fleet = Fleet::with_retry_slack(3, 2.0, Millis(1000)).await;
     fleet.plain[0].set_fault(Fault::Foreign);
     fleet
         .wait("all nodes know each other", |fleet| {
