Bound the retries of all nodes together, whichever of them start, pause or are cut off

Cause: each process started with a full budget, whatever the one before had spent in the same window, and an increase of a node's share was added to its balance at once. The class: a credit for the whole fleet that each process grants itself anew.

Change: a process starts with nothing saved. What it may save is a share of the slack that needs to be settled: it knows the store up to 5 s ago, has been listed for a window and 6 s, and divides by the most nodes it knew of in that time. Nodes that have a share within one window then have all known one content of the store, so their shares add up to the slack at most. A process without a share may save a part of what its own requests earn. The pool of a hall counts nodes by the same rule. A node that made no retry for a window has its share saved again.

The tests of nodes whose subject is a retry, not the budget, now begin with settled shares, because a fleet that has just started has none; the test of divided shares waits for them instead.

--- a/crates/fleet/src/occupancy.rs
+++ b/crates/fleet/src/occupancy.rs
@@ -138,6 +138,12 @@
         self.nodes.values().filter(|row| now < row.received + REPORT_TTL).count()
     }
 
+    /// Lists the nodes of this hall that have sent a recent report.
+    pub fn list_nodes(&self, now: Millis) -> Vec<id::Node> {
+        let recent = self.nodes.iter().filter(|(_, row)| now < row.received + REPORT_TTL);
+        recent.map(|(node, _)| node.clone()).collect()
+    }
+
     /// Whether another hall's collector has sent a recent report.
     pub fn has_report_from(&self, hall: &id::Hall, now: Millis) -> bool {
         self.halls.get(hall).is_some_and(|row| now < row.received + REPORT_TTL)
--- a/crates/kernel/src/retry.rs
+++ b/crates/kernel/src/retry.rs
@@ -7,46 +7,25 @@
 /// The cost of a retry in the same unit.
 const RETRY_COST: u64 = 1000;
 
-/// The default capacity, which is also the initial balance.
+/// The capacity, which is also the initial balance.
 const MAX_BALANCE: u64 = 20 * RETRY_COST;
 
 /// The retry budget of one account, or of a whole node.
 #[derive(Clone, Copy, Debug)]
 pub struct Budget {
-    deposit: u64,
-    capacity: u64,
     balance: u64,
 }
 
 impl Default for Budget {
     fn default() -> Budget {
-        Budget { deposit: DEPOSIT, capacity: MAX_BALANCE, balance: MAX_BALANCE }
+        Budget { balance: MAX_BALANCE }
     }
 }
 
 impl Budget {
-    /// Returns a budget that earns `ratio` retries for each request and can hold `retries`
-    /// retries. It starts full.
-    pub fn new(ratio: f64, retries: f64) -> Budget {
-        let capacity = (retries * RETRY_COST as f64) as u64;
-        Budget { deposit: (ratio * RETRY_COST as f64) as u64, capacity, balance: capacity }
-    }
-
-    /// Sets the capacity to `retries` retries. An increase is added to the balance at once.
-    pub fn set_capacity(&mut self, retries: f64) {
-        let capacity = (retries * RETRY_COST as f64) as u64;
-        self.balance = (self.balance + capacity.saturating_sub(self.capacity)).min(capacity);
-        self.capacity = capacity;
-    }
-
-    /// Sets the deposit of one request to `ratio` retries.
-    pub fn set_ratio(&mut self, ratio: f64) {
-        self.deposit = (ratio * RETRY_COST as f64) as u64;
-    }
-
     /// Adds the deposit of one request.
     pub fn deposit(&mut self) {
-        self.balance = (self.balance + self.deposit).min(self.capacity);
+        self.balance = (self.balance + DEPOSIT).min(MAX_BALANCE);
     }
 
     /// Withdraws the cost of one retry. Returns false if the balance is too low.
--- a/crates/node/src/apply.rs
+++ b/crates/node/src/apply.rs
@@ -103,13 +103,13 @@
     if !restored {
         suspect_store::retain_entries(node, &suspects);
         node.directory.lock().retain(|name| nodes.contains(name));
-        retries::update_budget(node);
     }
     let own = &node.settings().node;
     if !nodes.contains(own) {
         node.directory.lock().remove(own);
         node.entry_gone.notify_one();
     }
+    retries::record_members(node);
     node.roster.lock().replace(runners, node.now());
     node.decider.send_replace(decider);
     node.set_synced();
@@ -176,7 +176,7 @@
         match entry {
             Ok(peer) => {
                 node.directory.lock().insert(peer);
-                retries::update_budget(node);
+                retries::record_members(node);
             }
             Err(error) => node.report_invalid_item(&item.key, ItemKind::Node, "form", error),
         }
@@ -213,7 +213,7 @@
             node.entry_gone.notify_one();
         }
         node.directory.lock().remove(&name);
-        retries::update_budget(node);
+        retries::record_members(node);
     } else if !suspect_store::apply_removal(node, key) {
         log::warn!("store: `{key}` was removed");
     }
--- a/crates/node/src/registration.rs
+++ b/crates/node/src/registration.rs
@@ -98,7 +98,7 @@
             Err(error) => log::error!("member: the entry of a node cannot be decoded: {error}"),
         }
     }
-    retries::update_budget(node);
+    retries::record_members(node);
 }
 
 /// Returns the name of the node whose entry has this key, if the key is that of a node. Earlier versions
--- a/crates/node/src/reporting.rs
+++ b/crates/node/src/reporting.rs
@@ -43,6 +43,7 @@
         let settings = node.settings();
         node.unreachable_for_reports.lock().evict_expired(node.now());
         throttle::remove_gone(&node);
+        retries::update_allowance(&node);
         let collector = find_collector(&node, &settings.hall, &node.unreachable_for_reports.lock());
         let failed = match collector {
             Some(collector) if collector.node != settings.node => {
--- a/crates/node/src/request.rs
+++ b/crates/node/src/request.rs
@@ -20,7 +20,7 @@
 use crate::catchup;
 use crate::in_flight::RequestGuard;
 use crate::state::Node;
-use crate::{plain, stream, suspects, telemetry};
+use crate::{plain, retries, stream, suspects, telemetry};
 
 /// The largest priority number that a runner is sent. 0 is the most urgent.
 const MAX_PRIORITY: u8 = 9;
@@ -77,7 +77,7 @@
 }
 
 async fn run(node: &Arc<Node>, job: Arc<Job>, request_guard: RequestGuard) -> Result<Answer, Refusal> {
-    node.retry_budget.lock().deposit();
+    retries::record_request(node);
     catchup::wait(node, &job).await;
     if suspects::is_deadly(node, &job) {
         return Err(Refusal::Deadly);
--- a/crates/node/src/retries.rs
+++ b/crates/node/src/retries.rs
@@ -1,10 +1,10 @@
-//! Retry tokens for requests that are sent again: from this node's own retry budget, or else granted
+//! Retry tokens for requests that are sent again: from what this node may spend itself, or else granted
 //! by the hall's collector from the shared retry pool.
 
 use std::sync::Arc;
 
 use cottoncrank::id;
-use cottoncrank_fleet::retries::Share;
+use cottoncrank_fleet::retries::Bound;
 use serde::{Deserialize, Serialize};
 
 use crate::attempt::Job;
@@ -13,10 +13,6 @@
 use crate::state::Node;
 use crate::telemetry;
 
-/// The fraction of the fleet's allowed retries that is used. The rest covers requests that arrive
-/// twice in other ways.
-const BUDGET_FRACTION: f64 = 0.8;
-
 /// Asks the collector for a retry token.
 #[derive(Serialize, Deserialize)]
 pub(crate) struct Query {
@@ -24,43 +20,66 @@
     pub(crate) node: id::Node,
 }
 
-/// Returns this node's share of the retries that the fleet may accumulate.
-fn compute_share(node: &Node) -> Share {
-    Share::of(node.settings().bounds.retry_slack * BUDGET_FRACTION, node.directory.lock().count())
+/// Returns the retries that the whole fleet may make.
+fn read_bound(node: &Node) -> Bound {
+    let bounds = &node.settings().bounds;
+    Bound { window: bounds.retry_window, slack: bounds.retry_slack, ratio: bounds.retry_ratio }
 }
 
-/// Returns how many retry tokens each request deposits.
-fn compute_ratio(node: &Node) -> f64 {
-    node.settings().bounds.retry_ratio * BUDGET_FRACTION
+/// Records which nodes the store lists.
+pub(crate) fn record_members(node: &Node) {
+    let (count, is_listed) = {
+        let directory = node.directory.lock();
+        (directory.count(), directory.get(&node.settings().node).is_some())
+    };
+    node.retry_allowance.lock().record_members(count, is_listed, &read_bound(node), node.now());
 }
 
-/// Sets this node's retry budget to its share of what the fleet may accumulate.
-pub(crate) fn update_budget(node: &Node) {
-    let share = compute_share(node);
-    telemetry::set_retry_share(share.budget, share.pooled);
-    let mut retries = node.retry_budget.lock();
-    retries.set_ratio(compute_ratio(node) * share.budget_fraction());
-    retries.set_capacity(share.budget);
+/// Drops what this node may not save any more.
+pub(crate) fn update_allowance(node: &Node) {
+    let (bound, age, now) = (read_bound(node), node.staleness(), node.now());
+    let share = {
+        let mut allowance = node.retry_allowance.lock();
+        allowance.update(&bound, age, now);
+        allowance.share(&bound, age, now)
+    };
+    telemetry::set_retry_share(share.own, share.pooled);
 }
 
-/// As the collector, sets the size of the pool to the rest of the shares of the nodes that report
-/// to this one.
+/// As the collector, updates the pool by the nodes that report to this one.
 pub(crate) fn update_pool(node: &Node) {
-    let now = node.now();
-    let nodes = node.reports.lock().count_nodes(now) + 1;
-    let window = node.settings().bounds.retry_window;
-    node.retry_pool.lock().set_capacity(compute_share(node).pooled * nodes as f64, window, now);
+    let (bound, age, now) = (read_bound(node), node.staleness(), node.now());
+    let mut nodes = node.reports.lock().list_nodes(now);
+    nodes.push(node.settings().node.clone());
+    {
+        let directory = node.directory.lock();
+        nodes.retain(|name| directory.get(name).is_some());
+    }
+    let allowance = node.retry_allowance.lock();
+    node.retry_pool.lock().update(nodes.into_iter(), &allowance, &bound, age, now);
 }
 
-/// As the collector, makes the deposit of a request of its hall into the pool.
-pub(crate) fn deposit_pooled(node: &Node) {
-    let deposit = compute_ratio(node) * (1.0 - compute_share(node).budget_fraction());
-    node.retry_pool.lock().deposit(deposit);
+/// Adds what a request earns to this node's retries.
+pub(crate) fn record_request(node: &Node) {
+    let (bound, age, now) = (read_bound(node), node.staleness(), node.now());
+    node.retry_allowance.lock().record_request(&bound, age, now);
+}
+
+/// As the collector, adds what a request of its hall earns to the pool.
+pub(crate) fn record_pooled_request(node: &Node) {
+    let (bound, age, now) = (read_bound(node), node.staleness(), node.now());
+    let allowance = node.retry_allowance.lock();
+    node.retry_pool.lock().record_request(&allowance, &bound, age, now);
 }
 
 /// As the collector, grants a retry token if the pool has one.
 pub(crate) fn grant(node: &Node, query: &Query) -> bool {
-    let granted = node.retry_pool.lock().grant();
+    update_pool(node);
+    let (bound, age, now) = (read_bound(node), node.staleness(), node.now());
+    let granted = {
+        let allowance = node.retry_allowance.lock();
+        node.retry_pool.lock().grant(&allowance, &bound, age, now)
+    };
     if !granted {
         log::info!("retries: {} gets none, the pool of the hall is empty", query.node);
     }
@@ -70,7 +89,8 @@
 
 /// Takes a retry token for sending a request again. Returns false if none is left.
 pub(crate) async fn spend(node: &Arc<Node>, job: &Job) -> bool {
-    let has_own = node.retry_budget.lock().withdraw();
+    let (bound, age, now) = (read_bound(node), node.staleness(), node.now());
+    let has_own = node.retry_allowance.lock().spend(&bound, age, now);
     let source = match has_own {
         true => "own",
         false if query_pool(node, job).await => "pool",
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -6,7 +6,6 @@
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 
 use cottoncrank::clock::System;
-use cottoncrank::retry::Budget;
 use cottoncrank::{Clock, Millis, id};
 use cottoncrank_fleet::allocation::{Allocations, LocalBuckets, RetrySchedule};
 use cottoncrank_fleet::balance::Ledger;
@@ -25,7 +24,7 @@
 use cottoncrank_fleet::position::Position;
 use cottoncrank_fleet::presence::Presence;
 use cottoncrank_fleet::rejections;
-use cottoncrank_fleet::retries::Pool;
+use cottoncrank_fleet::retries::{Allowance, Pool};
 use cottoncrank_fleet::roster::{Roster, Update};
 use cottoncrank_fleet::runner::{Epoch, Incarnation, Runner};
 use cottoncrank_fleet::settings::Settings;
@@ -49,7 +48,6 @@
 use crate::in_flight::ModelKey;
 use crate::invalid_items::{InvalidItems, ItemKind};
 use crate::pressure;
-use crate::retries;
 use crate::returns;
 use crate::suspects;
 use crate::telemetry;
@@ -172,7 +170,7 @@
     /// Notified when a request ends, so that a waiting one may be admitted.
     pub request_ended: Notify,
     /// The retries that this node may spend by itself.
-    pub retry_budget: Mutex<Budget>,
+    pub retry_allowance: Mutex<Allowance>,
     /// As the collector, the shared retry pool of the hall.
     pub(crate) retry_pool: Mutex<Pool>,
     /// The decider lease as the store has it, if it is held.
@@ -244,7 +242,7 @@
             attempt_ended: Notify::new(),
             concurrency_limits: Mutex::default(),
             request_ended: Notify::new(),
-            retry_budget: Mutex::new(Budget::new(0.0, 0.0)),
+            retry_allowance: Mutex::default(),
             retry_pool: Mutex::default(),
             decider: watch::Sender::new(None),
             fleet_changed: Notify::new(),
@@ -265,7 +263,6 @@
     /// Replaces the settings after a reload.
     pub fn set_settings(&self, settings: Settings) {
         *self.settings.lock() = Arc::new(settings);
-        retries::update_budget(self);
     }
 
     /// Returns the current time of the node's clock.
--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -7,6 +7,7 @@
 
 use cottoncrank::Millis;
 use cottoncrank_fleet::directory::Millicores;
+use cottoncrank_fleet::retries::{Allowance, Bound, SETTLE_TIME};
 use cottoncrank_fleet::settings::{Bounds, Ceiling, Settings};
 use cottoncrank_node::start::{Listeners, start};
 use cottoncrank_node::state::Node;
@@ -98,6 +99,32 @@
     node.roster.lock().list_heads(&service, &model, &node.plans.lock()).len()
 }
 
+fn read_retry_bound(node: &Node) -> Bound {
+    let bounds = &node.settings().bounds;
+    Bound { window: bounds.retry_window, slack: bounds.retry_slack, ratio: bounds.retry_ratio }
+}
+
+/// Takes one retry of a node's own. Returns false if it has none.
+pub fn spend_retry(node: &Node) -> bool {
+    node.retry_allowance.lock().spend(&read_retry_bound(node), node.staleness(), node.now())
+}
+
+/// Whether a node has a share of the fleet's retries.
+pub fn has_retry_share(node: &Node) -> bool {
+    let allowance = node.retry_allowance.lock();
+    allowance.share(&read_retry_bound(node), node.staleness(), node.now()).own > 0.0
+}
+
+/// Gives a node its share of the retries, as if the fleet had run for a while: one that has just started has
+/// none yet.
+fn settle_retries(node: &Node) {
+    let (count, bound) = (node.directory.lock().count(), read_retry_bound(node));
+    let long_ago = node.now() - Millis(10 * (bound.window + SETTLE_TIME).0);
+    let mut allowance = node.retry_allowance.lock();
+    *allowance = Allowance::default();
+    allowance.record_members(count, true, &bound, long_ago);
+}
+
 impl Fleet {
     /// Starts a fleet without configuration: nodes in one hall, two plain runners, and five engines in one
     /// fabric domain, enough for two groups and one spare engine.
@@ -118,15 +145,22 @@
         Fleet { store, nodes: running, engines, plain }
     }
 
-    /// Starts a configured fleet that serves, with `slack` retries per `window` for the whole fleet.
-    pub async fn with_retry_slack(nodes: usize, slack: f64, window: Millis) -> Fleet {
+    /// Starts a fleet without configuration, with `slack` retries per `window` for the whole fleet.
+    pub async fn unconfigured_with_retry_slack(nodes: usize, slack: f64, window: Millis) -> Fleet {
         let mut fleet = Fleet::unconfigured(0).await;
         for number in 0..nodes {
             let store = fleet.store.address();
             fleet.nodes.push(start_node_with(store, number, "hall-a", slack, window).await);
         }
+        fleet
+    }
+
+    /// Starts a configured fleet that serves, with `slack` retries per `window` for the whole fleet.
+    pub async fn with_retry_slack(nodes: usize, slack: f64, window: Millis) -> Fleet {
+        let fleet = Fleet::unconfigured_with_retry_slack(nodes, slack, window).await;
         fleet.store.configure(&config(1, &[KEY]));
         fleet.wait("all nodes know two open groups", |fleet| fleet.all_know(2)).await;
+        fleet.settle_retries();
         fleet
     }
 
@@ -135,6 +169,7 @@
         let fleet = Fleet::unconfigured(nodes).await;
         fleet.store.configure(&config(1, &[KEY]));
         fleet.wait("all nodes know two open groups", |fleet| fleet.all_know(2)).await;
+        fleet.settle_retries();
         fleet
     }
 
@@ -147,9 +182,15 @@
         }
         fleet.store.configure(&config(1, &[KEY]));
         fleet.wait("all nodes know two open groups", |fleet| fleet.all_know(2)).await;
+        fleet.settle_retries();
         (fleet, doors)
     }
 
+    /// Gives all nodes their shares of the retries.
+    pub fn settle_retries(&self) {
+        self.nodes.iter().for_each(|running| settle_retries(&running.node));
+    }
+
     /// Configures cold starts for all services, and returns once all nodes know them.
     pub async fn configure_cold_starts(&self) {
         let mut config = config(2, &[KEY]);
--- a/crates/node/tests/fleet.rs
+++ b/crates/node/tests/fleet.rs
@@ -4,7 +4,7 @@
 
 use std::process::{Command, Stdio};
 
-use common::Fleet;
+use common::{Fleet, has_retry_share, spend_retry};
 use cottoncrank::{Millis, id};
 use cottoncrank_fleet::freshness::Freshness;
 use cottoncrank_fleet::order::Order;
@@ -136,16 +136,15 @@
 
 #[tokio::test]
 async fn the_saved_up_retries_are_divided_among_the_nodes() {
-    let fleet = Fleet::unconfigured(4).await;
+    let fleet = Fleet::unconfigured_with_retry_slack(4, 100.0, Millis(1000)).await;
     fleet
         .wait("all nodes know each other", |fleet| {
             fleet.nodes.iter().all(|running| running.node.directory.lock().count() == 4)
         })
         .await;
-    let spend_all = |running: &common::Running| {
-        let mut retries = running.node.retry_budget.lock();
-        (0..1000).filter(|_| retries.withdraw()).count()
-    };
+    let has_share = |running: &common::Running| has_retry_share(&running.node);
+    fleet.wait("all nodes have a share", |fleet| fleet.nodes.iter().all(has_share)).await;
+    let spend_all = |running: &common::Running| (0..1000).filter(|_| spend_retry(&running.node)).count();
     let spent: usize = fleet.nodes.iter().map(spend_all).sum();
     assert!(spent <= 100, "the retry budget of the fleet is 100, its nodes spent {spent}");
     assert!(spent >= 50, "the nodes can spend less than half of the retry budget: {spent}");
--- a/crates/node/tests/partition.rs
+++ b/crates/node/tests/partition.rs
@@ -33,6 +33,7 @@
     fleet.wait("all nodes know two open groups", |fleet| fleet.all_know(2)).await;
     let knows_all = |running: &common::Running| running.node.directory.lock().count() == 5;
     fleet.wait("all nodes know each other", |fleet| fleet.nodes.iter().all(knows_all)).await;
+    fleet.settle_retries();
     fleet
 }
 
@@ -235,6 +236,7 @@
     let last = fleet.nodes.len() - 1;
     let knows_all = |running: &Running| running.node.directory.lock().count() == 7;
     fleet.wait("all nodes know each other", |fleet| fleet.nodes.iter().all(knows_all)).await;
+    fleet.settle_retries();
     // Tunnels of the cut node are carried by the node that will be killed, as long as that one lives.
     let carrier = killable.running.node.settings().node.clone();
     let cut = &fleet.nodes[last].node;
--- a/crates/node/tests/requests.rs
+++ b/crates/node/tests/requests.rs
@@ -4,7 +4,7 @@
 
 use std::collections::HashSet;
 
-use common::{Fleet, KEY};
+use common::{Fleet, KEY, spend_retry};
 use cottoncrank::{Millis, id};
 use cottoncrank_fleet::directory::{Millicores, Peer};
 use cottoncrank_fleet::settings::Settings;
@@ -284,12 +284,12 @@
         roster.get(&id).is_some_and(|runner| runner.address == nowhere)
     };
     fleet.wait("the node knows the new address", has_new_address).await;
-    while node.retry_budget.lock().withdraw() {}
+    while spend_retry(node) {}
     // One of the two requests is sent to this runner, because each is sent to a head that has no
     // request of this node.
     let (one, other) = tokio::join!(fleet.ask(STREAM, "r1"), fleet.ask(STREAM, "r2"));
     assert_eq!((one.status, other.status), (200, 200));
-    assert!(!node.retry_budget.lock().withdraw(), "no retry was added to the budget meanwhile");
+    assert!(!spend_retry(node), "no retry was added to the budget meanwhile");
 }
 
 #[tokio::test]
