Count retries for each service by itself

Operators bound the retries of each service by the requests for it. A node had one budget for all, so requests for the runners paid for retries at a small service: in the test 30 of 30 requests were sent again where 16 may be.

Change: nodes and pools keep a budget for each service. A node asks a collector for a retry with the service; a collector of an earlier build refuses that with 400, and is asked for groups all the same.

--- a/crates/fleet/src/retries.rs
+++ b/crates/fleet/src/retries.rs
@@ -1,10 +1,10 @@
 //! Divides the retries that the fleet may make among the nodes.
 //!
 //! The bound: in any window, over all nodes, at most a fixed number of retries, the slack, and a ratio of
-//! the requests. It must hold however often nodes start, pause, are cut off, or are removed and listed
+//! the requests, for each service by itself. It must hold however often nodes start, pause, are cut off, or are removed and listed
 //! again.
 //!
-//! - Each node keeps a [`Budget`]. Requests add to it, retries are taken from it. The retries of a window
+//! - Each node keeps a [`Budget`] for each service. Requests add to it, retries are taken from it. The retries of a window
 //!   are at most what all nodes had saved when it began, and what the requests in it add. A node that made
 //!   no retry for a window has its share saved, as if the window began now.
 //! - A process starts with nothing saved. It may save its [`Share`] of the slack. Without one it may save
@@ -61,7 +61,7 @@
 /// Requests are counted for this part of a window at a time.
 const BUCKETS_PER_WINDOW: u64 = 50;
 
-/// The retries that the whole fleet may make in any window.
+/// The retries of requests for one service that the whole fleet may make in any window.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Bound {
     /// The length of the window.
@@ -228,7 +228,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Allowance {
     membership: Membership,
-    budget: Budget,
+    budgets: HashMap<id::Service, Budget>,
 }
 
 impl Allowance {
@@ -249,19 +249,19 @@
     /// Drops what may not be saved any more. Must be called every [`UPDATE_INTERVAL`].
     pub fn update(&mut self, bound: &Bound, age: Option<Millis>, now: Millis) {
         let terms = self.terms(bound, age, now);
-        self.budget.update(&terms, now);
+        self.budgets.values_mut().for_each(|budget| budget.update(&terms, now));
     }
 
     /// Adds what a request earns, unless the pool gets it.
-    pub fn record_request(&mut self, bound: &Bound, age: Option<Millis>, now: Millis) {
+    pub fn record_request(&mut self, service: &id::Service, bound: &Bound, age: Option<Millis>, now: Millis) {
         let terms = self.terms(bound, age, now);
-        self.budget.record_request(&terms, now);
+        find_budget(&mut self.budgets, service).record_request(&terms, now);
     }
 
     /// Takes one retry. Returns false if there is none.
-    pub fn spend(&mut self, bound: &Bound, age: Option<Millis>, now: Millis) -> bool {
+    pub fn spend(&mut self, service: &id::Service, bound: &Bound, age: Option<Millis>, now: Millis) -> bool {
         let terms = self.terms(bound, age, now);
-        self.budget.spend(&terms, now)
+        find_budget(&mut self.budgets, service).spend(&terms, now)
     }
 
     fn terms(&self, bound: &Bound, age: Option<Millis>, now: Millis) -> Terms {
@@ -276,6 +276,11 @@
     }
 }
 
+/// Returns the budget of a service.
+fn find_budget<'a>(budgets: &'a mut HashMap<id::Service, Budget>, service: &id::Service) -> &'a mut Budget {
+    budgets.entry(service.clone()).or_default()
+}
+
 /// Whether a copy of the store of this age is recent enough for a share.
 fn is_recent(age: Option<Millis>) -> bool {
     age.is_some_and(|age| age <= MAX_AGE)
@@ -286,7 +291,7 @@
 pub struct Pool {
     /// Since when each listed node reports to this collector.
     reporting_since: HashMap<id::Node, Millis>,
-    budget: Budget,
+    budgets: HashMap<id::Service, Budget>,
 }
 
 impl Pool {
@@ -307,7 +312,7 @@
         };
         self.reporting_since = nodes.map(add_since).collect();
         let terms = self.terms(allowance, bound, age, now);
-        self.budget.update(&terms, now);
+        self.budgets.values_mut().for_each(|budget| budget.update(&terms, now));
     }
 
     /// Empties the pool, because another node is the collector.
@@ -316,15 +321,29 @@
     }
 
     /// Adds what a request of a node of the hall earns, unless the nodes have a share of their own.
-    pub fn record_request(&mut self, allowance: &Allowance, bound: &Bound, age: Option<Millis>, now: Millis) {
+    pub fn record_request(
+        &mut self,
+        service: &id::Service,
+        allowance: &Allowance,
+        bound: &Bound,
+        age: Option<Millis>,
+        now: Millis,
+    ) {
         let terms = self.terms(allowance, bound, age, now);
-        self.budget.record_request(&terms, now);
+        find_budget(&mut self.budgets, service).record_request(&terms, now);
     }
 
     /// Grants one retry; returns false if there is none.
-    pub fn grant(&mut self, allowance: &Allowance, bound: &Bound, age: Option<Millis>, now: Millis) -> bool {
+    pub fn grant(
+        &mut self,
+        service: &id::Service,
+        allowance: &Allowance,
+        bound: &Bound,
+        age: Option<Millis>,
+        now: Millis,
+    ) -> bool {
         let terms = self.terms(allowance, bound, age, now);
-        self.budget.spend(&terms, now)
+        find_budget(&mut self.budgets, service).spend(&terms, now)
     }
 
     fn terms(&self, allowance: &Allowance, bound: &Bound, age: Option<Millis>, now: Millis) -> Terms {
--- a/crates/fleet/tests/retries.rs
+++ b/crates/fleet/tests/retries.rs
@@ -103,6 +103,7 @@
 }
 
 struct Simulation {
+    service: id::Service,
     bound: Bound,
     fault: Fault,
     nodes: Vec<Node>,
@@ -246,24 +247,24 @@
     fn record_request(&mut self, number: usize, now: Millis) {
         let node = &mut self.nodes[number];
         let age = node.known.map(|known| now.since(known));
-        node.allowance.record_request(&self.bound, age, now);
+        node.allowance.record_request(&self.service, &self.bound, age, now);
         let (collector, pool) = self.collector_of(number, now);
         let Node { allowance, pools, known, .. } = &mut self.nodes[collector];
         let age = known.map(|known| now.since(known));
-        pools[pool].record_request(allowance, &self.bound, age, now);
+        pools[pool].record_request(&self.service, allowance, &self.bound, age, now);
         self.requests.push_back(now);
     }
 
     fn spend(&mut self, number: usize, now: Millis) -> bool {
         let node = &mut self.nodes[number];
         let age = node.known.map(|known| now.since(known));
-        if node.allowance.spend(&self.bound, age, now) {
+        if node.allowance.spend(&self.service, &self.bound, age, now) {
             return true;
         }
         let (collector, pool) = self.collector_of(number, now);
         let Node { allowance, pools, known, .. } = &mut self.nodes[collector];
         let age = known.map(|known| now.since(known));
-        pools[pool].grant(allowance, &self.bound, age, now)
+        pools[pool].grant(&self.service, allowance, &self.bound, age, now)
     }
 
     /// Compares the retries of the window that ends now with what the bound allows.
@@ -292,6 +293,7 @@
 ) -> Outcome {
     let joined = if fault == Fault::Joined { nodes / 3 } else { 0 };
     let mut simulation = Simulation {
+        service: "s".parse().unwrap(),
         bound,
         fault,
         nodes: (0..nodes + joined).map(|_| Node::default()).collect(),
@@ -416,7 +418,7 @@
 #[test]
 fn few_nodes_can_use_the_shared_pool_of_their_hall() {
     // One node in fifty meets a failing runner.
-    let (mut allowance, mut pool) = (Allowance::default(), Pool::default());
+    let (mut allowance, mut pool, service) = (Allowance::default(), Pool::default(), "s".parse().unwrap());
     let names = || (0..197).map(|number| format!("node-{number}").parse().unwrap());
     let settled = Millis(2 * (WINDOW + SETTLE_TIME + REPORT_TTL).0);
     for now in [Millis(1), Millis(1) + settled] {
@@ -424,26 +426,29 @@
         pool.update(names(), &allowance, &LARGE, Some(Millis(0)), now);
     }
     let now = Millis(1) + settled;
-    let granted = (0..160).filter(|_| pool.grant(&allowance, &LARGE, Some(Millis(0)), now)).count();
+    let granted = (0..160).filter(|_| pool.grant(&service, &allowance, &LARGE, Some(Millis(0)), now)).count();
     assert_eq!(granted, 160, "the pool of 197 nodes has 166, and each of four nodes needs forty");
 }
 
 #[test]
 fn a_new_collector_grants_only_what_requests_earn() {
-    let (mut allowance, mut pool) = (Allowance::default(), Pool::default());
+    let (mut allowance, mut pool, service) = (Allowance::default(), Pool::default(), "s".parse().unwrap());
     let names = || (0..197).map(|number| format!("node-{number}").parse().unwrap());
     let (begin, age) = (Millis(60_000), Some(Millis(0)));
     allowance.record_members(985, true, &LARGE, Millis(1));
     pool.update(names(), &allowance, &LARGE, age, begin);
     assert!(
-        !pool.grant(&allowance, &LARGE, age, begin),
+        !pool.grant(&service, &allowance, &LARGE, age, begin),
         "the former collector may have granted as much until now"
     );
-    (0..40).for_each(|_| pool.record_request(&allowance, &LARGE, age, begin));
-    assert!(pool.grant(&allowance, &LARGE, age, begin) && !pool.grant(&allowance, &LARGE, age, begin));
+    (0..40).for_each(|_| pool.record_request(&service, &allowance, &LARGE, age, begin));
+    assert!(
+        pool.grant(&service, &allowance, &LARGE, age, begin)
+            && !pool.grant(&service, &allowance, &LARGE, age, begin)
+    );
     let later = begin + WINDOW + SETTLE_TIME + REPORT_TTL + UPDATE_INTERVAL;
     pool.update(names(), &allowance, &LARGE, age, later);
-    let granted = (0..200).filter(|_| pool.grant(&allowance, &LARGE, age, later)).count();
+    let granted = (0..200).filter(|_| pool.grant(&service, &allowance, &LARGE, age, later)).count();
     assert_eq!(granted, 166);
 }
 
--- a/crates/node/src/dispatch.rs
+++ b/crates/node/src/dispatch.rs
@@ -136,7 +136,7 @@
 /// Records what a query brings, once for each query.
 pub(crate) fn record_query(node: &Node, query: &Query) {
     if query.urgency != Urgency::Again {
-        retries::record_pooled_request(node);
+        retries::record_pooled_request(node, &query.service);
     }
     let mut dispatcher = node.dispatcher.lock();
     for sample in &query.samples {
--- a/crates/node/src/request.rs
+++ b/crates/node/src/request.rs
@@ -77,7 +77,7 @@
 }
 
 async fn run(node: &Arc<Node>, job: Arc<Job>, request_guard: RequestGuard) -> Result<Answer, Refusal> {
-    retries::record_request(node);
+    retries::record_request(node, &job.service);
     catchup::wait(node, &job).await;
     if suspects::is_deadly(node, &job) {
         return Err(Refusal::Deadly);
--- a/crates/node/src/retries.rs
+++ b/crates/node/src/retries.rs
@@ -5,6 +5,8 @@
 
 use cottoncrank::id;
 use cottoncrank_fleet::retries::Bound;
+use cottoncrank_net::client::CallError;
+use hyper::StatusCode;
 use serde::{Deserialize, Serialize};
 
 use crate::attempt::Job;
@@ -18,6 +20,9 @@
 pub(crate) struct Query {
     /// The node that asks.
     pub(crate) node: id::Node,
+    /// The service that the request goes to; `None` from nodes of earlier builds.
+    #[serde(default)]
+    pub(crate) service: Option<id::Service>,
 }
 
 /// Returns the retries that the whole fleet may make.
@@ -60,26 +65,26 @@
 }
 
 /// Adds what a request earns to this node's retries.
-pub(crate) fn record_request(node: &Node) {
+pub(crate) fn record_request(node: &Node, service: &id::Service) {
     let (bound, age, now) = (read_bound(node), node.staleness(), node.now());
-    node.retry_allowance.lock().record_request(&bound, age, now);
+    node.retry_allowance.lock().record_request(service, &bound, age, now);
 }
 
 /// As the collector, adds what a request of its hall earns to the pool.
-pub(crate) fn record_pooled_request(node: &Node) {
+pub(crate) fn record_pooled_request(node: &Node, service: &id::Service) {
     let (bound, age, now) = (read_bound(node), node.staleness(), node.now());
     let allowance = node.retry_allowance.lock();
-    node.retry_pool.lock().record_request(&allowance, &bound, age, now);
+    node.retry_pool.lock().record_request(service, &allowance, &bound, age, now);
 }
 
 /// As the collector, grants a retry token if the pool has one.
 pub(crate) fn grant(node: &Node, query: &Query) -> bool {
     update_pool(node);
     let (bound, age, now) = (read_bound(node), node.staleness(), node.now());
-    let granted = {
+    let granted = query.service.as_ref().is_some_and(|service| {
         let allowance = node.retry_allowance.lock();
-        node.retry_pool.lock().grant(&allowance, &bound, age, now)
-    };
+        node.retry_pool.lock().grant(service, &allowance, &bound, age, now)
+    });
     if !granted {
         log::info!("retries: {} gets none, the pool of the hall is empty", query.node);
     }
@@ -90,7 +95,7 @@
 /// Takes a retry token for sending a request again. Returns false if none is left.
 pub(crate) async fn spend(node: &Arc<Node>, job: &Job) -> bool {
     let (bound, age, now) = (read_bound(node), node.staleness(), node.now());
-    let has_own = node.retry_allowance.lock().spend(&bound, age, now);
+    let has_own = node.retry_allowance.lock().spend(&job.service, &bound, age, now);
     let source = match has_own {
         true => "own",
         false if query_pool(node, job).await => "pool",
@@ -103,11 +108,17 @@
 /// Takes a retry token from the shared retry pool of the hall.
 async fn query_pool(node: &Arc<Node>, job: &Job) -> bool {
     let Some(collector) = find_available_collector(node) else { return deny(job, "no collector to ask") };
-    let query = Query { node: node.settings().node.clone() };
+    let query = Query { node: node.settings().node.clone(), service: Some(job.service.clone()) };
     let granted = match collector.node == query.node {
         true => grant(node, &query),
         false => match peer::query_retry(node, &collector, &query, COLLECTOR_TIMEOUT).await {
             Ok(granted) => granted,
+            Err(CallError::Status { status: StatusCode::BAD_REQUEST, .. }) => {
+                return deny(
+                    job,
+                    "the collector is of an earlier build, which shares retries among services",
+                );
+            }
             Err(error) => {
                 avoid_collector(node, collector);
                 return deny(job, &error.to_string());
--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -104,9 +104,10 @@
     Bound { window: bounds.retry_window, slack: bounds.retry_slack, ratio: bounds.retry_ratio }
 }
 
-/// Takes one retry of a node's own. Returns false if it has none.
-pub fn spend_retry(node: &Node) -> bool {
-    node.retry_allowance.lock().spend(&read_retry_bound(node), node.staleness(), node.now())
+/// Takes one of a node's own retries of requests for a service. Returns false if it has none.
+pub fn spend_retry(node: &Node, service: &str) -> bool {
+    let service = service.parse().unwrap();
+    node.retry_allowance.lock().spend(&service, &read_retry_bound(node), node.staleness(), node.now())
 }
 
 /// Whether a node has a share of the fleet's retries.
--- a/crates/node/tests/failed.rs
+++ b/crates/node/tests/failed.rs
@@ -9,7 +9,7 @@
 use common::{Fleet, KEY, spend_retry};
 use cottoncrank::Millis;
 use cottoncrank_platform_standin::caller::send_request;
-use cottoncrank_platform_standin::operator::{ONCE, READ};
+use cottoncrank_platform_standin::operator::{ONCE, PLAIN, READ};
 use cottoncrank_platform_standin::runner::Fault;
 
 /// Returns how often each plain runner received a request.
@@ -41,7 +41,10 @@
             fleet.nodes.iter().all(|running| running.node.directory.lock().count() == 3)
         })
         .await;
-    assert!(fleet.nodes.iter().all(|running| !spend_retry(&running.node)), "a node has a retry of its own");
+    assert!(
+        fleet.nodes.iter().all(|running| !spend_retry(&running.node, PLAIN)),
+        "a node has a retry of its own"
+    );
     let callers = fleet.nodes[0].callers;
     for number in 0..1000 {
         let request = format!("r-{number}");
--- a/crates/node/tests/fleet.rs
+++ b/crates/node/tests/fleet.rs
@@ -15,7 +15,7 @@
 use cottoncrank_node::peer::{self, ChangeQuery, PollError};
 use cottoncrank_platform::order::{self, Reply};
 use cottoncrank_platform_standin::caller::send_request;
-use cottoncrank_platform_standin::operator::{STREAM, config};
+use cottoncrank_platform_standin::operator::{ENGINES, STREAM, config};
 use cottoncrank_platform_standin::store::{self, Blocked, Store};
 
 #[tokio::test]
@@ -144,7 +144,8 @@
         .await;
     let has_share = |running: &common::Running| has_retry_share(&running.node);
     fleet.wait("all nodes have a share", |fleet| fleet.nodes.iter().all(has_share)).await;
-    let spend_all = |running: &common::Running| (0..1000).filter(|_| spend_retry(&running.node)).count();
+    let spend_all =
+        |running: &common::Running| (0..1000).filter(|_| spend_retry(&running.node, ENGINES)).count();
     let spent: usize = fleet.nodes.iter().map(spend_all).sum();
     assert!(spent <= 100, "the retry budget of the fleet is 100, its nodes spent {spent}");
     assert!(spent >= 50, "the nodes can spend less than half of the retry budget: {spent}");
--- a/crates/node/tests/requests.rs
+++ b/crates/node/tests/requests.rs
@@ -11,7 +11,7 @@
 use cottoncrank_node::answer::Refusal;
 use cottoncrank_node::state::Node;
 use cottoncrank_platform_standin::caller::{DEFAULT_DEADLINE_MS, is_ready, send_request_within};
-use cottoncrank_platform_standin::operator::{ONCE, READ, STREAM, config};
+use cottoncrank_platform_standin::operator::{ENGINES, ONCE, READ, STREAM, config};
 use cottoncrank_platform_standin::runner::{EVENTS_PER_STREAM, Fault};
 use cottoncrank_platform_standin::store;
 
@@ -284,12 +284,12 @@
         roster.get(&id).is_some_and(|runner| runner.address == nowhere)
     };
     fleet.wait("the node knows the new address", has_new_address).await;
-    while spend_retry(node) {}
+    while spend_retry(node, ENGINES) {}
     // One of the two requests is sent to this runner, because each is sent to a head that has no
     // request of this node.
     let (one, other) = tokio::join!(fleet.ask(STREAM, "r1"), fleet.ask(STREAM, "r2"));
     assert_eq!((one.status, other.status), (200, 200));
-    assert!(!spend_retry(node), "no retry was added to the budget meanwhile");
+    assert!(!spend_retry(node, ENGINES), "no retry was added to the budget meanwhile");
 }
 
 #[tokio::test]
