Read the parts of prompts, and log them where an attempt is interrupted

The hypotheses on runners that end one after the other differ in what the requests in flight at the ends have in common. The header that names the parts of a prompt was passed on and read nowhere. No decision changes.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -59,6 +59,7 @@
 //! # Requests that crash runners
 //!
 //! - [`fingerprint`]: identifies equal requests.
+//! - [`prompt`]: the parts of a prompt, which other requests may share.
 //! - [`evidence`]: the crashes known of a request, and how strongly it is suspected.
 //! - [`interruptions`]: attempts that broke off before a crash of the runner was known.
 //! - [`suspects`]: tells requests that crash their runners from those in flight by chance.
@@ -103,6 +104,7 @@
 pub mod presence;
 pub mod pressure;
 pub mod probe;
+pub mod prompt;
 pub mod rate;
 pub mod rejections;
 pub mod reserve;
--- a/crates/node/src/crash.rs
+++ b/crates/node/src/crash.rs
@@ -7,6 +7,7 @@
 use cottoncrank_fleet::evidence::Row;
 use cottoncrank_fleet::interruptions::Interruption;
 use cottoncrank_fleet::probe::Observation;
+use cottoncrank_fleet::prompt::Part;
 use cottoncrank_fleet::runner::is_later;
 use cottoncrank_fleet::suspects::Origin;
 use tokio::sync::OnceCell;
@@ -85,8 +86,10 @@
     match error {
         AttemptError::Broken(_) => {
             node.roster.lock().doubt(&pick.id, node.now());
-            let (request, node, pick) = (job.id().to_owned(), node.clone(), pick.clone());
-            let task = tokio::spawn(async move { resolve(&node, &request, &pick, row).await });
+            let parts: Vec<&str> = job.terms.prompt_parts.iter().map(Part::as_str).collect();
+            let label = format!("{} with prompt parts [{}]", job.id(), parts.join(" "));
+            let (node, pick) = (node.clone(), pick.clone());
+            let task = tokio::spawn(async move { resolve(&node, &label, &pick, row).await });
             task.await.unwrap_or_else(|error| {
                 log::error!("request {}: the investigation of its runner failed: {error}", job.id());
                 Finding::Unknown
