--- a/crates/node/tests/admission.rs
+++ b/crates/node/tests/admission.rs
@@ -309,7 +309,7 @@
     // No group is in time any more, so all that wait are refused.
     let _busy: Vec<_> = (0..10).map(|number| node.begin_attempt(&heads[number % 2])).collect();
     let _crowd = keep_queue_filled(*callers, body);
-    let caller = CallerRequest { path: STREAM, request: body, key: KEY, deadline_ms: 6000, body };
+    let caller = CallerRequest { path: STREAM, request: body, key: KEY, deadline_ms: 6000, body, prompt: "" };
     let started = Instant::now();
     let refused = caller.send(*callers).await.unwrap();
     assert_eq!(refused.status, 503, "{refused:?}");
--- a/crates/node/tests/deadly.rs
+++ b/crates/node/tests/deadly.rs
@@ -43,8 +43,18 @@
 const RESTART_TIME: Millis = Millis(3000);
 
 async fn ask(to: SocketAddr, path: &str, request: String, body: String) -> Answer {
-    let question =
-        CallerRequest { path, request: &request, key: KEY, deadline_ms: DEFAULT_DEADLINE_MS, body: &body };
+    ask_prompt(to, path, request, body, String::new()).await
+}
+
+async fn ask_prompt(to: SocketAddr, path: &str, request: String, body: String, prompt: String) -> Answer {
+    let question = CallerRequest {
+        path,
+        request: &request,
+        key: KEY,
+        deadline_ms: DEFAULT_DEADLINE_MS,
+        body: &body,
+        prompt: &prompt,
+    };
     question.send(to).await.unwrap()
 }
 
--- /dev/null
+++ b/crates/node/tests/deadly_parts.rs
@@ -0,0 +1,118 @@
+//! Parts of prompts that crash the runner that executes a request with them, whatever else it holds.
+//!
+//! Each such request was new to all nodes, because a fingerprint is of the whole body, so 33 of them were
+//! sent to runners after the fifth crash, and 47 runners ended.
+
+mod common;
+
+use std::net::SocketAddr;
+use std::time::Instant;
+
+use common::{Fleet, KEY};
+use cottoncrank::Millis;
+use cottoncrank_platform_standin::caller::{Answer, CallerRequest, DEFAULT_DEADLINE_MS};
+use cottoncrank_platform_standin::operator::STREAM;
+use tokio::task::JoinSet;
+
+/// The time after the fifth crash within which all nodes know that a part crashes runners.
+const CONTACT_TIME: Millis = Millis(3000);
+
+/// The number of crashes after which a part is to be known.
+const KNOWN_CRASHES: usize = 5;
+
+/// How many requests with the part may reach runners after that time.
+const MAX_LATE_RUNS: usize = 3;
+
+/// The interval at which requests with the part are sent, and sound ones beside them.
+const SEND_INTERVAL: Millis = Millis(150);
+
+/// How long they are sent.
+const SEND_DURATION: Millis = Millis(14_000);
+
+/// The shared parts of nine of ten tokens of a prompt.
+const NINE_PARTS: &str = "a1:90,a2:90,a3:90,a4:90,a5:90,a6:90,a7:90,a8:90,a9:90";
+
+/// A request and when it was sent.
+struct Sent {
+    at: Instant,
+    answer: Answer,
+}
+
+async fn ask(to: SocketAddr, request: String, body: String, prompt: String) -> Sent {
+    let at = Instant::now();
+    let caller = CallerRequest {
+        path: STREAM,
+        request: &request,
+        key: KEY,
+        deadline_ms: DEFAULT_DEADLINE_MS,
+        body: &body,
+        prompt: &prompt,
+    };
+    Sent { at, answer: caller.send(to).await.unwrap() }
+}
+
+/// The answers to requests with a part that crashes runners, and to sound ones with the same other parts.
+struct Outcome {
+    deadly: Vec<Sent>,
+    sound: Vec<Sent>,
+    /// When runners began to execute the former, in order.
+    runs: Vec<Instant>,
+}
+
+/// Sends requests to all nodes in turn, no two alike: in turn with each of the parts in `bad`, and as many
+/// sound ones. `shared` are the other parts of both.
+async fn send_mixed(fleet: &Fleet, shared: &str, bad: &[&str]) -> Outcome {
+    let (mut deadly, mut sound) = (JoinSet::new(), JoinSet::new());
+    let mut turns = tokio::time::interval(SEND_INTERVAL.duration());
+    for turn in 0..SEND_DURATION.0 / SEND_INTERVAL.0 {
+        turns.tick().await;
+        let node = |number: u64| fleet.nodes[number as usize % fleet.nodes.len()].callers;
+        let part = bad[turn as usize % bad.len()];
+        let prompt = format!("{shared},{part}:100,d{turn:04}:20");
+        deadly.spawn(ask(node(turn), format!("d-{turn}"), format!("deadly {turn}"), prompt));
+        let prompt = format!("{shared},c{turn:04}:20");
+        sound.spawn(ask(node(turn + 1), format!("o-{turn}"), format!("usual {turn}"), prompt));
+    }
+    let (deadly, sound) = (deadly.join_all().await, sound.join_all().await);
+    let runs = fleet.engines.iter().flat_map(|runner| runner.requests());
+    let mut runs: Vec<Instant> =
+        runs.filter(|seen| seen.executed && seen.deadly).map(|seen| seen.at).collect();
+    runs.sort();
+    Outcome { deadly, sound, runs }
+}
+
+/// Checks that parts that crash runners are refused in time, and sound requests beside them are served.
+async fn check_parts(shared: &str, bad: &[&str]) {
+    let fleet = Fleet::serving(3).await;
+    let Outcome { deadly, mut sound, runs } = send_mixed(&fleet, shared, bad).await;
+    let known = KNOWN_CRASHES * bad.len();
+    assert!(runs.len() >= 3 * bad.len(), "{} runs", runs.len());
+    if let Some(last) = runs.get(known - 1) {
+        let late = runs.iter().filter(|run| **run > *last + CONTACT_TIME.duration()).count();
+        assert!(late <= MAX_LATE_RUNS * bad.len(), "{} runs, {late} of them late", runs.len());
+    }
+    let refused = deadly.iter().filter(|sent| sent.answer.status == 400).count();
+    assert!(refused > 0, "no request with the part is refused for good");
+    let wronged = sound.iter().filter(|sent| (400..500).contains(&sent.answer.status)).count();
+    assert_eq!(wronged, 0, "sound requests are treated as deadly");
+    let settled = runs[runs.len().min(known) - 1] + 2 * CONTACT_TIME.duration();
+    sound.retain(|sent| sent.at > settled);
+    let served = sound.iter().filter(|sent| sent.answer.status == 200 && sent.answer.complete).count();
+    assert!(sound.len() >= 20, "only {} sound requests came later", sound.len());
+    assert!(served * 2 >= sound.len(), "{served} of {} later sound requests are served", sound.len());
+}
+
+#[tokio::test]
+async fn a_prompt_part_that_crashes_runners_is_refused_whatever_else_the_request_holds() {
+    check_parts("a1:40", &["bad0"]).await;
+}
+
+#[tokio::test]
+async fn sound_prompts_that_share_nine_parts_of_ten_with_deadly_ones_are_served() {
+    check_parts(NINE_PARTS, &["bad0"]).await;
+}
+
+#[tokio::test]
+async fn two_prompt_parts_that_crash_runners_are_both_refused() {
+    check_parts("a1:40", &["bad0", "bad1"]).await;
+}
--- a/crates/node/tests/eras.rs
+++ b/crates/node/tests/eras.rs
@@ -184,6 +184,7 @@
             key: KEY,
             deadline_ms: DEFAULT_DEADLINE_MS,
             body: "a deadly body",
+            prompt: "",
         };
         question.send(node).await.unwrap()
     };
--- a/crates/node/tests/returns.rs
+++ b/crates/node/tests/returns.rs
@@ -39,7 +39,7 @@
 }
 
 async fn send(fleet: &Fleet, node: usize, request: &str, body: &str, deadline_ms: u64) -> Answer {
-    let request = CallerRequest { path: STREAM, request, key: KEY, deadline_ms, body };
+    let request = CallerRequest { path: STREAM, request, key: KEY, deadline_ms, body, prompt: "" };
     request.send(fleet.nodes[node].callers).await.unwrap()
 }
 
--- a/crates/soak/src/deadly.rs
+++ b/crates/soak/src/deadly.rs
@@ -34,8 +34,14 @@
     pub async fn ask(self, to: SocketAddr, copy: usize, key: &str) {
         let request = format!("{}{copy}", self.prefix());
         let body = format!("a deadly body, number {}", self.0);
-        let question =
-            CallerRequest { path: self.path(), request: &request, key, deadline_ms: WAIT_MS, body: &body };
+        let question = CallerRequest {
+            path: self.path(),
+            request: &request,
+            key,
+            deadline_ms: WAIT_MS,
+            body: &body,
+            prompt: "",
+        };
         // What runners saw is checked; an answer may be anything, or none.
         let _ = tokio::time::timeout(Millis(WAIT_MS).duration(), question.send(to)).await;
     }
