Refuse requests with a part of prompts that ends runners

Cause: evidence was kept of whole requests only, by a fingerprint of account, method, path and body. What the requests shared, a part of their prompts, was passed on and read nowhere. The class: evidence about one attribute of what fails.

A completed run voids the ends that were known when it began, for all of its parts: sound parts are in flight at the same ends, but requests with them complete all the time. A part counts from three ends on that nothing explains better. Parts that cannot be told apart count only together: a prompt with some of them runs, and shows which one it is.

--- a/crates/fleet/src/evidence.rs
+++ b/crates/fleet/src/evidence.rs
@@ -37,14 +37,14 @@
     }
 }
 
-/// The evidence against one request. Rows of the same request merge as the union of their crashes.
+/// The evidence against one request, or against one part of prompts. Rows of the same request merge as the union of their crashes.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Row {
-    /// The request.
+    /// The request or the prompt part.
     pub fingerprint: Fingerprint,
-    /// The account that sends it.
+    /// The account that sends it, or of a part one that sent it.
     pub account: Option<id::Account>,
-    /// The name of its route, for operators.
+    /// The name of its route, for operators; of a part, its name as well.
     pub route: String,
     /// The crashes with it in flight.
     pub crashes: BTreeSet<Crash>,
--- a/crates/fleet/src/fingerprint.rs
+++ b/crates/fleet/src/fingerprint.rs
@@ -1,4 +1,4 @@
-//! Fingerprints, which identify equal requests at whichever node they arrive.
+//! Fingerprints, which identify equal requests, and equal parts of prompts, at whichever node they arrive.
 
 use std::fmt::{self, Write};
 use std::str::FromStr;
@@ -7,10 +7,15 @@
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
+use crate::prompt::Part;
+
 /// The length of a fingerprint in bytes. Finding another request with a given fingerprint takes some
 /// 2^128 tries.
 const LENGTH: usize = 16;
 
+/// How the fingerprints of prompt parts begin, and those of requests do not.
+const PART_TAG: [u8; 4] = [0xff; 4];
+
 /// The fingerprint of a request: equal if caller, method, path and body are equal.
 ///
 /// The hash is collision resistant, because otherwise a caller could choose a body that gets another
@@ -48,8 +53,28 @@
         }
         let mut bytes = [0; LENGTH];
         hasher.finalize_xof().fill(&mut bytes);
+        if bytes.starts_with(&PART_TAG) {
+            bytes[0] = 0;
+        }
         Fingerprint(bytes)
     }
+
+    /// Returns the fingerprint of a part of the prompts for a service, whoever sends it.
+    pub fn of_part(service: &id::Service, part: &Part) -> Fingerprint {
+        let mut hasher = blake3::Hasher::new();
+        hasher.update(&(service.as_str().len() as u64).to_le_bytes());
+        hasher.update(service.as_str().as_bytes());
+        hasher.update(part.as_str().as_bytes());
+        let mut bytes = [0; LENGTH];
+        hasher.finalize_xof().fill(&mut bytes);
+        bytes[..PART_TAG.len()].copy_from_slice(&PART_TAG);
+        Fingerprint(bytes)
+    }
+
+    /// Whether this is the fingerprint of a part of prompts.
+    pub fn is_part(&self) -> bool {
+        self.0.starts_with(&PART_TAG)
+    }
 }
 
 impl fmt::Display for Fingerprint {
--- a/crates/fleet/src/interruptions.rs
+++ b/crates/fleet/src/interruptions.rs
@@ -21,8 +21,8 @@
 /// An attempt that broke off.
 #[derive(Clone, Debug)]
 pub struct Interruption {
-    /// The request, with the unconfirmed crash as its only one.
-    pub row: Row,
+    /// The request and the parts of its prompt, with the unconfirmed crash as their only one.
+    pub rows: Vec<Row>,
     /// The runner.
     pub runner: id::Runner,
     /// The incarnation at the attempt, if known.
@@ -81,7 +81,7 @@
         self.0.retain(|interruption| {
             let taken = is_match(interruption);
             if taken && now < interruption.at + INTERRUPTION_TTL {
-                rows.push(interruption.row.clone());
+                rows.extend(interruption.rows.iter().cloned());
             }
             !taken
         });
--- a/crates/fleet/src/suspects.rs
+++ b/crates/fleet/src/suspects.rs
@@ -8,6 +8,11 @@
 //! A request is suspected for each crash that no other request explains better. A crash is explained by
 //! the request that was in flight at the most crashes. A request that completed anywhere is cleared for
 //! good, because a deadly one cannot complete.
+//!
+//! A part of prompts may be deadly too, whatever else the requests with it hold, so that no two of them are
+//! alike. Each crash counts for the parts of the requests in flight as well. A completed run voids the
+//! crashes that were known when it began for all of its parts: sound parts are in flight at the same
+//! crashes, but requests with them complete all the time.
 
 use std::collections::{BTreeSet, HashMap, HashSet};
 
@@ -96,6 +101,15 @@
     stored: Option<usize>,
 }
 
+impl Entry {
+    /// Whether this is a better explanation of crashes at which both were in flight. A request that was in
+    /// flight at as many crashes as one of its parts explains them better than the part.
+    fn explains_crashes_of(&self, other: &Entry) -> bool {
+        let is_request_of_part = !self.row.fingerprint.is_part() && other.row.fingerprint.is_part();
+        self.count > other.count || (is_request_of_part && self.count == other.count)
+    }
+}
+
 /// The requests that were in flight at a crash.
 #[derive(Clone, Debug)]
 struct InFlight {
@@ -149,22 +163,59 @@
         if crashes == 0 {
             return Level::Clear;
         }
-        let explained = |crash: &&Crash| self.list_in_flight(crash).any(|other| other.count > crashes);
+        let explained =
+            |crash: &&Crash| self.list_in_flight(crash).any(|other| other.explains_crashes_of(entry));
         let unexplained: Vec<&Crash> = row.list_valid_crashes().filter(|crash| !explained(crash)).collect();
-        match crashes >= MIN_AMBIGUOUS_CRASHES
-            || (unexplained.len() >= MIN_CRASHES && !self.has_indistinguishable(row, &unexplained))
-        {
-            true => Level::Deadly(crashes),
-            false => Level::Suspected(unexplained.len()),
+        let is_ambiguous = || self.list_indistinguishable(row, &unexplained).next().is_some();
+        let is_known = unexplained.len() >= MIN_CRASHES;
+        let is_deadly = match row.fingerprint.is_part() {
+            true => is_known && (crashes >= MIN_AMBIGUOUS_CRASHES || !is_ambiguous()),
+            false => crashes >= MIN_AMBIGUOUS_CRASHES || (is_known && !is_ambiguous()),
+        };
+        if is_deadly { Level::Deadly(crashes) } else { Level::Suspected(unexplained.len()) }
+    }
+
+    /// Returns how strongly the shared parts of a prompt are suspected, the strongest of them.
+    ///
+    /// Parts that were in flight at the same crashes cannot be told apart, and only one of them may be
+    /// deadly. So a part counts only if the prompt has those others as well. Other prompts run, and what
+    /// becomes of them tells the parts apart.
+    pub fn level_of_parts(&self, parts: &[Fingerprint]) -> Level {
+        let mut level = Level::Clear;
+        for fingerprint in parts {
+            let part_level = self.level(fingerprint);
+            let Some(entry) = self.entries.get(fingerprint) else { continue };
+            let crashes: Vec<&Crash> = entry.row.list_valid_crashes().collect();
+            let has_all = || {
+                let mut others = self.list_indistinguishable(&entry.row, &crashes);
+                others.all(|other| parts.contains(&other.row.fingerprint))
+            };
+            match part_level {
+                Level::Deadly(_) if has_all() => return part_level,
+                Level::Pending(_) if has_all() => level = part_level,
+                Level::Clear | Level::Suspected(_) | Level::Pending(_) | Level::Deadly(_) => {}
+            }
         }
+        level
     }
 
-    /// Whether another request was in flight at all of these crashes as well.
-    fn has_indistinguishable(&self, row: &Row, crashes: &[&Crash]) -> bool {
-        let Some(first) = crashes.first() else { return false };
-        let was_in_flight = |other: &Entry| crashes.iter().all(|crash| other.row.crashes.contains(*crash));
-        let mut others = self.list_in_flight(first).filter(|other| other.row.fingerprint != row.fingerprint);
-        others.any(|other| other.count > 0 && was_in_flight(other))
+    /// Returns the other requests that were in flight at all of these crashes as well; for a part, the other
+    /// parts.
+    fn list_indistinguishable<'a>(
+        &'a self,
+        row: &'a Row,
+        crashes: &'a [&Crash],
+    ) -> impl Iterator<Item = &'a Entry> {
+        let of_first = crashes.first().into_iter().flat_map(|first| self.list_in_flight(first));
+        let is_other = |other: &&Entry| {
+            other.row.fingerprint != row.fingerprint
+                && other.row.fingerprint.is_part() == row.fingerprint.is_part()
+        };
+        let was_in_flight = |other: &&Entry| {
+            other.count > 0
+                && crashes.iter().all(|crash| other.row.list_valid_crashes().any(|known| known == *crash))
+        };
+        of_first.filter(is_other).filter(was_in_flight)
     }
 
     /// Returns the requests that were in flight at a crash.
@@ -295,6 +346,21 @@
         self.merge(&cleared, Origin::Hall, now)
     }
 
+    /// Records that a run with a part completed here that began at `began`, so the crashes known by then were
+    /// not because of the part.
+    pub fn record_part_completed(&mut self, part: &Fingerprint, began: Millis, now: Millis) -> Vec<Change> {
+        let Some(row) = self.get(part).filter(|row| row.count_crashes() > 0) else { return Vec::new() };
+        let was_known = |crash: &&Crash| {
+            self.in_flight.get(*crash).is_some_and(|in_flight| in_flight.first_seen <= began)
+        };
+        let void: BTreeSet<Crash> = row.list_valid_crashes().filter(was_known).cloned().collect();
+        if void.is_empty() {
+            return Vec::new();
+        }
+        let row = Row { void: row.void.union(&void).cloned().collect(), ..row.clone() };
+        self.merge(&row, Origin::Hall, now)
+    }
+
     /// Voids the crashes known of a request, so that it may run again.
     pub fn void_crashes(&mut self, fingerprint: &Fingerprint, now: Millis) -> Vec<Change> {
         let Some(row) = self.get(fingerprint) else { return Vec::new() };
@@ -348,11 +414,13 @@
     }
 
     /// Returns the rows that the store should hold and does not, with the time of their last crash.
-    /// Those are requests with two crashes or more: nodes exchange rows with a single one anyway, and a
+    /// Those are requests with two crashes or more, and parts with three: nodes exchange rows with a single one anyway, and a
     /// hall that is cut off from the others can add one more to two.
     pub fn list_unstored(&self) -> Vec<(&Row, Millis)> {
         let missing = |entry: &&Entry| {
-            entry.count > 1 && entry.stored.is_none_or(|stored| stored < entry.row.crashes.len())
+            // Sound parts are in flight at two crashes all the time while another one is deadly.
+            let min = if entry.row.fingerprint.is_part() { MIN_CRASHES } else { 2 };
+            entry.count >= min && entry.stored.is_none_or(|stored| stored < entry.row.crashes.len())
         };
         self.entries.values().filter(missing).map(|entry| (&entry.row, entry.last_crash)).collect()
     }
--- a/crates/fleet/tests/gossip.rs
+++ b/crates/fleet/tests/gossip.rs
@@ -124,7 +124,7 @@
 
 fn interruption(name: &str, incarnation: u64, at: Millis) -> Interruption {
     Interruption {
-        row: row(name, &[1]),
+        rows: vec![row(name, &[1])],
         runner: "r-1".parse().unwrap(),
         incarnation: Some(Incarnation(incarnation)),
         address: "10.0.0.1:80".parse().unwrap(),
--- a/crates/node/src/attempt.rs
+++ b/crates/node/src/attempt.rs
@@ -47,6 +47,8 @@
     pub priority: u8,
     /// The fingerprint, which a request shares with its repetitions.
     pub fingerprint: Fingerprint,
+    /// The fingerprints of the parts of its prompt that other requests may share.
+    pub parts: Vec<Fingerprint>,
     /// When the request arrived.
     pub arrived: Millis,
     /// When the request has to be answered.
--- a/crates/node/src/crash.rs
+++ b/crates/node/src/crash.rs
@@ -82,14 +82,14 @@
 /// the evidence. The investigation completes even if the caller disconnects meanwhile. Returns whether the
 /// runner may have crashed and that is not known yet.
 pub(crate) async fn investigate(node: &Arc<Node>, job: &Job, pick: &Pick, error: &AttemptError) -> bool {
-    let row = suspects::build_row(node, job, pick);
+    let rows = suspects::build_rows(node, job, pick);
     match error {
         AttemptError::Broken(_) => {
             node.roster.lock().doubt(&pick.id, node.now());
             let parts: Vec<&str> = job.terms.prompt_parts.iter().map(Part::as_str).collect();
             let label = format!("{} with prompt parts [{}]", job.id(), parts.join(" "));
             let (node, pick) = (node.clone(), pick.clone());
-            let task = tokio::spawn(async move { resolve(&node, &label, &pick, row).await });
+            let task = tokio::spawn(async move { resolve(&node, &label, &pick, rows).await });
             task.await.unwrap_or_else(|error| {
                 log::error!("request {}: the investigation of its runner failed: {error}", job.id());
                 Finding::Unknown
@@ -98,7 +98,7 @@
         // Where the path is cut, nothing says that the runner fell silent.
         AttemptError::Silent(_) if node.paths.lock().is_cut(&pick.hall) => false,
         AttemptError::Silent(_) => {
-            record_interruption(node, pick, row);
+            record_interruption(node, pick, rows);
             true
         }
         AttemptError::Unreached(_)
@@ -109,8 +109,8 @@
     }
 }
 
-/// Logs the finding about an interrupted attempt and records its row accordingly.
-async fn resolve(node: &Arc<Node>, request: &str, pick: &Pick, row: Row) -> Finding {
+/// Logs the finding about an interrupted attempt and records its rows accordingly, that of the request first.
+async fn resolve(node: &Arc<Node>, request: &str, pick: &Pick, rows: Vec<Row>) -> Finding {
     let finding = find_shared(node, pick).await;
     if finding == Finding::Alive {
         node.roster.lock().trust(&pick.id);
@@ -120,20 +120,20 @@
         "request {request}: runner {} in incarnation {incarnation_text} has finding {} after an interrupted attempt, fingerprint {}",
         pick.id,
         finding.name(),
-        row.fingerprint
+        rows[0].fingerprint
     );
     match finding {
-        Finding::Crashed => suspects::merge_rows(node, &[row], Origin::Hall),
+        Finding::Crashed => suspects::merge_rows(node, &rows, Origin::Hall),
         Finding::Alive => {}
-        Finding::Unknown => record_interruption(node, pick, row),
+        Finding::Unknown => record_interruption(node, pick, rows),
     }
     finding
 }
 
 /// Keeps an attempt until it is known whether its runner crashed.
-fn record_interruption(node: &Node, pick: &Pick, row: Row) {
+fn record_interruption(node: &Node, pick: &Pick, rows: Vec<Row>) {
     let (runner, incarnation, address) = (pick.id.clone(), pick.incarnation, pick.address);
-    node.interruptions.lock().record(Interruption { row, runner, incarnation, address, at: node.now() });
+    node.interruptions.lock().record(Interruption { rows, runner, incarnation, address, at: node.now() });
 }
 
 /// Returns the finding about the runner of an interrupted attempt, made once for all requests.
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -13,7 +13,7 @@
 use crate::paths;
 use crate::runner_stream::{RunnerStream, SILENCE_TIMEOUT, StreamItem, read_next_events};
 use crate::state::Node;
-use crate::suspects::{record_completed, wait_until_deadly};
+use crate::suspects::{record_answered, wait_until_deadly};
 use crate::telemetry;
 use crate::tries::{Tries, start_next_attempt};
 
@@ -78,7 +78,7 @@
                     }
                 }
                 Ok(StreamItem::End) => {
-                    record_completed(&self.node, &self.job.fingerprint);
+                    record_answered(&self.node, &self.job, self.stream.pick.picked_at);
                     return Ok(());
                 }
                 Err(error) => self.resume(&error).await?,
--- a/crates/node/src/request.rs
+++ b/crates/node/src/request.rs
@@ -82,6 +82,9 @@
     if suspects::is_deadly(node, &job) {
         return Err(Refusal::Deadly);
     }
+    if suspects::is_quarantined(node, &job) {
+        return Err(Refusal::Quarantined);
+    }
     if let Some(refusal) = refuse_if_closed(node, &job) {
         return Err(refusal);
     }
@@ -121,6 +124,7 @@
         path: head.uri.path_and_query().map_or("/", |path| path.as_str()),
         body: &body,
     });
+    let parts = terms.prompt_parts.iter().map(|part| Fingerprint::of_part(&target.service, part)).collect();
     Ok(Job {
         account: account.map(|account| account.id.clone()),
         service: target.service.clone(),
@@ -131,6 +135,7 @@
         catalog,
         priority,
         fingerprint,
+        parts,
         arrived,
         deadline: arrived + wait,
     })
--- a/crates/node/src/stream.rs
+++ b/crates/node/src/stream.rs
@@ -26,7 +26,7 @@
 use crate::relay::Relay;
 use crate::runner_stream::{RunnerStream, StreamItem, read_first_events};
 use crate::state::Node;
-use crate::suspects::record_completed;
+use crate::suspects::{record_answered, record_completed};
 use crate::throttle;
 use crate::tries::{Tries, refuse_suspect, start_next_attempt};
 
@@ -164,7 +164,7 @@
                 return Ok(FirstAnswer::Stream(Box::new(started)));
             }
             Ok(StreamItem::End) => {
-                record_completed(node, &job.fingerprint);
+                record_answered(node, job, stream.pick.picked_at);
                 let started = StartedStream { head, first_events: Bytes::new(), stream, ended: true };
                 return Ok(FirstAnswer::Stream(Box::new(started)));
             }
--- a/crates/node/src/suspects.rs
+++ b/crates/node/src/suspects.rs
@@ -92,6 +92,16 @@
     report_changes(node, &changes);
 }
 
+/// Records that a run that began at `began` answered the request, so the parts of its prompt do not crash
+/// runners.
+pub(crate) fn record_answered(node: &Node, job: &Job, began: Millis) {
+    record_completed(node, &job.fingerprint);
+    for part in &job.parts {
+        let changes = node.suspects.lock().record_part_completed(part, began, node.now());
+        report_changes(node, &changes);
+    }
+}
+
 /// Drops expired evidence, and settles pending requests as deadly when no node has reported a better
 /// explanation of their crashes in time.
 pub(crate) fn update_levels(node: &Node) {
@@ -136,18 +146,22 @@
     }
 }
 
-/// Returns a row for a request with one crash, that of the runner of an attempt.
-pub(crate) fn build_row(node: &Node, job: &Job, pick: &Pick) -> Row {
+/// Returns the rows for a request and for the parts of its prompt with one crash, that of the runner of an
+/// attempt.
+pub(crate) fn build_rows(node: &Node, job: &Job, pick: &Pick) -> Vec<Row> {
     let crash =
         node.suspects.lock().identify_crash(&pick.id, pick.incarnation, pick.release.clone(), pick.picked_at);
-    Row {
-        fingerprint: job.fingerprint,
+    let build = |fingerprint: Fingerprint, route: String| Row {
+        fingerprint,
         account: job.account.clone(),
-        route: job.route.name.clone(),
-        crashes: [crash].into(),
+        route,
+        crashes: [crash.clone()].into(),
         void: [].into(),
         cleared: false,
-    }
+    };
+    let names = job.parts.iter().zip(&job.terms.prompt_parts);
+    let parts = names.map(|(part, name)| build(*part, format!("{}, prompt part {name}", job.route.name)));
+    [build(job.fingerprint, job.route.name.clone())].into_iter().chain(parts).collect()
 }
 
 /// Whether runners have crashed under a request, and it is not known whether because of it.
@@ -155,21 +169,36 @@
     node.suspects.lock().level(&job.fingerprint) != Level::Clear
 }
 
-/// Whether a request is deadly, that is, crashes the runners that execute it.
+/// Whether a request is deadly, that is, crashes the runners that execute it, or a part of its prompt does.
 ///
 /// The crashes are voided when no runner is left of the releases that it crashed: the newer release
 /// may have fixed the fault, so the request may run again.
 pub(crate) fn is_deadly(node: &Node, job: &Job) -> bool {
-    if !matches!(node.suspects.lock().level(&job.fingerprint), Level::Deadly(_)) {
+    let is_suspect_deadly = {
+        let table = node.suspects.lock();
+        matches!(table.level(&job.fingerprint), Level::Deadly(_))
+            || matches!(table.level_of_parts(&job.parts), Level::Deadly(_))
+    };
+    if !is_suspect_deadly {
         return false;
     }
     let releases = node.roster.lock().list_releases(&job.service);
-    let is_obsolete =
-        node.suspects.lock().get(&job.fingerprint).is_some_and(|row| row.is_obsolete(&releases));
-    if is_obsolete {
-        void_crashes(node, &job.fingerprint, "no runner is left of the releases that it crashed");
+    let obsolete: Vec<Fingerprint> = {
+        let table = node.suspects.lock();
+        let suspects = [&job.fingerprint].into_iter().chain(&job.parts);
+        let is_obsolete = |row: &&Row| row.count_crashes() > 0 && row.is_obsolete(&releases);
+        let rows = suspects.filter_map(|suspect| table.get(suspect));
+        rows.filter(is_obsolete).map(|row| row.fingerprint).collect()
+    };
+    for suspect in &obsolete {
+        void_crashes(node, suspect, "no runner is left of the releases that it crashed");
     }
-    !is_obsolete
+    obsolete.is_empty() || is_deadly(node, job)
+}
+
+/// Whether a part of a request's prompt probably crashes runners, which other nodes may explain better.
+pub(crate) fn is_quarantined(node: &Node, job: &Job) -> bool {
+    matches!(node.suspects.lock().level_of_parts(&job.parts), Level::Pending(_))
 }
 
 /// Decides whether a request may run now, by what this node alone knows. A trial run that it allows is
--- a/crates/node/tests/deadly_parts.rs
+++ b/crates/node/tests/deadly_parts.rs
@@ -27,7 +27,7 @@
 const SEND_INTERVAL: Millis = Millis(150);
 
 /// How long they are sent.
-const SEND_DURATION: Millis = Millis(14_000);
+const SEND_DURATION: Millis = Millis(20_000);
 
 /// The shared parts of nine of ten tokens of a prompt.
 const NINE_PARTS: &str = "a1:90,a2:90,a3:90,a4:90,a5:90,a6:90,a7:90,a8:90,a9:90";
--- a/crates/node/tests/evacuation.rs
+++ b/crates/node/tests/evacuation.rs
@@ -269,6 +269,7 @@
         account: None,
         priority: 1,
         fingerprint: Fingerprint::of(&Request { account: None, method: "POST", path: "/read/x", body: b"" }),
+        parts: Vec::new(),
         arrived: now,
         deadline: now + Millis(3000),
         body: Default::default(),
