Clear sound prompt parts by every completed run, and blame a part for its own account first

Beside parts that end runners, sound ones could be refused: a run cleared only the ends known when it began, streams in flight were cut by the verdict on one of their parts, and an account could name a part of another one in requests that end runners, to have that account refused.

Change: a completed run voids all ends known by then, streams in flight go on, and a part counts against the account whose requests were in flight with it; against all once those of several were. An answer without a length or chunks clears nothing, because an end between two events looks like its end.

Result: new tests of the table for each, and of a part that outlasts all nodes until operators remove it.

--- a/crates/fleet/src/evidence.rs
+++ b/crates/fleet/src/evidence.rs
@@ -42,7 +42,8 @@
 pub struct Row {
     /// The request or the prompt part.
     pub fingerprint: Fingerprint,
-    /// The account that sends it, or of a part one that sent it.
+    /// The account that sends it. For a part, the only account whose requests with it were in flight at its
+    /// crashes, and none if those of several were.
     pub account: Option<id::Account>,
     /// The name of its route, for operators; of a part, its name as well.
     pub route: String,
@@ -74,7 +75,11 @@
 
     /// Merges another row of the same request. Returns whether anything was new.
     pub(crate) fn merge(&mut self, other: &Row) -> bool {
-        let before = (self.crashes.len(), self.void.len(), self.cleared);
+        let measure = |row: &Row| (row.crashes.len(), row.void.len(), row.cleared, row.account.is_some());
+        let before = measure(self);
+        if self.fingerprint.is_part() && self.account != other.account {
+            self.account = None;
+        }
         for crash in &other.crashes {
             if self.crashes.len() < MAX_CRASHES {
                 self.crashes.insert(crash.clone());
@@ -83,7 +88,7 @@
         let known = other.void.iter().filter(|crash| self.crashes.contains(crash));
         self.void.extend(known.cloned());
         self.cleared |= other.cleared;
-        before != (self.crashes.len(), self.void.len(), self.cleared)
+        before != measure(self)
     }
 }
 
--- a/crates/fleet/src/suspects.rs
+++ b/crates/fleet/src/suspects.rs
@@ -11,8 +11,10 @@
 //!
 //! A part of prompts may be deadly too, whatever else the requests with it hold, so that no two of them are
 //! alike. Each crash counts for the parts of the requests in flight as well. A completed run voids the
-//! crashes that were known when it began for all of its parts: sound parts are in flight at the same
-//! crashes, but requests with them complete all the time.
+//! crashes of all of its parts that are known by then: sound parts are in flight at the same crashes, but
+//! requests with them complete all the time. A part counts against requests of the account that sent it;
+//! only when requests of several accounts with it were in flight at crashes does it count against all, so
+//! that an account cannot get the parts of others refused by naming them.
 
 use std::collections::{BTreeSet, HashMap, HashSet};
 
@@ -102,6 +104,11 @@
 }
 
 impl Entry {
+    /// Whether the crashes of a part count against the requests of an account.
+    fn counts_against(&self, account: Option<&id::Account>) -> bool {
+        self.row.account.is_none() || self.row.account.as_ref() == account
+    }
+
     /// Whether this is a better explanation of crashes at which both were in flight. A request that was in
     /// flight at as many crashes as one of its parts explains them better than the part.
     fn explains_crashes_of(&self, other: &Entry) -> bool {
@@ -180,11 +187,11 @@
     /// Parts that were in flight at the same crashes cannot be told apart, and only one of them may be
     /// deadly. So a part counts only if the prompt has those others as well. Other prompts run, and what
     /// becomes of them tells the parts apart.
-    pub fn level_of_parts(&self, parts: &[Fingerprint]) -> Level {
+    pub fn level_of_parts(&self, parts: &[Fingerprint], account: Option<&id::Account>) -> Level {
         let mut level = Level::Clear;
-        for fingerprint in parts {
-            let part_level = self.level(fingerprint);
-            let Some(entry) = self.entries.get(fingerprint) else { continue };
+        let entries = parts.iter().filter_map(|part| self.entries.get(part));
+        for entry in entries.filter(|entry| entry.counts_against(account)) {
+            let part_level = self.level(&entry.row.fingerprint);
             let crashes: Vec<&Crash> = entry.row.list_valid_crashes().collect();
             let has_all = || {
                 let mut others = self.list_indistinguishable(&entry.row, &crashes);
@@ -279,9 +286,13 @@
         };
         let entry = self.entries.entry(row.fingerprint).or_insert_with(new);
         let crash_count = entry.row.crashes.len();
+        let account = entry.row.account.clone();
         if !entry.row.merge(row) {
             return false;
         }
+        if entry.row.account != account {
+            move_count(&mut self.counts, &account, &entry.row.account);
+        }
         entry.count = entry.row.count_crashes();
         if entry.count >= MIN_CRASHES {
             entry.threshold_reached.get_or_insert(now);
@@ -346,24 +357,10 @@
         self.merge(&cleared, Origin::Hall, now)
     }
 
-    /// Records that a run with a part completed here that began at `began`, so the crashes known by then were
-    /// not because of the part.
-    pub fn record_part_completed(&mut self, part: &Fingerprint, began: Millis, now: Millis) -> Vec<Change> {
-        let Some(row) = self.get(part).filter(|row| row.count_crashes() > 0) else { return Vec::new() };
-        let was_known = |crash: &&Crash| {
-            self.in_flight.get(*crash).is_some_and(|in_flight| in_flight.first_seen <= began)
-        };
-        let void: BTreeSet<Crash> = row.list_valid_crashes().filter(was_known).cloned().collect();
-        if void.is_empty() {
-            return Vec::new();
-        }
-        let row = Row { void: row.void.union(&void).cloned().collect(), ..row.clone() };
-        self.merge(&row, Origin::Hall, now)
-    }
-
-    /// Voids the crashes known of a request, so that it may run again.
+    /// Voids the crashes known of a request or part, so that it may run again.
     pub fn void_crashes(&mut self, fingerprint: &Fingerprint, now: Millis) -> Vec<Change> {
-        let Some(row) = self.get(fingerprint) else { return Vec::new() };
+        let has_crashes = |row: &&Row| row.list_valid_crashes().next().is_some();
+        let Some(row) = self.get(fingerprint).filter(has_crashes) else { return Vec::new() };
         let voided = Row { void: row.crashes.clone(), ..row.clone() };
         self.merge(&voided, Origin::Hall, now)
     }
@@ -470,12 +467,7 @@
         if entry.stored.is_some() {
             self.dropped.insert(*fingerprint);
         }
-        if let Some(count) = self.counts.get_mut(&entry.row.account) {
-            *count -= 1;
-            if *count == 0 {
-                self.counts.remove(&entry.row.account);
-            }
-        }
+        decrement_count(&mut self.counts, &entry.row.account);
         for crash in &entry.row.crashes {
             if let Some(in_flight) = self.in_flight.get_mut(crash) {
                 in_flight.requests.remove(fingerprint);
@@ -486,3 +478,22 @@
         }
     }
 }
+
+/// Counts a row for another account than before.
+fn move_count(
+    counts: &mut HashMap<Option<id::Account>, usize>,
+    from: &Option<id::Account>,
+    to: &Option<id::Account>,
+) {
+    decrement_count(counts, from);
+    *counts.entry(to.clone()).or_default() += 1;
+}
+
+fn decrement_count(counts: &mut HashMap<Option<id::Account>, usize>, account: &Option<id::Account>) {
+    if let Some(count) = counts.get_mut(account) {
+        *count -= 1;
+        if *count == 0 {
+            counts.remove(account);
+        }
+    }
+}
--- a/crates/fleet/tests/suspects.rs
+++ b/crates/fleet/tests/suspects.rs
@@ -253,3 +253,97 @@
     assert!(!table.record_removed(&fingerprint("k")));
     assert!(table.list_obsolete().is_empty());
 }
+
+fn part(name: &str) -> Fingerprint {
+    Fingerprint::of_part(&"engines".parse().unwrap(), &name.parse().unwrap())
+}
+
+/// Returns the row of a part that requests of an account were in flight with when these runners crashed.
+fn part_row(name: &str, account: &str, runners: &[u64]) -> Row {
+    let account: id::Account = account.parse().unwrap();
+    Row { fingerprint: part(name), account: Some(account), ..row("", runners) }
+}
+
+/// Returns how strongly the parts of a prompt of an account are suspected once the table has settled.
+fn level_of_parts(table: &Table, account: &str, parts: &[&str]) -> Level {
+    let mut settled = table.clone();
+    settled.settle(NOW + Millis(300));
+    let parts: Vec<Fingerprint> = parts.iter().map(|name| part(name)).collect();
+    settled.level_of_parts(&parts, Some(&account.parse().unwrap()))
+}
+
+#[test]
+fn a_part_is_deadly_after_three_crashes_of_different_requests() {
+    let mut table = table(&[part_row("bad", "acme", &[1, 2])]);
+    for (name, runner) in [("k1", 1), ("k2", 2), ("k3", 3)] {
+        table.merge(&row(name, &[runner]), Origin::Hall, NOW);
+    }
+    assert_eq!(level_of_parts(&table, "acme", &["bad"]), Level::Clear);
+    table.merge(&part_row("bad", "acme", &[3]), Origin::Hall, NOW);
+    assert_eq!(level_of_parts(&table, "acme", &["a1", "bad"]), Level::Deadly(3));
+    assert_eq!(level_of_parts(&table, "acme", &["a1"]), Level::Clear);
+    assert!(matches!(level(&table, "k1"), Level::Suspected(0)), "the part explains its crash");
+}
+
+#[test]
+fn a_part_is_not_deadly_for_the_crashes_of_one_request() {
+    let mut table = table(&[row("k", &[1, 2, 3]), part_row("a1", "acme", &[1, 2, 3])]);
+    assert_eq!(level(&table, "k"), Level::Deadly(3), "the request is recognized whatever parts it has");
+    assert_eq!(level_of_parts(&table, "acme", &["a1"]), Level::Clear);
+    table.merge(&part_row("a1", "acme", &[4]), Origin::Hall, NOW);
+    assert_eq!(level_of_parts(&table, "acme", &["a1"]), Level::Deadly(4), "another request crashed a runner");
+}
+
+#[test]
+fn a_completed_request_clears_its_parts() {
+    let mut table = table(&[part_row("a1", "acme", &[1, 2, 3]), part_row("bad", "acme", &[1, 2, 3])]);
+    assert_eq!(level_of_parts(&table, "acme", &["a1", "bad"]), Level::Clear, "either may be the cause");
+    table.void_crashes(&part("a1"), NOW);
+    assert_eq!(level_of_parts(&table, "acme", &["a1", "bad"]), Level::Deadly(3));
+    assert_eq!(level_of_parts(&table, "acme", &["a1"]), Level::Clear);
+    // What it was in flight at afterwards counts again.
+    table.merge(&part_row("a1", "acme", &[4, 5, 6]), Origin::Hall, NOW);
+    assert_eq!(level_of_parts(&table, "acme", &["a1"]), Level::Deadly(3));
+}
+
+#[test]
+fn parts_that_cannot_be_told_apart_count_only_together() {
+    let crashes = [1, 2, 3, 4, 5];
+    let table = table(&[part_row("a1", "acme", &crashes), part_row("bad", "acme", &crashes)]);
+    assert_eq!(level_of_parts(&table, "acme", &["a1", "bad"]), Level::Deadly(5));
+    assert_eq!(level_of_parts(&table, "acme", &["a1"]), Level::Clear, "its run tells the parts apart");
+    assert_eq!(level_of_parts(&table, "acme", &["bad"]), Level::Clear);
+}
+
+#[test]
+fn a_part_counts_against_other_accounts_only_when_several_sent_it() {
+    let mut table = table(&[part_row("bad", "acme", &[1, 2, 3, 4])]);
+    assert_eq!(level_of_parts(&table, "acme", &["bad"]), Level::Deadly(4));
+    assert_eq!(level_of_parts(&table, "globex", &["bad"]), Level::Clear, "an account may name any part");
+    table.merge(&part_row("bad", "globex", &[5]), Origin::Elsewhere, NOW);
+    for account in ["acme", "globex", "initech"] {
+        assert_eq!(level_of_parts(&table, account, &["bad"]), Level::Deadly(5));
+    }
+    // The order in which rows arrive makes no difference.
+    table.merge(&part_row("bad", "acme", &[1]), Origin::Hall, NOW);
+    assert_eq!(level_of_parts(&table, "initech", &["bad"]), Level::Deadly(5));
+}
+
+#[test]
+fn a_million_parts_stay_within_the_limits_and_evict_no_deadly_one() {
+    let mut table = table(&[part_row("bad", "globex", &[1, 2, 3])]);
+    let count = if cfg!(debug_assertions) { 5_000 } else { 1_000_000 };
+    for number in 0..count {
+        table.merge(&part_row(&format!("{number:08x}"), "acme", &[10 + number / 32]), Origin::Hall, NOW);
+    }
+    assert!(table.iter().count() <= 1025);
+    assert_eq!(level_of_parts(&table, "globex", &["bad"]), Level::Deadly(3));
+}
+
+#[test]
+fn fingerprints_of_parts_and_of_requests_differ() {
+    assert!(part("a1").is_part() && !fingerprint("a1").is_part());
+    let other = Fingerprint::of_part(&"others".parse().unwrap(), &"a1".parse().unwrap());
+    assert_ne!(part("a1"), other, "a part of prompts for another service is another one");
+    assert_eq!(part("A1"), part("a1"));
+}
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -78,7 +78,9 @@
                     }
                 }
                 Ok(StreamItem::End) => {
-                    record_answered(&self.node, &self.job, self.stream.pick.picked_at);
+                    if self.stream.has_end_mark {
+                        record_answered(&self.node, &self.job);
+                    }
                     return Ok(());
                 }
                 Err(error) => self.resume(&error).await?,
--- a/crates/node/src/runner_stream.rs
+++ b/crates/node/src/runner_stream.rs
@@ -6,6 +6,7 @@
 use http_body_util::BodyExt;
 use hyper::Response;
 use hyper::body::Incoming;
+use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use hyper::http::response;
 
 use crate::attempt::{Attempt, AttemptError, Job, Pick};
@@ -25,6 +26,9 @@
 pub struct RunnerStream {
     /// The runner.
     pub pick: Pick,
+    /// Whether the answer says where it ends, by a length or by chunks. If not, a crash between two events
+    /// looks like the end.
+    pub has_end_mark: bool,
     body: Incoming,
     /// Splits the stream into events, and knows the last event forwarded.
     pub splitter: Splitter,
@@ -47,7 +51,9 @@
         let (head, body) = Response::into_parts(attempt.response);
         let splitter = Splitter::resume_after(last_event);
         let (pick, guard) = (attempt.pick, attempt.guard);
-        (head, RunnerStream { pick, body, splitter, channel: attempt.channel, guard })
+        let has_end_mark =
+            [CONTENT_LENGTH, TRANSFER_ENCODING].iter().any(|name| head.headers.contains_key(name));
+        (head, RunnerStream { pick, has_end_mark, body, splitter, channel: attempt.channel, guard })
     }
 }
 
--- a/crates/node/src/stream.rs
+++ b/crates/node/src/stream.rs
@@ -164,7 +164,9 @@
                 return Ok(FirstAnswer::Stream(Box::new(started)));
             }
             Ok(StreamItem::End) => {
-                record_answered(node, job, stream.pick.picked_at);
+                if stream.has_end_mark {
+                    record_answered(node, job);
+                }
                 let started = StartedStream { head, first_events: Bytes::new(), stream, ended: true };
                 return Ok(FirstAnswer::Stream(Box::new(started)));
             }
--- a/crates/node/src/suspects.rs
+++ b/crates/node/src/suspects.rs
@@ -92,12 +92,11 @@
     report_changes(node, &changes);
 }
 
-/// Records that a run that began at `began` answered the request, so the parts of its prompt do not crash
-/// runners.
-pub(crate) fn record_answered(node: &Node, job: &Job, began: Millis) {
+/// Records that a run answered the request to its end, so the parts of its prompt do not crash runners.
+pub(crate) fn record_answered(node: &Node, job: &Job) {
     record_completed(node, &job.fingerprint);
     for part in &job.parts {
-        let changes = node.suspects.lock().record_part_completed(part, began, node.now());
+        let changes = node.suspects.lock().void_crashes(part, node.now());
         report_changes(node, &changes);
     }
 }
@@ -177,7 +176,7 @@
     let is_suspect_deadly = {
         let table = node.suspects.lock();
         matches!(table.level(&job.fingerprint), Level::Deadly(_))
-            || matches!(table.level_of_parts(&job.parts), Level::Deadly(_))
+            || matches!(table.level_of_parts(&job.parts, job.account.as_ref()), Level::Deadly(_))
     };
     if !is_suspect_deadly {
         return false;
@@ -198,7 +197,8 @@
 
 /// Whether a part of a request's prompt probably crashes runners, which other nodes may explain better.
 pub(crate) fn is_quarantined(node: &Node, job: &Job) -> bool {
-    matches!(node.suspects.lock().level_of_parts(&job.parts), Level::Pending(_))
+    let table = node.suspects.lock();
+    matches!(table.level_of_parts(&job.parts, job.account.as_ref()), Level::Pending(_))
 }
 
 /// Decides whether a request may run now, by what this node alone knows. A trial run that it allows is
@@ -214,10 +214,12 @@
     ruling
 }
 
-/// Waits until a request is found to be deadly. Never returns if it is not.
+/// Waits until a request is found to be deadly. Never returns if it is not, or only a part of its prompt is:
+/// what a part crashes, it crashes at once, and the completed runs of others show which parts are sound.
 pub(crate) async fn wait_until_deadly(node: &Node, job: &Job) {
     let mut found = node.deadly_found.subscribe();
-    while !is_deadly(node, job) {
+    let is_suspect = || matches!(node.suspects.lock().level(&job.fingerprint), Level::Deadly(_));
+    while !(is_suspect() && is_deadly(node, job)) {
         if found.changed().await.is_err() {
             return std::future::pending().await;
         }
--- a/crates/node/tests/deadly_parts.rs
+++ b/crates/node/tests/deadly_parts.rs
@@ -10,6 +10,8 @@
 
 use common::{Fleet, KEY};
 use cottoncrank::Millis;
+use cottoncrank_fleet::evidence::Level;
+use cottoncrank_fleet::fingerprint::Fingerprint;
 use cottoncrank_platform_standin::caller::{Answer, CallerRequest, DEFAULT_DEADLINE_MS};
 use cottoncrank_platform_standin::operator::STREAM;
 use tokio::task::JoinSet;
@@ -116,3 +118,43 @@
 async fn two_prompt_parts_that_crash_runners_are_both_refused() {
     check_parts("a1:40", &["bad0", "bad1"]).await;
 }
+
+/// Sends a request with the part that no other equals.
+async fn ask_deadly(fleet: &Fleet, node: usize, number: usize) -> Answer {
+    let prompt = format!("a1:40,bad0:100,{number:04}:20");
+    let callers = fleet.nodes[node].callers;
+    ask(callers, format!("d-{number}"), format!("deadly {number}"), prompt).await.answer
+}
+
+/// Returns the fingerprint of the part that is known to crash runners, if a node knows one.
+fn find_deadly_part(fleet: &Fleet, node: usize) -> Option<Fingerprint> {
+    let table = fleet.nodes[node].node.suspects.lock();
+    let mut parts = table.iter().map(|row| row.fingerprint).filter(Fingerprint::is_part);
+    parts.find(|part| matches!(table.level(part), Level::Deadly(_)))
+}
+
+#[tokio::test]
+async fn a_deadly_part_outlasts_all_nodes_until_operators_remove_it() {
+    let mut fleet = Fleet::serving(2).await;
+    let mut number = 0;
+    while ask_deadly(&fleet, number % 2, number).await.status != 400 {
+        number += 1;
+        assert!(number < 100, "the part is never refused permanently");
+        tokio::time::sleep(SEND_INTERVAL.duration()).await;
+    }
+    let key = format!("cottoncrank/suspects/{}", find_deadly_part(&fleet, number % 2).unwrap());
+    fleet.wait("the store holds the part", |fleet| !fleet.store.list(&key).is_empty()).await;
+    for running in fleet.nodes.drain(..) {
+        drop(running.tasks);
+    }
+    fleet.add_node().await;
+    fleet.wait("the new node knows the part", |fleet| find_deadly_part(fleet, 0).is_some()).await;
+    assert_eq!(ask_deadly(&fleet, 0, 1000).await.status, 400);
+    fleet.wait("two groups serve", |fleet| fleet.all_know(2)).await;
+    let sound =
+        ask(fleet.nodes[0].callers, "o-1".to_owned(), "usual".to_owned(), "a1:40,c1:20".to_owned()).await;
+    assert_eq!((sound.answer.status, sound.answer.complete), (200, true), "{:?}", sound.answer);
+    fleet.store.remove(&key);
+    fleet.wait("the new node has dropped the part", |fleet| find_deadly_part(fleet, 0).is_none()).await;
+    assert_ne!(ask_deadly(&fleet, 0, 1001).await.status, 400, "operators let it run again");
+}
