Close new connections unread where the processor is overloaded

A balancer may hand most new connections to one node. Callers of that node got no answer in time: 450 of 1,601 requests with a thirteenth of a core and 400 new connections a second.

Cause: a node took every connection, so what it had read waited behind what came. The caller's next try meets another node. Connections that it has are served as before.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -43,6 +43,7 @@
 //! - [`returns`]: when refused callers should return, and which of them do as told.
 //! - [`balance`]: picks the runner for a request on a node by itself.
 //! - [`evacuation`]: the halls that operators evacuate, whose runners are sent nothing more.
+//! - [`overload`]: whether a node takes new connections while its processor is overloaded.
 //! - [`limit`]: limits the requests that a node has in flight.
 //! - [`retries`]: divides the fleet's retry budget among the nodes.
 //! - [`event`]: splits a stream into the events after which it can be resumed.
@@ -96,6 +97,7 @@
 pub mod occupancy;
 pub mod order;
 pub mod orders;
+pub mod overload;
 pub mod path;
 pub mod plan;
 pub mod position;
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -18,6 +18,7 @@
 use crate::answer::{Answer, Body};
 use crate::request;
 use crate::state::Node;
+use crate::telemetry;
 
 /// How long a connection may be idle before a configuration is known.
 const DEFAULT_IDLE_TIMEOUT: Millis = Millis(15_000);
@@ -28,6 +29,9 @@
 /// The pause after a connection could not be accepted, for example for lack of file descriptors.
 const ACCEPT_PAUSE: Millis = Millis(20);
 
+/// How often the delay of tasks is measured.
+const DELAY_INTERVAL: Millis = Millis(50);
+
 /// Accepts callers until the node is closed.
 pub async fn serve_callers(node: Arc<Node>, listener: TcpListener) {
     let mut closed = node.closed.subscribe();
@@ -37,14 +41,25 @@
             () = wait_closed(&mut closed) => return,
         };
         match accepted {
-            Ok((stream, _)) => {
+            Ok((stream, _)) if node.overload.lock().accepts(node.now()) => {
                 tokio::spawn(serve_caller(node.clone(), stream));
             }
+            // Nothing is read of it, so the caller may send its request to another node.
+            Ok(_) => telemetry::count_closed_unread(),
             Err(error) => pause_accepting(&error).await,
         }
     }
 }
 
+/// Measures how late tasks of this process run, until the process ends.
+pub async fn measure_delay(node: Arc<Node>) {
+    loop {
+        let due = node.now() + DELAY_INTERVAL;
+        tokio::time::sleep(DELAY_INTERVAL.duration()).await;
+        node.overload.lock().record_delay(node.now().since(due));
+    }
+}
+
 /// Logs that a connection could not be accepted, and pauses.
 pub async fn pause_accepting(error: &io::Error) {
     log::warn!("front: could not accept a connection: {error}");
--- a/crates/node/src/start.rs
+++ b/crates/node/src/start.rs
@@ -57,6 +57,7 @@
     tasks.spawn(peer::serve(node.clone(), listeners.peers));
     tasks.spawn(decider::run(node.clone()));
     tasks.spawn(front::serve_readiness(node.clone(), listeners.ready));
+    tasks.spawn(front::measure_delay(node.clone()));
     tasks.spawn(front::serve_callers(node.clone(), listeners.callers));
     tasks
 }
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -19,6 +19,7 @@
 use cottoncrank_fleet::interruptions::Interruptions;
 use cottoncrank_fleet::limit::Limit;
 use cottoncrank_fleet::occupancy::{self, Counts, FleetLoad, InFlight};
+use cottoncrank_fleet::overload::Overload;
 use cottoncrank_fleet::path::Paths;
 use cottoncrank_fleet::plan::Plans;
 use cottoncrank_fleet::position::Position;
@@ -167,6 +168,8 @@
     pub reports: Mutex<occupancy::Table>,
     /// The concurrency limits by model key.
     pub concurrency_limits: Mutex<HashMap<ModelKey, Limit>>,
+    /// Whether this node's processor is overloaded.
+    pub(crate) overload: Mutex<Overload>,
     /// Notified when a request ends, so that a waiting one may be admitted.
     pub request_ended: Notify,
     /// The retries that this node may spend by itself.
@@ -241,6 +244,7 @@
             client: Client::new(Traffic::default()),
             attempt_ended: Notify::new(),
             concurrency_limits: Mutex::default(),
+            overload: Mutex::default(),
             request_ended: Notify::new(),
             retry_allowance: Mutex::default(),
             retry_pool: Mutex::default(),
--- a/crates/node/src/telemetry.rs
+++ b/crates/node/src/telemetry.rs
@@ -125,6 +125,11 @@
     metrics::counter!("cottoncrank_retries_lent_total", "outcome" => outcome).increment(1);
 }
 
+/// Counts a new connection that was closed unread, because the processor is overloaded.
+pub fn count_closed_unread() {
+    metrics::counter!("cottoncrank_connections_closed_unread_total").increment(1);
+}
+
 /// Counts a retry by what paid for it: the node's `own` budget, the `pool` of the hall, or `none`.
 pub fn count_retry(service: &id::Service, source: &'static str) {
     let labels = [("service", service.to_string()), ("source", source.to_owned())];
