Keep an evacuation that the store lost for 15 s instead of 60

Cause: the store came back older without the operators' request, nodes kept it, and nobody hears when operators withdraw what the store has lost. Operators who still want it write it again within seconds, so 15 s suffice; considered and not built: to open the last hall while a request in the store closes the other, which would send requests to a hall that operators want empty.

--- a/crates/fleet/src/evacuation.rs
+++ b/crates/fleet/src/evacuation.rs
@@ -20,9 +20,9 @@
 pub const MARGIN: Millis = Millis(750);
 
 /// How long an evacuation that the store lost in a restore is kept unless its operator writes it again.
-/// Operators do so within seconds; without an end, one that was withdrawn just before the restore would
-/// last forever.
-pub const KEEP_TIME: Millis = Millis(60_000);
+/// Operators do so within seconds. Nobody hears of the withdrawal of a request that the store has lost, so
+/// until then a hall may stay closed that nobody wants closed.
+pub const KEEP_TIME: Millis = Millis(15_000);
 
 /// Returns when a hall is closed, for a node that learns of the operator's request at `now`.
 ///
--- a/crates/node/tests/evacuation.rs
+++ b/crates/node/tests/evacuation.rs
@@ -177,6 +177,23 @@
     fleet.wait("the hall is taken back", is_evacuated_nowhere).await;
 }
 
+/// Operators withdraw what the store has lost already, which no node hears of.
+#[tokio::test]
+async fn an_evacuation_that_a_restore_loses_ends_by_itself_when_it_is_not_written_again() {
+    let fleet = start_two_halls(2).await;
+    let copy = fleet.store.snapshot();
+    evacuate(&fleet).await;
+    fleet.store.restore(&copy);
+    for runner in fleet.engines.iter().chain(&fleet.plain) {
+        runner.write_entry();
+    }
+    tokio::time::sleep(Duration::from_millis(1500)).await;
+    assert!(is_closed_everywhere(&fleet), "the operator may write it again");
+    fleet.store.withdraw_evacuation(HALL_A);
+    fleet.wait("the hall is taken back", |fleet| is_evacuated_nowhere(fleet) && fleet.all_know(3)).await;
+    assert_served(&fleet.ask(READ, "back").await);
+}
+
 #[tokio::test]
 async fn a_request_withdrawn_and_made_again_at_once_is_in_force() {
     let fleet = start_two_halls(2).await;
