Ask for retry tokens by service under a path of its own

Nodes of earlier builds ask a collector for a token without a service. The query had got another field, so builds could not read each other's during a rolling change.

--- a/crates/node/src/peer.rs
+++ b/crates/node/src/peer.rs
@@ -49,8 +49,11 @@
 /// The path of the query for a permit to send to a rate-limited runner.
 const PERMIT_PATH: &str = "/place";
 
+/// The path of the query of earlier builds for a retry token.
+const FORMER_RETRY_PATH: &str = "/retry";
+
 /// The path of the query for a retry token.
-const RETRY_PATH: &str = "/retry";
+const RETRY_PATH: &str = "/service-retry";
 
 /// The path of a report of refusals to the decider.
 const PRESSURE_PATH: &str = "/pressure";
@@ -207,7 +210,7 @@
         GROUP_PATH => "group",
         ADMISSION_PATH => "admission",
         PERMIT_PATH => "place",
-        RETRY_PATH => "retry",
+        FORMER_RETRY_PATH | RETRY_PATH => "retry",
         PRESSURE_PATH => "pressure",
         REPORT_PATH => "report",
         _ => "other",
@@ -272,6 +275,16 @@
             let pull = suspects::receive_push(node, &push, Scope::Node);
             return encode_answer(&suspects::EnvelopeReply { answer: retries::grant(node, &question), pull });
         }
+    } else if path == FORMER_RETRY_PATH {
+        if let Ok(Envelope { question, push }) =
+            rmp_serde::from_slice::<Envelope<retries::FormerQuery>>(&bytes)
+        {
+            let pull = suspects::receive_push(node, &push, Scope::Node);
+            return encode_answer(&suspects::EnvelopeReply {
+                answer: retries::refuse_former(&question),
+                pull,
+            });
+        }
     } else if path == PRESSURE_PATH {
         if let Ok(report) = rmp_serde::from_slice::<pressure::Report>(&bytes) {
             crate::pressure::receive(node, report);
--- a/crates/node/src/retries.rs
+++ b/crates/node/src/retries.rs
@@ -15,14 +15,20 @@
 use crate::state::Node;
 use crate::telemetry;
 
-/// Asks the collector for a retry token.
+/// Asks the collector for a retry token, as earlier builds do, which share tokens among services.
+#[derive(Serialize, Deserialize)]
+pub(crate) struct FormerQuery {
+    /// The node that asks.
+    pub(crate) node: id::Node,
+}
+
+/// Asks the collector for a retry token for a request to a service.
 #[derive(Serialize, Deserialize)]
 pub(crate) struct Query {
     /// The node that asks.
     pub(crate) node: id::Node,
-    /// The service that the request goes to; `None` from nodes of earlier builds.
-    #[serde(default)]
-    pub(crate) service: Option<id::Service>,
+    /// The service.
+    pub(crate) service: id::Service,
 }
 
 /// Returns the retries that the whole fleet may make.
@@ -81,10 +87,10 @@
 pub(crate) fn grant(node: &Node, query: &Query) -> bool {
     update_pool(node);
     let (bound, age, now) = (read_bound(node), node.staleness(), node.now());
-    let granted = query.service.as_ref().is_some_and(|service| {
+    let granted = {
         let allowance = node.retry_allowance.lock();
-        node.retry_pool.lock().grant(service, &allowance, &bound, age, now)
-    });
+        node.retry_pool.lock().grant(&query.service, &allowance, &bound, age, now)
+    };
     if !granted {
         log::info!("retries: {} gets none, the pool of the hall is empty", query.node);
     }
@@ -92,6 +98,12 @@
     granted
 }
 
+/// As the collector, refuses a node of an earlier build a retry token, because the service is not known.
+pub(crate) fn refuse_former(query: &FormerQuery) -> bool {
+    log::info!("retries: {} gets none, it is of an earlier build", query.node);
+    false
+}
+
 /// Takes a retry token for sending a request again. Returns false if none is left.
 pub(crate) async fn spend(node: &Arc<Node>, job: &Job) -> bool {
     let (bound, age, now) = (read_bound(node), node.staleness(), node.now());
@@ -108,16 +120,13 @@
 /// Takes a retry token from the shared retry pool of the hall.
 async fn query_pool(node: &Arc<Node>, job: &Job) -> bool {
     let Some(collector) = find_available_collector(node) else { return deny(job, "no collector to ask") };
-    let query = Query { node: node.settings().node.clone(), service: Some(job.service.clone()) };
+    let query = Query { node: node.settings().node.clone(), service: job.service.clone() };
     let granted = match collector.node == query.node {
         true => grant(node, &query),
         false => match peer::query_retry(node, &collector, &query, COLLECTOR_TIMEOUT).await {
             Ok(granted) => granted,
             Err(CallError::Status { status: StatusCode::BAD_REQUEST, .. }) => {
-                return deny(
-                    job,
-                    "the collector is of an earlier build, which shares retries among services",
-                );
+                return deny(job, "the collector is of an earlier build");
             }
             Err(error) => {
                 avoid_collector(node, collector);
