--- a/crates/fleet/src/suspects.rs
+++ b/crates/fleet/src/suspects.rs
@@ -411,8 +411,8 @@
     }
 
     /// Returns the rows that the store should hold and does not, with the time of their last crash.
-    /// Those are requests with two crashes or more, and parts with three: nodes exchange rows with a single one anyway, and a
-    /// hall that is cut off from the others can add one more to two.
+    /// Those are requests with two crashes or more, and parts with three: nodes exchange rows with a
+    /// single one anyway, and a hall that is cut off from the others can add one more to two.
     pub fn list_unstored(&self) -> Vec<(&Row, Millis)> {
         let missing = |entry: &&Entry| {
             // Sound parts are in flight at two crashes all the time while another one is deadly.
