--- a/crates/node/tests/deadly_parts.rs
+++ b/crates/node/tests/deadly_parts.rs
@@ -13,7 +13,7 @@
 use cottoncrank_fleet::evidence::Level;
 use cottoncrank_fleet::fingerprint::Fingerprint;
 use cottoncrank_platform_standin::caller::{Answer, CallerRequest, DEFAULT_DEADLINE_MS};
-use cottoncrank_platform_standin::operator::STREAM;
+use cottoncrank_platform_standin::operator::{ENGINES, STREAM};
 use tokio::task::JoinSet;
 
 /// The time after the fifth crash within which all nodes know that a part crashes runners.
@@ -126,11 +126,14 @@
     ask(callers, format!("d-{number}"), format!("deadly {number}"), prompt).await.answer
 }
 
-/// Returns the fingerprint of the part that is known to crash runners, if a node knows one.
-fn find_deadly_part(fleet: &Fleet, node: usize) -> Option<Fingerprint> {
-    let table = fleet.nodes[node].node.suspects.lock();
-    let mut parts = table.iter().map(|row| row.fingerprint).filter(Fingerprint::is_part);
-    parts.find(|part| matches!(table.level(part), Level::Deadly(_)))
+/// The fingerprint of the part that crashes runners.
+fn deadly_part() -> Fingerprint {
+    Fingerprint::of_part(&ENGINES.parse().unwrap(), &"bad0".parse().unwrap())
+}
+
+/// Whether a node knows that the part crashes runners.
+fn knows_part(fleet: &Fleet, node: usize) -> bool {
+    matches!(fleet.nodes[node].node.suspects.lock().level(&deadly_part()), Level::Deadly(_))
 }
 
 #[tokio::test]
@@ -142,19 +145,23 @@
         assert!(number < 100, "the part is never refused permanently");
         tokio::time::sleep(SEND_INTERVAL.duration()).await;
     }
-    let key = format!("cottoncrank/suspects/{}", find_deadly_part(&fleet, number % 2).unwrap());
-    fleet.wait("the store holds the part", |fleet| !fleet.store.list(&key).is_empty()).await;
+    let key = format!("cottoncrank/suspects/{}", deadly_part());
+    let is_stored = |fleet: &Fleet| {
+        let lacks = |node: usize| !fleet.nodes[node].node.suspects.lock().list_unstored().is_empty();
+        !fleet.store.list(&key).is_empty() && !lacks(0) && !lacks(1)
+    };
+    fleet.wait("the store holds all known suspects", is_stored).await;
     for running in fleet.nodes.drain(..) {
         drop(running.tasks);
     }
     fleet.add_node().await;
-    fleet.wait("the new node knows the part", |fleet| find_deadly_part(fleet, 0).is_some()).await;
+    fleet.wait("the new node knows the part", |fleet| knows_part(fleet, 0)).await;
     assert_eq!(ask_deadly(&fleet, 0, 1000).await.status, 400);
     fleet.wait("two groups serve", |fleet| fleet.all_know(2)).await;
     let sound =
         ask(fleet.nodes[0].callers, "o-1".to_owned(), "usual".to_owned(), "a1:40,c1:20".to_owned()).await;
     assert_eq!((sound.answer.status, sound.answer.complete), (200, true), "{:?}", sound.answer);
     fleet.store.remove(&key);
-    fleet.wait("the new node has dropped the part", |fleet| find_deadly_part(fleet, 0).is_none()).await;
+    fleet.wait("the new node has dropped the part", |fleet| !knows_part(fleet, 0)).await;
     assert_ne!(ask_deadly(&fleet, 0, 1001).await.status, 400, "operators let it run again");
 }
