--- a/crates/node/tests/unframed.rs
+++ b/crates/node/tests/unframed.rs
@@ -8,6 +8,7 @@
 
 use common::{Fleet, Running};
 use cottoncrank_platform_standin::operator::{READ, STREAM};
+use cottoncrank_platform_standin::raw;
 use cottoncrank_platform_standin::runner::EVENTS_PER_STREAM;
 use tokio::io::{AsyncReadExt, AsyncWriteExt, copy_bidirectional};
 use tokio::net::{TcpListener, TcpStream};
@@ -59,22 +60,15 @@
     let mut buffer = [0; 8192];
     let Ok(read) = stream.read(&mut buffer).await else { return };
     let request = String::from_utf8_lossy(&buffer[..read]).into_owned();
-    let find = |name: &str| {
-        let line = request.lines().find(|line| line.to_ascii_lowercase().starts_with(name))?;
-        Some(line[name.len()..].trim().to_owned())
-    };
-    let Some(id) = find("x-cottoncrank-request-id:") else {
+    let Some(id) = raw::find_request_id(&request) else {
         let Ok(mut real) = TcpStream::connect(runner).await else { return };
         if real.write_all(&buffer[..read]).await.is_ok() {
             let _ = copy_bidirectional(&mut stream, &mut real).await;
         }
         return;
     };
-    let head = format!(
-        "HTTP/1.1 200 OK\r\nX-Cottoncrank-Request-Id: {id}\r\nX-Cottoncrank-Response-Signature: sig-{id}\r\n\
-         Content-Type: text/event-stream\r\n\r\n"
-    );
-    let is_stream = find("x-cottoncrank-model:").is_some();
+    let head = raw::format_unframed_head(&id);
+    let is_stream = raw::has_model(&request);
     let _ = stream.write_all((head + &body(is_stream, end)).as_bytes()).await;
     if end == End::Reset {
         // The node has read what came before when the reset arrives.
