--- a/review/common/standin.py
+++ b/review/common/standin.py
@@ -20,6 +20,7 @@
 HOST = "models.example"
 KEY = "n2ctnfzs989anu6wsjnb"
 TENANT = "hule930"
+HISTORY_S = 20
 START = time.monotonic()
 
 
@@ -102,8 +103,10 @@
         self.record = record
         self.items, self.events, self.leases = {}, [], {}
         self.revision, self.next_lease = 100, 7000
+        self.writes = []
         self.changed = asyncio.Event()
-        self.acks = []
+        # The last revision that the history no longer holds.
+        self.compacted = self.revision
 
     async def start(self, ip):
         self.server = await asyncio.start_server(self.serve, ip, 0)
@@ -131,14 +134,20 @@
             self.revision += 1
             self.notify({"tlsKey": key, "revision": self.revision, "deleted": True})
 
+    def compact(self):
+        """Forgets changes that are older than historyS."""
+        while self.events and self.events[0][0] < time.monotonic() - HISTORY_S:
+            self.compacted = self.events.pop(0)[1]["revision"]
+
     def notify(self, event):
-        self.events.append(event)
+        self.events.append((time.monotonic(), event))
         self.changed.set()
         self.changed = asyncio.Event()
 
     async def expire_leases(self):
         while True:
             await asyncio.sleep(0.02)
+            self.compact()
             for lease in [l for l, (end, _) in self.leases.items() if end <= time.monotonic()]:
                 self.end_lease(lease)
 
@@ -202,7 +211,9 @@
         after, prefix = int(query["after"]), query.get("pathPrefix", "")
         end = time.monotonic() + int(query["waitMs"]) / 1000
         while True:
-            events = [e for e in self.events if e["revision"] > after and e["tlsKey"].startswith(prefix)]
+            if after < self.compacted:
+                return encode_json(410, {"currentRev": self.revision})
+            events = [e for _, e in self.events if e["revision"] > after and e["tlsKey"].startswith(prefix)]
             left = end - time.monotonic()
             if events or left <= 0:
                 return encode_json(200, {"events": events, "currentRev": self.revision})
@@ -220,7 +231,8 @@
         if any(put.get("lease") and put["lease"] not in self.leases for put in body.get("puts", [])):
             return encode_json(404, {})
         for put in body.get("puts", []):
-            self.put(put["tlsKey"], base64.b64decode(put["value"]), put.get("lease", 0))
+            self.writes.append((put["tlsKey"], base64.b64decode(put["value"])))
+            self.put(put["tlsKey"], self.writes[-1][1], put.get("lease", 0))
         for key in body.get("remove", []):
             self.remove(key)
         return encode_json(200, {"revision": self.revision})
