--- a/review/common/standin.py
+++ b/review/common/standin.py
@@ -104,6 +104,8 @@
         self.items, self.events, self.leases = {}, [], {}
         self.revision, self.next_lease = 100, 7000
         self.writes = []
+        # How often the store came back from an older copy, and whether it is away.
+        self.era, self.away = 0, False
         self.changed = asyncio.Event()
         # The last revision that the history no longer holds.
         self.compacted = self.revision
@@ -145,6 +147,26 @@
         self.changed.set()
         self.changed = asyncio.Event()
 
+    def copy(self):
+        return dict(self.items), dict(self.leases), self.revision, list(self.events), self.compacted
+
+    def go_away(self):
+        self.away = True
+        self.wake()
+
+    def come_back(self, copy):
+        """Comes back from a copy: all that was written since is gone, and revisions are given out again."""
+        items, leases, self.revision, events, self.compacted = copy
+        self.items, self.events = dict(items), list(events)
+        self.leases = {lease: (time.monotonic() + ttl / 1000, ttl) for lease, (_, ttl) in leases.items()}
+        self.era += 1
+        self.away = False
+        self.wake()
+
+    def wake(self):
+        self.changed.set()
+        self.changed = asyncio.Event()
+
     async def expire_leases(self):
         while True:
             await asyncio.sleep(0.02)
@@ -161,9 +183,11 @@
         try:
             while True:
                 request = await read_request(reader)
-                answer = await self.answer(request)
+                answer = encode_json(503, {}) if self.away else await self.answer(request)
+                if self.away:
+                    answer = encode_json(503, {})
                 await asyncio.sleep(0.002)
-                writer.write(answer)
+                writer.write(answer.replace(b"\r\n", b"\r\nStore-Era: %d\r\n" % self.era, 1))
                 await writer.drain()
         except (asyncio.IncompleteReadError, asyncio.CancelledError, ConnectionError, ValueError):
             pass
@@ -211,8 +235,9 @@
     async def watch(self, query):
         after, prefix = int(query["after"]), query.get("pathPrefix", "")
         end = time.monotonic() + int(query["waitMs"]) / 1000
+        era = self.era
         while True:
-            if after < self.compacted:
+            if after < self.compacted or after > self.revision or era != self.era or self.away:
                 return encode_json(410, {"currentRev": self.revision})
             events = [e for _, revision, key, e in self.events if revision > after and key.startswith(prefix)]
             left = end - time.monotonic()
@@ -263,9 +288,20 @@
         self.server = await asyncio.start_server(self.serve, ip, 0)
         self.entry["address"] = "%s:%d" % self.server.sockets[0].getsockname()[:2]
         self.write_entry()
+        self.beating = asyncio.create_task(self.beat())
 
     def write_entry(self):
-        self.store.put_json(f"servers/{self.name}", self.entry)
+        if not self.store.away:
+            self.store.put_json(f"servers/{self.name}", self.entry)
+
+    async def beat(self):
+        """Writes the entry again, about every heartbeatMs, where the store has another one or none."""
+        while True:
+            await asyncio.sleep(random.uniform(0.9, 1.2))
+            item = self.store.items.get(f"servers/{self.name}")
+            value = base64.b64encode(json.dumps(self.entry).encode()).decode()
+            if item is None or item["value"] != value:
+                self.write_entry()
 
     @property
     def group(self):
@@ -547,12 +583,12 @@
 }
 
 
-def make_config(routes, services, version=7):
+def make_config(routes, services, version=7, keys=(KEY,)):
     return {
         "version": version, "routes": routes, "services": services,
         "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000,
                    "idleTimeoutMs": 15000},
-        "tenants": [{"name": TENANT, "apiKeys": [KEY], "priority": 1}],
+        "tenants": [{"name": TENANT, "apiKeys": list(keys), "priority": 1}],
     }
 
 
@@ -603,8 +639,9 @@
             runner = Runner(self.store, self.record, name, service, zone, domain)
             await runner.start(f"{self.net}.{100 + number}")
             self.runners.append(runner)
-        for number in range(nodes):
-            node = Node(self, number + 1, self.zones[number % len(self.zones)])
+        zones = nodes if isinstance(nodes, list) else [self.zones[n % len(self.zones)] for n in range(nodes)]
+        for number, zone in enumerate(zones):
+            node = Node(self, number + 1, zone)
             self.nodes.append(node)
             node.start()
         await self.wait_ready(20)
@@ -676,7 +713,7 @@
         return ids
 
 
-def build_request(path, rid, work, deadline_ms, model=None):
+def build_request(path, rid, work, deadline_ms, model=None, key=KEY):
     body = json.dumps(work).encode()
     lines = [f"POST {path}2f HTTP/1.1", f"Host: {HOST}", f"X-Cottoncrank-Request-Id: {rid}"]
     if model:
@@ -684,7 +721,7 @@
                   f"X-Cottoncrank-Prompt-Prefix: {random.getrandbits(32):08x}:40"]
     if deadline_ms:
         lines.append(f"X-Cottoncrank-Deadline-Ms: {deadline_ms}")
-    lines += [f"Authorization: Bearer {KEY}", f"Content-Length: {len(body)}", "", ""]
+    lines += [f"Authorization: Bearer {key}", f"Content-Length: {len(body)}", "", ""]
     return "\r\n".join(lines).encode() + body
 
 
