--- a/review/common/standin.py
+++ b/review/common/standin.py
@@ -815,6 +815,9 @@
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record.note(f"case    {os.path.basename(folder)}, {'with' if trouble else 'without'} the disruption")
 
+    # Whoever ends the script early ends its nodes with it.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
+
     async def guarded():
         return await asyncio.wait_for(case(record, trouble), 110)
 
