--- a/review/1/case.py
+++ b/review/1/case.py
@@ -8,12 +8,12 @@
 from standin import MODEL, Client, Fleet, CannotRun, build_request, make_config, make_engine, make_route, now, run_case
 
 CLIENTS = 6
-EVENTS = 500
-WORK = {"kind": "stream", "events": EVENTS, "bytes": 1600, "gap_ms": 6}
-TIMEOUT_MS = 5000
-DEADLINE_MS = 8000
+EVENTS = 160
+WORK = {"kind": "stream", "events": EVENTS, "bytes": 3200, "gap_ms": 42}
+TIMEOUT_MS = 8000
+DEADLINE_MS = 12000
 SLOW_BYTES_PER_S = 10_000
-SLOW_S = 5.5
+SLOW_S = 8.5
 
 
 def pace(age):
@@ -47,9 +47,9 @@
 async def case(record, trouble):
     fleet = Fleet(record)
     try:
-        route = make_route("r-2yhvz3p", "/lohu930/", "streaming", "quizmaster-llm", TIMEOUT_MS, 2, resumable=True)
-        runners = [(f"i-{n}f3a91c2", "quizmaster-llm", "co-central-a", "d1") for n in range(4)]
-        await fleet.start(make_config([route], [make_engine("quizmaster-llm")]), runners, nodes=2)
+        route = make_route("r-2yhvz3p", "/lohu930/", "streaming", "quizmodel", TIMEOUT_MS, 2, resumable=True)
+        runners = [(f"i-{n}f3a91c2", "quizmodel", "sverige-a", "d1") for n in range(4)]
+        await fleet.start(make_config([route], [make_engine("quizmodel")]), runners, nodes=2)
         await fleet.wait_groups(2)
         calls = [call(record, fleet, number, trouble) for number in range(CLIENTS)]
         outcomes = await asyncio.gather(*calls)
