Count how the bodies of streams end at their callers

The log says that the relay cut them; nothing said what the caller's connection was given, so a mark of the cut that is lost could not be told from a server that ends a failed body like a whole one, or from a runner that ends early.

Change: a metric by the end of each body, and the chunks that are buffered when a deadline cuts a stream.

--- a/crates/node/src/answer.rs
+++ b/crates/node/src/answer.rs
@@ -14,6 +14,8 @@
 use thiserror::Error;
 use tokio::sync::mpsc;
 
+use crate::telemetry;
+
 /// An answer to a caller.
 pub type Answer = Response<Body>;
 
@@ -37,7 +39,13 @@
         match self.get_mut() {
             Body::Whole(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
             Body::Stream(receiver) => {
-                receiver.poll_recv(context).map(|next| next.map(|chunk| chunk.map(Frame::data)))
+                let polled = receiver.poll_recv(context);
+                match &polled {
+                    Poll::Ready(None) => telemetry::count_stream_body("complete"),
+                    Poll::Ready(Some(Err(Cut))) => telemetry::count_stream_body("cut"),
+                    Poll::Ready(Some(Ok(_))) | Poll::Pending => {}
+                }
+                polled.map(|next| next.map(|chunk| chunk.map(Frame::data)))
             }
         }
     }
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -61,7 +61,11 @@
             () = sender.closed() => log::info!("request {request}: the caller left"),
             () = node.wait_until(job.deadline) => {
                 telemetry::count_cut_stream();
-                log::warn!("request {request}: the stream is cut: the deadline has passed");
+                let unread = sender.max_capacity() - sender.capacity();
+                log::warn!(
+                    "request {request}: the stream is cut: the deadline has passed, {unread} of {} chunks are buffered for the caller",
+                    sender.max_capacity()
+                );
                 let _ = sender.try_send(Err(Cut));
             }
         }
--- a/crates/node/src/telemetry.rs
+++ b/crates/node/src/telemetry.rs
@@ -226,6 +226,12 @@
     metrics::counter!("cottoncrank_streams_cut_total").increment(1);
 }
 
+/// Counts the body of a stream that ended at its caller's connection: `complete` if it has its last chunk,
+/// `cut` if the connection is closed without it. A caller that left before sees neither.
+pub fn count_stream_body(end: &'static str) {
+    metrics::counter!("cottoncrank_stream_bodies_total", "end" => end).increment(1);
+}
+
 /// Records the delay of the first event of a stream, or of a whole plain answer.
 pub fn record_first_event(kind: &'static str, wait: Millis) {
     metrics::histogram!("cottoncrank_first_event_seconds", "kind" => kind).record(wait.0 as f64 / 1000.0);
