End a stream as complete only if its sender says so

Cause: the end of a body was told by the absence of a mark. The relay sent the mark of the cut through the buffer to the caller's connection by try_send; while the caller is slow that buffer is full, the mark was dropped, and the dropped sender ended the body like a whole one.

Change: net::feed, a body whose sender has to say that it is complete, and that is cut when the sender is dropped in any other way. It needs no room in the buffer, and holds for panics and for the other places that had the mark: a runner's failure, which waited for room without a deadline, and the answers of the product's own server. A connection whose stream is cut is closed 100 ms later, so that a caller that reads nothing is told as well. The proxy of unframed.rs moved to tests/common, its checks are the same.

Tried beside it, on a scratch copy: waiting for room for the mark. The slow caller sees the cut, but one that reads nothing is never told, its connection stays open.

--- a/crates/entry/src/api.rs
+++ b/crates/entry/src/api.rs
@@ -7,10 +7,10 @@
 use cottoncrank::id;
 use cottoncrank::outcome::Outcome;
 use cottoncrank::wire::KeyedOutcome;
-use cottoncrank_net::server::{Answer, Cut, Status, reply, reply_feed, reply_json};
+use cottoncrank_net::feed;
+use cottoncrank_net::server::{Answer, Status, reply, reply_feed, reply_json};
 use serde::{Deserialize, Serialize};
 use serde_json::json;
-use tokio::sync::mpsc;
 
 use crate::caller::RequestContext;
 use crate::failure::{Cause, Failure};
@@ -181,7 +181,7 @@
     mut relay: Relay,
     first: Option<Piece>,
     writer: ResponseWriter,
-    sender: mpsc::Sender<Result<Bytes, Cut>>,
+    sender: feed::Sender,
 ) {
     let mut next: Result<Option<Piece>, Failure> = Ok(first);
     let recorded = loop {
@@ -191,7 +191,7 @@
             Ok(None) => Bytes::from_static(b"data: [DONE]\n\n"),
             Err(failure) => writer.build_error_event(failure),
         };
-        if sender.send(Ok(event)).await.is_err() {
+        if sender.send(event).await.is_err() {
             log::info!("relay: request {:016x}: the caller disconnected", writer.request.0);
             break KeyedOutcome::MayHaveRun;
         }
@@ -213,6 +213,8 @@
     drop(relay);
     guard.close(recorded).await;
     drop(admission);
+    // A failure is told by the last event, so the body is complete then too.
+    sender.finish();
 }
 
 /// Encodes answers in the format of an endpoint.
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -14,6 +14,7 @@
 //! ```
 
 pub mod client;
+pub mod feed;
 pub mod public;
 pub mod reach;
 pub mod server;
--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -13,13 +13,14 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use thiserror::Error;
-use tokio::sync::mpsc;
 use xitca_web::body::{Body, BodyExt, Frame, RequestBody, ResponseBody};
 use xitca_web::handler::handler_service;
 use xitca_web::http::header::{CONTENT_TYPE, HeaderValue};
 use xitca_web::http::{RequestExt, StatusCode, WebRequest, WebResponse};
 use xitca_web::{App, WebContext};
 
+use crate::feed::{self, Cut};
+
 pub use xitca_web::http::header;
 pub use xitca_web::http::{HeaderMap, Method as Verb, StatusCode as Status};
 
@@ -213,22 +214,13 @@
     reply(StatusCode::NOT_FOUND, "text/plain", "there is nothing here\n")
 }
 
-/// A body that is fed through a channel. An error cuts the connection, so that the caller cannot mistake
-/// an incomplete answer for a complete one.
-pub struct Feed(mpsc::Receiver<Result<Bytes, Cut>>);
+/// A body that is still being made. One that is cut closes the connection, so that the caller cannot
+/// mistake an incomplete answer for a complete one.
+struct Feed(feed::Receiver);
 
-/// Ends an answer that is not complete.
-#[derive(Debug, Error)]
-#[error("the answer was cut")]
-pub struct Cut;
-
-/// Returns an answer and the sender that feeds its body. The body ends when the sender is dropped.
-pub fn reply_feed(
-    status: StatusCode,
-    kind: &'static str,
-    depth: usize,
-) -> (mpsc::Sender<Result<Bytes, Cut>>, Answer) {
-    let (sender, receiver) = mpsc::channel(depth);
+/// Returns an answer and the sender that makes its body.
+pub fn reply_feed(status: StatusCode, kind: &'static str, depth: usize) -> (feed::Sender, Answer) {
+    let (sender, receiver) = feed::channel(depth);
     let mut answer = WebResponse::new(ResponseBody::boxed(Feed(receiver)));
     *answer.status_mut() = status;
     answer.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static(kind));
@@ -240,7 +232,7 @@
     type Error = Cut;
 
     fn poll_frame(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, Cut>>> {
-        self.0.poll_recv(cx).map(|next| next.map(|chunk| chunk.map(Frame::Data)))
+        self.0.poll_chunk(cx).map(|next| next.map(|chunk| chunk.map(Frame::Data)))
     }
 }
 
--- a/crates/node/src/answer.rs
+++ b/crates/node/src/answer.rs
@@ -5,14 +5,13 @@
 
 use bytes::Bytes;
 use cottoncrank::Millis;
-use cottoncrank_net::server::Cut;
+use cottoncrank_net::feed::{self, Cut};
 use cottoncrank_platform::header;
 use hyper::body::{Frame, SizeHint};
 use hyper::header::{CONTENT_TYPE, HeaderValue};
 use hyper::{Response, StatusCode};
 use rand::Rng;
 use thiserror::Error;
-use tokio::sync::mpsc;
 
 use crate::telemetry;
 
@@ -23,9 +22,18 @@
 pub enum Body {
     /// The whole body; `None` once it has been sent.
     Whole(Option<Bytes>),
-    /// Chunks as they arrive. An error closes the connection, so that a broken answer does not look
-    /// complete.
-    Stream(mpsc::Receiver<Result<Bytes, Cut>>),
+    /// Chunks as they arrive. One that is cut closes the connection, so that it does not look complete.
+    Stream(feed::Receiver),
+}
+
+impl Body {
+    /// Returns a watch of a stream.
+    pub fn watch(&self) -> Option<feed::Watch> {
+        match self {
+            Body::Whole(_) => None,
+            Body::Stream(receiver) => Some(receiver.watch()),
+        }
+    }
 }
 
 impl hyper::body::Body for Body {
@@ -39,7 +47,7 @@
         match self.get_mut() {
             Body::Whole(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
             Body::Stream(receiver) => {
-                let polled = receiver.poll_recv(context);
+                let polled = receiver.poll_chunk(context);
                 match &polled {
                     Poll::Ready(None) => telemetry::count_stream_body("complete"),
                     Poll::Ready(Some(Err(Cut))) => telemetry::count_stream_body("cut"),
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -6,6 +6,7 @@
 
 use bytes::Bytes;
 use cottoncrank::Millis;
+use cottoncrank_net::feed;
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HeaderValue};
 use hyper::server::conn::http1;
@@ -29,6 +30,10 @@
 /// The pause after a connection could not be accepted, for example for lack of file descriptors.
 const ACCEPT_PAUSE: Millis = Millis(20);
 
+/// How long a caller may still read of a stream that was cut before its connection is closed. One that does
+/// not read would not learn of the cut otherwise.
+const CUT_READ_TIME: Millis = Millis(100);
+
 /// How often the delay of tasks is measured.
 const DELAY_INTERVAL: Millis = Millis(50);
 
@@ -74,13 +79,15 @@
     let idle = limits.map_or(DEFAULT_IDLE_TIMEOUT, |limits| limits.idle_timeout);
     let buffer = limits.map_or(MIN_BUFFER_BYTES, |limits| (2 * limits.max_head_bytes).max(MIN_BUFFER_BYTES));
     let mut closed = node.closed.subscribe();
+    let (current_stream, mut streams) = watch::channel(None);
     let service = service_fn(|request: Request<Incoming>| {
-        let node = node.clone();
+        let (node, current_stream) = (node.clone(), &current_stream);
         async move {
             let mut answer = request::handle(node.clone(), request).await;
             if *node.draining.borrow() {
                 answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
             }
+            current_stream.send_replace(answer.body().watch());
             Ok::<Answer, Infallible>(answer)
         }
     });
@@ -90,11 +97,21 @@
         .max_buf_size(buffer)
         .serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
-    let outcome = tokio::select! {
-        outcome = &mut connection => outcome,
-        () = wait_closed(&mut closed) => {
-            connection.as_mut().graceful_shutdown();
-            connection.await
+    let mut is_closing = false;
+    let outcome = loop {
+        tokio::select! {
+            outcome = &mut connection => break outcome,
+            () = wait_closed(&mut closed), if !is_closing => {
+                is_closing = true;
+                connection.as_mut().graceful_shutdown();
+            }
+            () = wait_cut(&mut streams) => {
+                let rest = tokio::time::timeout(CUT_READ_TIME.duration(), &mut connection);
+                break rest.await.unwrap_or_else(|_| {
+                    log::info!("front: closed a connection on which a cut stream was not read to its end");
+                    Ok(())
+                });
+            }
         }
     };
     if let Err(error) = outcome {
@@ -102,6 +119,26 @@
     }
 }
 
+/// Waits until the stream that a connection carries at that time is cut.
+async fn wait_cut(streams: &mut watch::Receiver<Option<feed::Watch>>) {
+    loop {
+        let stream = streams.borrow_and_update().clone();
+        tokio::select! {
+            () = wait_stream_cut(stream) => return,
+            changed = streams.changed() => if changed.is_err() {
+                return std::future::pending().await;
+            }
+        }
+    }
+}
+
+async fn wait_stream_cut(stream: Option<feed::Watch>) {
+    match stream {
+        Some(mut stream) => stream.wait_cut().await,
+        None => std::future::pending().await,
+    }
+}
+
 async fn wait_closed(closed: &mut watch::Receiver<bool>) {
     // The sender exists as long as the node, so this cannot fail.
     let _ = closed.wait_for(|closed| *closed).await;
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -2,10 +2,8 @@
 
 use std::sync::Arc;
 
-use bytes::Bytes;
 use cottoncrank::Millis;
-use cottoncrank_net::server::Cut;
-use tokio::sync::mpsc;
+use cottoncrank_net::feed;
 
 use crate::answer::Refusal;
 use crate::attempt::{AttemptError, Job};
@@ -17,81 +15,120 @@
 use crate::telemetry;
 use crate::tries::{Tries, start_next_attempt};
 
-/// Forwards the rest of a stream.
-pub struct Relay {
+/// The chunks buffered for a caller that reads slowly.
+const MAX_BUFFERED_CHUNKS: usize = 8;
+
+/// Forwards a stream to its caller.
+struct Relay {
+    source: Source,
+    sender: feed::Sender,
+    /// Counts the request as in flight until it ends.
+    _guards: (RequestGuard, LimitGuard),
+}
+
+/// Reads the events of a stream, from one runner after the other.
+pub struct Source {
     node: Arc<Node>,
     job: Arc<Job>,
     tries: Tries,
-    sender: mpsc::Sender<Result<Bytes, Cut>>,
     stream: RunnerStream,
     /// Whether a pause longer than the route's target was logged already.
     gap_logged: bool,
-    /// Counts the request as in flight until it ends.
-    _guards: (RequestGuard, LimitGuard),
 }
 
-impl Relay {
-    /// Returns the relay of a stream whose first events were sent to `sender`.
-    pub fn new(
-        node: Arc<Node>,
-        job: Arc<Job>,
-        tries: Tries,
-        sender: mpsc::Sender<Result<Bytes, Cut>>,
-        stream: RunnerStream,
-        guards: (RequestGuard, LimitGuard),
-    ) -> Relay {
-        Relay { node, job, tries, sender, stream, gap_logged: false, _guards: guards }
-    }
+/// How a stream ends at its caller.
+enum End {
+    /// With its last event.
+    Complete,
+    /// The caller left before.
+    Left,
+    /// The rest of the stream is missing.
+    Cut(Refusal),
+}
 
+impl Relay {
     /// Forwards events until the stream ends, the caller leaves or the deadline passes.
-    pub async fn run(mut self) {
-        let sender = self.sender.clone();
-        let (job, node) = (self.job.clone(), self.node.clone());
+    async fn run(mut self) {
+        let (job, node) = (self.source.job.clone(), self.source.node.clone());
+        let end = tokio::select! {
+            end = forward(&mut self.source, &self.sender) => end,
+            () = self.sender.closed() => End::Left,
+            () = node.wait_until(job.deadline) => End::Cut(Refusal::DeadlineExceeded),
+        };
         let request = job.id();
-        tokio::select! {
-            outcome = self.forward() => match outcome {
-                Ok(()) => {}
-                Err(refusal) => {
-                    telemetry::count_cut_stream();
-                    log::warn!("request {request}: the stream is cut: {refusal}");
-                    // If the caller has left too, nobody needs the cut.
-                    let _ = sender.send(Err(Cut)).await;
-                }
-            },
-            () = sender.closed() => log::info!("request {request}: the caller left"),
-            () = node.wait_until(job.deadline) => {
+        match end {
+            End::Complete => self.sender.finish(),
+            End::Left => log::info!("request {request}: the caller left"),
+            End::Cut(refusal) => {
                 telemetry::count_cut_stream();
-                let unread = sender.max_capacity() - sender.capacity();
-                log::warn!(
-                    "request {request}: the stream is cut: the deadline has passed, {unread} of {} chunks are buffered for the caller",
-                    sender.max_capacity()
-                );
-                let _ = sender.try_send(Err(Cut));
+                let buffered = self.sender.buffered();
+                log::warn!("request {request}: the stream is cut: {refusal}, {buffered} chunks are buffered");
+            }
+        }
+    }
+}
+
+async fn forward(source: &mut Source, sender: &feed::Sender) -> End {
+    loop {
+        match source.next().await {
+            Ok(StreamItem::Events(events)) => {
+                if sender.send(events).await.is_err() {
+                    return End::Left;
+                }
             }
+            Ok(StreamItem::End) => return End::Complete,
+            Err(refusal) => return End::Cut(refusal),
         }
     }
+}
 
-    async fn forward(&mut self) -> Result<(), Refusal> {
+/// Returns a body that begins with the first item of a stream, and spawns a task that forwards the rest.
+/// The task holds `guards` until it ends.
+pub async fn start(first: StreamItem, source: Source, guards: (RequestGuard, LimitGuard)) -> feed::Receiver {
+    let (sender, receiver) = feed::channel(MAX_BUFFERED_CHUNKS);
+    match first {
+        StreamItem::End => sender.finish(),
+        StreamItem::Events(events) => {
+            // The buffer is empty and its receiver is here, so this does not wait.
+            if let Err(error) = sender.send(events).await {
+                log::error!("request {}: {error}", source.job.id());
+            }
+            tokio::spawn(Relay { source, sender, _guards: guards }.run());
+        }
+    }
+    receiver
+}
+
+impl Source {
+    /// Returns the source of the events of `stream`, and after it of those of further tries.
+    pub fn new(node: Arc<Node>, job: Arc<Job>, tries: Tries, stream: RunnerStream) -> Source {
+        Source { node, job, tries, stream, gap_logged: false }
+    }
+
+    /// Returns the next events, resuming the stream at other runners as needed.
+    async fn next(&mut self) -> Result<StreamItem, Refusal> {
+        let started = self.node.now();
         loop {
-            let started = self.node.now();
             match self.receive_events().await {
                 Ok(StreamItem::Events(events)) => {
                     self.log_long_gap(started);
-                    if self.sender.send(Ok(events)).await.is_err() {
-                        return Ok(());
-                    }
+                    return Ok(StreamItem::Events(events));
                 }
                 Ok(StreamItem::End) => {
-                    if self.stream.has_end_mark {
-                        record_answered(&self.node, &self.job);
-                    }
-                    return Ok(());
+                    self.record_end();
+                    return Ok(StreamItem::End);
                 }
                 Err(error) => self.resume(&error).await?,
             }
         }
     }
 
+    fn record_end(&self) {
+        if self.stream.has_end_mark {
+            record_answered(&self.node, &self.job);
+        }
+    }
+
     /// Logs the first pause that is longer than the route's target.
     fn log_long_gap(&mut self, started: Millis) {
         let pause = self.node.now().since(started);
--- a/crates/node/src/stream.rs
+++ b/crates/node/src/stream.rs
@@ -6,7 +6,6 @@
 
 use std::sync::Arc;
 
-use bytes::Bytes;
 use cottoncrank::{Millis, id};
 use cottoncrank_fleet::admission;
 use cottoncrank_fleet::dispatch::{Reply, Urgency};
@@ -14,7 +13,6 @@
 use hyper::Response;
 use hyper::header::CONTENT_LENGTH;
 use hyper::http::response;
-use tokio::sync::mpsc;
 
 use crate::admission::query_collector;
 use crate::answer::{Answer, Body, Refusal};
@@ -23,16 +21,13 @@
 use crate::dispatch;
 use crate::in_flight::{LimitGuard, RequestGuard};
 use crate::plain;
-use crate::relay::Relay;
+use crate::relay::{self, Source};
 use crate::runner_stream::{RunnerStream, StreamItem, read_first_events};
 use crate::state::Node;
 use crate::suspects::{record_answered, record_completed};
 use crate::throttle;
 use crate::tries::{Tries, refuse_suspect, start_next_attempt};
 
-/// The chunks buffered for a caller that reads slowly.
-const MAX_BUFFERED_CHUNKS: usize = 8;
-
 /// A request waits at this node for at most the target latency of its first event divided by this.
 /// Slots become free every few milliseconds, and the runner needs the other four fifths of the
 /// time.
@@ -41,9 +36,8 @@
 /// A stream whose first events have been received.
 struct StartedStream {
     head: response::Parts,
-    first_events: Bytes,
+    first: StreamItem,
     stream: RunnerStream,
-    ended: bool,
 }
 
 /// The answer of the first runner that gave one.
@@ -98,16 +92,12 @@
         FirstAnswer::Stream(started) => started,
         FirstAnswer::Whole(answer) => return Ok(answer),
     };
-    let (sender, receiver) = mpsc::channel(MAX_BUFFERED_CHUNKS);
-    let mut answer = Response::new(Body::Stream(receiver));
+    let source = Source::new(node.clone(), job, tries, started.stream);
+    let body = relay::start(started.first, source, (request_guard, limit_guard)).await;
+    let mut answer = Response::new(Body::Stream(body));
     *answer.status_mut() = started.head.status;
     *answer.headers_mut() = header::strip_hop_by_hop(&started.head.headers);
     answer.headers_mut().remove(CONTENT_LENGTH);
-    if sender.try_send(Ok(started.first_events)).is_ok() && !started.ended {
-        let relay =
-            Relay::new(node.clone(), job, tries, sender, started.stream, (request_guard, limit_guard));
-        tokio::spawn(relay.run());
-    }
     Ok(answer)
 }
 
@@ -159,16 +149,11 @@
         }
         let (head, mut stream) = RunnerStream::open(attempt, last_event);
         match read_first_events(node, job, &mut stream).await {
-            Ok(StreamItem::Events(first_events)) => {
-                let started = StartedStream { head, first_events, stream, ended: false };
-                return Ok(FirstAnswer::Stream(Box::new(started)));
-            }
-            Ok(StreamItem::End) => {
-                if stream.has_end_mark {
+            Ok(first) => {
+                if matches!(first, StreamItem::End) && stream.has_end_mark {
                     record_answered(node, job);
                 }
-                let started = StartedStream { head, first_events: Bytes::new(), stream, ended: true };
-                return Ok(FirstAnswer::Stream(Box::new(started)));
+                return Ok(FirstAnswer::Stream(Box::new(StartedStream { head, first, stream })));
             }
             Err(error) => tries.record_failure(node, job, &error).await,
         }
--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code, reason = "each test file uses only a part of this module")]
 
+pub mod proxy;
+
 use std::net::SocketAddr;
 use std::sync::Arc;
 
--- /dev/null
+++ b/crates/node/tests/slow_callers.rs
@@ -0,0 +1,100 @@
+//! Callers that read a stream slowly, or not at all, while it is cut.
+//!
+//! The failure: a node cut streams at their deadline, and their slow callers got the end of a complete
+//! answer. The mark of the cut was sent through the buffer of the stream, which is full while the caller
+//! is slow, and was dropped.
+
+mod common;
+
+use std::time::Duration;
+
+use common::proxy::{self, Answerer};
+use common::{Fleet, KEY};
+use cottoncrank_platform_standin::caller::{CallerRequest, read_to_end};
+use cottoncrank_platform_standin::operator::STREAM;
+use cottoncrank_platform_standin::raw;
+use tokio::io::AsyncWriteExt;
+use tokio::net::{TcpSocket, TcpStream};
+
+/// How long callers wait, in milliseconds.
+const DEADLINE_MS: u64 = 700;
+
+/// How long after the deadline a caller may still be without word of the cut.
+const WORD_TIME: Duration = Duration::from_millis(500);
+
+/// The receive buffer of a caller, in bytes.
+const RECEIVE_BUFFER: u32 = 8192;
+
+/// A stream larger than all buffers on its way.
+#[derive(Clone)]
+struct LargeStream;
+
+const EVENTS: u64 = 600;
+const EVENT_BYTES: usize = 32_768;
+
+impl Answerer for LargeStream {
+    async fn answer(&self, mut stream: TcpStream, request: String) {
+        let head = raw::format_chunked_head(&raw::find_request_id(&request).unwrap_or_default());
+        let data = "x".repeat(EVENT_BYTES);
+        let mut written = stream.write_all(head.as_bytes()).await;
+        for id in 0..EVENTS {
+            let event = raw::format_chunk(&format!("id: {id}\ndata: {data}\n\n"));
+            written = written.and(stream.write_all(event.as_bytes()).await);
+        }
+        // It fails once the node has closed the connection.
+        let _ = written.and(stream.write_all(raw::format_chunk("").as_bytes()).await);
+    }
+}
+
+/// Starts a fleet of one node whose streams are large.
+async fn start_fleet() -> Fleet {
+    let fleet = Fleet::serving(1).await;
+    proxy::put(&fleet, fleet.heads(), LargeStream).await;
+    fleet
+}
+
+/// Sends a request, and returns its connection unread.
+async fn send(fleet: &Fleet, request: &str) -> TcpStream {
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.set_recv_buffer_size(RECEIVE_BUFFER).unwrap();
+    let mut stream = socket.connect(fleet.nodes[0].callers).await.unwrap();
+    let request = CallerRequest {
+        path: STREAM,
+        request,
+        key: KEY,
+        deadline_ms: DEADLINE_MS,
+        body: request,
+        prompt: "",
+    };
+    stream.write_all(request.format().as_bytes()).await.unwrap();
+    stream
+}
+
+/// Guards against streams that lack events and end as complete.
+#[tokio::test]
+async fn a_stream_that_is_cut_while_its_caller_is_slow_does_not_end_as_complete() {
+    let fleet = start_fleet().await;
+    for pause in [Duration::ZERO, WORD_TIME] {
+        let mut stream = send(&fleet, &format!("r-{pause:?}")).await;
+        tokio::time::sleep(Duration::from_millis(DEADLINE_MS) + pause).await;
+        let answer = read_to_end(&mut stream).await;
+        let events = answer.events();
+        assert_eq!(answer.status, 200, "after {pause:?}");
+        assert!(events.len() < EVENTS as usize, "the stream was not cut");
+        assert!(events.iter().copied().eq(0..events.len() as u64), "{events:?}");
+        assert!(!answer.complete, "after {pause:?}: {} of {EVENTS} events, as complete", events.len());
+    }
+}
+
+/// Guards against a cut of which a caller learns only once it reads.
+#[tokio::test]
+async fn a_caller_that_reads_nothing_is_told_of_a_cut() {
+    let fleet = start_fleet().await;
+    let mut stream = send(&fleet, "r").await;
+    tokio::time::sleep(Duration::from_millis(DEADLINE_MS) + WORD_TIME).await;
+    // The first write meets the closed connection, which answers with a reset; the second one meets that.
+    let _ = stream.write_all(b"x").await;
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    assert!(stream.write_all(b"x").await.is_err(), "the connection is open");
+    assert_eq!(fleet.nodes[0].node.running(), 0);
+}
--- a/crates/node/tests/unframed.rs
+++ b/crates/node/tests/unframed.rs
@@ -4,14 +4,13 @@
 
 mod common;
 
-use std::net::SocketAddr;
-
-use common::{Fleet, Running};
+use common::Fleet;
+use common::proxy::{self, Answerer};
 use cottoncrank_platform_standin::operator::{READ, STREAM};
 use cottoncrank_platform_standin::raw;
 use cottoncrank_platform_standin::runner::EVENTS_PER_STREAM;
-use tokio::io::{AsyncReadExt, AsyncWriteExt, copy_bidirectional};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
 
 /// How the proxy ends an answer.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -43,53 +42,23 @@
     whole[..sent].to_owned()
 }
 
-/// Starts a proxy in front of a runner that answers callers' requests itself, and forwards all others.
-async fn start_proxy(runner: SocketAddr, end: End) -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let address = listener.local_addr().unwrap();
-    tokio::spawn(async move {
-        while let Ok((stream, _)) = listener.accept().await {
-            tokio::spawn(answer(stream, runner, end));
-        }
-    });
-    address
-}
-
-async fn answer(mut stream: TcpStream, runner: SocketAddr, end: End) {
-    // Each request of a test fits into the buffer.
-    let mut buffer = [0; 8192];
-    let Ok(read) = stream.read(&mut buffer).await else { return };
-    let request = String::from_utf8_lossy(&buffer[..read]).into_owned();
-    let Some(id) = raw::find_request_id(&request) else {
-        let Ok(mut real) = TcpStream::connect(runner).await else { return };
-        if real.write_all(&buffer[..read]).await.is_ok() {
-            let _ = copy_bidirectional(&mut stream, &mut real).await;
+impl Answerer for End {
+    async fn answer(&self, mut stream: TcpStream, request: String) {
+        let id = raw::find_request_id(&request).unwrap_or_default();
+        let head = raw::format_unframed_head(&id);
+        let is_stream = raw::has_model(&request);
+        let _ = stream.write_all((head + &body(is_stream, *self)).as_bytes()).await;
+        if *self == End::Reset {
+            // The node has read what came before when the reset arrives.
+            tokio::time::sleep(std::time::Duration::from_millis(50)).await;
+            let _ = stream.set_zero_linger();
         }
-        return;
-    };
-    let head = raw::format_unframed_head(&id);
-    let is_stream = raw::has_model(&request);
-    let _ = stream.write_all((head + &body(is_stream, end)).as_bytes()).await;
-    if end == End::Reset {
-        // The node has read what came before when the reset arrives.
-        tokio::time::sleep(std::time::Duration::from_millis(50)).await;
-        let _ = stream.set_zero_linger();
     }
 }
 
-fn knows_address(running: &Running, id: &str, address: SocketAddr) -> bool {
-    let roster = running.node.roster.lock();
-    roster.get(&id.parse().unwrap()).is_some_and(|runner| runner.address == address)
-}
-
 /// Puts proxies in front of all plain runners and of the first `heads` heads.
 async fn put_proxies(fleet: &Fleet, heads: usize, end: End) {
-    for runner in fleet.plain.iter().chain(fleet.heads().into_iter().take(heads)) {
-        let address = start_proxy(runner.address(), end).await;
-        runner.advertise(address);
-        let id = runner.id().to_owned();
-        fleet.wait("the node knows the proxy", |fleet| knows_address(&fleet.nodes[0], &id, address)).await;
-    }
+    proxy::put(fleet, fleet.plain.iter().chain(fleet.heads().into_iter().take(heads)), end).await;
 }
 
 #[tokio::test]
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -12,13 +12,13 @@
 use cottoncrank::engine::{Fault, Finish, Frame, Generate, Order, Reason, Rejection, Status as Report};
 use cottoncrank::{Clock, Millis, id};
 use cottoncrank_net::client::{Client, Traffic};
+use cottoncrank_net::feed;
 use cottoncrank_net::server::{
-    self, Answer, Cut, Head, Incoming, Server, Service, Status, header, read_body, read_message, reply,
+    self, Answer, Head, Incoming, Server, Service, Status, header, read_body, read_message, reply,
     reply_body_error, reply_feed, reply_json, reply_message, reply_not_found,
 };
 use parking_lot::Mutex;
 use serde::{Deserialize, Serialize};
-use tokio::sync::mpsc;
 
 pub use crate::member::{End, History, Obeyance, Taken};
 use crate::member::{Engine, RankCall, State};
@@ -266,9 +266,9 @@
         let (shared, engine) = (self.clone(), engine.clone());
         tokio::spawn(async move {
             let end = shared.stream(&engine, &ask, &call, &sender).await;
-            if end == End::Cut {
-                // The caller may be gone as well; either way the stream is over.
-                let _ = sender.send(Err(Cut)).await;
+            match end {
+                End::Whole => sender.finish(),
+                End::Cut | End::Left => drop(sender),
             }
             let mut state = engine.state.lock();
             state.running = state.running.saturating_sub(1);
@@ -280,13 +280,7 @@
         answer
     }
 
-    async fn stream(
-        &self,
-        engine: &Engine,
-        ask: &Generate,
-        call: &RankCall,
-        sender: &mpsc::Sender<Result<Bytes, Cut>>,
-    ) -> End {
+    async fn stream(&self, engine: &Engine, ask: &Generate, call: &RankCall, sender: &feed::Sender) -> End {
         let fault = {
             let mut state = engine.state.lock();
             let fault = state.fault;
@@ -319,7 +313,7 @@
             let bytes = encode_frame(&frame);
             let copies = 1 + usize::from(fault.doubled);
             for _ in 0..copies {
-                if sender.send(Ok(bytes.clone())).await.is_err() {
+                if sender.send(bytes.clone()).await.is_err() {
                     return End::Left;
                 }
             }
--- a/crates/standin/src/service.rs
+++ b/crates/standin/src/service.rs
@@ -8,7 +8,7 @@
 
 use cottoncrank::Millis;
 use cottoncrank_net::server::{
-    self, Answer, Cut, Head, Incoming, Server, Service as Serve, Status, read_body, reply, reply_body_error,
+    self, Answer, Head, Incoming, Server, Service as Serve, Status, read_body, reply, reply_body_error,
     reply_feed, reply_json,
 };
 use parking_lot::Mutex;
@@ -123,12 +123,8 @@
                 answer.headers_mut().insert(NOT_RUN, server::header::HeaderValue::from_static("1"));
                 answer
             }
-            Fate::Lose => {
-                let (sender, answer) = reply_feed(Status::OK, "text/plain", 1);
-                // The receiver lives in `answer`, so the send cannot fail.
-                let _ = sender.send(Err(Cut)).await;
-                answer
-            }
+            // Its sender is dropped, which cuts it.
+            Fate::Lose => reply_feed(Status::OK, "text/plain", 1).1,
             Fate::Answer(runs) => {
                 let text = String::from_utf8_lossy(&bytes);
                 reply(Status::OK, "text/plain", format!("{path} ran {runs} time(s) with `{text}`\n"))
--- a/crates/standin/src/store.rs
+++ b/crates/standin/src/store.rs
@@ -10,7 +10,7 @@
 use cottoncrank::wire::{Answer, Call, MAX_VALUE_BYTES, Value};
 use cottoncrank::{Clock, Millis};
 use cottoncrank_net::server::{
-    self, Cut, Head, Incoming, Server, Service, Status, read_body, read_message, reply, reply_body_error,
+    self, Head, Incoming, Server, Service, Status, read_body, read_message, reply, reply_body_error,
     reply_feed, reply_json, reply_message, reply_not_found,
 };
 use parking_lot::Mutex;
@@ -294,7 +294,7 @@
         }
         let answer = self.call(call).await;
         if matches!(answer, Answer::Swapped(_)) && self.lose_answer() {
-            return cut().await;
+            return cut();
         }
         reply_message(&answer)
     }
@@ -308,11 +308,8 @@
 }
 
 /// An answer that breaks off at once.
-async fn cut() -> server::Answer {
-    let (sender, answer) = reply_feed(Status::OK, "application/msgpack", 1);
-    // The receiver lives in `answer`, so the send cannot fail.
-    let _ = sender.send(Err(Cut)).await;
-    answer
+fn cut() -> server::Answer {
+    reply_feed(Status::OK, "application/msgpack", 1).1
 }
 
 impl Service for Shared {
