Reset the connection of a tunnel unless the runner has closed its own

Callers of a cut-off box got half of an answer as a complete one, with a length, when the node that carried the connection to the runner was killed within an answer that has neither a length nor chunks.

Cause: such an answer ends with its connection, and the kernel closes the connections of a process that ends like those of a complete answer. Only a tunnel that was aborted by a living process was reset.

Change: the connection is set to be reset when it is closed, from its begin on, and that is taken back once the runner has closed its connection and all was passed on.

--- a/crates/node/src/tunnel.rs
+++ b/crates/node/src/tunnel.rs
@@ -21,6 +21,7 @@
 use hyper::upgrade::{self, Upgraded};
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
+use socket2::SockRef;
 use thiserror::Error;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
@@ -199,9 +200,9 @@
     Aborted,
 }
 
-/// Carries bytes both ways until one side ends or the time is over, and then closes both connections. A
-/// runner's connection that breaks is reset on the other side too, so that a broken answer does not look
-/// complete.
+/// Carries bytes both ways until one side ends or the time is over, and then closes both connections. The
+/// node that opened the tunnel gets a reset unless the runner has closed its connection: an answer may have
+/// neither a length nor chunks, and must not look complete if this process ends within it.
 async fn carry(request: Request<Incoming>, mut runner: Link, query: Query, _guard: CarryGuard) {
     let mut opener = match upgrade::on(request).await.map(Upgraded::downcast::<TokioIo<TcpStream>>) {
         Ok(Ok(parts)) => {
@@ -213,10 +214,14 @@
         Ok(Err(_)) => return log::error!("tunnel: the connection of a query is of an unexpected type"),
         Err(error) => return log::debug!("tunnel: {}: {error}", query.runner),
     };
-    if copy_both_ways(&mut opener, &mut runner, query.lifetime).await == End::Aborted
-        && let Err(error) = opener.set_zero_linger()
+    // The kernel resets the connection when the process ends.
+    if let Err(error) = opener.set_zero_linger() {
+        return log::warn!("tunnel: {}: its end could not be told from an abort: {error}", query.runner);
+    }
+    if copy_both_ways(&mut opener, &mut runner, query.lifetime).await == End::Closed
+        && let Err(error) = SockRef::from(&opener).set_linger(None)
     {
-        log::warn!("tunnel: a connection could not be reset: {error}");
+        log::warn!("tunnel: {}: its end is told as an abort: {error}", query.runner);
     }
 }
 
--- a/crates/node/tests/partition.rs
+++ b/crates/node/tests/partition.rs
@@ -5,16 +5,18 @@
 use std::path::Path;
 use std::time::Instant;
 
+use common::proxy::{self, Answerer};
 use common::{Fleet, KEY, Running, start_node};
 use cottoncrank::Millis;
 use cottoncrank_fleet::directory::{Millicores, Peer};
 use cottoncrank_net::reach::Block;
 use cottoncrank_platform_standin::caller::{Answer, send_request, send_request_within};
 use cottoncrank_platform_standin::operator::{ONCE, READ, STREAM, config};
+use cottoncrank_platform_standin::raw;
 use cottoncrank_platform_standin::runner::{EVENTS_PER_STREAM, Fault};
 use cottoncrank_platform_standin::store;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
 use tokio::task::JoinHandle;
 
 /// How long after the begin of a cut callers are served again. The platform allows 3 s.
@@ -256,6 +258,43 @@
     assert!(failures.is_empty(), "{failures:#?}");
 }
 
+/// A runner that answers a caller with neither a length nor chunks, and stands still in the middle.
+#[derive(Clone)]
+struct HalfAnswer;
+
+impl Answerer for HalfAnswer {
+    async fn answer(&self, mut stream: TcpStream, request: String) {
+        let head = raw::format_unframed_head(&raw::find_request_id(&request).unwrap_or_default());
+        // A failure means that the node has left.
+        let _ = stream.write_all((head + "half of an answer").as_bytes()).await;
+        let _ = stream.read(&mut [0]).await;
+    }
+}
+
+/// Guards against answers without a length that look complete because the node that carries them ended.
+#[tokio::test]
+async fn an_answer_does_not_end_as_complete_when_the_node_that_carries_it_is_killed() {
+    let mut fleet = start_fleet().await;
+    proxy::put(&fleet, &fleet.plain, HalfAnswer).await;
+    let killable = start_killable(&fleet, 7).await;
+    fleet.add_node().await;
+    let last = fleet.nodes.len() - 1;
+    let knows_all = |running: &Running| running.node.directory.lock().count() == 7;
+    fleet.wait("all nodes know each other", |fleet| fleet.nodes.iter().all(knows_all)).await;
+    let (cut, carrier) = (&fleet.nodes[last].node, killable.running.node.settings().node.clone());
+    cut.directory.lock().retain(|name| *name == carrier || *name == cut.settings().node);
+    cut.reach.block(Block::Refuse);
+    let callers = fleet.nodes[last].callers;
+    let asking = tokio::spawn(async move { send_request(callers, ONCE, "r", KEY).await });
+    let carries = |_: &Fleet| killable.running.node.carried_tunnels.count() > 0;
+    fleet.wait("a tunnel is carried", carries).await;
+    // The first half is on its way within this time.
+    tokio::time::sleep(Millis(200).duration()).await;
+    killable.runtime.shutdown_background();
+    let answer = asking.await.unwrap().unwrap();
+    assert_eq!(answer.status, 502, "{answer:?}");
+}
+
 /// Starts a node of a build that knows no tunnels, and that answers every query like that.
 async fn start_earlier_build() -> Peer {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
