Wait for a silent runner, and try another one beside it

Cause: a node gave up a runner that had sent nothing for 1.2 s, on every route, before it knew whether another one could go on. Where all runners pause, all streams in flight are given up within milliseconds, the retries are soon spent, and the rest is cut. The same where a group counted as lost, which is concluded from silence as well.

Change: a silent runner is late, its try goes on to the deadline, and another runner is tried beside it; the first to send an event is taken (node::race, before the first event and within a stream). A run counts from its begin (fleet::runs), so that no more runners run a request than its route allows. A request that may run once waits for its runner. Why it works: nothing is given up before something better is there, and what ends or resets its connection still fails its try at once.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -46,6 +46,7 @@
 //! - [`overload`]: whether a node takes new connections while its processor is overloaded.
 //! - [`limit`]: limits the requests that a node has in flight.
 //! - [`retries`]: divides the fleet's retry budget among the nodes.
+//! - [`runs`]: counts the runs of one request, so that no more begin than its route allows.
 //! - [`event`]: splits a stream into the events after which it can be resumed.
 //!
 //! # Feedback of runners
@@ -114,6 +115,7 @@
 pub mod returns;
 pub mod roster;
 pub mod runner;
+pub mod runs;
 pub mod settings;
 pub mod shift;
 pub mod snapshot;
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -32,9 +32,9 @@
 //!
 //! - [`front`] listens for callers and for the balancer, [`request`] admits and routes requests, and
 //!   [`answer`] builds the answers and refusals.
-//! - [`plain`] serves requests with a whole answer. [`stream`] serves streams: `tries` makes one attempt
-//!   after another, `runner_stream` reads the events of one attempt, and `relay` forwards
-//!   them to the caller.
+//! - [`plain`] serves requests with a whole answer. [`stream`] serves streams: `tries` picks one runner
+//!   after another, `race` tries them, also beside those that are late, `runner_stream` reads the events of
+//!   one attempt, and `relay` forwards them to the caller.
 //! - [`attempt`] sends a request to a runner over a [`channel`].
 //! - `connect` makes the connection, through a [`tunnel`] that another node carries where this node's path
 //!   to the runner is cut. `paths` keeps track of that.
@@ -95,6 +95,7 @@
 mod pressure;
 mod prober;
 pub mod program;
+mod race;
 pub mod registration;
 mod relay;
 pub mod reporting;
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -9,11 +9,12 @@
 use crate::attempt::{AttemptError, Job};
 use crate::in_flight::{LimitGuard, RequestGuard};
 use crate::paths;
+use crate::race::{self, Opened, Start};
 use crate::runner_stream::{RunnerStream, SILENCE_TIMEOUT, StreamItem, read_next_events};
 use crate::state::Node;
 use crate::suspects::{record_answered, wait_until_deadly};
 use crate::telemetry;
-use crate::tries::{Tries, start_next_attempt};
+use crate::tries::Tries;
 
 /// The chunks buffered for a caller that reads slowly.
 const MAX_BUFFERED_CHUNKS: usize = 8;
@@ -68,6 +69,24 @@
     }
 }
 
+/// Why the current runner yields no event.
+enum Interruption {
+    /// It may be paused, or lost.
+    Late(AttemptError),
+    /// It will not yield any more.
+    Failed(AttemptError),
+}
+
+/// How the race of a late runner with others ended.
+enum Raced {
+    /// It yielded its next item first.
+    WentOn(StreamItem),
+    /// Another runner has resumed the stream.
+    Resumed(Opened),
+    /// It failed, and no other runner has resumed the stream.
+    Failed(AttemptError),
+}
+
 async fn forward(source: &mut Source, sender: &feed::Sender) -> End {
     loop {
         match source.next().await {
@@ -108,19 +127,16 @@
     /// Returns the next events, resuming the stream at other runners as needed.
     async fn next(&mut self) -> Result<StreamItem, Refusal> {
         let started = self.node.now();
-        loop {
-            match self.receive_events().await {
-                Ok(StreamItem::Events(events)) => {
-                    self.log_long_gap(started);
-                    return Ok(StreamItem::Events(events));
-                }
-                Ok(StreamItem::End) => {
-                    self.record_end();
-                    return Ok(StreamItem::End);
-                }
-                Err(error) => self.resume(&error).await?,
-            }
+        let item = match self.receive_events().await {
+            Ok(item) => item,
+            Err(Interruption::Late(error)) => self.wait_beside(&error).await?,
+            Err(Interruption::Failed(error)) => self.resume(&error).await?,
+        };
+        match item {
+            StreamItem::Events(_) => self.log_long_gap(started),
+            StreamItem::End => self.record_end(),
         }
+        Ok(item)
     }
 
     fn record_end(&self) {
@@ -145,36 +161,89 @@
         );
     }
 
-    /// Reads the next events of the current runner, unless its group is lost.
-    async fn receive_events(&mut self) -> Result<StreamItem, AttemptError> {
+    /// Reads the next events of the current runner, until it is late. The silence of a runner that alone may
+    /// run the request is no reason to do anything.
+    async fn receive_events(&mut self) -> Result<StreamItem, Interruption> {
         let pick = self.stream.pick.clone();
-        let next =
-            tokio::time::timeout(SILENCE_TIMEOUT.duration(), read_next_events(&self.node, &mut self.stream));
+        let is_repeatable = self.job.route.is_repeatable();
+        let next = read_next_events(&self.node, &mut self.stream);
         tokio::select! {
-            next = next => next.unwrap_or_else(|_| {
+            biased;
+            next = next => next.map_err(Interruption::Failed),
+            () = wait_until_deadly(&self.node, &self.job) => Err(Interruption::Failed(AttemptError::Stopped)),
+            () = pick.wait_lost(&self.node), if is_repeatable => {
+                Err(Interruption::Late(AttemptError::MayHaveRun("its group lost a member".to_owned())))
+            }
+            () = tokio::time::sleep(SILENCE_TIMEOUT.duration()), if is_repeatable => {
                 paths::record_failure(&self.node, &pick, None);
-                Err(AttemptError::Silent(format!("no event for {SILENCE_TIMEOUT}")))
-            }),
-            () = wait_until_deadly(&self.node, &self.job) => Err(AttemptError::Stopped),
-            () = pick.wait_lost(&self.node), if self.job.route.is_repeatable() => {
-                Err(AttemptError::MayHaveRun("its group lost a member".to_owned()))
+                Err(Interruption::Late(AttemptError::Silent(format!("no event for {SILENCE_TIMEOUT}"))))
             }
         }
     }
 
-    /// Resumes the stream at another runner, after the last event that was forwarded.
-    async fn resume(&mut self, error: &AttemptError) -> Result<(), Refusal> {
-        self.tries.record_failure(&self.node, &self.job, error).await;
-        let last_event = self.stream.splitter.last_id();
+    /// Waits for the next events of the current runner, which is late, and tries others beside it. Takes
+    /// those that come first.
+    async fn wait_beside(&mut self, late: &AttemptError) -> Result<StreamItem, Refusal> {
+        match self.race(late).await {
+            Raced::WentOn(item) => {
+                telemetry::count_late_try("went_on");
+                log::info!("request {}: {} goes on", self.job.id(), self.stream.pick.id);
+                Ok(item)
+            }
+            Raced::Resumed(opened) => {
+                telemetry::count_late_try("replaced");
+                self.switch_to(opened)
+            }
+            Raced::Failed(error) => {
+                telemetry::count_late_try("failed");
+                self.resume(&error).await
+            }
+        }
+    }
+
+    async fn race(&mut self, late: &AttemptError) -> Raced {
+        let (node, job, pick) = (self.node.clone(), self.job.clone(), self.stream.pick.clone());
+        let start = Start::Resumed(self.stream.splitter.last_id());
+        let tries = &mut self.tries;
+        let opening = async {
+            tries.record_late(&node, &job, &pick, late).await;
+            race::open(&node, &job, tries, start).await
+        };
+        let reading = read_next_events(&node, &mut self.stream);
+        tokio::pin!(opening, reading);
+        let (mut failed, mut is_refused) = (None, false);
         loop {
-            let attempt = start_next_attempt(&self.node, &self.job, &mut self.tries, last_event).await?;
-            if !attempt.response.status().is_success() {
-                let error = AttemptError::MayHaveRun(format!("it answered {}", attempt.response.status()));
-                self.tries.record_failure(&self.node, &self.job, &error).await;
-                continue;
+            tokio::select! {
+                biased;
+                item = &mut reading, if failed.is_none() => match item {
+                    Ok(item) => return Raced::WentOn(item),
+                    Err(error) => failed = Some(error),
+                },
+                opened = &mut opening, if !is_refused => match opened {
+                    Ok(opened) => return Raced::Resumed(opened),
+                    Err(_) => is_refused = true,
+                },
+                () = wait_until_deadly(&node, &job), if is_refused => failed = Some(AttemptError::Stopped),
+            }
+            if let Some(error) = failed.take_if(|_| is_refused) {
+                return Raced::Failed(error);
             }
-            self.stream = RunnerStream::open(attempt, last_event).1;
-            return Ok(());
         }
     }
+
+    /// Resumes the stream at another runner, after the last event that was forwarded.
+    async fn resume(&mut self, error: &AttemptError) -> Result<StreamItem, Refusal> {
+        self.tries.record_failure(&self.node, &self.job, &self.stream.pick, error).await;
+        let start = Start::Resumed(self.stream.splitter.last_id());
+        let opened = race::open(&self.node, &self.job, &mut self.tries, start).await?;
+        self.switch_to(opened)
+    }
+
+    /// Continues with the stream of another runner.
+    fn switch_to(&mut self, opened: Opened) -> Result<StreamItem, Refusal> {
+        // An answer that is no success resumes nothing.
+        let Opened::Stream(started) = opened else { return Err(Refusal::MayHaveRun) };
+        self.stream = started.stream;
+        Ok(started.first)
+    }
 }
--- a/crates/node/src/runner_stream.rs
+++ b/crates/node/src/runner_stream.rs
@@ -9,17 +9,14 @@
 use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use hyper::http::response;
 
-use crate::attempt::{Attempt, AttemptError, Job, Pick};
+use crate::attempt::{Attempt, AttemptError, Pick};
 use crate::channel::Channel;
 use crate::connect;
 use crate::in_flight::AttemptGuard;
-use crate::paths;
 use crate::state::Node;
-use crate::suspects::wait_until_deadly;
 
-/// A runner that sends nothing for this long is abandoned. All nodes learn sooner than that of a
-/// group that lost a member, and a group that is only busy must not get the same requests twice.
-/// Callers give up after two seconds.
+/// A runner that sends nothing for this long is late, and another one is tried beside it. All nodes learn
+/// sooner than that of a group that lost a member. Callers give up after two seconds.
 pub const SILENCE_TIMEOUT: Millis = Millis(1200);
 
 /// A stream in flight at one runner.
@@ -67,50 +64,6 @@
     }
 }
 
-/// Waits for a result from a runner, as long as its group is not lost. After [`SILENCE_TIMEOUT`] it
-/// also gives up if the request may be repeated and the runner has sent nothing to any request of
-/// this node since `started`.
-pub async fn wait_unless_unresponsive<T>(
-    node: &Node,
-    job: &Job,
-    pick: &Pick,
-    started: Millis,
-    waiting: impl Future<Output = Result<T, AttemptError>>,
-) -> Result<T, AttemptError> {
-    tokio::pin!(waiting);
-    let group_lost = pick.wait_lost(node);
-    tokio::pin!(group_lost);
-    let deadly = wait_until_deadly(node, job);
-    tokio::pin!(deadly);
-    loop {
-        tokio::select! {
-            outcome = &mut waiting => return outcome,
-            () = &mut group_lost, if job.route.is_repeatable() => {
-                return Err(AttemptError::MayHaveRun("its group lost a member".to_owned()));
-            }
-            () = &mut deadly => return Err(AttemptError::Stopped),
-            () = tokio::time::sleep(SILENCE_TIMEOUT.duration()) => {
-                let is_silent = node.ledger.lock().is_silent_since(&pick.id, started);
-                if job.route.is_repeatable() && is_silent {
-                    paths::record_failure(node, pick, None);
-                    return Err(AttemptError::Silent(format!("silent for {SILENCE_TIMEOUT}")));
-                }
-            }
-        }
-    }
-}
-
-/// Reads the first events of a stream.
-pub async fn read_first_events(
-    node: &Node,
-    job: &Job,
-    stream: &mut RunnerStream,
-) -> Result<StreamItem, AttemptError> {
-    let started = node.now();
-    let pick = stream.pick.clone();
-    wait_unless_unresponsive(node, job, &pick, started, read_next_events(node, stream)).await
-}
-
 /// Reads the next events that the caller does not have yet.
 pub async fn read_next_events(node: &Node, stream: &mut RunnerStream) -> Result<StreamItem, AttemptError> {
     loop {
--- a/crates/node/src/stream.rs
+++ b/crates/node/src/stream.rs
@@ -12,7 +12,6 @@
 use cottoncrank_platform::header;
 use hyper::Response;
 use hyper::header::CONTENT_LENGTH;
-use hyper::http::response;
 
 use crate::admission::query_collector;
 use crate::answer::{Answer, Body, Refusal};
@@ -20,32 +19,19 @@
 use crate::candidates::has_room;
 use crate::dispatch;
 use crate::in_flight::{LimitGuard, RequestGuard};
-use crate::plain;
+use crate::race::{self, Opened, Start};
 use crate::relay::{self, Source};
-use crate::runner_stream::{RunnerStream, StreamItem, read_first_events};
+use crate::runner_stream::StreamItem;
 use crate::state::Node;
 use crate::suspects::{record_answered, record_completed};
 use crate::throttle;
-use crate::tries::{Tries, refuse_suspect, start_next_attempt};
+use crate::tries::{Tries, refuse_suspect};
 
 /// A request waits at this node for at most the target latency of its first event divided by this.
 /// Slots become free every few milliseconds, and the runner needs the other four fifths of the
 /// time.
 const QUEUE_WAIT_DIVISOR: u64 = 5;
 
-/// A stream whose first events have been received.
-struct StartedStream {
-    head: response::Parts,
-    first: StreamItem,
-    stream: RunnerStream,
-}
-
-/// The answer of the first runner that gave one.
-enum FirstAnswer {
-    Stream(Box<StartedStream>),
-    Whole(Answer),
-}
-
 /// Runs a request. Returns the answer with the first event. A spawned task forwards the rest and
 /// holds `request_guard` until it ends.
 pub async fn run(node: &Arc<Node>, job: Arc<Job>, request_guard: RequestGuard) -> Result<Answer, Refusal> {
@@ -82,16 +68,21 @@
     })?;
     let mut tries = Tries::from_reply(reply);
     let assigned_at = node.now();
-    let opened = open_stream(node, &job, &mut tries).await;
-    if let (Ok(FirstAnswer::Stream(_)), [_], Some(assignment)) = (&opened, &tries.tried[..], tries.assignment)
-    {
+    let opened = race::open(node, &job, &mut tries, Start::AsAsked).await;
+    if let (Ok(Opened::Stream(_)), [_], Some(assignment)) = (&opened, tries.runs.tried(), tries.assignment) {
         dispatch::record_first_event(node, &job, assignment, node.now().since(assigned_at));
     }
     update_limit(node, &job, &tries, &limit_guard, opened.as_ref().err());
     let started = match opened? {
-        FirstAnswer::Stream(started) => started,
-        FirstAnswer::Whole(answer) => return Ok(answer),
+        Opened::Stream(started) => started,
+        Opened::Whole(answer) => {
+            record_completed(node, &job.fingerprint);
+            return Ok(answer);
+        }
     };
+    if matches!(started.first, StreamItem::End) && started.stream.has_end_mark {
+        record_answered(node, &job);
+    }
     let source = Source::new(node.clone(), job, tries, started.stream);
     let body = relay::start(started.first, source, (request_guard, limit_guard)).await;
     let mut answer = Response::new(Body::Stream(body));
@@ -111,12 +102,12 @@
 /// Logs a late first event, and raises or lowers the concurrency limit by whether it was in time. A
 /// request that met an unresponsive runner says nothing about the load of the others.
 fn update_limit(node: &Node, job: &Job, tries: &Tries, limit_guard: &LimitGuard, refusal: Option<&Refusal>) {
-    let first_try = tries.tried.len() == 1 && tries.possible_runs == 0;
+    let tried = tries.runs.tried();
     let waited = node.now().since(job.arrived);
     let in_time = waited <= job.route.target_latency;
     if refusal.is_none() && !in_time {
         let level = limit_guard.level();
-        let (runner, count) = (tries.tried.last().map_or("-", id::Runner::as_str), tries.tried.len());
+        let (runner, count) = (tried.last().map_or("-", id::Runner::as_str), tried.len());
         log::info!(
             "request {}: late: first event after {waited}, wanted within {}, try {count} at {runner}, limit {level:.0}",
             job.id(),
@@ -124,38 +115,10 @@
         );
     }
     match refusal {
-        None if first_try || tries.rejections > 0 => {
+        None if tried.len() == 1 || tries.rejections > 0 => {
             limit_guard.record_first_event(in_time && tries.rejections == 0)
         }
         Some(Refusal::NotRun) => limit_guard.record_first_event(false),
         _ => {}
     }
 }
-
-/// Tries runners until one sends its first event or a whole answer.
-async fn open_stream(node: &Arc<Node>, job: &Job, tries: &mut Tries) -> Result<FirstAnswer, Refusal> {
-    loop {
-        let last_event = job.terms.last_event_id;
-        let attempt = start_next_attempt(node, job, tries, last_event).await?;
-        if !attempt.response.status().is_success() {
-            match plain::read_answer(node, attempt).await {
-                Ok(answer) => {
-                    record_completed(node, &job.fingerprint);
-                    return Ok(FirstAnswer::Whole(answer));
-                }
-                Err(error) => tries.record_failure(node, job, &error).await,
-            }
-            continue;
-        }
-        let (head, mut stream) = RunnerStream::open(attempt, last_event);
-        match read_first_events(node, job, &mut stream).await {
-            Ok(first) => {
-                if matches!(first, StreamItem::End) && stream.has_end_mark {
-                    record_answered(node, job);
-                }
-                return Ok(FirstAnswer::Stream(Box::new(StartedStream { head, first, stream })));
-            }
-            Err(error) => tries.record_failure(node, job, &error).await,
-        }
-    }
-}
--- a/crates/node/src/telemetry.rs
+++ b/crates/node/src/telemetry.rs
@@ -226,6 +226,11 @@
     metrics::counter!("cottoncrank_streams_cut_total").increment(1);
 }
 
+/// Counts a try that was late and how it ended: `went_on`, `failed`, or `replaced` by another one.
+pub fn count_late_try(end: &'static str) {
+    metrics::counter!("cottoncrank_late_tries_total", "end" => end).increment(1);
+}
+
 /// Counts the body of a stream that ended at its caller's connection: `complete` if it has its last chunk,
 /// `cut` if the connection is closed without it. A caller that left before sees neither.
 pub fn count_stream_body(end: &'static str) {
