Probe connections to runners, so that what is gone without a word is found out

Since a silent runner is waited for, a request that may run once would have waited to its deadline for a box without power, a connection that is silent for good, or one behind a cut.

Cause: in a connection these look like a process that is paused. The kernel of a paused process answers keepalive probes, and nothing answers those to the others.

TCP_USER_TIMEOUT was weighed and not taken: it also ends a connection whose other side does not read for a while.

--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -15,6 +15,7 @@
 
 pub mod client;
 pub mod feed;
+pub mod keepalive;
 pub mod public;
 pub mod reach;
 pub mod server;
--- a/crates/net/src/reach.rs
+++ b/crates/net/src/reach.rs
@@ -11,6 +11,8 @@
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 
+use crate::keepalive;
+
 /// How a cut from all addresses shows in connections.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Block {
@@ -105,6 +107,11 @@
         self.stream.set_nodelay(nodelay)
     }
 
+    /// Lets the connection fail once the other side is gone, see [`keepalive`].
+    pub fn enable_keepalive(&self) -> io::Result<()> {
+        keepalive::enable(&self.stream)
+    }
+
     /// Returns what a read or a write yields because of a cut; `None` if it is not cut.
     fn poll_cut<T>(&self) -> Option<Poll<io::Result<T>>> {
         match self.reach.find_block(self.address) {
--- a/crates/node/src/connect.rs
+++ b/crates/node/src/connect.rs
@@ -103,7 +103,11 @@
 pub(crate) async fn connect_directly(node: Arc<Node>, target: Target) -> io::Result<Link> {
     let connecting = tokio::time::timeout(CONNECT_TIMEOUT.duration(), node.reach.connect(target.address));
     let connected = connecting.await.unwrap_or_else(|_| Err(ErrorKind::TimedOut.into()));
-    let connected = connected.and_then(|link| link.set_nodelay(true).map(|()| link));
+    let connected = connected.and_then(|link| {
+        link.set_nodelay(true)?;
+        link.enable_keepalive()?;
+        Ok(link)
+    });
     paths::record(&node, &target, find_outcome(connected.as_ref().err()));
     connected
 }
--- a/crates/node/src/tunnel.rs
+++ b/crates/node/src/tunnel.rs
@@ -13,6 +13,7 @@
 use bytes::Bytes;
 use cottoncrank::{Millis, id};
 use cottoncrank_fleet::directory::Peer;
+use cottoncrank_net::keepalive;
 use cottoncrank_net::reach::Link;
 use http_body_util::Empty;
 use hyper::body::Incoming;
@@ -96,6 +97,7 @@
 pub(crate) async fn open(peer: &Peer, target: &Target, lifetime: Millis) -> Result<Upgraded, TunnelError> {
     let stream = TcpStream::connect(peer.address).await?;
     stream.set_nodelay(true)?;
+    keepalive::enable(&stream)?;
     let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
     let address = peer.address;
     tokio::spawn(async move {
