Let a stopping node wait for callers that still read their answers

Cause: a request counts as in flight until its answer is made, or the last event of its stream is buffered, and nothing waited for what is still on its way to the caller. Evidence: cut only where neither the kernel nor the caller's buffer takes the whole answer.

Change: a stopping node waits for the connections on which callers have sent requests as well. Once it takes no more requests, only those with unwritten answers are open. It ends no later than before.

Killable moved to tests/common.

--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -2,7 +2,7 @@
 
 use std::convert::Infallible;
 use std::io;
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 
 use bytes::Bytes;
 use cottoncrank::Millis;
@@ -80,8 +80,10 @@
     let buffer = limits.map_or(MIN_BUFFER_BYTES, |limits| (2 * limits.max_head_bytes).max(MIN_BUFFER_BYTES));
     let mut closed = node.closed.subscribe();
     let (current_stream, mut streams) = watch::channel(None);
+    let in_use = OnceLock::new();
     let service = service_fn(|request: Request<Incoming>| {
         let (node, current_stream) = (node.clone(), &current_stream);
+        in_use.get_or_init(|| node.begin_use());
         async move {
             let mut answer = request::handle(node.clone(), request).await;
             if *node.draining.borrow() {
--- a/crates/node/src/in_flight.rs
+++ b/crates/node/src/in_flight.rs
@@ -17,6 +17,18 @@
         self.running.load(Ordering::Relaxed)
     }
 
+    /// Returns the number of open connections on which callers have sent requests. Once the node is closed
+    /// these are the ones whose answers are not written yet: all others are closed then.
+    pub fn used_connections(&self) -> usize {
+        self.used_connections.load(Ordering::Relaxed)
+    }
+
+    /// Counts a connection as used until the guard is dropped.
+    pub(crate) fn begin_use(self: &Arc<Self>) -> ConnectionGuard {
+        self.used_connections.fetch_add(1, Ordering::Relaxed);
+        ConnectionGuard(self.clone())
+    }
+
     /// Counts a request as in flight until the guard is dropped.
     pub fn begin_request(self: &Arc<Self>) -> RequestGuard {
         self.running.fetch_add(1, Ordering::Relaxed);
@@ -81,6 +93,15 @@
     }
 }
 
+/// Counts a connection as used until it is dropped.
+pub(crate) struct ConnectionGuard(Arc<Node>);
+
+impl Drop for ConnectionGuard {
+    fn drop(&mut self) {
+        self.0.used_connections.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 /// Counts a request against its concurrency limit until it is dropped.
 pub struct LimitGuard {
     node: Arc<Node>,
--- a/crates/node/src/start.rs
+++ b/crates/node/src/start.rs
@@ -65,17 +65,25 @@
 /// Drains the node before it stops.
 ///
 /// The node reports that it is not ready but accepts requests until the balancer must have noticed. Then
-/// it rejects new requests, which might not finish before the kill, and waits for those in flight and for
-/// the tunnels that it carries, as long as the grace period allows.
+/// it rejects new requests, which might not finish before the kill, and waits for those in flight, for
+/// callers that still read their answers, and for the tunnels that it carries, as long as the grace period
+/// allows.
 pub async fn drain(node: &Node) {
     let end = node.now() + (node.settings().bounds.grace - STOP_MARGIN);
     log::info!("node: received a stop signal, {} requests in flight", node.running());
     node.draining.send_replace(true);
     tokio::time::sleep(front::DRAIN_NOTICE.duration()).await;
     node.closed.send_replace(true);
-    while node.running() + node.carried_tunnels.count() > 0 && node.now() < end {
+    while is_in_use(node) && node.now() < end {
         tokio::time::sleep(POLL_INTERVAL.duration()).await;
     }
-    let carried = node.carried_tunnels.count();
-    log::info!("node: stops, {} requests under way, {carried} tunnels of other nodes", node.running());
+    let (connections, carried) = (node.used_connections(), node.carried_tunnels.count());
+    log::info!(
+        "node: stops, {} requests under way, {connections} connections of callers, {carried} tunnels of other nodes",
+        node.running()
+    );
+}
+
+fn is_in_use(node: &Node) -> bool {
+    node.running() + node.used_connections() + node.carried_tunnels.count() > 0
 }
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -188,6 +188,7 @@
     deciding: AtomicBool,
     pub(crate) serving: AtomicBool,
     pub(crate) running: AtomicUsize,
+    pub(crate) used_connections: AtomicUsize,
 }
 
 impl Node {
@@ -256,6 +257,7 @@
             deciding: AtomicBool::new(false),
             serving: AtomicBool::new(false),
             running: AtomicUsize::new(0),
+            used_connections: AtomicUsize::new(0),
         })
     }
 
--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -46,6 +46,24 @@
     pub plain: Vec<Runner>,
 }
 
+/// A node on threads of its own, which end with all of its connections when its runtime is shut down.
+pub struct Killable {
+    pub running: Running,
+    pub runtime: tokio::runtime::Runtime,
+}
+
+impl Killable {
+    /// Starts a node in the hall `hall-a`.
+    pub async fn start(fleet: &Fleet, number: usize) -> Killable {
+        let address = fleet.store.address();
+        let builder = || tokio::runtime::Builder::new_multi_thread().worker_threads(1).enable_all().build();
+        let runtime = builder().unwrap();
+        let running =
+            runtime.spawn(async move { start_node(address, number, "hall-a").await }).await.unwrap();
+        Killable { running, runtime }
+    }
+}
+
 /// The number of retries that a fleet may make per window, in addition to a share of all requests.
 const RETRY_SLACK: f64 = 100.0;
 
--- a/crates/node/tests/partition.rs
+++ b/crates/node/tests/partition.rs
@@ -6,7 +6,7 @@
 use std::time::Instant;
 
 use common::proxy::{self, Answerer};
-use common::{Fleet, KEY, Running, start_node};
+use common::{Fleet, KEY, Killable, Running};
 use cottoncrank::Millis;
 use cottoncrank_fleet::directory::{Millicores, Peer};
 use cottoncrank_net::reach::Block;
@@ -216,24 +216,10 @@
     assert!(failures.is_empty(), "{failures:#?}");
 }
 
-/// A node on threads of its own, which end with all of its connections when it is killed.
-struct Killable {
-    running: Running,
-    runtime: tokio::runtime::Runtime,
-}
-
-async fn start_killable(fleet: &Fleet, number: usize) -> Killable {
-    let address = fleet.store.address();
-    let builder = || tokio::runtime::Builder::new_multi_thread().worker_threads(1).enable_all().build();
-    let runtime = builder().unwrap();
-    let running = runtime.spawn(async move { start_node(address, number, "hall-a").await }).await.unwrap();
-    Killable { running, runtime }
-}
-
 #[tokio::test]
 async fn streams_go_on_when_the_node_that_carries_them_is_killed() {
     let mut fleet = start_fleet().await;
-    let killable = start_killable(&fleet, 7).await;
+    let killable = Killable::start(&fleet, 7).await;
     fleet.add_node().await;
     let last = fleet.nodes.len() - 1;
     let knows_all = |running: &Running| running.node.directory.lock().count() == 7;
@@ -276,7 +262,7 @@
 async fn an_answer_does_not_end_as_complete_when_the_node_that_carries_it_is_killed() {
     let mut fleet = start_fleet().await;
     proxy::put(&fleet, &fleet.plain, HalfAnswer).await;
-    let killable = start_killable(&fleet, 7).await;
+    let killable = Killable::start(&fleet, 7).await;
     fleet.add_node().await;
     let last = fleet.nodes.len() - 1;
     let knows_all = |running: &Running| running.node.directory.lock().count() == 7;
