Read the store anew where its changes are larger than one answer

Cause: a watch that is far behind gets more than 8 MiB, which failed like a connection that breaks and was asked for again from the same position, where the answer can only be larger; it ended as the store dropped its history. Evidence: with answers one byte larger than are read, and all else sound, nodes never catch up (30 s).

Change: CallError::TooLarge, and StoreError::TooManyChanges for a watch, which is met like a history that is gone: the changes come from a node that is further, or from a read of all items as they stand, which are pages.

--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -10,7 +10,7 @@
 use bytes::{Bytes, BytesMut};
 use cottoncrank::clock::System;
 use cottoncrank::{Clock, Millis};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_TYPE, HeaderMap};
 use hyper::{Method, Request, Response, StatusCode, Uri};
@@ -64,6 +64,12 @@
         /// The timeout of the call.
         timeout: Millis,
     },
+    /// The answer is larger than is read.
+    #[error("the answer of {address} is larger than {ANSWER_MAX} bytes")]
+    TooLarge {
+        /// The other side.
+        address: SocketAddr,
+    },
     /// The other side answered with an error status.
     #[error("{address} answered {status}")]
     Status {
@@ -370,6 +376,7 @@
 pub async fn read_all(address: SocketAddr, body: Incoming) -> Result<Bytes, CallError> {
     match Limited::new(body, ANSWER_MAX).collect().await {
         Ok(collected) => Ok(collected.to_bytes()),
+        Err(error) if error.is::<LengthLimitError>() => Err(CallError::TooLarge { address }),
         Err(error) => Err(CallError::Broken { address, reason: error.to_string() }),
     }
 }
--- a/crates/node/src/sync.rs
+++ b/crates/node/src/sync.rs
@@ -126,8 +126,8 @@
     node: Arc<Node>,
     client: Client,
     position: Option<Position>,
-    /// Whether the store has compacted the changes after `position`. A call to the store then reads
-    /// everything, but other nodes may still have these changes.
+    /// Whether the store has compacted the changes after `position`, or they are too large for one answer. A
+    /// call to the store then reads everything, but other nodes may still have these changes.
     history_compacted: bool,
     /// The latest position that was known here. An answer of another node must not be older, even if
     /// everything is read again.
@@ -251,7 +251,10 @@
                 let serving = !matches!(source, Source::Reader(_));
                 self.advance(update, serving, began).await;
             }
-            (Err(SyncError::Store(StoreError::Compacted)), _) => self.record_compaction(now),
+            (Err(SyncError::Store(error @ (StoreError::Compacted | StoreError::TooManyChanges))), _) => {
+                log::warn!("sync: {error}, now at {}", self.format_position());
+                self.record_compaction(now);
+            }
             (Err(SyncError::Store(error @ StoreError::Restored(_))), _) => {
                 log::warn!("sync: {error}; reading the whole store again, now at {}", self.format_position());
                 self.position = None;
@@ -287,11 +290,10 @@
         self.position.map_or("-".to_owned(), |position| position.to_string())
     }
 
-    /// Records that the store has compacted changes that this node lacks. The node still polls other
+    /// Records that the store no longer tells the changes that this node lacks. The node still polls other
     /// nodes from its own position. If all nodes read the whole store again at once, no other calls would
     /// get through.
     fn record_compaction(&mut self, now: Millis) {
-        log::warn!("sync: the store has compacted the changes after {}", self.format_position());
         self.history_compacted = true;
         let settings = self.node.settings();
         let directory = self.node.directory.lock();
