Take a crash account back where a late runner has gone on

A request was blamed for the end of a runner that had paused under it, gone on and completed it, and started again a second later for another reason. Three such blames refuse a request for good.

Cause: a try at a silent runner is kept as an interruption for 6 s; since silent runners are waited for it may go on, and nobody took the interruption back.

Change: a late try that goes on withdraws its interruption. A node of the tests is now killed when it is dropped (Killable).

--- a/crates/fleet/src/interruptions.rs
+++ b/crates/fleet/src/interruptions.rs
@@ -9,6 +9,7 @@
 use cottoncrank::{Millis, id};
 
 use crate::evidence::Row;
+use crate::fingerprint::Fingerprint;
 use crate::runner::{Incarnation, is_later};
 
 /// How long an interruption is kept. A crashed runner is back within seconds, so a crash found later
@@ -48,6 +49,12 @@
         self.0.push_back(interruption);
     }
 
+    /// Removes the interruption of a request at a runner that has gone on with it.
+    pub fn withdraw(&mut self, runner: &id::Runner, request: &Fingerprint) {
+        let is_of = |row: &Row| row.fingerprint == *request;
+        self.0.retain(|interruption| interruption.runner != *runner || !interruption.rows.iter().any(is_of));
+    }
+
     /// Removes and returns what broke off in earlier incarnations of a runner, which is now in this
     /// one.
     pub fn take_earlier(&mut self, runner: &id::Runner, incarnation: Incarnation, now: Millis) -> Vec<Row> {
--- a/crates/node/src/crash.rs
+++ b/crates/node/src/crash.rs
@@ -136,6 +136,11 @@
     node.interruptions.lock().record(Interruption { rows, runner, incarnation, address, at: node.now() });
 }
 
+/// Withdraws the interruption of an attempt that was late and has gone on. Its runner was paused.
+pub(crate) fn withdraw(node: &Node, job: &Job, pick: &Pick) {
+    node.interruptions.lock().withdraw(&pick.id, &job.fingerprint);
+}
+
 /// Returns the finding about the runner of an interrupted attempt, made once for all requests.
 async fn find_shared(node: &Arc<Node>, pick: &Pick) -> Finding {
     let shared = node.findings.lock().get_or_start(&pick.id, node.now());
--- a/crates/node/src/race.rs
+++ b/crates/node/src/race.rs
@@ -13,6 +13,7 @@
 
 use crate::answer::{Answer, Refusal};
 use crate::attempt::{AttemptError, Job, Pick, send};
+use crate::crash;
 use crate::paths;
 use crate::plain;
 use crate::runner_stream::{RunnerStream, SILENCE_TIMEOUT, StreamItem, read_next_events};
@@ -153,7 +154,7 @@
     loop {
         tokio::select! {
             biased;
-            (pick, outcome) = next_outcome(contenders) => match outcome {
+            (pick, outcome) = next_outcome(node, job, contenders) => match outcome {
                 Ok(opened) => return Begun::Opened(opened),
                 Err(error) => reports.push(Report::Failed(pick, error)),
             },
@@ -171,7 +172,7 @@
     let latest = contenders.last().filter(|latest| !latest.is_late).map(|latest| latest.pick.clone());
     let event = tokio::select! {
         biased;
-        (pick, outcome) = next_outcome(contenders) => match outcome {
+        (pick, outcome) = next_outcome(node, job, contenders) => match outcome {
             Ok(opened) => Event::Opened(opened),
             Err(error) => Event::Failed(pick, error),
         },
@@ -188,13 +189,15 @@
 
 /// Waits until one of the tries ends, and takes it out. Waits forever if there is none.
 async fn next_outcome<F: Future<Output = Result<Opened, AttemptError>>>(
+    node: &Node,
+    job: &Job,
     contenders: &mut Vec<Contender<F>>,
 ) -> (Pick, Result<Opened, AttemptError>) {
     std::future::poll_fn(|context| {
         for at in 0..contenders.len() {
             if let Poll::Ready(outcome) = contenders[at].opening.as_mut().poll(context) {
                 let ended = contenders.remove(at);
-                count_late(&ended, contenders, &outcome);
+                record_late_end(node, job, &ended, contenders, &outcome);
                 return Poll::Ready((ended.pick, outcome));
             }
         }
@@ -203,10 +206,23 @@
     .await
 }
 
-/// Counts how the late ones of the tries ended when this one did.
-fn count_late<F>(ended: &Contender<F>, others: &[Contender<F>], outcome: &Result<Opened, AttemptError>) {
+/// Records that a late try has gone on.
+pub(crate) fn record_went_on(node: &Node, job: &Job, pick: &Pick) {
+    telemetry::count_late_try("went_on");
+    log::info!("request {}: {} goes on", job.id(), pick.id);
+    crash::withdraw(node, job, pick);
+}
+
+/// Records how the late ones of the tries ended when this one did.
+fn record_late_end<F>(
+    node: &Node,
+    job: &Job,
+    ended: &Contender<F>,
+    others: &[Contender<F>],
+    outcome: &Result<Opened, AttemptError>,
+) {
     match outcome {
-        Ok(_) if ended.is_late => telemetry::count_late_try("went_on"),
+        Ok(_) if ended.is_late => record_went_on(node, job, &ended.pick),
         Ok(_) => {
             others.iter().filter(|other| other.is_late).for_each(|_| telemetry::count_late_try("replaced"))
         }
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -186,8 +186,7 @@
     async fn wait_beside(&mut self, late: &AttemptError) -> Result<StreamItem, Refusal> {
         match self.race(late).await {
             Raced::WentOn(item) => {
-                telemetry::count_late_try("went_on");
-                log::info!("request {}: {} goes on", self.job.id(), self.stream.pick.id);
+                race::record_went_on(&self.node, &self.job, &self.stream.pick);
                 Ok(item)
             }
             Raced::Resumed(opened) => {
--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -11,7 +11,7 @@
 use cottoncrank_fleet::directory::Millicores;
 use cottoncrank_fleet::retries::{Allowance, Bound, SETTLE_TIME};
 use cottoncrank_fleet::settings::{Bounds, Ceiling, Settings};
-use cottoncrank_node::start::{Listeners, start};
+use cottoncrank_node::start::{Listeners, drain, start};
 use cottoncrank_node::state::Node;
 use cottoncrank_platform_standin::caller::{Answer, send_request};
 use cottoncrank_platform_standin::operator::{ENGINES, PLAIN, config};
@@ -46,10 +46,10 @@
     pub plain: Vec<Runner>,
 }
 
-/// A node on threads of its own, which end with all of its connections when its runtime is shut down.
+/// A node on threads of its own, which end with all of its connections when it is killed or dropped.
 pub struct Killable {
     pub running: Running,
-    pub runtime: tokio::runtime::Runtime,
+    runtime: Option<tokio::runtime::Runtime>,
 }
 
 impl Killable {
@@ -60,7 +60,28 @@
         let runtime = builder().unwrap();
         let running =
             runtime.spawn(async move { start_node(address, number, "hall-a").await }).await.unwrap();
-        Killable { running, runtime }
+        Killable { running, runtime: Some(runtime) }
+    }
+
+    /// Stops the node as its program does on a signal: drains it and ends its process.
+    pub async fn stop(&mut self) {
+        let node = self.running.node.clone();
+        let runtime = self.runtime.as_ref().expect("the node is killed once");
+        runtime.spawn(async move { drain(&node).await }).await.unwrap();
+        self.kill();
+    }
+
+    /// Ends the process of the node.
+    pub fn kill(&mut self) {
+        if let Some(runtime) = self.runtime.take() {
+            runtime.shutdown_background();
+        }
+    }
+}
+
+impl Drop for Killable {
+    fn drop(&mut self) {
+        self.kill();
     }
 }
 
@@ -138,7 +159,7 @@
 
 /// Gives a node its share of the retries, as if the fleet had run for a while: one that has just started has
 /// none yet.
-fn settle_retries(node: &Node) {
+pub fn settle_retries(node: &Node) {
     let (count, bound) = (node.directory.lock().count(), read_retry_bound(node));
     let long_ago = node.now() - Millis(10 * (bound.window + SETTLE_TIME).0);
     let mut allowance = node.retry_allowance.lock();
--- a/crates/node/tests/partition.rs
+++ b/crates/node/tests/partition.rs
@@ -219,7 +219,7 @@
 #[tokio::test]
 async fn streams_go_on_when_the_node_that_carries_them_is_killed() {
     let mut fleet = start_fleet().await;
-    let killable = Killable::start(&fleet, 7).await;
+    let mut killable = Killable::start(&fleet, 7).await;
     fleet.add_node().await;
     let last = fleet.nodes.len() - 1;
     let knows_all = |running: &Running| running.node.directory.lock().count() == 7;
@@ -238,7 +238,7 @@
     let streams = start_streams(&fleet, last, 3).await;
     assert!(killable.running.node.carried_tunnels.count() >= 3);
     peers.into_iter().for_each(|peer| cut.directory.lock().insert(peer));
-    killable.runtime.shutdown_background();
+    killable.kill();
     assert_whole(streams).await;
     let failures = list_failures(&fleet, last, "after").await;
     assert!(failures.is_empty(), "{failures:#?}");
@@ -262,7 +262,7 @@
 async fn an_answer_does_not_end_as_complete_when_the_node_that_carries_it_is_killed() {
     let mut fleet = start_fleet().await;
     proxy::put(&fleet, &fleet.plain, HalfAnswer).await;
-    let killable = Killable::start(&fleet, 7).await;
+    let mut killable = Killable::start(&fleet, 7).await;
     fleet.add_node().await;
     let last = fleet.nodes.len() - 1;
     let knows_all = |running: &Running| running.node.directory.lock().count() == 7;
@@ -276,7 +276,7 @@
     fleet.wait("a tunnel is carried", carries).await;
     // The first half is on its way within this time.
     tokio::time::sleep(Millis(200).duration()).await;
-    killable.runtime.shutdown_background();
+    killable.kill();
     let answer = asking.await.unwrap().unwrap();
     assert_eq!(answer.status, 502, "{answer:?}");
 }
--- a/crates/node/tests/stopping.rs
+++ b/crates/node/tests/stopping.rs
@@ -10,7 +10,6 @@
 use common::proxy::{self, Answerer};
 use common::{Fleet, KEY, Killable};
 use cottoncrank::Millis;
-use cottoncrank_node::start::drain;
 use cottoncrank_platform_standin::caller::{Answer, CallerRequest, parse_answer};
 use cottoncrank_platform_standin::operator::{ONCE, STREAM};
 use cottoncrank_platform_standin::raw;
@@ -71,14 +70,13 @@
     let fleet = Fleet::serving(1).await;
     proxy::put(&fleet, fleet.plain.iter().chain(fleet.heads()), Large).await;
     for path in [ONCE, STREAM] {
-        let stopped = Killable::start(&fleet, 7).await;
+        let mut stopped = Killable::start(&fleet, 7).await;
         fleet.wait("the node is ready", |_| stopped.running.node.is_ready()).await;
         let asking = tokio::spawn(ask_slowly(stopped.running.callers, path));
         tokio::time::sleep(Millis(500).duration()).await;
-        let (node, began) = (stopped.running.node.clone(), Instant::now());
-        stopped.runtime.spawn(async move { drain(&node).await }).await.unwrap();
+        let began = Instant::now();
+        stopped.stop().await;
         let lasted = began.elapsed();
-        stopped.runtime.shutdown_background();
         let answer = asking.await.unwrap();
         assert_eq!(answer.status, 200, "{path}");
         assert!(
@@ -93,15 +91,14 @@
 #[tokio::test]
 async fn a_node_that_is_stopped_does_not_wait_for_idle_connections() {
     let fleet = Fleet::serving(1).await;
-    let stopped = Killable::start(&fleet, 7).await;
+    let mut stopped = Killable::start(&fleet, 7).await;
     fleet.wait("the node is ready", |_| stopped.running.node.is_ready()).await;
     let _unused = TcpStream::connect(stopped.running.callers).await.unwrap();
     let mut kept =
         cottoncrank_platform_standin::caller::Connection::open(stopped.running.callers).await.unwrap();
     assert_eq!(kept.send_request(ONCE, "r", KEY).await.status, 200);
-    let (node, began) = (stopped.running.node.clone(), Instant::now());
-    stopped.runtime.spawn(async move { drain(&node).await }).await.unwrap();
+    let began = Instant::now();
+    stopped.stop().await;
     let lasted = began.elapsed();
-    stopped.runtime.shutdown_background();
     assert!(lasted < Duration::from_millis(3500), "it took {lasted:?}");
 }
