Record a late runner on routes whose requests may run once, too

A runner that ended silently under a request that may run once, behind a connection that stayed open, counted against nobody; before silent runners were waited for its end was counted when it wrote its new incarnation.

Where no other runner may be tried, silence was not recorded at all.

Change: a stream is late on every route, and only another try beside it depends on the route.

--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -161,8 +161,7 @@
         );
     }
 
-    /// Reads the next events of the current runner, until it is late. The silence of a runner that alone may
-    /// run the request is no reason to do anything.
+    /// Reads the next events of the current runner, until it is late.
     async fn receive_events(&mut self) -> Result<StreamItem, Interruption> {
         let pick = self.stream.pick.clone();
         let is_repeatable = self.job.route.is_repeatable();
@@ -174,15 +173,15 @@
             () = pick.wait_lost(&self.node), if is_repeatable => {
                 Err(Interruption::Late(AttemptError::MayHaveRun("its group lost a member".to_owned())))
             }
-            () = tokio::time::sleep(SILENCE_TIMEOUT.duration()), if is_repeatable => {
+            () = tokio::time::sleep(SILENCE_TIMEOUT.duration()) => {
                 paths::record_failure(&self.node, &pick, None);
                 Err(Interruption::Late(AttemptError::Silent(format!("no event for {SILENCE_TIMEOUT}"))))
             }
         }
     }
 
-    /// Waits for the next events of the current runner, which is late, and tries others beside it. Takes
-    /// those that come first.
+    /// Waits for the next events of the current runner, which is late, and tries others beside it, if the
+    /// request may run again. Takes those that come first.
     async fn wait_beside(&mut self, late: &AttemptError) -> Result<StreamItem, Refusal> {
         match self.race(late).await {
             Raced::WentOn(item) => {
--- a/crates/node/tests/silent.rs
+++ b/crates/node/tests/silent.rs
@@ -13,7 +13,7 @@
 use cottoncrank_platform_standin::caller::{Answer, send_request_within};
 use cottoncrank_platform_standin::operator::{STREAM, config};
 use cottoncrank_platform_standin::raw;
-use cottoncrank_platform_standin::runner::{EVENTS_PER_STREAM, Fault};
+use cottoncrank_platform_standin::runner::{EVENTS_PER_STREAM, Fault, Runner};
 use serde_json::json;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
@@ -138,3 +138,22 @@
     asking.abort();
     fleet.wait("no request is in flight", |fleet| fleet.nodes[0].node.running() == 0).await;
 }
+
+/// Guards against ends of runners that count against nobody because their connections only fell silent.
+#[tokio::test]
+async fn a_silent_end_of_a_runner_counts_against_the_request_that_may_run_once() {
+    let fleet = start_fleet(false).await;
+    let heads: Vec<String> = fleet.heads().iter().map(|head| head.id().to_owned()).collect();
+    proxy::put(&fleet, fleet.heads(), Pausing { before: 3, pause: Duration::from_secs(60) }).await;
+    let callers = fleet.nodes[0].callers;
+    let asking =
+        tokio::spawn(async move { send_request_within(callers, STREAM, "r", KEY, DEADLINE_MS).await });
+    tokio::time::sleep(PAUSE).await;
+    // The proxies keep the connection open.
+    fleet.engines.iter().filter(|engine| heads.contains(&engine.id().to_owned())).for_each(Runner::restart);
+    let is_blamed = |fleet: &Fleet| {
+        fleet.nodes[0].node.suspects.lock().iter().any(|row| row.route == "stream" && !row.crashes.is_empty())
+    };
+    fleet.wait("the request is suspected", is_blamed).await;
+    asking.abort();
+}
