Close connections whose callers take nothing of an answer

A caller that read nothing of a whole answer, or of the end of a complete stream, held the connection, its task and up to 4 MB for as long as it liked, and a stopping node up to the end of its grace period. In the product's own programs it held the place of its request as well.

Cause: nothing bounded the writing of an answer that is complete.

Change: a connection fails once its caller has taken nothing for as long as it may be idle by the configuration, or for 10 s in the product's own server. The kernel counts it, so slow readers are not concerned.

--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -20,6 +20,7 @@
 use xitca_web::{App, WebContext};
 
 use crate::feed::{self, Cut};
+use crate::keepalive;
 
 pub use xitca_web::http::header;
 pub use xitca_web::http::{HeaderMap, Method as Verb, StatusCode as Status};
@@ -90,6 +91,10 @@
 /// that a client never writes to a connection that the server is closing.
 const KEEP_ALIVE: Millis = Millis(60_000);
 
+/// How long a caller may take nothing of an answer before its connection is closed. The answer would
+/// otherwise be held for good, and with it what its request holds.
+pub const UNREAD_TIMEOUT: Millis = Millis(10_000);
+
 /// Serves `service` on `listener` with `workers` threads until stopped.
 pub fn serve<S: Service>(listener: TcpListener, workers: usize, service: Arc<S>) -> io::Result<Server> {
     serve_many(vec![listener], workers, service)
@@ -112,6 +117,7 @@
         app.serve().worker_threads(workers).keep_alive_timeout(KEEP_ALIVE.duration()).disable_signal();
     for listener in listeners {
         listener.set_nonblocking(true)?;
+        keepalive::limit_unread(&listener, UNREAD_TIMEOUT)?;
         server = server.listen(listener)?;
     }
     let mut running = server.run();
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -8,7 +8,7 @@
 
 use bytes::Bytes;
 use cottoncrank::Millis;
-use cottoncrank_net::feed;
+use cottoncrank_net::{feed, keepalive};
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HeaderValue};
 use hyper::server::conn::http1;
@@ -99,11 +99,12 @@
 }
 
 async fn serve_caller(node: Arc<Node>, stream: TcpStream) {
-    if let Err(error) = stream.set_nodelay(true) {
-        log::debug!("front: {error}");
-    }
     let limits = node.catalog.lock().as_ref().map(|catalog| catalog.limits);
     let idle = limits.map_or(DEFAULT_IDLE_TIMEOUT, |limits| limits.idle_timeout);
+    // A caller that reads nothing would otherwise hold its connection and its answer for good.
+    if let Err(error) = stream.set_nodelay(true).and_then(|()| keepalive::limit_unread(&stream, idle)) {
+        log::debug!("front: {error}");
+    }
     let buffer = limits.map_or(MIN_BUFFER_BYTES, |limits| (2 * limits.max_head_bytes).max(MIN_BUFFER_BYTES));
     let mut closed = node.closed.subscribe();
     let (current_stream, mut streams) = watch::channel(None);
--- a/crates/node/tests/slow_callers.rs
+++ b/crates/node/tests/slow_callers.rs
@@ -6,13 +6,15 @@
 
 mod common;
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use common::proxy::{self, Answerer};
 use common::{Fleet, KEY};
 use cottoncrank_platform_standin::caller::{CallerRequest, read_to_end};
-use cottoncrank_platform_standin::operator::STREAM;
+use cottoncrank_platform_standin::operator::{READ, STREAM, config};
 use cottoncrank_platform_standin::raw;
+use serde_json::json;
+use socket2::SockRef;
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpSocket, TcpStream};
 
@@ -25,6 +27,12 @@
 /// The receive buffer of a caller, in bytes.
 const RECEIVE_BUFFER: u32 = 8192;
 
+/// The segments of a caller, in bytes. With larger ones the kernel buffers more than an answer.
+const SEGMENT: u32 = 1448;
+
+/// How long a connection may be idle where a test sets it, in milliseconds.
+const IDLE_MS: u64 = 2000;
+
 /// A stream larger than all buffers on its way.
 #[derive(Clone)]
 struct LargeStream;
@@ -46,6 +54,21 @@
     }
 }
 
+/// A plain answer larger than all buffers on its way, and smaller than a node reads.
+#[derive(Clone)]
+struct LargeAnswer;
+
+const ANSWER_BYTES: usize = 4_000_000;
+
+impl Answerer for LargeAnswer {
+    async fn answer(&self, mut stream: TcpStream, request: String) {
+        let id = raw::find_request_id(&request).unwrap_or_default();
+        let body = raw::format_chunk(&"x".repeat(ANSWER_BYTES)) + &raw::format_chunk("");
+        // It fails once the node has closed the connection.
+        let _ = stream.write_all((raw::format_chunked_head(&id) + &body).as_bytes()).await;
+    }
+}
+
 /// Starts a fleet of one node whose streams are large.
 async fn start_fleet() -> Fleet {
     let fleet = Fleet::serving(1).await;
@@ -54,18 +77,12 @@
 }
 
 /// Sends a request, and returns its connection unread.
-async fn send(fleet: &Fleet, request: &str) -> TcpStream {
+async fn send(fleet: &Fleet, path: &str, request: &str, deadline_ms: u64) -> TcpStream {
     let socket = TcpSocket::new_v4().unwrap();
     socket.set_recv_buffer_size(RECEIVE_BUFFER).unwrap();
+    SockRef::from(&socket).set_tcp_mss(SEGMENT).unwrap();
     let mut stream = socket.connect(fleet.nodes[0].callers).await.unwrap();
-    let request = CallerRequest {
-        path: STREAM,
-        request,
-        key: KEY,
-        deadline_ms: DEADLINE_MS,
-        body: request,
-        prompt: "",
-    };
+    let request = CallerRequest { path, request, key: KEY, deadline_ms, body: request, prompt: "" };
     stream.write_all(request.format().as_bytes()).await.unwrap();
     stream
 }
@@ -75,7 +92,7 @@
 async fn a_stream_that_is_cut_while_its_caller_is_slow_does_not_end_as_complete() {
     let fleet = start_fleet().await;
     for pause in [Duration::ZERO, WORD_TIME] {
-        let mut stream = send(&fleet, &format!("r-{pause:?}")).await;
+        let mut stream = send(&fleet, STREAM, &format!("r-{pause:?}"), DEADLINE_MS).await;
         tokio::time::sleep(Duration::from_millis(DEADLINE_MS) + pause).await;
         let answer = read_to_end(&mut stream).await;
         let events = answer.events();
@@ -90,7 +107,7 @@
 #[tokio::test]
 async fn a_caller_that_reads_nothing_is_told_of_a_cut() {
     let fleet = start_fleet().await;
-    let mut stream = send(&fleet, "r").await;
+    let mut stream = send(&fleet, STREAM, "r", DEADLINE_MS).await;
     tokio::time::sleep(Duration::from_millis(DEADLINE_MS) + WORD_TIME).await;
     // The first write meets the closed connection, which answers with a reset; the second one meets that.
     let _ = stream.write_all(b"x").await;
@@ -98,3 +115,22 @@
     assert!(stream.write_all(b"x").await.is_err(), "the connection is open");
     assert_eq!(fleet.nodes[0].node.running(), 0);
 }
+
+/// Guards against callers that read nothing of an answer and hold their connection and its memory for good.
+#[tokio::test]
+async fn a_caller_that_reads_nothing_does_not_hold_its_connection_for_good() {
+    let fleet = Fleet::serving(1).await;
+    let mut config = config(2, &[KEY]);
+    config["limits"]["idleTimeoutMs"] = json!(IDLE_MS);
+    fleet.store.configure(&config);
+    fleet.wait("the node knows the limits", |fleet| fleet.know_version(2)).await;
+    proxy::put(&fleet, &fleet.plain, LargeAnswer).await;
+    let stream = send(&fleet, READ, "r", 5000).await;
+    let node = fleet.nodes[0].node.clone();
+    fleet.wait("the answer is being written", |_| node.used_connections() == 1 && node.running() == 0).await;
+    let began = Instant::now();
+    fleet.wait("the connection is closed", |_| node.used_connections() == 0).await;
+    let took = began.elapsed();
+    assert!(took < 2 * Duration::from_millis(IDLE_MS), "it took {took:?}");
+    drop(stream);
+}
