Refuse streams to callers of HTTP/1.0

Such a caller got a stream with neither a length nor chunks, and could not tell a cut one from a complete one.

Cause: the last chunk shows that a stream is complete, and HTTP/1.0 has no chunks.

Change: 505 before a runner is asked; whole answers, which have a length, are served as before.

--- a/crates/node/src/answer.rs
+++ b/crates/node/src/answer.rs
@@ -79,6 +79,9 @@
     /// The key belongs to no account.
     #[error("unknown key")]
     UnknownKey,
+    /// The answer would be a stream without chunks, which cannot be told from a cut one.
+    #[error("a stream needs HTTP/1.1")]
+    Version,
     /// The body is larger than allowed.
     #[error("the body is too large")]
     TooLarge,
@@ -169,6 +172,7 @@
         match self {
             Refusal::NoRoute => StatusCode::NOT_FOUND,
             Refusal::UnknownKey => StatusCode::UNAUTHORIZED,
+            Refusal::Version => StatusCode::HTTP_VERSION_NOT_SUPPORTED,
             Refusal::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             // Callers do not retry after this status.
             Refusal::BrokenBody | Refusal::Deadly => StatusCode::BAD_REQUEST,
@@ -190,6 +194,7 @@
         match self {
             Refusal::NoRoute => "no_route",
             Refusal::UnknownKey => "key",
+            Refusal::Version => "version",
             Refusal::TooLarge => "too_large",
             Refusal::BrokenBody => "body",
             Refusal::StaleConfig => "unsure",
--- a/crates/node/src/request.rs
+++ b/crates/node/src/request.rs
@@ -8,10 +8,10 @@
 use cottoncrank_fleet::fingerprint::{self, Fingerprint};
 use cottoncrank_platform::header::{self, RequestMetadata};
 use http_body_util::{BodyExt, Limited};
-use hyper::Request;
 use hyper::body::Incoming;
 use hyper::header::HOST;
 use hyper::http::request::Parts;
+use hyper::{Request, Version};
 use rand::Rng;
 
 use crate::answer::{Answer, Refusal};
@@ -105,6 +105,9 @@
     let catalog = node.catalog.lock().clone().ok_or(Refusal::StaleConfig)?;
     let body = read_body(body, catalog.limits.max_body_bytes).await?;
     let route = find_route(&catalog, &head).map_err(|refusal| replace_if_stale(node, refusal))?;
+    if route.kind == Kind::Stream && head.version < Version::HTTP_11 {
+        return Err(Refusal::Version);
+    }
     let account = match route.allow_anonymous || !catalog.has_accounts() {
         true => None,
         false => {
--- a/crates/node/tests/requests.rs
+++ b/crates/node/tests/requests.rs
@@ -10,10 +10,14 @@
 use cottoncrank_fleet::settings::Settings;
 use cottoncrank_node::answer::Refusal;
 use cottoncrank_node::state::Node;
-use cottoncrank_platform_standin::caller::{DEFAULT_DEADLINE_MS, is_ready, send_request_within};
+use cottoncrank_platform_standin::caller::{
+    CallerRequest, DEFAULT_DEADLINE_MS, is_ready, read_to_end, send_request_within,
+};
 use cottoncrank_platform_standin::operator::{ENGINES, ONCE, READ, STREAM, config};
 use cottoncrank_platform_standin::runner::{EVENTS_PER_STREAM, Fault};
 use cottoncrank_platform_standin::store;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
 
 fn all_events() -> Vec<u64> {
     (0..EVENTS_PER_STREAM).collect()
@@ -391,3 +395,20 @@
     }
     drop(attempts);
 }
+
+/// Guards against cut streams that look complete, because their end is the end of the connection.
+#[tokio::test]
+async fn a_stream_is_refused_to_a_caller_whose_protocol_cannot_show_a_cut() {
+    let fleet = Fleet::serving(1).await;
+    let request = |path| {
+        let (request, deadline_ms) = (path, DEFAULT_DEADLINE_MS);
+        CallerRequest { path, request, key: KEY, deadline_ms, body: "", prompt: "" }.format()
+    };
+    for (path, status) in [(STREAM, 505), (READ, 200)] {
+        let mut stream = TcpStream::connect(fleet.nodes[0].callers).await.unwrap();
+        let request = request(path).replace("HTTP/1.1", "HTTP/1.0");
+        stream.write_all(request.as_bytes()).await.unwrap();
+        let answer = read_to_end(&mut stream).await;
+        assert_eq!((answer.status, answer.complete), (status, true), "{path}: {answer:?}");
+    }
+}
