--- a/crates/fleet/tests/deadly.rs
+++ b/crates/fleet/tests/deadly.rs
@@ -1,5 +1,5 @@
 //! How many runners a deadly request crashes until all nodes quarantine it, and how many harmless
-//! requests suffer, in a simulated fleet. The bench `outbreak` prints the results for more policies and
+//! requests suffer, in a simulated fleet. `benches/outbreak.rs` prints the results for more policies and
 //! seeds.
 
 mod outbreak;
