--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -21,6 +21,7 @@
 //!   other halls, and answers those that it receives.
 //! - [`feedback`] adds to the reports what runners announced about themselves in answers.
 //! - [`in_flight`] counts the requests in flight at this node and limits their concurrency.
+//! - `group_load` sums up what this node has in flight at each group, and which groups it doubts.
 //! - `denylist` lists nodes that did not answer and are not called for a while.
 //!
 //! # Deciding
@@ -84,6 +85,7 @@
 pub mod feed;
 pub mod feedback;
 pub mod front;
+mod group_load;
 pub mod in_flight;
 mod invalid_items;
 pub mod log;
