Give each fleet of the soak addresses of its own

README's second command was red once in a fresh clone (572 passed, 1 failed): a node of a_short_run_with_a_hall_that_comes_back_cold ended by itself. Its log says "start: Address already in use".

Cause: all fleets of the soak gave their nodes the same addresses, and a port was chosen by opening and closing it; a fleet of another test at the same time took it before the node did. No fault of the node.

Change: each fleet has a network of its own on loopback, by its process and its number, and its three ports a node are held open until all are chosen.

--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -5,6 +5,7 @@
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Instant;
 
 use cottoncrank::Millis;
@@ -88,10 +89,42 @@
     /// Whether its runners start cold.
     pub cold: bool,
     program: PathBuf,
+    network: Network,
 }
 
-fn find_port(ip: IpAddr) -> io::Result<u16> {
-    Ok(TcpListener::bind((ip, 0))?.local_addr()?.port())
+/// The fleets that this process has started.
+static FLEETS: AtomicU32 = AtomicU32::new(0);
+
+/// The third part of the addresses that a fleet has to itself: room for 1,000 nodes.
+const NETWORKS_PER_FLEET: u32 = 4;
+
+/// The addresses of the nodes of a fleet. Other fleets at the same time, of this process or others, have
+/// others: they could take a port between its choice and the start of the node.
+#[derive(Clone, Copy, Debug)]
+struct Network {
+    second: u8,
+    third: u32,
+}
+
+impl Network {
+    fn claim() -> Network {
+        let fleet = FLEETS.fetch_add(1, Ordering::Relaxed);
+        // 127.0 and 127.1 are left to others.
+        Network { second: (2 + std::process::id() % 250) as u8, third: NETWORKS_PER_FLEET * fleet }
+    }
+
+    /// Returns the address of a node. Each has one of its own, as on the platform.
+    fn address(&self, number: usize) -> IpAddr {
+        let third = (self.third as usize + number / 250) % 256;
+        IpAddr::V4(Ipv4Addr::new(127, self.second, third as u8, (number % 250 + 1) as u8))
+    }
+}
+
+/// Finds three free ports, which all differ.
+fn find_ports(ip: IpAddr) -> io::Result<[SocketAddr; 3]> {
+    let listeners = [TcpListener::bind((ip, 0))?, TcpListener::bind((ip, 0))?, TcpListener::bind((ip, 0))?];
+    let [callers, ready, peers] = listeners;
+    Ok([callers.local_addr()?, ready.local_addr()?, peers.local_addr()?])
 }
 
 fn name_hall(number: usize) -> &'static str {
@@ -125,6 +158,7 @@
             keys: Vec::new(),
             cold,
             program: find_program()?,
+            network: Network::claim(),
         };
         for number in 0..engines {
             let domain = format!("d{}", number / DOMAIN);
@@ -159,16 +193,14 @@
     }
 
     async fn lay_node(&self, number: usize, folder: &Path) -> io::Result<Node> {
-        // Each node has an address of its own, as on the platform.
-        let ip = IpAddr::V4(Ipv4Addr::new(127, 1, (number / 250) as u8, (number % 250 + 1) as u8));
+        let [callers, ready, peers] = find_ports(self.network.address(number))?;
         let store = Proxy::start(self.store.address()).await?;
-        let callers = SocketAddr::new(ip, find_port(ip)?);
         let settings = Settings {
             node: format!("node-{number}"),
             hall: name_hall(number).to_owned(),
             callers,
-            ready: SocketAddr::new(ip, find_port(ip)?),
-            peers: SocketAddr::new(ip, find_port(ip)?),
+            ready,
+            peers,
             store: store.address(),
             revoke_ms: REVOKE_MS,
             grace_s: GRACE_S,
