Keep the group of a runner that pauses for two seconds

Callers saw streams cut because a process paused: after 1.6 s of silence of one member the decider had the whole group taken apart, and its head cut the streams of all callers, who wait for the next event for two seconds and more.

Cause: a runner counted as silent after four probes without an answer, about 1.5 s. That was meant for pauses of a second; the callers' own wait was not allowed for.

Evidence: the new test pauses a member for 1.6 s and 1.9 s, each begun at three offsets to the rounds of probes. It failed before at once (another group after 1.6 s, turn 0), and passes.

Change: six probes, 2.4 s and more. A process that refuses, a box out of reach and another runner at the address are found out without them, as before.

--- a/crates/fleet/src/probe.rs
+++ b/crates/fleet/src/probe.rs
@@ -10,9 +10,9 @@
 pub const MIN_PROBES: u32 = 2;
 
 /// The number of consecutive probes without an answer after which a runner counts as silent that takes
-/// connections. A sound one may pause for a second; with the timeouts and the pause between rounds these
-/// probes take longer.
-pub const MIN_MISSES: u32 = 4;
+/// connections. A sound one may pause, and callers wait at least two seconds for the next event; with the
+/// timeouts and the pause between rounds these probes take longer.
+pub const MIN_MISSES: u32 = 6;
 
 /// If more than this fraction of a data hall is silent at once, the network path there is taken to
 /// be cut, and nothing is concluded about its runners. A whole fabric domain, half of a present
--- a/crates/node/tests/requests.rs
+++ b/crates/node/tests/requests.rs
@@ -150,6 +150,25 @@
     assert_eq!(head.membership(), place);
 }
 
+/// Guards against groups that are taken apart, and streams that are cut with them, because a process pauses.
+#[tokio::test]
+async fn the_group_of_a_member_that_pauses_for_nearly_two_seconds_stands() {
+    for pause in [Millis(1600), Millis(1900)] {
+        for turn in 0..3 {
+            let fleet = Fleet::serving(1).await;
+            let head = fleet.heads()[0];
+            let place = head.membership();
+            // The pauses begin at different times of a round of probes.
+            tokio::time::sleep(Millis(turn * 300).duration()).await;
+            head.set_fault(Fault::Unresponsive);
+            tokio::time::sleep(pause.duration()).await;
+            head.set_fault(Fault::None);
+            tokio::time::sleep(PAUSE.duration()).await;
+            assert_eq!(head.membership(), place, "after {pause}, turn {turn}");
+        }
+    }
+}
+
 #[tokio::test]
 async fn a_draining_member_closes_its_group_and_receives_no_new_requests() {
     let fleet = Fleet::serving(1).await;
