Close idle connections by the limits in force, not by those of their begin

Callers saw: nothing yet; a test of ours shows that a node closed a connection 1 s after its last answer although the configuration had allowed 15 s since, so that a request sent at that moment gets no answer.

Cause: the idle limit was handed to the server once, when a connection began.

Change: the node times the rest of each connection itself (idle.rs) by the limit in force when the time is over. The connection is polled first, so a request that has arrived is read before its connection is closed, also at a stop.

--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -19,13 +19,11 @@
 use tokio::sync::watch;
 
 use crate::answer::{Answer, Body};
+use crate::idle::{self, Idle};
 use crate::request;
 use crate::state::Node;
 use crate::telemetry;
 
-/// How long a connection may be idle before a configuration is known.
-const DEFAULT_IDLE_TIMEOUT: Millis = Millis(15_000);
-
 /// The smallest read buffer of a connection, in bytes: room for a head and a part of a body.
 const MIN_BUFFER_BYTES: usize = 32 * 1024;
 
@@ -100,41 +98,53 @@
 
 async fn serve_caller(node: Arc<Node>, stream: TcpStream) {
     let limits = node.catalog.lock().as_ref().map(|catalog| catalog.limits);
-    let idle = limits.map_or(DEFAULT_IDLE_TIMEOUT, |limits| limits.idle_timeout);
     // A caller that reads nothing would otherwise hold its connection and its answer for good.
-    if let Err(error) = stream.set_nodelay(true).and_then(|()| keepalive::limit_unread(&stream, idle)) {
+    let prepared =
+        stream.set_nodelay(true).and_then(|()| keepalive::limit_unread(&stream, idle::timeout(&node)));
+    if let Err(error) = prepared {
         log::debug!("front: {error}");
     }
     let buffer = limits.map_or(MIN_BUFFER_BYTES, |limits| (2 * limits.max_head_bytes).max(MIN_BUFFER_BYTES));
     let mut closed = node.closed.subscribe();
     let (current_stream, mut streams) = watch::channel(None);
-    let in_use = OnceLock::new();
+    let (in_use, idle) = (OnceLock::new(), Idle::new(node.clone()));
     let service = service_fn(|request: Request<Incoming>| {
         let (node, current_stream) = (node.clone(), &current_stream);
         in_use.get_or_init(|| node.begin_use());
+        let busy = idle.begin_request();
         async move {
             let mut answer = request::handle(node.clone(), request).await;
             if *node.draining.borrow() {
                 answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
             }
             current_stream.send_replace(answer.body().watch());
-            Ok::<Answer, Infallible>(answer)
+            Ok::<_, Infallible>(busy.hold(answer))
         }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
-        .header_read_timeout(idle.duration())
+        // `idle` limits the time until a head is read.
+        .header_read_timeout(None)
         .max_buf_size(buffer)
         .serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
     let mut is_closing = false;
     let outcome = loop {
         tokio::select! {
+            // A request that has arrived is read before its connection is closed.
+            biased;
             outcome = &mut connection => break outcome,
             () = wait_closed(&mut closed), if !is_closing => {
                 is_closing = true;
                 connection.as_mut().graceful_shutdown();
             }
+            () = idle.wait_expired(), if !is_closing => {
+                if in_use.get().is_none() {
+                    break Ok(());
+                }
+                is_closing = true;
+                connection.as_mut().graceful_shutdown();
+            }
             () = wait_cut(&mut streams) => {
                 let rest = tokio::time::timeout(CUT_READ_TIME.duration(), &mut connection);
                 break rest.await.unwrap_or_else(|_| {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -32,7 +32,7 @@
 //! # Serving callers
 //!
 //! - [`front`] listens for callers and for the balancer, [`request`] admits and routes requests, and
-//!   [`answer`] builds the answers and refusals.
+//!   [`answer`] builds the answers and refusals. `idle` limits how long a caller's connection may be idle.
 //! - [`plain`] serves requests with a whole answer. [`stream`] serves streams: `tries` picks one runner
 //!   after another, `race` tries them, also beside those that are late, `runner_stream` reads the events of
 //!   one attempt, and `relay` forwards them to the caller.
@@ -86,6 +86,7 @@
 pub mod feedback;
 pub mod front;
 mod group_load;
+mod idle;
 pub mod in_flight;
 mod invalid_items;
 pub mod log;
--- a/crates/node/tests/slow_callers.rs
+++ b/crates/node/tests/slow_callers.rs
@@ -10,12 +10,12 @@
 
 use common::proxy::{self, Answerer};
 use common::{Fleet, KEY};
-use cottoncrank_platform_standin::caller::{CallerRequest, read_to_end};
+use cottoncrank_platform_standin::caller::{CallerRequest, parse_answer, read_to_end};
 use cottoncrank_platform_standin::operator::{READ, STREAM, config};
 use cottoncrank_platform_standin::raw;
 use serde_json::json;
 use socket2::SockRef;
-use tokio::io::AsyncWriteExt;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpSocket, TcpStream};
 
 /// How long callers wait, in milliseconds.
@@ -69,6 +69,37 @@
     }
 }
 
+/// An answer that a slow caller reads for longer than a connection may be idle.
+#[derive(Clone)]
+struct Sized;
+
+const SIZED_BYTES: usize = 4_000_000;
+
+/// The events of such an answer.
+const SIZED_EVENTS: usize = 40;
+
+/// How long the caller takes for it, in milliseconds.
+const READ_TIME_MS: u64 = 5 * IDLE_MS;
+
+impl Answerer for Sized {
+    async fn answer(&self, mut stream: TcpStream, request: String) {
+        let id = raw::find_request_id(&request).unwrap_or_default();
+        let data = "x".repeat(SIZED_BYTES / SIZED_EVENTS);
+        let events = (0..SIZED_EVENTS).map(|id| raw::format_chunk(&format!("id: {id}\ndata: {data}\n\n")));
+        let message = raw::format_chunked_head(&id) + &events.collect::<String>() + &raw::format_chunk("");
+        // It fails if the node has closed the connection, which the caller's answer shows.
+        let _ = stream.write_all(message.as_bytes()).await;
+    }
+}
+
+/// Limits how long connections may be idle.
+async fn limit_idle(fleet: &Fleet) {
+    let mut config = config(2, &[KEY]);
+    config["limits"]["idleTimeoutMs"] = json!(IDLE_MS);
+    fleet.store.configure(&config);
+    fleet.wait("the node knows the limits", |fleet| fleet.know_version(2)).await;
+}
+
 /// Starts a fleet of one node whose streams are large.
 async fn start_fleet() -> Fleet {
     let fleet = Fleet::serving(1).await;
@@ -76,12 +107,17 @@
     fleet
 }
 
-/// Sends a request, and returns its connection unread.
-async fn send(fleet: &Fleet, path: &str, request: &str, deadline_ms: u64) -> TcpStream {
+/// Connects to the node with small buffers.
+async fn connect(fleet: &Fleet) -> TcpStream {
     let socket = TcpSocket::new_v4().unwrap();
     socket.set_recv_buffer_size(RECEIVE_BUFFER).unwrap();
     SockRef::from(&socket).set_tcp_mss(SEGMENT).unwrap();
-    let mut stream = socket.connect(fleet.nodes[0].callers).await.unwrap();
+    socket.connect(fleet.nodes[0].callers).await.unwrap()
+}
+
+/// Sends a request, and returns its connection unread.
+async fn send(fleet: &Fleet, path: &str, request: &str, deadline_ms: u64) -> TcpStream {
+    let mut stream = connect(fleet).await;
     let request = CallerRequest { path, request, key: KEY, deadline_ms, body: request, prompt: "" };
     stream.write_all(request.format().as_bytes()).await.unwrap();
     stream
@@ -120,10 +156,7 @@
 #[tokio::test]
 async fn a_caller_that_reads_nothing_does_not_hold_its_connection_for_good() {
     let fleet = Fleet::serving(1).await;
-    let mut config = config(2, &[KEY]);
-    config["limits"]["idleTimeoutMs"] = json!(IDLE_MS);
-    fleet.store.configure(&config);
-    fleet.wait("the node knows the limits", |fleet| fleet.know_version(2)).await;
+    limit_idle(&fleet).await;
     proxy::put(&fleet, &fleet.plain, LargeAnswer).await;
     let stream = send(&fleet, READ, "r", 5000).await;
     let node = fleet.nodes[0].node.clone();
@@ -134,3 +167,36 @@
     assert!(took < 2 * Duration::from_millis(IDLE_MS), "it took {took:?}");
     drop(stream);
 }
+
+/// Guards against answers that are cut off at the idle limit while their callers read them, so that a whole
+/// request gets no whole answer where a configuration shortens that limit.
+#[tokio::test]
+async fn an_answer_that_is_read_for_longer_than_a_connection_may_be_idle_is_whole() {
+    let fleet = Fleet::serving(1).await;
+    limit_idle(&fleet).await;
+    proxy::put(&fleet, fleet.plain.iter().chain(fleet.heads()), Sized).await;
+    let read_slowly = async |path| {
+        let mut stream = connect(&fleet).await;
+        let request = CallerRequest {
+            path,
+            request: "r",
+            key: KEY,
+            deadline_ms: 2 * READ_TIME_MS,
+            body: "r",
+            prompt: "",
+        };
+        let kept_alive = request.format().replace("Connection: close\r\n", "");
+        stream.write_all(kept_alive.as_bytes()).await.unwrap();
+        let (mut bytes, mut buffer) = (Vec::new(), vec![0; SIZED_BYTES / 50]);
+        // The node closes the connection once it has been idle for too long.
+        while let Ok(read @ 1..) = stream.read(&mut buffer).await {
+            bytes.extend_from_slice(&buffer[..read]);
+            let pause = READ_TIME_MS * read as u64 / SIZED_BYTES as u64;
+            tokio::time::sleep(Duration::from_millis(pause)).await;
+        }
+        let answer = parse_answer(&String::from_utf8_lossy(&bytes));
+        let read = bytes.len();
+        assert!(answer.complete, "{path}: {read} bytes of an answer of {SIZED_BYTES}");
+    };
+    tokio::join!(read_slowly(READ), read_slowly(STREAM));
+}
