Give up a runner that sends more than any answer has

Callers saw, in tests of ours: where a runner sends status 100 or the zeros of a chunk's size without end, the word that they get no answer only at their deadline (6.0 s of 6 s), and events without an id forwarded until then. Reports were read as far as 250 ms allow (24 MB from one runner, and all are asked at once).

Cause: each part of a message was bounded by itself, some by nobody.

Change: all bytes of a connection to a runner count (net::allowance), until the head of the answer is complete, and then as far as an answer or the next event of a stream may go. Connections kept for reports and orders count from what was sent last. Such a try is no broken connection: neither the request nor the box that carried it is blamed.

--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -128,10 +128,13 @@
     }
 }
 
-/// A TCP stream that counts its bytes.
+/// A TCP stream that counts its bytes, and fails where more is received than an answer may have.
 pub struct CountedStream {
     stream: TcpStream,
     traffic: Traffic,
+    answer_max: usize,
+    /// The bytes received since something was sent.
+    answered: usize,
 }
 
 impl AsyncRead for CountedStream {
@@ -140,9 +143,13 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
+        if self.answered > self.answer_max {
+            return Poll::Ready(Err(io::Error::other("the other side sends more than an answer may have")));
+        }
         let before = buf.filled().len();
         let polled = Pin::new(&mut self.stream).poll_read(cx, buf);
         let read = buf.filled().len() - before;
+        self.answered += read;
         self.traffic.0.received.fetch_add(read as u64, Ordering::Relaxed);
         polled
     }
@@ -153,6 +160,7 @@
         let polled = Pin::new(&mut self.stream).poll_write(cx, buf);
         if let Poll::Ready(Ok(written)) = polled {
             self.traffic.0.sent.fetch_add(written as u64, Ordering::Relaxed);
+            self.answered = 0;
         }
         polled
     }
@@ -174,7 +182,10 @@
 
 /// Establishes connections that count their bytes.
 #[derive(Clone)]
-struct Connector(Traffic);
+struct Connector {
+    traffic: Traffic,
+    answer_max: usize,
+}
 
 impl tower_service::Service<Uri> for Connector {
     type Response = TokioIo<CountedStream>;
@@ -186,7 +197,7 @@
     }
 
     fn call(&mut self, uri: Uri) -> Self::Future {
-        let traffic = self.0.clone();
+        let Connector { traffic, answer_max } = self.clone();
         Box::pin(async move {
             let address: SocketAddr =
                 uri.authority()
@@ -196,7 +207,7 @@
                 .await
                 .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
             stream.set_nodelay(true)?;
-            Ok(TokioIo::new(CountedStream { stream, traffic }))
+            Ok(TokioIo::new(CountedStream { stream, traffic, answer_max, answered: 0 }))
         })
     }
 }
@@ -216,21 +227,27 @@
 impl Client {
     /// Returns a client that counts into `traffic`.
     pub fn new(traffic: Traffic) -> Client {
-        Client::build(traffic, None)
+        Client::build(traffic, None, usize::MAX)
     }
 
     /// Returns a client whose calls to the addresses that `reach` cuts off get no answer.
     pub fn with_reach(traffic: Traffic, reach: Reach) -> Client {
-        Client::build(traffic, Some(reach))
+        Client::build(traffic, Some(reach), usize::MAX)
+    }
+
+    /// Returns such a client for small answers. A call fails once its answer takes more than `answer_max` bytes
+    /// on the wire, whatever these are.
+    pub fn with_small_answers(traffic: Traffic, reach: Reach, answer_max: usize) -> Client {
+        Client::build(traffic, Some(reach), answer_max)
     }
 
-    fn build(traffic: Traffic, reach: Option<Reach>) -> Client {
+    fn build(traffic: Traffic, reach: Option<Reach>, answer_max: usize) -> Client {
         // A request is sent again on another connection if an idle one turned out to be closed before
         // any of it was written, so nothing is sent twice.
         let inner = hyper_util::client::legacy::Client::builder(TokioExecutor::new())
             .pool_idle_timeout(IDLE_TIMEOUT.duration())
             .pool_timer(TokioTimer::new())
-            .build(Connector(traffic.clone()));
+            .build(Connector { traffic: traffic.clone(), answer_max });
         Client { inner, traffic, reach, clock: System::new() }
     }
 
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -13,6 +13,7 @@
 //! # }
 //! ```
 
+pub mod allowance;
 pub mod client;
 pub mod feed;
 pub mod keepalive;
--- a/crates/node/src/attempt.rs
+++ b/crates/node/src/attempt.rs
@@ -18,7 +18,7 @@
 
 use crate::backoff;
 use crate::catchup;
-use crate::channel::Channel;
+use crate::channel::{Channel, ChannelError};
 use crate::connect::{self, Target};
 use crate::evacuation;
 use crate::in_flight::{AttemptGuard, ModelKey};
@@ -109,6 +109,9 @@
     /// The request may have run, and the runner sent nothing for too long.
     #[error("may have run: {0}")]
     Silent(String),
+    /// The request may have run, and the runner sent more than any answer has.
+    #[error("may have run: it sends bytes without end")]
+    Endless,
     /// The request was found to crash runners while it was in flight.
     #[error("may have run: it is found to end the runners that run it")]
     Stopped,
@@ -121,6 +124,7 @@
             AttemptError::MayHaveRun(_)
             | AttemptError::Broken(_)
             | AttemptError::Silent(_)
+            | AttemptError::Endless
             | AttemptError::Stopped => true,
             AttemptError::Unreached(_) | AttemptError::NotRun(_) | AttemptError::Rejected(_) => false,
         }
@@ -140,6 +144,7 @@
             AttemptError::Rejected(None) => "full",
             AttemptError::Rejected(Some(_)) => "backoff",
             AttemptError::MayHaveRun(_) | AttemptError::Broken(_) | AttemptError::Silent(_) => "may_have_run",
+            AttemptError::Endless => "endless",
             AttemptError::Stopped => "stopped",
         }
     }
@@ -240,6 +245,10 @@
     let sent_at = node.now();
     let response = match channel.send(request).await {
         Ok(response) => response,
+        Err(ChannelError::Endless) => {
+            paths::record_failure(node, pick, None);
+            return Err(AttemptError::Endless);
+        }
         Err(error) => {
             paths::record_failure(node, pick, channel.through());
             return Err(AttemptError::Broken(error.to_string()));
--- a/crates/node/src/channel.rs
+++ b/crates/node/src/channel.rs
@@ -8,14 +8,23 @@
 
 use bytes::Bytes;
 use cottoncrank::id;
+use cottoncrank_net::allowance::{Allowance, Bounded};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
-use hyper::rt::{Read, Write};
 use hyper::{Request, Response};
+use hyper_util::rt::TokioIo;
 use thiserror::Error;
+use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::task::JoinHandle;
 
+/// The most that a runner may send until the head of its answer is complete, in bytes. Heads are far smaller;
+/// what arrives of the body at the same time counts as well.
+const HEAD_BYTES: usize = 64 * 1024;
+
+/// The read buffer of a connection, in bytes. It is larger than what a head may take.
+const BUFFER_BYTES: usize = 2 * HEAD_BYTES;
+
 /// Why a runner gave no answer.
 #[derive(Debug, Error)]
 pub enum ChannelError {
@@ -29,6 +38,9 @@
     /// The connection broke: the request may have run.
     #[error("the connection broke: {0}")]
     Broken(#[from] hyper::Error),
+    /// The runner sent more than any answer has: the request may have run.
+    #[error("it sends bytes without end")]
+    Endless,
 }
 
 impl ChannelError {
@@ -48,23 +60,27 @@
     sender: SendRequest<Full<Bytes>>,
     driver: JoinHandle<()>,
     through: Option<id::Node>,
+    allowance: Allowance,
 }
 
 impl Channel {
     /// Starts a channel on a connection to a runner. `through` is the node that carries it if it is a
     /// tunnel.
     pub(crate) async fn start(
-        connection: impl Read + Write + Unpin + Send + 'static,
+        connection: impl AsyncRead + AsyncWrite + Unpin + Send + 'static,
         through: Option<id::Node>,
     ) -> Result<Channel, ChannelError> {
-        let (sender, connection) = http1::handshake(connection).await?;
+        let allowance = Allowance::new(HEAD_BYTES);
+        let bounded = TokioIo::new(Bounded::new(connection, allowance.clone()));
+        let (sender, connection) =
+            http1::Builder::new().max_buf_size(BUFFER_BYTES).handshake(bounded).await?;
         let driver = tokio::spawn(async move {
             // The sender or the body reports a failure, and it is handled there.
             if let Err(error) = connection.await {
                 log::debug!("channel: {error}");
             }
         });
-        Ok(Channel { sender, driver, through })
+        Ok(Channel { sender, driver, through, allowance })
     }
 
     /// Returns the node that carries the connection; `None` if it is direct.
@@ -74,7 +90,18 @@
 
     /// Sends the request and waits for the head of the answer.
     pub async fn send(&mut self, request: Request<Full<Bytes>>) -> Result<Response<Incoming>, ChannelError> {
-        Ok(self.sender.send_request(request).await?)
+        let sent = self.sender.send_request(request).await;
+        sent.map_err(|error| if self.is_endless() { ChannelError::Endless } else { error.into() })
+    }
+
+    /// Allows the runner to send this many bytes from now on.
+    pub(crate) fn allow(&self, bytes: usize) {
+        self.allowance.renew(bytes);
+    }
+
+    /// Whether the runner has sent more than it may, so that nothing more is read.
+    pub(crate) fn is_endless(&self) -> bool {
+        self.allowance.is_spent()
     }
 }
 
--- a/crates/node/src/connect.rs
+++ b/crates/node/src/connect.rs
@@ -94,7 +94,7 @@
 
 impl Tunnel {
     async fn into_channel(self) -> Result<Channel, ChannelError> {
-        Channel::start(self.connection, Some(self.through)).await
+        Channel::start(TokioIo::new(self.connection), Some(self.through)).await
     }
 }
 
@@ -131,7 +131,7 @@
     let mut direct = Box::pin(connect_directly(node.clone(), target.clone()));
     let early = tokio::time::timeout(HEDGE_DELAY.duration(), &mut direct).await;
     let mut failed = match early {
-        Ok(Ok(link)) => return Channel::start(TokioIo::new(link), None).await,
+        Ok(Ok(link)) => return Channel::start(link, None).await,
         Ok(Err(error)) => Some(error),
         Err(_) => None,
     };
@@ -141,7 +141,7 @@
         tokio::select! {
             biased;
             direct = &mut direct, if failed.is_none() => match direct {
-                Ok(link) => return Channel::start(TokioIo::new(link), None).await,
+                Ok(link) => return Channel::start(link, None).await,
                 Err(error) => failed = Some(error),
             },
             tunnel = &mut tunnels, if is_racing => match tunnel {
--- a/crates/node/src/decider.rs
+++ b/crates/node/src/decider.rs
@@ -81,6 +81,10 @@
 /// The timeout of an order. Runners answer within milliseconds.
 const ORDER_TIMEOUT: Millis = Millis(1000);
 
+/// The most that a runner may send in answer to an order or a probe, in bytes. All runners are probed at
+/// once.
+const RUNNER_ANSWER_BYTES: usize = 64 * 1024;
+
 /// The maximum number of plans in one write: the store's limit, less one for the lease's key.
 const MAX_WRITES: usize = 15;
 
@@ -208,7 +212,7 @@
     let plans = read_plans(node).await?;
     Ok(Some(Term {
         node: node.clone(),
-        client: Client::with_reach(Traffic::default(), node.reach.clone()),
+        client: Client::with_small_answers(Traffic::default(), node.reach.clone(), RUNNER_ANSWER_BYTES),
         lease,
         lease_position: position,
         lease_end: asked + ttl,
--- a/crates/node/src/plain.rs
+++ b/crates/node/src/plain.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use cottoncrank_fleet::trials::Ruling;
 use cottoncrank_platform::header;
-use http_body_util::{BodyExt, Limited};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::Response;
 use hyper::header::{CONTENT_LENGTH, HeaderMap};
 
@@ -24,6 +24,9 @@
 /// The largest answer that is buffered, in bytes.
 const MAX_ANSWER_BYTES: usize = 4 << 20;
 
+/// The most that a runner may send for such an answer, in bytes. Chunks take more than what they hold.
+const MAX_SENT_BYTES: usize = 3 * MAX_ANSWER_BYTES;
+
 /// The most tries of one request, rejected ones included. Runners that reject answer at once, and
 /// further tries would only find the others rejecting as well.
 const MAX_TRIES: usize = 3;
@@ -106,13 +109,19 @@
 /// Reads an answer to its end. Fails if the body is shorter than its announced length,
 /// or larger than `MAX_ANSWER_BYTES`.
 pub async fn read_answer(node: &Node, attempt: Attempt) -> Result<Answer, AttemptError> {
-    let (head, body) = attempt.response.into_parts();
+    let Attempt { pick, response, channel, guard: _guard } = attempt;
+    let (head, body) = response.into_parts();
+    channel.allow(MAX_SENT_BYTES);
     let collected = Limited::new(body, MAX_ANSWER_BYTES).collect().await;
     let bytes = collected.map_err(|error| {
-        paths::record_failure(node, &attempt.pick, attempt.channel.through());
+        if channel.is_endless() || error.is::<LengthLimitError>() {
+            paths::record_failure(node, &pick, None);
+            return AttemptError::Endless;
+        }
+        paths::record_failure(node, &pick, channel.through());
         AttemptError::Broken(format!("its answer broke off: {error}"))
     })?;
-    node.ledger.lock().record_progress(&attempt.pick.id, node.now());
+    node.ledger.lock().record_progress(&pick.id, node.now());
     Ok(build_answer(head.status, &head.headers, bytes.to_bytes()))
 }
 
--- a/crates/node/src/runner_stream.rs
+++ b/crates/node/src/runner_stream.rs
@@ -2,7 +2,7 @@
 
 use bytes::Bytes;
 use cottoncrank::Millis;
-use cottoncrank_fleet::event::Splitter;
+use cottoncrank_fleet::event::{MAX_EVENT_BYTES, Splitter};
 use http_body_util::BodyExt;
 use hyper::Response;
 use hyper::body::Incoming;
@@ -13,12 +13,17 @@
 use crate::channel::Channel;
 use crate::connect;
 use crate::in_flight::AttemptGuard;
+use crate::paths;
 use crate::state::Node;
 
 /// A runner that sends nothing for this long is late, and another one is tried beside it. All nodes learn
 /// sooner than that of a group that lost a member. Callers give up after two seconds.
 pub const SILENCE_TIMEOUT: Millis = Millis(1200);
 
+/// The most that a runner may send between two events that the caller does not have yet, in bytes. Chunks
+/// take more than what they hold.
+const MAX_SENT_BYTES: usize = 2 * MAX_EVENT_BYTES;
+
 /// A stream in flight at one runner.
 pub struct RunnerStream {
     /// The runner.
@@ -29,6 +34,8 @@
     body: Incoming,
     /// Splits the stream into events, and knows the last event forwarded.
     pub splitter: Splitter,
+    /// The last event forwarded when the runner was last allowed to send more.
+    allowed_after: Option<u64>,
     channel: Channel,
     guard: AttemptGuard,
 }
@@ -50,11 +57,21 @@
         let (pick, guard) = (attempt.pick, attempt.guard);
         let has_end_mark =
             [CONTENT_LENGTH, TRANSFER_ENCODING].iter().any(|name| head.headers.contains_key(name));
-        (head, RunnerStream { pick, has_end_mark, body, splitter, channel: attempt.channel, guard })
+        let channel = attempt.channel;
+        channel.allow(MAX_SENT_BYTES);
+        (head, RunnerStream { pick, has_end_mark, body, splitter, allowed_after: last_event, channel, guard })
     }
 }
 
 impl RunnerStream {
+    /// Allows the runner to send another event, once it has sent the last one.
+    fn allow_next(&mut self) {
+        if self.splitter.last_id() != self.allowed_after {
+            self.allowed_after = self.splitter.last_id();
+            self.channel.allow(MAX_SENT_BYTES);
+        }
+    }
+
     /// Records that the connection broke. The investigation of the runner follows; a node that carried the
     /// connection is avoided.
     fn record_break(&self, node: &Node) {
@@ -69,6 +86,10 @@
     loop {
         let frame = match stream.body.frame().await {
             Some(Ok(frame)) => frame,
+            Some(Err(_)) if stream.channel.is_endless() => {
+                paths::record_failure(node, &stream.pick, None);
+                return Err(AttemptError::Endless);
+            }
             Some(Err(error)) => {
                 stream.record_break(node);
                 return Err(AttemptError::Broken(format!("the stream broke off: {error}")));
@@ -81,6 +102,7 @@
         stream.guard.begin_stream();
         let events =
             stream.splitter.push(&chunk).map_err(|error| AttemptError::MayHaveRun(error.to_string()))?;
+        stream.allow_next();
         if !events.is_empty() {
             return Ok(StreamItem::Events(events));
         }
--- a/crates/node/tests/common/proxy.rs
+++ b/crates/node/tests/common/proxy.rs
@@ -1,4 +1,4 @@
-//! Proxies in front of runners, which answer callers' requests themselves and forward all others.
+//! Proxies in front of runners, which answer callers' requests or others themselves and forward the rest.
 
 use std::net::SocketAddr;
 
@@ -11,6 +11,11 @@
 
 /// Answers a request of a caller, given with the head and the body, on the connection that it came on.
 pub trait Answerer: Clone + Send + Sync + 'static {
+    /// Whether it answers this request itself. Requests of callers are answered.
+    fn answers(&self, request: &str) -> bool {
+        raw::find_request_id(request).is_some()
+    }
+
     /// Answers the request, and closes the connection by dropping it.
     fn answer(&self, stream: TcpStream, request: String) -> impl Future<Output = ()> + Send;
 }
@@ -32,7 +37,7 @@
     let mut buffer = [0; 8192];
     let Ok(read) = stream.read(&mut buffer).await else { return };
     let request = String::from_utf8_lossy(&buffer[..read]).into_owned();
-    if raw::find_request_id(&request).is_some() {
+    if answerer.answers(&request) {
         return answerer.answer(stream, request).await;
     }
     let Ok(mut real) = TcpStream::connect(runner).await else { return };
