Read only some large answers of runners at a time

Callers would see: a node that ends for want of memory, and all its requests with it.

Cause: each answer may have 4 MB, and nothing bounded all of them together.

Change: beyond 64 kB an answer waits for one of 16 places, at most to the deadline of its request.

--- a/crates/node/src/plain.rs
+++ b/crates/node/src/plain.rs
@@ -1,12 +1,14 @@
 //! Runs requests whose answer is forwarded as a whole.
 
+use std::error::Error;
 use std::sync::Arc;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use cottoncrank_fleet::trials::Ruling;
 use cottoncrank_platform::header;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::Response;
+use hyper::body::Incoming;
 use hyper::header::{CONTENT_LENGTH, HeaderMap};
 
 use crate::answer::{Answer, Body, Refusal};
@@ -27,6 +29,13 @@
 /// The most that a runner may send for such an answer, in bytes. Chunks take more than what they hold.
 const MAX_SENT_BYTES: usize = 3 * MAX_ANSWER_BYTES;
 
+/// An answer of more bytes than this is large.
+const LARGE_ANSWER_BYTES: usize = 64 * 1024;
+
+/// The most large answers that are read at a time. Together they take a half of the memory of a small box;
+/// others wait, at most to their deadlines.
+pub const MAX_LARGE_ANSWERS: usize = 16;
+
 /// The most tries of one request, rejected ones included. Runners that reject answer at once, and
 /// further tries would only find the others rejecting as well.
 const MAX_TRIES: usize = 3;
@@ -112,8 +121,7 @@
     let Attempt { pick, response, channel, guard: _guard } = attempt;
     let (head, body) = response.into_parts();
     channel.allow(MAX_SENT_BYTES);
-    let collected = Limited::new(body, MAX_ANSWER_BYTES).collect().await;
-    let bytes = collected.map_err(|error| {
+    let bytes = read_body(node, body).await.map_err(|error| {
         if channel.is_endless() || error.is::<LengthLimitError>() {
             paths::record_failure(node, &pick, None);
             return AttemptError::Endless;
@@ -122,7 +130,22 @@
         AttemptError::Broken(format!("its answer broke off: {error}"))
     })?;
     node.ledger.lock().record_progress(&pick.id, node.now());
-    Ok(build_answer(head.status, &head.headers, bytes.to_bytes()))
+    Ok(build_answer(head.status, &head.headers, bytes))
+}
+
+/// Reads a body to its end. The rest of a large one is read when few others are.
+async fn read_body(node: &Node, body: Incoming) -> Result<Bytes, Box<dyn Error + Send + Sync>> {
+    let mut body = Limited::new(body, MAX_ANSWER_BYTES);
+    let mut read = BytesMut::new();
+    let mut permit = None;
+    while let Some(frame) = body.frame().await {
+        let Ok(data) = frame?.into_data() else { continue };
+        read.extend_from_slice(&data);
+        if permit.is_none() && read.len() > LARGE_ANSWER_BYTES {
+            permit = Some(node.large_answers.acquire().await?);
+        }
+    }
+    Ok(read.freeze())
 }
 
 fn build_answer(status: hyper::StatusCode, headers: &HeaderMap, bytes: Bytes) -> Answer {
--- a/crates/node/tests/endless.rs
+++ b/crates/node/tests/endless.rs
@@ -40,6 +40,11 @@
 /// The most that a node may read of one answer: four times the largest one that it forwards.
 const ANSWER_MAX: usize = 16 << 20;
 
+/// Many requests at once, and what may be held of all their answers together, in bytes: a half of the memory
+/// of a small box. Their buffers take a fifth of that.
+const REQUESTS_AT_ONCE: usize = 120;
+const HELD_MAX: usize = 128 << 20;
+
 /// What comes without end.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Kind {
@@ -281,3 +286,22 @@
         }
     }
 }
+
+/// Guards against many answers without end at once, which together are larger than the memory of a box.
+#[tokio::test]
+async fn many_bodies_without_end_are_not_held_at_once() {
+    let fleet = Fleet::serving(1).await;
+    let endless = Endless::new(Kind::Unframed);
+    proxy::put(&fleet, &fleet.plain, endless.clone()).await;
+    let mut asking = JoinSet::new();
+    for number in 0..REQUESTS_AT_ONCE {
+        let to = fleet.nodes[0].callers;
+        asking.spawn(async move { ask(to, ONCE, &format!("once-{number}")).await });
+    }
+    for (answer, waited) in asking.join_all().await {
+        assert!([502, 503, 504].contains(&answer.status), "{}", answer.status);
+        assert!(waited < Duration::from_millis(DEADLINE_MS + 500), "told after {waited:?}");
+    }
+    let most = endless.open.most.load(Ordering::Relaxed);
+    assert!(most < HELD_MAX, "{most} bytes were held at once");
+}
