Let a node that starts ask others what was in force before the store came back older

Cause: the others keep the newer configuration at a position of the former era, and a node that reads the store itself asks them only for what is newer than that.

Change: where the store was restored before, a node that starts asks four others for everything until one tells, and keeps what is newer than the copy.

--- a/crates/node/src/era.rs
+++ b/crates/node/src/era.rs
@@ -4,18 +4,38 @@
 //! made is known only to the nodes. The next decider writes the plans again; it finds them in this
 //! node's feed, with the store positions that they had. Requests that crash runners are written again by
 //! the nodes that know of them. The configuration that was in force stays in force until an operator
-//! writes it again, at this node and at nodes that poll it.
+//! writes it again, at this node, at nodes that poll it, and at nodes that start, which ask others for it.
 
-use cottoncrank::id;
+use cottoncrank::{Millis, id};
+use cottoncrank_fleet::directory::Peer;
 use cottoncrank_fleet::plan::Document;
 use cottoncrank_fleet::position::{Era, Position};
+use cottoncrank_net::client::Client;
 use cottoncrank_platform::item::{Change, RawItem, decode, is_catalog};
 use cottoncrank_platform::store::Batch;
+use tokio::task::JoinSet;
 
+use crate::feed;
+use crate::peer::{self, ChangeQuery, PollError};
 use crate::plans::decode_plan;
+use crate::registration;
 use crate::state::Node;
 use crate::telemetry;
 
+/// How many other nodes a node that starts asks for what was in force before the store was restored. Some of
+/// those that the copy names may be gone, or may have started just now themselves.
+const NODES_ASKED: usize = 4;
+
+/// How long it waits for them. Nodes answer within some 10 ms.
+const ANSWER_TIMEOUT: Millis = Millis(300);
+
+/// How many times it asks until one of them tells. All of them may have lost the store just now, and tell
+/// nothing before they have read it again.
+const ROUNDS: u32 = 5;
+
+/// The pause after the first round. It doubles each time.
+const ROUND_PAUSE: Millis = Millis(40);
+
 /// Returns the version of a configuration or a plan; a greater version is newer. Returns `None` for all
 /// other items, which their writers write again.
 fn read_version(raw: &RawItem) -> Option<u64> {
@@ -39,8 +59,78 @@
     node.roster.lock().start_grace_period(node.now());
     node.suspects.lock().forget_stored();
     let held = node.feed.list(|raw| read_version(raw).is_some());
-    for raw in held {
-        carry_over(batch, raw);
+    held.into_iter().for_each(|raw| carry_over(batch, raw));
+}
+
+/// Adds what other nodes have kept from before the store was restored to the whole content of the store, which
+/// this node read as it started. They do not tell it later: a poll returns what is newer than the poller.
+pub(crate) async fn ask_others(node: &Node, client: &Client, batch: &mut Batch) {
+    if batch.position.era() == Era::default() {
+        return;
+    }
+    let peers = list_informed(node, batch);
+    for round in 0..ROUNDS {
+        if peers.is_empty() || ask_round(client, &peers, batch).await > 0 {
+            return;
+        }
+        tokio::time::sleep(Millis(ROUND_PAUSE.0 << round).duration()).await;
+    }
+    log::warn!("sync: no node tells what it has kept from before the store was restored; its copy is used");
+}
+
+/// Asks each of these nodes once. Returns how many have told what they have kept.
+async fn ask_round(client: &Client, peers: &[Peer], batch: &mut Batch) -> usize {
+    let mut asked = JoinSet::new();
+    for peer in peers {
+        asked.spawn(read_kept(client.clone(), peer.clone()));
+    }
+    let mut answers = 0;
+    while let Some(answer) = asked.join_next().await {
+        match answer {
+            Ok(Some(kept)) => {
+                answers += 1;
+                kept.into_iter().for_each(|raw| carry_over(batch, raw));
+            }
+            Ok(None) => {}
+            Err(error) => log::error!("sync: asking a node failed: {error}"),
+        }
+    }
+    log::info!("sync: {answers} nodes told what they have kept from before the store was restored");
+    answers
+}
+
+/// Lists the nodes to ask, those first that follow the store for their halls.
+fn list_informed(node: &Node, batch: &Batch) -> Vec<Peer> {
+    let items = batch.items.iter().filter_map(|raw| match decode(raw.clone()) {
+        Ok(Change::Own(item)) => Some(item),
+        _ => None,
+    });
+    registration::apply_entries(node, &items.collect::<Vec<_>>());
+    let (settings, directory) = (node.settings(), node.directory.lock());
+    let (me, hall) = (&settings.node, &settings.hall);
+    let local = directory.list_local_readers(me, hall);
+    let readers = local.into_iter().chain(directory.list_remote_readers(me, hall));
+    let nodes = readers.chain(directory.list_non_readers(me)).filter(|peer| peer.node != *me);
+    nodes.take(NODES_ASKED).cloned().collect()
+}
+
+/// Returns the configuration and the plans that a node holds; `None` if it does not tell.
+async fn read_kept(client: Client, peer: Peer) -> Option<Vec<RawItem>> {
+    let query = ChangeQuery { after: None, wait_ms: 0 };
+    let reading = async {
+        let reply = peer::poll_changes(&client, peer.address, query).await?;
+        Ok::<_, PollError>(feed::unpack(&reply.items)?)
+    };
+    match tokio::time::timeout(ANSWER_TIMEOUT.duration(), reading).await {
+        Ok(Ok(items)) => Some(items.into_iter().filter(|raw| read_version(raw).is_some()).collect()),
+        Ok(Err(error)) => {
+            log::info!("sync: {} does not tell what it has kept: {error}", peer.node);
+            None
+        }
+        Err(_) => {
+            log::info!("sync: {} does not tell what it has kept within {ANSWER_TIMEOUT}", peer.node);
+            None
+        }
     }
 }
 
--- a/crates/node/src/sync.rs
+++ b/crates/node/src/sync.rs
@@ -17,6 +17,7 @@
 
 use crate::apply::{Proof, Update, apply_update};
 use crate::catchup;
+use crate::era;
 use crate::feed::{self, UnpackError};
 use crate::peer::{self, ChangeQuery, PollError};
 use crate::registration;
@@ -339,7 +340,10 @@
     async fn read_store(&self, behind: bool) -> Result<Update, SyncError> {
         let asked = self.node.now();
         let Some(after) = self.position.filter(|_| !self.history_compacted) else {
-            let batch = self.node.store.read_all().await?;
+            let mut batch = self.node.store.read_all().await?;
+            if self.newest_position == Position::default() {
+                era::ask_others(&self.node, &self.client, &mut batch).await;
+            }
             return Ok(Update { batch, whole: true, proof: Proof::Read(asked), last_contact: asked });
         };
         let wait = if behind { Millis(0) } else { WATCH_TIMEOUT };
--- a/crates/node/tests/eras.rs
+++ b/crates/node/tests/eras.rs
@@ -171,6 +171,30 @@
     assert!(fleet.nodes[0].node.now() <= deadline, "version 3 was applied after the bound");
 }
 
+/// Guards against a revoked key that is honoured again at a node that starts after the store came back from an
+/// older copy, and is the only one of its hall.
+#[tokio::test]
+async fn a_node_that_starts_alone_in_its_hall_after_a_restore_keeps_a_revoked_key_revoked() {
+    for delay in [Millis(0), REWRITE_DELAY] {
+        let fleet = Fleet::serving(3).await;
+        let copy = fleet.store.snapshot();
+        fleet.store.configure(&config(2, &["key-2"]));
+        fleet.wait("version 2 is in force", |fleet| fleet.know_version(2)).await;
+        fleet.store.restore(&copy);
+        // The other nodes may not know yet that it came back.
+        tokio::time::sleep(delay.duration()).await;
+        let started = start_node(fleet.store.address(), 7, "hall-z").await;
+        fleet.wait("the new node is ready", |_| started.node.is_ready()).await;
+        for turn in 0..20 {
+            let answer = send_request(started.callers, READ, &format!("r-{turn}"), KEY).await.unwrap();
+            assert_eq!(answer.status, 401, "after {delay}, turn {turn}: a revoked key is accepted again");
+            let answer = send_request(started.callers, READ, &format!("s-{turn}"), "key-2").await.unwrap();
+            assert_eq!(answer.status, 200, "after {delay}, turn {turn}: {answer:?}");
+            tokio::time::sleep(Millis(50).duration()).await;
+        }
+    }
+}
+
 #[tokio::test]
 async fn deadly_requests_stay_refused_after_a_restore() {
     let fleet = Fleet::serving(2).await;
