Take a runner that no box reached for one that may have ended

Cause: what shows that a runner has ended was recorded where a request fails, not where a connection for another box does.

Change: a box that connects for another one records the end of a runner that refuses; the one that asked doubts a runner that neither of them reached, so it counts as cold for one cold start.

--- a/crates/node/src/connect.rs
+++ b/crates/node/src/connect.rs
@@ -158,6 +158,22 @@
     }
 }
 
+/// Connects to a runner for another node, directly. Records that the runner has ended if it refuses the
+/// connection, as for a request of this node.
+pub(crate) async fn connect_for_other(node: &Arc<Node>, target: Target) -> io::Result<Link> {
+    let started = node.now();
+    let connected = connect_directly(node.clone(), target.clone()).await;
+    if find_outcome(connected.as_ref().err()) == Outcome::Refused {
+        let node = node.clone();
+        tokio::spawn(async move {
+            if is_path_proven(&node, &target, started).await {
+                node.roster.lock().record_end(&target.id, None, node.now());
+            }
+        });
+    }
+    connected
+}
+
 /// Records that a tunnel reached a runner, once the direct connection has failed. One that is merely late
 /// proves nothing.
 fn prove(
@@ -234,7 +250,7 @@
     let lifetime = deadline.since(node.now());
     let mut nodes = list_nodes(node, target).into_iter();
     let mut opening = JoinSet::new();
-    let mut failed = Vec::new();
+    let (mut failed, mut is_unreached) = (Vec::new(), false);
     let race = async {
         loop {
             if let Some(peer) = nodes.next() {
@@ -249,6 +265,7 @@
                 Ok(Some(Ok((through, Ok(connection))))) => return Some(Tunnel { connection, through }),
                 Ok(Some(Ok((peer, Err(error))))) => {
                     avoid_if_useless(node, &peer, &error);
+                    is_unreached |= matches!(error, TunnelError::Unreached);
                     failed.push(peer);
                 }
                 Ok(Some(Err(error))) => log::error!("tunnel: opening one failed: {error}"),
@@ -262,6 +279,9 @@
     if tunnel.is_some() {
         // What they did not reach, another node did.
         failed.into_iter().for_each(|peer| avoid(node, peer));
+    } else if is_unreached {
+        // It may have ended, and this node cannot tell by itself.
+        node.roster.lock().doubt(&target.id, node.now());
     }
     tunnel
 }
--- a/crates/node/src/tunnel.rs
+++ b/crates/node/src/tunnel.rs
@@ -28,7 +28,7 @@
 use tokio::net::TcpStream;
 
 use crate::answer::{Answer, Body};
-use crate::connect::{Target, connect_directly};
+use crate::connect::{Target, connect_for_other};
 use crate::state::Node;
 use crate::telemetry;
 
@@ -189,7 +189,7 @@
         return Err(TunnelError::Unavailable);
     }
     let guard = CarryGuard::begin(node).ok_or(TunnelError::Unavailable)?;
-    let link = connect_directly(node.clone(), target).await.map_err(|_| TunnelError::Unreached)?;
+    let link = connect_for_other(node, target).await.map_err(|_| TunnelError::Unreached)?;
     Ok((link, guard))
 }
 
--- a/crates/node/tests/partition.rs
+++ b/crates/node/tests/partition.rs
@@ -6,7 +6,7 @@
 use std::time::Instant;
 
 use common::proxy::{self, Answerer};
-use common::{Fleet, KEY, Killable, Running};
+use common::{COLD_RATE, Fleet, KEY, Killable, Running};
 use cottoncrank::Millis;
 use cottoncrank_fleet::directory::{Millicores, Peer};
 use cottoncrank_net::reach::Block;
@@ -342,3 +342,30 @@
     tokio::time::sleep(Millis(200).duration()).await;
     assert_eq!(count(&fleet), 0);
 }
+
+/// Guards against a runner that has started again, and gets more requests than it takes while it is cold from
+/// nodes that are cut off: these could not tell whether it had ended or they were cut off from it as well.
+#[tokio::test]
+async fn a_runner_that_no_box_reached_counts_as_cold_when_it_is_back() {
+    let fleet = start_fleet().await;
+    fleet.configure_cold_starts().await;
+    let cut = &fleet.nodes[0];
+    cut.node.reach.block(Block::Refuse);
+    let ask = async |label: &str, count: usize| {
+        for number in 0..count {
+            send_request(cut.callers, READ, &format!("{label}-{number}"), KEY).await.unwrap();
+        }
+    };
+    while !cut.node.has_cut_path() {
+        ask("cut", 1).await;
+    }
+    let count = || fleet.plain.iter().map(|runner| runner.requests().len()).sum::<usize>();
+    fleet.plain.iter().for_each(|runner| runner.crash());
+    ask("lost", 12).await;
+    // Their entries do not tell yet that they have started again.
+    fleet.plain.iter().for_each(|runner| runner.relaunch());
+    let before = count();
+    ask("back", 40).await;
+    let came = count() - before;
+    assert!(came <= 2 * fleet.plain.len(), "{came} requests came, each runner takes {COLD_RATE} in a second");
+}
