Count the rest of a connection from the last byte of an answer

Callers would see: a connection that is closed right behind an answer that they read for longer than a connection may be idle, so that the next request on it gets no answer.

Cause: the time counted from when the answer was handed over, not from when it was written.

Change: writes on the connection count as its use.

--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -19,7 +19,7 @@
 use tokio::sync::watch;
 
 use crate::answer::{Answer, Body};
-use crate::idle::{self, Idle};
+use crate::idle::{self, Idle, Noted};
 use crate::request;
 use crate::state::Node;
 use crate::telemetry;
@@ -100,7 +100,7 @@
     let limits = node.catalog.lock().as_ref().map(|catalog| catalog.limits);
     // A caller that reads nothing would otherwise hold its connection and its answer for good.
     let prepared =
-        stream.set_nodelay(true).and_then(|()| keepalive::limit_unread(&stream, idle::timeout(&node)));
+        stream.set_nodelay(true).and_then(|()| keepalive::limit_unread(&stream, idle::limit(&node)));
     if let Err(error) = prepared {
         log::debug!("front: {error}");
     }
@@ -126,7 +126,7 @@
         // `idle` limits the time until a head is read.
         .header_read_timeout(None)
         .max_buf_size(buffer)
-        .serve_connection(TokioIo::new(stream), service);
+        .serve_connection(TokioIo::new(Noted::new(stream, idle.clone())), service);
     tokio::pin!(connection);
     let mut is_closing = false;
     let outcome = loop {
--- a/crates/node/tests/slow_callers.rs
+++ b/crates/node/tests/slow_callers.rs
@@ -200,3 +200,30 @@
     };
     tokio::join!(read_slowly(READ), read_slowly(STREAM));
 }
+
+/// Guards against a connection that is closed right behind an answer whose caller was slow, so that its next
+/// request gets no answer.
+#[tokio::test]
+async fn a_connection_may_rest_after_an_answer_that_was_read_slowly() {
+    let fleet = Fleet::serving(1).await;
+    limit_idle(&fleet).await;
+    proxy::put(&fleet, &fleet.plain, Sized).await;
+    let mut stream = connect(&fleet).await;
+    let request =
+        CallerRequest { path: READ, request: "r", key: KEY, deadline_ms: 5000, body: "r", prompt: "" };
+    let kept_alive = request.format().replace("Connection: close\r\n", "");
+    stream.write_all(kept_alive.as_bytes()).await.unwrap();
+    let (mut bytes, mut buffer) = (Vec::new(), vec![0; SIZED_BYTES]);
+    let began = Instant::now();
+    while bytes.len() < SIZED_BYTES || !parse_answer(&String::from_utf8_lossy(&bytes)).complete {
+        // The node cannot hand all of it to the kernel before the caller reads faster.
+        let is_slow = began.elapsed() < 2 * Duration::from_millis(IDLE_MS);
+        let most = if is_slow { SIZED_BYTES / 1000 } else { SIZED_BYTES };
+        tokio::time::sleep(Duration::from_millis(if is_slow { 20 } else { 0 })).await;
+        let read = stream.read(&mut buffer[..most]).await.unwrap();
+        assert!(read > 0, "{} bytes of an answer of {SIZED_BYTES}", bytes.len());
+        bytes.extend_from_slice(&buffer[..read]);
+    }
+    let closed = tokio::time::timeout(Duration::from_millis(IDLE_MS / 2), stream.read(&mut buffer)).await;
+    assert!(closed.is_err(), "the connection was closed right behind the answer");
+}
