Name what is too much, and doubt it the same way everywhere

Cause: a review of the changes of this work. An event beyond its bound did not make its runner avoided as other bytes without end do; 'endless' was said of answers that are only too large; a node that starts slept once more after its last question; the test of changes took 502 for a refusal.

Change: one error, Oversized, for all of these; no pause behind the last round; 502 counts only where streams go to a service without streams.

--- a/crates/fleet/src/event.rs
+++ b/crates/fleet/src/event.rs
@@ -67,7 +67,8 @@
         }
     }
 
-    /// Returns the end of the first event, including its blank line. No line ends before `searched`.
+    /// Returns the end of the first event, including its blank line. The last line was searched for its end as
+    /// far as `searched`.
     fn find_end(&mut self, searched: usize) -> Option<usize> {
         let rest = self.pending[searched..].iter().enumerate();
         for (offset, _) in rest.filter(|(_, byte)| **byte == b'\n') {
--- a/crates/net/src/allowance.rs
+++ b/crates/net/src/allowance.rs
@@ -32,9 +32,9 @@
     }
 
     fn spend(&self, bytes: usize) {
-        // Only the task that reads the connection lowers it.
-        let left = self.0.load(Ordering::Relaxed);
-        self.0.store(left.saturating_sub(bytes), Ordering::Relaxed);
+        let spent = |left: usize| Some(left.saturating_sub(bytes));
+        // The closure always returns a value, so this cannot fail.
+        let _ = self.0.fetch_update(Ordering::Relaxed, Ordering::Relaxed, spent);
     }
 }
 
--- a/crates/node/src/attempt.rs
+++ b/crates/node/src/attempt.rs
@@ -110,8 +110,8 @@
     #[error("may have run: {0}")]
     Silent(String),
     /// The request may have run, and the runner sent more than any answer has.
-    #[error("may have run: it sends bytes without end")]
-    Endless,
+    #[error("may have run: it sends more than an answer may have")]
+    Oversized,
     /// The request was found to crash runners while it was in flight.
     #[error("may have run: it is found to end the runners that run it")]
     Stopped,
@@ -124,7 +124,7 @@
             AttemptError::MayHaveRun(_)
             | AttemptError::Broken(_)
             | AttemptError::Silent(_)
-            | AttemptError::Endless
+            | AttemptError::Oversized
             | AttemptError::Stopped => true,
             AttemptError::Unreached(_) | AttemptError::NotRun(_) | AttemptError::Rejected(_) => false,
         }
@@ -144,7 +144,7 @@
             AttemptError::Rejected(None) => "full",
             AttemptError::Rejected(Some(_)) => "backoff",
             AttemptError::MayHaveRun(_) | AttemptError::Broken(_) | AttemptError::Silent(_) => "may_have_run",
-            AttemptError::Endless => "endless",
+            AttemptError::Oversized => "oversized",
             AttemptError::Stopped => "stopped",
         }
     }
@@ -245,9 +245,9 @@
     let sent_at = node.now();
     let response = match channel.send(request).await {
         Ok(response) => response,
-        Err(ChannelError::Endless) => {
+        Err(ChannelError::Oversized) => {
             paths::record_failure(node, pick, None);
-            return Err(AttemptError::Endless);
+            return Err(AttemptError::Oversized);
         }
         Err(error) => {
             paths::record_failure(node, pick, channel.through());
--- a/crates/node/src/channel.rs
+++ b/crates/node/src/channel.rs
@@ -39,8 +39,8 @@
     #[error("the connection broke: {0}")]
     Broken(#[from] hyper::Error),
     /// The runner sent more than any answer has: the request may have run.
-    #[error("it sends bytes without end")]
-    Endless,
+    #[error("it sends more than an answer may have")]
+    Oversized,
 }
 
 impl ChannelError {
@@ -91,7 +91,7 @@
     /// Sends the request and waits for the head of the answer.
     pub async fn send(&mut self, request: Request<Full<Bytes>>) -> Result<Response<Incoming>, ChannelError> {
         let sent = self.sender.send_request(request).await;
-        sent.map_err(|error| if self.is_endless() { ChannelError::Endless } else { error.into() })
+        sent.map_err(|error| if self.is_oversized() { ChannelError::Oversized } else { error.into() })
     }
 
     /// Allows the runner to send this many bytes from now on.
@@ -100,7 +100,7 @@
     }
 
     /// Whether the runner has sent more than it may, so that nothing more is read.
-    pub(crate) fn is_endless(&self) -> bool {
+    pub(crate) fn is_oversized(&self) -> bool {
         self.allowance.is_spent()
     }
 }
--- a/crates/node/src/crash.rs
+++ b/crates/node/src/crash.rs
@@ -105,7 +105,7 @@
         | AttemptError::NotRun(_)
         | AttemptError::Rejected(_)
         | AttemptError::MayHaveRun(_)
-        | AttemptError::Endless
+        | AttemptError::Oversized
         | AttemptError::Stopped => false,
     }
 }
--- a/crates/node/src/era.rs
+++ b/crates/node/src/era.rs
@@ -33,8 +33,8 @@
 /// nothing before they have read it again.
 const ROUNDS: u32 = 5;
 
-/// The pause after the first round. It doubles each time.
-const ROUND_PAUSE: Millis = Millis(40);
+/// A half of the pause before the second round. It doubles each time.
+const ROUND_PAUSE: Millis = Millis(20);
 
 /// Returns the version of a configuration or a plan; a greater version is newer. Returns `None` for all
 /// other items, which their writers write again.
@@ -69,11 +69,12 @@
         return;
     }
     let peers = list_informed(node, batch);
-    for round in 0..ROUNDS {
-        if peers.is_empty() || ask_round(client, &peers, batch).await > 0 {
+    let pauses = (0..ROUNDS).map(|round| if round == 0 { Millis(0) } else { Millis(ROUND_PAUSE.0 << round) });
+    for pause in pauses.filter(|_| !peers.is_empty()) {
+        tokio::time::sleep(pause.duration()).await;
+        if ask_round(client, &peers, batch).await > 0 {
             return;
         }
-        tokio::time::sleep(Millis(ROUND_PAUSE.0 << round).duration()).await;
     }
     log::warn!("sync: no node tells what it has kept from before the store was restored; its copy is used");
 }
--- a/crates/node/src/plain.rs
+++ b/crates/node/src/plain.rs
@@ -27,13 +27,13 @@
 const MAX_ANSWER_BYTES: usize = 4 << 20;
 
 /// The most that a runner may send for such an answer, in bytes. Chunks take more than what they hold.
-const MAX_SENT_BYTES: usize = 3 * MAX_ANSWER_BYTES;
+const MAX_WIRE_BYTES: usize = 3 * MAX_ANSWER_BYTES;
 
 /// An answer of more bytes than this is large.
 const LARGE_ANSWER_BYTES: usize = 64 * 1024;
 
-/// The most large answers that are read at a time. Together they take a half of the memory of a small box;
-/// others wait, at most to their deadlines.
+/// The most large answers that are read at a time. Together they take a half of the memory of a small box
+/// while they are read; others wait, at most to their deadlines.
 pub const MAX_LARGE_ANSWERS: usize = 16;
 
 /// The most tries of one request, rejected ones included. Runners that reject answer at once, and
@@ -120,11 +120,11 @@
 pub async fn read_answer(node: &Node, attempt: Attempt) -> Result<Answer, AttemptError> {
     let Attempt { pick, response, channel, guard: _guard } = attempt;
     let (head, body) = response.into_parts();
-    channel.allow(MAX_SENT_BYTES);
+    channel.allow(MAX_WIRE_BYTES);
     let bytes = read_body(node, body).await.map_err(|error| {
-        if channel.is_endless() || error.is::<LengthLimitError>() {
+        if channel.is_oversized() || error.is::<LengthLimitError>() {
             paths::record_failure(node, &pick, None);
-            return AttemptError::Endless;
+            return AttemptError::Oversized;
         }
         paths::record_failure(node, &pick, channel.through());
         AttemptError::Broken(format!("its answer broke off: {error}"))
--- a/crates/node/src/runner_stream.rs
+++ b/crates/node/src/runner_stream.rs
@@ -2,7 +2,7 @@
 
 use bytes::Bytes;
 use cottoncrank::Millis;
-use cottoncrank_fleet::event::{MAX_EVENT_BYTES, Splitter};
+use cottoncrank_fleet::event::{EventError, MAX_EVENT_BYTES, Splitter};
 use http_body_util::BodyExt;
 use hyper::Response;
 use hyper::body::Incoming;
@@ -22,7 +22,7 @@
 
 /// The most that a runner may send between two events that the caller does not have yet, in bytes. Chunks
 /// take more than what they hold.
-const MAX_SENT_BYTES: usize = 2 * MAX_EVENT_BYTES;
+const MAX_EVENT_WIRE_BYTES: usize = 2 * MAX_EVENT_BYTES;
 
 /// A stream in flight at one runner.
 pub struct RunnerStream {
@@ -34,7 +34,7 @@
     body: Incoming,
     /// Splits the stream into events, and knows the last event forwarded.
     pub splitter: Splitter,
-    /// The last event forwarded when the runner was last allowed to send more.
+    /// The last event read when the runner was last allowed to send more.
     allowed_after: Option<u64>,
     channel: Channel,
     guard: AttemptGuard,
@@ -58,7 +58,7 @@
         let has_end_mark =
             [CONTENT_LENGTH, TRANSFER_ENCODING].iter().any(|name| head.headers.contains_key(name));
         let channel = attempt.channel;
-        channel.allow(MAX_SENT_BYTES);
+        channel.allow(MAX_EVENT_WIRE_BYTES);
         (head, RunnerStream { pick, has_end_mark, body, splitter, allowed_after: last_event, channel, guard })
     }
 }
@@ -68,10 +68,24 @@
     fn allow_next(&mut self) {
         if self.splitter.last_id() != self.allowed_after {
             self.allowed_after = self.splitter.last_id();
-            self.channel.allow(MAX_SENT_BYTES);
+            self.channel.allow(MAX_EVENT_WIRE_BYTES);
         }
     }
 
+    /// Records that the runner sends what is no stream, or more than an event may have.
+    fn record_error(&self, node: &Node, error: EventError) -> AttemptError {
+        match error {
+            EventError::TooLarge => self.record_oversized(node),
+            EventError::Gap { .. } => AttemptError::MayHaveRun(error.to_string()),
+        }
+    }
+
+    /// Records that the runner has sent more than it may.
+    fn record_oversized(&self, node: &Node) -> AttemptError {
+        paths::record_failure(node, &self.pick, None);
+        AttemptError::Oversized
+    }
+
     /// Records that the connection broke. The investigation of the runner follows; a node that carried the
     /// connection is avoided.
     fn record_break(&self, node: &Node) {
@@ -86,10 +100,7 @@
     loop {
         let frame = match stream.body.frame().await {
             Some(Ok(frame)) => frame,
-            Some(Err(_)) if stream.channel.is_endless() => {
-                paths::record_failure(node, &stream.pick, None);
-                return Err(AttemptError::Endless);
-            }
+            Some(Err(_)) if stream.channel.is_oversized() => return Err(stream.record_oversized(node)),
             Some(Err(error)) => {
                 stream.record_break(node);
                 return Err(AttemptError::Broken(format!("the stream broke off: {error}")));
@@ -100,8 +111,7 @@
         let Ok(chunk) = frame.into_data() else { continue };
         node.ledger.lock().record_progress(&stream.pick.id, node.now());
         stream.guard.begin_stream();
-        let events =
-            stream.splitter.push(&chunk).map_err(|error| AttemptError::MayHaveRun(error.to_string()))?;
+        let events = stream.splitter.push(&chunk).map_err(|error| stream.record_error(node, error))?;
         stream.allow_next();
         if !events.is_empty() {
             return Ok(StreamItem::Events(events));
--- a/crates/node/tests/changes.rs
+++ b/crates/node/tests/changes.rs
@@ -221,7 +221,10 @@
             assert_eq!(answer.status, 200, "{label}");
             assert!(answer.events().into_iter().eq(0..PARTS), "{label}");
         } else {
-            assert!([200, 401, 404, 502, 503].contains(&answer.status), "{label}");
+            let is_refused = [401, 404, 503].contains(&answer.status);
+            // Streams may go to a service that has none.
+            let is_failed = change == Change::Services && answer.status == 502;
+            assert!(answer.status == 200 || is_refused || is_failed, "{label}");
         }
     }
 }
