Split the decider's term from its election

Change: decider/term.rs has the term; nothing but the place of the code and the constructor of a term has changed.

--- a/crates/node/src/decider.rs
+++ b/crates/node/src/decider.rs
@@ -1,41 +1,23 @@
-//! Plans the groups of the fleet while this node holds the decider lease.
+//! Elects the node that plans the groups of the fleet, and lets this one plan while it holds the lease.
 //!
 //! Any node can become the decider; a lease in the store elects one. Plans are written on the condition
 //! that the lease's key is unchanged, so a node that has lost the lease without knowing it writes
-//! nothing. Orders are sent only for plans that were written. An order that arrives late names an epoch
-//! that is over, so the runner rejects it.
+//! nothing.
+
+mod term;
 
-use std::collections::HashMap;
 use std::sync::Arc;
 
-use cottoncrank::{Millis, id};
-use cottoncrank_fleet::adopt::adopt;
-use cottoncrank_fleet::catalog::Service;
-use cottoncrank_fleet::census::{self, Census};
-use cottoncrank_fleet::decide::{Step, step};
-use cottoncrank_fleet::demand::Share;
-use cottoncrank_fleet::memory::Memory;
-use cottoncrank_fleet::order::Order;
-use cottoncrank_fleet::plan::Document;
+use cottoncrank::Millis;
 use cottoncrank_fleet::position::{Era, Position};
-use cottoncrank_fleet::probe::Probes;
-use cottoncrank_fleet::snapshot::Snapshot;
-use cottoncrank_net::client::{Client, Traffic};
 use cottoncrank_platform::item::Item;
-use cottoncrank_platform::order::{self, Reply};
-use cottoncrank_platform::store::{Commit, Lease, Outcome, StoreError};
-use parking_lot::Mutex;
+use cottoncrank_platform::store::{Commit, Outcome};
 use rand::Rng;
-use thiserror::Error;
 
-use crate::era;
-use crate::evacuation;
-use crate::feedback;
-use crate::plans::{PlanError, Plans, StoredPlan, encode_plan, read_plans};
-use crate::pressure;
+use self::term::{EndError, Holding, Term};
+use crate::plans::read_plans;
 use crate::prober;
 use crate::state::{DeciderLease, Node};
-use crate::telemetry;
 
 /// The key that is bound to the lease. Its value names the decider.
 pub const LEASE_KEY: &str = "decider";
@@ -44,12 +26,6 @@
 /// this long.
 const LEASE_TTL: Millis = Millis(1600);
 
-/// How often the lease is renewed. Two renewals in a row may fail before the lease is over.
-const RENEW_INTERVAL: Millis = Millis(400);
-
-/// How long before the possible end of its lease a decider stops.
-const LEASE_MARGIN: Millis = Millis(300);
-
 /// The delay of a candidate for each candidate that ranks before it; jitter adds up to the same again.
 /// Most candidates then see that another one was elected and save the store two calls. The others learn
 /// of an election after about 50 ms.
@@ -65,66 +41,6 @@
 /// How often a node that is not ready to become the decider checks again.
 const NOT_READY_PAUSE: Millis = Millis(50);
 
-/// How often a decider plans when nothing has changed.
-const PLAN_INTERVAL: Millis = Millis(250);
-
-/// How often all plans are read again while the plan of a domain is invalid. An operator may have
-/// removed it.
-const REREAD_INTERVAL: Millis = Millis(2000);
-
-/// The minimum time between two census lines in the log for one service.
-const CENSUS_LOG_INTERVAL: Millis = Millis(500);
-
-/// How long changes are collected before the decider plans.
-const BATCH_DELAY: Millis = Millis(30);
-
-/// The timeout of an order. Runners answer within milliseconds.
-const ORDER_TIMEOUT: Millis = Millis(1000);
-
-/// The most that a runner may send in answer to an order or a probe, in bytes. All runners are probed at
-/// once.
-const RUNNER_ANSWER_BYTES: usize = 64 * 1024;
-
-/// The maximum number of plans in one write: the store's limit, less one for the lease's key.
-const MAX_WRITES: usize = 15;
-
-/// Why a node stopped being the decider.
-#[derive(Debug, Error)]
-enum EndError {
-    #[error(transparent)]
-    Store(#[from] StoreError),
-    #[error("another node holds the lease")]
-    Deposed,
-    #[error("the lease may be over")]
-    Expired,
-    #[error("this node reaches no runner itself, others do")]
-    CutOff,
-    #[error("the store was restored from an older copy, which has another lease or none")]
-    StoreRestored,
-    #[error(transparent)]
-    Plan(#[from] PlanError),
-}
-
-/// One term of this node as the decider.
-struct Term {
-    node: Arc<Node>,
-    client: Client,
-    lease: Lease,
-    /// The store position at which this node wrote the lease's key.
-    lease_position: Position,
-    /// Until when the lease is certain to last.
-    lease_end: Millis,
-    /// When a renewal was last attempted.
-    last_renewed: Millis,
-    plans: Plans,
-    memory: Arc<Mutex<Memory>>,
-    probes: Arc<Mutex<Probes>>,
-    /// The census last logged for each service, and when.
-    logged_census: HashMap<id::Service, (Census, Millis)>,
-    /// The models' shares of the runners, as last logged for each service.
-    logged_shares: HashMap<id::Service, Vec<Share>>,
-}
-
 /// Campaigns for the lease whenever it is free, and acts as the decider while holding it.
 pub async fn run(node: Arc<Node>) {
     let mut decider = node.decider.subscribe();
@@ -158,16 +74,16 @@
         let former_position = holder.map(|holder| holder.position);
         match campaign(&node, former_position).await {
             Ok(Some(mut term)) => {
-                log::info!("decider: this node is the decider since store position {}", term.lease_position);
-                let (node, client, probes) = (node.clone(), term.client.clone(), term.probes.clone());
-                let prober = tokio::spawn(prober::run(node, client, probes));
-                term.node.set_deciding(true);
+                let position = term.lease_position();
+                log::info!("decider: this node is the decider since store position {position}");
+                let prober = tokio::spawn(prober::run(node.clone(), term.client(), term.probes()));
+                node.set_deciding(true);
                 let Err(end) = term.run().await;
-                was_decider = term.node.store.era() != term.lease_position.era();
-                term.node.set_deciding(false);
+                was_decider = node.store.era() != position.era();
+                node.set_deciding(false);
                 prober.abort();
                 log::warn!("decider: this node is no longer the decider: {end}");
-                if let Err(error) = term.node.store.revoke_lease(term.lease).await {
+                if let Err(error) = node.store.revoke_lease(term.lease()).await {
                     log::info!("decider: the lease was not ended and expires by itself: {error}");
                 }
             }
@@ -210,19 +126,7 @@
     };
     let Outcome::Done(position) = node.store.commit(&commit).await? else { return Ok(None) };
     let plans = read_plans(node).await?;
-    Ok(Some(Term {
-        node: node.clone(),
-        client: Client::with_small_answers(Traffic::default(), node.reach.clone(), RUNNER_ANSWER_BYTES),
-        lease,
-        lease_position: position,
-        lease_end: asked + ttl,
-        last_renewed: asked,
-        plans,
-        memory: Arc::new(Mutex::new(Memory::resume(&node.stalls.lock()))),
-        probes: Arc::default(),
-        logged_census: HashMap::new(),
-        logged_shares: HashMap::new(),
-    }))
+    Ok(Some(Term::new(node.clone(), Holding { lease, position, asked, end: asked + ttl }, plans)))
 }
 
 /// Decodes the holder of the lease from the lease's key.
@@ -233,301 +137,3 @@
     }
     DeciderLease { position: item.position, leased: item.leased, node: name }
 }
-
-impl Term {
-    /// Returns an error if this node may no longer act as the decider.
-    fn check_lease(&self) -> Result<(), EndError> {
-        if self.node.store.era() != self.lease_position.era() {
-            return Err(EndError::StoreRestored);
-        }
-        match self.node.now() + LEASE_MARGIN >= self.lease_end {
-            true => Err(EndError::Expired),
-            false => Ok(()),
-        }
-    }
-
-    /// Writes the plans again that the store has lost. Groups serve according to them, and their epochs
-    /// are in use.
-    async fn restore_plans(&mut self) -> Result<(), EndError> {
-        let mut writes = Vec::new();
-        for (domain, document) in era::list_carried_plans(&self.node, self.lease_position.era()) {
-            let stored = self.plans.stored.get(&domain);
-            if self.plans.closed.contains(&domain)
-                || stored.is_some_and(|stored| stored.document.version >= document.version)
-            {
-                continue;
-            }
-            let position = stored.and_then(|stored| stored.position);
-            self.plans.stored.insert(domain.clone(), StoredPlan { position, document: document.clone() });
-            writes.push((domain, document, vec!["restored, the store had lost it".to_owned()]));
-        }
-        writes.extend(self.adopt_groups());
-        for writes in writes.chunks(MAX_WRITES) {
-            self.renew_lease().await?;
-            if !self.write(writes).await? {
-                // The plans held now are the older ones, which must not be planned from.
-                return Err(EndError::StoreRestored);
-            }
-        }
-        Ok(())
-    }
-
-    /// Adopts groups that serve but are in no plan, because the store has lost their plan, and returns
-    /// the plans with them. A domain with a group whose members are only partly known is closed
-    /// until the plans are read again.
-    fn adopt_groups(&mut self) -> Vec<(id::Domain, Document, Vec<String>)> {
-        let Some(catalog) = self.node.catalog.lock().clone() else { return Vec::new() };
-        let adoption = adopt(&catalog.services, &self.node.roster.lock(), &self.plans.list_documents());
-        for domain in &adoption.incomplete {
-            log::warn!(
-                "decider: {domain}: a group that is in no plan has missing members; the domain is not planned"
-            );
-        }
-        self.plans.closed.extend(adoption.incomplete);
-        let plans = adoption.plans.into_iter().filter(|(domain, _)| !self.plans.closed.contains(domain));
-        let reason = || vec!["adopt serving groups, the store had lost their plan".to_owned()];
-        let plans: Vec<_> = plans.map(|(domain, document)| (domain, document, reason())).collect();
-        for (domain, document, _) in &plans {
-            let stored = self.plans.stored.get(domain);
-            let (position, version) =
-                stored.map_or((None, 0), |stored| (stored.position, stored.document.version));
-            let document = Document { version, ..document.clone() };
-            self.plans.stored.insert(domain.clone(), StoredPlan { position, document });
-        }
-        plans
-    }
-
-    /// Plans until the lease is lost.
-    async fn run(&mut self) -> Result<std::convert::Infallible, EndError> {
-        self.restore_plans().await?;
-        loop {
-            let now = self.node.now();
-            self.check_lease()?;
-            self.renew_lease().await?;
-            if *self.node.draining.borrow() {
-                return Err(EndError::Deposed);
-            }
-            if self.node.is_cut_off() {
-                return Err(EndError::CutOff);
-            }
-            self.reread_plans(now).await;
-            self.plan_services().await?;
-            // The next round begins after a change or after the interval, so the outcome is unused.
-            let _ = tokio::time::timeout(PLAN_INTERVAL.duration(), self.node.fleet_changed.notified()).await;
-            tokio::time::sleep(BATCH_DELAY.duration()).await;
-        }
-    }
-
-    /// Reads the plans again if some were invalid, in case they have been corrected or removed.
-    async fn reread_plans(&mut self, now: Millis) {
-        if self.plans.closed.is_empty() || now < self.plans.read_at + REREAD_INTERVAL {
-            return;
-        }
-        self.plans.read_at = now;
-        match read_plans(&self.node).await {
-            Ok(plans) => self.plans = plans,
-            Err(error) => log::info!("decider: the plans could not be read again: {error}"),
-        }
-    }
-
-    /// Renews the lease if a renewal is due.
-    async fn renew_lease(&mut self) -> Result<(), EndError> {
-        let asked = self.node.now();
-        if asked < self.last_renewed + RENEW_INTERVAL {
-            return Ok(());
-        }
-        self.last_renewed = asked;
-        match self.node.store.renew_lease(self.lease).await {
-            Ok(()) => {
-                self.lease_end = asked + LEASE_TTL.max(self.node.settings().lease_min);
-                Ok(())
-            }
-            Err(error @ StoreError::LeaseExpired) => Err(error.into()),
-            Err(error) => {
-                log::info!(
-                    "decider: the lease was not renewed, {} left: {error}",
-                    self.lease_end.since(asked)
-                );
-                Ok(())
-            }
-        }
-    }
-
-    /// Plans each service that has an engine, writes the changed plans and sends the orders.
-    async fn plan_services(&mut self) -> Result<(), EndError> {
-        let Some(catalog) = self.node.catalog.lock().clone() else { return Ok(()) };
-        for service in &catalog.services {
-            let Some(engine) = &service.engine else { continue };
-            let bounds = self.node.settings().bounds.clone();
-            let documents = self.plans.list_documents();
-            let in_flight = self.node.sum_all_in_flight();
-            let rejecting = feedback::list_long_rejecting(&self.node);
-            let started = self.node.now();
-            let (step, census) = {
-                let roster = self.node.roster.lock();
-                let probes = self.probes.lock();
-                let pressure = pressure::sum(&self.node, &catalog, &service.id);
-                telemetry::set_refused_parts(engine, &pressure);
-                let snapshot = Snapshot {
-                    service,
-                    roster: &roster,
-                    plans: &documents,
-                    era: self.lease_position.era(),
-                    closed: &self.plans.closed,
-                    probes: &probes,
-                    serving: self.node.is_serving(),
-                    ceiling: &bounds.ceiling,
-                    stall: bounds.stall,
-                    in_flight: in_flight.as_ref(),
-                    rejecting: &rejecting,
-                    pressure: &pressure,
-                    now: self.node.now(),
-                };
-                (step(&snapshot, &mut self.memory.lock()), census::count(&snapshot, engine))
-            };
-            telemetry::record_planning_time(self.node.now().since(started));
-            self.log_census(&service.id, census);
-            self.log_shares(service);
-            evacuation::log_progress(&self.node, &documents, in_flight.as_ref());
-            telemetry::set_lent(&self.memory.lock().list_lent(service));
-            for note in &step.notes {
-                log::info!("decider: {}: {note}", service.id);
-            }
-            self.execute(step).await?;
-        }
-        Ok(())
-    }
-
-    /// Logs how many runners of a service are in which state, if that has changed.
-    fn log_census(&mut self, service: &id::Service, census: Census) {
-        let now = self.node.now();
-        let last = self.logged_census.get(service);
-        if last.is_some_and(|(last, at)| *last == census || now < *at + CENSUS_LOG_INTERVAL) {
-            return;
-        }
-        log::info!("decider: {service}: {census}");
-        self.logged_census.insert(service.clone(), (census, now));
-    }
-
-    /// Logs which share of the runners each model is to have, if that has changed.
-    fn log_shares(&mut self, service: &Service) {
-        let shares = self.memory.lock().list_shares(service);
-        let logged = self.logged_shares.entry(service.id.clone()).or_default();
-        let same = logged.len() == shares.len()
-            && !shares.iter().zip(&*logged).any(|(share, logged)| share.differs(logged));
-        if same {
-            return;
-        }
-        for share in &shares {
-            log::info!("decider: {}: {share}", service.id);
-        }
-        *logged = shares;
-    }
-
-    /// Writes the plans that changed, then sends the orders that follow from them.
-    ///
-    /// The lease is renewed between the writes, because in a fleet with many domains and a slow store the
-    /// writes take longer than the lease lasts.
-    async fn execute(&mut self, step: Step) -> Result<(), EndError> {
-        for writes in step.writes.chunks(MAX_WRITES) {
-            self.renew_lease().await?;
-            if !self.write(writes).await? {
-                // Orders are sent only for plans that are written. If this plan was lost and made again,
-                // its epochs would be used a second time.
-                return Ok(());
-            }
-        }
-        self.check_lease()?;
-        for (runner, order) in step.orders {
-            self.send_order(runner, order);
-        }
-        Ok(())
-    }
-
-    /// Returns the version of the plan to be written next.
-    fn next_version(&self, domain: &id::Domain) -> u64 {
-        self.plans.stored.get(domain).map_or(0, |stored| stored.document.version) + 1
-    }
-
-    /// Writes plans. Returns false if it is not certain that they were written; the plans have then been
-    /// read from the store again.
-    async fn write(&mut self, writes: &[(id::Domain, Document, Vec<String>)]) -> Result<bool, EndError> {
-        let mut commit =
-            Commit { expect: vec![(LEASE_KEY.to_owned(), Some(self.lease_position))], ..Commit::default() };
-        for (domain, document, reasons) in writes {
-            let document = Document { version: self.next_version(domain), ..document.clone() };
-            let (key, bytes) = encode_plan(domain, &document)?;
-            let expected = self.plans.stored.get(domain).and_then(|stored| stored.position);
-            commit.expect.push((key.clone(), expected));
-            commit.puts.push((key, bytes, None));
-            for reason in reasons {
-                log::info!("decider: {domain}: {reason}");
-            }
-        }
-        match self.node.store.commit(&commit).await {
-            Ok(Outcome::Done(position)) => {
-                for (domain, document, _) in writes {
-                    let version = self.next_version(domain);
-                    let document = Document { version, ..document.clone() };
-                    self.plans
-                        .stored
-                        .insert(domain.clone(), StoredPlan { position: Some(position), document });
-                }
-                Ok(true)
-            }
-            // After a lost answer the write may have been made or may still be made. Both show as a
-            // conflict at the next write, and the plans are read again.
-            Ok(Outcome::Conflict) => {
-                self.plans = read_plans(&self.node).await?;
-                let holder = self.node.decider.borrow().as_ref().map(|holder| holder.position);
-                match holder > Some(self.lease_position) {
-                    true => Err(EndError::Deposed),
-                    false => Ok(false),
-                }
-            }
-            Err(StoreError::LeaseExpired) => Err(StoreError::LeaseExpired.into()),
-            Err(StoreError::Restored(_)) => Err(EndError::StoreRestored),
-            Err(error) => {
-                log::warn!("decider: the plans may not have been written: {error}");
-                self.plans = read_plans(&self.node).await?;
-                Ok(false)
-            }
-        }
-    }
-
-    /// Sends an order in the background and records the runner's answer.
-    fn send_order(&self, runner: id::Runner, order: Order) {
-        let known = self
-            .node
-            .roster
-            .lock()
-            .get_last_known(&runner)
-            .map(|runner| (runner.address, runner.incarnation));
-        let Some((address, incarnation)) = known else { return };
-        let (node, client, memory) = (self.node.clone(), self.client.clone(), self.memory.clone());
-        let (lease_end, era) = (self.lease_end, self.lease_position.era());
-        tokio::spawn(async move {
-            // The box may have been suspended since the order was planned.
-            if node.now() + LEASE_MARGIN >= lease_end || node.store.era() != era {
-                log::warn!("decider: {order:?} to {runner} is not sent, the lease may be over");
-                return;
-            }
-            let reply = order::send(&client, address, &runner, &order, ORDER_TIMEOUT).await;
-            match reply {
-                Ok(Reply::Taken) => {
-                    memory.lock().record_acknowledged(&runner, incarnation, &order, node.now())
-                }
-                Ok(Reply::Outdated) => memory.lock().record_refused(&runner, &order),
-                // The runner is not in that group, or is gone, which is as good as having left it.
-                Ok(Reply::Unfit | Reply::Gone) if matches!(order, Order::Leave(..)) => {
-                    memory.lock().record_acknowledged(&runner, incarnation, &order, node.now());
-                }
-                Ok(Reply::Gone | Reply::Refused(_)) if matches!(order, Order::Stage(_)) => {
-                    memory.lock().record_refused(&runner, &order);
-                }
-                Ok(Reply::Unfit | Reply::Gone | Reply::Refused(_)) | Err(_) => {}
-            }
-            log::info!("decider: {order:?} to {runner}: {reply:?}");
-        });
-    }
-}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -26,7 +26,8 @@
 //!
 //! # Deciding
 //!
-//! - [`decider`] plans groups and sends orders to runners while this node holds the decider lease.
+//! - [`decider`] elects the node that holds the decider lease, and its `term` plans groups and sends orders
+//!   to runners.
 //! - `prober` probes the members of groups for it.
 //!
 //! # Serving callers
