Rename the account of a test by a function of the stand-in

Cause: the test of changes wrote a name of the platform's wire.

Change: the stand-in of the operator renames the account; the test asks it to.

--- a/crates/node/tests/changes.rs
+++ b/crates/node/tests/changes.rs
@@ -13,7 +13,7 @@
 use common::{Fleet, KEY, Killable};
 use cottoncrank_net::reach::Block;
 use cottoncrank_platform_standin::caller::{Answer, CallerRequest, Connection, read_to_end};
-use cottoncrank_platform_standin::operator::{ONCE, READ, STREAM, config};
+use cottoncrank_platform_standin::operator::{ONCE, READ, STREAM, config, rename_account};
 use cottoncrank_platform_standin::raw;
 use serde_json::{Value, json};
 use tokio::io::AsyncWriteExt;
@@ -117,7 +117,7 @@
         }
         match self {
             Change::NoRoutes => config["routes"] = json!([]),
-            Change::Account => config["tenants"][0]["name"] = json!("other"),
+            Change::Account => rename_account(&mut config, "other"),
             Change::ShorterIdle => config["limits"]["idleTimeoutMs"] = json!(IDLE_MS / 2),
             _ => {}
         }
