--- a/crates/fleet/src/fingerprint.rs
+++ b/crates/fleet/src/fingerprint.rs
@@ -3,6 +3,7 @@
 use std::fmt::{self, Write};
 use std::str::FromStr;
 
+use bytes::Bytes;
 use cottoncrank::id;
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
@@ -44,13 +45,23 @@
 impl Fingerprint {
     /// Returns the fingerprint of a request.
     pub fn of(request: &Request) -> Fingerprint {
+        Fingerprint::of_segments(request, &[])
+    }
+
+    /// Returns the fingerprint of a request whose body goes on with `rest`.
+    pub fn of_segments(request: &Request, rest: &[Bytes]) -> Fingerprint {
         let mut hasher = blake3::Hasher::new();
         let account = request.account.map_or("", id::Account::as_str);
-        for part in [account.as_bytes(), request.method.as_bytes(), request.path.as_bytes(), request.body] {
+        let more = rest.iter().map(Bytes::len).sum::<usize>();
+        let parts = [account.as_bytes(), request.method.as_bytes(), request.path.as_bytes(), request.body];
+        for (part, more) in parts.into_iter().zip([0, 0, 0, more]) {
             // Lengths separate the parts, so that no part can pass for the end of another.
-            hasher.update(&(part.len() as u64).to_le_bytes());
+            hasher.update(&((part.len() + more) as u64).to_le_bytes());
             hasher.update(part);
         }
+        for segment in rest {
+            hasher.update(segment);
+        }
         let mut bytes = [0; LENGTH];
         hasher.finalize_xof().fill(&mut bytes);
         if bytes.starts_with(&PART_TAG) {
--- a/crates/fleet/src/settings.rs
+++ b/crates/fleet/src/settings.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use cottoncrank::resources::Machine;
 use cottoncrank::{Millis, id};
 
 use crate::directory::Millicores;
@@ -23,6 +24,8 @@
     pub store: SocketAddr,
     /// The processor time that the node may use.
     pub processor: Millicores,
+    /// What the process has of the box's memory and descriptors. Its change takes effect at the next start.
+    pub machine: Machine,
     /// Whether the whole system starts for the first time.
     pub first_start: bool,
     /// The shortest lease that the store grants.
--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -42,12 +42,15 @@
 pub mod outcome;
 pub mod program;
 pub mod registry;
+pub mod resources;
 pub mod retry;
 pub mod route;
 pub mod row;
 pub mod settings;
+pub mod size;
 pub mod table;
 pub mod view;
 pub mod wire;
 
 pub use clock::{Clock, Millis};
+pub use size::Size;
--- /dev/null
+++ b/crates/kernel/src/resources.rs
@@ -0,0 +1,451 @@
+//! What callers may fill of a process: one account of its memory and its descriptors.
+//!
+//! Each connection and all that is held for it are charged here, at every door. Nobody is refused while there is
+//! room. Where there is none, somebody has to go, and never one whose request has arrived whole:
+//!
+//! - A caller that needs little takes from whoever holds the most, so a few bytes are always served.
+//! - A caller with a large body competes with the others that have one. One that has sent nothing for a while
+//!   goes first. If none has, the newest goes, so that those who are almost through are not thrown out by
+//!   those who come after them.
+//! - A new connection takes the place of the one that has done nothing for the longest time.
+
+use std::cmp::Reverse;
+use std::collections::HashMap;
+
+use thiserror::Error;
+
+use crate::Millis;
+use crate::size::Size;
+
+/// What an open connection takes: its task, its first buffers, its socket.
+pub const CONNECTION: Size = Size::kilobytes(24);
+
+/// What a request takes beside its body until it is answered: its head, its tasks, its connection to a runner
+/// and a small answer.
+pub const REQUEST: Size = Size::kilobytes(64);
+
+/// A body of more than this is large.
+pub const SMALL_BODY: Size = Size::kilobytes(64);
+
+/// The most that a connection has read and not yet handed over.
+pub const READ_BUFFER: Size = Size::kilobytes(64);
+
+/// What the first read buffer of a connection holds, which [`CONNECTION`] contains.
+const FIRST_BUFFER: Size = Size::kilobytes(8);
+
+/// A caller with a large body that has sent nothing for this long is stalled.
+const STALL_TIME: Millis = Millis(1000);
+
+/// The fewest connections that a door has.
+const MIN_CONNECTIONS: usize = 4;
+
+/// Where a connection arrived.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Door {
+    /// The port for callers.
+    Callers,
+    /// The port for other boxes.
+    Peers,
+    /// The port of the balancer.
+    Readiness,
+    /// The port for metrics.
+    Metrics,
+}
+
+impl Door {
+    /// All doors.
+    pub const ALL: [Door; 4] = [Door::Callers, Door::Peers, Door::Readiness, Door::Metrics];
+
+    /// Returns the name as a metric label.
+    pub fn name(self) -> &'static str {
+        match self {
+            Door::Callers => "callers",
+            Door::Peers => "peers",
+            Door::Readiness => "readiness",
+            Door::Metrics => "metrics",
+        }
+    }
+}
+
+/// What a process has.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Machine {
+    /// Its memory.
+    pub memory: Size,
+    /// Its descriptors for sockets.
+    pub sockets: usize,
+}
+
+/// What callers may fill of it.
+///
+/// A half of the memory is the process's own, with what its allocator and the buffers of the kernel take. An
+/// eighth is for answers, a quarter for large bodies, and an eighth at least is left to all else.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Limits {
+    /// The memory of connections, requests and their bodies.
+    pub memory: Size,
+    /// As much of it as large bodies may take together.
+    pub large_bodies: Size,
+    /// The memory of answers that have not been sent.
+    pub answers: Size,
+    /// The connections to runners for requests, and those carried for other boxes.
+    pub outbound: usize,
+    sockets: usize,
+}
+
+impl Limits {
+    /// Divides what a process has.
+    pub fn of(machine: &Machine) -> Limits {
+        Limits {
+            memory: machine.memory.part(3, 8),
+            large_bodies: machine.memory.part(1, 4),
+            answers: machine.memory.part(1, 8),
+            outbound: (machine.sockets / 4).max(MIN_CONNECTIONS),
+            sockets: machine.sockets,
+        }
+    }
+
+    /// Returns the most connections that a door has open.
+    pub fn connections(&self, door: Door) -> usize {
+        let share = match door {
+            Door::Callers => 3 * self.sockets / 8,
+            Door::Peers => self.sockets / 4,
+            Door::Readiness | Door::Metrics => self.sockets / 32,
+        };
+        share.max(MIN_CONNECTIONS)
+    }
+}
+
+/// There is no room, and nobody that has to go in place of the one who asks.
+#[derive(Clone, Copy, Debug, Error, PartialEq, Eq)]
+#[error("no room for it at present")]
+pub struct Short;
+
+/// Distinguishes the connections of a process. Later ones have larger numbers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Id(u64);
+
+/// What is charged.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kind {
+    /// A part of a body.
+    Body,
+    /// Anything else.
+    Overhead,
+}
+
+/// What a connection has to go for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Shortage {
+    /// The memory that it holds. Its caller may still be told.
+    Memory,
+    /// Its descriptor, at once.
+    Descriptors,
+}
+
+/// A connection that has to go.
+pub type Eviction = (Id, Shortage);
+
+/// What a connection is doing.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Activity {
+    /// Nothing: no byte of a request has arrived.
+    Resting,
+    /// A request is arriving.
+    Receiving,
+    /// A whole request is being answered.
+    Serving,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Connection {
+    door: Door,
+    activity: Activity,
+    /// All that is charged to it.
+    held: Size,
+    /// The part of it that is a body.
+    body: Size,
+    /// The part of it that is its read buffer, beyond the first.
+    buffer: Size,
+    /// The bytes of the current request that have arrived, with all that frames them.
+    received: Size,
+    /// When it last sent something, or was answered.
+    since: Millis,
+    has_served: bool,
+    is_open: bool,
+    /// What it has been told to go for.
+    evicted: Option<Shortage>,
+}
+
+impl Connection {
+    fn is_large(&self) -> bool {
+        self.body > SMALL_BODY
+    }
+
+    /// What counts against the limits: one that goes is about to release what it holds.
+    fn counted(&self) -> Size {
+        if self.evicted.is_some() { Size(0) } else { self.held }
+    }
+
+    fn counted_large(&self) -> Size {
+        if self.evicted.is_some() || !self.is_large() { Size(0) } else { self.body }
+    }
+
+    /// Whether it may be told to go, and that helps.
+    fn is_evictable(&self, shortage: Shortage) -> bool {
+        self.is_open && self.evicted < Some(shortage) && self.activity != Activity::Serving
+    }
+}
+
+/// The connections of a process and what they hold.
+#[derive(Clone, Debug)]
+pub struct Table {
+    limits: Limits,
+    connections: HashMap<Id, Connection>,
+    /// The sums over all connections.
+    counted: Size,
+    counted_large: Size,
+    held: Size,
+    open: [usize; Door::ALL.len()],
+    last: u64,
+}
+
+impl Table {
+    /// Starts with no connection.
+    pub fn new(limits: Limits) -> Table {
+        Table {
+            limits,
+            connections: HashMap::new(),
+            counted: Size(0),
+            counted_large: Size(0),
+            held: Size(0),
+            open: [0; Door::ALL.len()],
+            last: 0,
+        }
+    }
+
+    /// Returns all memory that is charged, that of connections included that have been told to go.
+    pub fn held(&self) -> Size {
+        self.held
+    }
+
+    /// Returns the open connections of a door.
+    pub fn count_open(&self, door: Door) -> usize {
+        self.open[door as usize]
+    }
+
+    /// Opens a connection. Those that have to go for it are added to `evicted`.
+    pub fn open(&mut self, door: Door, now: Millis, evicted: &mut Vec<Eviction>) -> Result<Id, Short> {
+        while self.open[door as usize] >= self.limits.connections(door) {
+            let oldest = self.find_inactive(door).ok_or(Short)?;
+            self.evict(oldest, Shortage::Descriptors, evicted);
+            // Its descriptor is about to be closed.
+            self.close_door(oldest);
+        }
+        self.make_room(None, Size(0), CONNECTION, evicted)?;
+        self.last += 1;
+        let id = Id(self.last);
+        let connection = Connection {
+            door,
+            activity: Activity::Resting,
+            held: Size(0),
+            body: Size(0),
+            buffer: Size(0),
+            received: Size(0),
+            since: now,
+            has_served: false,
+            is_open: true,
+            evicted: None,
+        };
+        self.connections.insert(id, connection);
+        self.open[door as usize] += 1;
+        self.change(id, |connection| connection.held += CONNECTION);
+        Ok(id)
+    }
+
+    /// Closes a connection. What else is charged to it stays so until it is released.
+    pub fn close(&mut self, id: Id) {
+        self.close_door(id);
+        self.change(id, |connection| {
+            connection.held -= CONNECTION + connection.buffer;
+            connection.buffer = Size(0);
+        });
+        self.forget_if_done(id);
+    }
+
+    /// Records that bytes of a connection have been read. It may itself be among those that have to go, where
+    /// there is no room for its buffer.
+    pub fn receive(&mut self, id: Id, bytes: Size, now: Millis, evicted: &mut Vec<Eviction>) {
+        let Some(connection) = self.connections.get_mut(&id) else { return };
+        connection.since = now;
+        connection.received += bytes;
+        if connection.activity == Activity::Resting {
+            connection.activity = Activity::Receiving;
+        }
+        let (received, before) = (connection.received, connection.buffer);
+        // A buffer is at most twice as large as what it had to hold.
+        let wanted = Size(2 * received.0).min(READ_BUFFER);
+        if received <= FIRST_BUFFER || wanted <= before || connection.evicted.is_some() {
+            return;
+        }
+        let (more, is_serving) = (wanted - before, connection.activity == Activity::Serving);
+        // Whoever is being served keeps its place; then others do not get one.
+        if self.make_room(Some(id), Size(0), more, evicted).is_err() && !is_serving {
+            return self.evict(id, Shortage::Memory, evicted);
+        }
+        self.change(id, |connection| {
+            connection.held += more;
+            connection.buffer = wanted;
+        });
+    }
+
+    /// Records that the request of a connection has arrived whole.
+    pub fn serve(&mut self, id: Id) {
+        self.set_activity(id, Activity::Serving);
+    }
+
+    /// Records that the request of a connection has been answered.
+    pub fn rest(&mut self, id: Id, now: Millis) {
+        if let Some(connection) = self.connections.get_mut(&id) {
+            connection.activity = Activity::Resting;
+            connection.received = Size(0);
+            connection.since = now;
+            connection.has_served = true;
+        }
+    }
+
+    /// Charges memory to a connection. Those that have to go for it are added to `evicted`.
+    pub fn charge(
+        &mut self,
+        id: Id,
+        size: Size,
+        kind: Kind,
+        now: Millis,
+        evicted: &mut Vec<Eviction>,
+    ) -> Result<(), Short> {
+        let connection =
+            self.connections.get(&id).filter(|connection| connection.evicted.is_none()).ok_or(Short)?;
+        let body = connection.body + if kind == Kind::Body { size } else { Size(0) };
+        match kind {
+            Kind::Body if body > SMALL_BODY => {
+                let more = if connection.is_large() { size } else { body };
+                self.make_large_room(id, size, more, now, evicted)?;
+            }
+            Kind::Body | Kind::Overhead => {
+                let held = connection.held;
+                self.make_room(Some(id), held, size, evicted)?;
+            }
+        }
+        self.change(id, |connection| {
+            connection.held += size;
+            connection.body = body;
+        });
+        Ok(())
+    }
+
+    /// Releases memory that was charged.
+    pub fn release(&mut self, id: Id, size: Size, kind: Kind) {
+        self.change(id, |connection| {
+            connection.held -= size;
+            if kind == Kind::Body {
+                connection.body -= size;
+            }
+        });
+        self.forget_if_done(id);
+    }
+
+    /// Makes room for one that needs little: who holds the most has to go, if that is not less than the one who
+    /// asks would hold.
+    fn make_room(
+        &mut self,
+        asking: Option<Id>,
+        held: Size,
+        size: Size,
+        evicted: &mut Vec<Eviction>,
+    ) -> Result<(), Short> {
+        while self.counted + size > self.limits.memory {
+            let others = self
+                .connections
+                .iter()
+                .filter(|(id, one)| one.is_evictable(Shortage::Memory) && Some(**id) != asking);
+            let largest = others.max_by_key(|(id, one)| (one.held, Reverse(one.since), Reverse(**id)));
+            let (id, _) = largest.filter(|(_, one)| one.held >= held + size).ok_or(Short)?;
+            self.evict(*id, Shortage::Memory, evicted);
+        }
+        Ok(())
+    }
+
+    /// Makes room for a large body, of which `more` counts against the limit of large ones.
+    fn make_large_room(
+        &mut self,
+        asking: Id,
+        size: Size,
+        more: Size,
+        now: Millis,
+        evicted: &mut Vec<Eviction>,
+    ) -> Result<(), Short> {
+        while self.counted + size > self.limits.memory || self.counted_large + more > self.limits.large_bodies
+        {
+            let goes = self.find_large(asking, now).filter(|id| *id != asking).ok_or(Short)?;
+            self.evict(goes, Shortage::Memory, evicted);
+        }
+        Ok(())
+    }
+
+    /// Returns who goes among those whose large body is arriving: the one that has been stalled for the
+    /// longest time, or the newest.
+    fn find_large(&self, asking: Id, now: Millis) -> Option<Id> {
+        let is_arriving =
+            |one: &Connection| one.is_evictable(Shortage::Memory) && one.activity == Activity::Receiving;
+        let arriving = || {
+            self.connections.iter().filter(|(id, one)| **id == asking || is_arriving(one) && one.is_large())
+        };
+        let stalled = arriving().filter(|(_, one)| now.since(one.since) >= STALL_TIME);
+        let longest = stalled.min_by_key(|(id, one)| (one.since, **id));
+        longest.or_else(|| arriving().max_by_key(|(id, _)| **id)).map(|(id, _)| *id)
+    }
+
+    /// Returns the connection of a door that has done nothing for the longest time, first among those that
+    /// have never sent a whole request.
+    fn find_inactive(&self, door: Door) -> Option<Id> {
+        let of_door = self
+            .connections
+            .iter()
+            .filter(|(_, one)| one.door == door && one.is_evictable(Shortage::Descriptors));
+        of_door.min_by_key(|(id, one)| (one.has_served, one.since, **id)).map(|(id, _)| *id)
+    }
+
+    fn evict(&mut self, id: Id, shortage: Shortage, evicted: &mut Vec<Eviction>) {
+        self.change(id, |connection| connection.evicted = Some(shortage));
+        evicted.push((id, shortage));
+    }
+
+    fn set_activity(&mut self, id: Id, activity: Activity) {
+        if let Some(connection) = self.connections.get_mut(&id) {
+            connection.activity = activity;
+        }
+    }
+
+    fn close_door(&mut self, id: Id) {
+        if let Some(connection) = self.connections.get_mut(&id).filter(|connection| connection.is_open) {
+            connection.is_open = false;
+            self.open[connection.door as usize] -= 1;
+        }
+    }
+
+    fn forget_if_done(&mut self, id: Id) {
+        if self.connections.get(&id).is_some_and(|one| !one.is_open && one.held == Size(0)) {
+            self.connections.remove(&id);
+        }
+    }
+
+    /// Changes a connection and the sums with it.
+    fn change(&mut self, id: Id, change: impl FnOnce(&mut Connection)) {
+        let Some(connection) = self.connections.get_mut(&id) else { return };
+        let (counted, large, held) = (connection.counted(), connection.counted_large(), connection.held);
+        change(connection);
+        self.counted = self.counted + connection.counted() - counted;
+        self.counted_large = self.counted_large + connection.counted_large() - large;
+        self.held = self.held + connection.held - held;
+    }
+}
--- /dev/null
+++ b/crates/kernel/tests/resources.rs
@@ -0,0 +1,201 @@
+//! Replays of crowds against the account of what callers fill: who stays and who has to go.
+
+use cottoncrank::resources::{
+    CONNECTION, Door, Eviction, Id, Kind, Limits, Machine, REQUEST, Short, Shortage, Table,
+};
+use cottoncrank::{Millis, Size};
+
+const MACHINE: Machine = Machine { memory: Size::megabytes(96), sockets: 300 };
+
+/// The size of a segment of a body.
+const SEGMENT: Size = Size::kilobytes(32);
+
+/// The segments of the largest body.
+const WHOLE: usize = 128;
+
+/// Longer than a caller may be silent while others need its room.
+const LONG: Millis = Millis(5000);
+
+/// A table with its clock, and the connections that had to go.
+struct World {
+    table: Table,
+    now: Millis,
+    evicted: Vec<Eviction>,
+}
+
+impl World {
+    fn new() -> World {
+        World { table: Table::new(Limits::of(&MACHINE)), now: Millis(1000), evicted: Vec::new() }
+    }
+
+    fn open(&mut self) -> Id {
+        self.table.open(Door::Callers, self.now, &mut self.evicted).unwrap()
+    }
+
+    /// A connection sends a segment of its body.
+    fn send(&mut self, id: Id) -> Result<(), Short> {
+        self.table.receive(id, SEGMENT, self.now, &mut self.evicted);
+        self.table.charge(id, SEGMENT, Kind::Body, self.now, &mut self.evicted)
+    }
+
+    /// A connection sends segments until it has to go or is through.
+    fn send_all(&mut self, id: Id, segments: usize) -> usize {
+        (0..segments).take_while(|_| self.send(id).is_ok()).count()
+    }
+
+    /// A new caller sends an ordinary request.
+    fn ask(&mut self) -> Result<Id, Short> {
+        let id = self.table.open(Door::Callers, self.now, &mut self.evicted)?;
+        self.table.receive(id, Size(500), self.now, &mut self.evicted);
+        self.table.charge(id, REQUEST, Kind::Overhead, self.now, &mut self.evicted)?;
+        self.table.charge(id, Size(200), Kind::Body, self.now, &mut self.evicted)?;
+        self.table.serve(id);
+        Ok(id)
+    }
+
+    fn has_to_go(&self, id: Id) -> bool {
+        self.evicted.iter().any(|(evicted, _)| *evicted == id)
+    }
+}
+
+/// Guards against a crowd of unfinished bodies that keeps ordinary callers out, or takes more than it may.
+#[test]
+fn an_ordinary_caller_is_admitted_beside_a_crowd_of_unfinished_bodies() {
+    let mut world = World::new();
+    let crowd: Vec<Id> = (0..40).map(|_| world.open()).collect();
+    for _ in 0..WHOLE - 1 {
+        for id in &crowd {
+            // Most of them are refused at some point.
+            let _ = world.send(*id);
+        }
+    }
+    let staying = crowd.iter().filter(|id| !world.has_to_go(**id)).count();
+    assert!(staying > 0, "nobody keeps what it has");
+    world.ask().unwrap();
+}
+
+/// Guards against a crowd that leaves nobody room to finish: whoever came first is through, and so is the next.
+#[test]
+fn the_oldest_of_many_large_bodies_is_finished_first() {
+    let mut world = World::new();
+    let first = world.open();
+    let crowd: Vec<Id> = (0..40).map(|_| world.open()).collect();
+    for _ in 0..WHOLE {
+        world.send(first).expect("the oldest stays");
+        for id in &crowd {
+            let _ = world.send(*id);
+        }
+    }
+    assert!(!world.has_to_go(first));
+    assert!(world.has_to_go(*crowd.last().unwrap()), "the newest goes");
+}
+
+/// Guards against a crowd that stops before its end and keeps the room of large bodies for itself.
+#[test]
+fn a_large_body_takes_the_place_of_one_that_is_stalled() {
+    let mut world = World::new();
+    let crowd: Vec<Id> = (0..6).map(|_| world.open()).collect();
+    for id in &crowd {
+        assert_eq!(world.send_all(*id, WHOLE - 1), WHOLE - 1);
+    }
+    world.now = world.now + LONG;
+    let sound = world.open();
+    assert_eq!(world.send_all(sound, WHOLE), WHOLE);
+    assert!(world.has_to_go(crowd[0]), "the one that is stalled for the longest time goes");
+    assert!(!world.has_to_go(sound));
+}
+
+/// Guards against requests that are given up though they have arrived whole.
+#[test]
+fn whoever_is_being_served_stays() {
+    let mut world = World::new();
+    let served: Vec<Id> = (0..6).map(|_| world.open()).collect();
+    for id in &served {
+        assert_eq!(world.send_all(*id, WHOLE), WHOLE);
+        world.table.serve(*id);
+    }
+    world.now = world.now + LONG;
+    let other = world.open();
+    assert!(world.send_all(other, WHOLE) < WHOLE, "there is no room for another large body");
+    assert!(served.iter().all(|id| !world.has_to_go(*id)));
+    world.ask().unwrap();
+}
+
+/// Guards against one slow caller that loses its place while there is room for all.
+#[test]
+fn a_slow_caller_stays_while_there_is_room() {
+    let mut world = World::new();
+    let slow = world.open();
+    for _ in 0..WHOLE {
+        world.now = world.now + LONG;
+        world.send(slow).unwrap();
+    }
+    assert!(world.evicted.is_empty());
+}
+
+/// Guards against connections without requests that keep others out.
+#[test]
+fn a_new_connection_takes_the_place_of_the_one_that_did_nothing_for_longest() {
+    let mut world = World::new();
+    let max = Limits::of(&MACHINE).connections(Door::Callers);
+    let served = world.ask().unwrap();
+    world.table.rest(served, world.now);
+    let crowd: Vec<Id> = (1..max)
+        .map(|_| {
+            world.now = world.now + Millis(1);
+            world.open()
+        })
+        .collect();
+    assert!(world.evicted.is_empty(), "there is room for {max}");
+    world.ask().unwrap();
+    assert_eq!(world.evicted, [(crowd[0], Shortage::Descriptors)], "one that was served before stays longer");
+    assert_eq!(world.table.count_open(Door::Callers), max);
+}
+
+/// Guards against a door that takes the descriptors of another one.
+#[test]
+fn a_crowd_at_one_door_takes_nothing_of_another() {
+    let mut world = World::new();
+    let peer = world.table.open(Door::Peers, world.now, &mut world.evicted).unwrap();
+    for door in [Door::Callers, Door::Readiness, Door::Metrics] {
+        for _ in 0..MACHINE.sockets {
+            world.now = world.now + Millis(1);
+            world.table.open(door, world.now, &mut world.evicted).unwrap();
+        }
+    }
+    assert!(!world.has_to_go(peer));
+    let open: usize = Door::ALL.iter().map(|door| world.table.count_open(*door)).sum();
+    assert!(open <= MACHINE.sockets, "{open} of {}", MACHINE.sockets);
+}
+
+/// Guards against memory that stays charged after its connection is gone.
+#[test]
+fn nothing_is_held_once_all_is_released() {
+    let mut world = World::new();
+    for _ in 0..3 {
+        let crowd: Vec<Id> = (0..40).map(|_| world.open()).collect();
+        let sent: Vec<usize> = crowd.iter().map(|id| world.send_all(*id, WHOLE)).collect();
+        for (id, sent) in crowd.into_iter().zip(sent) {
+            world.table.close(id);
+            world.table.release(id, Size(sent * SEGMENT.0), Kind::Body);
+        }
+        assert_eq!(world.table.held(), Size(0));
+        assert_eq!(world.table.count_open(Door::Callers), 0);
+    }
+    let id = world.open();
+    assert_eq!(world.table.held(), CONNECTION);
+    world.table.close(id);
+    assert_eq!(world.table.held(), Size(0));
+}
+
+#[test]
+fn amounts_are_read_as_they_are_shown() {
+    for (text, size) in
+        [("0", Size(0)), ("96MB", Size::megabytes(96)), ("64KB", Size::kilobytes(64)), ("1025", Size(1025))]
+    {
+        assert_eq!(text.parse(), Ok(size));
+        assert_eq!(size.to_string(), text);
+    }
+    assert!("many".parse::<Size>().is_err());
+    assert!("99999999999999999999MB".parse::<Size>().is_err());
+}
--- a/crates/net/src/allowance.rs
+++ b/crates/net/src/allowance.rs
@@ -3,7 +3,7 @@
 //! A message may be without end in many ways, and a bound on each part of it is easily forgotten: on its head,
 //! its chunks, their sizes, what precedes and follows it. This bounds all bytes, whatever they are.
 
-use std::io;
+use std::io::{self, IoSlice};
 use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -77,6 +77,18 @@
         Pin::new(&mut self.connection).poll_write(context, bytes)
     }
 
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.connection).poll_write_vectored(context, bytes)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.connection.is_write_vectored()
+    }
+
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
         Pin::new(&mut self.connection).poll_flush(context)
     }
--- /dev/null
+++ b/crates/net/src/intake.rs
@@ -0,0 +1,188 @@
+//! Bodies of requests, as they arrive.
+//!
+//! A body is copied into segments as it comes, so that what it takes is what it holds, however small the pieces
+//! are that it comes in: a piece as the connection has it keeps alive all that arrived with it.
+
+use std::convert::Infallible;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::{Context, Poll};
+
+use bytes::Bytes;
+use cottoncrank::Size;
+use cottoncrank::resources::{Kind, Short};
+use http_body_util::BodyExt;
+use hyper::body::{Body as HttpBody, Frame, SizeHint};
+use thiserror::Error;
+
+use crate::resources::{Charge, Slot, hold};
+
+/// The largest segment of a body. It is below the size from which the allocator returns each to the kernel by
+/// itself and then keeps ever larger ones.
+const MAX_SEGMENT: usize = 32 * 1024;
+
+/// The smallest segment of a body.
+const MIN_SEGMENT: usize = 1024;
+
+/// Why a body was not read.
+#[derive(Debug, Error, PartialEq, Eq)]
+pub enum IntakeError {
+    /// It is larger than allowed.
+    #[error("the body is too large")]
+    TooLarge,
+    /// It broke off.
+    #[error("the body broke off")]
+    Broken,
+    /// There is no room for it.
+    #[error(transparent)]
+    Short(#[from] Short),
+}
+
+/// A whole body.
+#[derive(Clone, Debug, Default)]
+pub struct Body {
+    segments: Arc<[Bytes]>,
+    length: usize,
+}
+
+impl Body {
+    /// Returns the bytes, segment by segment.
+    pub fn segments(&self) -> &[Bytes] {
+        &self.segments
+    }
+
+    /// Returns the number of bytes.
+    pub fn len(&self) -> usize {
+        self.length
+    }
+
+    /// Whether there are none.
+    pub fn is_empty(&self) -> bool {
+        self.length == 0
+    }
+
+    /// Returns all bytes in one piece, which is a copy if there are several segments.
+    pub fn into_bytes(self) -> Bytes {
+        match &*self.segments {
+            [] => Bytes::new(),
+            [whole] => whole.clone(),
+            segments => segments.concat().into(),
+        }
+    }
+
+    /// Returns the body as it is sent on.
+    pub fn send(&self) -> Outgoing {
+        Outgoing { body: self.clone(), next: 0, left: self.length }
+    }
+}
+
+/// A body that is sent on.
+#[derive(Debug)]
+pub struct Outgoing {
+    body: Body,
+    next: usize,
+    left: usize,
+}
+
+impl HttpBody for Outgoing {
+    type Data = Bytes;
+    type Error = Infallible;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        _: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
+        let segment = self.body.segments.get(self.next).cloned();
+        self.next += 1;
+        self.left -= segment.as_ref().map_or(0, Bytes::len);
+        Poll::Ready(segment.map(|segment| Ok(Frame::data(segment))))
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.left == 0
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        SizeHint::with_exact(self.left as u64)
+    }
+}
+
+/// Takes the pieces of a body.
+struct Intake<'a> {
+    slot: &'a Slot,
+    whole: Vec<Bytes>,
+    /// The segment that is being filled, with its capacity charged.
+    filling: Vec<u8>,
+    charge: Option<Charge>,
+    length: usize,
+}
+
+impl Intake<'_> {
+    fn push(&mut self, mut piece: &[u8]) -> Result<(), Short> {
+        while !piece.is_empty() {
+            if self.filling.len() == self.filling.capacity() {
+                self.extend(piece.len())?;
+            }
+            let room = self.filling.capacity() - self.filling.len();
+            let (now, later) = piece.split_at(room.min(piece.len()));
+            self.filling.extend_from_slice(now);
+            self.length += now.len();
+            piece = later;
+        }
+        Ok(())
+    }
+
+    /// Makes room for at least one more byte.
+    fn extend(&mut self, wanted: usize) -> Result<(), Short> {
+        if self.filling.capacity() >= MAX_SEGMENT {
+            self.seal();
+        }
+        let before = self.filling.capacity();
+        let more = if self.whole.is_empty() && before == 0 {
+            // Most bodies come in one piece.
+            wanted.min(MAX_SEGMENT)
+        } else {
+            wanted.max(before).max(MIN_SEGMENT).min(MAX_SEGMENT - before)
+        };
+        let charge = self.slot.charge(Size(more), Kind::Body)?;
+        match &mut self.charge {
+            Some(charged) => charged.grow(charge),
+            None => self.charge = Some(charge),
+        }
+        self.filling.reserve_exact(more);
+        Ok(())
+    }
+
+    fn seal(&mut self) {
+        let filled = std::mem::take(&mut self.filling);
+        if let Some(charge) = self.charge.take() {
+            self.whole.push(hold(filled, charge));
+        }
+    }
+
+    fn finish(mut self) -> Body {
+        self.seal();
+        Body { segments: self.whole.into(), length: self.length }
+    }
+}
+
+/// Reads a body to its end, up to `max` bytes, and charges it to its connection.
+pub async fn read<B>(mut body: B, max: usize, slot: &Slot) -> Result<Body, IntakeError>
+where
+    B: HttpBody<Data = Bytes> + Unpin,
+{
+    let mut intake = Intake { slot, whole: Vec::new(), filling: Vec::new(), charge: None, length: 0 };
+    loop {
+        let frame = tokio::select! {
+            biased;
+            _ = slot.wait_evicted(None) => return Err(Short.into()),
+            frame = body.frame() => frame,
+        };
+        let Some(frame) = frame else { return Ok(intake.finish()) };
+        let Ok(piece) = frame.map_err(|_| IntakeError::Broken)?.into_data() else { continue };
+        if intake.length + piece.len() > max {
+            return Err(IntakeError::TooLarge);
+        }
+        intake.push(&piece)?;
+    }
+}
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -16,9 +16,12 @@
 pub mod allowance;
 pub mod client;
 pub mod feed;
+pub mod intake;
 pub mod keepalive;
+pub mod metered;
 pub mod public;
 pub mod reach;
+pub mod resources;
 pub mod server;
 pub mod store;
 pub mod trace;
--- a/crates/net/src/reach.rs
+++ b/crates/net/src/reach.rs
@@ -1,7 +1,7 @@
 //! Cuts of the network between a process and others, for tests of partitions.
 
 use std::collections::HashSet;
-use std::io;
+use std::io::{self, IoSlice};
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::Arc;
@@ -143,6 +143,21 @@
         }
     }
 
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bytes: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        match self.poll_cut() {
+            Some(cut) => cut,
+            None => Pin::new(&mut self.stream).poll_write_vectored(cx, bytes),
+        }
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         Pin::new(&mut self.stream).poll_flush(cx)
     }
--- a/crates/node/src/answer.rs
+++ b/crates/node/src/answer.rs
@@ -88,6 +88,12 @@
     /// The body broke off.
     #[error("the body broke off")]
     BrokenBody,
+    /// The body did not arrive while its caller waited. It has not run.
+    #[error("its body did not arrive in time")]
+    Stalled,
+    /// There is no memory for the request at present. It has not run.
+    #[error("there is no room for it at present")]
+    NoRoom,
     /// The node's configuration is missing or too old to decide about the request, which has not
     /// run.
     #[error("this node cannot judge requests at present")]
@@ -176,7 +182,9 @@
             Refusal::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             // Callers do not retry after this status.
             Refusal::BrokenBody | Refusal::Deadly => StatusCode::BAD_REQUEST,
-            Refusal::StaleConfig
+            Refusal::Stalled => StatusCode::REQUEST_TIMEOUT,
+            Refusal::NoRoom
+            | Refusal::StaleConfig
             | Refusal::NoRunner
             | Refusal::Evacuated
             | Refusal::Quarantined
@@ -197,6 +205,8 @@
             Refusal::Version => "version",
             Refusal::TooLarge => "too_large",
             Refusal::BrokenBody => "body",
+            Refusal::Stalled => "stalled",
+            Refusal::NoRoom => "no_room",
             Refusal::StaleConfig => "unsure",
             Refusal::NoRunner => "no_runner",
             Refusal::Evacuated => "evacuated",
@@ -214,7 +224,8 @@
     /// Whether a later retry may succeed.
     fn is_retryable(&self) -> bool {
         match self {
-            Refusal::StaleConfig
+            Refusal::NoRoom
+            | Refusal::StaleConfig
             | Refusal::NoRunner
             | Refusal::Evacuated
             | Refusal::Quarantined
--- a/crates/node/src/attempt.rs
+++ b/crates/node/src/attempt.rs
@@ -3,14 +3,14 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use bytes::Bytes;
 use cottoncrank::{Millis, id};
 use cottoncrank_fleet::catalog::{Catalog, Engine, Route};
 use cottoncrank_fleet::fingerprint::Fingerprint;
 use cottoncrank_fleet::plan::{State, find_state};
 use cottoncrank_fleet::runner::{Epoch, Incarnation, Release};
+use cottoncrank_net::intake;
+use cottoncrank_net::resources::Charge;
 use cottoncrank_platform::header::{self, ForwardMetadata, RequestMetadata, Verdict};
-use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::http::request::Parts;
 use hyper::{Request, Response};
@@ -32,7 +32,9 @@
     /// The head, as the caller sent it.
     pub head: Parts,
     /// The body.
-    pub body: Bytes,
+    pub body: intake::Body,
+    /// The memory for all else of the request.
+    pub room: Charge,
     /// What the caller's headers say about the request, such as its timeout.
     pub terms: RequestMetadata,
     /// The route.
@@ -289,8 +291,8 @@
     }
 }
 
-fn build_request(node: &Node, job: &Job, pick: &Pick, last_event: Option<u64>) -> Request<Full<Bytes>> {
-    let mut request = Request::new(Full::new(job.body.clone()));
+fn build_request(node: &Node, job: &Job, pick: &Pick, last_event: Option<u64>) -> Request<intake::Outgoing> {
+    let mut request = Request::new(job.body.send());
     *request.method_mut() = job.head.method.clone();
     *request.uri_mut() = job.head.uri.clone();
     let forward = ForwardMetadata {
--- a/crates/node/src/channel.rs
+++ b/crates/node/src/channel.rs
@@ -6,10 +6,9 @@
 
 use std::io::ErrorKind;
 
-use bytes::Bytes;
 use cottoncrank::id;
 use cottoncrank_net::allowance::{Allowance, Bounded};
-use http_body_util::Full;
+use cottoncrank_net::intake::Outgoing;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::{Request, Response};
@@ -57,7 +56,7 @@
 
 /// A connection. Dropping it closes it, and the runner then drops the request.
 pub struct Channel {
-    sender: SendRequest<Full<Bytes>>,
+    sender: SendRequest<Outgoing>,
     driver: JoinHandle<()>,
     through: Option<id::Node>,
     allowance: Allowance,
@@ -89,7 +88,7 @@
     }
 
     /// Sends the request and waits for the head of the answer.
-    pub async fn send(&mut self, request: Request<Full<Bytes>>) -> Result<Response<Incoming>, ChannelError> {
+    pub async fn send(&mut self, request: Request<Outgoing>) -> Result<Response<Incoming>, ChannelError> {
         let sent = self.sender.send_request(request).await;
         sent.map_err(|error| if self.is_oversized() { ChannelError::Oversized } else { error.into() })
     }
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -8,6 +8,9 @@
 
 use bytes::Bytes;
 use cottoncrank::Millis;
+use cottoncrank::resources::Door;
+use cottoncrank_net::metered::{self, Metered};
+use cottoncrank_net::resources::Slot;
 use cottoncrank_net::{feed, keepalive};
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HeaderValue};
@@ -40,6 +43,9 @@
 /// Accepts callers until the node is closed.
 pub async fn serve_callers(node: Arc<Node>, listener: TcpListener) {
     let mut closed = node.closed.subscribe();
+    if let Err(error) = metered::limit_arrived(&listener) {
+        log::warn!("front: callers may send more than is read: {error}");
+    }
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
@@ -50,7 +56,12 @@
         while let Some(accepted) = next {
             next = match accepted {
                 Ok((stream, _)) => {
+                    let evictions = node.resources.count_evictions();
                     take_or_close(&node, stream);
+                    if node.resources.count_evictions() > evictions {
+                        // Their descriptors are closed before the next one is opened.
+                        tokio::task::yield_now().await;
+                    }
                     accept_waiting(&listener).await
                 }
                 Err(error) => {
@@ -63,11 +74,11 @@
 }
 
 fn take_or_close(node: &Arc<Node>, stream: TcpStream) {
-    if node.overload.lock().accepts(node.now()) {
-        tokio::spawn(serve_caller(node.clone(), stream));
-    } else {
+    let accepts = node.overload.lock().accepts(node.now());
+    match accepts.then(|| node.resources.open(Door::Callers)) {
+        Some(Ok(slot)) => drop(tokio::spawn(serve_caller(node.clone(), stream, slot))),
         // Nothing is read of it, so the caller may send its request to another node.
-        telemetry::count_closed_unread();
+        Some(Err(_)) | None => telemetry::count_closed_unread(),
     }
 }
 
@@ -96,7 +107,7 @@
     tokio::time::sleep(ACCEPT_PAUSE.duration()).await;
 }
 
-async fn serve_caller(node: Arc<Node>, stream: TcpStream) {
+async fn serve_caller(node: Arc<Node>, stream: TcpStream, slot: Arc<Slot>) {
     let limits = node.catalog.lock().as_ref().map(|catalog| catalog.limits);
     // A caller that reads nothing would otherwise hold its connection and its answer for good.
     let prepared =
@@ -107,14 +118,14 @@
     let buffer = limits.map_or(MIN_BUFFER_BYTES, |limits| (2 * limits.max_head_bytes).max(MIN_BUFFER_BYTES));
     let mut closed = node.closed.subscribe();
     let (current_stream, mut streams) = watch::channel(None);
-    let (in_use, idle) = (OnceLock::new(), Idle::new(node.clone()));
+    let (in_use, idle) = (OnceLock::new(), Idle::new(node.clone(), slot.clone()));
     let service = service_fn(|request: Request<Incoming>| {
-        let (node, current_stream) = (node.clone(), &current_stream);
+        let (node, slot, current_stream) = (node.clone(), slot.clone(), &current_stream);
         in_use.get_or_init(|| node.begin_use());
         let busy = idle.begin_request();
         async move {
-            let mut answer = request::handle(node.clone(), request).await;
-            if *node.draining.borrow() {
+            let mut answer = request::handle(node.clone(), request, &slot).await;
+            if *node.draining.borrow() || slot.is_abandoned() {
                 answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
             }
             current_stream.send_replace(answer.body().watch());
@@ -126,9 +137,12 @@
         // `idle` limits the time until a head is read.
         .header_read_timeout(None)
         .max_buf_size(buffer)
-        .serve_connection(TokioIo::new(Noted::new(stream, idle.clone())), service);
+        .serve_connection(
+            TokioIo::new(Noted::new(Metered::new(stream, slot.clone()), idle.clone())),
+            service,
+        );
     tokio::pin!(connection);
-    let mut is_closing = false;
+    let (mut is_closing, mut evicted) = (false, None);
     let outcome = loop {
         tokio::select! {
             // A request that has arrived is read before its connection is closed.
@@ -145,6 +159,13 @@
                 is_closing = true;
                 connection.as_mut().graceful_shutdown();
             }
+            shortage = slot.wait_evicted(evicted) => {
+                if shortage.is_some_and(|shortage| slot.closes_for(shortage)) {
+                    break Ok(());
+                }
+                evicted = shortage;
+                connection.as_mut().graceful_shutdown();
+            }
             () = wait_cut(&mut streams) => {
                 let rest = tokio::time::timeout(CUT_READ_TIME.duration(), &mut connection);
                 break rest.await.unwrap_or_else(|_| {
--- a/crates/node/src/idle.rs
+++ b/crates/node/src/idle.rs
@@ -9,6 +9,7 @@
 use bytes::Bytes;
 use cottoncrank::Millis;
 use cottoncrank_net::feed::Cut;
+use cottoncrank_net::resources::Slot;
 use hyper::body::{Frame, SizeHint};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::sync::watch;
@@ -31,6 +32,7 @@
 /// Follows the requests on one connection.
 pub struct Idle {
     node: Arc<Node>,
+    slot: Arc<Slot>,
     activity: watch::Sender<Activity>,
     /// When something was last written on it, in milliseconds of the node's clock.
     written_at: AtomicU64,
@@ -59,14 +61,15 @@
 
 impl Idle {
     /// Starts with a connection on which nothing was sent yet.
-    pub fn new(node: Arc<Node>) -> Arc<Idle> {
+    pub fn new(node: Arc<Node>, slot: Arc<Slot>) -> Arc<Idle> {
         let since = Activity::IdleSince(node.now());
-        Arc::new(Idle { node, activity: watch::Sender::new(since), written_at: AtomicU64::default() })
+        Arc::new(Idle { node, slot, activity: watch::Sender::new(since), written_at: AtomicU64::default() })
     }
 
     /// Marks the connection as busy with a request.
     pub fn begin_request(self: &Arc<Idle>) -> BusyGuard {
         self.activity.send_replace(Activity::Busy);
+        self.slot.begin_request();
         BusyGuard(self.clone())
     }
 
@@ -108,6 +111,7 @@
 impl Drop for BusyGuard {
     fn drop(&mut self) {
         self.0.activity.send_replace(Activity::IdleSince(self.0.node.now()));
+        self.0.slot.end_request();
     }
 }
 
--- a/crates/node/src/prober.rs
+++ b/crates/node/src/prober.rs
@@ -8,6 +8,7 @@
 use cottoncrank_fleet::probe::{Answer, Observation, Probes};
 use cottoncrank_fleet::runner::Runner;
 use cottoncrank_net::client::Client;
+use cottoncrank_net::intake;
 use cottoncrank_platform::order::{self, ProbeResult};
 use http_body_util::BodyExt;
 use hyper::Response;
@@ -128,7 +129,8 @@
     address: SocketAddr,
     id: &id::Runner,
 ) -> Result<ProbeResult, ChannelError> {
-    let answer = channel.send(order::build_probe(address, id)).await?;
+    let request = order::build_probe(address, id).map(|()| intake::Body::default().send());
+    let answer = channel.send(request).await?;
     let (head, body) = answer.into_parts();
     let answer = Response::from_parts(head, body.collect().await?.to_bytes());
     Ok(order::read_probe(id, &answer))
--- a/crates/node/src/request.rs
+++ b/crates/node/src/request.rs
@@ -2,13 +2,15 @@
 
 use std::sync::Arc;
 
-use bytes::Bytes;
-use cottoncrank::Millis;
+use cottoncrank::resources::{self, REQUEST, SMALL_BODY, Short};
+use cottoncrank::{Millis, id};
 use cottoncrank_fleet::catalog::{Catalog, Kind, Route};
 use cottoncrank_fleet::fingerprint::{self, Fingerprint};
+use cottoncrank_net::intake::{self, IntakeError};
+use cottoncrank_net::resources::{Charge, Slot};
 use cottoncrank_platform::header::{self, RequestMetadata};
-use http_body_util::{BodyExt, Limited};
-use hyper::body::Incoming;
+use http_body_util::BodyExt;
+use hyper::body::{Body as _, Incoming};
 use hyper::header::HOST;
 use hyper::http::request::Parts;
 use hyper::{Request, Version};
@@ -33,15 +35,18 @@
 /// How long a caller waits that does not say so. The timeout of the route applies as well.
 const DEFAULT_CALLER_WAIT: Millis = Millis(30_000);
 
+/// How long the small body of a refused request may still arrive.
+const DISCARD_TIME: Millis = Millis(100);
+
 /// Handles one request of a caller.
-pub async fn handle(node: Arc<Node>, request: Request<Incoming>) -> Answer {
+pub async fn handle(node: Arc<Node>, request: Request<Incoming>, slot: &Slot) -> Answer {
     let (head, body) = request.into_parts();
     let terms = header::read_metadata(&head.headers);
     let id = terms.request_id.clone();
     let request_guard = node.begin_request();
     let arrived = node.now();
     let mut kind = "none";
-    let outcome = match admit(&node, head, body, terms).await {
+    let outcome = match admit(&node, head, body, terms, slot).await {
         Ok(job) => {
             kind = job.route.kind.name();
             let deadline = job.deadline;
@@ -94,45 +99,102 @@
     }
 }
 
+/// What the head of a request says of it.
+struct Accepted {
+    catalog: Arc<Catalog>,
+    route: Arc<Route>,
+    account: Option<id::Account>,
+    priority: u8,
+}
+
+impl From<IntakeError> for Refusal {
+    fn from(error: IntakeError) -> Refusal {
+        match error {
+            IntakeError::TooLarge => Refusal::TooLarge,
+            IntakeError::Broken => Refusal::BrokenBody,
+            IntakeError::Short(Short) => Refusal::NoRoom,
+        }
+    }
+}
+
+/// Marks the body of a request as abandoned unless it is read to its end.
+struct Unread<'a> {
+    slot: &'a Slot,
+    is_whole: bool,
+}
+
+impl Drop for Unread<'_> {
+    fn drop(&mut self) {
+        if !self.is_whole {
+            self.slot.abandon_body();
+        }
+    }
+}
+
+/// Admits a request. All that can be judged by its head alone is judged before its body is read, and again
+/// afterwards, as a key may have been revoked meanwhile.
 async fn admit(
     node: &Arc<Node>,
     head: Parts,
     body: Incoming,
     terms: RequestMetadata,
+    slot: &Slot,
 ) -> Result<Job, Refusal> {
     let arrived = node.now();
+    let mut unread = Unread { slot, is_whole: body.is_end_stream() };
     node.wait_synced(STARTUP_WAIT).await;
-    let catalog = node.catalog.lock().clone().ok_or(Refusal::StaleConfig)?;
-    let body = read_body(body, catalog.limits.max_body_bytes).await?;
-    let route = find_route(&catalog, &head).map_err(|refusal| replace_if_stale(node, refusal))?;
-    if route.kind == Kind::Stream && head.version < Version::HTTP_11 {
-        return Err(Refusal::Version);
-    }
-    let account = match route.allow_anonymous || !catalog.has_accounts() {
-        true => None,
-        false => {
-            if !node.trusts_keys() {
-                return Err(Refusal::StaleConfig);
-            }
-            let key = terms.api_key.as_deref().ok_or(Refusal::UnknownKey)?;
-            Some(catalog.find_account(key).ok_or_else(|| replace_if_stale(node, Refusal::UnknownKey))?)
+    let accepted = match judge(node, &head, &body, &terms) {
+        Ok(accepted) => accepted,
+        Err(refusal) => {
+            unread.is_whole = discard(body).await;
+            return Err(refusal);
         }
     };
-    let priority = account.and_then(|account| account.priority).unwrap_or(route.priority).min(MAX_PRIORITY);
-    let target = route.pick_target(rand::rng().random()).ok_or(Refusal::NoRoute)?;
-    let wait = terms.timeout.unwrap_or(DEFAULT_CALLER_WAIT).min(route.timeout);
-    let fingerprint = Fingerprint::of(&fingerprint::Request {
-        account: account.map(|account| &account.id),
+    let room = slot.charge(REQUEST, resources::Kind::Overhead).map_err(|Short| Refusal::NoRoom)?;
+    let wait = terms.timeout.unwrap_or(DEFAULT_CALLER_WAIT).min(accepted.route.timeout);
+    let deadline = arrived + wait;
+    let has_body = !unread.is_whole;
+    let body = tokio::select! {
+        biased;
+        body = intake::read(body, accepted.catalog.limits.max_body_bytes, slot) => body?,
+        () = node.wait_until(deadline) => return Err(Refusal::Stalled),
+    };
+    unread.is_whole = true;
+    slot.serve();
+    let accepted = if has_body { judge_again(node, &head, &terms)? } else { accepted };
+    build_job(Arrival { head, body, terms, arrived, deadline, room }, accepted)
+}
+
+/// A request that has arrived whole.
+struct Arrival {
+    head: Parts,
+    body: intake::Body,
+    terms: RequestMetadata,
+    arrived: Millis,
+    deadline: Millis,
+    room: Charge,
+}
+
+fn build_job(arrival: Arrival, accepted: Accepted) -> Result<Job, Refusal> {
+    let Arrival { head, body, terms, arrived, deadline, room } = arrival;
+    let Accepted { catalog, route, account, priority } = accepted;
+    let service = route.pick_target(rand::rng().random()).ok_or(Refusal::NoRoute)?.service.clone();
+    let (first, rest) =
+        body.segments().split_first().map_or((&[][..], &[][..]), |(first, rest)| (first, rest));
+    let request = fingerprint::Request {
+        account: account.as_ref(),
         method: head.method.as_str(),
         path: head.uri.path_and_query().map_or("/", |path| path.as_str()),
-        body: &body,
-    });
-    let parts = terms.prompt_parts.iter().map(|part| Fingerprint::of_part(&target.service, part)).collect();
+        body: first,
+    };
+    let fingerprint = Fingerprint::of_segments(&request, rest);
+    let parts = terms.prompt_parts.iter().map(|part| Fingerprint::of_part(&service, part)).collect();
     Ok(Job {
-        account: account.map(|account| account.id.clone()),
-        service: target.service.clone(),
+        account,
+        service,
         head,
         body,
+        room,
         terms,
         route,
         catalog,
@@ -140,10 +202,59 @@
         fingerprint,
         parts,
         arrived,
-        deadline: arrived + wait,
+        deadline,
     })
 }
 
+/// Judges a request by its head.
+fn judge(node: &Node, head: &Parts, body: &Incoming, terms: &RequestMetadata) -> Result<Accepted, Refusal> {
+    let accepted = judge_again(node, head, terms)?;
+    let announced = body.size_hint().lower();
+    if announced > accepted.catalog.limits.max_body_bytes as u64 {
+        return Err(Refusal::TooLarge);
+    }
+    Ok(accepted)
+}
+
+/// Judges a request by its head, with the configuration in force.
+fn judge_again(node: &Node, head: &Parts, terms: &RequestMetadata) -> Result<Accepted, Refusal> {
+    let catalog = node.catalog.lock().clone().ok_or(Refusal::StaleConfig)?;
+    let route = find_route(&catalog, head).map_err(|refusal| replace_if_stale(node, refusal))?;
+    if route.kind == Kind::Stream && head.version < Version::HTTP_11 {
+        return Err(Refusal::Version);
+    }
+    let account = match route.allow_anonymous || !catalog.has_accounts() {
+        true => None,
+        false => {
+            if !node.trusts_keys() {
+                return Err(Refusal::StaleConfig);
+            }
+            let key = terms.api_key.as_deref().ok_or(Refusal::UnknownKey)?;
+            Some(catalog.find_account(key).ok_or_else(|| replace_if_stale(node, Refusal::UnknownKey))?)
+        }
+    };
+    let priority = account.and_then(|account| account.priority).unwrap_or(route.priority).min(MAX_PRIORITY);
+    let account = account.map(|account| account.id.clone());
+    Ok(Accepted { catalog, route, account, priority })
+}
+
+/// Reads a small body of a refused request and drops it, if it is about to arrive, so that the connection can
+/// be used again. Returns whether it was read to its end.
+async fn discard(mut body: Incoming) -> bool {
+    if body.size_hint().upper().is_none_or(|announced| announced > SMALL_BODY.0 as u64) {
+        return body.is_end_stream();
+    }
+    let reading = async {
+        while let Some(frame) = body.frame().await {
+            if frame.is_err() {
+                return false;
+            }
+        }
+        true
+    };
+    tokio::time::timeout(DISCARD_TIME.duration(), reading).await.unwrap_or(false)
+}
+
 /// Returns [`Refusal::StaleConfig`] in place of a refusal for an unknown route or key if a newer
 /// configuration may have it. Then the caller may retry, and another node may know the route or
 /// key.
@@ -156,11 +267,3 @@
     let name = host.split_once(':').map_or(host, |(name, _)| name);
     catalog.find_route(name, head.uri.path()).cloned().ok_or(Refusal::NoRoute)
 }
-
-async fn read_body(body: Incoming, max: usize) -> Result<Bytes, Refusal> {
-    match Limited::new(body, max).collect().await {
-        Ok(collected) => Ok(collected.to_bytes()),
-        Err(error) if error.is::<http_body_util::LengthLimitError>() => Err(Refusal::TooLarge),
-        Err(_) => Err(Refusal::BrokenBody),
-    }
-}
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -34,6 +34,7 @@
 use cottoncrank_fleet::trials::{Baseline, Trials};
 use cottoncrank_net::client::{Client, Traffic};
 use cottoncrank_net::reach::Reach;
+use cottoncrank_net::resources::Resources;
 use cottoncrank_platform::store::Store;
 use parking_lot::Mutex;
 use rand::Rng;
@@ -77,6 +78,8 @@
     pub reach: Reach,
     /// The clock, which also counts the time that the box was suspended.
     pub clock: System,
+    /// What callers fill of this process.
+    pub resources: Resources,
     /// The operators' configuration, once it has been received.
     pub catalog: Mutex<Option<Arc<Catalog>>>,
     /// The proof of freshness of the configuration.
@@ -197,15 +200,17 @@
 impl Node {
     /// Returns a node that has not read the store yet.
     pub fn new(settings: Settings) -> Arc<Node> {
+        let clock = System::new();
         Arc::new(Node {
             store: Store::new(settings.store),
+            resources: Resources::new(&settings.machine, clock.clone()),
             settings: Mutex::new(Arc::new(settings)),
             feed: Feed::default(),
             directory: Mutex::default(),
             presence: Mutex::default(),
             entry_gone: Notify::new(),
             reach: Reach::default(),
-            clock: System::new(),
+            clock,
             catalog: Mutex::default(),
             last_contact: watch::Sender::new(None),
             freshness: Mutex::default(),
--- a/crates/node/src/telemetry.rs
+++ b/crates/node/src/telemetry.rs
@@ -6,6 +6,7 @@
 
 use bytes::Bytes;
 use cottoncrank::clock::Suspension;
+use cottoncrank::resources::Door;
 use cottoncrank::{Millis, id};
 use cottoncrank_fleet::catalog::Engine;
 use cottoncrank_fleet::evidence::Level;
@@ -255,6 +256,7 @@
     let mut ages = VecDeque::new();
     let mut cold_log = ColdLog::default();
     let mut evacuated = BTreeSet::new();
+    let mut evictions = 0;
     loop {
         let age = node.freshness.lock().age(node.now()).map_or(-1.0, |age| age.0 as f64 / 1000.0);
         ages.push_back(age);
@@ -284,12 +286,32 @@
         for (hall, pressure) in feedback::measure_backpressure(&node) {
             set_pressure(hall.as_str(), &pressure);
         }
+        set_resources(&node, &mut evictions);
         cold_log.update(&node);
         set_evacuations(&node, &mut evacuated);
         tokio::time::sleep(SAMPLE_INTERVAL.duration()).await;
     }
 }
 
+/// Sets the gauges of what callers fill, and logs how many connections had to go since `before`.
+fn set_resources(node: &Node, before: &mut u64) {
+    let (held, answers) = (node.resources.held(), node.resources.held_answers());
+    metrics::gauge!("cottoncrank_callers_memory_bytes").set(held.0 as f64);
+    metrics::gauge!("cottoncrank_answers_memory_bytes").set(answers.0 as f64);
+    for door in Door::ALL {
+        let open = node.resources.count_open(door);
+        metrics::gauge!("cottoncrank_connections", "door" => door.name()).set(open as f64);
+    }
+    let evictions = node.resources.count_evictions();
+    if evictions > *before {
+        let (count, callers) = (evictions - *before, node.resources.count_open(Door::Callers));
+        log::warn!(
+            "resources: {count} connections had to go for others, {held} are held of {callers} connections of callers, and {answers} of answers"
+        );
+        *before = evictions;
+    }
+}
+
 /// Sets the gauges of each model's concurrency limit and waiting requests.
 fn set_limits(node: &Node) {
     for ((_, model), limit) in node.concurrency_limits.lock().iter() {
--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -7,7 +7,8 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use cottoncrank::Millis;
+use cottoncrank::resources::Machine;
+use cottoncrank::{Millis, Size};
 use cottoncrank_fleet::directory::Millicores;
 use cottoncrank_fleet::retries::{Allowance, Bound, SETTLE_TIME};
 use cottoncrank_fleet::settings::{Bounds, Ceiling, Settings};
@@ -114,6 +115,7 @@
         peers: address(&listeners.peers),
         store,
         processor: Millicores(1000),
+        machine: Machine { memory: Size::megabytes(256), sockets: 4000 },
         first_start: false,
         lease_min: Millis(1000),
         bounds: Bounds {
