Bound the connections at each door, and those to runners

What was seen: connections with nothing on them at the ports for other boxes, the balancer or metrics took all descriptors of a process, so that no caller could be accepted; queries in chunks of one byte took 34 times their bytes.

Cause: each door accepted by itself and counted nothing. Connections to runners and tunnels were not counted together with anything.

Change: all doors accept within the account of the process, each with its own share of the descriptors. A new connection takes the place of the one that did nothing for the longest time, which closes its descriptor before the next one is opened. Queries are read like bodies of callers. Connections to runners for requests and carried tunnels take a descriptor of the account.

Why it holds: the shares add up to less than what there is, and no door can take what belongs to another one.

--- a/crates/net/src/metered.rs
+++ b/crates/net/src/metered.rs
@@ -52,6 +52,11 @@
         Metered { connection, slot, linger: None }
     }
 
+    /// Returns the connection.
+    pub fn get_ref(&self) -> &T {
+        &self.connection
+    }
+
     /// Returns the connection, and its place in the account.
     pub fn into_parts(self) -> (T, Arc<Slot>) {
         (self.connection, self.slot)
--- a/crates/node/src/attempt.rs
+++ b/crates/node/src/attempt.rs
@@ -213,6 +213,9 @@
     last_event: Option<u64>,
 ) -> Result<Attempt, AttemptError> {
     let guard = node.begin_attempt(&pick.id);
+    let Some(outbound) = node.resources.begin_outbound() else {
+        return Err(AttemptError::Unreached("no descriptor is left for its connection".to_owned()));
+    };
     let opened = connect::open(node, Target::of_pick(pick), job.deadline).await;
     let mut channel = opened.map_err(|error| {
         if error.is_refused() {
@@ -225,6 +228,7 @@
         }
         AttemptError::Unreached(error.to_string())
     })?;
+    channel.hold(outbound);
     node.ledger.lock().record_connect(&pick.hall);
     if let Some(through) = channel.through() {
         log::info!("request {}: sent to {} through {through}", job.id(), pick.id);
--- a/crates/node/src/channel.rs
+++ b/crates/node/src/channel.rs
@@ -9,6 +9,7 @@
 use cottoncrank::id;
 use cottoncrank_net::allowance::{Allowance, Bounded};
 use cottoncrank_net::intake::Outgoing;
+use cottoncrank_net::resources::Outbound;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::{Request, Response};
@@ -60,6 +61,8 @@
     driver: JoinHandle<()>,
     through: Option<id::Node>,
     allowance: Allowance,
+    /// The descriptor that is charged for it, if it carries a request of a caller.
+    outbound: Option<Outbound>,
 }
 
 impl Channel {
@@ -79,7 +82,12 @@
                 log::debug!("channel: {error}");
             }
         });
-        Ok(Channel { sender, driver, through, allowance })
+        Ok(Channel { sender, driver, through, allowance, outbound: None })
+    }
+
+    /// Holds a descriptor of the account for as long as the channel lives.
+    pub(crate) fn hold(&mut self, outbound: Outbound) {
+        self.outbound = Some(outbound);
     }
 
     /// Returns the node that carries the connection; `None` if it is direct.
--- /dev/null
+++ b/crates/node/src/doors.rs
@@ -0,0 +1,86 @@
+//! Accepts connections at the doors other than that of callers, within the account of the process.
+
+use std::convert::Infallible;
+use std::sync::Arc;
+
+use cottoncrank::resources::{Door, READ_BUFFER};
+use cottoncrank_net::metered::{self, Metered};
+use cottoncrank_net::resources::Slot;
+use hyper::Request;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use tokio::net::{TcpListener, TcpStream};
+
+use crate::answer::Answer;
+use crate::front::pause_accepting;
+use crate::state::Node;
+
+/// An accepted connection.
+pub(crate) type Connection = Metered<TcpStream>;
+
+/// Accepts connections until the process ends, and serves each with `serve`. One that has to go for others is
+/// dropped.
+pub(crate) async fn accept<F, S>(node: Arc<Node>, listener: TcpListener, door: Door, serve: F)
+where
+    F: Fn(Connection, Arc<Slot>) -> S,
+    S: Future<Output = ()> + Send + 'static,
+{
+    if let Err(error) = metered::limit_arrived(&listener) {
+        log::warn!("{}: more may arrive than is read: {error}", door.name());
+    }
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let before = node.resources.count_evictions();
+                match node.resources.open(door) {
+                    Ok(slot) => {
+                        let serving = serve(Metered::new(stream, slot.clone()), slot.clone());
+                        tokio::spawn(serve_until_evicted(serving, slot));
+                    }
+                    Err(short) => log::debug!("{}: closed a new connection: {short}", door.name()),
+                }
+                let_evicted_go(&node, before).await;
+            }
+            Err(error) => pause_accepting(&error).await,
+        }
+    }
+}
+
+async fn serve_until_evicted(serving: impl Future<Output = ()>, slot: Arc<Slot>) {
+    tokio::select! {
+        () = serving => {}
+        _ = slot.wait_evicted(None) => {}
+    }
+}
+
+/// Answers the requests on a connection, one after the other. The body of none is read but by `handle`.
+pub(crate) async fn answer_each<H, A>(connection: Connection, slot: Arc<Slot>, handle: H)
+where
+    H: Fn(Request<Incoming>) -> A,
+    A: Future<Output = Answer>,
+{
+    let service = service_fn(|request| {
+        slot.begin_request();
+        slot.serve();
+        let (answering, slot) = (handle(request), &slot);
+        async move {
+            let answer = answering.await;
+            slot.end_request();
+            Ok::<_, Infallible>(answer)
+        }
+    });
+    let mut builder = http1::Builder::new();
+    let connection = builder.max_buf_size(READ_BUFFER.0).serve_connection(TokioIo::new(connection), service);
+    if let Err(error) = connection.await {
+        log::debug!("doors: a connection failed: {error}");
+    }
+}
+
+/// Lets those that were told to go since `before` close their descriptors, before more are opened.
+pub(crate) async fn let_evicted_go(node: &Node, before: u64) {
+    if node.resources.count_evictions() > before {
+        tokio::task::yield_now().await;
+    }
+}
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -22,6 +22,7 @@
 use tokio::sync::watch;
 
 use crate::answer::{Answer, Body};
+use crate::doors;
 use crate::idle::{self, Idle, Noted};
 use crate::request;
 use crate::state::Node;
@@ -56,12 +57,9 @@
         while let Some(accepted) = next {
             next = match accepted {
                 Ok((stream, _)) => {
-                    let evictions = node.resources.count_evictions();
+                    let before = node.resources.count_evictions();
                     take_or_close(&node, stream);
-                    if node.resources.count_evictions() > evictions {
-                        // Their descriptors are closed before the next one is opened.
-                        tokio::task::yield_now().await;
-                    }
+                    doors::let_evicted_go(&node, before).await;
                     accept_waiting(&listener).await
                 }
                 Err(error) => {
@@ -211,24 +209,15 @@
 
 /// Answers the balancer's health checks until the process ends.
 pub async fn serve_readiness(node: Arc<Node>, listener: TcpListener) {
-    loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                let node = node.clone();
-                tokio::spawn(async move {
-                    let service = service_fn(move |_: Request<Incoming>| {
-                        let ready = node.is_ready();
-                        async move { Ok::<Answer, Infallible>(answer_readiness(ready)) }
-                    });
-                    let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
-                    if let Err(error) = connection.await {
-                        log::debug!("ready: {error}");
-                    }
-                });
-            }
-            Err(error) => pause_accepting(&error).await,
-        }
-    }
+    let asked = node.clone();
+    doors::accept(node, listener, Door::Readiness, |connection, slot| {
+        let node = asked.clone();
+        doors::answer_each(connection, slot, move |_| {
+            let answer = answer_readiness(node.is_ready());
+            async move { answer }
+        })
+    })
+    .await;
 }
 
 fn answer_readiness(ready: bool) -> Answer {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -32,7 +32,8 @@
 //!
 //! # Serving callers
 //!
-//! - [`front`] listens for callers and for the balancer, [`request`] admits and routes requests, and
+//! - `doors` accepts the connections of other nodes, the balancer and metrics.
+//! - [`front`] listens for callers and answers the balancer, [`request`] admits and routes requests, and
 //!   [`answer`] builds the answers and refusals. `idle` limits how long a caller's connection may be idle.
 //! - [`plain`] serves requests with a whole answer. [`stream`] serves streams: `tries` picks one runner
 //!   after another, `race` tries them, also beside those that are late, `runner_stream` reads the events of
@@ -81,6 +82,7 @@
 pub mod decider;
 mod denylist;
 mod dispatch;
+mod doors;
 mod era;
 mod evacuation;
 pub mod feed;
--- a/crates/node/src/peer.rs
+++ b/crates/node/src/peer.rs
@@ -6,6 +6,7 @@
 
 use bytes::Bytes;
 use cottoncrank::Millis;
+use cottoncrank::resources::{Door, READ_BUFFER};
 use cottoncrank_fleet::admission;
 use cottoncrank_fleet::directory::Peer;
 use cottoncrank_fleet::dispatch::{Query, Reply};
@@ -13,7 +14,8 @@
 use cottoncrank_fleet::position::Position;
 use cottoncrank_fleet::pressure;
 use cottoncrank_net::client::{CallError, Client};
-use http_body_util::{BodyExt, Limited};
+use cottoncrank_net::intake::{self, IntakeError};
+use cottoncrank_net::resources::Slot;
 use hyper::body::{Body as _, Incoming};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -22,13 +24,13 @@
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use thiserror::Error;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpListener;
 
 use crate::answer::{Answer, Body};
 use crate::catchup;
 use crate::dispatch;
+use crate::doors;
 use crate::feed::UnpackError;
-use crate::front::pause_accepting;
 use crate::reporting;
 use crate::retries;
 use crate::state::Node;
@@ -179,25 +181,23 @@
 
 /// Answers the queries of other nodes until the process ends.
 pub async fn serve(node: Arc<Node>, listener: TcpListener) {
-    loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                tokio::spawn(serve_peer(node.clone(), stream));
-            }
-            Err(error) => pause_accepting(&error).await,
-        }
-    }
+    let asked = node.clone();
+    doors::accept(node, listener, Door::Peers, |connection, slot| {
+        serve_peer(asked.clone(), connection, slot)
+    })
+    .await;
 }
 
-async fn serve_peer(node: Arc<Node>, stream: TcpStream) {
-    if let Err(error) = stream.set_nodelay(true) {
+async fn serve_peer(node: Arc<Node>, connection: doors::Connection, slot: Arc<Slot>) {
+    if let Err(error) = connection.get_ref().set_nodelay(true) {
         log::debug!("peer: {error}");
     }
     let service = service_fn(|request: Request<Incoming>| {
-        let node = node.clone();
-        async move { Ok::<Answer, Infallible>(handle_request(&node, request).await) }
+        let (node, slot) = (node.clone(), slot.clone());
+        async move { Ok::<Answer, Infallible>(handle_request(&node, request, &slot).await) }
     });
-    let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+    let mut builder = http1::Builder::new();
+    let connection = builder.max_buf_size(READ_BUFFER.0).serve_connection(TokioIo::new(connection), service);
     if let Err(error) = connection.with_upgrades().await {
         log::debug!("peer: a connection failed: {error}");
     }
@@ -217,20 +217,43 @@
     }
 }
 
-async fn handle_request(node: &Arc<Node>, request: Request<Incoming>) -> Answer {
+async fn handle_request(node: &Arc<Node>, request: Request<Incoming>, slot: &Slot) -> Answer {
+    slot.begin_request();
     if request.method() == Method::CONNECT {
+        // The connection stays in use for as long as it is a tunnel.
+        slot.serve();
         return tunnel::answer(node, request).await;
     }
+    let answer = read_and_answer(node, request, slot).await;
+    slot.end_request();
+    answer
+}
+
+async fn read_and_answer(node: &Arc<Node>, request: Request<Incoming>, slot: &Slot) -> Answer {
     let path = request.uri().path().to_owned();
-    let body = Limited::new(request.into_body(), MAX_QUERY_BYTES).collect().await;
-    let bytes = body.map(|body| body.to_bytes()).unwrap_or_default();
-    let query_bytes = bytes.len();
-    let answer = handle_query(node, &path, bytes).await;
+    let body = match intake::read(request.into_body(), MAX_QUERY_BYTES, slot).await {
+        Ok(body) => body,
+        Err(error) => {
+            log::warn!("peer: a query to {path} was not read: {error}");
+            slot.abandon_body();
+            return build_answer(find_status(&error), Bytes::new());
+        }
+    };
+    slot.serve();
+    let query_bytes = body.len();
+    let answer = handle_query(node, &path, body.into_bytes()).await;
     let answer_bytes = answer.body().size_hint().exact().unwrap_or(0) as usize;
     telemetry::count_query(find_query_kind(&path), query_bytes, answer_bytes);
     answer
 }
 
+fn find_status(error: &IntakeError) -> StatusCode {
+    match error {
+        IntakeError::TooLarge | IntakeError::Broken => StatusCode::BAD_REQUEST,
+        IntakeError::Short(_) => StatusCode::SERVICE_UNAVAILABLE,
+    }
+}
+
 /// Whether the answer to a query rests on what this node knows of the store.
 fn needs_current_knowledge(path: &str) -> bool {
     matches!(path, CHANGES_PATH | GROUP_PATH | ADMISSION_PATH | PERMIT_PATH)
--- a/crates/node/src/program.rs
+++ b/crates/node/src/program.rs
@@ -73,7 +73,7 @@
     match bound {
         Ok(listener) => {
             tokio::spawn(telemetry::sample_gauges(node.clone()));
-            tokio::spawn(telemetry::serve(listener, handle));
+            tokio::spawn(telemetry::serve(node.clone(), listener, handle));
         }
         Err(error) => ::log::warn!("figures: cannot serve metrics at {address}: {error}"),
     }
--- a/crates/node/src/telemetry.rs
+++ b/crates/node/src/telemetry.rs
@@ -1,7 +1,6 @@
 //! The metrics of a node and the port that serves them.
 
 use std::collections::{BTreeSet, VecDeque};
-use std::convert::Infallible;
 use std::sync::Arc;
 
 use bytes::Bytes;
@@ -12,20 +11,16 @@
 use cottoncrank_fleet::evidence::Level;
 use cottoncrank_fleet::path::Outcome;
 use cottoncrank_fleet::pressure::{Pressure, Strain};
-use hyper::body::Incoming;
+use hyper::Response;
 use hyper::header::{CONTENT_TYPE, HeaderValue};
-use hyper::server::conn::http1;
-use hyper::service::service_fn;
-use hyper::{Request, Response};
-use hyper_util::rt::TokioIo;
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
 use tokio::net::TcpListener;
 
 use crate::answer::{Answer, Body};
 use crate::cold::ColdLog;
+use crate::doors;
 use crate::evacuation;
 use crate::feedback::{self, Backpressure};
-use crate::front::pause_accepting;
 use crate::state::Node;
 
 /// The metrics port, at the address that other nodes use. It is also written in deploy/system.toml.
@@ -353,26 +348,15 @@
 }
 
 /// Serves the metrics until the process ends.
-pub async fn serve(listener: TcpListener, handle: PrometheusHandle) {
-    loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                let handle = handle.clone();
-                tokio::spawn(async move {
-                    let service = service_fn(move |_: Request<Incoming>| {
-                        let answer = render(&handle);
-                        async move { Ok::<Answer, Infallible>(answer) }
-                    });
-                    if let Err(error) =
-                        http1::Builder::new().serve_connection(TokioIo::new(stream), service).await
-                    {
-                        log::debug!("figures: {error}");
-                    }
-                });
-            }
-            Err(error) => pause_accepting(&error).await,
-        }
-    }
+pub async fn serve(node: Arc<Node>, listener: TcpListener, handle: PrometheusHandle) {
+    doors::accept(node, listener, Door::Metrics, |connection, slot| {
+        let handle = handle.clone();
+        doors::answer_each(connection, slot, move |_| {
+            let answer = render(&handle);
+            async move { answer }
+        })
+    })
+    .await;
 }
 
 fn render(handle: &PrometheusHandle) -> Answer {
--- a/crates/node/src/tunnel.rs
+++ b/crates/node/src/tunnel.rs
@@ -15,6 +15,7 @@
 use cottoncrank_fleet::directory::Peer;
 use cottoncrank_net::keepalive;
 use cottoncrank_net::reach::Link;
+use cottoncrank_net::resources::Outbound;
 use http_body_util::Empty;
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
@@ -29,6 +30,7 @@
 
 use crate::answer::{Answer, Body};
 use crate::connect::{Target, connect_for_other};
+use crate::doors::Connection;
 use crate::state::Node;
 use crate::telemetry;
 
@@ -76,20 +78,24 @@
 }
 
 /// Counts a tunnel as carried until it is dropped.
-struct CarryGuard(Arc<Node>);
+struct CarryGuard {
+    node: Arc<Node>,
+    _outbound: Outbound,
+}
 
 impl CarryGuard {
     /// Returns `None` if the node carries as many as it may.
     fn begin(node: &Arc<Node>) -> Option<CarryGuard> {
+        let outbound = node.resources.begin_outbound()?;
         let before = node.carried_tunnels.0.fetch_add(1, Ordering::Relaxed);
-        let guard = CarryGuard(node.clone());
+        let guard = CarryGuard { node: node.clone(), _outbound: outbound };
         (before < MAX_TUNNELS).then_some(guard)
     }
 }
 
 impl Drop for CarryGuard {
     fn drop(&mut self) {
-        self.0.carried_tunnels.0.fetch_sub(1, Ordering::Relaxed);
+        self.node.carried_tunnels.0.fetch_sub(1, Ordering::Relaxed);
     }
 }
 
@@ -206,12 +212,13 @@
 /// node that opened the tunnel gets a reset unless the runner has closed its connection: an answer may have
 /// neither a length nor chunks, and must not look complete if this process ends within it.
 async fn carry(request: Request<Incoming>, mut runner: Link, query: Query, _guard: CarryGuard) {
-    let mut opener = match upgrade::on(request).await.map(Upgraded::downcast::<TokioIo<TcpStream>>) {
+    let (mut opener, _slot) = match upgrade::on(request).await.map(Upgraded::downcast::<TokioIo<Connection>>)
+    {
         Ok(Ok(parts)) => {
             if let Err(error) = runner.write_all(&parts.read_buf).await {
                 log::debug!("tunnel: {}: {error}", query.runner);
             }
-            parts.io.into_inner()
+            parts.io.into_inner().into_parts()
         }
         Ok(Err(_)) => return log::error!("tunnel: the connection of a query is of an unexpected type"),
         Err(error) => return log::debug!("tunnel: {}: {error}", query.runner),
