Hold answers within the account of what callers fill

What was seen: callers that ask for large answers and read nothing of them took the memory of a process.

Cause: 16 large answers were read at a time, but once read they counted no more and were held until their callers took them. That count knew nothing of bodies, so both could be within their bounds and together over the memory.

Change: an answer over 64 kB is read on once there is room for all of it and holds the room until its connection has taken it; smaller ones and events over 4 kB as well. The count of large answers is gone.

Why it holds: the room of answers is apart from that of bodies, so that requests whose bodies have taken all do not wait for what only their own end frees.

--- a/crates/kernel/src/resources.rs
+++ b/crates/kernel/src/resources.rs
@@ -8,6 +8,7 @@
 //!   goes first. If none has, the newest goes, so that those who are almost through are not thrown out by
 //!   those who come after them.
 //! - A new connection takes the place of the one that has done nothing for the longest time.
+//! - Answers wait for room. A caller that takes nothing of its own goes for those that wait.
 
 use std::cmp::Reverse;
 use std::collections::HashMap;
@@ -130,6 +131,8 @@
 pub enum Kind {
     /// A part of a body.
     Body,
+    /// A part of an answer that has not been sent.
+    Answer,
     /// Anything else.
     Overhead,
 }
@@ -141,6 +144,8 @@
     Memory,
     /// Its descriptor, at once.
     Descriptors,
+    /// The memory of an answer that its caller does not take, at once.
+    Answers,
 }
 
 /// A connection that has to go.
@@ -165,12 +170,16 @@
     held: Size,
     /// The part of it that is a body.
     body: Size,
-    /// The part of it that is its read buffer, beyond the first.
+    /// What is held for it of answers, which counts by itself.
+    answer: Size,
+    /// The part of `held` that is its read buffer, beyond the first.
     buffer: Size,
     /// The bytes of the current request that have arrived, with all that frames them.
     received: Size,
     /// When it last sent something, or was answered.
     since: Millis,
+    /// When it last took a part of an answer.
+    taken_at: Millis,
     has_served: bool,
     is_open: bool,
     /// What it has been told to go for.
@@ -191,6 +200,15 @@
         if self.evicted.is_some() || !self.is_large() { Size(0) } else { self.body }
     }
 
+    fn counted_answer(&self) -> Size {
+        if self.evicted == Some(Shortage::Answers) { Size(0) } else { self.answer }
+    }
+
+    /// Whether its caller takes nothing of what is held for it.
+    fn is_untaken(&self, now: Millis) -> bool {
+        self.is_open && self.evicted < Some(Shortage::Answers) && now.since(self.taken_at) >= STALL_TIME
+    }
+
     /// Whether it may be told to go, and that helps.
     fn is_evictable(&self, shortage: Shortage) -> bool {
         self.is_open && self.evicted < Some(shortage) && self.activity != Activity::Serving
@@ -205,6 +223,7 @@
     /// The sums over all connections.
     counted: Size,
     counted_large: Size,
+    counted_answers: Size,
     held: Size,
     open: [usize; Door::ALL.len()],
     last: u64,
@@ -218,6 +237,7 @@
             connections: HashMap::new(),
             counted: Size(0),
             counted_large: Size(0),
+            counted_answers: Size(0),
             held: Size(0),
             open: [0; Door::ALL.len()],
             last: 0,
@@ -250,9 +270,11 @@
             activity: Activity::Resting,
             held: Size(0),
             body: Size(0),
+            answer: Size(0),
             buffer: Size(0),
             received: Size(0),
             since: now,
+            taken_at: now,
             has_served: false,
             is_open: true,
             evicted: None,
@@ -331,6 +353,7 @@
                 let more = if connection.is_large() { size } else { body };
                 self.make_large_room(id, size, more, now, evicted)?;
             }
+            Kind::Answer => return self.charge_answer(id, size, now, evicted),
             Kind::Body | Kind::Overhead => {
                 let held = connection.held;
                 self.make_room(Some(id), held, size, evicted)?;
@@ -343,13 +366,50 @@
         Ok(())
     }
 
+    /// Charges memory of an answer. If there is too little, callers go that take nothing of theirs.
+    fn charge_answer(
+        &mut self,
+        id: Id,
+        size: Size,
+        now: Millis,
+        evicted: &mut Vec<Eviction>,
+    ) -> Result<(), Short> {
+        while self.counted_answers + size > self.limits.answers {
+            let untaken = self.connections.iter().filter(|(other, one)| **other != id && one.is_untaken(now));
+            let largest = untaken.max_by_key(|(id, one)| (one.answer, Reverse(one.taken_at), Reverse(**id)));
+            let (goes, _) = largest.filter(|(_, one)| one.answer > Size(0)).ok_or(Short)?;
+            self.evict(*goes, Shortage::Answers, evicted);
+        }
+        self.change(id, |connection| {
+            if connection.answer == Size(0) {
+                connection.taken_at = now;
+            }
+            connection.answer += size;
+        });
+        Ok(())
+    }
+
+    /// Records that a caller has taken a part of its answer.
+    pub fn take(&mut self, id: Id, now: Millis) {
+        if let Some(connection) = self.connections.get_mut(&id) {
+            connection.taken_at = now;
+        }
+    }
+
+    /// Returns the memory of answers that is charged, that of callers included that have been told to go.
+    pub fn held_answers(&self) -> Size {
+        self.connections.values().fold(Size(0), |sum, one| sum + one.answer)
+    }
+
     /// Releases memory that was charged.
     pub fn release(&mut self, id: Id, size: Size, kind: Kind) {
-        self.change(id, |connection| {
-            connection.held -= size;
-            if kind == Kind::Body {
+        self.change(id, |connection| match kind {
+            Kind::Overhead => connection.held -= size,
+            Kind::Body => {
+                connection.held -= size;
                 connection.body -= size;
             }
+            Kind::Answer => connection.answer -= size,
         });
         self.forget_if_done(id);
     }
@@ -434,7 +494,7 @@
     }
 
     fn forget_if_done(&mut self, id: Id) {
-        if self.connections.get(&id).is_some_and(|one| !one.is_open && one.held == Size(0)) {
+        if self.connections.get(&id).is_some_and(|one| !one.is_open && one.held + one.answer == Size(0)) {
             self.connections.remove(&id);
         }
     }
@@ -443,7 +503,9 @@
     fn change(&mut self, id: Id, change: impl FnOnce(&mut Connection)) {
         let Some(connection) = self.connections.get_mut(&id) else { return };
         let (counted, large, held) = (connection.counted(), connection.counted_large(), connection.held);
+        let answer = connection.counted_answer();
         change(connection);
+        self.counted_answers = self.counted_answers + connection.counted_answer() - answer;
         self.counted = self.counted + connection.counted() - counted;
         self.counted_large = self.counted_large + connection.counted_large() - large;
         self.held = self.held + connection.held - held;
--- a/crates/kernel/tests/resources.rs
+++ b/crates/kernel/tests/resources.rs
@@ -199,3 +199,46 @@
     assert!("many".parse::<Size>().is_err());
     assert!("99999999999999999999MB".parse::<Size>().is_err());
 }
+
+impl World {
+    /// Holds an answer for a connection whose request is being served.
+    fn answer(&mut self, id: Id, size: Size) -> Result<(), Short> {
+        self.table.charge(id, size, Kind::Answer, self.now, &mut self.evicted)
+    }
+}
+
+/// The largest answer.
+const ANSWER: Size = Size::megabytes(4);
+
+/// Guards against callers that read nothing and hold the memory of answers for as long as they like.
+#[test]
+fn an_answer_takes_the_place_of_one_that_nobody_takes() {
+    let mut world = World::new();
+    let crowd: Vec<Id> = (0..3).map(|_| world.ask().unwrap()).collect();
+    for id in &crowd {
+        world.answer(*id, ANSWER).unwrap();
+    }
+    let sound = world.ask().unwrap();
+    assert_eq!(world.answer(sound, ANSWER), Err(Short), "nobody is late yet");
+    world.now = world.now + LONG;
+    for id in &crowd[1..] {
+        world.table.take(*id, world.now);
+    }
+    world.answer(sound, ANSWER).unwrap();
+    assert_eq!(world.evicted, [(crowd[0], Shortage::Answers)], "the others read theirs");
+    assert_eq!(world.answer(crowd[1], ANSWER), Err(Short), "they wait for each other");
+}
+
+/// Guards against bodies that leave no room for the answers that would free them.
+#[test]
+fn answers_have_room_of_their_own() {
+    let mut world = World::new();
+    let served: Vec<Id> = (0..6).map(|_| world.open()).collect();
+    for id in &served {
+        world.send_all(*id, WHOLE);
+        world.table.serve(*id);
+    }
+    world.answer(served[0], ANSWER).unwrap();
+    let held = world.table.held() + world.table.held_answers();
+    assert!(held <= MACHINE.memory.part(1, 2), "{held}");
+}
--- a/crates/net/src/metered.rs
+++ b/crates/net/src/metered.rs
@@ -1,4 +1,4 @@
-//! Connections that tell the account of the process what is read of them.
+//! Connections that tell the account of the process what is read and written on them.
 
 use std::io::{self, IoSlice};
 use std::os::fd::AsFd;
@@ -52,6 +52,13 @@
         Metered { connection, slot, linger: None }
     }
 
+    fn record(&self, written: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
+        if matches!(written, Poll::Ready(Ok(1..))) {
+            self.slot.take();
+        }
+        written
+    }
+
     /// Returns the connection.
     pub fn get_ref(&self) -> &T {
         &self.connection
@@ -108,7 +115,8 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.connection).poll_write(context, bytes)
+        let written = Pin::new(&mut self.connection).poll_write(context, bytes);
+        self.record(written)
     }
 
     fn poll_write_vectored(
@@ -116,7 +124,8 @@
         context: &mut Context<'_>,
         bytes: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.connection).poll_write_vectored(context, bytes)
+        let written = Pin::new(&mut self.connection).poll_write_vectored(context, bytes);
+        self.record(written)
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/crates/net/src/resources.rs
+++ b/crates/net/src/resources.rs
@@ -13,10 +13,10 @@
 use cottoncrank::resources::{Door, Eviction, Id, Kind, Limits, Machine, Short, Shortage, Table};
 use cottoncrank::{Clock, Millis, Size};
 use parking_lot::Mutex;
-use tokio::sync::{OwnedSemaphorePermit, Semaphore, watch};
+use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore, watch};
 
-/// The unit in which the memory of answers is divided.
-const ANSWER_UNIT: Size = Size::kilobytes(1);
+/// How often an answer that waits for room looks for callers that take nothing of theirs.
+const ANSWER_INTERVAL: Millis = Millis(100);
 
 /// The account of a process.
 #[derive(Clone, Debug)]
@@ -26,8 +26,10 @@
 struct Shared {
     clock: System,
     state: Mutex<State>,
-    answers: Arc<Semaphore>,
-    answer_units: usize,
+    /// The most that one answer is charged.
+    max_answer: Size,
+    /// Notified when memory of answers is released.
+    answer_released: Notify,
     outbound: Arc<Semaphore>,
 }
 
@@ -57,6 +59,7 @@
     let of = match shortage {
         Shortage::Memory => "memory",
         Shortage::Descriptors => "descriptors",
+        Shortage::Answers => "answers",
     };
     metrics::counter!("cottoncrank_connections_evicted_total", "shortage" => of).increment(1);
 }
@@ -82,28 +85,24 @@
     kind: Kind,
 }
 
-/// Memory for an answer until this is dropped.
-#[derive(Debug)]
-pub struct Room(OwnedSemaphorePermit);
-
 /// A descriptor for a connection of this process's own until this is dropped.
 #[derive(Debug)]
 pub struct Outbound(#[allow(dead_code, reason = "held until it is dropped")] OwnedSemaphorePermit);
 
 /// Bytes with what is charged for them.
-struct Held<T> {
-    bytes: Vec<u8>,
-    _charge: T,
+struct Held<B> {
+    bytes: B,
+    _charge: Charge,
 }
 
-impl<T> AsRef<[u8]> for Held<T> {
+impl<B: AsRef<[u8]>> AsRef<[u8]> for Held<B> {
     fn as_ref(&self) -> &[u8] {
-        &self.bytes
+        self.bytes.as_ref()
     }
 }
 
 /// Returns bytes that release a charge once the last copy of them is dropped.
-pub fn hold<T: Send + 'static>(bytes: Vec<u8>, charge: T) -> Bytes {
+pub fn hold<B: AsRef<[u8]> + Send + 'static>(bytes: B, charge: Charge) -> Bytes {
     Bytes::from_owner(Held { bytes, _charge: charge })
 }
 
@@ -111,12 +110,11 @@
     /// Starts an account of what callers may fill of this process.
     pub fn new(machine: &Machine, clock: System) -> Resources {
         let limits = Limits::of(machine);
-        let answer_units = limits.answers.0 / ANSWER_UNIT.0;
         Resources(Arc::new(Shared {
             clock,
             state: Mutex::new(State { table: Table::new(limits), signals: HashMap::new(), evictions: 0 }),
-            answers: Arc::new(Semaphore::new(answer_units)),
-            answer_units,
+            max_answer: limits.answers,
+            answer_released: Notify::new(),
             outbound: Arc::new(Semaphore::new(limits.outbound)),
         }))
     }
@@ -139,13 +137,6 @@
         }))
     }
 
-    /// Waits for the memory of an answer. One larger than all of it waits for all of it.
-    pub async fn reserve_answer(&self, size: Size) -> Room {
-        let units = size.0.div_ceil(ANSWER_UNIT.0).clamp(1, self.0.answer_units.max(1));
-        let acquired = self.0.answers.clone().acquire_many_owned(units as u32).await;
-        Room(acquired.expect("the semaphore is never closed"))
-    }
-
     /// Returns a descriptor for a connection of this process's own, if one is left.
     pub fn begin_outbound(&self) -> Option<Outbound> {
         self.0.outbound.clone().try_acquire_owned().ok().map(Outbound)
@@ -158,7 +149,7 @@
 
     /// Returns the memory of answers that are held.
     pub fn held_answers(&self) -> Size {
-        Size((self.0.answer_units - self.0.answers.available_permits()) * ANSWER_UNIT.0)
+        self.0.state.lock().table.held_answers()
     }
 
     /// Returns the number of connections that were told to go so far.
@@ -171,19 +162,24 @@
         self.0.state.lock().table.count_open(door)
     }
 
-    fn now(&self) -> Millis {
-        self.0.clock.now()
+    fn charge(&self, id: Id, size: Size, kind: Kind) -> Result<Charge, Short> {
+        let (mut state, mut evicted) = (self.0.state.lock(), Vec::new());
+        let charged = state.table.charge(id, size, kind, self.now(), &mut evicted);
+        state.signal(&evicted);
+        drop(state);
+        charged.map(|()| Charge { resources: self.clone(), id, size, kind })
     }
-}
 
-impl Room {
-    /// Gives back what the answer did not need.
-    pub fn shrink(&mut self, size: Size) {
-        let units = size.0.div_ceil(ANSWER_UNIT.0).max(1);
-        if let Some(unneeded) = self.0.num_permits().checked_sub(units) {
-            drop(self.0.split(unneeded));
+    fn release(&self, id: Id, size: Size, kind: Kind) {
+        self.0.state.lock().table.release(id, size, kind);
+        if kind == Kind::Answer {
+            self.0.answer_released.notify_waiters();
         }
     }
+
+    fn now(&self) -> Millis {
+        self.0.clock.now()
+    }
 }
 
 impl Slot {
@@ -196,11 +192,12 @@
 
     /// Charges memory to the connection.
     pub fn charge(&self, size: Size, kind: Kind) -> Result<Charge, Short> {
-        let (mut state, mut evicted) = (self.resources.0.state.lock(), Vec::new());
-        let charged = state.table.charge(self.id, size, kind, self.resources.now(), &mut evicted);
-        state.signal(&evicted);
-        drop(state);
-        charged.map(|()| Charge { resources: self.resources.clone(), id: self.id, size, kind })
+        self.resources.charge(self.id, size, kind)
+    }
+
+    /// Records that something was written on the connection.
+    pub fn take(&self) {
+        self.resources.0.state.lock().table.take(self.id, self.resources.now());
     }
 
     /// Records that the head of a request has arrived. Whoever handles the request ends it from now on if the
@@ -223,8 +220,12 @@
     /// Whether the connection is to be closed at once if it has to go: nobody is to be answered on it, or it
     /// was answered and only lingers.
     pub fn closes_for(&self, shortage: Shortage) -> bool {
-        let is_lingering = shortage == Shortage::Memory && self.is_abandoned();
-        !self.is_handled.load(Ordering::Relaxed) && !is_lingering
+        let is_handled = self.is_handled.load(Ordering::Relaxed);
+        match shortage {
+            Shortage::Memory => !is_handled && !self.is_abandoned(),
+            Shortage::Descriptors => !is_handled,
+            Shortage::Answers => true,
+        }
     }
 
     /// Records that a body was not read to its end, so that the connection closes behind the answer.
@@ -263,6 +264,27 @@
 }
 
 impl Charge {
+    /// Waits for the memory of an answer to the same caller. One larger than all there is for answers waits for
+    /// all of it.
+    pub async fn reserve_answer(&self, size: Size) -> Charge {
+        let Shared { max_answer, answer_released, .. } = &*self.resources.0;
+        loop {
+            let released = answer_released.notified();
+            if let Ok(charge) = self.resources.charge(self.id, size.min(*max_answer), Kind::Answer) {
+                return charge;
+            }
+            // Callers become stalled without a notice.
+            let _ = tokio::time::timeout(ANSWER_INTERVAL.duration(), released).await;
+        }
+    }
+
+    /// Releases what is not needed.
+    pub fn shrink(&mut self, size: Size) {
+        let unneeded = self.size - size;
+        self.size -= unneeded;
+        self.resources.release(self.id, unneeded, self.kind);
+    }
+
     /// Charges more.
     pub fn grow(&mut self, more: Charge) {
         debug_assert_eq!((self.id, self.kind), (more.id, more.kind));
@@ -275,6 +297,6 @@
 
 impl Drop for Charge {
     fn drop(&mut self) {
-        self.resources.0.state.lock().table.release(self.id, self.size, self.kind);
+        self.resources.release(self.id, self.size, self.kind);
     }
 }
--- a/crates/node/src/plain.rs
+++ b/crates/node/src/plain.rs
@@ -3,12 +3,14 @@
 use std::error::Error;
 use std::sync::Arc;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
+use cottoncrank::Size;
 use cottoncrank_fleet::trials::Ruling;
+use cottoncrank_net::resources::{Charge, hold};
 use cottoncrank_platform::header;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::Response;
-use hyper::body::Incoming;
+use hyper::body::{Body as _, Incoming};
 use hyper::header::{CONTENT_LENGTH, HeaderMap};
 
 use crate::answer::{Answer, Body, Refusal};
@@ -29,12 +31,11 @@
 /// The most that a runner may send for such an answer, in bytes. Chunks take more than what they hold.
 const MAX_WIRE_BYTES: usize = 3 * MAX_ANSWER_BYTES;
 
-/// An answer of more bytes than this is large.
-const LARGE_ANSWER_BYTES: usize = 64 * 1024;
+/// More than this is read of an answer only once there is room for all of it.
+const LARGE_ANSWER: Size = Size::kilobytes(64);
 
-/// The most large answers that are read at a time. Together they take a half of the memory of a small box
-/// while they are read; others wait, at most to their deadlines.
-pub const MAX_LARGE_ANSWERS: usize = 16;
+/// The largest answer, or part of a stream, that the memory of its request contains.
+pub(crate) const SMALL_ANSWER: Size = Size::kilobytes(4);
 
 /// The most tries of one request, rejected ones included. Runners that reject answer at once, and
 /// further tries would only find the others rejecting as well.
@@ -112,16 +113,16 @@
 
 async fn send_and_read(node: &Arc<Node>, job: &Job, pick: &Pick) -> Result<Answer, AttemptError> {
     let attempt = send(node, job, pick, None).await?;
-    read_answer(node, attempt).await
+    read_answer(node, job, attempt).await
 }
 
 /// Reads an answer to its end. Fails if the body is shorter than its announced length,
 /// or larger than `MAX_ANSWER_BYTES`.
-pub async fn read_answer(node: &Node, attempt: Attempt) -> Result<Answer, AttemptError> {
+pub async fn read_answer(node: &Node, job: &Job, attempt: Attempt) -> Result<Answer, AttemptError> {
     let Attempt { pick, response, channel, guard: _guard } = attempt;
     let (head, body) = response.into_parts();
     channel.allow(MAX_WIRE_BYTES);
-    let bytes = read_body(node, body).await.map_err(|error| {
+    let bytes = read_body(&job.room, body).await.map_err(|error| {
         if channel.is_oversized() || error.is::<LengthLimitError>() {
             paths::record_failure(node, &pick, None);
             return AttemptError::Oversized;
@@ -133,19 +134,30 @@
     Ok(build_answer(head.status, &head.headers, bytes))
 }
 
-/// Reads a body to its end. The rest of a large one is read when few others are.
-async fn read_body(node: &Node, body: Incoming) -> Result<Bytes, Box<dyn Error + Send + Sync>> {
+/// Reads a body to its end. The rest of a large one is read once there is room for it, and it is held with
+/// the room that it takes.
+async fn read_body(room: &Charge, body: Incoming) -> Result<Bytes, Box<dyn Error + Send + Sync>> {
+    let announced = body.size_hint().exact().map_or(MAX_ANSWER_BYTES, |length| length as usize);
     let mut body = Limited::new(body, MAX_ANSWER_BYTES);
-    let mut read = BytesMut::new();
-    let mut permit = None;
+    let mut read = Vec::new();
+    let mut charge = None;
     while let Some(frame) = body.frame().await {
         let Ok(data) = frame?.into_data() else { continue };
-        read.extend_from_slice(&data);
-        if permit.is_none() && read.len() > LARGE_ANSWER_BYTES {
-            permit = Some(node.large_answers.acquire().await?);
+        if charge.is_none() && Size(read.len() + data.len()) > LARGE_ANSWER {
+            charge = Some(room.reserve_answer(Size(announced)).await);
         }
+        read.extend_from_slice(&data);
+    }
+    let length = Size(read.len());
+    if length <= SMALL_ANSWER {
+        return Ok(read.into());
     }
-    Ok(read.freeze())
+    let mut charge = match charge {
+        Some(charge) => charge,
+        None => room.reserve_answer(length).await,
+    };
+    charge.shrink(length);
+    Ok(hold(read, charge))
 }
 
 fn build_answer(status: hyper::StatusCode, headers: &HeaderMap, bytes: Bytes) -> Answer {
--- a/crates/node/src/race.rs
+++ b/crates/node/src/race.rs
@@ -116,7 +116,7 @@
     let status = attempt.response.status();
     if !status.is_success() {
         return match start {
-            Start::AsAsked => plain::read_answer(&node, attempt).await.map(Opened::Whole),
+            Start::AsAsked => plain::read_answer(&node, &job, attempt).await.map(Opened::Whole),
             Start::Resumed(_) => Err(AttemptError::MayHaveRun(format!("it answered {status}"))),
         };
     }
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -2,13 +2,16 @@
 
 use std::sync::Arc;
 
-use cottoncrank::Millis;
+use bytes::Bytes;
+use cottoncrank::{Millis, Size};
 use cottoncrank_net::feed;
+use cottoncrank_net::resources::hold;
 
 use crate::answer::Refusal;
 use crate::attempt::{AttemptError, Job};
 use crate::in_flight::{LimitGuard, RequestGuard};
 use crate::paths;
+use crate::plain::SMALL_ANSWER;
 use crate::race::{self, Opened, Start};
 use crate::runner_stream::{RunnerStream, SILENCE_TIMEOUT, StreamItem, read_next_events};
 use crate::state::Node;
@@ -91,7 +94,7 @@
     loop {
         match source.next().await {
             Ok(StreamItem::Events(events)) => {
-                if sender.send(events).await.is_err() {
+                if sender.send(hold_large(&source.job, events).await).await.is_err() {
                     return End::Left;
                 }
             }
@@ -101,6 +104,15 @@
     }
 }
 
+/// Waits for room for large events, so that what callers do not read is within the account.
+async fn hold_large(job: &Job, events: Bytes) -> Bytes {
+    if Size(events.len()) <= SMALL_ANSWER {
+        return events;
+    }
+    let charge = job.room.reserve_answer(Size(events.len())).await;
+    hold(events, charge)
+}
+
 /// Returns a body that begins with the first item of a stream, and spawns a task that forwards the rest.
 /// The task holds `guards` until it ends.
 pub async fn start(first: StreamItem, source: Source, guards: (RequestGuard, LimitGuard)) -> feed::Receiver {
@@ -109,6 +121,7 @@
         StreamItem::End => sender.finish(),
         StreamItem::Events(events) => {
             // The buffer is empty and its receiver is here, so this does not wait.
+            let events = hold_large(&source.job, events).await;
             if let Err(error) = sender.send(events).await {
                 log::error!("request {}: {error}", source.job.id());
             }
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -38,7 +38,7 @@
 use cottoncrank_platform::store::Store;
 use parking_lot::Mutex;
 use rand::Rng;
-use tokio::sync::{Notify, Semaphore, watch};
+use tokio::sync::{Notify, watch};
 
 use crate::admission;
 use crate::attempt::Pick;
@@ -49,7 +49,6 @@
 use crate::feed::Feed;
 use crate::in_flight::ModelKey;
 use crate::invalid_items::{InvalidItems, ItemKind};
-use crate::plain::MAX_LARGE_ANSWERS;
 use crate::pressure;
 use crate::returns;
 use crate::suspects;
@@ -142,8 +141,6 @@
     pub(crate) opening_tunnels: Opening,
     /// The tunnels that this node carries for others.
     pub carried_tunnels: Carried,
-    /// The large answers of runners that are read at present.
-    pub(crate) large_answers: Semaphore,
     /// The evidence about requests that crash the runners that execute them.
     pub suspects: Mutex<Table>,
     /// How much of that evidence each other node already has.
@@ -239,7 +236,6 @@
             unreachable_for_tunnels: Mutex::default(),
             opening_tunnels: Opening::default(),
             carried_tunnels: Carried::default(),
-            large_answers: Semaphore::new(MAX_LARGE_ANSWERS),
             suspects: Mutex::default(),
             gossip_peers: Mutex::default(),
             trial_baseline: Mutex::default(),
--- /dev/null
+++ b/crates/node/tests/resources.rs
@@ -0,0 +1,128 @@
+//! What callers fill of a node is released on every end of their requests.
+
+mod common;
+
+use std::time::Duration;
+
+use common::proxy::{self, Answerer};
+use common::{Fleet, KEY};
+use cottoncrank::Size;
+use cottoncrank::resources::Door;
+use cottoncrank_platform_standin::caller::{CallerRequest, read_to_end};
+use cottoncrank_platform_standin::operator::{ONCE, READ, STREAM};
+use cottoncrank_platform_standin::raw;
+use socket2::SockRef;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+
+/// The callers of each kind.
+const CROWD: usize = 20;
+
+/// The bytes of a body: a large one, within the limit of the stand-in's configuration.
+const BODY_BYTES: usize = 65_536;
+
+/// A runner whose answers are as large as a node reads.
+#[derive(Clone)]
+struct Large;
+
+const ANSWER_BYTES: usize = 4_000_000;
+
+impl Answerer for Large {
+    async fn answer(&self, mut stream: TcpStream, request: String) {
+        let id = raw::find_request_id(&request).unwrap_or_default();
+        let body = raw::format_chunk(&"x".repeat(ANSWER_BYTES)) + &raw::format_chunk("");
+        // It fails once the node has closed the connection.
+        let _ = stream.write_all((raw::format_chunked_head(&id) + &body).as_bytes()).await;
+    }
+}
+
+/// A runner that closes its connection in place of an answer.
+#[derive(Clone)]
+struct Broken;
+
+impl Answerer for Broken {
+    async fn answer(&self, stream: TcpStream, _: String) {
+        drop(stream);
+    }
+}
+
+/// Sends the same text on several connections.
+async fn send(fleet: &Fleet, text: &str) -> Vec<TcpStream> {
+    let mut streams = Vec::new();
+    for _ in 0..CROWD {
+        let mut stream = TcpStream::connect(fleet.nodes[0].callers).await.unwrap();
+        // It fails if the node has refused the request by its head.
+        let _ = stream.write_all(text.as_bytes()).await;
+        streams.push(stream);
+    }
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    streams
+}
+
+fn format(path: &str, key: &str, body: &str) -> String {
+    CallerRequest { path, request: "r", key, deadline_ms: 2000, body, prompt: "" }.format()
+}
+
+async fn wait_until_nothing_is_held(fleet: &Fleet, after: &str) {
+    let resources = fleet.nodes[0].node.resources.clone();
+    let is_empty = |_: &Fleet| {
+        let held = resources.held() + resources.held_answers();
+        let of_peers = Size(resources.count_open(Door::Peers) * cottoncrank::resources::CONNECTION.0);
+        resources.count_open(Door::Callers) == 0 && held == of_peers
+    };
+    fleet.wait(&format!("nothing is held after {after}"), is_empty).await;
+}
+
+/// Guards against memory and descriptors that stay charged after a request, so that all are used up one day.
+#[tokio::test]
+async fn nothing_is_held_after_a_crowd() {
+    let fleet = Fleet::serving(1).await;
+    let body = "x".repeat(BODY_BYTES);
+    let unfinished = |text: String| text[..text.len() - 1].to_owned();
+    for (what, text) in [
+        ("nothing", String::new()),
+        ("a head without its end", format(READ, KEY, "")[..50].to_owned()),
+        ("a body without its end", unfinished(format(READ, KEY, &body))),
+        ("a body with an unknown key", unfinished(format(READ, "nobody", &body))),
+        ("a body over the limit", unfinished(format(READ, KEY, &(body.clone() + &body)))),
+        ("whole requests", format(ONCE, KEY, &body)),
+        ("whole streams", format(STREAM, KEY, &body)),
+    ] {
+        let streams = send(&fleet, &text).await;
+        let reset = streams.len() / 2;
+        for (number, mut stream) in streams.into_iter().enumerate() {
+            if number < reset {
+                SockRef::from(&stream).set_linger(Some(Duration::ZERO)).unwrap();
+            } else if what.starts_with("whole") {
+                read_to_end(&mut stream).await;
+            }
+        }
+        wait_until_nothing_is_held(&fleet, what).await;
+    }
+    let left = send(&fleet, &unfinished(format(READ, KEY, &body))).await;
+    tokio::time::sleep(Duration::from_millis(2500)).await;
+    assert_eq!(fleet.nodes[0].node.running(), 0, "a body is waited for beyond its deadline");
+    drop(left);
+    wait_until_nothing_is_held(&fleet, "bodies that did not come in time").await;
+}
+
+/// Guards against answers that stay charged, be they not read, cut or never made.
+#[tokio::test]
+async fn nothing_is_held_after_answers_that_fail() {
+    let fleet = Fleet::serving(1).await;
+    proxy::put(&fleet, fleet.plain.iter().chain(fleet.heads()), Large).await;
+    for path in [READ, STREAM] {
+        let unread = send(&fleet, &format(path, KEY, "")).await;
+        let resources = fleet.nodes[0].node.resources.clone();
+        fleet.wait("answers are held", |_| resources.held_answers() > Size(0) || path == STREAM).await;
+        drop(unread);
+        wait_until_nothing_is_held(&fleet, "unread answers").await;
+    }
+    proxy::put(&fleet, fleet.plain.iter().chain(fleet.heads()), Broken).await;
+    for path in [READ, ONCE, STREAM] {
+        for mut stream in send(&fleet, &format(path, KEY, "")).await {
+            read_to_end(&mut stream).await;
+        }
+        wait_until_nothing_is_held(&fleet, "runners that break off").await;
+    }
+}
