Hold bodies of an entry and a controller within one account of memory

What was seen: clients of an entry that send many large bodies without their end, or heads without end, took the memory of the process.

Cause: a body had the bound of one body and nothing counted all of them; nothing ended one that stalls. A head was read up to a megabyte.

Change: each request has a place in the account of its process, and its body is charged as it comes, with the two copies that are made of it once it is whole. It is given up at the deadline of its request. One for which there is no room is refused as not run (503 and Retry-After). Heads are read up to 64 kB. The setting memory, 256MB by default, gives the memory of the process.

Why it holds: it is the account of the node, on the same rules.

--- a/crates/controller/src/settings.rs
+++ b/crates/controller/src/settings.rs
@@ -2,8 +2,8 @@
 
 use std::net::SocketAddr;
 
-use cottoncrank::id;
 use cottoncrank::settings::{Check, Problem};
+use cottoncrank::{Size, id};
 use serde::Deserialize;
 
 /// How the configuration is distributed to the nodes.
@@ -40,6 +40,13 @@
     /// How the configuration is distributed.
     #[serde(default)]
     pub spread: Spread,
+    /// The memory of this process, of which three eighths may be filled by requests.
+    #[serde(default = "default_memory")]
+    pub memory: Size,
+}
+
+fn default_memory() -> Size {
+    Size::megabytes(256)
 }
 
 impl Check for Settings {
--- a/crates/controller/src/state.rs
+++ b/crates/controller/src/state.rs
@@ -9,11 +9,13 @@
 use cottoncrank::decide::Hold;
 use cottoncrank::domain;
 use cottoncrank::member::{Member, list_members};
+use cottoncrank::resources::Machine;
 use cottoncrank::row::{self, Body, Key};
 use cottoncrank::table::Table;
 use cottoncrank::view::View;
 use cottoncrank::{Clock, Millis, id};
 use cottoncrank_net::client::Client;
+use cottoncrank_net::resources::Resources;
 use cottoncrank_net::store::Store;
 use parking_lot::Mutex;
 use tokio::sync::{Notify, watch};
@@ -47,6 +49,8 @@
     pub settings: Settings,
     /// Its clock.
     pub clock: System,
+    /// What others fill of this process.
+    pub resources: Resources,
     /// The incarnation of this process, its start time.
     pub incarnation: id::Incarnation,
     /// The client for other controllers.
@@ -82,7 +86,10 @@
         let now = clock.now();
         // The hash of the name keeps ids distinct between nodes that start in the same millisecond.
         let seed = cottoncrank::hash::hash(settings.node.as_str().as_bytes()) << 32;
+        // Connections are not counted here, requests are.
+        let machine = Machine { memory: settings.memory, sockets: usize::MAX / 8 };
         State {
+            resources: Resources::new(&machine, clock.clone()),
             incarnation: id::Incarnation(now.0),
             clock,
             peers,
--- a/crates/demo/src/fleet.rs
+++ b/crates/demo/src/fleet.rs
@@ -9,7 +9,7 @@
 use cottoncrank::registry::find_route;
 use cottoncrank::view::{Condition, View};
 use cottoncrank::wire::{Listed, Reply};
-use cottoncrank::{Millis, id};
+use cottoncrank::{Millis, Size, id};
 use cottoncrank_controller::Controller;
 use cottoncrank_controller::operate::execute;
 use cottoncrank_controller::settings::{Settings as ControllerSettings, Spread};
@@ -189,6 +189,7 @@
                 list: self.outside.list.address(),
                 seeds: seeds.clone(),
                 spread: self.plan.spread,
+                memory: Size::megabytes(256),
             };
             let entry = EntrySettings {
                 node,
@@ -199,6 +200,7 @@
                 threads: 1,
                 route: "two-choices".to_owned(),
                 body_max: 1 << 20,
+                memory: Size::megabytes(256),
                 deadline: Millis(30_000),
                 balancer_lag: Millis(0),
                 drain_max: Millis(30_000),
--- a/crates/entry/src/failure.rs
+++ b/crates/entry/src/failure.rs
@@ -20,6 +20,9 @@
     /// The body is too large.
     #[error("the body is larger than {0} bytes")]
     TooLarge(usize),
+    /// There is no memory for the request.
+    #[error("there is no room for the request at present")]
+    NoRoom,
     /// The model or service does not exist or is not available to this account.
     #[error("there is no {0} for this client account")]
     Missing(String),
@@ -83,7 +86,9 @@
             Cause::Limit(_) => Status::TOO_MANY_REQUESTS,
             Cause::KeyInFlight | Cause::KeyCompleted | Cause::KeyUnverifiable => Status::CONFLICT,
             Cause::Deadline => Status::GATEWAY_TIMEOUT,
-            Cause::NoGroup(_) | Cause::Stale | Cause::Draining | Cause::Full => Status::SERVICE_UNAVAILABLE,
+            Cause::NoGroup(_) | Cause::NoRoom | Cause::Stale | Cause::Draining | Cause::Full => {
+                Status::SERVICE_UNAVAILABLE
+            }
             Cause::Retries | Cause::Backend(_) => match self.outcome {
                 Outcome::NotRun => Status::SERVICE_UNAVAILABLE,
                 Outcome::MayHaveRun | Outcome::PartlyAnswered => Status::BAD_GATEWAY,
@@ -95,9 +100,12 @@
     pub fn retry_after(&self) -> Option<Millis> {
         match &self.cause {
             Cause::NoGroup(_) => Some(Millis(2000)),
-            Cause::Stale | Cause::Draining | Cause::Full | Cause::Limit(_) | Cause::KeyInFlight => {
-                Some(Millis(1000))
-            }
+            Cause::NoRoom
+            | Cause::Stale
+            | Cause::Draining
+            | Cause::Full
+            | Cause::Limit(_)
+            | Cause::KeyInFlight => Some(Millis(1000)),
             Cause::Retries | Cause::Backend(_) if self.outcome == Outcome::NotRun => Some(Millis(1000)),
             _ => None,
         }
--- a/crates/entry/src/front.rs
+++ b/crates/entry/src/front.rs
@@ -2,11 +2,12 @@
 
 use std::sync::Arc;
 
+use cottoncrank::resources::{Door, Short};
 use cottoncrank::view::View;
 use cottoncrank::wire::{Claim, KeyedOutcome};
 use cottoncrank_net::server::{
-    Answer, BodyError, Head, Incoming, Service, Status, discard_body, header, read_body, read_message,
-    reply_body_error, reply_message, reply_not_found,
+    Answer, BodyError, Head, Incoming, Service, Status, discard_body, header, read_body_within,
+    read_message_within, reply_body_error, reply_message, reply_not_found,
 };
 use tracing::Instrument;
 
@@ -29,7 +30,7 @@
 impl Service for PeerService {
     async fn answer(&self, head: Head, body: Incoming) -> Answer {
         match head.uri().path() {
-            "/claim" => match read_message::<Claim>(body, MAX_CLAIM_BYTES).await {
+            "/claim" => match self.read_claim(body).await {
                 Ok(claim) => reply_message(&keys::answer_claim(&self.0, claim)),
                 Err(error) => reply_body_error(&error),
             },
@@ -38,6 +39,13 @@
     }
 }
 
+impl PeerService {
+    async fn read_claim(&self, body: Incoming) -> Result<Claim, BodyError> {
+        let place = self.0.resources.open(Door::Peers).map_err(|Short| BodyError::NoRoom)?;
+        read_message_within(body, MAX_CLAIM_BYTES, &place).await
+    }
+}
+
 impl Service for CallerService {
     async fn answer(&self, head: Head, mut body: Incoming) -> Answer {
         let request = self.0.next_request();
@@ -92,8 +100,8 @@
         context: RequestContext,
         endpoint: Endpoint,
     ) -> Result<Answer, Failure> {
-        let admission = self.admit(&context, &mut body).await?;
-        let bytes = self.read(body).await?;
+        let mut admission = self.admit(&context, &mut body).await?;
+        let bytes = self.read(body, &context, &mut admission).await?;
         let parsed = api::parse_request(endpoint, &bytes)?;
         let guard = match self.open_key(&context).await? {
             Ok(guard) => guard,
@@ -125,7 +133,7 @@
             discard_body(&mut body).await;
             return Err(Failure::not_run(Cause::Missing(format!("service {service}"))));
         }
-        let _admission = self.admit(&context, &mut body).await?;
+        let mut admission = self.admit(&context, &mut body).await?;
         let full_path = head.uri().path_and_query().map_or("", |path| path.as_str());
         let suffix = full_path.trim_start_matches("/services/").trim_start_matches(service);
         let path = if suffix.starts_with('/') { suffix.to_owned() } else { format!("/{suffix}") };
@@ -134,7 +142,7 @@
             method: head.method().clone(),
             path,
             kind: head.headers().get(header::CONTENT_TYPE).cloned(),
-            body: self.read(body).await?,
+            body: self.read(body, &context, &mut admission).await?,
         };
         let guard = match self.open_key(&context).await? {
             Ok(guard) => guard,
@@ -143,13 +151,25 @@
         Ok(services::run(&self.0, guard, &context, &call).await)
     }
 
-    async fn read(&self, body: Incoming) -> Result<bytes::Bytes, Failure> {
-        read_body(body, self.0.settings.body_max).await.map_err(|error| {
+    /// Reads the body of an admitted request, until its deadline.
+    async fn read(
+        &self,
+        body: Incoming,
+        context: &RequestContext,
+        admission: &mut Admission,
+    ) -> Result<bytes::Bytes, Failure> {
+        let remaining = context.deadline.since(self.0.now());
+        let reading = read_body_within(body, self.0.settings.body_max, &admission.place);
+        let read = tokio::time::timeout(remaining.duration(), reading).await;
+        let bytes = read.map_err(|_| Failure::not_run(Cause::Deadline))?.map_err(|error| {
             Failure::not_run(match error {
                 BodyError::TooLarge(max) => Cause::TooLarge(max),
+                BodyError::NoRoom => Cause::NoRoom,
                 BodyError::Broken | BodyError::Invalid(_) => Cause::Malformed(error.to_string()),
             })
-        })
+        })?;
+        admission.serve(bytes.len())?;
+        Ok(bytes)
     }
 
     /// Claims the request's key. The inner error is the kept answer of an earlier run.
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use cottoncrank::settings::{Check, Problem};
-use cottoncrank::{Millis, id, registry};
+use cottoncrank::{Millis, Size, id, registry};
 use serde::Deserialize;
 
 /// Settings of one entry.
@@ -29,6 +29,9 @@
     /// The largest request body, in bytes.
     #[serde(default = "default_body_max")]
     pub body_max: usize,
+    /// The memory of this process, of which three eighths may be filled by requests.
+    #[serde(default = "default_memory")]
+    pub memory: Size,
     /// Largest and default deadline of a request, in milliseconds.
     #[serde(default = "default_deadline")]
     pub deadline: Millis,
@@ -52,6 +55,10 @@
     4 << 20
 }
 
+fn default_memory() -> Size {
+    Size::megabytes(256)
+}
+
 fn default_deadline() -> Millis {
     Millis(120_000)
 }
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -8,10 +8,12 @@
 use cottoncrank::claim::Claims;
 use cottoncrank::clock::System;
 use cottoncrank::hash::hash;
+use cottoncrank::resources::{Door, Kind, Machine, Short};
 use cottoncrank::retry::Budget;
 use cottoncrank::view::{VIEW_TTL, View};
-use cottoncrank::{Clock, Millis, id, route};
+use cottoncrank::{Clock, Millis, Size, id, route};
 use cottoncrank_net::client::Client;
+use cottoncrank_net::resources::{Charge, Resources, Slot};
 use parking_lot::{Mutex, RwLock};
 
 use crate::failure::{Cause, Failure};
@@ -37,6 +39,8 @@
     pub client: Client,
     /// The routing policy.
     pub policy: route::Policy,
+    /// What callers and other entries fill of this process.
+    pub resources: Resources,
     view: RwLock<Arc<View>>,
     view_received: AtomicU64,
     claims: Vec<Mutex<Claims>>,
@@ -54,7 +58,10 @@
     pub fn new(settings: Settings, client: Client, policy: route::Policy) -> State {
         let clock = System::new();
         let seed = hash(format!("{} {}", settings.node, clock.now()).as_bytes());
+        // Connections are not counted here, requests are.
+        let machine = Machine { memory: settings.memory, sockets: usize::MAX / 8 };
         State {
+            resources: Resources::new(&machine, clock.clone()),
             clock,
             client,
             policy,
@@ -131,10 +138,11 @@
         if usage.running >= limit {
             return Err(Failure::not_run(Cause::Limit(limit)));
         }
+        let place = self.resources.open(Door::Callers).map_err(|Short| Failure::not_run(Cause::NoRoom))?;
         usage.running += 1;
         drop(shard);
         self.running.fetch_add(1, Ordering::Relaxed);
-        Ok(Admission { state: self.clone(), account: account.clone() })
+        Ok(Admission { state: self.clone(), account: account.clone(), place, copies: None })
     }
 
     /// Returns the number of requests in flight.
@@ -186,6 +194,22 @@
 pub struct Admission {
     state: Arc<State>,
     account: id::Account,
+    /// Its place in the account of memory.
+    pub place: Arc<Slot>,
+    copies: Option<Charge>,
+}
+
+/// The copies that are made of a body: its text, and the message to an engine.
+const BODY_COPIES: usize = 2;
+
+impl Admission {
+    /// Records that the body of the request has arrived whole, and charges the copies that are made of it.
+    pub fn serve(&mut self, body: usize) -> Result<(), Failure> {
+        let charged = self.place.charge(Size(BODY_COPIES * body), Kind::Overhead);
+        self.copies = Some(charged.map_err(|Short| Failure::not_run(Cause::NoRoom))?);
+        self.place.serve();
+        Ok(())
+    }
 }
 
 impl Drop for Admission {
--- a/crates/entry/tests/clients.rs
+++ b/crates/entry/tests/clients.rs
@@ -81,6 +81,7 @@
             list: list.address(),
             seeds: Vec::new(),
             spread: Spread::Gossip,
+            memory: cottoncrank::Size::megabytes(256),
         };
         let file =
             std::env::temp_dir().join(format!("cottoncrank-entry-{}-{number}.toml", std::process::id()));
--- a/crates/net/src/intake.rs
+++ b/crates/net/src/intake.rs
@@ -21,7 +21,7 @@
 /// itself and then keeps ever larger ones.
 const MAX_SEGMENT: usize = 32 * 1024;
 
-/// The smallest segment of a body.
+/// The smallest segment of a body, in bytes.
 const MIN_SEGMENT: usize = 1024;
 
 /// Why a body was not read.
@@ -110,6 +110,7 @@
 /// Takes the pieces of a body.
 struct Intake<'a> {
     slot: &'a Slot,
+    max_segment: usize,
     whole: Vec<Bytes>,
     /// The segment that is being filled, with its capacity charged.
     filling: Vec<u8>,
@@ -117,7 +118,11 @@
     length: usize,
 }
 
-impl Intake<'_> {
+impl<'a> Intake<'a> {
+    fn new(slot: &'a Slot, max_segment: usize) -> Intake<'a> {
+        Intake { slot, max_segment, whole: Vec::new(), filling: Vec::new(), charge: None, length: 0 }
+    }
+
     fn push(&mut self, mut piece: &[u8]) -> Result<(), Short> {
         while !piece.is_empty() {
             if self.filling.len() == self.filling.capacity() {
@@ -134,15 +139,15 @@
 
     /// Makes room for at least one more byte.
     fn extend(&mut self, wanted: usize) -> Result<(), Short> {
-        if self.filling.capacity() >= MAX_SEGMENT {
+        if self.filling.capacity() >= self.max_segment {
             self.seal();
         }
         let before = self.filling.capacity();
         let more = if self.whole.is_empty() && before == 0 {
             // Most bodies come in one piece.
-            wanted.min(MAX_SEGMENT)
+            wanted.min(self.max_segment)
         } else {
-            wanted.max(before).max(MIN_SEGMENT).min(MAX_SEGMENT - before)
+            wanted.max(before).max(MIN_SEGMENT).min(self.max_segment - before)
         };
         let charge = self.slot.charge(Size(more), Kind::Body)?;
         match &mut self.charge {
@@ -167,15 +172,29 @@
 }
 
 /// Reads a body to its end, up to `max` bytes, and charges it to its connection.
-pub async fn read<B>(mut body: B, max: usize, slot: &Slot) -> Result<Body, IntakeError>
+pub async fn read<B>(body: B, max: usize, slot: &Slot) -> Result<Body, IntakeError>
+where
+    B: HttpBody<Data = Bytes> + Unpin,
+{
+    fill(Intake::new(slot, MAX_SEGMENT), body, max).await
+}
+
+/// Reads a body like [`read`], in one piece.
+pub async fn read_whole<B>(body: B, max: usize, slot: &Slot) -> Result<Bytes, IntakeError>
+where
+    B: HttpBody<Data = Bytes> + Unpin,
+{
+    Ok(fill(Intake::new(slot, max), body, max).await?.into_bytes())
+}
+
+async fn fill<B>(mut intake: Intake<'_>, mut body: B, max: usize) -> Result<Body, IntakeError>
 where
     B: HttpBody<Data = Bytes> + Unpin,
 {
-    let mut intake = Intake { slot, whole: Vec::new(), filling: Vec::new(), charge: None, length: 0 };
     loop {
         let frame = tokio::select! {
             biased;
-            _ = slot.wait_evicted(None) => return Err(Short.into()),
+            _ = intake.slot.wait_evicted(None) => return Err(Short.into()),
             frame = body.frame() => frame,
         };
         let Some(frame) = frame else { return Ok(intake.finish()) };
--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -20,7 +20,9 @@
 use xitca_web::{App, WebContext};
 
 use crate::feed::{self, Cut};
+use crate::intake::{self, IntakeError};
 use crate::keepalive;
+use crate::resources::Slot;
 
 pub use xitca_web::http::header;
 pub use xitca_web::http::{HeaderMap, Method as Verb, StatusCode as Status};
@@ -46,6 +48,9 @@
     /// It is larger than allowed.
     #[error("the body is larger than {0} bytes")]
     TooLarge(usize),
+    /// There is no room for it at present.
+    #[error("there is no room for the body at present")]
+    NoRoom,
     /// The connection broke before its end.
     #[error("the body broke off")]
     Broken,
@@ -87,6 +92,9 @@
     }
 }
 
+/// The largest head of a request, in bytes.
+const MAX_HEAD_BYTES: usize = 64 * 1024;
+
 /// How long idle connections are kept. This is longer than any client of this project keeps them, so
 /// that a client never writes to a connection that the server is closing.
 const KEEP_ALIVE: Millis = Millis(60_000);
@@ -113,8 +121,12 @@
         .with_state(service)
         .at("/", handler_service(handle::<S>))
         .at("/{*path}", handler_service(handle::<S>));
-    let mut server =
-        app.serve().worker_threads(workers).keep_alive_timeout(KEEP_ALIVE.duration()).disable_signal();
+    let mut server = app
+        .serve()
+        .max_read_buf_size::<MAX_HEAD_BYTES>()
+        .worker_threads(workers)
+        .keep_alive_timeout(KEEP_ALIVE.duration())
+        .disable_signal();
     for listener in listeners {
         listener.set_nonblocking(true)?;
         keepalive::limit_unread(&listener, UNREAD_TIMEOUT)?;
@@ -176,10 +188,51 @@
     }
 }
 
+/// The body of a request as [`intake`] reads it.
+struct Pieces(RequestBody);
+
+impl hyper::body::Body for Pieces {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<hyper::body::Frame<Bytes>, BodyError>>> {
+        Body::poll_frame(Pin::new(&mut self.0), cx).map(|next| {
+            next.map(|frame| match frame.map_err(|_| BodyError::Broken)? {
+                Frame::Data(data) => Ok(hyper::body::Frame::data(data)),
+                Frame::Trailers(trailers) => Ok(hyper::body::Frame::trailers(trailers)),
+            })
+        })
+    }
+}
+
+/// Reads a body to its end, up to `max` bytes, within the account of the process.
+pub async fn read_body_within(body: RequestBody, max: usize, slot: &Slot) -> Result<Bytes, BodyError> {
+    intake::read_whole(Pieces(body), max, slot).await.map_err(|error| match error {
+        IntakeError::TooLarge => BodyError::TooLarge(max),
+        IntakeError::Broken => BodyError::Broken,
+        IntakeError::Short(_) => BodyError::NoRoom,
+    })
+}
+
+/// Reads a body in MessagePack within the account of the process.
+pub async fn read_message_within<T: DeserializeOwned>(
+    body: RequestBody,
+    max: usize,
+    slot: &Slot,
+) -> Result<T, BodyError> {
+    decode(&read_body_within(body, max, slot).await?)
+}
+
+fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, BodyError> {
+    rmp_serde::from_slice(bytes).map_err(|error| BodyError::Invalid(error.to_string()))
+}
+
 /// Reads a body in MessagePack.
 pub async fn read_message<T: DeserializeOwned>(body: RequestBody, max: usize) -> Result<T, BodyError> {
-    let bytes = read_body(body, max).await?;
-    rmp_serde::from_slice(&bytes).map_err(|error| BodyError::Invalid(error.to_string()))
+    decode(&read_body(body, max).await?)
 }
 
 /// Returns an answer with a body.
@@ -210,6 +263,7 @@
 pub fn reply_body_error(error: &BodyError) -> Answer {
     let status = match error {
         BodyError::TooLarge(_) => StatusCode::PAYLOAD_TOO_LARGE,
+        BodyError::NoRoom => StatusCode::SERVICE_UNAVAILABLE,
         BodyError::Broken | BodyError::Invalid(_) => StatusCode::BAD_REQUEST,
     };
     reply(status, "text/plain", error.to_string())
