Take an answer for one only by a status that answers have

What callers saw: an answer with the status 101, 600 or 999, signed, of a runner in trouble, where they should be told that there is no answer.

Cause: the HTTP library reads any three digits from 100 on as a status, and what it read was forwarded.

Change: the statuses of answers are 200 to 599. With another one the request may have run, the runner counts as failed, and its headers are not believed; the request is tried again as after a failure, within its route and the retries.

Why it holds: it is decided at the one place where all attempts get the head of an answer, plain or stream, first or resumed, directly or through another box.

--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::ops::Range;
 use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -37,6 +38,15 @@
 /// How long the setup of a connection may take.
 const CONNECT_TIMEOUT: Millis = Millis(400);
 
+/// The statuses of answers (RFC 9110, section 15). Those below announce another answer or another protocol, and
+/// a server in trouble may send any three digits.
+const FINAL_STATUSES: Range<u16> = 200..600;
+
+/// Whether a status is one that an answer has. What has another one is no answer.
+pub fn is_final(status: StatusCode) -> bool {
+    FINAL_STATUSES.contains(&status.as_u16())
+}
+
 /// The error of a call without a usable answer.
 #[derive(Debug, Error)]
 pub enum CallError {
--- a/crates/node/src/attempt.rs
+++ b/crates/node/src/attempt.rs
@@ -8,6 +8,7 @@
 use cottoncrank_fleet::fingerprint::Fingerprint;
 use cottoncrank_fleet::plan::{State, find_state};
 use cottoncrank_fleet::runner::{Epoch, Incarnation, Release};
+use cottoncrank_net::client::is_final;
 use cottoncrank_net::intake;
 use cottoncrank_net::resources::Charge;
 use cottoncrank_platform::header::{self, ForwardMetadata, RequestMetadata, Verdict};
@@ -260,6 +261,13 @@
             return Err(AttemptError::Broken(error.to_string()));
         }
     };
+    if !is_final(response.status()) {
+        node.ledger.lock().record_failure(&pick.id, node.now());
+        return Err(AttemptError::MayHaveRun(format!(
+            "{} is the status of no answer",
+            response.status().as_u16()
+        )));
+    }
     let status = response.status().as_u16();
     if header::is_leaving(status, response.headers()) {
         node.record_leaving(&pick.id, pick.incarnation);
