Take an answer of a plain service for one only by a status that answers have

What callers of an entry saw: 101, 600 and 999 of a service in trouble, forwarded as its answer.

Evidence: a_status_that_no_answer_has_is_no_answer_of_a_service failed before and holds.

--- a/crates/demo/tests/requests.rs
+++ b/crates/demo/tests/requests.rs
@@ -268,3 +268,40 @@
         assert_eq!(streamed.text, expected("long", 150));
     });
 }
+
+/// A backend server that answers each request with a status.
+async fn start_backend(status: &'static str) -> std::net::SocketAddr {
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let mut request = [0; 4096];
+            let answer = format!("HTTP/1.1 {status} No\r\nContent-Length: 5\r\n\r\nhello");
+            // Either fails once the entry has closed the connection.
+            if stream.read(&mut request).await.is_ok() {
+                let _ = stream.write_all(answer.as_bytes()).await;
+            }
+        }
+    });
+    address
+}
+
+#[test]
+fn a_status_that_no_answer_has_is_no_answer_of_a_service() {
+    run_on(one_hall(), async |fleet, client| {
+        for status in ["000", "101", "199", "600", "999", "abc"] {
+            let backend = start_backend(status).await;
+            fleet.command(&format!("create service odd-{status} addresses {backend}")).await.unwrap();
+            let has_service = || {
+                let name = format!("odd-{status}");
+                fleet.views().iter().all(|view| view.services.iter().any(|known| known.id.as_str() == name))
+            };
+            fleet.wait("the entries know the service", Millis(10_000), has_service).await.unwrap();
+            let path = format!("/services/odd-{status}/x");
+            let headers = headers(TOKEN, &[("x-cottoncrank-deadline-ms", "2000")]);
+            let answer = call(&client, fleet.entry(0), Verb::POST, &path, headers, "x".into()).await.unwrap();
+            assert!([502, 504].contains(&answer.status.as_u16()), "{status}: {}", answer.status);
+            assert_eq!(answer.outcome().as_deref(), Some("may have run"), "{status}");
+        }
+    });
+}
--- a/crates/entry/src/services.rs
+++ b/crates/entry/src/services.rs
@@ -7,7 +7,7 @@
 use cottoncrank::Millis;
 use cottoncrank::outcome::{Outcome, Progress, Recovery};
 use cottoncrank::wire::KeyedOutcome;
-use cottoncrank_net::client::read_all;
+use cottoncrank_net::client::{is_final, read_all};
 use cottoncrank_net::server::{Answer, HeaderMap, Status, Verb, header, reply};
 
 use crate::caller::{KEY_HEADER, RequestContext};
@@ -147,6 +147,11 @@
         }
     };
     progress.mark_sent();
+    if !is_final(answer.status()) {
+        let status = answer.status().as_u16();
+        log::warn!("service: {}: {address} sent the status {status}, which no answer has", call.service);
+        return None;
+    }
     if answer.headers().contains_key(NOT_RUN_HEADER) {
         progress.mark_rejected();
         return None;
