Discard the rest of a body that an entry does not accept

Seen: bad_requests_are_told_what_is_wrong_and_run_nothing of the demo failed, as a caller with a body of 2 MB saw a broken connection in place of the 413: reading stopped at the limit, where it went on before.

Change: the rest is read and dropped, up to the bound that there was, also of a body that is refused for want of room.

Evidence: the test fails without this and holds with it.

--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -208,13 +208,18 @@
     }
 }
 
-/// Reads a body to its end, up to `max` bytes, within the account of the process.
+/// Reads a body to its end, up to `max` bytes, within the account of the process. The rest of one that is not
+/// accepted is discarded.
 pub async fn read_body_within(body: RequestBody, max: usize, slot: &Slot) -> Result<Bytes, BodyError> {
-    intake::read_whole(Pieces(body), max, slot).await.map_err(|error| match error {
-        IntakeError::TooLarge => BodyError::TooLarge(max),
-        IntakeError::Broken => BodyError::Broken,
-        IntakeError::Short(_) => BodyError::NoRoom,
-    })
+    let mut pieces = Pieces(body);
+    let error = match intake::read_whole(&mut pieces, max, slot).await {
+        Ok(bytes) => return Ok(bytes),
+        Err(IntakeError::Broken) => return Err(BodyError::Broken),
+        Err(IntakeError::TooLarge) => BodyError::TooLarge(max),
+        Err(IntakeError::Short(_)) => BodyError::NoRoom,
+    };
+    discard_body(&mut pieces.0).await;
+    Err(error)
 }
 
 /// Reads a body in MessagePack within the account of the process.
