Name the ports of a process as such, and give other boxes as many connections as callers

The account called them doors; the field says ports. The collector of a large hall keeps several connections to each of 200 boxes, and a quarter of the descriptors was close to that: callers and other boxes get 5/16 each.

A caller that is answered while it sends is read on up to 16 MB in place of 1, for a second as before: what it sends beyond its body's limit is often a few times that limit. A new test sends 6 MB of a body that is refused by its head, by key, route and length, and gets each answer.

--- a/crates/controller/src/server.rs
+++ b/crates/controller/src/server.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use cottoncrank::Millis;
-use cottoncrank::resources::Door;
+use cottoncrank::resources::Port;
 use cottoncrank::wire::{Command, Exchange, MAX_EXCHANGE_BYTES, PackedExchange};
 use cottoncrank_net::resources::Slot;
 use cottoncrank_net::server::{
@@ -27,7 +27,7 @@
 
 impl Service for Handler {
     async fn answer(&self, head: Head, body: Incoming) -> Answer {
-        let Ok(place) = self.0.resources.open(Door::Peers) else {
+        let Ok(place) = self.0.resources.open(Port::Peers) else {
             return reply_body_error(&BodyError::NoRoom);
         };
         match head.uri().path() {
--- a/crates/entry/src/front.rs
+++ b/crates/entry/src/front.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use cottoncrank::resources::{Door, Short};
+use cottoncrank::resources::{Port, Short};
 use cottoncrank::view::View;
 use cottoncrank::wire::{Claim, KeyedOutcome};
 use cottoncrank_net::server::{
@@ -41,7 +41,7 @@
 
 impl PeerService {
     async fn read_claim(&self, body: Incoming) -> Result<Claim, BodyError> {
-        let place = self.0.resources.open(Door::Peers).map_err(|Short| BodyError::NoRoom)?;
+        let place = self.0.resources.open(Port::Peers).map_err(|Short| BodyError::NoRoom)?;
         read_message_within(body, MAX_CLAIM_BYTES, &place).await
     }
 }
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -8,7 +8,7 @@
 use cottoncrank::claim::Claims;
 use cottoncrank::clock::System;
 use cottoncrank::hash::hash;
-use cottoncrank::resources::{Door, Kind, Machine, Short};
+use cottoncrank::resources::{Kind, Machine, Port, Short};
 use cottoncrank::retry::Budget;
 use cottoncrank::view::{VIEW_TTL, View};
 use cottoncrank::{Clock, Millis, Size, id, route};
@@ -138,7 +138,7 @@
         if usage.running >= limit {
             return Err(Failure::not_run(Cause::Limit(limit)));
         }
-        let place = self.resources.open(Door::Callers).map_err(|Short| Failure::not_run(Cause::NoRoom))?;
+        let place = self.resources.open(Port::Callers).map_err(|Short| Failure::not_run(Cause::NoRoom))?;
         usage.running += 1;
         drop(shard);
         self.running.fetch_add(1, Ordering::Relaxed);
--- a/crates/kernel/src/resources.rs
+++ b/crates/kernel/src/resources.rs
@@ -1,6 +1,6 @@
 //! What callers may fill of a process: one account of its memory and its descriptors.
 //!
-//! Each connection and all that is held for it are charged here, at every door. Nobody is refused while there is
+//! Each connection and all that is held for it are charged here, at every port. Nobody is refused while there is
 //! room. Where there is none, somebody has to go, and never one whose request has arrived whole:
 //!
 //! - A caller that needs little takes from whoever holds the most, so a few bytes are always served.
@@ -37,12 +37,12 @@
 /// A caller with a large body that has sent nothing for this long is stalled.
 const STALL_TIME: Millis = Millis(1000);
 
-/// The fewest connections that a door has.
+/// The fewest connections that a port has.
 const MIN_CONNECTIONS: usize = 4;
 
 /// Where a connection arrived.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub enum Door {
+pub enum Port {
     /// The port for callers.
     Callers,
     /// The port for other boxes.
@@ -53,17 +53,17 @@
     Metrics,
 }
 
-impl Door {
-    /// All doors.
-    pub const ALL: [Door; 4] = [Door::Callers, Door::Peers, Door::Readiness, Door::Metrics];
+impl Port {
+    /// All ports.
+    pub const ALL: [Port; 4] = [Port::Callers, Port::Peers, Port::Readiness, Port::Metrics];
 
     /// Returns the name as a metric label.
     pub fn name(self) -> &'static str {
         match self {
-            Door::Callers => "callers",
-            Door::Peers => "peers",
-            Door::Readiness => "readiness",
-            Door::Metrics => "metrics",
+            Port::Callers => "callers",
+            Port::Peers => "peers",
+            Port::Readiness => "readiness",
+            Port::Metrics => "metrics",
         }
     }
 }
@@ -106,12 +106,11 @@
         }
     }
 
-    /// Returns the most connections that a door has open.
-    pub fn connections(&self, door: Door) -> usize {
-        let share = match door {
-            Door::Callers => 3 * self.sockets / 8,
-            Door::Peers => self.sockets / 4,
-            Door::Readiness | Door::Metrics => self.sockets / 32,
+    /// Returns the most connections that a port has open.
+    pub fn connections(&self, port: Port) -> usize {
+        let share = match port {
+            Port::Callers | Port::Peers => 5 * self.sockets / 16,
+            Port::Readiness | Port::Metrics => self.sockets / 32,
         };
         share.max(MIN_CONNECTIONS)
     }
@@ -164,7 +163,7 @@
 
 #[derive(Clone, Copy, Debug)]
 struct Connection {
-    door: Door,
+    port: Port,
     activity: Activity,
     /// All that is charged to it.
     held: Size,
@@ -225,7 +224,7 @@
     counted_large: Size,
     counted_answers: Size,
     held: Size,
-    open: [usize; Door::ALL.len()],
+    open: [usize; Port::ALL.len()],
     last: u64,
 }
 
@@ -239,7 +238,7 @@
             counted_large: Size(0),
             counted_answers: Size(0),
             held: Size(0),
-            open: [0; Door::ALL.len()],
+            open: [0; Port::ALL.len()],
             last: 0,
         }
     }
@@ -249,24 +248,24 @@
         self.held
     }
 
-    /// Returns the open connections of a door.
-    pub fn count_open(&self, door: Door) -> usize {
-        self.open[door as usize]
+    /// Returns the open connections of a port.
+    pub fn count_open(&self, port: Port) -> usize {
+        self.open[port as usize]
     }
 
     /// Opens a connection. Those that have to go for it are added to `evicted`.
-    pub fn open(&mut self, door: Door, now: Millis, evicted: &mut Vec<Eviction>) -> Result<Id, Short> {
-        while self.open[door as usize] >= self.limits.connections(door) {
-            let oldest = self.find_inactive(door).ok_or(Short)?;
+    pub fn open(&mut self, port: Port, now: Millis, evicted: &mut Vec<Eviction>) -> Result<Id, Short> {
+        while self.open[port as usize] >= self.limits.connections(port) {
+            let oldest = self.find_inactive(port).ok_or(Short)?;
             self.evict(oldest, Shortage::Descriptors, evicted);
             // Its descriptor is about to be closed.
-            self.close_door(oldest);
+            self.release_port(oldest);
         }
         self.make_room(None, Size(0), CONNECTION, evicted)?;
         self.last += 1;
         let id = Id(self.last);
         let connection = Connection {
-            door,
+            port,
             activity: Activity::Resting,
             held: Size(0),
             body: Size(0),
@@ -280,14 +279,14 @@
             evicted: None,
         };
         self.connections.insert(id, connection);
-        self.open[door as usize] += 1;
+        self.open[port as usize] += 1;
         self.change(id, |connection| connection.held += CONNECTION);
         Ok(id)
     }
 
     /// Closes a connection. What else is charged to it stays so until it is released.
     pub fn close(&mut self, id: Id) {
-        self.close_door(id);
+        self.release_port(id);
         self.change(id, |connection| {
             connection.held -= CONNECTION + connection.buffer;
             connection.buffer = Size(0);
@@ -390,7 +389,7 @@
     }
 
     /// Records that a caller has taken a part of its answer.
-    pub fn take(&mut self, id: Id, now: Millis) {
+    pub fn record_taken(&mut self, id: Id, now: Millis) {
         if let Some(connection) = self.connections.get_mut(&id) {
             connection.taken_at = now;
         }
@@ -465,13 +464,13 @@
         longest.or_else(|| arriving().max_by_key(|(id, _)| **id)).map(|(id, _)| *id)
     }
 
-    /// Returns the connection of a door that has done nothing for the longest time, first among those that
+    /// Returns the connection of a port that has done nothing for the longest time, first among those that
     /// have never sent a whole request.
-    fn find_inactive(&self, door: Door) -> Option<Id> {
+    fn find_inactive(&self, port: Port) -> Option<Id> {
         let of_door = self
             .connections
             .iter()
-            .filter(|(_, one)| one.door == door && one.is_evictable(Shortage::Descriptors));
+            .filter(|(_, one)| one.port == port && one.is_evictable(Shortage::Descriptors));
         of_door.min_by_key(|(id, one)| (one.has_served, one.since, **id)).map(|(id, _)| *id)
     }
 
@@ -486,10 +485,10 @@
         }
     }
 
-    fn close_door(&mut self, id: Id) {
+    fn release_port(&mut self, id: Id) {
         if let Some(connection) = self.connections.get_mut(&id).filter(|connection| connection.is_open) {
             connection.is_open = false;
-            self.open[connection.door as usize] -= 1;
+            self.open[connection.port as usize] -= 1;
         }
     }
 
--- a/crates/kernel/tests/resources.rs
+++ b/crates/kernel/tests/resources.rs
@@ -1,7 +1,7 @@
 //! Replays of crowds against the account of what callers fill: who stays and who has to go.
 
 use cottoncrank::resources::{
-    CONNECTION, Door, Eviction, Id, Kind, Limits, Machine, REQUEST, Short, Shortage, Table,
+    CONNECTION, Eviction, Id, Kind, Limits, Machine, Port, REQUEST, Short, Shortage, Table,
 };
 use cottoncrank::{Millis, Size};
 
@@ -29,7 +29,7 @@
     }
 
     fn open(&mut self) -> Id {
-        self.table.open(Door::Callers, self.now, &mut self.evicted).unwrap()
+        self.table.open(Port::Callers, self.now, &mut self.evicted).unwrap()
     }
 
     /// A connection sends a segment of its body.
@@ -45,7 +45,7 @@
 
     /// A new caller sends an ordinary request.
     fn ask(&mut self) -> Result<Id, Short> {
-        let id = self.table.open(Door::Callers, self.now, &mut self.evicted)?;
+        let id = self.table.open(Port::Callers, self.now, &mut self.evicted)?;
         self.table.receive(id, Size(500), self.now, &mut self.evicted);
         self.table.charge(id, REQUEST, Kind::Overhead, self.now, &mut self.evicted)?;
         self.table.charge(id, Size(200), Kind::Body, self.now, &mut self.evicted)?;
@@ -137,7 +137,7 @@
 #[test]
 fn a_new_connection_takes_the_place_of_the_one_that_did_nothing_for_longest() {
     let mut world = World::new();
-    let max = Limits::of(&MACHINE).connections(Door::Callers);
+    let max = Limits::of(&MACHINE).connections(Port::Callers);
     let served = world.ask().unwrap();
     world.table.rest(served, world.now);
     let crowd: Vec<Id> = (1..max)
@@ -149,22 +149,22 @@
     assert!(world.evicted.is_empty(), "there is room for {max}");
     world.ask().unwrap();
     assert_eq!(world.evicted, [(crowd[0], Shortage::Descriptors)], "one that was served before stays longer");
-    assert_eq!(world.table.count_open(Door::Callers), max);
+    assert_eq!(world.table.count_open(Port::Callers), max);
 }
 
-/// Guards against a door that takes the descriptors of another one.
+/// Guards against a port that takes the descriptors of another one.
 #[test]
 fn a_crowd_at_one_door_takes_nothing_of_another() {
     let mut world = World::new();
-    let peer = world.table.open(Door::Peers, world.now, &mut world.evicted).unwrap();
-    for door in [Door::Callers, Door::Readiness, Door::Metrics] {
+    let peer = world.table.open(Port::Peers, world.now, &mut world.evicted).unwrap();
+    for port in [Port::Callers, Port::Readiness, Port::Metrics] {
         for _ in 0..MACHINE.sockets {
             world.now = world.now + Millis(1);
-            world.table.open(door, world.now, &mut world.evicted).unwrap();
+            world.table.open(port, world.now, &mut world.evicted).unwrap();
         }
     }
     assert!(!world.has_to_go(peer));
-    let open: usize = Door::ALL.iter().map(|door| world.table.count_open(*door)).sum();
+    let open: usize = Port::ALL.iter().map(|port| world.table.count_open(*port)).sum();
     assert!(open <= MACHINE.sockets, "{open} of {}", MACHINE.sockets);
 }
 
@@ -180,7 +180,7 @@
             world.table.release(id, Size(sent * SEGMENT.0), Kind::Body);
         }
         assert_eq!(world.table.held(), Size(0));
-        assert_eq!(world.table.count_open(Door::Callers), 0);
+        assert_eq!(world.table.count_open(Port::Callers), 0);
     }
     let id = world.open();
     assert_eq!(world.table.held(), CONNECTION);
@@ -222,7 +222,7 @@
     assert_eq!(world.answer(sound, ANSWER), Err(Short), "nobody is late yet");
     world.now = world.now + LONG;
     for id in &crowd[1..] {
-        world.table.take(*id, world.now);
+        world.table.record_taken(*id, world.now);
     }
     world.answer(sound, ANSWER).unwrap();
     assert_eq!(world.evicted, [(crowd[0], Shortage::Answers)], "the others read theirs");
--- a/crates/net/src/metered.rs
+++ b/crates/net/src/metered.rs
@@ -17,10 +17,10 @@
 /// How long, and how much, is read of a caller that is answered while it still sends. To close the connection
 /// at once would reset it, and the answer might be lost with it.
 const LINGER_TIME: Millis = Millis(1000);
-const LINGER_BYTES: usize = 1 << 20;
+const LINGER_BYTES: usize = 16 << 20;
 
 /// How much is read at a time then, in bytes.
-const LINGER_BUFFER: usize = 4096;
+const LINGER_BUFFER: usize = 16 * 1024;
 
 /// The receive buffer of a connection, in bytes. What arrives while its process is busy is held there; the kernel
 /// takes up to twice as much.
@@ -54,7 +54,7 @@
 
     fn record(&self, written: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
         if matches!(written, Poll::Ready(Ok(1..))) {
-            self.slot.take();
+            self.slot.record_taken();
         }
         written
     }
--- a/crates/net/src/resources.rs
+++ b/crates/net/src/resources.rs
@@ -1,4 +1,4 @@
-//! The account of what callers fill of this process, which all its doors share. What goes and who stays is
+//! The account of what callers fill of this process, which all its ports share. What goes and who stays is
 //! decided by [`cottoncrank::resources`].
 //!
 //! Memory is charged with [`Slot::charge`] and released when the [`Charge`] is dropped, so it is freed on every
@@ -10,7 +10,7 @@
 
 use bytes::Bytes;
 use cottoncrank::clock::System;
-use cottoncrank::resources::{Door, Eviction, Id, Kind, Limits, Machine, Short, Shortage, Table};
+use cottoncrank::resources::{Eviction, Id, Kind, Limits, Machine, Port, Short, Shortage, Table};
 use cottoncrank::{Clock, Millis, Size};
 use parking_lot::Mutex;
 use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore, watch};
@@ -119,10 +119,10 @@
         }))
     }
 
-    /// Opens a connection at a door. There is none for it if all others there are being served.
-    pub fn open(&self, door: Door) -> Result<Arc<Slot>, Short> {
+    /// Opens a connection at a port. There is none for it if all others there are being served.
+    pub fn open(&self, port: Port) -> Result<Arc<Slot>, Short> {
         let (mut state, mut evicted) = (self.0.state.lock(), Vec::new());
-        let opened = state.table.open(door, self.now(), &mut evicted);
+        let opened = state.table.open(port, self.now(), &mut evicted);
         state.signal(&evicted);
         let id = opened?;
         let (signal, receiver) = watch::channel(None);
@@ -157,9 +157,9 @@
         self.0.state.lock().evictions
     }
 
-    /// Returns the open connections of a door.
-    pub fn count_open(&self, door: Door) -> usize {
-        self.0.state.lock().table.count_open(door)
+    /// Returns the open connections of a port.
+    pub fn count_open(&self, port: Port) -> usize {
+        self.0.state.lock().table.count_open(port)
     }
 
     fn charge(&self, id: Id, size: Size, kind: Kind) -> Result<Charge, Short> {
@@ -196,8 +196,8 @@
     }
 
     /// Records that something was written on the connection.
-    pub fn take(&self) {
-        self.resources.0.state.lock().table.take(self.id, self.resources.now());
+    pub fn record_taken(&self) {
+        self.resources.0.state.lock().table.record_taken(self.id, self.resources.now());
     }
 
     /// Records that the head of a request has arrived. Whoever handles the request ends it from now on if the
--- a/crates/net/tests/intake.rs
+++ b/crates/net/tests/intake.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use cottoncrank::Size;
 use cottoncrank::clock::System;
-use cottoncrank::resources::{CONNECTION, Door, Machine, Short};
+use cottoncrank::resources::{CONNECTION, Machine, Port, Short};
 use cottoncrank_net::intake::{self, IntakeError};
 use cottoncrank_net::resources::{Resources, Slot};
 use http_body_util::BodyExt;
@@ -20,7 +20,7 @@
 
 fn start() -> (Resources, Arc<Slot>) {
     let resources = Resources::new(&MACHINE, System::new());
-    let slot = resources.open(Door::Callers).unwrap();
+    let slot = resources.open(Port::Callers).unwrap();
     (resources, slot)
 }
 
@@ -80,7 +80,7 @@
     let copy = body.clone();
     drop((body, slot));
     assert!(resources.held().0 >= copy.len());
-    assert_eq!(resources.count_open(Door::Callers), 0);
+    assert_eq!(resources.count_open(Port::Callers), 0);
     drop(copy);
     assert_eq!(resources.held(), Size(0));
 }
@@ -104,7 +104,7 @@
     let resources = Resources::new(&MACHINE, System::new());
     let mut reading = tokio::task::JoinSet::new();
     for _ in 0..40 {
-        let slot = resources.open(Door::Callers).unwrap();
+        let slot = resources.open(Port::Callers).unwrap();
         reading.spawn(async move {
             intake::read(pieces(&[b'x'; 16_384], MAX / 16_384 - 1, false), MAX, &slot).await
         });
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -8,7 +8,7 @@
 
 use bytes::Bytes;
 use cottoncrank::Millis;
-use cottoncrank::resources::Door;
+use cottoncrank::resources::Port;
 use cottoncrank_net::metered::{self, Metered};
 use cottoncrank_net::resources::Slot;
 use cottoncrank_net::{feed, keepalive};
@@ -22,8 +22,8 @@
 use tokio::sync::watch;
 
 use crate::answer::{Answer, Body};
-use crate::doors;
 use crate::idle::{self, Idle, Noted};
+use crate::ports;
 use crate::request;
 use crate::state::Node;
 use crate::telemetry;
@@ -59,7 +59,7 @@
                 Ok((stream, _)) => {
                     let before = node.resources.count_evictions();
                     take_or_close(&node, stream);
-                    doors::let_evicted_go(&node, before).await;
+                    ports::let_evicted_go(&node, before).await;
                     accept_waiting(&listener).await
                 }
                 Err(error) => {
@@ -73,7 +73,7 @@
 
 fn take_or_close(node: &Arc<Node>, stream: TcpStream) {
     let accepts = node.overload.lock().accepts(node.now());
-    match accepts.then(|| node.resources.open(Door::Callers)) {
+    match accepts.then(|| node.resources.open(Port::Callers)) {
         Some(Ok(slot)) => drop(tokio::spawn(serve_caller(node.clone(), stream, slot))),
         // Nothing is read of it, so the caller may send its request to another node.
         Some(Err(_)) | None => telemetry::count_closed_unread(),
@@ -210,9 +210,9 @@
 /// Answers the balancer's health checks until the process ends.
 pub async fn serve_readiness(node: Arc<Node>, listener: TcpListener) {
     let asked = node.clone();
-    doors::accept(node, listener, Door::Readiness, |connection, slot| {
+    ports::accept(node, listener, Port::Readiness, |connection, slot| {
         let node = asked.clone();
-        doors::answer_each(connection, slot, move |_| {
+        ports::answer_each(connection, slot, move |_| {
             let answer = answer_readiness(node.is_ready());
             async move { answer }
         })
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -32,7 +32,7 @@
 //!
 //! # Serving callers
 //!
-//! - `doors` accepts the connections of other nodes, the balancer and metrics.
+//! - `ports` accepts the connections of other nodes, the balancer and metrics.
 //! - [`front`] listens for callers and answers the balancer, [`request`] admits and routes requests, and
 //!   [`answer`] builds the answers and refusals. `idle` limits how long a caller's connection may be idle.
 //! - [`plain`] serves requests with a whole answer. [`stream`] serves streams: `tries` picks one runner
@@ -82,7 +82,6 @@
 pub mod decider;
 mod denylist;
 mod dispatch;
-mod doors;
 mod era;
 mod evacuation;
 pub mod feed;
@@ -97,6 +96,7 @@
 pub mod peer;
 pub mod plain;
 pub mod plans;
+mod ports;
 mod presence;
 mod pressure;
 mod prober;
--- a/crates/node/src/peer.rs
+++ b/crates/node/src/peer.rs
@@ -6,7 +6,7 @@
 
 use bytes::Bytes;
 use cottoncrank::Millis;
-use cottoncrank::resources::{Door, READ_BUFFER};
+use cottoncrank::resources::{Port, READ_BUFFER};
 use cottoncrank_fleet::admission;
 use cottoncrank_fleet::directory::Peer;
 use cottoncrank_fleet::dispatch::{Query, Reply};
@@ -29,8 +29,8 @@
 use crate::answer::{Answer, Body};
 use crate::catchup;
 use crate::dispatch;
-use crate::doors;
 use crate::feed::UnpackError;
+use crate::ports;
 use crate::reporting;
 use crate::retries;
 use crate::state::Node;
@@ -182,13 +182,13 @@
 /// Answers the queries of other nodes until the process ends.
 pub async fn serve(node: Arc<Node>, listener: TcpListener) {
     let asked = node.clone();
-    doors::accept(node, listener, Door::Peers, |connection, slot| {
+    ports::accept(node, listener, Port::Peers, |connection, slot| {
         serve_peer(asked.clone(), connection, slot)
     })
     .await;
 }
 
-async fn serve_peer(node: Arc<Node>, connection: doors::Connection, slot: Arc<Slot>) {
+async fn serve_peer(node: Arc<Node>, connection: ports::Connection, slot: Arc<Slot>) {
     if let Err(error) = connection.get_ref().set_nodelay(true) {
         log::debug!("peer: {error}");
     }
--- a/crates/node/src/ports.rs
+++ b/crates/node/src/ports.rs
@@ -1,9 +1,9 @@
-//! Accepts connections at the doors other than that of callers, within the account of the process.
+//! Accepts connections at the ports other than that of callers, within the account of the process.
 
 use std::convert::Infallible;
 use std::sync::Arc;
 
-use cottoncrank::resources::{Door, READ_BUFFER};
+use cottoncrank::resources::{Port, READ_BUFFER};
 use cottoncrank_net::metered::{self, Metered};
 use cottoncrank_net::resources::Slot;
 use hyper::Request;
@@ -22,24 +22,24 @@
 
 /// Accepts connections until the process ends, and serves each with `serve`. One that has to go for others is
 /// dropped.
-pub(crate) async fn accept<F, S>(node: Arc<Node>, listener: TcpListener, door: Door, serve: F)
+pub(crate) async fn accept<F, S>(node: Arc<Node>, listener: TcpListener, port: Port, serve: F)
 where
     F: Fn(Connection, Arc<Slot>) -> S,
     S: Future<Output = ()> + Send + 'static,
 {
     if let Err(error) = metered::limit_arrived(&listener) {
-        log::warn!("{}: more may arrive than is read: {error}", door.name());
+        log::warn!("{}: more may arrive than is read: {error}", port.name());
     }
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
                 let before = node.resources.count_evictions();
-                match node.resources.open(door) {
+                match node.resources.open(port) {
                     Ok(slot) => {
                         let serving = serve(Metered::new(stream, slot.clone()), slot.clone());
                         tokio::spawn(serve_until_evicted(serving, slot));
                     }
-                    Err(short) => log::debug!("{}: closed a new connection: {short}", door.name()),
+                    Err(short) => log::debug!("{}: closed a new connection: {short}", port.name()),
                 }
                 let_evicted_go(&node, before).await;
             }
@@ -74,7 +74,7 @@
     let mut builder = http1::Builder::new();
     let connection = builder.max_buf_size(READ_BUFFER.0).serve_connection(TokioIo::new(connection), service);
     if let Err(error) = connection.await {
-        log::debug!("doors: a connection failed: {error}");
+        log::debug!("ports: a connection failed: {error}");
     }
 }
 
--- a/crates/node/src/telemetry.rs
+++ b/crates/node/src/telemetry.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use cottoncrank::clock::Suspension;
-use cottoncrank::resources::Door;
+use cottoncrank::resources::Port;
 use cottoncrank::{Millis, id};
 use cottoncrank_fleet::catalog::Engine;
 use cottoncrank_fleet::evidence::Level;
@@ -18,9 +18,9 @@
 
 use crate::answer::{Answer, Body};
 use crate::cold::ColdLog;
-use crate::doors;
 use crate::evacuation;
 use crate::feedback::{self, Backpressure};
+use crate::ports;
 use crate::state::Node;
 
 /// The metrics port, at the address that other nodes use. It is also written in deploy/system.toml.
@@ -293,13 +293,13 @@
     let (held, answers) = (node.resources.held(), node.resources.held_answers());
     metrics::gauge!("cottoncrank_callers_memory_bytes").set(held.0 as f64);
     metrics::gauge!("cottoncrank_answers_memory_bytes").set(answers.0 as f64);
-    for door in Door::ALL {
-        let open = node.resources.count_open(door);
-        metrics::gauge!("cottoncrank_connections", "door" => door.name()).set(open as f64);
+    for port in Port::ALL {
+        let open = node.resources.count_open(port);
+        metrics::gauge!("cottoncrank_connections", "port" => port.name()).set(open as f64);
     }
     let evictions = node.resources.count_evictions();
     if evictions > *before {
-        let (count, callers) = (evictions - *before, node.resources.count_open(Door::Callers));
+        let (count, callers) = (evictions - *before, node.resources.count_open(Port::Callers));
         log::warn!(
             "resources: {count} connections had to go for others, {held} are held of {callers} connections of callers, and {answers} of answers"
         );
@@ -349,9 +349,9 @@
 
 /// Serves the metrics until the process ends.
 pub async fn serve(node: Arc<Node>, listener: TcpListener, handle: PrometheusHandle) {
-    doors::accept(node, listener, Door::Metrics, |connection, slot| {
+    ports::accept(node, listener, Port::Metrics, |connection, slot| {
         let handle = handle.clone();
-        doors::answer_each(connection, slot, move |_| {
+        ports::answer_each(connection, slot, move |_| {
             let answer = render(&handle);
             async move { answer }
         })
--- a/crates/node/src/tunnel.rs
+++ b/crates/node/src/tunnel.rs
@@ -30,7 +30,7 @@
 
 use crate::answer::{Answer, Body};
 use crate::connect::{Target, connect_for_other};
-use crate::doors::Connection;
+use crate::ports::Connection;
 use crate::state::Node;
 use crate::telemetry;
 
--- a/crates/node/tests/clients.rs
+++ b/crates/node/tests/clients.rs
@@ -73,14 +73,14 @@
 
 async fn play_at(
     what: &str,
-    door: impl Fn(&World) -> SocketAddr,
+    port: impl Fn(&World) -> SocketAddr,
     count: usize,
     message: impl Fn(usize) -> Message,
 ) {
     let _one = one_at_a_time().await;
     let mut world = World::start().await;
     for crowd in ["first", "second"] {
-        let streams = send(door(&world), count, &message).await;
+        let streams = send(port(&world), count, &message).await;
         world.watch.settle().await;
         world.check(&format!("{what}, beside the {crowd} crowd")).await;
         drop(streams);
--- a/crates/node/tests/evacuation.rs
+++ b/crates/node/tests/evacuation.rs
@@ -8,7 +8,7 @@
 use std::time::{Duration, Instant};
 
 use common::{COLD_RATE, Fleet, KEY, count_heads, start_node};
-use cottoncrank::resources::{Door, Kind, REQUEST};
+use cottoncrank::resources::{Kind, Port, REQUEST};
 use cottoncrank::{Millis, id};
 use cottoncrank_fleet::fingerprint::{Fingerprint, Request};
 use cottoncrank_node::attempt::{AttemptError, Job, Pick, send};
@@ -280,7 +280,7 @@
     let request = hyper::Request::post("/read/x").header("Host", HOST).body(()).unwrap();
     let (head, ()) = request.into_parts();
     let now = node.now();
-    let slot = node.resources.open(Door::Callers).unwrap();
+    let slot = node.resources.open(Port::Callers).unwrap();
     Job {
         terms: header::read_metadata(&head.headers),
         route: catalog.find_route(HOST, "/read/x").unwrap().clone(),
--- a/crates/node/tests/resources.rs
+++ b/crates/node/tests/resources.rs
@@ -7,7 +7,7 @@
 use common::proxy::{self, Answerer};
 use common::{Fleet, KEY};
 use cottoncrank::Size;
-use cottoncrank::resources::Door;
+use cottoncrank::resources::Port;
 use cottoncrank_platform_standin::caller::{CallerRequest, read_to_end};
 use cottoncrank_platform_standin::operator::{ONCE, READ, STREAM};
 use cottoncrank_platform_standin::raw;
@@ -67,8 +67,8 @@
     let resources = fleet.nodes[0].node.resources.clone();
     let is_empty = |_: &Fleet| {
         let held = resources.held() + resources.held_answers();
-        let of_peers = Size(resources.count_open(Door::Peers) * cottoncrank::resources::CONNECTION.0);
-        resources.count_open(Door::Callers) == 0 && held == of_peers
+        let of_peers = Size(resources.count_open(Port::Peers) * cottoncrank::resources::CONNECTION.0);
+        resources.count_open(Port::Callers) == 0 && held == of_peers
     };
     fleet.wait(&format!("nothing is held after {after}"), is_empty).await;
 }
@@ -126,3 +126,17 @@
         wait_until_nothing_is_held(&fleet, "runners that break off").await;
     }
 }
+
+/// Guards against refusals that a caller does not get, because its connection is reset while it still sends.
+#[tokio::test]
+async fn a_caller_that_is_refused_while_it_sends_gets_its_answer() {
+    let fleet = Fleet::serving(1).await;
+    let large = "x".repeat(100 * BODY_BYTES);
+    for (key, path, status) in [(KEY, READ, 413), ("nobody", READ, 401), (KEY, "/nowhere/", 404)] {
+        let mut stream = TcpStream::connect(fleet.nodes[0].callers).await.unwrap();
+        stream.write_all(format(path, key, &large).as_bytes()).await.unwrap();
+        let answer = read_to_end(&mut stream).await;
+        assert_eq!((answer.status, answer.complete), (status, true), "{answer:?}");
+    }
+    wait_until_nothing_is_held(&fleet, "refusals").await;
+}
