Count the read buffer of a caller by the largest that it may have

The account took 64 kB for the largest read buffer, whatever the configuration allows heads: one with larger heads would have held more than was counted. By reading; with the heads of the platform's configurations nothing changes.

--- a/crates/kernel/src/resources.rs
+++ b/crates/kernel/src/resources.rs
@@ -28,7 +28,7 @@
 /// A body of more than this is large.
 pub const SMALL_BODY: Size = Size::kilobytes(64);
 
-/// The most that a connection has read and not yet handed over.
+/// The most that a connection of another box, the balancer or metrics has read and not yet handed over.
 pub const READ_BUFFER: Size = Size::kilobytes(64);
 
 /// What the first read buffer of a connection holds, which [`CONNECTION`] contains.
@@ -173,6 +173,8 @@
     answer: Size,
     /// The part of `held` that is its read buffer, beyond the first.
     buffer: Size,
+    /// The most that its read buffer is to hold.
+    max_buffer: Size,
     /// The bytes of the current request that have arrived, with all that frames them.
     received: Size,
     /// When it last sent something, or was answered.
@@ -271,6 +273,7 @@
             body: Size(0),
             answer: Size(0),
             buffer: Size(0),
+            max_buffer: READ_BUFFER,
             received: Size(0),
             since: now,
             taken_at: now,
@@ -294,6 +297,13 @@
         self.forget_if_done(id);
     }
 
+    /// Sets the most that the read buffer of a connection is to hold.
+    pub fn set_max_buffer(&mut self, id: Id, max: Size) {
+        if let Some(connection) = self.connections.get_mut(&id) {
+            connection.max_buffer = max;
+        }
+    }
+
     /// Records that bytes of a connection have been read. It may itself be among those that have to go, where
     /// there is no room for its buffer.
     pub fn receive(&mut self, id: Id, bytes: Size, now: Millis, evicted: &mut Vec<Eviction>) {
@@ -305,7 +315,7 @@
         }
         let (received, before) = (connection.received, connection.buffer);
         // A buffer is at most twice as large as what it had to hold.
-        let wanted = Size(2 * received.0).min(READ_BUFFER);
+        let wanted = Size(2 * received.min(connection.max_buffer).0);
         if received <= FIRST_BUFFER || wanted <= before || connection.evicted.is_some() {
             return;
         }
--- a/crates/net/src/resources.rs
+++ b/crates/net/src/resources.rs
@@ -190,6 +190,11 @@
         state.signal(&evicted);
     }
 
+    /// Sets the most that is read of the connection before it is handed over.
+    pub fn set_max_buffer(&self, max: Size) {
+        self.resources.0.state.lock().table.set_max_buffer(self.id, max);
+    }
+
     /// Charges memory to the connection.
     pub fn charge(&self, size: Size, kind: Kind) -> Result<Charge, Short> {
         self.resources.charge(self.id, size, kind)
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -7,8 +7,8 @@
 use std::task::Poll;
 
 use bytes::Bytes;
-use cottoncrank::Millis;
 use cottoncrank::resources::Port;
+use cottoncrank::{Millis, Size};
 use cottoncrank_net::metered::{self, Metered};
 use cottoncrank_net::resources::Slot;
 use cottoncrank_net::{feed, keepalive};
@@ -114,6 +114,7 @@
         log::debug!("front: {error}");
     }
     let buffer = limits.map_or(MIN_BUFFER_BYTES, |limits| (2 * limits.max_head_bytes).max(MIN_BUFFER_BYTES));
+    slot.set_max_buffer(Size(buffer));
     let mut closed = node.closed.subscribe();
     let (current_stream, mut streams) = watch::channel(None);
     let (in_use, idle) = (OnceLock::new(), Idle::new(node.clone(), slot.clone()));
