Let an ordinary caller take the room of those who have sent more than it

What callers would see: beside a crowd each of whose members holds little and all together all there is, an ordinary request was refused, for want of room.

Cause: it was weighed by all that a connection and a request take, and whoever had a request accepted weighed more than a head without its end, or a connection that rests.

Change: callers are compared by what they have sent. One that rests may always be told to go.

Evidence: two tests of resources failed before (refused on a box of 112 MB with its connections full of heads of 15 kB or of small bodies, and beside 500 connections that rest on one of 8 MB) and hold. Found by reading; the tests of clients held, as there descriptors are used up first.

--- a/crates/kernel/src/resources.rs
+++ b/crates/kernel/src/resources.rs
@@ -3,7 +3,8 @@
 //! Each connection and all that is held for it are charged here, at every port. Nobody is refused while there is
 //! room. Where there is none, somebody has to go, and never one whose request has arrived whole:
 //!
-//! - A caller that needs little takes from whoever holds the most, so a few bytes are always served.
+//! - A caller that has sent little takes from whoever has sent the most, and before all others from those that
+//!   rest, so a few bytes are always served.
 //! - A caller with a large body competes with the others that have one. One that has sent nothing for a while
 //!   goes first. If none has, the newest goes, so that those who are almost through are not thrown out by
 //!   those who come after them.
@@ -192,6 +193,11 @@
         self.body > SMALL_BODY
     }
 
+    /// What its caller has filled, without what each connection and request takes.
+    fn filled(&self) -> Size {
+        self.body + self.buffer
+    }
+
     /// What counts against the limits: one that goes is about to release what it holds.
     fn counted(&self) -> Size {
         if self.evicted.is_some() { Size(0) } else { self.held }
@@ -319,9 +325,10 @@
         if received <= FIRST_BUFFER || wanted <= before || connection.evicted.is_some() {
             return;
         }
-        let (more, is_serving) = (wanted - before, connection.activity == Activity::Serving);
+        let (more, filled) = (wanted - before, connection.body + wanted);
+        let is_serving = connection.activity == Activity::Serving;
         // Whoever is being served keeps its place; then others do not get one.
-        if self.make_room(Some(id), Size(0), more, evicted).is_err() && !is_serving {
+        if self.make_room(Some(id), filled, more, evicted).is_err() && !is_serving {
             return self.evict(id, Shortage::Memory, evicted);
         }
         self.change(id, |connection| {
@@ -364,8 +371,8 @@
             }
             Kind::Answer => return self.charge_answer(id, size, now, evicted),
             Kind::Body | Kind::Overhead => {
-                let held = connection.held;
-                self.make_room(Some(id), held, size, evicted)?;
+                let filled = body + connection.buffer;
+                self.make_room(Some(id), filled, size, evicted)?;
             }
         }
         self.change(id, |connection| {
@@ -423,23 +430,26 @@
         self.forget_if_done(id);
     }
 
-    /// Makes room for one that needs little: who holds the most has to go, if that is not less than the one who
-    /// asks would hold.
+    /// Makes room for one whose caller will have filled little. One that rests has to go, or whoever has filled
+    /// the most, if that is not less.
     fn make_room(
         &mut self,
         asking: Option<Id>,
-        held: Size,
+        filled: Size,
         size: Size,
         evicted: &mut Vec<Eviction>,
     ) -> Result<(), Short> {
         while self.counted + size > self.limits.memory {
-            let others = self
-                .connections
-                .iter()
-                .filter(|(id, one)| one.is_evictable(Shortage::Memory) && Some(**id) != asking);
-            let largest = others.max_by_key(|(id, one)| (one.held, Reverse(one.since), Reverse(**id)));
-            let (id, _) = largest.filter(|(_, one)| one.held >= held + size).ok_or(Short)?;
-            self.evict(*id, Shortage::Memory, evicted);
+            let others = self.connections.iter().filter(|(id, one)| {
+                Some(**id) != asking
+                    && one.is_evictable(Shortage::Memory)
+                    && (one.activity == Activity::Resting || one.filled() >= filled)
+            });
+            let rank = |id: Id, one: &Connection| {
+                (one.filled(), one.activity == Activity::Resting, Reverse(one.since), Reverse(id))
+            };
+            let goes = others.max_by_key(|(id, one)| rank(**id, one)).map(|(id, _)| *id).ok_or(Short)?;
+            self.evict(goes, Shortage::Memory, evicted);
         }
         Ok(())
     }
@@ -477,11 +487,11 @@
     /// Returns the connection of a port that has done nothing for the longest time, first among those that
     /// have never sent a whole request.
     fn find_inactive(&self, port: Port) -> Option<Id> {
-        let of_door = self
+        let of_port = self
             .connections
             .iter()
             .filter(|(_, one)| one.port == port && one.is_evictable(Shortage::Descriptors));
-        of_door.min_by_key(|(id, one)| (one.has_served, one.since, **id)).map(|(id, _)| *id)
+        of_port.min_by_key(|(id, one)| (one.has_served, one.since, **id)).map(|(id, _)| *id)
     }
 
     fn evict(&mut self, id: Id, shortage: Shortage, evicted: &mut Vec<Eviction>) {
--- a/crates/kernel/tests/resources.rs
+++ b/crates/kernel/tests/resources.rs
@@ -242,3 +242,46 @@
     let held = world.table.held() + world.table.held_answers();
     assert!(held <= MACHINE.memory.part(1, 2), "{held}");
 }
+
+/// A small box: its memory is used up by its connections before its descriptors are.
+const SMALL_MACHINE: Machine = Machine { memory: Size::megabytes(112), sockets: 2670 };
+
+/// Guards against a crowd whose members each hold less than an ordinary request takes, and together all there
+/// is: whoever is refused then is the ordinary caller.
+#[test]
+fn an_ordinary_caller_is_admitted_beside_a_crowd_that_holds_little_each() {
+    const HEAD: Size = Size::kilobytes(15);
+    for sends_body in [false, true] {
+        let mut world = World { table: Table::new(Limits::of(&SMALL_MACHINE)), ..World::new() };
+        let limits = Limits::of(&SMALL_MACHINE);
+        for _ in 0..limits.connections(Port::Callers) {
+            world.now = world.now + Millis(1);
+            let id = world.open();
+            world.table.receive(id, HEAD, world.now, &mut world.evicted);
+            if sends_body {
+                // Some of them are refused, which is how the rest has room.
+                let _ = world.table.charge(id, REQUEST, Kind::Overhead, world.now, &mut world.evicted);
+                let _ = world.send(id);
+            }
+        }
+        assert!(!world.evicted.is_empty(), "the memory is not used up");
+        for _ in 0..100 {
+            world.now = world.now + Millis(1);
+            world.ask().unwrap();
+        }
+    }
+}
+
+/// Guards against connections that rest with nothing on them and keep the memory from requests.
+#[test]
+fn an_ordinary_caller_is_admitted_beside_connections_that_rest() {
+    let machine = Machine { memory: Size::megabytes(8), sockets: 2670 };
+    let mut world = World { table: Table::new(Limits::of(&machine)), ..World::new() };
+    for _ in 0..500 {
+        world.now = world.now + Millis(1);
+        world.open();
+    }
+    for _ in 0..20 {
+        world.ask().unwrap();
+    }
+}
