Ask the account when something was written on a connection

Two wrappers around a caller's connection noted its writes, one for the account and one for the idle time.

--- a/crates/net/src/metered.rs
+++ b/crates/net/src/metered.rs
@@ -54,7 +54,7 @@
 
     fn record(&self, written: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
         if matches!(written, Poll::Ready(Ok(1..))) {
-            self.slot.record_taken();
+            self.slot.record_written();
         }
         written
     }
--- a/crates/net/src/resources.rs
+++ b/crates/net/src/resources.rs
@@ -6,7 +6,7 @@
 
 use std::collections::HashMap;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 
 use bytes::Bytes;
 use cottoncrank::clock::System;
@@ -74,6 +74,8 @@
     is_handled: AtomicBool,
     /// Whether the caller may still be sending a body that nobody reads.
     is_abandoned: AtomicBool,
+    /// When something was last written on the connection, in milliseconds.
+    written_at: AtomicU64,
 }
 
 /// Memory that is charged to a connection until this is dropped.
@@ -134,6 +136,7 @@
             evicted: receiver,
             is_handled: AtomicBool::default(),
             is_abandoned: AtomicBool::default(),
+            written_at: AtomicU64::default(),
         }))
     }
 
@@ -201,8 +204,15 @@
     }
 
     /// Records that something was written on the connection.
-    pub fn record_taken(&self) {
-        self.resources.0.state.lock().table.record_taken(self.id, self.resources.now());
+    pub fn record_written(&self) {
+        let now = self.resources.now();
+        self.written_at.store(now.0, Ordering::Relaxed);
+        self.resources.0.state.lock().table.record_taken(self.id, now);
+    }
+
+    /// Returns when something was last written on the connection.
+    pub fn written_at(&self) -> Millis {
+        Millis(self.written_at.load(Ordering::Relaxed))
     }
 
     /// Records that the head of a request has arrived. Whoever handles the request ends it from now on if the
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -22,7 +22,7 @@
 use tokio::sync::watch;
 
 use crate::answer::{Answer, Body};
-use crate::idle::{self, Idle, Noted};
+use crate::idle::{self, Idle};
 use crate::ports;
 use crate::request;
 use crate::state::Node;
@@ -136,10 +136,7 @@
         // `idle` limits the time until a head is read.
         .header_read_timeout(None)
         .max_buf_size(buffer)
-        .serve_connection(
-            TokioIo::new(Noted::new(Metered::new(stream, slot.clone()), idle.clone())),
-            service,
-        );
+        .serve_connection(TokioIo::new(Metered::new(stream, slot.clone())), service);
     tokio::pin!(connection);
     let (mut is_closing, mut evicted) = (false, None);
     let outcome = loop {
--- a/crates/node/src/idle.rs
+++ b/crates/node/src/idle.rs
@@ -1,9 +1,7 @@
 //! How long a caller's connection has been without a request. Who serves it closes it by that.
 
-use std::io::{self, IoSlice};
 use std::pin::Pin;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
 use std::task::{Context, Poll};
 
 use bytes::Bytes;
@@ -11,7 +9,6 @@
 use cottoncrank_net::feed::Cut;
 use cottoncrank_net::resources::Slot;
 use hyper::body::{Frame, SizeHint};
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::sync::watch;
 
 use crate::answer::{Answer, Body};
@@ -34,14 +31,6 @@
     node: Arc<Node>,
     slot: Arc<Slot>,
     activity: watch::Sender<Activity>,
-    /// When something was last written on it, in milliseconds of the node's clock.
-    written_at: AtomicU64,
-}
-
-/// A connection whose writes count as its use: an answer is handed over long before a slow caller has it.
-pub struct Noted<T> {
-    connection: T,
-    idle: Arc<Idle>,
 }
 
 /// Marks a connection as busy until the answer has been handed over to it.
@@ -63,7 +52,7 @@
     /// Starts with a connection on which nothing was sent yet.
     pub fn new(node: Arc<Node>, slot: Arc<Slot>) -> Arc<Idle> {
         let since = Activity::IdleSince(node.now());
-        Arc::new(Idle { node, slot, activity: watch::Sender::new(since), written_at: AtomicU64::default() })
+        Arc::new(Idle { node, slot, activity: watch::Sender::new(since) })
     }
 
     /// Marks the connection as busy with a request.
@@ -98,8 +87,8 @@
     /// Waits until the limit is over, and again if it has been raised by then or something was written.
     async fn wait_longest(&self, since: Millis) {
         loop {
-            let written_at = Millis(self.written_at.load(Ordering::Relaxed));
-            let end = since.max(written_at) + limit(&self.node);
+            // A slow caller takes its answer long after that was handed over to the connection.
+            let end = since.max(self.slot.written_at()) + limit(&self.node);
             if self.node.now() >= end {
                 return;
             }
@@ -141,59 +130,3 @@
         self.body.size_hint()
     }
 }
-
-impl<T> Noted<T> {
-    /// Notes the writes on `connection`.
-    pub fn new(connection: T, idle: Arc<Idle>) -> Noted<T> {
-        Noted { connection, idle }
-    }
-
-    fn note(&self, written: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
-        if matches!(written, Poll::Ready(Ok(1..))) {
-            self.idle.written_at.store(self.idle.node.now().0, Ordering::Relaxed);
-        }
-        written
-    }
-}
-
-impl<T: AsyncRead + Unpin> AsyncRead for Noted<T> {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        buffer: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.connection).poll_read(context, buffer)
-    }
-}
-
-impl<T: AsyncWrite + Unpin> AsyncWrite for Noted<T> {
-    fn poll_write(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        bytes: &[u8],
-    ) -> Poll<io::Result<usize>> {
-        let written = Pin::new(&mut self.connection).poll_write(context, bytes);
-        self.note(written)
-    }
-
-    fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        bytes: &[IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
-        let written = Pin::new(&mut self.connection).poll_write_vectored(context, bytes);
-        self.note(written)
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        self.connection.is_write_vectored()
-    }
-
-    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.connection).poll_flush(context)
-    }
-
-    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.connection).poll_shutdown(context)
-    }
-}
