Reserve no more room than an answer may have, and close no caller whose runner is slow

What callers would see: beside a runner that announces an answer without end, the room of all answers was taken by that one; others waited, and a caller whose answer was still being read of a slow runner counted as one that takes nothing, and was closed.

Cause: the announced length was reserved as it was, and the time since a caller last took something began with the room, not with what it was offered.

Change: at most the largest answer is reserved; a caller goes only for what it has been offered and does not take.

--- a/crates/kernel/src/resources.rs
+++ b/crates/kernel/src/resources.rs
@@ -131,8 +131,10 @@
 pub enum Kind {
     /// A part of a body.
     Body,
-    /// A part of an answer that has not been sent.
+    /// Room for an answer that is being read.
     Answer,
+    /// An answer, or a part of it, that its caller may take.
+    Offered,
     /// Anything else.
     Overhead,
 }
@@ -172,6 +174,8 @@
     body: Size,
     /// What is held for it of answers, which counts by itself.
     answer: Size,
+    /// The part of it that the caller may take.
+    offered: Size,
     /// The part of `held` that is its read buffer, beyond the first.
     buffer: Size,
     /// The most that its read buffer is to hold.
@@ -211,9 +215,10 @@
         if self.evicted == Some(Shortage::Answers) { Size(0) } else { self.answer }
     }
 
-    /// Whether its caller takes nothing of what is held for it.
+    /// Whether its caller takes nothing of what it is offered.
     fn is_untaken(&self, now: Millis) -> bool {
-        self.is_open && self.evicted < Some(Shortage::Answers) && now.since(self.taken_at) >= STALL_TIME
+        let may_go = self.is_open && self.evicted < Some(Shortage::Answers);
+        may_go && self.offered > Size(0) && now.since(self.taken_at) >= STALL_TIME
     }
 
     /// Whether it may be told to go, and that helps.
@@ -278,6 +283,7 @@
             held: Size(0),
             body: Size(0),
             answer: Size(0),
+            offered: Size(0),
             buffer: Size(0),
             max_buffer: READ_BUFFER,
             received: Size(0),
@@ -369,7 +375,7 @@
                 let more = if connection.is_large() { size } else { body };
                 self.make_large_room(id, size, more, now, evicted)?;
             }
-            Kind::Answer => return self.charge_answer(id, size, now, evicted),
+            Kind::Answer | Kind::Offered => return self.charge_answer(id, size, now, evicted),
             Kind::Body | Kind::Overhead => {
                 let filled = body + connection.buffer;
                 self.make_room(Some(id), filled, size, evicted)?;
@@ -392,19 +398,23 @@
     ) -> Result<(), Short> {
         while self.counted_answers + size > self.limits.answers {
             let untaken = self.connections.iter().filter(|(other, one)| **other != id && one.is_untaken(now));
-            let largest = untaken.max_by_key(|(id, one)| (one.answer, Reverse(one.taken_at), Reverse(**id)));
-            let (goes, _) = largest.filter(|(_, one)| one.answer > Size(0)).ok_or(Short)?;
-            self.evict(*goes, Shortage::Answers, evicted);
+            let rank = |id: Id, one: &Connection| (one.offered, Reverse(one.taken_at), Reverse(id));
+            let goes = untaken.max_by_key(|(id, one)| rank(**id, one)).map(|(id, _)| *id).ok_or(Short)?;
+            self.evict(goes, Shortage::Answers, evicted);
         }
-        self.change(id, |connection| {
-            if connection.answer == Size(0) {
-                connection.taken_at = now;
-            }
-            connection.answer += size;
-        });
+        self.change(id, |connection| connection.answer += size);
         Ok(())
     }
 
+    /// Records that what was charged as [`Kind::Answer`] is [`Kind::Offered`] from now on.
+    pub fn offer(&mut self, id: Id, size: Size, now: Millis) {
+        let Some(connection) = self.connections.get_mut(&id) else { return };
+        if connection.offered == Size(0) {
+            connection.taken_at = now;
+        }
+        connection.offered += size;
+    }
+
     /// Records that a caller has taken a part of its answer.
     pub fn record_taken(&mut self, id: Id, now: Millis) {
         if let Some(connection) = self.connections.get_mut(&id) {
@@ -426,6 +436,10 @@
                 connection.body -= size;
             }
             Kind::Answer => connection.answer -= size,
+            Kind::Offered => {
+                connection.answer -= size;
+                connection.offered -= size;
+            }
         });
         self.forget_if_done(id);
     }
--- a/crates/kernel/tests/resources.rs
+++ b/crates/kernel/tests/resources.rs
@@ -203,7 +203,9 @@
 impl World {
     /// Holds an answer for a connection whose request is being served.
     fn answer(&mut self, id: Id, size: Size) -> Result<(), Short> {
-        self.table.charge(id, size, Kind::Answer, self.now, &mut self.evicted)
+        self.table.charge(id, size, Kind::Answer, self.now, &mut self.evicted)?;
+        self.table.offer(id, size, self.now);
+        Ok(())
     }
 }
 
@@ -229,6 +231,20 @@
     assert_eq!(world.answer(crowd[1], ANSWER), Err(Short), "they wait for each other");
 }
 
+/// Guards against callers that go because their runners are slow.
+#[test]
+fn a_caller_that_is_offered_nothing_yet_stays() {
+    let mut world = World::new();
+    for _ in 0..3 {
+        let id = world.ask().unwrap();
+        world.table.charge(id, ANSWER, Kind::Answer, world.now, &mut world.evicted).unwrap();
+    }
+    world.now = world.now + LONG;
+    let sound = world.ask().unwrap();
+    assert_eq!(world.answer(sound, ANSWER), Err(Short));
+    assert!(world.evicted.is_empty());
+}
+
 /// Guards against bodies that leave no room for the answers that would free them.
 #[test]
 fn answers_have_room_of_their_own() {
--- a/crates/net/src/resources.rs
+++ b/crates/net/src/resources.rs
@@ -175,7 +175,7 @@
 
     fn release(&self, id: Id, size: Size, kind: Kind) {
         self.0.state.lock().table.release(id, size, kind);
-        if kind == Kind::Answer {
+        if matches!(kind, Kind::Answer | Kind::Offered) {
             self.0.answer_released.notify_waiters();
         }
     }
@@ -293,6 +293,14 @@
         }
     }
 
+    /// Records that the caller may take what was reserved for its answer.
+    pub fn offer(mut self) -> Charge {
+        let Shared { state, .. } = &*self.resources.0;
+        state.lock().table.offer(self.id, self.size, self.resources.now());
+        self.kind = Kind::Offered;
+        self
+    }
+
     /// Releases what is not needed.
     pub fn shrink(&mut self, size: Size) {
         let unneeded = self.size - size;
--- a/crates/node/src/plain.rs
+++ b/crates/node/src/plain.rs
@@ -137,8 +137,8 @@
 /// Reads a body to its end. The rest of a large one is read once there is room for it, and it is held with
 /// the room that it takes.
 async fn read_body(room: &Charge, body: Incoming) -> Result<Bytes, Box<dyn Error + Send + Sync>> {
-    let announced = body.size_hint().exact().map_or(MAX_ANSWER_BYTES, |length| length as usize);
     let mut body = Limited::new(body, MAX_ANSWER_BYTES);
+    let announced = body.size_hint().upper().map_or(MAX_ANSWER_BYTES, |length| length as usize);
     let mut read = Vec::new();
     let mut charge = None;
     while let Some(frame) = body.frame().await {
@@ -157,7 +157,7 @@
         None => room.reserve_answer(length).await,
     };
     charge.shrink(length);
-    Ok(hold(read, charge))
+    Ok(hold(read, charge.offer()))
 }
 
 fn build_answer(status: hyper::StatusCode, headers: &HeaderMap, bytes: Bytes) -> Answer {
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -110,7 +110,7 @@
         return events;
     }
     let charge = job.room.reserve_answer(Size(events.len())).await;
-    hold(events, charge)
+    hold(events, charge.offer())
 }
 
 /// Returns a body that begins with the first item of a stream, and spawns a task that forwards the rest.
--- a/crates/node/tests/resources.rs
+++ b/crates/node/tests/resources.rs
@@ -140,3 +140,52 @@
     }
     wait_until_nothing_is_held(&fleet, "refusals").await;
 }
+
+/// A runner that announces an answer without end to some requests, sends a part of it, and falls silent.
+#[derive(Clone)]
+struct Boasting;
+
+/// Such requests begin with this.
+const BOASTED: &str = "boasted";
+
+impl Answerer for Boasting {
+    async fn answer(&self, mut stream: TcpStream, request: String) {
+        let id = raw::find_request_id(&request).unwrap_or_default();
+        if !id.starts_with(BOASTED) {
+            return Large.answer(stream, request).await;
+        }
+        let head = raw::format_open_head(&id) + "Content-Length: 1000000000000\r\n\r\n";
+        let _ = stream.write_all((head + &"x".repeat(100_000)).as_bytes()).await;
+        std::future::pending::<()>().await;
+    }
+}
+
+/// Guards against an answer that takes the room of all others by the length that it announces.
+#[tokio::test]
+async fn an_answer_takes_no_more_room_than_one_may_have() {
+    let fleet = Fleet::serving(1).await;
+    proxy::put(&fleet, &fleet.plain, Boasting).await;
+    let boasted = CallerRequest {
+        path: ONCE,
+        request: BOASTED,
+        key: KEY,
+        deadline_ms: 10_000,
+        body: BOASTED,
+        prompt: "",
+    };
+    let mut waiting = TcpStream::connect(fleet.nodes[0].callers).await.unwrap();
+    waiting.write_all(boasted.format().as_bytes()).await.unwrap();
+    let resources = fleet.nodes[0].node.resources.clone();
+    fleet.wait("its room is taken", |_| resources.held_answers() > Size(0)).await;
+    let request = CallerRequest {
+        path: ONCE,
+        request: "sound",
+        key: KEY,
+        deadline_ms: 5000,
+        body: "sound",
+        prompt: "",
+    };
+    let answer = request.send(fleet.nodes[0].callers).await.unwrap();
+    assert_eq!((answer.status, answer.complete), (200, true), "{} bytes", answer.body.len());
+    assert_eq!(resources.count_evictions(), 0, "a caller had to go for another one");
+}
