Give each caller a connection to a runner, take turns at a full port, and count what callers do not take

Three faults of the account, found by further crowds; the first by callers' words, the others by sums.

What callers saw: beside 100 connections that send request behind request, an ordinary caller was told that no runner ran it. Callers get 1/4 now and runners 5/16; where all callers' connections are being served, the oldest that has had an answer closes behind its next one, so that others have a turn.

The kernel held up to 4 MB of an answer for each caller that does not read, which nothing counted: its send buffer is limited like the receive buffer, and the test counts it.

Answers to other boxes over 64 kB, the whole content of the store, were held for whoever asks and does not read: they take the room of answers now, and a box that finds none asks another one.

--- a/crates/controller/tests/clients.rs
+++ b/crates/controller/tests/clients.rs
@@ -101,7 +101,8 @@
             once: format!(
                 "POST /v1/command HTTP/1.1\r\nHost: x\r\nContent-Length: {COMMAND_BYTES}\r\n\r\n{}",
                 "x".repeat(PIECE - 1)
-            ),
+            )
+            .into(),
             again: "x".repeat(PIECE).into(),
             times: COMMAND_BYTES / PIECE - 1,
         })
--- a/crates/entry/tests/clients.rs
+++ b/crates/entry/tests/clients.rs
@@ -180,7 +180,7 @@
 fn announced(path: &str, token: &str) -> Message {
     let rest = "x".repeat(PIECE - 1);
     let once = format!("{}Content-Length: {BODY_BYTES}\r\n\r\n{rest}", format_head(path, token));
-    Message { once, again: "x".repeat(PIECE).into(), times: BODY_BYTES / PIECE - 1 }
+    Message { once: once.into(), again: "x".repeat(PIECE).into(), times: BODY_BYTES / PIECE - 1 }
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
@@ -202,7 +202,8 @@
 async fn bodies_for_an_entry_in_chunks_of_one_byte() {
     let many: Arc<str> = "1\r\nx\r\n".repeat(1000).into();
     play("chunks of one byte", SMALL_CHUNKERS, |_| Message {
-        once: format!("{}Transfer-Encoding: chunked\r\n\r\n", format_head("/services/prices/x", "secret")),
+        once: format!("{}Transfer-Encoding: chunked\r\n\r\n", format_head("/services/prices/x", "secret"))
+            .into(),
         again: many.clone(),
         times: SMALL_CHUNKS / 1000,
     })
@@ -212,7 +213,7 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn heads_for_an_entry_without_end() {
     play("heads without end", 600, |_| Message {
-        once: format!("{}X-Long: ", format_head("/services/prices/x", "secret")),
+        once: format!("{}X-Long: ", format_head("/services/prices/x", "secret")).into(),
         again: "x".repeat(8000).into(),
         times: 120,
     })
--- a/crates/kernel/src/resources.rs
+++ b/crates/kernel/src/resources.rs
@@ -8,7 +8,8 @@
 //! - A caller with a large body competes with the others that have one. One that has sent nothing for a while
 //!   goes first. If none has, the newest goes, so that those who are almost through are not thrown out by
 //!   those who come after them.
-//! - A new connection takes the place of the one that has done nothing for the longest time.
+//! - A new connection takes the place of the one that has done nothing for the longest time. If all are being
+//!   served, the oldest that has had an answer closes behind its next one.
 //! - Answers wait for room. A caller that takes nothing of its own goes for those that wait.
 
 use thiserror::Error;
@@ -103,7 +104,7 @@
             memory: machine.memory.part(3, 8),
             large_bodies: machine.memory.part(1, 4),
             answers: machine.memory.part(1, 8),
-            outbound: (machine.sockets / 4).max(MIN_CONNECTIONS),
+            outbound: (5 * machine.sockets / 16).max(MIN_CONNECTIONS),
             sockets: machine.sockets,
         }
     }
@@ -111,7 +112,8 @@
     /// Returns the most connections that a port has open.
     pub fn connections(&self, port: Port) -> usize {
         let share = match port {
-            Port::Callers | Port::Peers => 5 * self.sockets / 16,
+            Port::Callers => self.sockets / 4,
+            Port::Peers => 5 * self.sockets / 16,
             Port::Readiness | Port::Metrics => self.sockets / 32,
         };
         share.max(MIN_CONNECTIONS)
@@ -143,6 +145,8 @@
 /// What a connection has to go for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Shortage {
+    /// Its place, once its present request is answered: it has had an answer, and others have had no turn.
+    Turns,
     /// The memory that it holds. Its caller may still be told.
     Memory,
     /// Its descriptor, at once.
--- a/crates/kernel/src/resources/table.rs
+++ b/crates/kernel/src/resources/table.rs
@@ -59,13 +59,18 @@
         self.body + self.buffer
     }
 
+    /// Whether it releases what it holds before its request is answered.
+    fn is_leaving(&self) -> bool {
+        self.evicted > Some(Shortage::Turns)
+    }
+
     /// What counts against the limits: one that goes is about to release what it holds.
     fn counted(&self) -> Size {
-        if self.evicted.is_some() { Size(0) } else { self.held }
+        if self.is_leaving() { Size(0) } else { self.held }
     }
 
     fn counted_large(&self) -> Size {
-        if self.evicted.is_some() || !self.is_large() { Size(0) } else { self.body }
+        if self.is_leaving() || !self.is_large() { Size(0) } else { self.body }
     }
 
     fn counted_answer(&self) -> Size {
@@ -126,7 +131,13 @@
     /// Opens a connection. Those that have to go for it are added to `evicted`.
     pub fn open(&mut self, port: Port, now: Millis, evicted: &mut Vec<Eviction>) -> Result<Id, Short> {
         while self.open[port as usize] >= self.limits.connections(port) {
-            let oldest = self.find_inactive(port).ok_or(Short)?;
+            let Some(oldest) = self.find_inactive(port) else {
+                // The queries of other boxes are short, so a place is free there soon.
+                if port == Port::Callers {
+                    self.end_turn(evicted);
+                }
+                return Err(Short);
+            };
             self.evict(oldest, Shortage::Descriptors, evicted);
             // Its descriptor is about to be closed.
             self.release_port(oldest);
@@ -185,7 +196,7 @@
         let (received, before) = (connection.received, connection.buffer);
         // A buffer is at most twice as large as what it had to hold.
         let wanted = Size(2 * received.min(connection.max_buffer).0);
-        if received <= FIRST_BUFFER || wanted <= before || connection.evicted.is_some() {
+        if received <= FIRST_BUFFER || wanted <= before || connection.is_leaving() {
             return;
         }
         let (more, filled) = (wanted - before, connection.body + wanted);
@@ -225,7 +236,7 @@
         evicted: &mut Vec<Eviction>,
     ) -> Result<(), Short> {
         let connection =
-            self.connections.get(&id).filter(|connection| connection.evicted.is_none()).ok_or(Short)?;
+            self.connections.get(&id).filter(|connection| !connection.is_leaving()).ok_or(Short)?;
         let body = connection.body + if kind == Kind::Body { size } else { Size(0) };
         match kind {
             Kind::Body if body > SMALL_BODY => {
@@ -365,6 +376,16 @@
         of_port.min_by_key(|(id, one)| (one.has_served, one.since, **id)).map(|(id, _)| *id)
     }
 
+    /// Tells the oldest connection of a caller that has had an answer to close behind its next one.
+    fn end_turn(&mut self, evicted: &mut Vec<Eviction>) {
+        let served = self.connections.iter().filter(|(_, one)| {
+            one.port == Port::Callers && one.is_open && one.has_served && one.evicted.is_none()
+        });
+        if let Some(oldest) = served.map(|(id, _)| *id).min() {
+            self.evict(oldest, Shortage::Turns, evicted);
+        }
+    }
+
     fn evict(&mut self, id: Id, shortage: Shortage, evicted: &mut Vec<Eviction>) {
         self.change(id, |connection| connection.evicted = Some(shortage));
         evicted.push((id, shortage));
--- a/crates/kernel/tests/resources.rs
+++ b/crates/kernel/tests/resources.rs
@@ -260,7 +260,7 @@
 }
 
 /// A small box: its memory is used up by its connections before its descriptors are.
-const SMALL_MACHINE: Machine = Machine { memory: Size::megabytes(112), sockets: 2670 };
+const SMALL_MACHINE: Machine = Machine { memory: Size::megabytes(80), sockets: 2670 };
 
 /// Guards against a crowd whose members each hold less than an ordinary request takes, and together all there
 /// is: whoever is refused then is the ordinary caller.
@@ -301,3 +301,45 @@
         world.ask().unwrap();
     }
 }
+
+/// Guards against a port all of whose connections are always being served, so that nobody else has a turn.
+#[test]
+fn the_oldest_that_had_an_answer_ends_its_turn_where_all_are_being_served() {
+    let mut world = World::new();
+    let max = Limits::of(&MACHINE).connections(Port::Callers);
+    let busy: Vec<Id> = (0..max).map(|_| world.ask().unwrap()).collect();
+    assert_eq!(world.table.open(Port::Callers, world.now, &mut world.evicted), Err(Short));
+    assert!(world.evicted.is_empty(), "none has had an answer");
+    // Each goes on with its next request at once.
+    for id in &busy[1..] {
+        world.table.rest(*id, world.now);
+        world.table.serve(*id);
+    }
+    assert_eq!(world.table.open(Port::Callers, world.now, &mut world.evicted), Err(Short));
+    assert_eq!(world.evicted, [(busy[1], Shortage::Turns)]);
+    // Its present request is answered as any other.
+    world.answer(busy[1], ANSWER).unwrap();
+    assert!(!world.evicted.iter().any(|(_, shortage)| *shortage != Shortage::Turns));
+}
+
+/// Guards against callers that are admitted and for whose requests no connection is left.
+#[test]
+fn each_caller_may_have_a_connection_to_a_runner() {
+    for sockets in [100, 300, 2670, 3900, 16_184] {
+        let limits = Limits::of(&Machine { sockets, ..MACHINE });
+        assert!(limits.outbound >= limits.connections(Port::Callers));
+        let open: usize = Port::ALL.iter().map(|port| limits.connections(*port)).sum();
+        assert!(open + limits.outbound <= sockets, "{open} and {} of {sockets}", limits.outbound);
+    }
+}
+
+/// Guards against bytes behind a request that is being served, which are held and counted by nobody.
+#[test]
+fn what_a_caller_sends_while_it_is_served_is_charged() {
+    let mut world = World::new();
+    let id = world.ask().unwrap();
+    let before = world.table.held();
+    world.table.receive(id, SEGMENT, world.now, &mut world.evicted);
+    assert!(world.table.held() >= before + SEGMENT);
+    assert!(world.evicted.is_empty());
+}
--- a/crates/net/src/intake.rs
+++ b/crates/net/src/intake.rs
@@ -10,7 +10,7 @@
 
 use bytes::Bytes;
 use cottoncrank::Size;
-use cottoncrank::resources::{Kind, Short};
+use cottoncrank::resources::{Kind, Short, Shortage};
 use http_body_util::BodyExt;
 use hyper::body::{Body as HttpBody, Frame, SizeHint};
 use thiserror::Error;
@@ -194,7 +194,7 @@
     loop {
         let frame = tokio::select! {
             biased;
-            _ = intake.slot.wait_evicted(None) => return Err(Short.into()),
+            _ = intake.slot.wait_evicted(Some(Shortage::Turns)) => return Err(Short.into()),
             frame = body.frame() => frame,
         };
         let Some(frame) = frame else { return Ok(intake.finish()) };
--- a/crates/net/src/metered.rs
+++ b/crates/net/src/metered.rs
@@ -22,13 +22,15 @@
 /// How much is read at a time then, in bytes.
 const LINGER_BUFFER: usize = 16 * 1024;
 
-/// The receive buffer of a connection, in bytes. What arrives while its process is busy is held there; the kernel
-/// takes up to twice as much.
-const RECEIVE_BUFFER: usize = 32 * 1024;
+/// The receive buffer and the send buffer of a connection, in bytes each. What arrives while its process is busy
+/// is held in one, and what its caller does not take in the other; the kernel takes up to twice as much.
+const KERNEL_BUFFER: usize = 32 * 1024;
 
 /// Limits what the kernel holds of each connection that a listener accepts from now on.
-pub fn limit_arrived(listener: &impl AsFd) -> io::Result<()> {
-    SockRef::from(listener).set_recv_buffer_size(RECEIVE_BUFFER)
+pub fn limit_buffers(listener: &impl AsFd) -> io::Result<()> {
+    let socket = SockRef::from(listener);
+    socket.set_recv_buffer_size(KERNEL_BUFFER)?;
+    socket.set_send_buffer_size(KERNEL_BUFFER)
 }
 
 /// A connection whose reads are recorded.
--- a/crates/net/src/resources.rs
+++ b/crates/net/src/resources.rs
@@ -57,6 +57,7 @@
 /// Counts a connection that was told to go.
 fn count_eviction(shortage: Shortage) {
     let of = match shortage {
+        Shortage::Turns => "turns",
         Shortage::Memory => "memory",
         Shortage::Descriptors => "descriptors",
         Shortage::Answers => "answers",
@@ -64,6 +65,11 @@
     metrics::counter!("cottoncrank_connections_evicted_total", "shortage" => of).increment(1);
 }
 
+/// Counts a connection that was not opened, as all others of its port are being served.
+fn count_refused(port: Port) {
+    metrics::counter!("cottoncrank_connections_refused_total", "port" => port.name()).increment(1);
+}
+
 /// An open connection of the account. Dropping it closes it there.
 #[derive(Debug)]
 pub struct Slot {
@@ -126,7 +132,7 @@
         let (mut state, mut evicted) = (self.0.state.lock(), Vec::new());
         let opened = state.table.open(port, self.now(), &mut evicted);
         state.signal(&evicted);
-        let id = opened?;
+        let id = opened.inspect_err(|Short| count_refused(port))?;
         let (signal, receiver) = watch::channel(None);
         state.signals.insert(id, signal);
         drop(state);
@@ -237,7 +243,7 @@
     pub fn closes_for(&self, shortage: Shortage) -> bool {
         let is_handled = self.is_handled.load(Ordering::Relaxed);
         match shortage {
-            Shortage::Memory => !is_handled && !self.is_abandoned(),
+            Shortage::Turns | Shortage::Memory => !is_handled && !self.is_abandoned(),
             Shortage::Descriptors => !is_handled,
             Shortage::Answers => true,
         }
@@ -253,6 +259,11 @@
         self.is_abandoned.load(Ordering::Relaxed)
     }
 
+    /// Returns memory for an answer, if there is any.
+    pub fn try_reserve_answer(&self, size: Size) -> Result<Charge, Short> {
+        self.charge(size, Kind::Answer).map(Charge::offer)
+    }
+
     /// Waits until the connection has to go, for more than it was told `before`.
     pub async fn wait_evicted(&self, before: Option<Shortage>) -> Option<Shortage> {
         let mut evicted = self.evicted.clone();
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -44,8 +44,8 @@
 /// Accepts callers until the node is closed.
 pub async fn serve_callers(node: Arc<Node>, listener: TcpListener) {
     let mut closed = node.closed.subscribe();
-    if let Err(error) = metered::limit_arrived(&listener) {
-        log::warn!("front: callers may send more than is read: {error}");
+    if let Err(error) = metered::limit_buffers(&listener) {
+        log::warn!("front: the kernel may hold more of callers: {error}");
     }
     loop {
         let accepted = tokio::select! {
--- a/crates/node/src/peer.rs
+++ b/crates/node/src/peer.rs
@@ -5,8 +5,8 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use cottoncrank::Millis;
-use cottoncrank::resources::{Port, READ_BUFFER};
+use cottoncrank::resources::{Port, READ_BUFFER, Short};
+use cottoncrank::{Millis, Size};
 use cottoncrank_fleet::admission;
 use cottoncrank_fleet::directory::Peer;
 use cottoncrank_fleet::dispatch::{Query, Reply};
@@ -15,7 +15,7 @@
 use cottoncrank_fleet::pressure;
 use cottoncrank_net::client::{CallError, Client};
 use cottoncrank_net::intake::{self, IntakeError};
-use cottoncrank_net::resources::Slot;
+use cottoncrank_net::resources::{Slot, hold};
 use hyper::body::{Body as _, Incoming};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -30,6 +30,7 @@
 use crate::catchup;
 use crate::dispatch;
 use crate::feed::UnpackError;
+use crate::plain::LARGE_ANSWER;
 use crate::ports;
 use crate::reporting;
 use crate::retries;
@@ -241,12 +242,27 @@
     };
     slot.serve();
     let query_bytes = body.len();
-    let answer = handle_query(node, &path, body.into_bytes()).await;
+    let answer = hold_large(handle_query(node, &path, body.into_bytes()).await, slot);
     let answer_bytes = answer.body().size_hint().exact().unwrap_or(0) as usize;
     telemetry::count_query(find_query_kind(&path), query_bytes, answer_bytes);
     answer
 }
 
+/// Holds a large answer with the memory that it takes, until its box has taken it. Where there is none, the box asks
+/// another one.
+fn hold_large(answer: Answer, slot: &Slot) -> Answer {
+    let (head, body) = answer.into_parts();
+    match body {
+        Body::Whole(Some(bytes)) if Size(bytes.len()) > LARGE_ANSWER => {
+            match slot.try_reserve_answer(Size(bytes.len())) {
+                Ok(charge) => Answer::from_parts(head, Body::Whole(Some(hold(bytes, charge)))),
+                Err(Short) => build_answer(StatusCode::SERVICE_UNAVAILABLE, Bytes::new()),
+            }
+        }
+        body => Answer::from_parts(head, body),
+    }
+}
+
 fn find_status(error: &IntakeError) -> StatusCode {
     match error {
         IntakeError::TooLarge | IntakeError::Broken => StatusCode::BAD_REQUEST,
--- a/crates/node/src/plain.rs
+++ b/crates/node/src/plain.rs
@@ -32,7 +32,7 @@
 const MAX_WIRE_BYTES: usize = 3 * MAX_ANSWER_BYTES;
 
 /// More than this is read of an answer only once there is room for all of it.
-const LARGE_ANSWER: Size = Size::kilobytes(64);
+pub(crate) const LARGE_ANSWER: Size = Size::kilobytes(64);
 
 /// The largest answer, or part of a stream, that the memory of its request contains.
 pub(crate) const SMALL_ANSWER: Size = Size::kilobytes(4);
--- a/crates/node/src/ports.rs
+++ b/crates/node/src/ports.rs
@@ -27,8 +27,8 @@
     F: Fn(Connection, Arc<Slot>) -> S,
     S: Future<Output = ()> + Send + 'static,
 {
-    if let Err(error) = metered::limit_arrived(&listener) {
-        log::warn!("{}: more may arrive than is read: {error}", port.name());
+    if let Err(error) = metered::limit_buffers(&listener) {
+        log::warn!("{}: the kernel may hold more: {error}", port.name());
     }
     loop {
         match listener.accept().await {
--- a/crates/node/tests/clients.rs
+++ b/crates/node/tests/clients.rs
@@ -7,6 +7,7 @@
 
 mod crowd;
 
+use cottoncrank_node::peer::ChangeQuery;
 use cottoncrank_platform_standin::operator::{ONCE, READ, STREAM};
 use cottoncrank_standin::crowd::{Message, send};
 use crowd::{ANSWER_BYTES, BODY_BYTES, KEY, World, format_head, read_answers};
@@ -57,13 +58,17 @@
     let head = format_head(&format!("c-{number}"), path, key);
     let rest = "x".repeat(piece - 1);
     let times = BODY_BYTES / piece - 1;
-    Message { once: format!("{head}Content-Length: {BODY_BYTES}\r\n\r\n{rest}"), again: filler(piece), times }
+    Message {
+        once: format!("{head}Content-Length: {BODY_BYTES}\r\n\r\n{rest}").into(),
+        again: filler(piece),
+        times,
+    }
 }
 
 /// A body in chunks, without the last one.
 fn chunked(number: usize, bytes: usize, times: usize) -> Message {
     let head = format_head(&format!("c-{number}"), READ, KEY);
-    Message { once: format!("{head}Transfer-Encoding: chunked\r\n\r\n"), again: chunk(bytes), times }
+    Message { once: format!("{head}Transfer-Encoding: chunked\r\n\r\n").into(), again: chunk(bytes), times }
 }
 
 /// Lets a crowd send and stay, twice, and checks the process before each has left and after.
@@ -129,7 +134,7 @@
     play("a length of 1 TB", LARGE, |number| {
         let head = format_head(&format!("c-{number}"), READ, KEY);
         let once = format!("{head}Content-Length: 1000000000000\r\n\r\n");
-        Message { once, again: filler(CHUNK), times: 2 * BODY_BYTES / CHUNK }
+        Message { once: once.into(), again: filler(CHUNK), times: 2 * BODY_BYTES / CHUNK }
     })
     .await;
 }
@@ -143,7 +148,7 @@
 async fn heads_without_end() {
     play("heads without end", CONNECTIONS, |number| {
         let head = format_head(&format!("c-{number}"), READ, KEY);
-        Message { once: format!("{head}X-Long: "), again: filler(1000), times: 14 }
+        Message { once: format!("{head}X-Long: ").into(), again: filler(1000), times: 14 }
     })
     .await;
 }
@@ -153,13 +158,13 @@
     play("small bodies", CONNECTIONS, |number| {
         let head = format_head(&format!("c-{number}"), READ, KEY);
         let once = format!("{head}Content-Length: {CHUNK}\r\n\r\n");
-        Message { once, again: filler(1000), times: CHUNK / 1000 }
+        Message { once: once.into(), again: filler(1000), times: CHUNK / 1000 }
     })
     .await;
 }
 
 fn nothing(_: usize) -> Message {
-    Message { once: String::new(), again: "".into(), times: 0 }
+    Message { once: Vec::new(), again: "".into(), times: 0 }
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
@@ -190,7 +195,7 @@
         |world| world.process.peers,
         100,
         |_| Message {
-            once: "POST /in-flight HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n".to_owned(),
+            once: "POST /in-flight HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n".into(),
             again: many.clone(),
             times: 120,
         },
@@ -198,6 +203,123 @@
     .await;
 }
 
+/// The clients whose small texts have no end, and the pieces of each.
+const ENDLESS: usize = 100;
+const ENDLESS_PIECES: usize = 200;
+
+/// Sends a part of a chunked body that has no end.
+async fn play_endless(what: &str, once: &str, again: &str) {
+    play(what, ENDLESS, |number| {
+        let head = format_head(&format!("c-{number}"), READ, KEY);
+        let once = format!("{head}Transfer-Encoding: chunked\r\n\r\n{once}").into();
+        Message { once, again: again.repeat(PIECE / again.len()).into(), times: ENDLESS_PIECES }
+    })
+    .await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn sizes_of_chunks_without_end() {
+    play_endless("sizes of chunks", "", "0").await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn extensions_of_chunks_without_end() {
+    play_endless("extensions of chunks", "5;", "x").await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn trailers_without_end() {
+    play_endless("trailers", "5\r\nhello\r\n0\r\n", "X-Line: x\r\n").await;
+}
+
+/// Sends requests one behind the other, and reads none of their answers.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn requests_behind_each_other_whose_answers_nobody_reads() {
+    play("requests behind each other", ENDLESS, |number| {
+        let request = format_head(&format!("c-{number}"), READ, KEY) + "Content-Length: 1000\r\n\r\n";
+        let again = (request + &"x".repeat(1000)).repeat(10).into();
+        Message { once: Vec::new(), again, times: ENDLESS_PIECES }
+    })
+    .await;
+}
+
+/// Finds the address of a port.
+type FindPort = fn(&World) -> SocketAddr;
+
+/// The ports that no caller uses.
+const OTHER_PORTS: [(&str, FindPort); 3] = [
+    ("other boxes", |world| world.process.peers),
+    ("the balancer", |world| world.process.ready),
+    ("metrics", |world| world.process.metrics()),
+];
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn bodies_at_other_ports() {
+    for (name, port) in OTHER_PORTS {
+        play_at(&format!("bodies for {name}"), port, LARGE, |_| Message {
+            once: format!("POST /x HTTP/1.1\r\nHost: x\r\nContent-Length: {BODY_BYTES}\r\n\r\nx").into(),
+            again: filler(CHUNK),
+            times: BODY_BYTES / CHUNK - 1,
+        })
+        .await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn heads_without_end_at_other_ports() {
+    for (name, port) in OTHER_PORTS {
+        play_at(&format!("heads for {name}"), port, CONNECTIONS, |_| Message {
+            once: "GET /x HTTP/1.1\r\nHost: x\r\nX-Long: ".into(),
+            again: filler(PIECE),
+            times: 40,
+        })
+        .await;
+    }
+}
+
+/// The routes of a configuration that is large however it is packed.
+const ROUTES: usize = 3000;
+
+/// A poll of another box for the whole content of the store, which is answered at once.
+fn poll(wait_ms: u64) -> Vec<u8> {
+    let body = rmp_serde::to_vec(&ChangeQuery { after: None, wait_ms }).unwrap();
+    let head = format!("POST /news HTTP/1.1\r\nHost: x\r\nContent-Length: {}\r\n\r\n", body.len());
+    [head.into_bytes(), body].concat()
+}
+
+/// Asks for all that the store holds, and reads nothing of it. Another box is answered all the same.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn polls_whose_answers_nobody_reads() {
+    let _one = one_at_a_time().await;
+    let mut world = World::start().await;
+    world.add_routes(ROUTES).await;
+    for crowd in ["first", "second"] {
+        let message = |_| Message { once: poll(0), again: "".into(), times: 0 };
+        let streams = send(world.process.peers, CONNECTIONS, message).await;
+        world.watch.settle().await;
+        world.check(&format!("unread polls, beside the {crowd} crowd")).await;
+        world.check_poll(&poll(0), &format!("beside the {crowd} crowd")).await;
+        drop(streams);
+        world.check(&format!("unread polls, after the {crowd} crowd")).await;
+    }
+}
+
+/// Holds all connections for other boxes with polls that wait for a change. Another box is answered all the same.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn polls_that_wait_for_long() {
+    let _one = one_at_a_time().await;
+    let mut world = World::start().await;
+    let position = world.read_position(&poll(0)).await;
+    let body = rmp_serde::to_vec(&ChangeQuery { after: Some(position), wait_ms: 3_600_000 }).unwrap();
+    let head = format!("POST /news HTTP/1.1\r\nHost: x\r\nContent-Length: {}\r\n\r\n", body.len());
+    let message = |_| Message { once: [head.as_bytes(), &body].concat(), again: "".into(), times: 0 };
+    let streams = send(world.process.peers, CONNECTIONS, message).await;
+    world.watch.settle().await;
+    world.check("waiting polls").await;
+    world.check_poll(&poll(0), "beside waiting polls").await;
+    drop(streams);
+}
+
 /// Sends whole bodies to a runner that holds its answers back. Whoever is refused must not have reached it, and
 /// each of the others is answered.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
@@ -208,7 +330,7 @@
     let asking = send(world.process.callers, LARGE, |number| {
         let head = format_head(&format!("whole-{number}"), ONCE, KEY);
         let once = format!("{head}Connection: close\r\nContent-Length: {BODY_BYTES}\r\n\r\n");
-        Message { once, again: filler(CHUNK), times: BODY_BYTES / CHUNK }
+        Message { once: once.into(), again: filler(CHUNK), times: BODY_BYTES / CHUNK }
     });
     let streams = asking.await;
     world.watch.settle().await;
@@ -239,7 +361,7 @@
         world.runner.events.store(events, Ordering::Relaxed);
         let streams = send(world.process.callers, count, |number| {
             let head = format_head(&format!("{crowd}-{number}"), path, KEY);
-            Message { once: format!("{head}Content-Length: 0\r\n\r\n"), again: "".into(), times: 0 }
+            Message { once: format!("{head}Content-Length: 0\r\n\r\n").into(), again: "".into(), times: 0 }
         })
         .await;
         world.watch.settle().await;
--- a/crates/node/tests/crowd/mod.rs
+++ b/crates/node/tests/crowd/mod.rs
@@ -10,6 +10,8 @@
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
+use cottoncrank_fleet::position::Position;
+use cottoncrank_node::peer::ChangeBatch;
 use cottoncrank_platform_standin::caller::{Answer, CallerRequest, read_to_end};
 use cottoncrank_platform_standin::operator::{PLAIN, READ, config};
 use cottoncrank_platform_standin::raw;
@@ -18,7 +20,8 @@
 use cottoncrank_platform_standin::store::Store;
 use cottoncrank_standin::crowd::{Usage, Watch};
 use parking_lot::Mutex;
-use serde_json::json;
+use rand::Rng;
+use serde_json::{Value, json};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
@@ -43,6 +46,9 @@
 /// How long something that has to come is waited for. It bounds a test that hangs and is no limit under test.
 const WAIT: Duration = Duration::from_secs(60);
 
+/// How long a configuration takes to be in force, and more.
+const CONFIG_TIME: Duration = Duration::from_secs(3);
+
 /// How often an ordinary caller tries, and its pause where it is told none.
 const TRIES: usize = 5;
 const PAUSE: Duration = Duration::from_millis(300);
@@ -64,7 +70,8 @@
     pub process: Process,
     pub runner: Held,
     pub watch: Watch,
-    _store: Store,
+    config: Value,
+    store: Store,
     _runners: Vec<Runner>,
 }
 
@@ -108,7 +115,7 @@
     async fn serve(&self, mut stream: TcpStream) -> io::Result<()> {
         let Some((head, read)) = read_head(&mut stream).await? else { return Ok(()) };
         let length = find_length(&head);
-        discard(&mut stream, length.saturating_sub(read)).await?;
+        discard(&mut stream, length.saturating_sub(read.len())).await?;
         let Some(id) = raw::find_request_id(&head) else {
             return stream.write_all(b"HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n").await;
         };
@@ -126,15 +133,15 @@
     }
 }
 
-/// Reads a head. Returns it with the number of bytes read behind it.
-async fn read_head(stream: &mut TcpStream) -> io::Result<Option<(String, usize)>> {
+/// Reads a head. Returns it with what was read behind it.
+async fn read_head(stream: &mut TcpStream) -> io::Result<Option<(String, Vec<u8>)>> {
     let (mut bytes, mut buffer) = (Vec::new(), [0; 4096]);
     loop {
         let read = stream.read(&mut buffer).await?;
         bytes.extend_from_slice(&buffer[..read]);
         if let Some(at) = bytes.windows(4).position(|window| window == b"\r\n\r\n") {
-            let head = String::from_utf8_lossy(&bytes[..at + 4]).into_owned();
-            return Ok(Some((head, bytes.len() - at - 4)));
+            let rest = bytes.split_off(at + 4);
+            return Ok(Some((String::from_utf8_lossy(&bytes).into_owned(), rest)));
         }
         if read == 0 {
             return Ok(None);
@@ -236,7 +243,7 @@
         store.configure(&config);
         let process = Process::start(store.address());
         let watch = Watch::start(process.child.id(), process.callers.ip());
-        let world = World { process, runner, watch, _store: store, _runners: runners };
+        let world = World { process, runner, watch, config, store, _runners: runners };
         let began = Instant::now();
         while world.ask().await.status != 200 {
             assert!(began.elapsed() < WAIT, "the box does not serve");
@@ -269,6 +276,55 @@
         last
     }
 
+    /// Adds routes that nobody uses to the configuration, and returns once it is in force.
+    pub async fn add_routes(&self, count: usize) {
+        let mut config = self.config.clone();
+        config["version"] = json!(2);
+        let mut route = config["routes"][0].clone();
+        let routes = config["routes"].as_array_mut().unwrap();
+        for number in 0..count {
+            let name: u128 = rand::rng().random();
+            route["name"] = json!(format!("{number}-{name:032x}"));
+            route["pathPrefix"] = json!(format!("/{name:032x}/"));
+            routes.push(route.clone());
+        }
+        self.store.configure(&config);
+        tokio::time::sleep(CONFIG_TIME).await;
+    }
+
+    /// Sends a poll to the port for other boxes, again if it is refused, and returns the answer's body.
+    async fn poll(&self, message: &[u8]) -> Vec<u8> {
+        for _ in 0..TRIES {
+            let polling = async {
+                let mut stream = TcpStream::connect(self.process.peers).await?;
+                stream.write_all(message).await?;
+                let Some((head, mut body)) = read_head(&mut stream).await? else { return Ok(Vec::new()) };
+                let mut rest = vec![0; find_length(&head).saturating_sub(body.len())];
+                stream.read_exact(&mut rest).await?;
+                body.extend(rest);
+                Ok::<_, io::Error>(if head.contains(" 200 ") { body } else { Vec::new() })
+            };
+            let polled = tokio::time::timeout(WAIT, polling).await.expect("a box waits for good");
+            let body = polled.unwrap_or_default();
+            if !body.is_empty() {
+                return body;
+            }
+            tokio::time::sleep(PAUSE).await;
+        }
+        Vec::new()
+    }
+
+    /// Asserts that another box is answered.
+    pub async fn check_poll(&self, message: &[u8], when: &str) {
+        assert!(!self.poll(message).await.is_empty(), "{when}: another box gets no answer");
+    }
+
+    /// Returns the position of the store as the box knows it.
+    pub async fn read_position(&self, message: &[u8]) -> Position {
+        let body = self.poll(message).await;
+        rmp_serde::from_slice::<ChangeBatch>(&body).unwrap().position
+    }
+
     /// Asserts that the process lives, that it has stayed within its box, and that it answers an ordinary
     /// caller.
     pub async fn check(&mut self, what: &str) {
--- a/crates/standin/src/crowd.rs
+++ b/crates/standin/src/crowd.rs
@@ -30,7 +30,8 @@
 /// What a process has taken at the most.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Usage {
-    /// Resident memory and what has arrived at its sockets and is not read, in bytes.
+    /// Resident memory, and what the kernel holds of its connections: what has arrived and is not read, and what
+    /// was written and is not taken, in bytes.
     pub memory: usize,
     /// Sockets and pipes.
     pub sockets: usize,
@@ -50,7 +51,8 @@
         let (watched, stop) = (usage.clone(), ended.clone());
         std::thread::spawn(move || {
             while !stop.load(Ordering::Relaxed) {
-                let memory = read_memory(pid, "VmRSS") + count_pending(ip).unread;
+                let pending = count_pending(ip);
+                let memory = read_memory(pid, "VmRSS") + pending.unread + pending.untaken;
                 let sockets = count_sockets(pid);
                 let mut usage = watched.lock();
                 usage.memory = usage.memory.max(memory).max(read_memory(pid, "VmHWM"));
@@ -95,13 +97,15 @@
     kilobytes * 1024
 }
 
-/// The bytes on their way to the sockets of an address.
+/// The bytes on their way to the sockets of an address, and from there.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 struct Pending {
     /// Those that have not left their sender.
     unsent: usize,
     /// Those that have arrived and are not read.
     unread: usize,
+    /// Those that were written there and are not taken by the other side.
+    untaken: usize,
 }
 
 fn count_pending(ip: IpAddr) -> Pending {
@@ -116,6 +120,7 @@
         // A listener (0A) counts connections there.
         if fields[1].starts_with(&address) && fields[3] != "0A" {
             pending.unread += count(arrived);
+            pending.untaken += count(sent);
         } else if fields[2].starts_with(&address) {
             pending.unsent += count(sent);
         }
@@ -131,10 +136,10 @@
         .count()
 }
 
-/// What a client sends: a text, and then another one again and again.
+/// What a client sends: some bytes, and then a text again and again.
 #[derive(Clone)]
 pub struct Message {
-    pub once: String,
+    pub once: Vec<u8>,
     pub again: Arc<str>,
     pub times: usize,
 }
@@ -159,7 +164,7 @@
 
 async fn write(stream: &mut TcpStream, message: &Message) -> io::Result<()> {
     stream.set_nodelay(true)?;
-    stream.write_all(message.once.as_bytes()).await?;
+    stream.write_all(&message.once).await?;
     for _ in 0..message.times {
         stream.write_all(message.again.as_bytes()).await?;
     }
