Hold answers of an entry within its account, until their callers have taken them

What callers saw: callers of an entry that ask for large answers and read nothing took the memory of the process.

Cause: an answer of a service was collected with nothing counted and held by its connection until its caller took it.

Change: answers of services and models are charged by the function that reads those of runners; an answer goes to its connection in pieces of 32 kB, and the server's write buffer is 64 kB.

Why it holds: what is not in the small buffer of a connection is held by the body that is charged.

--- a/crates/entry/src/api.rs
+++ b/crates/entry/src/api.rs
@@ -4,10 +4,12 @@
 
 use bytes::Bytes;
 use cottoncrank::engine::Finish;
-use cottoncrank::id;
 use cottoncrank::outcome::Outcome;
 use cottoncrank::wire::KeyedOutcome;
+use cottoncrank::{Size, id};
 use cottoncrank_net::feed;
+use cottoncrank_net::intake::LARGE_ANSWER;
+use cottoncrank_net::resources::{Charge, hold};
 use cottoncrank_net::server::{Answer, Status, reply, reply_feed, reply_json};
 use serde::{Deserialize, Serialize};
 use serde_json::json;
@@ -16,7 +18,7 @@
 use crate::failure::{Cause, Failure};
 use crate::keys::{Guard, MAX_KEPT_BYTES};
 use crate::relay::{Job, Piece, Relay};
-use crate::state::{Admission, State};
+use crate::state::{Served, State};
 
 /// Default of `max_tokens`.
 const DEFAULT_MAX_TOKENS: u32 = 256;
@@ -102,7 +104,7 @@
 /// Runs an admitted request and returns the answer for its caller.
 pub async fn run(
     state: Arc<State>,
-    admission: Admission,
+    served: Served,
     guard: Guard,
     context: RequestContext,
     endpoint: Endpoint,
@@ -120,11 +122,11 @@
         }
     };
     if !parsed.stream {
-        return run_buffered(admission, guard, relay, first, &writer).await;
+        return run_buffered(served, guard, relay, first, &writer).await;
     }
     let (sender, mut answer) = reply_feed(Status::OK, "text/event-stream", STREAM_BUFFER);
     writer.set_request_header(&mut answer);
-    tokio::spawn(forward_stream(admission, guard, relay, first, writer, sender));
+    tokio::spawn(forward_stream(served, guard, relay, first, writer, sender));
     answer
 }
 
@@ -136,7 +138,7 @@
 }
 
 async fn run_buffered(
-    admission: Admission,
+    served: Served,
     guard: Guard,
     mut relay: Relay,
     first: Option<Piece>,
@@ -163,20 +165,28 @@
         }
         next = relay.next().await;
     }
-    drop(admission);
     let body = writer.build_response(&text, finish, relay.delivered());
     let kept = (body.len() <= MAX_KEPT_BYTES).then(|| body.clone());
     guard
         .close(KeyedOutcome::Answered { status: 200, kind: "application/json".to_owned(), body: kept })
         .await;
-    let mut answer = reply(Status::OK, "application/json", body);
+    let mut answer = reply(Status::OK, "application/json", hold_large(body, &served.room).await);
     writer.set_request_header(&mut answer);
     answer
 }
 
+/// Holds a large answer with the room that it takes, until its caller has taken it.
+async fn hold_large(body: Vec<u8>, room: &Charge) -> Bytes {
+    let size = Size(body.len());
+    match size > LARGE_ANSWER {
+        true => hold(body, room.reserve_answer(size).await.offer()),
+        false => body.into(),
+    }
+}
+
 /// Forwards a stream until it ends, fails, or the caller disconnects.
 async fn forward_stream(
-    admission: Admission,
+    served: Served,
     guard: Guard,
     mut relay: Relay,
     first: Option<Piece>,
@@ -212,7 +222,7 @@
     // caller that has disconnected.
     drop(relay);
     guard.close(recorded).await;
-    drop(admission);
+    drop(served);
     // A failure is told by the last event, so the body is complete then too.
     sender.finish();
 }
--- a/crates/entry/src/front.rs
+++ b/crates/entry/src/front.rs
@@ -16,7 +16,7 @@
 use crate::failure::{Cause, Failure};
 use crate::keys::{self, Guard, KeyCheck};
 use crate::services::{self, Call};
-use crate::state::{Admission, State};
+use crate::state::{Admission, Served, State};
 
 /// The largest claim, in bytes. A claim may carry an answer to keep.
 const MAX_CLAIM_BYTES: usize = 256 * 1024;
@@ -100,14 +100,14 @@
         context: RequestContext,
         endpoint: Endpoint,
     ) -> Result<Answer, Failure> {
-        let mut admission = self.admit(&context, &mut body).await?;
-        let bytes = self.read(body, &context, &mut admission).await?;
+        let admission = self.admit(&context, &mut body).await?;
+        let (bytes, served) = self.read(body, &context, admission).await?;
         let parsed = api::parse_request(endpoint, &bytes)?;
         let guard = match self.open_key(&context).await? {
             Ok(guard) => guard,
             Err(answer) => return Ok(answer),
         };
-        Ok(api::run(self.0.clone(), admission, guard, context, endpoint, parsed).await)
+        Ok(api::run(self.0.clone(), served, guard, context, endpoint, parsed).await)
     }
 
     /// Admits the request if its account is below its limit. The body of a refused request
@@ -133,22 +133,23 @@
             discard_body(&mut body).await;
             return Err(Failure::not_run(Cause::Missing(format!("service {service}"))));
         }
-        let mut admission = self.admit(&context, &mut body).await?;
+        let admission = self.admit(&context, &mut body).await?;
         let full_path = head.uri().path_and_query().map_or("", |path| path.as_str());
         let suffix = full_path.trim_start_matches("/services/").trim_start_matches(service);
         let path = if suffix.starts_with('/') { suffix.to_owned() } else { format!("/{suffix}") };
+        let (body, served) = self.read(body, &context, admission).await?;
         let call = Call {
             service: service.to_owned(),
             method: head.method().clone(),
             path,
             kind: head.headers().get(header::CONTENT_TYPE).cloned(),
-            body: self.read(body, &context, &mut admission).await?,
+            body,
         };
         let guard = match self.open_key(&context).await? {
             Ok(guard) => guard,
             Err(answer) => return Ok(answer),
         };
-        Ok(services::run(&self.0, guard, &context, &call).await)
+        Ok(services::run(&self.0, guard, &context, &call, &served.room).await)
     }
 
     /// Reads the body of an admitted request, until its deadline.
@@ -156,8 +157,8 @@
         &self,
         body: Incoming,
         context: &RequestContext,
-        admission: &mut Admission,
-    ) -> Result<bytes::Bytes, Failure> {
+        admission: Admission,
+    ) -> Result<(bytes::Bytes, Served), Failure> {
         let remaining = context.deadline.since(self.0.now());
         let reading = read_body_within(body, self.0.settings.body_max, &admission.place);
         let read = tokio::time::timeout(remaining.duration(), reading).await;
@@ -168,8 +169,8 @@
                 BodyError::Broken | BodyError::Invalid(_) => Cause::Malformed(error.to_string()),
             })
         })?;
-        admission.serve(bytes.len())?;
-        Ok(bytes)
+        let served = admission.serve(bytes.len())?;
+        Ok((bytes, served))
     }
 
     /// Claims the request's key. The inner error is the kept answer of an earlier run.
--- a/crates/entry/src/services.rs
+++ b/crates/entry/src/services.rs
@@ -7,7 +7,9 @@
 use cottoncrank::Millis;
 use cottoncrank::outcome::{Outcome, Progress, Recovery};
 use cottoncrank::wire::KeyedOutcome;
-use cottoncrank_net::client::{is_final, read_all};
+use cottoncrank_net::client::{ANSWER_MAX, is_final};
+use cottoncrank_net::intake::{self, LARGE_ANSWER};
+use cottoncrank_net::resources::Charge;
 use cottoncrank_net::server::{Answer, HeaderMap, Status, Verb, header, reply};
 
 use crate::caller::{KEY_HEADER, RequestContext};
@@ -47,8 +49,14 @@
 }
 
 /// Runs an admitted request and returns the answer for its caller.
-pub async fn run(state: &Arc<State>, guard: Guard, context: &RequestContext, call: &Call) -> Answer {
-    match attempt(state, context, call).await {
+pub async fn run(
+    state: &Arc<State>,
+    guard: Guard,
+    context: &RequestContext,
+    call: &Call,
+    room: &Charge,
+) -> Answer {
+    match attempt(state, context, call, room).await {
         Ok(received) => {
             let body = (received.body.len() <= MAX_KEPT_BYTES).then(|| received.body.to_vec());
             let recorded = KeyedOutcome::Answered {
@@ -83,6 +91,7 @@
     state: &Arc<State>,
     context: &RequestContext,
     call: &Call,
+    room: &Charge,
 ) -> Result<BackendAnswer, Failure> {
     let view = state.view();
     let found = view.services.iter().find(|service| service.id.as_str() == call.service);
@@ -100,7 +109,7 @@
             return Err(Failure { cause: Cause::Deadline, outcome: progress.outcome() });
         }
         progress.begin_attempt();
-        if let Some(received) = send(state, context, call, address, remaining, &mut progress).await {
+        if let Some(received) = send(state, context, call, address, remaining, &mut progress, room).await {
             progress.mark_complete();
             state.deposit_retry(&context.account);
             return Ok(received);
@@ -125,7 +134,9 @@
     address: SocketAddr,
     wait: Millis,
     progress: &mut Progress,
+    room: &Charge,
 ) -> Option<BackendAnswer> {
+    let deadline = state.now() + wait;
     let mut headers = HeaderMap::new();
     if let Some(kind) = &call.kind {
         headers.insert(header::CONTENT_TYPE, kind.clone());
@@ -159,10 +170,15 @@
     let status = answer.status();
     let kind = answer.headers().get(header::CONTENT_TYPE).and_then(|kind| kind.to_str().ok());
     let kind = kind.unwrap_or("application/octet-stream").to_owned();
-    match read_all(address, answer.into_body()).await {
-        Ok(body) => Some(BackendAnswer { status, kind, body }),
-        Err(error) => {
-            log::warn!("service: {}: {error}", call.service);
+    let reading = intake::read_answer(answer.into_body(), ANSWER_MAX, LARGE_ANSWER, room);
+    match tokio::time::timeout(deadline.since(state.now()).duration(), reading).await {
+        Ok(Ok(body)) => Some(BackendAnswer { status, kind, body }),
+        Ok(Err(error)) => {
+            log::warn!("service: {}: the answer of {address} was not read: {error}", call.service);
+            None
+        }
+        Err(_) => {
+            log::warn!("service: {}: the answer of {address} was not read in time", call.service);
             None
         }
     }
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -142,7 +142,7 @@
         usage.running += 1;
         drop(shard);
         self.running.fetch_add(1, Ordering::Relaxed);
-        Ok(Admission { state: self.clone(), account: account.clone(), place, copies: None })
+        Ok(Admission { state: self.clone(), account: account.clone(), place })
     }
 
     /// Returns the number of requests in flight.
@@ -196,7 +196,6 @@
     account: id::Account,
     /// Its place in the account of memory.
     pub place: Arc<Slot>,
-    copies: Option<Charge>,
 }
 
 /// The copies that are made of a body: its text, and the message to an engine.
@@ -204,14 +203,21 @@
 
 impl Admission {
     /// Records that the body of the request has arrived whole, and charges the copies that are made of it.
-    pub fn serve(&mut self, body: usize) -> Result<(), Failure> {
+    pub fn serve(self, body: usize) -> Result<Served, Failure> {
         let charged = self.place.charge(Size(BODY_COPIES * body), Kind::Overhead);
-        self.copies = Some(charged.map_err(|Short| Failure::not_run(Cause::NoRoom))?);
+        let room = charged.map_err(|Short| Failure::not_run(Cause::NoRoom))?;
         self.place.serve();
-        Ok(())
+        Ok(Served { room, _admission: self })
     }
 }
 
+/// An admitted request whose body has arrived whole.
+pub struct Served {
+    /// The room for the copies of its body, to which its answer is charged as well.
+    pub room: Charge,
+    _admission: Admission,
+}
+
 impl Drop for Admission {
     fn drop(&mut self) {
         if let Some(usage) = self.state.usage(&self.account).lock().get_mut(&self.account) {
--- a/crates/entry/tests/clients.rs
+++ b/crates/entry/tests/clients.rs
@@ -51,7 +51,7 @@
     child: Child,
     callers: SocketAddr,
     watch: Watch,
-    _controller: Controller,
+    controller: Controller,
     _outside: (Store, List, Service),
 }
 
@@ -108,8 +108,7 @@
             assert!(began.elapsed() < WAIT, "the controller takes no command");
             tokio::time::sleep(Duration::from_millis(100)).await;
         }
-        let world =
-            World { child, callers, watch, _controller: controller, _outside: (store, list, service) };
+        let world = World { child, callers, watch, controller, _outside: (store, list, service) };
         while world.ask("ordinary").await != 200 {
             assert!(began.elapsed() < WAIT, "the entry does not serve");
         }
@@ -220,6 +219,54 @@
     .await;
 }
 
+/// The bytes of a large answer of a service.
+const ANSWER_BYTES: usize = 4_000_000;
+
+/// A backend server that answers each request with a large answer.
+async fn start_backend() -> SocketAddr {
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        let answer = format!("HTTP/1.1 200 OK\r\nContent-Length: {ANSWER_BYTES}\r\n\r\n");
+        let answer: Arc<str> = (answer + &"x".repeat(ANSWER_BYTES)).into();
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let answer = answer.clone();
+            tokio::spawn(async move {
+                let mut request = [0; 4096];
+                // Either fails once the entry has closed the connection.
+                while stream.read(&mut request).await.is_ok_and(|read| read > 0) {
+                    if stream.write_all(answer.as_bytes()).await.is_err() {
+                        break;
+                    }
+                }
+            });
+        }
+    });
+    address
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn answers_of_an_entry_that_nobody_reads() {
+    let _one = ONE.lock().await;
+    let mut world = World::start().await;
+    let backend = start_backend().await;
+    let command = format!("create service large addresses {backend}");
+    assert!(execute(world.controller.state(), &command).await.ok);
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    for crowd in ["first", "second"] {
+        let message = |_| Message {
+            once: format!("{}Content-Length: 0\r\n\r\n", format_head("/services/large/x", "secret")).into(),
+            again: "".into(),
+            times: 0,
+        };
+        let streams = send(world.callers, LARGE, message).await;
+        world.watch.settle().await;
+        world.check(&format!("unread answers, beside the {crowd} crowd")).await;
+        drop(streams);
+        world.check(&format!("unread answers, after the {crowd} crowd")).await;
+    }
+}
+
 /// A single caller within the limits is served in calm.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn a_single_large_body_is_served_by_an_entry_in_calm() {
--- a/crates/net/src/intake.rs
+++ b/crates/net/src/intake.rs
@@ -12,7 +12,7 @@
 use cottoncrank::Size;
 use cottoncrank::resources::{Kind, Short, Shortage};
 use http_body_util::BodyExt;
-use hyper::body::{Body as HttpBody, Frame, SizeHint};
+use hyper::body::{Body as HttpBody, Frame, Incoming, SizeHint};
 use thiserror::Error;
 
 use crate::resources::{Charge, Slot, hold};
@@ -21,6 +21,9 @@
 /// itself and then keeps ever larger ones.
 const MAX_SEGMENT: usize = 32 * 1024;
 
+/// More than this is read of an answer only once there is room for all of it.
+pub const LARGE_ANSWER: Size = Size::kilobytes(64);
+
 /// The smallest segment of a body, in bytes.
 const MIN_SEGMENT: usize = 1024;
 
@@ -38,6 +41,17 @@
     Short(#[from] Short),
 }
 
+/// Why an answer was not read.
+#[derive(Debug, Error)]
+pub enum AnswerError {
+    /// It is larger than is read.
+    #[error("it is too large")]
+    TooLarge,
+    /// It broke off.
+    #[error("{0}")]
+    Broken(#[from] hyper::Error),
+}
+
 /// A whole body.
 #[derive(Clone, Debug, Default)]
 pub struct Body {
@@ -205,3 +219,36 @@
         intake.push(&piece)?;
     }
 }
+
+/// Reads an answer to its end, up to `max` bytes. The rest of a large one is read once there is room for it. One
+/// of more than `small` is held with the room that it takes, until its caller has taken it.
+pub async fn read_answer(
+    body: Incoming,
+    max: usize,
+    small: Size,
+    room: &Charge,
+) -> Result<Bytes, AnswerError> {
+    let announced = body.size_hint().upper().map_or(max, |announced| max.min(announced as usize));
+    let mut body = body;
+    let (mut read, mut charge) = (Vec::new(), None);
+    while let Some(frame) = body.frame().await {
+        let Ok(piece) = frame?.into_data() else { continue };
+        if read.len() + piece.len() > max {
+            return Err(AnswerError::TooLarge);
+        }
+        if charge.is_none() && Size(read.len() + piece.len()) > LARGE_ANSWER {
+            charge = Some(room.reserve_answer(Size(announced)).await);
+        }
+        read.extend_from_slice(&piece);
+    }
+    let length = Size(read.len());
+    if length <= small {
+        return Ok(read.into());
+    }
+    let mut charge = match charge {
+        Some(charge) => charge,
+        None => room.reserve_answer(length).await,
+    };
+    charge.shrink(length);
+    Ok(hold(read, charge.offer()))
+}
--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -13,7 +13,7 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use thiserror::Error;
-use xitca_web::body::{Body, BodyExt, Frame, RequestBody, ResponseBody};
+use xitca_web::body::{Body, BodyExt, Frame, RequestBody, ResponseBody, SizeHint};
 use xitca_web::handler::handler_service;
 use xitca_web::http::header::{CONTENT_TYPE, HeaderValue};
 use xitca_web::http::{RequestExt, StatusCode, WebRequest, WebResponse};
@@ -22,6 +22,7 @@
 use crate::feed::{self, Cut};
 use crate::intake::{self, IntakeError};
 use crate::keepalive;
+use crate::metered;
 use crate::resources::Slot;
 
 pub use xitca_web::http::header;
@@ -124,12 +125,14 @@
     let mut server = app
         .serve()
         .max_read_buf_size::<MAX_HEAD_BYTES>()
+        .max_write_buf_size::<WRITE_BUFFER_BYTES>()
         .worker_threads(workers)
         .keep_alive_timeout(KEEP_ALIVE.duration())
         .disable_signal();
     for listener in listeners {
         listener.set_nonblocking(true)?;
         keepalive::limit_unread(&listener, UNREAD_TIMEOUT)?;
+        metered::limit_buffers(&listener)?;
         server = server.listen(listener)?;
     }
     let mut running = server.run();
@@ -240,9 +243,45 @@
     decode(&read_body(body, max).await?)
 }
 
+/// The largest part of an answer that is handed over to its connection at a time, in bytes.
+const PIECE_BYTES: usize = 32 * 1024;
+
+/// The most that a connection holds of an answer that was handed over to it, in bytes. The server copies what
+/// it is given, so the rest stays where it is charged.
+const WRITE_BUFFER_BYTES: usize = 64 * 1024;
+
+/// A whole answer that is handed over in pieces.
+struct Pieced(Bytes);
+
+impl Body for Pieced {
+    type Data = Bytes;
+    type Error = Infallible;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        _: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
+        let length = self.0.len().min(PIECE_BYTES);
+        Poll::Ready((length > 0).then(|| Ok(Frame::Data(self.0.split_to(length)))))
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.0.is_empty()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        SizeHint::Exact(self.0.len() as u64)
+    }
+}
+
 /// Returns an answer with a body.
 pub fn reply(status: StatusCode, kind: &'static str, body: impl Into<Bytes>) -> Answer {
-    let mut answer = WebResponse::new(ResponseBody::bytes(body.into()));
+    let body = body.into();
+    let body = match body.len() > PIECE_BYTES {
+        true => ResponseBody::boxed(Pieced(body)),
+        false => ResponseBody::bytes(body),
+    };
+    let mut answer = WebResponse::new(body);
     *answer.status_mut() = status;
     answer.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static(kind));
     answer
--- a/crates/node/src/plain.rs
+++ b/crates/node/src/plain.rs
@@ -1,16 +1,13 @@
 //! Runs requests whose answer is forwarded as a whole.
 
-use std::error::Error;
 use std::sync::Arc;
 
 use bytes::Bytes;
 use cottoncrank::Size;
 use cottoncrank_fleet::trials::Ruling;
-use cottoncrank_net::resources::{Charge, hold};
+use cottoncrank_net::intake::{self, AnswerError};
 use cottoncrank_platform::header;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::Response;
-use hyper::body::{Body as _, Incoming};
 use hyper::header::{CONTENT_LENGTH, HeaderMap};
 
 use crate::answer::{Answer, Body, Refusal};
@@ -31,9 +28,6 @@
 /// The most that a runner may send for such an answer, in bytes. Chunks take more than what they hold.
 const MAX_WIRE_BYTES: usize = 3 * MAX_ANSWER_BYTES;
 
-/// More than this is read of an answer only once there is room for all of it.
-pub(crate) const LARGE_ANSWER: Size = Size::kilobytes(64);
-
 /// The largest answer, or part of a stream, that the memory of its request contains.
 pub(crate) const SMALL_ANSWER: Size = Size::kilobytes(4);
 
@@ -122,8 +116,9 @@
     let Attempt { pick, response, channel, guard: _guard } = attempt;
     let (head, body) = response.into_parts();
     channel.allow(MAX_WIRE_BYTES);
-    let bytes = read_body(&job.room, body).await.map_err(|error| {
-        if channel.is_oversized() || error.is::<LengthLimitError>() {
+    let read = intake::read_answer(body, MAX_ANSWER_BYTES, SMALL_ANSWER, &job.room).await;
+    let bytes = read.map_err(|error| {
+        if channel.is_oversized() || matches!(error, AnswerError::TooLarge) {
             paths::record_failure(node, &pick, None);
             return AttemptError::Oversized;
         }
@@ -134,32 +129,6 @@
     Ok(build_answer(head.status, &head.headers, bytes))
 }
 
-/// Reads a body to its end. The rest of a large one is read once there is room for it, and it is held with
-/// the room that it takes.
-async fn read_body(room: &Charge, body: Incoming) -> Result<Bytes, Box<dyn Error + Send + Sync>> {
-    let mut body = Limited::new(body, MAX_ANSWER_BYTES);
-    let announced = body.size_hint().upper().map_or(MAX_ANSWER_BYTES, |length| length as usize);
-    let mut read = Vec::new();
-    let mut charge = None;
-    while let Some(frame) = body.frame().await {
-        let Ok(data) = frame?.into_data() else { continue };
-        if charge.is_none() && Size(read.len() + data.len()) > LARGE_ANSWER {
-            charge = Some(room.reserve_answer(Size(announced)).await);
-        }
-        read.extend_from_slice(&data);
-    }
-    let length = Size(read.len());
-    if length <= SMALL_ANSWER {
-        return Ok(read.into());
-    }
-    let mut charge = match charge {
-        Some(charge) => charge,
-        None => room.reserve_answer(length).await,
-    };
-    charge.shrink(length);
-    Ok(hold(read, charge.offer()))
-}
-
 fn build_answer(status: hyper::StatusCode, headers: &HeaderMap, bytes: Bytes) -> Answer {
     let mut answer = Response::new(Body::Whole(Some(bytes)));
     *answer.status_mut() = status;
