Charge the tunnels that a box carries, and show what is refused where no descriptor is left

A carried tunnel took a second connection and two buffers that the account did not hold: 24 kB are charged to the connection that it was asked for on. By reading; 512 of them are 12 MB.

Two new tests: with all descriptors for connections to runners taken, requests are refused as not run and run nowhere, and are answered once they are back; a box without them carries no tunnel.

--- a/crates/node/src/peer.rs
+++ b/crates/node/src/peer.rs
@@ -222,7 +222,7 @@
     if request.method() == Method::CONNECT {
         // The connection stays in use for as long as it is a tunnel.
         slot.serve();
-        return tunnel::answer(node, request).await;
+        return tunnel::answer(node, request, slot).await;
     }
     let answer = read_and_answer(node, request, slot).await;
     slot.end_request();
--- a/crates/node/src/tunnel.rs
+++ b/crates/node/src/tunnel.rs
@@ -11,11 +11,12 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 
 use bytes::Bytes;
-use cottoncrank::{Millis, id};
+use cottoncrank::resources::Kind;
+use cottoncrank::{Millis, Size, id};
 use cottoncrank_fleet::directory::Peer;
 use cottoncrank_net::keepalive;
 use cottoncrank_net::reach::Link;
-use cottoncrank_net::resources::Outbound;
+use cottoncrank_net::resources::{Charge, Outbound, Slot};
 use http_body_util::Empty;
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
@@ -40,9 +41,12 @@
 /// Names for how long the tunnel is needed at the most, in milliseconds.
 const LIFETIME: HeaderName = HeaderName::from_static("cottoncrank-lifetime-ms");
 
-/// The most tunnels that a node carries at a time. Each takes two file descriptors and some 20 kB.
+/// The most tunnels that a node carries at a time.
 pub const MAX_TUNNELS: usize = 512;
 
+/// What a tunnel takes beside the connection that it was asked for on: another connection, and two buffers.
+const TUNNEL: Size = Size::kilobytes(24);
+
 /// Why a node opened no tunnel.
 #[derive(Debug, Error)]
 pub(crate) enum TunnelError {
@@ -81,14 +85,16 @@
 struct CarryGuard {
     node: Arc<Node>,
     _outbound: Outbound,
+    _room: Charge,
 }
 
 impl CarryGuard {
     /// Returns `None` if the node carries as many as it may.
-    fn begin(node: &Arc<Node>) -> Option<CarryGuard> {
+    fn begin(node: &Arc<Node>, slot: &Slot) -> Option<CarryGuard> {
         let outbound = node.resources.begin_outbound()?;
+        let room = slot.charge(TUNNEL, Kind::Overhead).ok()?;
         let before = node.carried_tunnels.0.fetch_add(1, Ordering::Relaxed);
-        let guard = CarryGuard { node: node.clone(), _outbound: outbound };
+        let guard = CarryGuard { node: node.clone(), _outbound: outbound, _room: room };
         (before < MAX_TUNNELS).then_some(guard)
     }
 }
@@ -152,12 +158,12 @@
 }
 
 /// Answers the query of another node for a tunnel, and carries the tunnel if it can be opened.
-pub(crate) async fn answer(node: &Arc<Node>, request: Request<Incoming>) -> Answer {
+pub(crate) async fn answer(node: &Arc<Node>, request: Request<Incoming>, slot: &Slot) -> Answer {
     let Some(query) = read_query(&request) else {
         log::warn!("tunnel: a query cannot be decoded");
         return build_answer(StatusCode::BAD_REQUEST);
     };
-    match begin(node, &query).await {
+    match begin(node, &query, slot).await {
         Ok((runner, guard)) => {
             telemetry::count_carried_tunnel("opened");
             tokio::spawn(carry(request, runner, query, guard));
@@ -184,7 +190,7 @@
 
 /// Connects to the runner of a query. Only known runners are connected to, at the address that their
 /// entry names.
-async fn begin(node: &Arc<Node>, query: &Query) -> Result<(Link, CarryGuard), TunnelError> {
+async fn begin(node: &Arc<Node>, query: &Query, slot: &Slot) -> Result<(Link, CarryGuard), TunnelError> {
     let target = {
         let roster = node.roster.lock();
         let known = roster.get_last_known(&query.runner).filter(|known| known.address == query.address);
@@ -194,7 +200,7 @@
     if is_stopping || node.paths.lock().is_cut(&target.hall) {
         return Err(TunnelError::Unavailable);
     }
-    let guard = CarryGuard::begin(node).ok_or(TunnelError::Unavailable)?;
+    let guard = CarryGuard::begin(node, slot).ok_or(TunnelError::Unavailable)?;
     let link = connect_for_other(node, target).await.map_err(|_| TunnelError::Unreached)?;
     Ok((link, guard))
 }
--- a/crates/node/tests/resources.rs
+++ b/crates/node/tests/resources.rs
@@ -8,6 +8,7 @@
 use common::{Fleet, KEY};
 use cottoncrank::Size;
 use cottoncrank::resources::Port;
+use cottoncrank_net::reach::Block;
 use cottoncrank_platform_standin::caller::{CallerRequest, read_to_end};
 use cottoncrank_platform_standin::operator::{ONCE, READ, STREAM};
 use cottoncrank_platform_standin::raw;
@@ -189,3 +190,40 @@
     assert_eq!((answer.status, answer.complete), (200, true), "{} bytes", answer.body.len());
     assert_eq!(resources.count_evictions(), 0, "a caller had to go for another one");
 }
+
+/// Guards against requests that are taken though no connection to a runner can be made for them.
+#[tokio::test]
+async fn a_request_for_which_no_descriptor_is_left_is_refused_as_not_run() {
+    let fleet = Fleet::serving(1).await;
+    let resources = fleet.nodes[0].node.resources.clone();
+    let taken: Vec<_> = std::iter::from_fn(|| resources.begin_outbound()).collect();
+    for path in [READ, ONCE, STREAM] {
+        let id = format!("short{}", path.trim_matches('/'));
+        let answer = fleet.ask(path, &id).await;
+        assert_eq!(answer.status, 503, "{path}: {answer:?}");
+        assert_eq!(fleet.count_runs(&id), 0, "{path}");
+    }
+    drop(taken);
+    for path in [READ, ONCE, STREAM] {
+        let answer = fleet.ask(path, &format!("again{}", path.trim_matches('/'))).await;
+        assert_eq!(answer.status, 200, "{path}: {answer:?}");
+    }
+}
+
+/// Guards against tunnels for other boxes that nothing counts.
+#[tokio::test]
+async fn no_tunnel_is_carried_where_no_descriptor_is_left() {
+    let fleet = Fleet::serving(2).await;
+    fleet.settle_retries();
+    fleet.nodes[0].node.reach.block(Block::Refuse);
+    let carrier = fleet.nodes[1].node.resources.clone();
+    let taken: Vec<_> = std::iter::from_fn(|| carrier.begin_outbound()).collect();
+    let answer = fleet.ask(ONCE, "short").await;
+    assert_eq!((answer.status, fleet.count_runs("short")), (503, 0), "{answer:?}");
+    drop(taken);
+    fleet.wait("the other box carries tunnels", |fleet| fleet.nodes[0].node.has_cut_path()).await;
+    let answer = fleet.ask(ONCE, "carried").await;
+    assert_eq!(answer.status, 200, "{answer:?}");
+    let carried = fleet.nodes[1].node.clone();
+    fleet.wait("nothing is carried any more", |_| carried.carried_tunnels.count() == 0).await;
+}
