Name no field of the platform in a test of the node

names.rs, which walks all crates for names of the platform, failed over the crowd of polls, which adds routes to a configuration; the stand-in of the operator adds them.

--- a/crates/node/tests/crowd/mod.rs
+++ b/crates/node/tests/crowd/mod.rs
@@ -13,7 +13,7 @@
 use cottoncrank_fleet::position::Position;
 use cottoncrank_node::peer::ChangeBatch;
 use cottoncrank_platform_standin::caller::{Answer, CallerRequest, read_to_end};
-use cottoncrank_platform_standin::operator::{PLAIN, READ, config};
+use cottoncrank_platform_standin::operator::{PLAIN, READ, add_route, config};
 use cottoncrank_platform_standin::raw;
 use cottoncrank_platform_standin::runner::Runner;
 use cottoncrank_platform_standin::settings::{self, Settings};
@@ -280,13 +280,9 @@
     pub async fn add_routes(&self, count: usize) {
         let mut config = self.config.clone();
         config["version"] = json!(2);
-        let mut route = config["routes"][0].clone();
-        let routes = config["routes"].as_array_mut().unwrap();
         for number in 0..count {
             let name: u128 = rand::rng().random();
-            route["name"] = json!(format!("{number}-{name:032x}"));
-            route["pathPrefix"] = json!(format!("/{name:032x}/"));
-            routes.push(route.clone());
+            add_route(&mut config, &format!("{number}-{name:032x}"), &format!("/{name:032x}/"));
         }
         self.store.configure(&config);
         tokio::time::sleep(CONFIG_TIME).await;
