Ask as an ordinary client with one function in the tests of entry and controller

Both tests had the same loop that asks again and reads the status, and the same search for a free port; they are in the crowd of the stand-ins now.

--- a/crates/controller/tests/clients.rs
+++ b/crates/controller/tests/clients.rs
@@ -3,17 +3,15 @@
 //! The failure: a controller held whatever was sent to it, each body within its limit and all together over the
 //! memory of the box. The test runs the program with its default limits.
 
-use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
 
 use cottoncrank::Millis;
-use cottoncrank_standin::crowd::{Message, Watch, send};
+use cottoncrank_standin::crowd::{Message, Watch, ask, find_port, send};
 use cottoncrank_standin::list::List;
 use cottoncrank_standin::listen;
 use cottoncrank_standin::store::Store;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
 
 /// The memory of the box, in MB: the default of the settings.
 const MEMORY_MB: usize = 256;
@@ -30,9 +28,6 @@
 /// How long something that has to come is waited for. It bounds a test that hangs and is no limit under test.
 const WAIT: Duration = Duration::from_secs(60);
 
-/// How often an operator tries.
-const TRIES: usize = 5;
-
 struct Process(Child);
 
 impl Drop for Process {
@@ -43,39 +38,16 @@
     }
 }
 
-fn find_port(ip: IpAddr) -> SocketAddr {
-    TcpListener::bind((ip, 0)).unwrap().local_addr().unwrap()
-}
-
-/// Sends a command as an operator does, again if it is refused, and returns the last status.
-async fn ask(to: SocketAddr) -> u16 {
-    let text =
-        "POST /v1/command HTTP/1.1\r\nHost: x\r\nConnection: close\r\nContent-Length: 11\r\n\r\nshow groups";
-    let mut status = 0;
-    for _ in 0..TRIES {
-        let asking = async {
-            let mut stream = TcpStream::connect(to).await.ok()?;
-            stream.write_all(text.as_bytes()).await.ok()?;
-            let mut answer = Vec::new();
-            // A reset behind the answer takes nothing from it.
-            let _ = stream.read_to_end(&mut answer).await;
-            String::from_utf8_lossy(&answer).split(' ').nth(1)?.parse().ok()
-        };
-        status = tokio::time::timeout(WAIT, asking).await.expect("an operator waits for good").unwrap_or(0);
-        if status == 200 {
-            break;
-        }
-        tokio::time::sleep(Duration::from_millis(300)).await;
-    }
-    status
-}
+/// What an operator sends.
+const COMMAND: &str =
+    "POST /v1/command HTTP/1.1\r\nHost: x\r\nConnection: close\r\nContent-Length: 11\r\n\r\nshow groups";
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn commands_that_stop_before_their_last_byte() {
     let ip = IpAddr::V4(Ipv4Addr::new(127, (2 + std::process::id() % 250) as u8, 252, 1));
     let (store, list) =
         (Store::start(listen().unwrap()).unwrap(), List::start(listen().unwrap(), Millis(500)).unwrap());
-    let (address, entry) = (find_port(ip), find_port(ip));
+    let (address, entry) = (find_port(ip).unwrap(), find_port(ip).unwrap());
     let file = std::env::temp_dir().join(format!("cottoncrank-controller-{}.toml", std::process::id()));
     let (store, list) = ((store.address(), store), (list.address(), list));
     let text = format!(
@@ -93,7 +65,7 @@
     let mut process = Process(child);
     let watch = Watch::start(process.0.id(), ip);
     let began = Instant::now();
-    while ask(address).await != 200 {
+    while ask(address, COMMAND).await != 200 {
         assert!(began.elapsed() < WAIT, "the controller takes no command");
     }
     for crowd in ["first", "second"] {
@@ -115,7 +87,7 @@
 }
 
 async fn check(process: &mut Process, address: SocketAddr, watch: &Watch, when: &str) {
-    let (status, memory) = (ask(address).await, watch.usage().memory);
+    let (status, memory) = (ask(address, COMMAND).await, watch.usage().memory);
     println!("{when}: {} MB at the most", memory >> 20);
     assert!(matches!(process.0.try_wait(), Ok(None)), "{when}: the process has ended");
     assert_eq!(status, 200, "{when}: an operator got {status}");
--- a/crates/entry/tests/clients.rs
+++ b/crates/entry/tests/clients.rs
@@ -4,7 +4,7 @@
 //! the memory of the box. Each test runs the program of the entry with its default limits, and one test runs at
 //! a time.
 
-use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::process::{Child, Command, Stdio};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU8, Ordering};
@@ -13,13 +13,12 @@
 use cottoncrank_controller::Controller;
 use cottoncrank_controller::operate::execute;
 use cottoncrank_controller::settings::{Settings, Spread};
-use cottoncrank_standin::crowd::{Message, Watch, send};
+use cottoncrank_standin::crowd::{Message, Watch, ask, find_port, send};
 use cottoncrank_standin::list::List;
 use cottoncrank_standin::listen;
 use cottoncrank_standin::service::Service;
 use cottoncrank_standin::store::Store;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
 use tokio::sync::Mutex;
 
 /// The memory of the box, in MB: the default of the settings.
@@ -41,9 +40,6 @@
 /// How long something that has to come is waited for. It bounds a test that hangs and is no limit under test.
 const WAIT: Duration = Duration::from_secs(60);
 
-/// How often an ordinary caller tries.
-const TRIES: usize = 5;
-
 static ONE: Mutex<()> = Mutex::const_new(());
 
 /// An entry as a process, and its controller and service in the process of the test.
@@ -55,10 +51,6 @@
     _outside: (Store, List, Service),
 }
 
-fn find_port(ip: IpAddr) -> SocketAddr {
-    TcpListener::bind((ip, 0)).unwrap().local_addr().unwrap()
-}
-
 impl World {
     async fn start() -> World {
         static WORLDS: AtomicU8 = AtomicU8::new(1);
@@ -69,7 +61,7 @@
             List::start(listen().unwrap(), cottoncrank::Millis(500)),
         );
         let (list, service) = (list.unwrap(), Service::start(listen().unwrap()).unwrap());
-        let (callers, peer) = (find_port(ip), find_port(ip));
+        let (callers, peer) = (find_port(ip).unwrap(), find_port(ip).unwrap());
         let listener = listen().unwrap();
         let settings = Settings {
             node: "node-1".parse().unwrap(),
@@ -122,23 +114,7 @@
             "{}Connection: close\r\nContent-Length: {length}\r\n\r\n{body}",
             format_head("/services/prices/x", "secret")
         );
-        let mut status = 0;
-        for _ in 0..TRIES {
-            let asking = async {
-                let mut stream = TcpStream::connect(self.callers).await.ok()?;
-                stream.write_all(text.as_bytes()).await.ok()?;
-                let mut answer = Vec::new();
-                // A reset behind the answer takes nothing from it.
-                let _ = stream.read_to_end(&mut answer).await;
-                String::from_utf8_lossy(&answer).split(' ').nth(1)?.parse().ok()
-            };
-            status = tokio::time::timeout(WAIT, asking).await.expect("a caller waits for good").unwrap_or(0);
-            if status == 200 {
-                break;
-            }
-            tokio::time::sleep(Duration::from_millis(300)).await;
-        }
-        status
+        ask(self.callers, &text).await
     }
 
     async fn check(&mut self, what: &str) {
--- a/crates/standin/src/crowd.rs
+++ b/crates/standin/src/crowd.rs
@@ -2,13 +2,13 @@
 
 use std::fs;
 use std::io;
-use std::net::{IpAddr, SocketAddr};
+use std::net::{IpAddr, SocketAddr, TcpListener};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
 use parking_lot::Mutex;
-use tokio::io::AsyncWriteExt;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpSocket, TcpStream};
 use tokio::task::JoinSet;
 
@@ -27,6 +27,13 @@
 /// How long a process may go on reading. It bounds a test that hangs and is no limit under test.
 const SETTLE_TIME: Duration = Duration::from_secs(120);
 
+/// How long an ordinary client waits for an answer. It bounds a test that hangs and is no limit under test.
+const ANSWER_TIME: Duration = Duration::from_secs(60);
+
+/// How often an ordinary client tries, and its pause after a refusal.
+const TRIES: usize = 5;
+const PAUSE: Duration = Duration::from_millis(300);
+
 /// What a process has taken at the most.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Usage {
@@ -170,3 +177,32 @@
     }
     Ok(())
 }
+
+/// Returns an address that nothing listens on.
+pub fn find_port(ip: IpAddr) -> io::Result<SocketAddr> {
+    TcpListener::bind((ip, 0))?.local_addr()
+}
+
+/// Sends a request as an ordinary client does, again if it is refused, and returns the last status, or 0 without an
+/// answer. The request has to ask for its connection to be closed.
+pub async fn ask(to: SocketAddr, request: &str) -> u16 {
+    let mut status = 0;
+    for _ in 0..TRIES {
+        let asking = tokio::time::timeout(ANSWER_TIME, read_status(to, request)).await;
+        status = asking.expect("a client waits for good").unwrap_or(0);
+        if status == 200 {
+            break;
+        }
+        tokio::time::sleep(PAUSE).await;
+    }
+    status
+}
+
+async fn read_status(to: SocketAddr, request: &str) -> Option<u16> {
+    let mut stream = TcpStream::connect(to).await.ok()?;
+    stream.write_all(request.as_bytes()).await.ok()?;
+    let mut answer = Vec::new();
+    // A reset behind the answer takes nothing from it.
+    let _ = stream.read_to_end(&mut answer).await;
+    String::from_utf8_lossy(&answer).split(' ').nth(1)?.parse().ok()
+}
