Count the connections of entries and controllers, and close those that rest for new ones

What callers saw: whoever keeps connections to an entry or a controller open takes all descriptors of the process; an ordinary caller was accepted when one of them had rested for 60 s, and never beside callers whose body is refused by its head and not sent.

Cause: the server of these programs accepts whatever comes, and the account had places for requests, none for connections. The rest of a refused body was waited for without an end.

Change: net::server::Places stands between listener and HTTP server, and gives each connection its place in the account before anything is read of it; its requests have the same place, and the task that serves it ends when the account tells it to go. One that handles a request closes behind its answer. A head (32 kB at the most) is charged from the begin of its connection, as the server tells of it once it is whole. The rest of a refused body is read for a second. Parts of answers are recorded as they are taken. read_body and read_message always read within the account, so their twins are gone. The port of metrics has 32 connections.

--- a/crates/controller/src/server.rs
+++ b/crates/controller/src/server.rs
@@ -3,12 +3,10 @@
 use std::sync::Arc;
 
 use cottoncrank::Millis;
-use cottoncrank::resources::Port;
 use cottoncrank::wire::{Command, Exchange, MAX_EXCHANGE_BYTES, PackedExchange};
-use cottoncrank_net::resources::Slot;
 use cottoncrank_net::server::{
-    Answer, BodyError, Head, Incoming, Service, Status, read_body_within, read_message_within, reply,
-    reply_body_error, reply_json, reply_message, reply_not_found,
+    Answer, BodyError, Head, Incoming, Service, Status, read_body, read_message, reply, reply_body_error,
+    reply_json, reply_message, reply_not_found,
 };
 
 use crate::operate::{execute, list_hall_runners};
@@ -27,11 +25,8 @@
 
 impl Service for Handler {
     async fn answer(&self, head: Head, body: Incoming) -> Answer {
-        let Ok(place) = self.0.resources.open(Port::Peers) else {
-            return reply_body_error(&BodyError::NoRoom);
-        };
         match head.uri().path() {
-            "/exchange" => match read_exchange(body, &place).await {
+            "/exchange" => match read_exchange(body).await {
                 Ok(exchange) => reply_message(&self.0.answer_exchange(exchange)),
                 Err(error) => reply_body_error(&error),
             },
@@ -39,29 +34,29 @@
             // A controller that is still joining knows only some of the groups. The
             // refusal makes the entry keep its current view, so streams in flight continue.
             "/view" if !self.0.has_joined() => reply(Status::SERVICE_UNAVAILABLE, "text/plain", "joining\n"),
-            "/view" => match read_message_within::<u64>(body, 64, &place).await {
+            "/view" => match read_message::<u64>(body, 64).await {
                 Ok(known) => reply_message(&wait_for_view(&self.0, known, VIEW_POLL_TIMEOUT).await),
                 Err(error) => reply_body_error(&error),
             },
-            "/command" => match read_message_within::<Command>(body, MAX_COMMAND_BYTES, &place).await {
+            "/command" => match read_message::<Command>(body, MAX_COMMAND_BYTES).await {
                 Ok(command) => reply_message(&execute(&self.0, &command.line).await),
                 Err(error) => reply_body_error(&error),
             },
-            "/v1/command" => self.answer_text_command(body, &place).await,
+            "/v1/command" => self.answer_text_command(body).await,
             _ => reply_not_found(),
         }
     }
 }
 
-async fn read_exchange(body: Incoming, place: &Slot) -> Result<Exchange, BodyError> {
-    let packed: PackedExchange = read_message_within(body, MAX_EXCHANGE_BYTES, place).await?;
+async fn read_exchange(body: Incoming) -> Result<Exchange, BodyError> {
+    let packed: PackedExchange = read_message(body, MAX_EXCHANGE_BYTES).await?;
     packed.unpack().map_err(|error| BodyError::Invalid(error.to_string()))
 }
 
 impl Handler {
     /// Executes a plain-text command, or several lines as one atomic change, and replies in JSON.
-    async fn answer_text_command(&self, body: Incoming, place: &Slot) -> Answer {
-        let line = match read_body_within(body, MAX_COMMAND_BYTES, place).await {
+    async fn answer_text_command(&self, body: Incoming) -> Answer {
+        let line = match read_body(body, MAX_COMMAND_BYTES).await {
             Ok(bytes) => String::from_utf8_lossy(&bytes).into_owned(),
             Err(error) => return reply_body_error(&error),
         };
--- a/crates/controller/src/state.rs
+++ b/crates/controller/src/state.rs
@@ -86,8 +86,7 @@
         let now = clock.now();
         // The hash of the name keeps ids distinct between nodes that start in the same millisecond.
         let seed = cottoncrank::hash::hash(settings.node.as_str().as_bytes()) << 32;
-        // Connections are not counted here, requests are.
-        let machine = Machine { memory: settings.memory, sockets: usize::MAX / 8 };
+        let machine = Machine::of_process(settings.memory);
         State {
             resources: Resources::new(&machine, clock.clone()),
             incarnation: id::Incarnation(now.0),
--- a/crates/entry/src/front.rs
+++ b/crates/entry/src/front.rs
@@ -2,12 +2,11 @@
 
 use std::sync::Arc;
 
-use cottoncrank::resources::{Port, Short};
 use cottoncrank::view::View;
 use cottoncrank::wire::{Claim, KeyedOutcome};
 use cottoncrank_net::server::{
-    Answer, BodyError, Head, Incoming, Service, Status, discard_body, header, read_body_within,
-    read_message_within, reply_body_error, reply_message, reply_not_found,
+    Answer, BodyError, Head, Incoming, Service, Status, discard_body, header, read_body, read_message,
+    reply_body_error, reply_message, reply_not_found,
 };
 use tracing::Instrument;
 
@@ -30,7 +29,7 @@
 impl Service for PeerService {
     async fn answer(&self, head: Head, body: Incoming) -> Answer {
         match head.uri().path() {
-            "/claim" => match self.read_claim(body).await {
+            "/claim" => match read_message::<Claim>(body, MAX_CLAIM_BYTES).await {
                 Ok(claim) => reply_message(&keys::answer_claim(&self.0, claim)),
                 Err(error) => reply_body_error(&error),
             },
@@ -39,13 +38,6 @@
     }
 }
 
-impl PeerService {
-    async fn read_claim(&self, body: Incoming) -> Result<Claim, BodyError> {
-        let place = self.0.resources.open(Port::Peers).map_err(|Short| BodyError::NoRoom)?;
-        read_message_within(body, MAX_CLAIM_BYTES, &place).await
-    }
-}
-
 impl Service for CallerService {
     async fn answer(&self, head: Head, mut body: Incoming) -> Answer {
         let request = self.0.next_request();
@@ -113,7 +105,7 @@
     /// Admits the request if its account is below its limit. The body of a refused request
     /// is read to its end and discarded.
     async fn admit(&self, context: &RequestContext, body: &mut Incoming) -> Result<Admission, Failure> {
-        let admitted = self.0.admit(&context.account, context.limit);
+        let admitted = self.0.admit(&context.account, context.limit, body.place());
         if admitted.is_err() {
             discard_body(body).await;
         }
@@ -160,7 +152,7 @@
         admission: Admission,
     ) -> Result<(bytes::Bytes, Served), Failure> {
         let remaining = context.deadline.since(self.0.now());
-        let reading = read_body_within(body, self.0.settings.body_max, &admission.place);
+        let reading = read_body(body, self.0.settings.body_max);
         let read = tokio::time::timeout(remaining.duration(), reading).await;
         let bytes = read.map_err(|_| Failure::not_run(Cause::Deadline))?.map_err(|error| {
             Failure::not_run(match error {
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -22,9 +22,10 @@
 use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
 
+use cottoncrank::resources::Port;
 use cottoncrank::{Millis, route};
 use cottoncrank_net::client::{Client, Tally, Traffic};
-use cottoncrank_net::server::{Server, serve};
+use cottoncrank_net::server::{Places, Server, serve_within};
 use tokio::runtime::Handle;
 use tokio::task::AbortHandle;
 
@@ -66,8 +67,11 @@
         let traffic = Traffic::default();
         let threads = settings.threads;
         let state = Arc::new(State::new(settings, Client::new(traffic.clone()), policy));
-        let callers = serve(callers, threads, Arc::new(front::CallerService(state.clone())))?;
-        let peers = serve(peers, 1, Arc::new(front::PeerService(state.clone())))?;
+        let places = |port| Places::new(state.resources.clone(), port);
+        let service = Arc::new(front::CallerService(state.clone()));
+        let callers = serve_within(callers, threads, service, places(Port::Callers))?;
+        let service = Arc::new(front::PeerService(state.clone()));
+        let peers = serve_within(peers, 1, service, places(Port::Peers))?;
         let link = runtime.spawn(link::run(state.clone())).abort_handle();
         log::info!(
             "node: entry of {} is listening for requests on {}",
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -8,7 +8,7 @@
 use cottoncrank::claim::Claims;
 use cottoncrank::clock::System;
 use cottoncrank::hash::hash;
-use cottoncrank::resources::{Kind, Machine, Port, Short};
+use cottoncrank::resources::{Kind, Machine, Short};
 use cottoncrank::retry::Budget;
 use cottoncrank::view::{VIEW_TTL, View};
 use cottoncrank::{Clock, Millis, Size, id, route};
@@ -58,8 +58,7 @@
     pub fn new(settings: Settings, client: Client, policy: route::Policy) -> State {
         let clock = System::new();
         let seed = hash(format!("{} {}", settings.node, clock.now()).as_bytes());
-        // Connections are not counted here, requests are.
-        let machine = Machine { memory: settings.memory, sockets: usize::MAX / 8 };
+        let machine = Machine::of_process(settings.memory);
         State {
             resources: Resources::new(&machine, clock.clone()),
             clock,
@@ -129,7 +128,12 @@
     }
 
     /// Admits a request unless the account has `limit` requests in flight on this entry.
-    pub fn admit(self: &Arc<Self>, account: &id::Account, limit: usize) -> Result<Admission, Failure> {
+    pub fn admit(
+        self: &Arc<Self>,
+        account: &id::Account,
+        limit: usize,
+        place: &Arc<Slot>,
+    ) -> Result<Admission, Failure> {
         if self.draining.load(Ordering::Relaxed) {
             return Err(Failure::not_run(Cause::Draining));
         }
@@ -138,11 +142,10 @@
         if usage.running >= limit {
             return Err(Failure::not_run(Cause::Limit(limit)));
         }
-        let place = self.resources.open(Port::Callers).map_err(|Short| Failure::not_run(Cause::NoRoom))?;
         usage.running += 1;
         drop(shard);
         self.running.fetch_add(1, Ordering::Relaxed);
-        Ok(Admission { state: self.clone(), account: account.clone(), place })
+        Ok(Admission { state: self.clone(), account: account.clone(), place: place.clone() })
     }
 
     /// Returns the number of requests in flight.
@@ -194,19 +197,17 @@
 pub struct Admission {
     state: Arc<State>,
     account: id::Account,
-    /// Its place in the account of memory.
-    pub place: Arc<Slot>,
+    place: Arc<Slot>,
 }
 
 /// The copies that are made of a body: its text, and the message to an engine.
 const BODY_COPIES: usize = 2;
 
 impl Admission {
-    /// Records that the body of the request has arrived whole, and charges the copies that are made of it.
+    /// Charges the copies that are made of the body, which has arrived whole.
     pub fn serve(self, body: usize) -> Result<Served, Failure> {
         let charged = self.place.charge(Size(BODY_COPIES * body), Kind::Overhead);
         let room = charged.map_err(|Short| Failure::not_run(Cause::NoRoom))?;
-        self.place.serve();
         Ok(Served { room, _admission: self })
     }
 }
--- a/crates/entry/tests/clients.rs
+++ b/crates/entry/tests/clients.rs
@@ -13,7 +13,7 @@
 use cottoncrank_controller::Controller;
 use cottoncrank_controller::operate::execute;
 use cottoncrank_controller::settings::{Settings, Spread};
-use cottoncrank_standin::crowd::{Message, Watch, ask, find_port, send};
+use cottoncrank_standin::crowd::{Message, SOCKETS, Watch, ask, find_port, limit_descriptors, send};
 use cottoncrank_standin::list::List;
 use cottoncrank_standin::listen;
 use cottoncrank_standin::service::Service;
@@ -34,18 +34,24 @@
 const SMALL_CHUNKERS: usize = 24;
 const SMALL_CHUNKS: usize = 1_000_000;
 
+/// The connections of a crowd at a process of few descriptors: more than it has.
+const CONNECTIONS: usize = 600;
+
 /// The size of a piece.
 const PIECE: usize = 64 * 1024;
 
 /// How long something that has to come is waited for. It bounds a test that hangs and is no limit under test.
 const WAIT: Duration = Duration::from_secs(60);
 
+const PROGRAM: &str = env!("CARGO_BIN_EXE_cottoncrank-entry");
+
 static ONE: Mutex<()> = Mutex::const_new(());
 
 /// An entry as a process, and its controller and service in the process of the test.
 struct World {
     child: Child,
     callers: SocketAddr,
+    peers: SocketAddr,
     watch: Watch,
     controller: Controller,
     _outside: (Store, List, Service),
@@ -53,6 +59,10 @@
 
 impl World {
     async fn start() -> World {
+        World::start_by(Command::new(PROGRAM)).await
+    }
+
+    async fn start_by(mut command: Command) -> World {
         static WORLDS: AtomicU8 = AtomicU8::new(1);
         let number = WORLDS.fetch_add(1, Ordering::Relaxed);
         let ip = IpAddr::V4(Ipv4Addr::new(127, (2 + std::process::id() % 250) as u8, 251, number));
@@ -61,13 +71,13 @@
             List::start(listen().unwrap(), cottoncrank::Millis(500)),
         );
         let (list, service) = (list.unwrap(), Service::start(listen().unwrap()).unwrap());
-        let (callers, peer) = (find_port(ip).unwrap(), find_port(ip).unwrap());
+        let (callers, peers) = (find_port(ip).unwrap(), find_port(ip).unwrap());
         let listener = listen().unwrap();
         let settings = Settings {
             node: "node-1".parse().unwrap(),
             hall: "hall-1".parse().unwrap(),
             listen: listener.local_addr().unwrap(),
-            entry: peer,
+            entry: peers,
             public: None,
             store: store.address(),
             list: list.address(),
@@ -78,18 +88,13 @@
         let file =
             std::env::temp_dir().join(format!("cottoncrank-entry-{}-{number}.toml", std::process::id()));
         let text = format!(
-            "node = \"node-1\"\nlisten = \"{callers}\"\npeer = \"{peer}\"\ncontroller = \"{}\"\n",
+            "node = \"node-1\"\nlisten = \"{callers}\"\npeer = \"{peers}\"\ncontroller = \"{}\"\n",
             settings.listen
         );
         std::fs::write(&file, text).unwrap();
         let controller = Controller::start(settings, listener, &tokio::runtime::Handle::current()).unwrap();
-        let child = Command::new(env!("CARGO_BIN_EXE_cottoncrank-entry"))
-            .arg("--settings")
-            .arg(&file)
-            .stdin(Stdio::null())
-            .stderr(Stdio::null())
-            .spawn()
-            .unwrap();
+        let child =
+            command.arg("--settings").arg(&file).stdin(Stdio::null()).stderr(Stdio::null()).spawn().unwrap();
         let watch = Watch::start(child.id(), ip);
         let script = format!(
             "create account demo token secret\ncreate service prices addresses {}",
@@ -100,7 +105,7 @@
             assert!(began.elapsed() < WAIT, "the controller takes no command");
             tokio::time::sleep(Duration::from_millis(100)).await;
         }
-        let world = World { child, callers, watch, controller, _outside: (store, list, service) };
+        let world = World { child, callers, peers, watch, controller, _outside: (store, list, service) };
         while world.ask("ordinary").await != 200 {
             assert!(began.elapsed() < WAIT, "the entry does not serve");
         }
@@ -117,6 +122,13 @@
         ask(self.callers, &text).await
     }
 
+    async fn check_sockets(&mut self, what: &str) {
+        self.check(what).await;
+        let sockets = self.watch.usage().sockets;
+        println!("{what}: {sockets} sockets at the most");
+        assert!(sockets <= SOCKETS, "{what}: {sockets} sockets of {SOCKETS}");
+    }
+
     async fn check(&mut self, what: &str) {
         let status = self.ask("ordinary").await;
         let memory = self.watch.usage().memory;
@@ -152,6 +164,51 @@
     }
 }
 
+/// Lets a crowd connect and stay, twice, to a process with few descriptors.
+async fn connect(what: &str, port: impl Fn(&World) -> SocketAddr, text: &str) {
+    let _one = ONE.lock().await;
+    let mut world = World::start_by(limit_descriptors(PROGRAM)).await;
+    for crowd in ["first", "second"] {
+        let message = |_| Message { once: text.into(), again: "".into(), times: 0 };
+        let streams = send(port(&world), CONNECTIONS, message).await;
+        world.watch.settle().await;
+        world.check_sockets(&format!("{what}, beside the {crowd} crowd")).await;
+        drop(streams);
+        world.check_sockets(&format!("{what}, after the {crowd} crowd")).await;
+    }
+}
+
+/// Each has had an answer and is kept.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn connections_of_callers_that_rest() {
+    let text = format!("{}Content-Length: 0\r\n\r\n", format_head("/services/prices/x", "secret"));
+    connect("resting callers", |world| world.callers, &text).await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn connections_of_callers_on_which_nothing_is_sent() {
+    connect("silent callers", |world| world.callers, "").await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn connections_at_the_port_for_other_entries() {
+    connect("silent entries", |world| world.peers, "").await;
+}
+
+/// The entry waits for bodies that it has refused already.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn refused_bodies_that_are_not_sent() {
+    let text = format!("{}Content-Length: 4000000\r\n\r\n", format_head("/services/prices/x", "nobody"));
+    connect("refused bodies", |world| world.callers, &text).await;
+}
+
+/// Heads that stop just short of the longest.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn heads_for_an_entry_that_stop_before_their_end() {
+    let text = format!("{}X-Long: {}", format_head("/services/prices/x", "secret"), "x".repeat(30_000));
+    connect("long heads", |world| world.callers, &text).await;
+}
+
 fn announced(path: &str, token: &str) -> Message {
     let rest = "x".repeat(PIECE - 1);
     let once = format!("{}Content-Length: {BODY_BYTES}\r\n\r\n{rest}", format_head(path, token));
--- a/crates/kernel/src/resources.rs
+++ b/crates/kernel/src/resources.rs
@@ -12,6 +12,7 @@
 //!   served, the oldest that has had an answer closes behind its next one.
 //! - Answers wait for room. A caller that takes nothing of its own goes for those that wait.
 
+use rustix::process::{Resource, getrlimit};
 use thiserror::Error;
 
 use crate::Millis;
@@ -40,6 +41,12 @@
 /// A caller with a large body that has sent nothing for this long is stalled.
 const STALL_TIME: Millis = Millis(1000);
 
+/// The descriptors that a process keeps for files and the like.
+const OWN_DESCRIPTORS: usize = 200;
+
+/// The most descriptors that are divided.
+const MAX_DESCRIPTORS: usize = 1 << 20;
+
 /// The fewest connections that a port has.
 const MIN_CONNECTIONS: usize = 4;
 
@@ -80,6 +87,16 @@
     pub sockets: usize,
 }
 
+impl Machine {
+    /// Returns what this process has, with so much memory: the descriptors that its system gives it, without those
+    /// that it needs itself.
+    pub fn of_process(memory: Size) -> Machine {
+        let descriptors = getrlimit(Resource::Nofile).current.unwrap_or(u64::MAX);
+        let descriptors = usize::try_from(descriptors).unwrap_or(usize::MAX).min(MAX_DESCRIPTORS);
+        Machine { memory, sockets: descriptors.saturating_sub(OWN_DESCRIPTORS) }
+    }
+}
+
 /// What callers may fill of it.
 ///
 /// A half of the memory is the process's own, with what its allocator and the buffers of the kernel take. An
--- a/crates/net/src/public.rs
+++ b/crates/net/src/public.rs
@@ -5,9 +5,19 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 
+use cottoncrank::Size;
+use cottoncrank::clock::System;
+use cottoncrank::resources::{Machine, Port};
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
 
-use crate::server::{Answer, Head, Incoming, Server, Service, Status, reply, reply_not_found, serve};
+use crate::resources::Resources;
+use crate::server::{
+    Answer, Head, Incoming, Places, Server, Service, Status, reply, reply_not_found, serve_within,
+};
+
+/// What this port may fill, which makes 32 connections. It is apart from the account of the program, whose start it
+/// comes before.
+const MACHINE: Machine = Machine { memory: Size::megabytes(8), sockets: 1024 };
 
 /// Whether the program can accept work, as `/readyz` reports it.
 #[derive(Clone, Debug, Default)]
@@ -37,7 +47,8 @@
     let metrics = install_metrics();
     let Some(address) = address else { return Ok((ready, None)) };
     let service = Arc::new(PublicService { ready: ready.clone(), metrics });
-    Ok((ready, Some(serve(TcpListener::bind(address)?, 1, service)?)))
+    let places = Places::new(Resources::new(&MACHINE, System::new()), Port::Metrics);
+    Ok((ready, Some(serve_within(TcpListener::bind(address)?, 1, service, places)?)))
 }
 
 /// Installs the metrics recorder of this process. Only the first call in a process takes effect.
--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -9,10 +9,15 @@
 use std::thread::JoinHandle;
 
 use bytes::Bytes;
-use cottoncrank::Millis;
+use cottoncrank::resources::Shortage;
+use cottoncrank::{Millis, Size};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use thiserror::Error;
+use xitca_http::HttpServiceBuilder;
+use xitca_http::config::HttpServiceConfig;
+use xitca_server::Builder;
+use xitca_service::ServiceExt;
 use xitca_web::body::{Body, BodyExt, Frame, RequestBody, ResponseBody, SizeHint};
 use xitca_web::handler::handler_service;
 use xitca_web::http::header::{CONTENT_TYPE, HeaderValue};
@@ -25,14 +30,29 @@
 use crate::metered;
 use crate::resources::Slot;
 
+mod place;
+
+use place::Handling;
+
+pub use place::Places;
 pub use xitca_web::http::header;
 pub use xitca_web::http::{HeaderMap, Method as Verb, StatusCode as Status};
 
 /// The head of a request as a service sees it.
 pub type Head = WebRequest<()>;
 
-/// The body of a request, not yet read.
-pub type Incoming = RequestBody;
+/// The body of a request, not yet read. What is read of it is charged to the place of its connection.
+pub struct Incoming {
+    body: RequestBody,
+    place: Arc<Slot>,
+}
+
+impl Incoming {
+    /// Returns the place of its connection in the account of the process.
+    pub fn place(&self) -> &Arc<Slot> {
+        &self.place
+    }
+}
 
 /// An answer.
 pub type Answer = WebResponse;
@@ -94,7 +114,7 @@
 }
 
 /// The largest head of a request, in bytes.
-const MAX_HEAD_BYTES: usize = 64 * 1024;
+const MAX_HEAD_BYTES: usize = 32 * 1024;
 
 /// How long idle connections are kept. This is longer than any client of this project keeps them, so
 /// that a client never writes to a connection that the server is closing.
@@ -115,6 +135,25 @@
     listeners: Vec<TcpListener>,
     workers: usize,
     service: Arc<S>,
+) -> io::Result<Server> {
+    start(listeners, workers, service, Places::unlimited())
+}
+
+/// Serves like [`serve`], as many connections as have a place.
+pub fn serve_within<S: Service>(
+    listener: TcpListener,
+    workers: usize,
+    service: Arc<S>,
+    places: Places,
+) -> io::Result<Server> {
+    start(vec![listener], workers, service, places)
+}
+
+fn start<S: Service>(
+    listeners: Vec<TcpListener>,
+    workers: usize,
+    service: Arc<S>,
+    places: Places,
 ) -> io::Result<Server> {
     let first = listeners.first().ok_or(io::ErrorKind::InvalidInput)?;
     let address = first.local_addr()?;
@@ -122,20 +161,20 @@
         .with_state(service)
         .at("/", handler_service(handle::<S>))
         .at("/{*path}", handler_service(handle::<S>));
-    let mut server = app
-        .serve()
+    let app = Arc::new(app.finish());
+    let config = HttpServiceConfig::new()
         .max_read_buf_size::<MAX_HEAD_BYTES>()
         .max_write_buf_size::<WRITE_BUFFER_BYTES>()
-        .worker_threads(workers)
-        .keep_alive_timeout(KEEP_ALIVE.duration())
-        .disable_signal();
+        .keep_alive_timeout(KEEP_ALIVE.duration());
+    let mut builder = Builder::new().worker_threads(workers).disable_signal();
     for listener in listeners {
         listener.set_nonblocking(true)?;
         keepalive::limit_unread(&listener, UNREAD_TIMEOUT)?;
         metered::limit_buffers(&listener)?;
-        server = server.listen(listener)?;
+        let http = app.clone().enclosed(HttpServiceBuilder::with_config(config));
+        builder = builder.listen("http", listener, http.enclosed(places.clone()));
     }
-    let mut running = server.run();
+    let mut running = builder.build();
     let handle = running.handle()?;
     let thread = std::thread::Builder::new().name("http-server".into()).spawn(move || {
         if let Err(error) = running.wait() {
@@ -146,55 +185,45 @@
 }
 
 async fn handle<S: Service>(context: &WebContext<'_, Arc<S>>) -> Result<Answer, Infallible> {
+    let handling = Handling::begin();
     let body = std::mem::take(&mut *context.body_borrow_mut());
     let mut head = xitca_web::http::Request::new(RequestExt::default());
     *head.method_mut() = context.req().method().clone();
     *head.uri_mut() = context.req().uri().clone();
     *head.headers_mut() = context.req().headers().clone();
-    Ok(context.state().answer(head, body).await)
+    let incoming = Incoming { body, place: handling.slot().clone() };
+    let answer = context.state().answer(head, incoming).await;
+    Ok(handling.hold(answer))
 }
 
-/// How much of a body that is too large is read and discarded, in bytes. A caller that is answered
-/// while it still writes may see a broken connection in place of the answer.
+/// How much of a body that is not accepted is read and discarded, in bytes, and for how long. A caller that is
+/// answered while it still writes may see a broken connection in place of the answer.
 const MAX_DISCARDED_BYTES: usize = 16 << 20;
+const DISCARD_TIME: Millis = Millis(1000);
 
 /// Reads the rest of a body and discards it, up to a bound. An answer that is sent while the caller
 /// still writes may be lost with the connection.
-pub async fn discard_body(body: &mut RequestBody) {
-    let mut read = 0;
-    while let Some(Ok(frame)) = body.frame().await {
-        let Frame::Data(data) = frame else { continue };
-        read += data.len();
-        if read > MAX_DISCARDED_BYTES {
-            break;
-        }
+pub async fn discard_body(body: &mut Incoming) {
+    let place = body.place.clone();
+    tokio::select! {
+        () = discard(body) => {}
+        () = tokio::time::sleep(DISCARD_TIME.duration()) => {}
+        _ = place.wait_evicted(Some(Shortage::Memory)) => {}
     }
 }
 
-/// Reads a body to its end, up to `max` bytes.
-pub async fn read_body(mut body: RequestBody, max: usize) -> Result<Bytes, BodyError> {
-    let mut collected = Vec::new();
+async fn discard(body: &mut Incoming) {
     let mut read = 0;
-    while let Some(frame) = body.frame().await {
-        let Frame::Data(data) = frame.map_err(|_| BodyError::Broken)? else { continue };
+    while let Some(Ok(frame)) = body.body.frame().await {
+        let Frame::Data(data) = frame else { continue };
         read += data.len();
-        if read > max + MAX_DISCARDED_BYTES {
+        if read > MAX_DISCARDED_BYTES {
             break;
         }
-        if read <= max {
-            collected.extend_from_slice(&data);
-        }
-    }
-    match read <= max {
-        true => Ok(collected.into()),
-        false => Err(BodyError::TooLarge(max)),
     }
 }
 
-/// The body of a request as [`intake`] reads it.
-struct Pieces(RequestBody);
-
-impl hyper::body::Body for Pieces {
+impl hyper::body::Body for Incoming {
     type Data = Bytes;
     type Error = BodyError;
 
@@ -202,9 +231,12 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<hyper::body::Frame<Bytes>, BodyError>>> {
-        Body::poll_frame(Pin::new(&mut self.0), cx).map(|next| {
+        Body::poll_frame(Pin::new(&mut self.body), cx).map(|next| {
             next.map(|frame| match frame.map_err(|_| BodyError::Broken)? {
-                Frame::Data(data) => Ok(hyper::body::Frame::data(data)),
+                Frame::Data(data) => {
+                    self.place.receive(Size(data.len()));
+                    Ok(hyper::body::Frame::data(data))
+                }
                 Frame::Trailers(trailers) => Ok(hyper::body::Frame::trailers(trailers)),
             })
         })
@@ -213,34 +245,25 @@
 
 /// Reads a body to its end, up to `max` bytes, within the account of the process. The rest of one that is not
 /// accepted is discarded.
-pub async fn read_body_within(body: RequestBody, max: usize, slot: &Slot) -> Result<Bytes, BodyError> {
-    let mut pieces = Pieces(body);
-    let error = match intake::read_whole(&mut pieces, max, slot).await {
-        Ok(bytes) => return Ok(bytes),
+pub async fn read_body(mut body: Incoming, max: usize) -> Result<Bytes, BodyError> {
+    let place = body.place.clone();
+    let error = match intake::read_whole(&mut body, max, &place).await {
+        Ok(bytes) => {
+            place.serve();
+            return Ok(bytes);
+        }
         Err(IntakeError::Broken) => return Err(BodyError::Broken),
         Err(IntakeError::TooLarge) => BodyError::TooLarge(max),
         Err(IntakeError::Short(_)) => BodyError::NoRoom,
     };
-    discard_body(&mut pieces.0).await;
+    discard_body(&mut body).await;
     Err(error)
 }
 
-/// Reads a body in MessagePack within the account of the process.
-pub async fn read_message_within<T: DeserializeOwned>(
-    body: RequestBody,
-    max: usize,
-    slot: &Slot,
-) -> Result<T, BodyError> {
-    decode(&read_body_within(body, max, slot).await?)
-}
-
-fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, BodyError> {
-    rmp_serde::from_slice(bytes).map_err(|error| BodyError::Invalid(error.to_string()))
-}
-
 /// Reads a body in MessagePack.
-pub async fn read_message<T: DeserializeOwned>(body: RequestBody, max: usize) -> Result<T, BodyError> {
-    decode(&read_body(body, max).await?)
+pub async fn read_message<T: DeserializeOwned>(body: Incoming, max: usize) -> Result<T, BodyError> {
+    let bytes = read_body(body, max).await?;
+    rmp_serde::from_slice(&bytes).map_err(|error| BodyError::Invalid(error.to_string()))
 }
 
 /// The largest part of an answer that is handed over to its connection at a time, in bytes.
--- a/crates/standin/src/crowd.rs
+++ b/crates/standin/src/crowd.rs
@@ -3,6 +3,7 @@
 use std::fs;
 use std::io;
 use std::net::{IpAddr, SocketAddr, TcpListener};
+use std::process::Command;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
@@ -34,6 +35,17 @@
 const TRIES: usize = 5;
 const PAUSE: Duration = Duration::from_millis(300);
 
+/// The descriptors of a process started by [`limit_descriptors`], and how many of them it may use for sockets.
+const DESCRIPTORS: usize = 500;
+pub const SOCKETS: usize = 300;
+
+/// Returns a command that starts a program with few descriptors.
+pub fn limit_descriptors(program: &str) -> Command {
+    let mut command = Command::new("sh");
+    command.arg("-c").arg(format!("ulimit -n {DESCRIPTORS} && exec \"$0\" \"$@\"")).arg(program);
+    command
+}
+
 /// What a process has taken at the most.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Usage {
