Give up no connection of an entry while its answer is sent

What callers saw: nothing yet; the account saw one connection too few. A request whose body nobody reads (of a stream, say) never counted as being served, so a new connection took its place while it was still sent, and it stayed open beyond the limit.

Cause: only the end of a body told the account that a request is being served. Now its answer does, too.

Evidence: no_connection_closes_while_its_answer_is_sent failed (a fifth of four connections was served) and holds. Three more tests of places hold on both: who closes for a new one, that one whose request is handled closes behind its answer, and that a refused body that is not sent is given up.

--- a/crates/net/src/server/place.rs
+++ b/crates/net/src/server/place.rs
@@ -130,6 +130,8 @@
     /// Goes on until the answer has been taken. A connection that has to go closes behind it.
     pub(super) fn hold(self, answer: Answer) -> Answer {
         let mut answer = answer;
+        // From here on it is not told to go for others.
+        self.0.serve();
         if self.0.find_eviction().is_some() {
             answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
