--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -20,7 +20,7 @@
 use cottoncrank::resources::Port;
 use cottoncrank_net::client::{Client, Tally, Traffic};
 use cottoncrank_net::reach::Reach;
-use cottoncrank_net::server::{Places, Server, serve_within};
+use cottoncrank_net::server::{Server, Slots, serve_within};
 use cottoncrank_net::store::{Calls, Store};
 use tokio::runtime::Handle;
 use tokio::task::AbortHandle;
@@ -76,8 +76,8 @@
         let state = State::new(settings, client(&meters.peers), client(&meters.runners), store, clock);
         let state = Arc::new(state);
         state.write_self();
-        let places = Places::new(state.resources.clone(), Port::Peers);
-        let server = serve_within(listener, 1, Arc::new(server::Handler(state.clone())), places)?;
+        let slots = Slots::new(state.resources.clone(), Port::Peers);
+        let server = serve_within(listener, 1, Arc::new(server::Handler(state.clone())), slots)?;
         let tasks = vec![
             runtime.spawn(gossip::run(state.clone())).abort_handle(),
             runtime.spawn(runners::run(state.clone())).abort_handle(),
--- a/crates/entry/src/front.rs
+++ b/crates/entry/src/front.rs
@@ -105,7 +105,7 @@
     /// Admits the request if its account is below its limit. The body of a refused request
     /// is read to its end and discarded.
     async fn admit(&self, context: &RequestContext, body: &mut Incoming) -> Result<Admission, Failure> {
-        let admitted = self.0.admit(&context.account, context.limit, body.place());
+        let admitted = self.0.admit(&context.account, context.limit, body.slot());
         if admitted.is_err() {
             discard_body(body).await;
         }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -25,7 +25,7 @@
 use cottoncrank::resources::Port;
 use cottoncrank::{Millis, route};
 use cottoncrank_net::client::{Client, Tally, Traffic};
-use cottoncrank_net::server::{Places, Server, serve_within};
+use cottoncrank_net::server::{Server, Slots, serve_within};
 use tokio::runtime::Handle;
 use tokio::task::AbortHandle;
 
@@ -67,11 +67,11 @@
         let traffic = Traffic::default();
         let threads = settings.threads;
         let state = Arc::new(State::new(settings, Client::new(traffic.clone()), policy));
-        let places = |port| Places::new(state.resources.clone(), port);
+        let slots = |port| Slots::new(state.resources.clone(), port);
         let service = Arc::new(front::CallerService(state.clone()));
-        let callers = serve_within(callers, threads, service, places(Port::Callers))?;
+        let callers = serve_within(callers, threads, service, slots(Port::Callers))?;
         let service = Arc::new(front::PeerService(state.clone()));
-        let peers = serve_within(peers, 1, service, places(Port::Peers))?;
+        let peers = serve_within(peers, 1, service, slots(Port::Peers))?;
         let link = runtime.spawn(link::run(state.clone())).abort_handle();
         log::info!(
             "node: entry of {} is listening for requests on {}",
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -132,7 +132,7 @@
         self: &Arc<Self>,
         account: &id::Account,
         limit: usize,
-        place: &Arc<Slot>,
+        slot: &Arc<Slot>,
     ) -> Result<Admission, Failure> {
         if self.draining.load(Ordering::Relaxed) {
             return Err(Failure::not_run(Cause::Draining));
@@ -145,7 +145,7 @@
         usage.running += 1;
         drop(shard);
         self.running.fetch_add(1, Ordering::Relaxed);
-        Ok(Admission { state: self.clone(), account: account.clone(), place: place.clone() })
+        Ok(Admission { state: self.clone(), account: account.clone(), slot: slot.clone() })
     }
 
     /// Returns the number of requests in flight.
@@ -197,7 +197,7 @@
 pub struct Admission {
     state: Arc<State>,
     account: id::Account,
-    place: Arc<Slot>,
+    slot: Arc<Slot>,
 }
 
 /// The copies that are made of a body: its text, and the message to an engine.
@@ -206,7 +206,7 @@
 impl Admission {
     /// Charges the copies that are made of the body, which has arrived whole.
     pub fn serve(self, body: usize) -> Result<Served, Failure> {
-        let charged = self.place.charge(Size(BODY_COPIES * body), Kind::Overhead);
+        let charged = self.slot.charge(Size(BODY_COPIES * body), Kind::Overhead);
         let room = charged.map_err(|Short| Failure::not_run(Cause::NoRoom))?;
         Ok(Served { room, _admission: self })
     }
--- a/crates/net/src/public.rs
+++ b/crates/net/src/public.rs
@@ -12,7 +12,7 @@
 
 use crate::resources::Resources;
 use crate::server::{
-    Answer, Head, Incoming, Places, Server, Service, Status, reply, reply_not_found, serve_within,
+    Answer, Head, Incoming, Server, Service, Slots, Status, reply, reply_not_found, serve_within,
 };
 
 /// What this port may fill, which makes 32 connections. It is apart from the account of the program, whose start it
@@ -47,8 +47,8 @@
     let metrics = install_metrics();
     let Some(address) = address else { return Ok((ready, None)) };
     let service = Arc::new(PublicService { ready: ready.clone(), metrics });
-    let places = Places::new(Resources::new(&MACHINE, System::new()), Port::Metrics);
-    Ok((ready, Some(serve_within(TcpListener::bind(address)?, 1, service, places)?)))
+    let slots = Slots::new(Resources::new(&MACHINE, System::new()), Port::Metrics);
+    Ok((ready, Some(serve_within(TcpListener::bind(address)?, 1, service, slots)?)))
 }
 
 /// Installs the metrics recorder of this process. Only the first call in a process takes effect.
--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -30,27 +30,27 @@
 use crate::metered;
 use crate::resources::Slot;
 
-mod place;
+mod slots;
 
-use place::Handling;
+use slots::Handling;
 
-pub use place::Places;
+pub use slots::Slots;
 pub use xitca_web::http::header;
 pub use xitca_web::http::{HeaderMap, Method as Verb, StatusCode as Status};
 
 /// The head of a request as a service sees it.
 pub type Head = WebRequest<()>;
 
-/// The body of a request, not yet read. What is read of it is charged to the place of its connection.
+/// The body of a request, not yet read. What is read of it is charged to the slot of its connection.
 pub struct Incoming {
     body: RequestBody,
-    place: Arc<Slot>,
+    slot: Arc<Slot>,
 }
 
 impl Incoming {
-    /// Returns the place of its connection in the account of the process.
-    pub fn place(&self) -> &Arc<Slot> {
-        &self.place
+    /// Returns the slot of its connection in the account of the process.
+    pub fn slot(&self) -> &Arc<Slot> {
+        &self.slot
     }
 }
 
@@ -136,24 +136,24 @@
     workers: usize,
     service: Arc<S>,
 ) -> io::Result<Server> {
-    start(listeners, workers, service, Places::unlimited())
+    start(listeners, workers, service, Slots::unlimited())
 }
 
-/// Serves like [`serve`], as many connections as have a place.
+/// Serves like [`serve`], as many connections as have a slot.
 pub fn serve_within<S: Service>(
     listener: TcpListener,
     workers: usize,
     service: Arc<S>,
-    places: Places,
+    slots: Slots,
 ) -> io::Result<Server> {
-    start(vec![listener], workers, service, places)
+    start(vec![listener], workers, service, slots)
 }
 
 fn start<S: Service>(
     listeners: Vec<TcpListener>,
     workers: usize,
     service: Arc<S>,
-    places: Places,
+    slots: Slots,
 ) -> io::Result<Server> {
     let first = listeners.first().ok_or(io::ErrorKind::InvalidInput)?;
     let address = first.local_addr()?;
@@ -172,7 +172,7 @@
         keepalive::limit_unread(&listener, UNREAD_TIMEOUT)?;
         metered::limit_buffers(&listener)?;
         let http = app.clone().enclosed(HttpServiceBuilder::with_config(config));
-        builder = builder.listen("http", listener, http.enclosed(places.clone()));
+        builder = builder.listen("http", listener, http.enclosed(slots.clone()));
     }
     let mut running = builder.build();
     let handle = running.handle()?;
@@ -191,7 +191,7 @@
     *head.method_mut() = context.req().method().clone();
     *head.uri_mut() = context.req().uri().clone();
     *head.headers_mut() = context.req().headers().clone();
-    let incoming = Incoming { body, place: handling.slot().clone() };
+    let incoming = Incoming { body, slot: handling.slot().clone() };
     let answer = context.state().answer(head, incoming).await;
     Ok(handling.hold(answer))
 }
@@ -204,11 +204,11 @@
 /// Reads the rest of a body and discards it, up to a bound. An answer that is sent while the caller
 /// still writes may be lost with the connection.
 pub async fn discard_body(body: &mut Incoming) {
-    let place = body.place.clone();
+    let slot = body.slot.clone();
     tokio::select! {
         () = discard(body) => {}
         () = tokio::time::sleep(DISCARD_TIME.duration()) => {}
-        _ = place.wait_evicted(Some(Shortage::Memory)) => {}
+        _ = slot.wait_evicted(Some(Shortage::Memory)) => {}
     }
 }
 
@@ -234,7 +234,7 @@
         Body::poll_frame(Pin::new(&mut self.body), cx).map(|next| {
             next.map(|frame| match frame.map_err(|_| BodyError::Broken)? {
                 Frame::Data(data) => {
-                    self.place.receive(Size(data.len()));
+                    self.slot.receive(Size(data.len()));
                     Ok(hyper::body::Frame::data(data))
                 }
                 Frame::Trailers(trailers) => Ok(hyper::body::Frame::trailers(trailers)),
@@ -246,10 +246,10 @@
 /// Reads a body to its end, up to `max` bytes, within the account of the process. The rest of one that is not
 /// accepted is discarded.
 pub async fn read_body(mut body: Incoming, max: usize) -> Result<Bytes, BodyError> {
-    let place = body.place.clone();
-    let error = match intake::read_whole(&mut body, max, &place).await {
+    let slot = body.slot.clone();
+    let error = match intake::read_whole(&mut body, max, &slot).await {
         Ok(bytes) => {
-            place.serve();
+            slot.serve();
             return Ok(bytes);
         }
         Err(IntakeError::Broken) => return Err(BodyError::Broken),
--- a/crates/net/src/server/place.rs
+++ b/crates/net/src/server/slots.rs
@@ -1,7 +1,7 @@
-//! The place that each connection of a server has in the account of its process.
+//! The slot that each connection of a server has in the account of its process.
 //!
-//! A connection takes its place before anything of it is read, and is closed when the account tells it to go. As one
-//! task serves a connection and all its requests, these find its place in that task.
+//! A connection takes its slot before anything of it is read, and is closed when the account tells it to go. As one
+//! task serves a connection and all its requests, these find its slot in that task.
 
 use std::pin::Pin;
 use std::sync::Arc;
@@ -21,49 +21,49 @@
 use crate::resources::{Resources, Slot};
 
 tokio::task_local! {
-    static PLACE: Arc<Slot>;
+    static SLOT: Arc<Slot>;
 }
 
 /// What the read buffer of a connection takes at the most, beyond its first. The server doubles it as bytes come, and
 /// tells nobody before a head is whole.
 const READ_BUFFER: Size = Size(2 * MAX_HEAD_BYTES);
 
-/// Gives each connection of a port its place in an account.
+/// Gives each connection of a port its slot in an account.
 #[derive(Clone, Debug)]
-pub struct Places {
+pub struct Slots {
     resources: Resources,
     port: Port,
 }
 
-impl Places {
-    /// Connections take their places at `port` of `resources`.
-    pub fn new(resources: Resources, port: Port) -> Places {
-        Places { resources, port }
+impl Slots {
+    /// Connections take their slots at `port` of `resources`.
+    pub fn new(resources: Resources, port: Port) -> Slots {
+        Slots { resources, port }
     }
 
-    /// There are places for all connections.
-    pub(super) fn unlimited() -> Places {
+    /// There are slots for all connections.
+    pub(super) fn unlimited() -> Slots {
         let machine = Machine { memory: Size(usize::MAX / 8), sockets: usize::MAX / 8 };
-        Places::new(Resources::new(&machine, System::new()), Port::Callers)
+        Slots::new(Resources::new(&machine, System::new()), Port::Callers)
     }
 }
 
-impl<S, E> Service<Result<S, E>> for Places {
-    type Response = Placed<S>;
+impl<S, E> Service<Result<S, E>> for Slots {
+    type Response = Counted<S>;
     type Error = E;
 
-    async fn call(&self, server: Result<S, E>) -> Result<Placed<S>, E> {
-        Ok(Placed { server: server?, places: self.clone() })
+    async fn call(&self, server: Result<S, E>) -> Result<Counted<S>, E> {
+        Ok(Counted { server: server?, slots: self.clone() })
     }
 }
 
-/// A server whose connections have places.
-pub struct Placed<S> {
+/// A server whose connections have slots.
+pub struct Counted<S> {
     server: S,
-    places: Places,
+    slots: Slots,
 }
 
-impl<S> Service<Stream> for Placed<S>
+impl<S> Service<Stream> for Counted<S>
 where
     S: Service<Stream, Response = ()>,
 {
@@ -71,25 +71,25 @@
     type Error = S::Error;
 
     async fn call(&self, stream: Stream) -> Result<(), S::Error> {
-        let opened = self.places.resources.open(self.places.port);
+        let opened = self.slots.resources.open(self.slots.port);
         let charged = opened.and_then(|slot| Ok((slot.charge(READ_BUFFER, Kind::Overhead)?, slot)));
         let (_buffer, slot) = match charged {
             Ok(charged) => charged,
             Err(short) => {
-                log::debug!("{}: closed a new connection: {short}", self.places.port.name());
+                log::debug!("{}: closed a new connection: {short}", self.slots.port.name());
                 return Ok(());
             }
         };
         // It is charged already.
         slot.set_max_buffer(Size(0));
         tokio::select! {
-            served = PLACE.scope(slot.clone(), self.server.call(stream)) => served,
+            served = SLOT.scope(slot.clone(), self.server.call(stream)) => served,
             () = wait_closed(&slot) => Ok(()),
         }
     }
 }
 
-impl<S: ReadyService> ReadyService for Placed<S> {
+impl<S: ReadyService> ReadyService for Counted<S> {
     type Ready = S::Ready;
 
     async fn ready(&self) -> S::Ready {
@@ -116,13 +116,13 @@
 impl Handling {
     /// Begins to handle a request of the connection that this task serves.
     pub(super) fn begin() -> Handling {
-        let slot = PLACE.with(Arc::clone);
+        let slot = SLOT.with(Arc::clone);
         slot.begin_request();
         slot.receive(Size(0));
         Handling(slot)
     }
 
-    /// Returns the place of the connection.
+    /// Returns the slot of the connection.
     pub(super) fn slot(&self) -> &Arc<Slot> {
         &self.0
     }
--- a/crates/net/tests/places.rs
+++ b/crates/net/tests/slots.rs
@@ -1,4 +1,4 @@
-//! Connections of a server that has few places for them.
+//! Connections of a server that has few slots for them.
 
 use std::net::TcpListener;
 use std::sync::Arc;
@@ -11,7 +11,7 @@
 use cottoncrank_net::feed::Sender;
 use cottoncrank_net::resources::Resources;
 use cottoncrank_net::server::{
-    Answer, Head, Incoming, Places, Server, Service, Status, discard_body, reply, reply_feed, serve_within,
+    Answer, Head, Incoming, Server, Service, Slots, Status, discard_body, reply, reply_feed, serve_within,
 };
 use parking_lot::Mutex;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -64,9 +64,9 @@
         let script =
             Arc::new(Script { late: Semaphore::new(0), waiting: Semaphore::new(0), begun: Mutex::default() });
         let resources = Resources::new(&MACHINE, System::new());
-        let places = Places::new(resources.clone(), Port::Callers);
+        let slots = Slots::new(resources.clone(), Port::Callers);
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-        let server = serve_within(listener, 1, script.clone(), places).unwrap();
+        let server = serve_within(listener, 1, script.clone(), slots).unwrap();
         World { server, script, resources }
     }
 
@@ -114,7 +114,7 @@
     assert_eq!(world.resources.count_open(Port::Callers), CONNECTIONS);
 }
 
-/// Guards against a place that is given away while its connection stays open.
+/// Guards against a slot that is given away while its connection stays open.
 #[tokio::test]
 async fn no_connection_closes_while_its_answer_is_sent() {
     let world = World::start();
