Keep the ports of a test's processes until they have them

Its log begins with "start: Address already in use": the first start in 127.187.0.3 failed, and the next one 24 ms later went well.

Cause: ports were found by listeners that were closed before the process started. Another thread of the test that starts a child has copies of all descriptors for a moment, so the port still had a listener. That this is what happened in that run is likely, and not shown.

The soak and the crowds of node, entry and controller use it; the three searches for ports are one.

--- a/crates/controller/tests/clients.rs
+++ b/crates/controller/tests/clients.rs
@@ -8,9 +8,10 @@
 use std::time::{Duration, Instant};
 
 use cottoncrank::Millis;
-use cottoncrank_standin::crowd::{Message, SOCKETS, Watch, ask, find_port, limit_descriptors, send};
+use cottoncrank_standin::crowd::{Message, SOCKETS, Watch, ask, limit_descriptors, send};
 use cottoncrank_standin::list::List;
 use cottoncrank_standin::listen;
+use cottoncrank_standin::port::Port;
 use cottoncrank_standin::store::Store;
 use tokio::sync::Mutex;
 
@@ -56,6 +57,7 @@
     address: SocketAddr,
     watch: Watch,
     _outside: (Store, List),
+    _ports: (Port, Port),
 }
 
 impl World {
@@ -63,7 +65,8 @@
         let ip = IpAddr::V4(Ipv4Addr::new(127, (2 + std::process::id() % 250) as u8, 252, number));
         let (store, list) =
             (Store::start(listen().unwrap()).unwrap(), List::start(listen().unwrap(), Millis(500)).unwrap());
-        let (address, entry) = (find_port(ip).unwrap(), find_port(ip).unwrap());
+        let ports = (Port::find(ip).unwrap(), Port::find(ip).unwrap());
+        let (address, entry) = (ports.0.address, ports.1.address);
         let file =
             std::env::temp_dir().join(format!("cottoncrank-controller-{}-{number}.toml", std::process::id()));
         let text = format!(
@@ -80,7 +83,7 @@
         while ask(address, COMMAND).await != 200 {
             assert!(began.elapsed() < WAIT, "the controller takes no command");
         }
-        World { process, address, watch, _outside: (store, list) }
+        World { process, address, watch, _outside: (store, list), _ports: ports }
     }
 
     async fn check(&mut self, when: &str) {
--- a/crates/entry/tests/clients.rs
+++ b/crates/entry/tests/clients.rs
@@ -13,9 +13,10 @@
 use cottoncrank_controller::Controller;
 use cottoncrank_controller::operate::execute;
 use cottoncrank_controller::settings::{Settings, Spread};
-use cottoncrank_standin::crowd::{Message, SOCKETS, Watch, ask, find_port, limit_descriptors, send};
+use cottoncrank_standin::crowd::{Message, SOCKETS, Watch, ask, limit_descriptors, send};
 use cottoncrank_standin::list::List;
 use cottoncrank_standin::listen;
+use cottoncrank_standin::port::Port;
 use cottoncrank_standin::service::Service;
 use cottoncrank_standin::store::Store;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -55,6 +56,7 @@
     watch: Watch,
     controller: Controller,
     _outside: (Store, List, Service),
+    _ports: (Port, Port),
 }
 
 impl World {
@@ -71,7 +73,8 @@
             List::start(listen().unwrap(), cottoncrank::Millis(500)),
         );
         let (list, service) = (list.unwrap(), Service::start(listen().unwrap()).unwrap());
-        let (callers, peers) = (find_port(ip).unwrap(), find_port(ip).unwrap());
+        let ports = (Port::find(ip).unwrap(), Port::find(ip).unwrap());
+        let (callers, peers) = (ports.0.address, ports.1.address);
         let listener = listen().unwrap();
         let settings = Settings {
             node: "node-1".parse().unwrap(),
@@ -105,7 +108,15 @@
             assert!(began.elapsed() < WAIT, "the controller takes no command");
             tokio::time::sleep(Duration::from_millis(100)).await;
         }
-        let world = World { child, callers, peers, watch, controller, _outside: (store, list, service) };
+        let world = World {
+            child,
+            callers,
+            peers,
+            watch,
+            controller,
+            _outside: (store, list, service),
+            _ports: ports,
+        };
         while world.ask("ordinary").await != 200 {
             assert!(began.elapsed() < WAIT, "the entry does not serve");
         }
--- a/crates/node/tests/crowd/mod.rs
+++ b/crates/node/tests/crowd/mod.rs
@@ -3,7 +3,7 @@
 
 use std::fs;
 use std::io;
-use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener as Listener};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::Arc;
@@ -19,6 +19,7 @@
 use cottoncrank_platform_standin::settings::{self, Settings};
 use cottoncrank_platform_standin::store::Store;
 use cottoncrank_standin::crowd::{Usage, Watch};
+use cottoncrank_standin::port::Port;
 use parking_lot::Mutex;
 use rand::Rng;
 use serde_json::{Value, json};
@@ -63,6 +64,7 @@
     pub ready: SocketAddr,
     pub peers: SocketAddr,
     folder: PathBuf,
+    _ports: [Port; 3],
 }
 
 /// A box with all that it needs.
@@ -165,20 +167,13 @@
     Ok(())
 }
 
-fn find_port(ip: IpAddr) -> (Listener, SocketAddr) {
-    let listener = Listener::bind((ip, 0)).unwrap();
-    let address = listener.local_addr().unwrap();
-    (listener, address)
-}
-
 impl Process {
     fn start(store: SocketAddr) -> Process {
         let number = BOXES.fetch_add(1, Ordering::Relaxed);
         let second = (2 + std::process::id() % 250) as u8;
         let ip = IpAddr::V4(Ipv4Addr::new(127, second, 250, (number % 250 + 1) as u8));
-        let ports = [find_port(ip), find_port(ip), find_port(ip)];
-        let [callers, ready, peers] = ports.each_ref().map(|(_, address)| *address);
-        drop(ports);
+        let ports = [(); 3].map(|()| Port::find(ip).unwrap());
+        let [callers, ready, peers] = ports.each_ref().map(|port| port.address);
         let settings = settings::render(&Settings {
             node: "node-0".to_owned(),
             hall: "hall-a".to_owned(),
@@ -203,7 +198,7 @@
             .stderr(log)
             .spawn()
             .unwrap();
-        Process { child, callers, ready, peers, folder }
+        Process { child, callers, ready, peers, folder, _ports: ports }
     }
 
     /// The address of its metrics.
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -2,7 +2,7 @@
 
 use std::fs::File;
 use std::io;
-use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
@@ -13,6 +13,7 @@
 use cottoncrank_platform_standin::runner::Runner;
 use cottoncrank_platform_standin::settings::{self, Settings};
 use cottoncrank_platform_standin::store::Store;
+use cottoncrank_standin::port::Port;
 use rustix::process::{Pid, Signal, kill_process};
 
 use crate::plan::Partition;
@@ -62,6 +63,8 @@
     file: PathBuf,
     log: PathBuf,
     child: Option<Child>,
+    /// Kept for it, also between its lives.
+    _ports: [Port; 3],
 }
 
 /// A runner behind its proxy.
@@ -120,13 +123,6 @@
     }
 }
 
-/// Finds three free ports, which all differ.
-fn find_ports(ip: IpAddr) -> io::Result<[SocketAddr; 3]> {
-    let listeners = [TcpListener::bind((ip, 0))?, TcpListener::bind((ip, 0))?, TcpListener::bind((ip, 0))?];
-    let [callers, ready, peers] = listeners;
-    Ok([callers.local_addr()?, ready.local_addr()?, peers.local_addr()?])
-}
-
 fn name_hall(number: usize) -> &'static str {
     HALLS[number % HALLS.len()]
 }
@@ -193,7 +189,9 @@
     }
 
     async fn lay_node(&self, number: usize, folder: &Path) -> io::Result<Node> {
-        let [callers, ready, peers] = find_ports(self.network.address(number))?;
+        let ip = self.network.address(number);
+        let ports = [Port::find(ip)?, Port::find(ip)?, Port::find(ip)?];
+        let [callers, ready, peers] = ports.each_ref().map(|port| port.address);
         let store = Proxy::start(self.store.address()).await?;
         let settings = Settings {
             node: format!("node-{number}"),
@@ -210,7 +208,7 @@
         let file = folder.join(format!("node-{number}.toml"));
         std::fs::write(&file, settings::render(&settings))?;
         let log = folder.join(format!("node-{number}.log"));
-        Ok(Node { number, callers, store, lives: 0, file, log, child: None })
+        Ok(Node { number, callers, store, lives: 0, file, log, child: None, _ports: ports })
     }
 
     /// Starts a node that does not run.
--- a/crates/standin/src/crowd.rs
+++ b/crates/standin/src/crowd.rs
@@ -2,7 +2,7 @@
 
 use std::fs;
 use std::io;
-use std::net::{IpAddr, SocketAddr, TcpListener};
+use std::net::{IpAddr, SocketAddr};
 use std::process::Command;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -190,11 +190,6 @@
     Ok(())
 }
 
-/// Returns an address that nothing listens on.
-pub fn find_port(ip: IpAddr) -> io::Result<SocketAddr> {
-    TcpListener::bind((ip, 0))?.local_addr()
-}
-
 /// Sends a request as an ordinary client does, again if it is refused, and returns the last status, or 0 without an
 /// answer. The request has to ask for its connection to be closed.
 pub async fn ask(to: SocketAddr, request: &str) -> u16 {
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod engine;
 pub mod list;
 mod member;
+pub mod port;
 pub mod program;
 pub mod service;
 pub mod store;
