Let tests start nodes as processes of their own

The tests of a node run it in their own process, so no signal, held port or pause of a process can be played.

--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -2,6 +2,7 @@
 
 #![allow(dead_code, reason = "each test file uses only a part of this module")]
 
+pub mod process;
 pub mod proxy;
 
 use std::net::SocketAddr;
