Log new connections that are closed unread, and tell why

A node that closed most new connections of callers for seconds wrote no line, and its metric did not tell an overload from a lack of room. It now logs each second how many it closed and why, and when that is over, has the reason as a label, and measures how late tasks run beside how long the next turn of all tasks takes: a process that only waits for its processor is late, and has short turns.

--- a/crates/fleet/src/overload.rs
+++ b/crates/fleet/src/overload.rs
@@ -41,6 +41,11 @@
         self.delay = self.mean_with(delay);
     }
 
+    /// Returns the mean delay by which connections are judged.
+    pub fn delay(&self) -> Millis {
+        Millis(self.delay as u64)
+    }
+
     /// Returns the mean delay after one more measurement.
     fn mean_with(&self, delay: Millis) -> f64 {
         self.delay + MEAN_STEP * (delay.min(MAX_MEASUREMENT).0 as f64 - self.delay)
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -27,6 +27,7 @@
 use crate::request;
 use crate::state::Node;
 use crate::telemetry;
+use crate::unread::Reason;
 
 /// The smallest read buffer of a connection, in bytes: room for a head and a part of a body.
 const MIN_BUFFER_BYTES: usize = 32 * 1024;
@@ -73,10 +74,11 @@
 
 fn take_or_close(node: &Arc<Node>, stream: TcpStream) {
     let accepts = node.overload.lock().accepts(node.now());
+    // Nothing is read of one that is closed, so the caller may send its request to another node.
     match accepts.then(|| node.resources.open(Port::Callers)) {
         Some(Ok(slot)) => drop(tokio::spawn(serve_caller(node.clone(), stream, slot))),
-        // Nothing is read of it, so the caller may send its request to another node.
-        Some(Err(_)) | None => telemetry::count_closed_unread(),
+        Some(Err(_)) => node.closed_unread.count(Reason::Room),
+        None => node.closed_unread.count(Reason::Overload),
     }
 }
 
@@ -95,7 +97,11 @@
         let due = node.now() + DELAY_INTERVAL;
         node.overload.lock().expect_measurement(due);
         tokio::time::sleep(DELAY_INTERVAL.duration()).await;
-        node.overload.lock().record_delay(node.now().since(due));
+        let began = node.now();
+        let late = began.since(due);
+        tokio::task::yield_now().await;
+        telemetry::record_delay(late, node.now().since(began));
+        node.overload.lock().record_delay(late);
     }
 }
 
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -66,7 +66,7 @@
 //! - `suspension` detects that the process did not run for a while, and `catchup` limits what it sends
 //!   until it has heard what it missed.
 //! - [`log`] writes log lines without blocking, and [`telemetry`] serves the metrics. `cold` logs which
-//!   halls have cold runners.
+//!   halls have cold runners, and `unread` that new connections are closed unread.
 
 mod admission;
 pub mod answer;
@@ -120,3 +120,4 @@
 mod throttle;
 mod tries;
 pub mod tunnel;
+mod unread;
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -54,6 +54,7 @@
 use crate::suspects;
 use crate::telemetry;
 use crate::tunnel::Carried;
+use crate::unread::ClosedUnread;
 
 /// The decider lease, as the store last had it.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -173,6 +174,8 @@
     pub concurrency_limits: Mutex<HashMap<ModelKey, Limit>>,
     /// Whether this node's processor is overloaded.
     pub(crate) overload: Mutex<Overload>,
+    /// The new connections that were closed unread.
+    pub(crate) closed_unread: ClosedUnread,
     /// Notified when a request ends, so that a waiting one may be admitted.
     pub request_ended: Notify,
     /// The retries that this node may spend by itself.
@@ -251,6 +254,7 @@
             attempt_ended: Notify::new(),
             concurrency_limits: Mutex::default(),
             overload: Mutex::default(),
+            closed_unread: ClosedUnread::default(),
             request_ended: Notify::new(),
             retry_allowance: Mutex::default(),
             retry_pool: Mutex::default(),
--- a/crates/node/src/telemetry.rs
+++ b/crates/node/src/telemetry.rs
@@ -22,6 +22,7 @@
 use crate::feedback::{self, Backpressure};
 use crate::ports;
 use crate::state::Node;
+use crate::unread::{Reason, UnreadLog};
 
 /// The metrics port, at the address that other nodes use. It is also written in deploy/system.toml.
 pub const PORT: u16 = 9464;
@@ -121,9 +122,15 @@
     metrics::counter!("cottoncrank_retries_lent_total", "outcome" => outcome).increment(1);
 }
 
-/// Counts a new connection that was closed unread, because the processor is overloaded.
-pub fn count_closed_unread() {
-    metrics::counter!("cottoncrank_connections_closed_unread_total").increment(1);
+/// Counts a new connection that was closed unread.
+pub(crate) fn count_closed_unread(reason: Reason) {
+    metrics::counter!("cottoncrank_connections_closed_unread_total", "reason" => reason.name()).increment(1);
+}
+
+/// Records how late a task ran, and how long the next turn of all tasks took.
+pub fn record_delay(late: Millis, turn: Millis) {
+    metrics::histogram!("cottoncrank_task_late_seconds").record(late.0 as f64 / 1000.0);
+    metrics::histogram!("cottoncrank_task_turn_seconds").record(turn.0 as f64 / 1000.0);
 }
 
 /// Counts a retry by what paid for it: the node's `own` budget, the `pool` of the hall, or `none`.
@@ -250,6 +257,7 @@
 pub async fn sample_gauges(node: Arc<Node>) {
     let mut ages = VecDeque::new();
     let mut cold_log = ColdLog::default();
+    let mut unread_log = UnreadLog::default();
     let mut evacuated = BTreeSet::new();
     let mut evictions = 0;
     loop {
@@ -283,6 +291,7 @@
         }
         set_resources(&node, &mut evictions);
         cold_log.update(&node);
+        unread_log.update(&node);
         set_evacuations(&node, &mut evacuated);
         tokio::time::sleep(SAMPLE_INTERVAL.duration()).await;
     }
