Take new connections at a process that only waits for its processor

Callers saw most new connections closed, many of them more than 0.2 s after their requests were sent, with nothing that says whether these had run; and under a quarter was served. A node judged its load by how late a task ran. On a machine with too many processes that is how long the process waited for its processor, and the rule allowed for one such pause only, not for one after the other.

It now also measures the turn of all tasks that follows. Where there is too much to do, that is as long; where the process only waited, it is short, and all that has come meanwhile is taken. The delay is the shorter of the two.

--- a/crates/fleet/src/overload.rs
+++ b/crates/fleet/src/overload.rs
@@ -2,6 +2,9 @@
 //!
 //! A balancer may hand most new connections to one node. It cannot answer all of them in time, and one that
 //! it closes unread costs the caller little: the next try meets another node.
+//!
+//! A process that waits for its processor is late as well, but takes up all that waits as soon as it runs. It is
+//! told from one that is overloaded by the turn of all tasks that follows, which is short.
 
 use cottoncrank::Millis;
 
@@ -20,6 +23,22 @@
 /// is answered, and a turn takes the longer, the more of them are under way.
 const MAX_PER_TURN: u32 = 4;
 
+/// How late a task ran, and how long the next turn of all tasks took.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Measurement {
+    /// The time between the point at which the task was due and its run.
+    pub late: Millis,
+    /// The time until it ran again behind all others that were ready.
+    pub turn: Millis,
+}
+
+impl Measurement {
+    /// Returns the part of the delay that is due to the tasks of the process.
+    fn delay(self) -> Millis {
+        self.late.min(self.turn)
+    }
+}
+
 /// The measured delay of tasks, and the connections taken since other tasks ran.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Overload {
@@ -36,9 +55,9 @@
         self.due = Some(due);
     }
 
-    /// Records that a task ran this much later than it was due.
-    pub fn record_delay(&mut self, delay: Millis) {
-        self.delay = self.mean_with(delay);
+    /// Records a measurement.
+    pub fn record(&mut self, measurement: Measurement) {
+        self.delay = self.mean_with(measurement.delay());
     }
 
     /// Returns the mean delay by which connections are judged.
--- a/crates/fleet/tests/overload.rs
+++ b/crates/fleet/tests/overload.rs
@@ -1,14 +1,15 @@
 //! New connections at a node whose processor is overloaded.
 
 use cottoncrank::Millis;
-use cottoncrank_fleet::overload::Overload;
+use cottoncrank_fleet::overload::{Measurement, Overload};
 
 /// The connections that wait in one turn.
 const WAITING: usize = 1000;
 
-/// Records the same delay several times.
+/// Records several times that a task ran this much too late, and all tasks as late in the turn that followed.
 fn measure(overload: &mut Overload, delay: Millis, times: usize) {
-    (0..times).for_each(|_| overload.record_delay(delay));
+    let measurement = Measurement { late: delay, turn: delay };
+    (0..times).for_each(|_| overload.record(measurement));
 }
 
 /// Returns how many of the waiting connections are taken in one turn.
@@ -50,3 +51,16 @@
     assert_eq!(count_accepted(&mut overload, Millis(1010)), WAITING);
     assert_eq!(count_accepted(&mut overload, Millis(1200)), 4);
 }
+
+/// Guards against a process that closes connections because it waits for its processor again and again.
+#[test]
+fn a_process_that_is_late_again_and_again_and_then_catches_up_refuses_nobody() {
+    let mut overload = Overload::default();
+    for pause in 1..100 {
+        let resumed = Millis(500 * pause);
+        overload.expect_measurement(resumed - Millis(400));
+        assert_eq!(count_accepted(&mut overload, resumed), WAITING, "pause {pause}");
+        overload.record(Measurement { late: Millis(400), turn: Millis(2) });
+        assert_eq!(count_accepted(&mut overload, resumed), WAITING, "pause {pause}");
+    }
+}
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -9,6 +9,7 @@
 use bytes::Bytes;
 use cottoncrank::resources::Port;
 use cottoncrank::{Millis, Size};
+use cottoncrank_fleet::overload::Measurement;
 use cottoncrank_net::metered::{self, Metered};
 use cottoncrank_net::resources::Slot;
 use cottoncrank_net::{feed, keepalive};
@@ -100,8 +101,9 @@
         let began = node.now();
         let late = began.since(due);
         tokio::task::yield_now().await;
-        telemetry::record_delay(late, node.now().since(began));
-        node.overload.lock().record_delay(late);
+        let measurement = Measurement { late, turn: node.now().since(began) };
+        telemetry::record_delay(measurement);
+        node.overload.lock().record(measurement);
     }
 }
 
--- a/crates/node/src/telemetry.rs
+++ b/crates/node/src/telemetry.rs
@@ -9,6 +9,7 @@
 use cottoncrank::{Millis, id};
 use cottoncrank_fleet::catalog::Engine;
 use cottoncrank_fleet::evidence::Level;
+use cottoncrank_fleet::overload::Measurement;
 use cottoncrank_fleet::path::Outcome;
 use cottoncrank_fleet::pressure::{Pressure, Strain};
 use hyper::Response;
@@ -128,9 +129,9 @@
 }
 
 /// Records how late a task ran, and how long the next turn of all tasks took.
-pub fn record_delay(late: Millis, turn: Millis) {
-    metrics::histogram!("cottoncrank_task_late_seconds").record(late.0 as f64 / 1000.0);
-    metrics::histogram!("cottoncrank_task_turn_seconds").record(turn.0 as f64 / 1000.0);
+pub fn record_delay(measurement: Measurement) {
+    metrics::histogram!("cottoncrank_task_late_seconds").record(measurement.late.0 as f64 / 1000.0);
+    metrics::histogram!("cottoncrank_task_turn_seconds").record(measurement.turn.0 as f64 / 1000.0);
 }
 
 /// Counts a retry by what paid for it: the node's `own` budget, the `pool` of the hall, or `none`.
