Count an overdue measurement from the time at which a process saw that it is late

A process with tasks that take 30 ms a turn, which is no overload, still closed all but four new connections behind each pause: a measurement that is overdue counted with the whole pause before the turn that follows could be measured. It now counts from when it was first seen to be overdue, so what the process did not run for is left out, and an overload is seen a turn later.

--- a/crates/fleet/src/overload.rs
+++ b/crates/fleet/src/overload.rs
@@ -46,6 +46,8 @@
     delay: f64,
     /// When the next measurement is due.
     due: Option<Millis>,
+    /// When it was first seen to be overdue. The process may not have run before.
+    overdue_since: Option<Millis>,
     taken_in_turn: u32,
 }
 
@@ -53,6 +55,7 @@
     /// Sets when the next measurement is due.
     pub fn expect_measurement(&mut self, due: Millis) {
         self.due = Some(due);
+        self.overdue_since = None;
     }
 
     /// Records a measurement.
@@ -75,9 +78,17 @@
         self.taken_in_turn = 0;
     }
 
+    /// Returns how long the next measurement has been overdue while the process ran.
+    fn measure_overdue(&mut self, now: Millis) -> Millis {
+        if self.due.is_none_or(|due| now <= due) {
+            return Millis(0);
+        }
+        now.since(*self.overdue_since.get_or_insert(now))
+    }
+
     /// Whether to take a connection that a caller opened.
     pub fn accepts(&mut self, now: Millis) -> bool {
-        let overdue = self.due.map_or(Millis(0), |due| now.since(due));
+        let overdue = self.measure_overdue(now);
         let is_overloaded = self.delay.max(self.mean_with(overdue)) >= MAX_DELAY.0 as f64;
         let accepts = !is_overloaded || self.taken_in_turn < MAX_PER_TURN;
         self.taken_in_turn += u32::from(accepts);
--- a/crates/fleet/tests/overload.rs
+++ b/crates/fleet/tests/overload.rs
@@ -64,3 +64,15 @@
         assert_eq!(count_accepted(&mut overload, resumed), WAITING, "pause {pause}");
     }
 }
+
+/// Guards against the same at a process that has much to do, though not too much.
+#[test]
+fn a_busy_process_that_is_late_again_and_again_refuses_nobody() {
+    let mut overload = Overload::default();
+    for pause in 1..100 {
+        let resumed = Millis(500 * pause);
+        overload.expect_measurement(resumed - Millis(400));
+        assert_eq!(count_accepted(&mut overload, resumed), WAITING, "pause {pause}");
+        overload.record(Measurement { late: Millis(400), turn: Millis(30) });
+    }
+}
