Listen to signals before a node does anything else

A SIGHUP or SIGTERM that came while a node started ended it by that signal, for good: the handler of SIGHUP came after settings, runtime and ports, and that of SIGTERM after all tasks. Now the runtime is built and signals are listened to first, then come log and settings. What comes meanwhile is kept: a reload takes place once the node has its settings, a stop ends it well.

--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -62,7 +62,7 @@
 //!
 //! # Process
 //!
-//! - [`program`] runs a node with its settings and signals; [`start`] starts and drains it.
+//! - [`program`] runs a node with its settings and `signals`; [`start`] starts and drains it.
 //! - `suspension` detects that the process did not run for a while, and `catchup` limits what it sends
 //!   until it has heard what it missed.
 //! - [`log`] writes log lines without blocking, and [`telemetry`] serves the metrics. `cold` logs which
@@ -109,6 +109,7 @@
 mod retries;
 mod returns;
 mod runner_stream;
+mod signals;
 pub mod start;
 pub mod state;
 pub mod stream;
--- a/crates/node/src/program.rs
+++ b/crates/node/src/program.rs
@@ -5,12 +5,13 @@
 
 use cottoncrank::Millis;
 use cottoncrank::program::StartError;
-use cottoncrank_net::server::wait_for_stop;
 use cottoncrank_platform::settings::{self, SettingsError};
 use thiserror::Error;
 use tokio::net::TcpListener;
-use tokio::signal::unix::{Signal, SignalKind, signal};
+use tokio::signal::unix::Signal;
+use tokio::task::JoinSet;
 
+use crate::signals::Signals;
 use crate::start::{Listeners, drain, start};
 use crate::state::Node;
 use crate::{log, telemetry};
@@ -35,35 +36,65 @@
 where
     T: Future<Output = ()> + Send + 'static,
 {
-    let log = log::start("info").map_err(StartError::from)?;
-    let settings = settings::read()?;
     if check {
-        println!("{}: the settings can be used", settings.node);
-        return Ok(());
+        return check_settings();
     }
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(StartError::from)?;
-    let served = runtime.block_on(async {
-        let node = Node::new(settings);
-        tokio::spawn(background(node.clone()));
-        serve(node).await
-    });
+    // Signals come first: each ends a process that does not listen to it yet.
+    let signals = runtime.block_on(async { Signals::listen() }).map_err(StartError::from)?;
+    let log = log::start("info").map_err(StartError::from)?;
+    let served = runtime.block_on(serve(signals, background));
     // Lines that cannot be written within the timeout of the flush are lost.
     log.flush();
-    Ok(served.map_err(StartError::from)?)
+    served
+}
+
+fn check_settings() -> Result<(), ProgramError> {
+    let _log = log::start("info").map_err(StartError::from)?;
+    println!("{}: the settings can be used", settings::read()?.node);
+    Ok(())
+}
+
+async fn serve<T>(signals: Signals, background: impl FnOnce(Arc<Node>) -> T) -> Result<(), ProgramError>
+where
+    T: Future<Output = ()> + Send + 'static,
+{
+    let Signals { mut stop, reload } = signals;
+    let started = tokio::select! {
+        started = start_node(reload, background) => started?,
+        () = stop.wait() => {
+            ::log::info!("node: received a stop signal before it had started");
+            return Ok(());
+        }
+    };
+    stop.wait().await;
+    drain(&started.node).await;
+    Ok(())
+}
+
+/// A node that serves, with its tasks.
+struct Started {
+    node: Arc<Node>,
+    _tasks: JoinSet<()>,
 }
 
-async fn serve(node: Arc<Node>) -> Result<(), std::io::Error> {
-    let settings = node.settings();
+async fn start_node<T>(
+    reload: Signal,
+    background: impl FnOnce(Arc<Node>) -> T,
+) -> Result<Started, ProgramError>
+where
+    T: Future<Output = ()> + Send + 'static,
+{
+    let settings = settings::read()?;
     ::log::info!("node: {} starts in {}", settings.node, settings.hall);
-    let listeners = Listeners::bind(&settings).await?;
-    let reload = signal(SignalKind::hangup())?;
+    let node = Node::new(settings);
+    tokio::spawn(background(node.clone()));
     tokio::spawn(reread_settings(node.clone(), reload));
-    let _tasks = start(&node, listeners);
+    let listeners = Listeners::bind(&node.settings()).await.map_err(StartError::from)?;
+    let tasks = start(&node, listeners);
     serve_metrics(&node).await;
-    wait_for_stop().await?;
-    drain(&node).await;
-    Ok(())
+    Ok(Started { node, _tasks: tasks })
 }
 
 /// Serves the metrics. A node that cannot bind their port serves callers all the same.
