Let a node wait for a port that is held when it starts

A node that could not have one of its ports ended with status 1, and its box was gone for good; one that could not have the port for metrics never served them. A port is held by the process before, or by any outgoing connection that the kernel gave it to.

Now it tries again until it works, with a pause of 500 ms at the most and a line that names port and address, at most one in 10 s. The ports for callers and other nodes come before all tasks, so no connection of the process can take them, and while one is missing the node has no entry, refuses connections of callers, and answers the balancer 503. The ports for the balancer and for metrics are waited for beside the rest. Settings that change meanwhile count. SIGTERM ends the wait at once, with status 0.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -17,6 +17,7 @@
 //! - [`presence`]: the nodes that are gone for good.
 //! - [`occupancy`]: the in-flight requests of all nodes.
 //! - [`source`]: where a node learns of changes of the store, and how often it may call the store.
+//! - [`startup`]: how a step of a start that fails is repeated.
 //! - [`freshness`]: how long a node may rely on the API keys that it knows.
 //!
 //! # Decisions about groups
@@ -122,6 +123,7 @@
 pub mod source;
 pub mod staging;
 pub mod stall;
+pub mod startup;
 pub mod suspects;
 mod targets;
 pub mod throttle;
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -63,6 +63,7 @@
 //! # Process
 //!
 //! - [`program`] runs a node with its settings and `signals`; [`start`] starts and drains it.
+//! - `listen` takes its ports, and `repeat` repeats steps of the start until they succeed.
 //! - `suspension` detects that the process did not run for a while, and `catchup` limits what it sends
 //!   until it has heard what it missed.
 //! - [`log`] writes log lines without blocking, and [`telemetry`] serves the metrics. `cold` logs which
@@ -91,6 +92,7 @@
 mod idle;
 pub mod in_flight;
 mod invalid_items;
+mod listen;
 pub mod log;
 mod paths;
 pub mod peer;
@@ -104,6 +106,7 @@
 mod race;
 pub mod registration;
 mod relay;
+mod repeat;
 pub mod reporting;
 pub mod request;
 mod retries;
--- a/crates/node/src/program.rs
+++ b/crates/node/src/program.rs
@@ -5,16 +5,16 @@
 
 use cottoncrank::Millis;
 use cottoncrank::program::StartError;
+use cottoncrank_fleet::settings::Settings;
 use cottoncrank_platform::settings::{self, SettingsError};
 use thiserror::Error;
-use tokio::net::TcpListener;
 use tokio::signal::unix::Signal;
 use tokio::task::JoinSet;
 
 use crate::signals::Signals;
-use crate::start::{Listeners, drain, start};
+use crate::start::{drain, start_serving};
 use crate::state::Node;
-use crate::{log, telemetry};
+use crate::{front, listen, log, telemetry};
 
 /// How often the settings are read again without a signal.
 const REREAD_INTERVAL: Millis = Millis(10_000);
@@ -91,27 +91,35 @@
     let node = Node::new(settings);
     tokio::spawn(background(node.clone()));
     tokio::spawn(reread_settings(node.clone(), reload));
-    let listeners = Listeners::bind(&node.settings()).await.map_err(StartError::from)?;
-    let tasks = start(&node, listeners);
-    serve_metrics(&node).await;
+    tokio::spawn(serve_readiness(node.clone()));
+    // The ports come before all connections that this process makes: one of them could take a port.
+    let (callers, peers) = listen::wait_for_both_ports(&node).await;
+    let tasks = start_serving(&node, callers, peers);
+    serve_metrics(&node);
     Ok(Started { node, _tasks: tasks })
 }
 
-/// Serves the metrics. A node that cannot bind their port serves callers all the same.
-async fn serve_metrics(node: &Arc<Node>) {
-    let address = SocketAddr::new(node.settings().peers.ip(), telemetry::PORT);
-    let (Some(handle), bound) = (telemetry::install(), TcpListener::bind(address).await) else { return };
-    match bound {
-        Ok(listener) => {
-            tokio::spawn(telemetry::sample_gauges(node.clone()));
-            tokio::spawn(telemetry::serve(node.clone(), listener, handle));
-        }
-        Err(error) => ::log::warn!("figures: cannot serve metrics at {address}: {error}"),
-    }
+/// Answers the balancer, also while the other ports cannot be had. A node that lacks this port serves callers
+/// all the same.
+async fn serve_readiness(node: Arc<Node>) {
+    let listener = listen::wait_for_port(&node, "the balancer", |settings| settings.ready).await;
+    front::serve_readiness(node, listener).await;
+}
+
+/// Samples the metrics, and serves them as soon as their port can be had.
+fn serve_metrics(node: &Arc<Node>) {
+    let Some(handle) = telemetry::install() else { return };
+    tokio::spawn(telemetry::sample_gauges(node.clone()));
+    let node = node.clone();
+    tokio::spawn(async move {
+        let find = |settings: &Settings| SocketAddr::new(settings.peers.ip(), telemetry::PORT);
+        let listener = listen::wait_for_port(&node, "metrics", find).await;
+        telemetry::serve(node, listener, handle).await;
+    });
 }
 
 /// Reads the settings again on SIGHUP, and every [`REREAD_INTERVAL`] because the file may change without a
-/// signal. The node keeps the addresses that it was started with.
+/// signal. The node keeps the addresses that it listens at.
 async fn reread_settings(node: Arc<Node>, mut reload: Signal) {
     loop {
         let signaled = tokio::time::timeout(REREAD_INTERVAL.duration(), reload.recv()).await.is_ok();
--- a/crates/node/src/start.rs
+++ b/crates/node/src/start.rs
@@ -1,10 +1,8 @@
 //! Starting and draining a node.
 
-use std::io;
 use std::sync::Arc;
 
 use cottoncrank::Millis;
-use cottoncrank_fleet::settings::Settings;
 use tokio::net::TcpListener;
 use tokio::task::JoinSet;
 
@@ -30,19 +28,15 @@
     pub peers: TcpListener,
 }
 
-impl Listeners {
-    /// Binds the addresses of the settings.
-    pub async fn bind(settings: &Settings) -> io::Result<Listeners> {
-        Ok(Listeners {
-            callers: TcpListener::bind(settings.callers).await?,
-            ready: TcpListener::bind(settings.ready).await?,
-            peers: TcpListener::bind(settings.peers).await?,
-        })
-    }
-}
-
 /// Starts all tasks of a node. They end when the returned set is dropped.
 pub fn start(node: &Arc<Node>, listeners: Listeners) -> JoinSet<()> {
+    let mut tasks = start_serving(node, listeners.callers, listeners.peers);
+    tasks.spawn(front::serve_readiness(node.clone(), listeners.ready));
+    tasks
+}
+
+/// Starts all tasks of a node but the answers to the balancer.
+pub(crate) fn start_serving(node: &Arc<Node>, callers: TcpListener, peers: TcpListener) -> JoinSet<()> {
     let mut tasks = JoinSet::new();
     tasks.spawn(sync::run(node.clone()));
     tasks.spawn(sync::run_expiry(node.clone()));
@@ -54,11 +48,10 @@
     tasks.spawn(pressure::run(node.clone()));
     tasks.spawn(suspect_store::run(node.clone()));
     tasks.spawn(suspension::run(node.clone()));
-    tasks.spawn(peer::serve(node.clone(), listeners.peers));
+    tasks.spawn(peer::serve(node.clone(), peers));
     tasks.spawn(decider::run(node.clone()));
-    tasks.spawn(front::serve_readiness(node.clone(), listeners.ready));
     tasks.spawn(front::measure_delay(node.clone()));
-    tasks.spawn(front::serve_callers(node.clone(), listeners.callers));
+    tasks.spawn(front::serve_callers(node.clone(), callers));
     tasks
 }
 
--- a/crates/node/tests/starts.rs
+++ b/crates/node/tests/starts.rs
@@ -14,6 +14,7 @@
 use cottoncrank_platform_standin::caller::send_request;
 use cottoncrank_platform_standin::operator::{ONCE, config};
 use cottoncrank_platform_standin::settings;
+use cottoncrank_standin::port::Port;
 use rustix::process::Signal;
 use socket2::{Domain, Socket, Type};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -180,6 +181,22 @@
     }
 }
 
+/// Guards against nodes that wait for a port which is held for good, though their settings name another one by now.
+#[tokio::test]
+async fn a_node_whose_port_is_held_takes_the_one_that_its_settings_name_by_now() {
+    let fleet = start_fleet().await;
+    let mut node = NodeProcess::lay(fleet.store.address(), 7);
+    node.release_ports();
+    let _held = Held::take(node.settings.callers, Holder::Listener);
+    node.spawn();
+    tokio::time::sleep(HELD).await;
+    let other = Port::find(node.settings.callers.ip()).unwrap();
+    node.settings.callers = other.address;
+    std::fs::write(&node.file, settings::render(&node.settings)).unwrap();
+    node.signal(Signal::HUP);
+    wait_served(&node, Instant::now()).await;
+}
+
 /// Guards against nodes without metrics for as long as they run.
 #[tokio::test]
 async fn a_node_whose_port_for_metrics_is_held_serves_them_once_it_is_free() {
