Let a node wait for settings that cannot be read yet

A node whose settings file was empty, missing or half written when it started ended with status 1, and its box was gone for good, though the file was whole a moment later.

--- a/crates/node/src/program.rs
+++ b/crates/node/src/program.rs
@@ -14,7 +14,7 @@
 use crate::signals::Signals;
 use crate::start::{drain, start_serving};
 use crate::state::Node;
-use crate::{front, listen, log, telemetry};
+use crate::{front, listen, log, repeat, telemetry};
 
 /// How often the settings are read again without a signal.
 const REREAD_INTERVAL: Millis = Millis(10_000);
@@ -86,7 +86,7 @@
 where
     T: Future<Output = ()> + Send + 'static,
 {
-    let settings = settings::read()?;
+    let settings = read_settings().await?;
     ::log::info!("node: {} starts in {}", settings.node, settings.hall);
     let node = Node::new(settings);
     tokio::spawn(background(node.clone()));
@@ -99,6 +99,16 @@
     Ok(Started { node, _tasks: tasks })
 }
 
+/// Reads the settings, as soon as the file is there and valid: it may be about to be written. Without a path
+/// there is nothing to wait for.
+async fn read_settings() -> Result<Settings, SettingsError> {
+    repeat::until_done(|| match settings::read() {
+        Err(error @ SettingsError::Path) => Ok(Err(error)),
+        read => read.map(Ok),
+    })
+    .await
+}
+
 /// Answers the balancer, also while the other ports cannot be had. A node that lacks this port serves callers
 /// all the same.
 async fn serve_readiness(node: Arc<Node>) {
