--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -62,7 +62,8 @@
 //!
 //! # Process
 //!
-//! - [`program`] runs a node with its settings and signals; [`start`] starts and drains it.
+//! - [`program`] runs a node with its settings and `signals`; [`start`] starts and drains it.
+//! - `listen` takes its ports, and `repeat` repeats steps of the start until they succeed.
 //! - `suspension` detects that the process did not run for a while, and `catchup` limits what it sends
 //!   until it has heard what it missed.
 //! - [`log`] writes log lines without blocking, and [`telemetry`] serves the metrics. `cold` logs which
@@ -91,6 +92,7 @@
 mod idle;
 pub mod in_flight;
 mod invalid_items;
+mod listen;
 pub mod log;
 mod paths;
 pub mod peer;
@@ -104,11 +106,13 @@
 mod race;
 pub mod registration;
 mod relay;
+mod repeat;
 pub mod reporting;
 pub mod request;
 mod retries;
 mod returns;
 mod runner_stream;
+mod signals;
 pub mod start;
 pub mod state;
 pub mod stream;
--- a/crates/node/src/program.rs
+++ b/crates/node/src/program.rs
@@ -5,15 +5,16 @@
 
 use cottoncrank::Millis;
 use cottoncrank::program::StartError;
-use cottoncrank_net::server::wait_for_stop;
+use cottoncrank_fleet::settings::Settings;
 use cottoncrank_platform::settings::{self, SettingsError};
 use thiserror::Error;
-use tokio::net::TcpListener;
-use tokio::signal::unix::{Signal, SignalKind, signal};
+use tokio::signal::unix::Signal;
+use tokio::task::JoinSet;
 
-use crate::start::{Listeners, drain, start};
+use crate::signals::Signals;
+use crate::start::{drain, start_serving};
 use crate::state::Node;
-use crate::{log, telemetry};
+use crate::{front, listen, log, repeat, telemetry};
 
 /// How often the settings are read again without a signal.
 const REREAD_INTERVAL: Millis = Millis(10_000);
@@ -35,52 +36,100 @@
 where
     T: Future<Output = ()> + Send + 'static,
 {
-    let log = log::start("info").map_err(StartError::from)?;
-    let settings = settings::read()?;
     if check {
-        println!("{}: the settings can be used", settings.node);
-        return Ok(());
+        return check_settings();
     }
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(StartError::from)?;
-    let served = runtime.block_on(async {
-        let node = Node::new(settings);
-        tokio::spawn(background(node.clone()));
-        serve(node).await
-    });
+    // Signals come first: each ends a process that does not listen to it yet.
+    let signals = runtime.block_on(async { Signals::listen() }).map_err(StartError::from)?;
+    let log = log::start("info").map_err(StartError::from)?;
+    let served = runtime.block_on(serve(signals, background));
     // Lines that cannot be written within the timeout of the flush are lost.
     log.flush();
-    Ok(served.map_err(StartError::from)?)
+    served
 }
 
-async fn serve(node: Arc<Node>) -> Result<(), std::io::Error> {
-    let settings = node.settings();
-    ::log::info!("node: {} starts in {}", settings.node, settings.hall);
-    let listeners = Listeners::bind(&settings).await?;
-    let reload = signal(SignalKind::hangup())?;
-    tokio::spawn(reread_settings(node.clone(), reload));
-    let _tasks = start(&node, listeners);
-    serve_metrics(&node).await;
-    wait_for_stop().await?;
-    drain(&node).await;
+fn check_settings() -> Result<(), ProgramError> {
+    let _log = log::start("info").map_err(StartError::from)?;
+    println!("{}: the settings can be used", settings::read()?.node);
     Ok(())
 }
 
-/// Serves the metrics. A node that cannot bind their port serves callers all the same.
-async fn serve_metrics(node: &Arc<Node>) {
-    let address = SocketAddr::new(node.settings().peers.ip(), telemetry::PORT);
-    let (Some(handle), bound) = (telemetry::install(), TcpListener::bind(address).await) else { return };
-    match bound {
-        Ok(listener) => {
-            tokio::spawn(telemetry::sample_gauges(node.clone()));
-            tokio::spawn(telemetry::serve(node.clone(), listener, handle));
+async fn serve<T>(signals: Signals, background: impl FnOnce(Arc<Node>) -> T) -> Result<(), ProgramError>
+where
+    T: Future<Output = ()> + Send + 'static,
+{
+    let Signals { mut stop, reload } = signals;
+    let started = tokio::select! {
+        started = start_node(reload, background) => started?,
+        () = stop.wait() => {
+            ::log::info!("node: received a stop signal before it had started");
+            return Ok(());
         }
-        Err(error) => ::log::warn!("figures: cannot serve metrics at {address}: {error}"),
-    }
+    };
+    stop.wait().await;
+    drain(&started.node).await;
+    Ok(())
+}
+
+/// A node that serves, with its tasks.
+struct Started {
+    node: Arc<Node>,
+    _tasks: JoinSet<()>,
+}
+
+async fn start_node<T>(
+    reload: Signal,
+    background: impl FnOnce(Arc<Node>) -> T,
+) -> Result<Started, ProgramError>
+where
+    T: Future<Output = ()> + Send + 'static,
+{
+    let settings = read_settings().await?;
+    ::log::info!("node: {} starts in {}", settings.node, settings.hall);
+    let node = Node::new(settings);
+    tokio::spawn(background(node.clone()));
+    tokio::spawn(reread_settings(node.clone(), reload));
+    tokio::spawn(serve_readiness(node.clone()));
+    // The ports come before all connections that this process makes: one of them could take a port.
+    let (callers, peers) = listen::wait_for_both_ports(&node).await;
+    let tasks = start_serving(&node, callers, peers);
+    serve_metrics(&node);
+    Ok(Started { node, _tasks: tasks })
+}
+
+/// Reads the settings, as soon as the file is there and valid: it may be about to be written. Without a path
+/// there is nothing to wait for.
+async fn read_settings() -> Result<Settings, SettingsError> {
+    repeat::until_done(|| match settings::read() {
+        Err(error @ SettingsError::Path) => Ok(Err(error)),
+        read => read.map(Ok),
+    })
+    .await
+}
+
+/// Answers the balancer, also while the other ports cannot be had. A node that lacks this port serves callers
+/// all the same.
+async fn serve_readiness(node: Arc<Node>) {
+    let listener = listen::wait_for_port(&node, "the balancer", |settings| settings.ready).await;
+    front::serve_readiness(node, listener).await;
+}
+
+/// Samples the metrics, and serves them as soon as their port can be had.
+fn serve_metrics(node: &Arc<Node>) {
+    let Some(handle) = telemetry::install() else { return };
+    tokio::spawn(telemetry::sample_gauges(node.clone()));
+    let node = node.clone();
+    tokio::spawn(async move {
+        let find = |settings: &Settings| SocketAddr::new(settings.peers.ip(), telemetry::PORT);
+        let listener = listen::wait_for_port(&node, "metrics", find).await;
+        telemetry::serve(node, listener, handle).await;
+    });
 }
 
 /// Reads the settings again on SIGHUP, and every [`REREAD_INTERVAL`] because the file may change without a
-/// signal. The node keeps the addresses that it was started with.
+/// signal. The node keeps the addresses that it listens at.
 async fn reread_settings(node: Arc<Node>, mut reload: Signal) {
     loop {
         let signaled = tokio::time::timeout(REREAD_INTERVAL.duration(), reload.recv()).await.is_ok();
