Read what has arrived before a stop closes the port and the connections of callers

Callers whose requests arrived while the process of a stopping node did not run got a reset once it ran again and its port was due to close, up to 1.2 s after they had sent them.

The signal that lets a process run again ends its wait for sockets with nothing, and the timers are handled next. So the stop closed the port with all connections that waited at it, and each kept connection whose request had not been noticed; and the process ended at once, as a connection counted from its first request on only. Now the port accepts from the kernel all that waits, not what the runtime has noticed; a connection is closed once it was polled and its socket is seen to be empty, by the same call for idle ones; and a stop waits for the port, and for each connection from its acceptance on. The log says how many connections waited.

--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -23,6 +23,7 @@
 use tokio::sync::watch;
 
 use crate::answer::{Answer, Body};
+use crate::arrivals::{Arrivals, Watched};
 use crate::idle::{self, Idle};
 use crate::ports;
 use crate::request;
@@ -43,8 +44,9 @@
 /// How often the delay of tasks is measured.
 const DELAY_INTERVAL: Millis = Millis(50);
 
-/// Accepts callers until the node is closed.
+/// Accepts callers until the node is closed, and then those that wait.
 pub async fn serve_callers(node: Arc<Node>, listener: TcpListener) {
+    let _accepting = node.begin_accepting();
     let mut closed = node.closed.subscribe();
     if let Err(error) = metered::limit_buffers(&listener) {
         log::warn!("front: the kernel may hold more of callers: {error}");
@@ -52,16 +54,14 @@
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
-            () = wait_closed(&mut closed) => return,
+            () = wait_closed(&mut closed) => break,
         };
         node.overload.lock().begin_turn();
         let mut next = Some(accepted);
         while let Some(accepted) = next {
             next = match accepted {
                 Ok((stream, _)) => {
-                    let before = node.resources.count_evictions();
-                    take_or_close(&node, stream);
-                    ports::let_evicted_go(&node, before).await;
+                    take(&node, stream).await;
                     accept_waiting(&listener).await
                 }
                 Err(error) => {
@@ -71,13 +71,54 @@
             };
         }
     }
+    match listener.into_std() {
+        Ok(listener) => accept_last(&node, &listener).await,
+        Err(error) => log::warn!("front: connections that wait are closed with their port: {error}"),
+    }
+}
+
+/// Accepts all connections that wait in the kernel, whether the runtime has noticed them or not.
+async fn accept_last(node: &Arc<Node>, listener: &std::net::TcpListener) {
+    let mut waiting = 0;
+    node.overload.lock().begin_turn();
+    loop {
+        match listener.accept() {
+            Ok((stream, _)) => {
+                waiting += 1;
+                match into_stream(stream) {
+                    Ok(stream) => take(node, stream).await,
+                    Err(error) => log::warn!("front: closed a connection that waited: {error}"),
+                }
+            }
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => break,
+            Err(error) => pause_accepting(&error).await,
+        }
+    }
+    log::info!("front: closes the port of callers, {waiting} connections waited at it");
+}
+
+fn into_stream(stream: std::net::TcpStream) -> io::Result<TcpStream> {
+    stream.set_nonblocking(true)?;
+    TcpStream::from_std(stream)
+}
+
+async fn take(node: &Arc<Node>, stream: TcpStream) {
+    let before = node.resources.count_evictions();
+    take_or_close(node, stream);
+    ports::let_evicted_go(node, before).await;
 }
 
 fn take_or_close(node: &Arc<Node>, stream: TcpStream) {
     let accepts = node.overload.lock().accepts(node.now());
     // Nothing is read of one that is closed, so the caller may send its request to another node.
     match accepts.then(|| node.resources.open(Port::Callers)) {
-        Some(Ok(slot)) => drop(tokio::spawn(serve_caller(node.clone(), stream, slot))),
+        Some(Ok(slot)) => {
+            let (node, in_use) = (node.clone(), node.begin_use());
+            tokio::spawn(async move {
+                serve_caller(node, stream, slot).await;
+                drop(in_use);
+            });
+        }
         Some(Err(_)) => node.closed_unread.count(Reason::Room),
         None => node.closed_unread.count(Reason::Overload),
     }
@@ -125,10 +166,11 @@
     slot.set_max_buffer(Size(buffer));
     let mut closed = node.closed.subscribe();
     let (current_stream, mut streams) = watch::channel(None);
-    let (in_use, idle) = (OnceLock::new(), Idle::new(node.clone(), slot.clone()));
+    let (used, idle) = (OnceLock::new(), Idle::new(node.clone(), slot.clone()));
+    let arrivals = Arc::new(Arrivals::default());
     let service = service_fn(|request: Request<Incoming>| {
         let (node, slot, current_stream) = (node.clone(), slot.clone(), &current_stream);
-        in_use.get_or_init(|| node.begin_use());
+        used.get_or_init(|| ());
         let busy = idle.begin_request();
         async move {
             let mut answer = request::handle(node.clone(), request, &slot).await;
@@ -139,12 +181,13 @@
             Ok::<_, Infallible>(busy.hold(answer))
         }
     });
+    let watched = Watched::new(stream, arrivals.clone());
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         // `idle` limits the time until a head is read.
         .header_read_timeout(None)
         .max_buf_size(buffer)
-        .serve_connection(TokioIo::new(Metered::new(stream, slot.clone())), service);
+        .serve_connection(TokioIo::new(Metered::new(watched, slot.clone())), service);
     tokio::pin!(connection);
     let (mut is_closing, mut evicted) = (false, None);
     let outcome = loop {
@@ -152,12 +195,12 @@
             // A request that has arrived is read before its connection is closed.
             biased;
             outcome = &mut connection => break outcome,
-            () = wait_closed(&mut closed), if !is_closing => {
+            () = async { wait_closed(&mut closed).await; arrivals.wait_read().await }, if !is_closing => {
                 is_closing = true;
                 connection.as_mut().graceful_shutdown();
             }
-            () = idle.wait_expired(), if !is_closing => {
-                if in_use.get().is_none() {
+            () = async { idle.wait_expired().await; arrivals.wait_read().await }, if !is_closing => {
+                if used.get().is_none() {
                     break Ok(());
                 }
                 is_closing = true;
--- a/crates/node/src/in_flight.rs
+++ b/crates/node/src/in_flight.rs
@@ -17,12 +17,23 @@
         self.running.load(Ordering::Relaxed)
     }
 
-    /// Returns the number of open connections on which callers have sent requests. Once the node is closed
-    /// these are the ones whose answers are not written yet: all others are closed then.
+    /// Returns the number of open connections of callers. Once the node is closed these are the ones that are
+    /// not read to the end of what has arrived, or whose answers are not written yet: all others are closed then.
     pub fn used_connections(&self) -> usize {
         self.used_connections.load(Ordering::Relaxed)
     }
 
+    /// Whether connections of callers are accepted. Some may wait for that even once the node is closed.
+    pub(crate) fn is_accepting(&self) -> bool {
+        self.accepting.load(Ordering::Relaxed)
+    }
+
+    /// Marks the node as accepting connections of callers until the guard is dropped.
+    pub(crate) fn begin_accepting(self: &Arc<Self>) -> AcceptingGuard {
+        self.accepting.store(true, Ordering::Relaxed);
+        AcceptingGuard(self.clone())
+    }
+
     /// Counts a connection as used until the guard is dropped.
     pub(crate) fn begin_use(self: &Arc<Self>) -> ConnectionGuard {
         self.used_connections.fetch_add(1, Ordering::Relaxed);
@@ -102,6 +113,15 @@
     }
 }
 
+/// Marks a node as accepting connections of callers until it is dropped.
+pub(crate) struct AcceptingGuard(Arc<Node>);
+
+impl Drop for AcceptingGuard {
+    fn drop(&mut self) {
+        self.0.accepting.store(false, Ordering::Relaxed);
+    }
+}
+
 /// Counts a request against its concurrency limit until it is dropped.
 pub struct LimitGuard {
     node: Arc<Node>,
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -34,7 +34,8 @@
 //!
 //! - `ports` accepts the connections of other nodes, the balancer and metrics.
 //! - [`front`] listens for callers and answers the balancer, [`request`] admits and routes requests, and
-//!   [`answer`] builds the answers and refusals. `idle` limits how long a caller's connection may be idle.
+//!   [`answer`] builds the answers and refusals. `idle` limits how long a caller's connection may be idle, and
+//!   `arrivals` tells what is unread on one that is about to be closed.
 //! - [`plain`] serves requests with a whole answer. [`stream`] serves streams: `tries` picks one runner
 //!   after another, `race` tries them, also beside those that are late, `runner_stream` reads the events of
 //!   one attempt, and `relay` forwards them to the caller.
@@ -71,6 +72,7 @@
 mod admission;
 pub mod answer;
 mod apply;
+mod arrivals;
 pub mod attempt;
 mod backoff;
 mod candidates;
--- a/crates/node/src/start.rs
+++ b/crates/node/src/start.rs
@@ -85,5 +85,5 @@
 }
 
 fn is_in_use(node: &Node) -> bool {
-    node.running() + node.used_connections() + node.carried_tunnels.count() > 0
+    node.is_accepting() || node.running() + node.used_connections() + node.carried_tunnels.count() > 0
 }
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -195,6 +195,7 @@
     pub(crate) serving: AtomicBool,
     pub(crate) running: AtomicUsize,
     pub(crate) used_connections: AtomicUsize,
+    pub(crate) accepting: AtomicBool,
 }
 
 impl Node {
@@ -267,6 +268,7 @@
             serving: AtomicBool::new(false),
             running: AtomicUsize::new(0),
             used_connections: AtomicUsize::new(0),
+            accepting: AtomicBool::new(false),
         })
     }
 
