Let more connections wait at the ports of a node

Callers that connected while a node did not run, or right after a return, waited a second or more for a place: 129 of 400 connected at once, the others up to 2.06 s later.

The runtime listens with a queue of 128 if it isn't told otherwise, and the kernel drops the opening packets of all others, which are sent again after a second. The ports for callers and for other nodes now say how many may wait; addresses are reused as before.

--- a/crates/node/src/ports.rs
+++ b/crates/node/src/ports.rs
@@ -1,6 +1,9 @@
-//! Accepts connections at the ports other than that of callers, within the account of the process.
+//! Binds the ports, and accepts connections at those other than that of callers, within the account of the
+//! process.
 
 use std::convert::Infallible;
+use std::io;
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use cottoncrank::resources::{Port, READ_BUFFER};
@@ -11,15 +14,40 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 
 use crate::answer::Answer;
 use crate::front::pause_accepting;
 use crate::state::Node;
 
+/// The connections that may wait at a port until the process takes them. The kernel lets later callers wait for
+/// a second before they can try again, and clients and other nodes come all at once after a pause or a return.
+const CALLERS_BACKLOG: u32 = 1024;
+const PEERS_BACKLOG: u32 = 512;
+const OTHER_BACKLOG: u32 = 128;
+
 /// An accepted connection.
 pub(crate) type Connection = Metered<TcpStream>;
 
+/// Binds the address of a port. It may be bound again while earlier connections of it are closing.
+pub(crate) fn bind(address: SocketAddr, port: Port) -> io::Result<TcpListener> {
+    let socket = match address {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(backlog(port))
+}
+
+fn backlog(port: Port) -> u32 {
+    match port {
+        Port::Callers => CALLERS_BACKLOG,
+        Port::Peers => PEERS_BACKLOG,
+        Port::Readiness | Port::Metrics => OTHER_BACKLOG,
+    }
+}
+
 /// Accepts connections until the process ends, and serves each with `serve`. One that has to go for others is
 /// dropped.
 pub(crate) async fn accept<F, S>(node: Arc<Node>, listener: TcpListener, port: Port, serve: F)
--- a/crates/node/src/start.rs
+++ b/crates/node/src/start.rs
@@ -4,14 +4,15 @@
 use std::sync::Arc;
 
 use cottoncrank::Millis;
+use cottoncrank::resources::Port;
 use cottoncrank_fleet::settings::Settings;
 use tokio::net::TcpListener;
 use tokio::task::JoinSet;
 
 use crate::state::Node;
 use crate::{
-    decider, evacuation, front, paths, peer, presence, pressure, registration, reporting, suspect_store,
-    suspension, sync,
+    decider, evacuation, front, paths, peer, ports, presence, pressure, registration, reporting,
+    suspect_store, suspension, sync,
 };
 
 /// The part of the time between the stop signal and the kill that is not used for draining.
@@ -34,9 +35,9 @@
     /// Binds the addresses of the settings.
     pub async fn bind(settings: &Settings) -> io::Result<Listeners> {
         Ok(Listeners {
-            callers: TcpListener::bind(settings.callers).await?,
-            ready: TcpListener::bind(settings.ready).await?,
-            peers: TcpListener::bind(settings.peers).await?,
+            callers: ports::bind(settings.callers, Port::Callers)?,
+            ready: ports::bind(settings.ready, Port::Readiness)?,
+            peers: ports::bind(settings.peers, Port::Peers)?,
         })
     }
 }
