Tell callers that a node ends before it has their answers

At the end of its grace period a stopping node closed the connections of requests that had no answer yet: a caller could not tell this from a node that died, nor whether its request may have run.

They are now answered as requests that may have run, and the node leaves 0.3 s of the margin before the kill for callers to read it. Streams under way are cut as before.

--- a/crates/node/src/request.rs
+++ b/crates/node/src/request.rs
@@ -53,6 +53,7 @@
             tokio::select! {
                 outcome = run(&node, Arc::new(job), request_guard) => outcome,
                 () = node.wait_until(deadline) => Err(Refusal::DeadlineExceeded),
+                () = node.wait_ending() => Err(Refusal::MayHaveRun),
             }
         }
         Err(refusal) => Err(refusal),
--- a/crates/node/src/start.rs
+++ b/crates/node/src/start.rs
@@ -18,6 +18,9 @@
 /// The part of the time between the stop signal and the kill that is not used for draining.
 const STOP_MARGIN: Millis = Millis(700);
 
+/// The part of it in which callers still read that their requests are not answered.
+const ANSWER_TIME: Millis = Millis(300);
+
 /// How often a draining node checks whether its requests are answered.
 const POLL_INTERVAL: Millis = Millis(50);
 
@@ -68,15 +71,18 @@
 /// The node reports that it is not ready but accepts requests until the balancer must have noticed. Then
 /// it rejects new requests, which might not finish before the kill, and waits for those in flight, for
 /// callers that still read their answers, and for the tunnels that it carries, as long as the grace period
-/// allows.
+/// allows. Requests without an answer are told so before it ends.
 pub async fn drain(node: &Node) {
     let end = node.now() + (node.settings().bounds.grace - STOP_MARGIN);
     log::info!("node: received a stop signal, {} requests in flight", node.running());
     node.draining.send_replace(true);
     tokio::time::sleep(front::DRAIN_NOTICE.duration()).await;
     node.closed.send_replace(true);
-    while is_in_use(node) && node.now() < end {
-        tokio::time::sleep(POLL_INTERVAL.duration()).await;
+    wait_unused(node, end).await;
+    if node.running() > 0 {
+        log::info!("node: ends, tells {} requests that it has no answer", node.running());
+        node.ending.send_replace(true);
+        wait_unused(node, end + ANSWER_TIME).await;
     }
     let (connections, carried) = (node.used_connections(), node.carried_tunnels.count());
     log::info!(
@@ -85,6 +91,13 @@
     );
 }
 
+/// Waits until the node is not in use, at most until `end`.
+async fn wait_unused(node: &Node, end: Millis) {
+    while is_in_use(node) && node.now() < end {
+        tokio::time::sleep(POLL_INTERVAL.duration()).await;
+    }
+}
+
 fn is_in_use(node: &Node) -> bool {
     node.is_accepting() || node.running() + node.used_connections() + node.carried_tunnels.count() > 0
 }
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -190,6 +190,8 @@
     pub draining: watch::Sender<bool>,
     /// Whether the node has stopped accepting requests.
     pub closed: watch::Sender<bool>,
+    /// Whether the node ends, so that requests without an answer are told so.
+    pub(crate) ending: watch::Sender<bool>,
     synced: watch::Sender<bool>,
     deciding: AtomicBool,
     pub(crate) serving: AtomicBool,
@@ -263,6 +265,7 @@
             fleet_changed: Notify::new(),
             draining: watch::Sender::new(false),
             closed: watch::Sender::new(false),
+            ending: watch::Sender::new(false),
             synced: watch::Sender::new(false),
             deciding: AtomicBool::new(false),
             serving: AtomicBool::new(false),
@@ -301,6 +304,12 @@
         }
     }
 
+    /// Waits until the node ends.
+    pub(crate) async fn wait_ending(&self) {
+        // The sender exists as long as the node, so this cannot fail.
+        let _ = self.ending.subscribe().wait_for(|ending| *ending).await;
+    }
+
     /// Waits for `span`, or until the process resumes after it did not run for a while.
     pub(crate) async fn pause(&self, span: Millis) {
         let mut resumed = self.resumed.subscribe();
