Count the grace period from when a stop may have been sent

A process cannot see when a signal was sent, but it looks at the clock every 50 ms and so knows when it did not run. What it hears of within 0.2 s of a pause counts as sent at the begin of the pause. The end of the drain, and with it the answers that what is left has none, comes before the kill then; the log has the difference.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -43,6 +43,7 @@
 //! - [`returns`]: when refused callers should return, and which of them do as told.
 //! - [`balance`]: picks the runner for a request on a node by itself.
 //! - [`evacuation`]: the halls that operators evacuate, whose runners are sent nothing more.
+//! - [`activity`]: when a process ran, and how long ago what it hears of may have happened.
 //! - [`overload`]: whether a node takes new connections while its processor is overloaded.
 //! - [`limit`]: limits the requests that a node has in flight.
 //! - [`retries`]: divides the fleet's retry budget among the nodes.
@@ -68,6 +69,7 @@
 //! - [`gossip`]: exchanges suspected requests between nodes.
 //! - [`trials`]: decides when a suspected request may run.
 
+pub mod activity;
 pub mod admission;
 pub mod adopt;
 pub mod allocation;
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -140,6 +140,7 @@
         node.overload.lock().expect_measurement(due);
         tokio::time::sleep(DELAY_INTERVAL.duration()).await;
         let began = node.now();
+        node.activity.lock().record(began);
         let late = began.since(due);
         tokio::task::yield_now().await;
         let measurement = Measurement { late, turn: node.now().since(began) };
--- a/crates/node/src/start.rs
+++ b/crates/node/src/start.rs
@@ -73,10 +73,17 @@
 /// callers that still read their answers, and for the tunnels that it carries, as long as the grace period
 /// allows. Requests without an answer are told so before it ends.
 pub async fn drain(node: &Node) {
-    let end = node.now() + (node.settings().bounds.grace - STOP_MARGIN);
-    log::info!("node: received a stop signal, {} requests in flight", node.running());
+    let heard = node.now();
+    // It may have been sent at any time while the process did not run.
+    let sent = node.activity.lock().find_earliest(heard);
+    let end = sent + (node.settings().bounds.grace - STOP_MARGIN);
+    log::info!(
+        "node: received a stop signal, sent up to {} before, {} requests in flight",
+        heard.since(sent),
+        node.running()
+    );
     node.draining.send_replace(true);
-    tokio::time::sleep(front::DRAIN_NOTICE.duration()).await;
+    tokio::time::sleep(front::DRAIN_NOTICE.min(end - heard).duration()).await;
     node.closed.send_replace(true);
     wait_unused(node, end).await;
     if node.running() > 0 {
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -7,6 +7,7 @@
 
 use cottoncrank::clock::System;
 use cottoncrank::{Clock, Millis, id};
+use cottoncrank_fleet::activity::Activity;
 use cottoncrank_fleet::allocation::{Allocations, LocalBuckets, RetrySchedule};
 use cottoncrank_fleet::balance::Ledger;
 use cottoncrank_fleet::catalog::Catalog;
@@ -172,6 +173,8 @@
     pub reports: Mutex<occupancy::Table>,
     /// The concurrency limits by model key.
     pub concurrency_limits: Mutex<HashMap<ModelKey, Limit>>,
+    /// When this process ran.
+    pub(crate) activity: Mutex<Activity>,
     /// Whether this node's processor is overloaded.
     pub(crate) overload: Mutex<Overload>,
     /// The new connections that were closed unread.
@@ -256,6 +259,7 @@
             client: Client::new(Traffic::default()),
             attempt_ended: Notify::new(),
             concurrency_limits: Mutex::default(),
+            activity: Mutex::default(),
             overload: Mutex::default(),
             closed_unread: ClosedUnread::default(),
             request_ended: Notify::new(),
