Wait no longer for the rest of a head at a stop

Since connections count from their acceptance on, a stop waited for one with half a head until the end of the grace period, 7.3 s in place of some 2.5 s. Such a connection counts until what has arrived on it is read, and from its first request on.

--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -19,12 +19,14 @@
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
+use parking_lot::Mutex;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
 use crate::answer::{Answer, Body};
 use crate::arrivals::{Arrivals, Watched};
 use crate::idle::{self, Idle};
+use crate::in_flight::ConnectionGuard;
 use crate::ports;
 use crate::request;
 use crate::state::Node;
@@ -113,11 +115,7 @@
     // Nothing is read of one that is closed, so the caller may send its request to another node.
     match accepts.then(|| node.resources.open(Port::Callers)) {
         Some(Ok(slot)) => {
-            let (node, in_use) = (node.clone(), node.begin_use());
-            tokio::spawn(async move {
-                serve_caller(node, stream, slot).await;
-                drop(in_use);
-            });
+            drop(tokio::spawn(serve_caller(node.clone(), stream, slot, node.begin_use())));
         }
         Some(Err(_)) => node.closed_unread.count(Reason::Room),
         None => node.closed_unread.count(Reason::Overload),
@@ -155,7 +153,7 @@
     tokio::time::sleep(ACCEPT_PAUSE.duration()).await;
 }
 
-async fn serve_caller(node: Arc<Node>, stream: TcpStream, slot: Arc<Slot>) {
+async fn serve_caller(node: Arc<Node>, stream: TcpStream, slot: Arc<Slot>, accepted: ConnectionGuard) {
     let limits = node.catalog.lock().as_ref().map(|catalog| catalog.limits);
     // A caller that reads nothing would otherwise hold its connection and its answer for good.
     let prepared =
@@ -167,11 +165,13 @@
     slot.set_max_buffer(Size(buffer));
     let mut closed = node.closed.subscribe();
     let (current_stream, mut streams) = watch::channel(None);
-    let (used, idle) = (OnceLock::new(), Idle::new(node.clone(), slot.clone()));
+    let (in_use, was_used) = (Mutex::new(Some(accepted)), OnceLock::new());
+    let idle = Idle::new(node.clone(), slot.clone());
     let arrivals = Arc::new(Arrivals::default());
     let service = service_fn(|request: Request<Incoming>| {
         let (node, slot, current_stream) = (node.clone(), slot.clone(), &current_stream);
-        used.get_or_init(|| ());
+        was_used.get_or_init(|| ());
+        in_use.lock().get_or_insert_with(|| node.begin_use());
         let busy = idle.begin_request();
         async move {
             let mut answer = request::handle(node.clone(), request, &slot).await;
@@ -198,10 +198,14 @@
             outcome = &mut connection => break outcome,
             () = async { wait_closed(&mut closed).await; arrivals.wait_read().await }, if !is_closing => {
                 is_closing = true;
+                if was_used.get().is_none() {
+                    // The rest of a head may never come.
+                    in_use.lock().take();
+                }
                 connection.as_mut().graceful_shutdown();
             }
             () = async { idle.wait_expired().await; arrivals.wait_read().await }, if !is_closing => {
-                if used.get().is_none() {
+                if was_used.get().is_none() {
                     break Ok(());
                 }
                 is_closing = true;
--- a/crates/node/src/in_flight.rs
+++ b/crates/node/src/in_flight.rs
@@ -17,8 +17,8 @@
         self.running.load(Ordering::Relaxed)
     }
 
-    /// Returns the number of open connections of callers. Once the node is closed these are the ones that are
-    /// not read to the end of what has arrived, or whose answers are not written yet: all others are closed then.
+    /// Returns the number of open connections of callers. Once the node is closed these are the ones on which
+    /// something is unread, or whose answers are not written yet.
     pub fn used_connections(&self) -> usize {
         self.used_connections.load(Ordering::Relaxed)
     }
--- a/crates/node/tests/stops.rs
+++ b/crates/node/tests/stops.rs
@@ -14,6 +14,8 @@
 use cottoncrank_platform_standin::caller::{Connection, send_request};
 use cottoncrank_platform_standin::operator::{ONCE, READ, config};
 use rustix::process::Signal;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
 use tokio::task::JoinSet;
 
 /// How long before the port closes the process stops running, and how long after it it runs again.
@@ -102,3 +104,16 @@
     assert_eq!((lost, answered), (0, REQUESTS), "{}", node.read_log());
     assert!(node.wait_end().await.success());
 }
+
+/// Guards against stops that wait for the rest of a head, which may never come.
+#[tokio::test]
+async fn a_node_that_is_stopped_does_not_wait_for_the_rest_of_a_head() {
+    let (_fleet, mut node) = start_node().await;
+    let mut stream = TcpStream::connect(node.settings.callers).await.unwrap();
+    stream.write_all(b"POST /read/x HTTP/1.1\r\n").await.unwrap();
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    let began = Instant::now();
+    node.signal(Signal::TERM);
+    assert!(node.wait_end().await.success());
+    assert!(began.elapsed() < DRAIN_NOTICE.duration() + Duration::from_secs(1), "{}", node.read_log());
+}
