--- a/crates/node/src/listen.rs
+++ b/crates/node/src/listen.rs
@@ -3,33 +3,32 @@
 use std::io;
 use std::net::SocketAddr;
 
+use cottoncrank::resources::Port;
 use cottoncrank_fleet::settings::Settings;
 use thiserror::Error;
 use tokio::net::{TcpListener, TcpSocket};
 
+use crate::ports;
 use crate::repeat;
 use crate::state::Node;
 
-/// The connections of a port that may wait to be accepted.
-const BACKLOG: u32 = 128;
-
 /// A port that cannot be had at present.
 #[derive(Debug, Error)]
-#[error("the port for {port} cannot be had at {address}: {source}")]
+#[error("the port for {} cannot be had at {address}: {source}", .port.name())]
 struct PortError {
-    port: &'static str,
+    port: Port,
     address: SocketAddr,
     source: io::Error,
 }
 
 /// A port that is bound, so that nobody else takes it. Connections to it are refused until it listens.
 struct Claim {
-    port: &'static str,
+    port: Port,
     bound: Option<(SocketAddr, TcpSocket)>,
 }
 
 impl Claim {
-    fn new(port: &'static str) -> Claim {
+    fn new(port: Port) -> Claim {
         Claim { port, bound: None }
     }
 
@@ -48,7 +47,7 @@
     fn listen(&mut self, address: SocketAddr) -> Result<TcpListener, PortError> {
         self.bind(address)?;
         let bound = self.bound.take().ok_or_else(|| io::ErrorKind::NotConnected.into());
-        let listener = bound.and_then(|(_, socket)| socket.listen(BACKLOG));
+        let listener = bound.and_then(|(_, socket)| socket.listen(ports::backlog(self.port)));
         listener.map_err(|source| PortError { port: self.port, address, source })
     }
 }
@@ -64,7 +63,7 @@
 /// Listens at a port, as soon as it can be had.
 pub(crate) async fn wait_for_port(
     node: &Node,
-    port: &'static str,
+    port: Port,
     find: impl Fn(&Settings) -> SocketAddr,
 ) -> TcpListener {
     let mut claim = Claim::new(port);
@@ -74,7 +73,7 @@
 /// Listens at the ports for callers and for other nodes, as soon as both can be had. Callers of a node that lacks
 /// one of them are refused at once, and may go to another one.
 pub(crate) async fn wait_for_both_ports(node: &Node) -> (TcpListener, TcpListener) {
-    let (mut callers, mut peers) = (Claim::new("callers"), Claim::new("other nodes"));
+    let (mut callers, mut peers) = (Claim::new(Port::Callers), Claim::new(Port::Peers));
     repeat::until_done(|| {
         let settings = node.settings();
         let bound = (callers.bind(settings.callers), peers.bind(settings.peers));
--- a/crates/node/src/ports.rs
+++ b/crates/node/src/ports.rs
@@ -1,4 +1,5 @@
-//! Accepts connections at the ports other than that of callers, within the account of the process.
+//! How many connections may wait at each port, and how they are accepted at those other than that of callers,
+//! within the account of the process.
 
 use std::convert::Infallible;
 use std::sync::Arc;
@@ -17,9 +18,24 @@
 use crate::front::pause_accepting;
 use crate::state::Node;
 
+/// The connections that may wait at a port until the process takes them. The kernel lets later callers wait for
+/// a second before they can try again, and clients and other nodes come all at once after a pause or a return.
+const CALLERS_BACKLOG: u32 = 1024;
+const PEERS_BACKLOG: u32 = 512;
+const OTHER_BACKLOG: u32 = 128;
+
 /// An accepted connection.
 pub(crate) type Connection = Metered<TcpStream>;
 
+/// Returns how many connections may wait at a port.
+pub(crate) fn backlog(port: Port) -> u32 {
+    match port {
+        Port::Callers => CALLERS_BACKLOG,
+        Port::Peers => PEERS_BACKLOG,
+        Port::Readiness | Port::Metrics => OTHER_BACKLOG,
+    }
+}
+
 /// Accepts connections until the process ends, and serves each with `serve`. One that has to go for others is
 /// dropped.
 pub(crate) async fn accept<F, S>(node: Arc<Node>, listener: TcpListener, port: Port, serve: F)
--- a/crates/node/src/program.rs
+++ b/crates/node/src/program.rs
@@ -5,6 +5,7 @@
 
 use cottoncrank::Millis;
 use cottoncrank::program::StartError;
+use cottoncrank::resources::Port;
 use cottoncrank_fleet::settings::Settings;
 use cottoncrank_platform::settings::{self, SettingsError};
 use thiserror::Error;
@@ -112,7 +113,7 @@
 /// Answers the balancer, also while the other ports cannot be had. A node that lacks this port serves callers
 /// all the same.
 async fn serve_readiness(node: Arc<Node>) {
-    let listener = listen::wait_for_port(&node, "the balancer", |settings| settings.ready).await;
+    let listener = listen::wait_for_port(&node, Port::Readiness, |settings| settings.ready).await;
     front::serve_readiness(node, listener).await;
 }
 
@@ -123,7 +124,7 @@
     let node = node.clone();
     tokio::spawn(async move {
         let find = |settings: &Settings| SocketAddr::new(settings.peers.ip(), telemetry::PORT);
-        let listener = listen::wait_for_port(&node, "metrics", find).await;
+        let listener = listen::wait_for_port(&node, Port::Metrics, find).await;
         telemetry::serve(node, listener, handle).await;
     });
 }
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -7,6 +7,7 @@
 
 use cottoncrank::clock::System;
 use cottoncrank::{Clock, Millis, id};
+use cottoncrank_fleet::activity::Activity;
 use cottoncrank_fleet::allocation::{Allocations, LocalBuckets, RetrySchedule};
 use cottoncrank_fleet::balance::Ledger;
 use cottoncrank_fleet::catalog::Catalog;
@@ -172,6 +173,8 @@
     pub reports: Mutex<occupancy::Table>,
     /// The concurrency limits by model key.
     pub concurrency_limits: Mutex<HashMap<ModelKey, Limit>>,
+    /// When this process ran.
+    pub(crate) activity: Mutex<Activity>,
     /// Whether this node's processor is overloaded.
     pub(crate) overload: Mutex<Overload>,
     /// The new connections that were closed unread.
@@ -190,11 +193,14 @@
     pub draining: watch::Sender<bool>,
     /// Whether the node has stopped accepting requests.
     pub closed: watch::Sender<bool>,
+    /// Whether the node ends, so that requests without an answer are told so.
+    pub(crate) ending: watch::Sender<bool>,
     synced: watch::Sender<bool>,
     deciding: AtomicBool,
     pub(crate) serving: AtomicBool,
     pub(crate) running: AtomicUsize,
     pub(crate) used_connections: AtomicUsize,
+    pub(crate) accepting: AtomicBool,
 }
 
 impl Node {
@@ -253,6 +259,7 @@
             client: Client::new(Traffic::default()),
             attempt_ended: Notify::new(),
             concurrency_limits: Mutex::default(),
+            activity: Mutex::default(),
             overload: Mutex::default(),
             closed_unread: ClosedUnread::default(),
             request_ended: Notify::new(),
@@ -262,11 +269,13 @@
             fleet_changed: Notify::new(),
             draining: watch::Sender::new(false),
             closed: watch::Sender::new(false),
+            ending: watch::Sender::new(false),
             synced: watch::Sender::new(false),
             deciding: AtomicBool::new(false),
             serving: AtomicBool::new(false),
             running: AtomicUsize::new(0),
             used_connections: AtomicUsize::new(0),
+            accepting: AtomicBool::new(false),
         })
     }
 
@@ -299,6 +308,12 @@
         }
     }
 
+    /// Waits until the node ends.
+    pub(crate) async fn wait_ending(&self) {
+        // The sender exists as long as the node, so this cannot fail.
+        let _ = self.ending.subscribe().wait_for(|ending| *ending).await;
+    }
+
     /// Waits for `span`, or until the process resumes after it did not run for a while.
     pub(crate) async fn pause(&self, span: Millis) {
         let mut resumed = self.resumed.subscribe();
