Log panics, and tell when the thread that runs all tasks stands still

A panic was written to standard error by the thread that serves, outside the log and its quotas, and nothing counted it. A thread that stands still said nothing, as the lines about pauses are its own. Panics now go through the log and are counted; a thread of its own looks each second whether tasks run and logs after two looks without one. A process that was stopped as a whole says nothing of the kind (SIGSTOP for 3 s, three times).

--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -63,6 +63,7 @@
 //! # Process
 //!
 //! - [`program`] runs a node with its settings and signals; [`start`] starts and drains it.
+//! - [`supervise`] logs panics, and tells when the thread stands still.
 //! - `suspension` detects that the process did not run for a while, and `catchup` limits what it sends
 //!   until it has heard what it missed.
 //! - [`log`] writes log lines without blocking, and [`telemetry`] serves the metrics. `cold` logs which
@@ -112,6 +113,7 @@
 pub mod start;
 pub mod state;
 pub mod stream;
+pub mod supervise;
 mod suspect_store;
 mod suspects;
 mod suspension;
--- a/crates/node/src/program.rs
+++ b/crates/node/src/program.rs
@@ -13,7 +13,7 @@
 
 use crate::start::{Listeners, drain, start};
 use crate::state::Node;
-use crate::{log, telemetry};
+use crate::{log, supervise, telemetry};
 
 /// How often the settings are read again without a signal.
 const REREAD_INTERVAL: Millis = Millis(10_000);
@@ -36,6 +36,7 @@
     T: Future<Output = ()> + Send + 'static,
 {
     let log = log::start("info").map_err(StartError::from)?;
+    supervise::log_panics();
     let settings = settings::read()?;
     if check {
         println!("{}: the settings can be used", settings.node);
@@ -59,6 +60,7 @@
     let listeners = Listeners::bind(&settings).await?;
     let reload = signal(SignalKind::hangup())?;
     tokio::spawn(reread_settings(node.clone(), reload));
+    let _watch = supervise::Watch::start(node.turns.clone())?;
     let _tasks = start(&node, listeners);
     serve_metrics(&node).await;
     wait_for_stop().await?;
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -51,6 +51,7 @@
 use crate::invalid_items::{InvalidItems, ItemKind};
 use crate::pressure;
 use crate::returns;
+use crate::supervise::Turns;
 use crate::suspects;
 use crate::telemetry;
 use crate::tunnel::Carried;
@@ -176,6 +177,8 @@
     pub(crate) overload: Mutex<Overload>,
     /// The new connections that were closed unread.
     pub(crate) closed_unread: ClosedUnread,
+    /// Shows that the tasks of this node run.
+    pub turns: Turns,
     /// Notified when a request ends, so that a waiting one may be admitted.
     pub request_ended: Notify,
     /// The retries that this node may spend by itself.
@@ -255,6 +258,7 @@
             concurrency_limits: Mutex::default(),
             overload: Mutex::default(),
             closed_unread: ClosedUnread::default(),
+            turns: Turns::default(),
             request_ended: Notify::new(),
             retry_allowance: Mutex::default(),
             retry_pool: Mutex::default(),
--- a/crates/node/src/suspension.rs
+++ b/crates/node/src/suspension.rs
@@ -22,6 +22,7 @@
     let mut detector = SuspensionDetector::new(node.clock.clone());
     loop {
         tokio::time::sleep(CHECK_INTERVAL.duration()).await;
+        node.turns.record();
         catchup::check(&node);
         if let Some(suspension) = detector.check(CHECK_INTERVAL) {
             handle_resume(&node, suspension);
--- a/crates/node/src/telemetry.rs
+++ b/crates/node/src/telemetry.rs
@@ -128,6 +128,11 @@
     metrics::counter!("cottoncrank_connections_closed_unread_total", "reason" => reason.name()).increment(1);
 }
 
+/// Counts a panic, in whatever task.
+pub(crate) fn count_panic() {
+    metrics::counter!("cottoncrank_panics_total").increment(1);
+}
+
 /// Records how late a task ran, and how long the next turn of all tasks took.
 pub fn record_delay(measurement: Measurement) {
     metrics::histogram!("cottoncrank_task_late_seconds").record(measurement.late.0 as f64 / 1000.0);
--- a/crates/node/tests/tasks.rs
+++ b/crates/node/tests/tasks.rs
@@ -8,8 +8,12 @@
 
 use common::process::NodeProcess;
 use common::{Fleet, KEY};
+use cottoncrank::Millis;
+use cottoncrank_node::supervise::{Turns, Watch};
 use cottoncrank_platform_standin::caller::send_request;
 use cottoncrank_platform_standin::operator::{STREAM, config};
+use parking_lot::Mutex;
+use rustix::process::Signal;
 use serde_json::json;
 
 /// The time within which service has to come back.
@@ -48,3 +52,59 @@
     fleet.store.configure(&config(2, &[KEY]));
     assert!(is_served_in_time(&node).await, "no stream was served:\n{}", node.read_log());
 }
+
+/// The lines that this test program logged.
+struct Lines(Mutex<Vec<String>>);
+
+static LINES: Lines = Lines(Mutex::new(Vec::new()));
+
+impl log::Log for Lines {
+    fn enabled(&self, _: &log::Metadata) -> bool {
+        true
+    }
+
+    fn log(&self, record: &log::Record) {
+        self.0.lock().push(record.args().to_string());
+    }
+
+    fn flush(&self) {}
+}
+
+fn count_lines(text: &str) -> usize {
+    LINES.0.lock().iter().filter(|line| line.contains(text)).count()
+}
+
+#[test]
+fn a_thread_that_stands_still_is_told_by_another_one() {
+    log::set_logger(&LINES).unwrap();
+    log::set_max_level(log::LevelFilter::Info);
+    let turns = Turns::default();
+    let watch = Watch::start_with(turns.clone(), Millis(50)).unwrap();
+    let pause = || std::thread::park_timeout(Duration::from_millis(10));
+    let end = Instant::now() + RECOVERY;
+    while count_lines("watch: no task has run") == 0 {
+        assert!(Instant::now() < end, "nothing was logged");
+        pause();
+    }
+    while count_lines("watch: tasks run again") == 0 {
+        assert!(Instant::now() < end, "nothing was logged");
+        turns.record();
+        pause();
+    }
+    drop(watch);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_process_that_was_stopped_as_a_whole_did_not_stand_still() {
+    let fleet = Fleet::unconfigured(0).await;
+    fleet.store.configure(&config(1, &[KEY]));
+    let node = NodeProcess::start(fleet.store.address(), 7).await;
+    for _ in 0..3 {
+        node.signal(Signal::STOP);
+        tokio::time::sleep(INVALID_TIME).await;
+        node.signal(Signal::CONT);
+        tokio::time::sleep(INTERVAL).await;
+    }
+    assert!(!node.read_log().contains("watch:"), "{}", node.read_log());
+    assert!(node.read_log().contains("held up for"), "{}", node.read_log());
+}
