Start tasks of a node again that end by themselves

What callers saw: after a configuration with a model of size 0 no group was formed any more, also not after its correction; the node stayed ready. Cause: the decider's task panicked, and nothing looks at the fifteen tasks of a node again. The same would have ended the task that follows the store, reports, answers the balancer or accepts callers.

A task that panics, or returns and should not, is logged, counted and started again after 0.1 to 2 s; the process goes on, as its other tasks hold requests. The decider's duty and its probes end with its task. Listeners are shared, so that a port is not bound anew.

--- a/crates/node/src/decider.rs
+++ b/crates/node/src/decider.rs
@@ -13,6 +13,7 @@
 use cottoncrank_platform::item::Item;
 use cottoncrank_platform::store::{Commit, Outcome};
 use rand::Rng;
+use tokio::task::AbortHandle;
 
 use self::term::{EndError, Holding, Term};
 use crate::plans::read_plans;
@@ -76,12 +77,10 @@
             Ok(Some(mut term)) => {
                 let position = term.lease_position();
                 log::info!("decider: this node is the decider since store position {position}");
-                let prober = tokio::spawn(prober::run(node.clone(), term.client(), term.probes()));
-                node.set_deciding(true);
+                let duty = Duty::begin(&node, &term);
                 let Err(end) = term.run().await;
                 was_decider = node.store.era() != position.era();
-                node.set_deciding(false);
-                prober.abort();
+                drop(duty);
                 log::warn!("decider: this node is no longer the decider: {end}");
                 if let Err(error) = node.store.revoke_lease(term.lease()).await {
                     log::info!("decider: the lease was not ended and expires by itself: {error}");
@@ -94,6 +93,27 @@
     }
 }
 
+/// The duty of the decider. It ends when this is dropped, be it by a panic.
+struct Duty {
+    node: Arc<Node>,
+    prober: AbortHandle,
+}
+
+impl Duty {
+    fn begin(node: &Arc<Node>, term: &Term) -> Duty {
+        node.set_deciding(true);
+        let prober = tokio::spawn(prober::run(node.clone(), term.client(), term.probes()));
+        Duty { node: node.clone(), prober: prober.abort_handle() }
+    }
+}
+
+impl Drop for Duty {
+    fn drop(&mut self) {
+        self.node.set_deciding(false);
+        self.prober.abort();
+    }
+}
+
 /// Whether this node could act as the decider at present.
 fn is_candidate(node: &Node) -> bool {
     let knows_fleet = node.is_synced() && node.catalog.lock().is_some();
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -44,7 +44,7 @@
 const DELAY_INTERVAL: Millis = Millis(50);
 
 /// Accepts callers until the node is closed.
-pub async fn serve_callers(node: Arc<Node>, listener: TcpListener) {
+pub async fn serve_callers(node: Arc<Node>, listener: Arc<TcpListener>) {
     let mut closed = node.closed.subscribe();
     if let Err(error) = metered::limit_buffers(&listener) {
         log::warn!("front: the kernel may hold more of callers: {error}");
@@ -214,7 +214,7 @@
 pub const DRAIN_NOTICE: Millis = Millis(2500);
 
 /// Answers the balancer's health checks until the process ends.
-pub async fn serve_readiness(node: Arc<Node>, listener: TcpListener) {
+pub async fn serve_readiness(node: Arc<Node>, listener: Arc<TcpListener>) {
     let asked = node.clone();
     ports::accept(node, listener, Port::Readiness, |connection, slot| {
         let node = asked.clone();
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -63,7 +63,7 @@
 //! # Process
 //!
 //! - [`program`] runs a node with its settings and signals; [`start`] starts and drains it.
-//! - [`supervise`] logs panics, and tells when the thread stands still.
+//! - [`supervise`] starts tasks again that end by themselves, logs panics, and tells when the thread stands still.
 //! - `suspension` detects that the process did not run for a while, and `catchup` limits what it sends
 //!   until it has heard what it missed.
 //! - [`log`] writes log lines without blocking, and [`telemetry`] serves the metrics. `cold` logs which
--- a/crates/node/src/peer.rs
+++ b/crates/node/src/peer.rs
@@ -180,7 +180,7 @@
 }
 
 /// Answers the queries of other nodes until the process ends.
-pub async fn serve(node: Arc<Node>, listener: TcpListener) {
+pub async fn serve(node: Arc<Node>, listener: Arc<TcpListener>) {
     let asked = node.clone();
     ports::accept(node, listener, Port::Peers, |connection, slot| {
         serve_peer(asked.clone(), connection, slot)
--- a/crates/node/src/ports.rs
+++ b/crates/node/src/ports.rs
@@ -22,7 +22,7 @@
 
 /// Accepts connections until the process ends, and serves each with `serve`. One that has to go for others is
 /// dropped.
-pub(crate) async fn accept<F, S>(node: Arc<Node>, listener: TcpListener, port: Port, serve: F)
+pub(crate) async fn accept<F, S>(node: Arc<Node>, listener: Arc<TcpListener>, port: Port, serve: F)
 where
     F: Fn(Connection, Arc<Slot>) -> S,
     S: Future<Output = ()> + Send + 'static,
--- a/crates/node/src/start.rs
+++ b/crates/node/src/start.rs
@@ -9,6 +9,7 @@
 use tokio::task::JoinSet;
 
 use crate::state::Node;
+use crate::supervise::{Lifetime, keep_running};
 use crate::{
     decider, evacuation, front, paths, peer, presence, pressure, registration, reporting, suspect_store,
     suspension, sync,
@@ -43,23 +44,50 @@
 
 /// Starts all tasks of a node. They end when the returned set is dropped.
 pub fn start(node: &Arc<Node>, listeners: Listeners) -> JoinSet<()> {
-    let mut tasks = JoinSet::new();
-    tasks.spawn(sync::run(node.clone()));
-    tasks.spawn(sync::run_expiry(node.clone()));
-    tasks.spawn(evacuation::run(node.clone()));
-    tasks.spawn(registration::run(node.clone()));
-    tasks.spawn(presence::run(node.clone()));
-    tasks.spawn(reporting::run(node.clone()));
-    tasks.spawn(paths::run(node.clone()));
-    tasks.spawn(pressure::run(node.clone()));
-    tasks.spawn(suspect_store::run(node.clone()));
-    tasks.spawn(suspension::run(node.clone()));
-    tasks.spawn(peer::serve(node.clone(), listeners.peers));
-    tasks.spawn(decider::run(node.clone()));
-    tasks.spawn(front::serve_readiness(node.clone(), listeners.ready));
-    tasks.spawn(front::measure_delay(node.clone()));
-    tasks.spawn(front::serve_callers(node.clone(), listeners.callers));
-    tasks
+    let Listeners { callers, ready, peers } = listeners;
+    let (callers, ready, peers) = (Arc::new(callers), Arc::new(ready), Arc::new(peers));
+    let mut tasks = Tasks { node: node.clone(), running: JoinSet::new() };
+    tasks.spawn("sync", sync::run);
+    tasks.spawn("expiry", sync::run_expiry);
+    tasks.spawn("evacuation", evacuation::run);
+    tasks.spawn("registration", registration::run);
+    tasks.spawn("presence", presence::run);
+    tasks.spawn("reporting", reporting::run);
+    tasks.spawn("paths", paths::run);
+    tasks.spawn("pressure", pressure::run);
+    tasks.spawn("suspects", suspect_store::run);
+    tasks.spawn("suspension", suspension::run);
+    tasks.spawn("peers", move |node| peer::serve(node, peers.clone()));
+    tasks.spawn("decider", decider::run);
+    tasks.spawn("readiness", move |node| front::serve_readiness(node, ready.clone()));
+    tasks.spawn("delay", front::measure_delay);
+    tasks.spawn_bounded("callers", move |node| front::serve_callers(node, callers.clone()));
+    tasks.running
+}
+
+/// The tasks of a node, which are started again when they end by themselves.
+struct Tasks {
+    node: Arc<Node>,
+    running: JoinSet<()>,
+}
+
+impl Tasks {
+    fn spawn<F>(&mut self, name: &'static str, run: impl Fn(Arc<Node>) -> F + Send + 'static)
+    where
+        F: Future<Output = ()> + Send + 'static,
+    {
+        let node = self.node.clone();
+        self.running.spawn(keep_running(name, Lifetime::Endless, move || run(node.clone())));
+    }
+
+    /// Spawns a task that returns when the node is closed.
+    fn spawn_bounded<F>(&mut self, name: &'static str, run: impl Fn(Arc<Node>) -> F + Send + 'static)
+    where
+        F: Future<Output = ()> + Send + 'static,
+    {
+        let node = self.node.clone();
+        self.running.spawn(keep_running(name, Lifetime::Bounded, move || run(node.clone())));
+    }
 }
 
 /// Drains the node before it stops.
--- a/crates/node/src/supervise.rs
+++ b/crates/node/src/supervise.rs
@@ -1,6 +1,8 @@
-//! Logs panics, and watches the thread that runs the tasks of a node.
+//! Watches the tasks that run as long as a node's process, and the thread that runs them.
 //!
-//! Panics are logged like all else: written by the thread that serves, they could block it.
+//! A task that panics takes a part of the node with it, and the rest would go on as if nothing had happened. So it
+//! is started again, for the other tasks hold requests that a stop of the process would cost. Panics are logged
+//! like all else: written by the thread that serves, they could block it.
 
 use std::io;
 use std::panic::{Location, PanicHookInfo};
@@ -9,9 +11,19 @@
 use std::sync::mpsc::{Receiver, RecvTimeoutError, Sender, channel};
 
 use cottoncrank::Millis;
+use tokio::task::{JoinError, JoinSet};
 
 use crate::telemetry;
 
+/// The pause before a task that ended is started again, at first. It doubles with each end.
+const MIN_RESTART_DELAY: Millis = Millis(100);
+
+/// The longest pause before a task is started again.
+const MAX_RESTART_DELAY: Millis = Millis(2000);
+
+/// A task that has run for this long is started again after the first pause.
+const SOUND_TIME: Millis = Millis(10_000);
+
 /// How often the thread that runs the tasks is looked at.
 const WATCH_INTERVAL: Millis = Millis(1000);
 
@@ -37,6 +49,42 @@
     location.map_or("an unknown place".to_owned(), ToString::to_string)
 }
 
+/// How a task ends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Lifetime {
+    /// It runs until the process ends.
+    Endless,
+    /// It may return once it has done what it is for.
+    Bounded,
+}
+
+/// Runs a task, and starts it again with `begin` whenever it ends and should not have. It ends when the returned
+/// future is dropped.
+pub async fn keep_running<F>(name: &'static str, lifetime: Lifetime, begin: impl Fn() -> F)
+where
+    F: Future<Output = ()> + Send + 'static,
+{
+    let mut delay = MIN_RESTART_DELAY;
+    loop {
+        let began = tokio::time::Instant::now();
+        // The set ends its task when it is dropped.
+        let mut running = JoinSet::new();
+        running.spawn(begin());
+        let end = running.join_next().await.unwrap_or(Ok(()));
+        if lifetime == Lifetime::Bounded && end.is_ok() || end.as_ref().is_err_and(JoinError::is_cancelled) {
+            return;
+        }
+        if began.elapsed() >= SOUND_TIME.duration() {
+            delay = MIN_RESTART_DELAY;
+        }
+        let cause = if end.is_ok() { "returned" } else { "panicked" };
+        telemetry::count_task_end(name, cause);
+        log::error!("task: {name} {cause}; it is started again in {delay}");
+        tokio::time::sleep(delay.duration()).await;
+        delay = (delay + delay).min(MAX_RESTART_DELAY);
+    }
+}
+
 /// Shows that the thread that runs the tasks goes on.
 #[derive(Clone, Debug, Default)]
 pub struct Turns(Arc<AtomicU64>);
--- a/crates/node/src/telemetry.rs
+++ b/crates/node/src/telemetry.rs
@@ -133,6 +133,11 @@
     metrics::counter!("cottoncrank_panics_total").increment(1);
 }
 
+/// Counts a task that ended by itself and is started again.
+pub(crate) fn count_task_end(task: &'static str, cause: &'static str) {
+    metrics::counter!("cottoncrank_tasks_ended_total", "task" => task, "cause" => cause).increment(1);
+}
+
 /// Records how late a task ran, and how long the next turn of all tasks took.
 pub fn record_delay(measurement: Measurement) {
     metrics::histogram!("cottoncrank_task_late_seconds").record(measurement.late.0 as f64 / 1000.0);
@@ -364,7 +369,7 @@
 
 /// Serves the metrics until the process ends.
 pub async fn serve(node: Arc<Node>, listener: TcpListener, handle: PrometheusHandle) {
-    ports::accept(node, listener, Port::Metrics, |connection, slot| {
+    ports::accept(node, Arc::new(listener), Port::Metrics, |connection, slot| {
         let handle = handle.clone();
         ports::answer_each(connection, slot, move |_| {
             let answer = render(&handle);
--- a/crates/node/tests/tasks.rs
+++ b/crates/node/tests/tasks.rs
@@ -4,12 +4,14 @@
 
 mod common;
 
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
 use common::process::NodeProcess;
 use common::{Fleet, KEY};
 use cottoncrank::Millis;
-use cottoncrank_node::supervise::{Turns, Watch};
+use cottoncrank_node::supervise::{Lifetime, Turns, Watch, keep_running};
 use cottoncrank_platform_standin::caller::send_request;
 use cottoncrank_platform_standin::operator::{STREAM, config};
 use parking_lot::Mutex;
@@ -53,6 +55,53 @@
     assert!(is_served_in_time(&node).await, "no stream was served:\n{}", node.read_log());
 }
 
+/// Counts how often a task is begun while it ends in the same way each time.
+async fn count_begins(lifetime: Lifetime, end: fn()) -> usize {
+    let begins = Arc::new(AtomicUsize::new(0));
+    let counted = begins.clone();
+    let kept = keep_running("test", lifetime, move || {
+        let counted = counted.clone();
+        async move {
+            counted.fetch_add(1, Ordering::Relaxed);
+            end();
+        }
+    });
+    let _ = tokio::time::timeout(RECOVERY, kept).await;
+    begins.load(Ordering::Relaxed)
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_task_that_panics_is_started_again_and_not_without_pause() {
+    let begins = count_begins(Lifetime::Endless, || panic!("as the test wants it")).await;
+    assert!((2..100).contains(&begins), "{begins}");
+    let begins = count_begins(Lifetime::Bounded, || panic!("as the test wants it")).await;
+    assert!((2..100).contains(&begins), "{begins}");
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_task_that_returns_is_started_again_unless_it_may() {
+    let begins = count_begins(Lifetime::Endless, || {}).await;
+    assert!((2..100).contains(&begins), "{begins}");
+    assert_eq!(count_begins(Lifetime::Bounded, || {}).await, 1);
+}
+
+#[tokio::test]
+async fn a_task_ends_with_what_keeps_it_running() {
+    let alive = Arc::new(());
+    let held = alive.clone();
+    let kept = keep_running("test", Lifetime::Endless, move || {
+        let held = held.clone();
+        async move {
+            std::future::pending::<()>().await;
+            drop(held);
+        }
+    });
+    // It runs until then.
+    let _ = tokio::time::timeout(Duration::from_millis(50), kept).await;
+    tokio::task::yield_now().await;
+    assert_eq!(Arc::strong_count(&alive), 1);
+}
+
 /// The lines that this test program logged.
 struct Lines(Mutex<Vec<String>>);
 
