--- a/crates/node/tests/tasks.rs
+++ b/crates/node/tests/tasks.rs
@@ -55,6 +55,20 @@
     assert!(is_served_in_time(&node).await, "no stream was served:\n{}", node.read_log());
 }
 
+/// Guards against a fleet of which a single model of no runners keeps all others from being planned.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_model_of_no_runners_keeps_no_other_from_being_served() {
+    let fleet = Fleet::unconfigured(0).await;
+    let mut invalid = config(1, &[KEY]);
+    let models = &mut invalid["services"][0]["engine"]["models"];
+    let mut none = models[0].clone();
+    (none["name"], none["size"], none["share"]) = (json!("m0"), json!(0), json!(0.0));
+    models.as_array_mut().unwrap().push(none);
+    fleet.store.configure(&invalid);
+    let node = NodeProcess::start(fleet.store.address(), 7).await;
+    assert!(is_served_in_time(&node).await, "no stream was served:\n{}", node.read_log());
+}
+
 /// Counts how often a task is begun while it ends in the same way each time.
 async fn count_begins(lifetime: Lifetime, end: fn()) -> usize {
     let begins = Arc::new(AtomicUsize::new(0));
