Leave out models whose groups have no runners

What callers saw: as long as a configuration named one model of size 0, no group of any service was formed. Cause: the targets divide by the size, so the decider panicked each time it planned. Such a model can serve nobody; it is left out where the configuration is taken, and named in the log.

--- a/crates/fleet/src/catalog.rs
+++ b/crates/fleet/src/catalog.rs
@@ -185,6 +185,8 @@
     pub version: u64,
     /// The services.
     pub services: Vec<Service>,
+    /// The models that are left out, as their groups have no runners.
+    pub unusable_models: Vec<id::Model>,
     /// The limits on requests and connections.
     pub limits: Limits,
     accounts: Vec<Account>,
@@ -192,15 +194,23 @@
     by_key: HashMap<String, usize>,
 }
 
+/// Removes the models whose groups have no runners: nothing can serve them, and no number of such groups is enough.
+fn remove_unusable_models(services: &mut [Service]) -> Vec<id::Model> {
+    let engines = services.iter_mut().filter_map(|service| service.engine.as_mut());
+    let removed = engines.flat_map(|engine| engine.models.extract_if(.., |model| model.size == 0));
+    removed.map(|model| model.name).collect()
+}
+
 impl Catalog {
     /// Creates a catalog and its lookup tables.
     pub fn new(
         version: u64,
         routes: Vec<Route>,
-        services: Vec<Service>,
+        mut services: Vec<Service>,
         accounts: Vec<Account>,
         limits: Limits,
     ) -> Catalog {
+        let unusable_models = remove_unusable_models(&mut services);
         let mut by_host: HashMap<String, Vec<Arc<Route>>> = HashMap::new();
         for route in routes {
             by_host.entry(route.host.clone()).or_default().push(Arc::new(route));
@@ -212,7 +222,7 @@
         let by_key = keys
             .flat_map(|(index, account)| account.keys.iter().map(move |key| (key.clone(), index)))
             .collect();
-        Catalog { version, services, limits, accounts, by_host, by_key }
+        Catalog { version, services, unusable_models, limits, accounts, by_host, by_key }
     }
 
     /// Returns the route of a host with the longest prefix of `path`.
--- a/crates/node/src/apply.rs
+++ b/crates/node/src/apply.rs
@@ -231,6 +231,9 @@
     }
     if held_version != Some(catalog.version) {
         log::info!("catalog: version {} is in force, {} routes", catalog.version, catalog.count_routes());
+        for model in &catalog.unusable_models {
+            log::error!("catalog: {model} is not used, its groups have no runners");
+        }
     }
     let catalog = Arc::new(catalog);
     *held = Some(catalog.clone());
