--- a/crates/node/tests/common/process.rs
+++ b/crates/node/tests/common/process.rs
@@ -69,8 +69,20 @@
 
     /// Starts its process.
     pub fn spawn(&mut self) {
+        self.spawn_command(Command::new(env!("CARGO_BIN_EXE_cottoncrank-node")));
+    }
+
+    /// Starts its process where the system gives it so many descriptors.
+    pub fn spawn_with_descriptors(&mut self, count: usize) {
+        let mut shell = Command::new("/bin/sh");
+        let program = env!("CARGO_BIN_EXE_cottoncrank-node");
+        shell.args(["-c", &format!("ulimit -Sn {count} && exec {program}")]);
+        self.spawn_command(shell);
+    }
+
+    fn spawn_command(&mut self, mut command: Command) {
         let log = File::options().create(true).append(true).open(&self.log).unwrap();
-        let child = Command::new(env!("CARGO_BIN_EXE_cottoncrank-node"))
+        let child = command
             .env("COTTONCRANK_CONFIG", &self.file)
             .stdin(Stdio::null())
             .stdout(log.try_clone().unwrap())
