Divide the descriptors that the system gives, where they are fewer than the settings say

What callers saw: at a node with a soft limit of 256 or 1024 and maxFds 4100, most requests refused, new connections not accepted, and the balancer, the store and runners out of reach, as resting callers held every descriptor. Cause: the account was divided from the settings alone. It takes the lesser of both and warns at the start.

--- a/crates/kernel/src/resources.rs
+++ b/crates/kernel/src/resources.rs
@@ -95,6 +95,11 @@
         let descriptors = usize::try_from(descriptors).unwrap_or(usize::MAX).min(MAX_DESCRIPTORS);
         Machine { memory, sockets: descriptors.saturating_sub(OWN_DESCRIPTORS) }
     }
+
+    /// Returns what there is of this in this process, whose system may give it fewer descriptors.
+    pub fn within_process(self) -> Machine {
+        Machine { sockets: self.sockets.min(Machine::of_process(self.memory).sockets), ..self }
+    }
 }
 
 /// What callers may fill of it.
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -6,6 +6,7 @@
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 
 use cottoncrank::clock::System;
+use cottoncrank::resources::Machine;
 use cottoncrank::{Clock, Millis, id};
 use cottoncrank_fleet::allocation::{Allocations, LocalBuckets, RetrySchedule};
 use cottoncrank_fleet::balance::Ledger;
@@ -200,13 +201,26 @@
     pub(crate) used_connections: AtomicUsize,
 }
 
+/// Returns what this process has, which may be less than its settings say.
+fn find_machine(settings: &Settings) -> Machine {
+    let machine = settings.machine.within_process();
+    if machine.sockets < settings.machine.sockets {
+        log::warn!(
+            "resources: the system gives this process descriptors for {} sockets, its settings for {}; it takes fewer callers",
+            machine.sockets,
+            settings.machine.sockets
+        );
+    }
+    machine
+}
+
 impl Node {
     /// Returns a node that has not read the store yet.
     pub fn new(settings: Settings) -> Arc<Node> {
         let clock = System::new();
         Arc::new(Node {
             store: Store::new(settings.store),
-            resources: Resources::new(&settings.machine, clock.clone()),
+            resources: Resources::new(&find_machine(&settings), clock.clone()),
             settings: Mutex::new(Arc::new(settings)),
             feed: Feed::default(),
             directory: Mutex::default(),
