--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -20,6 +20,7 @@
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use parking_lot::Mutex;
+use socket2::{SockRef, Socket};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
@@ -47,7 +48,7 @@
 const DELAY_INTERVAL: Millis = Millis(50);
 
 /// Accepts callers until the node is closed, and then those that wait.
-pub async fn serve_callers(node: Arc<Node>, listener: TcpListener) {
+pub async fn serve_callers(node: Arc<Node>, listener: Arc<TcpListener>) {
     let _accepting = node.begin_accepting();
     let mut closed = node.closed.subscribe();
     if let Err(error) = metered::limit_buffers(&listener) {
@@ -73,21 +74,19 @@
             };
         }
     }
-    match listener.into_std() {
-        Ok(listener) => accept_last(&node, &listener).await,
-        Err(error) => log::warn!("front: connections that wait are closed with their port: {error}"),
-    }
+    accept_last(&node, &listener).await;
 }
 
 /// Accepts all connections that wait in the kernel, whether the runtime has noticed them or not.
-async fn accept_last(node: &Arc<Node>, listener: &std::net::TcpListener) {
+async fn accept_last(node: &Arc<Node>, listener: &TcpListener) {
     let mut waiting = 0;
+    let listener = SockRef::from(listener);
     node.overload.lock().begin_turn();
     loop {
         match listener.accept() {
-            Ok((stream, _)) => {
+            Ok((socket, _)) => {
                 waiting += 1;
-                match into_stream(stream) {
+                match into_stream(socket) {
                     Ok(stream) => take(node, stream).await,
                     Err(error) => log::warn!("front: closed a connection that waited: {error}"),
                 }
@@ -99,9 +98,9 @@
     log::info!("front: closes the port of callers, {waiting} connections waited at it");
 }
 
-fn into_stream(stream: std::net::TcpStream) -> io::Result<TcpStream> {
-    stream.set_nonblocking(true)?;
-    TcpStream::from_std(stream)
+fn into_stream(socket: Socket) -> io::Result<TcpStream> {
+    socket.set_nonblocking(true)?;
+    TcpStream::from_std(socket.into())
 }
 
 async fn take(node: &Arc<Node>, stream: TcpStream) {
@@ -262,7 +261,7 @@
 pub const DRAIN_NOTICE: Millis = Millis(2500);
 
 /// Answers the balancer's health checks until the process ends.
-pub async fn serve_readiness(node: Arc<Node>, listener: TcpListener) {
+pub async fn serve_readiness(node: Arc<Node>, listener: Arc<TcpListener>) {
     let asked = node.clone();
     ports::accept(node, listener, Port::Readiness, |connection, slot| {
         let node = asked.clone();
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -65,6 +65,7 @@
 //!
 //! - [`program`] runs a node with its settings and `signals`; [`start`] starts and drains it.
 //! - `listen` takes its ports, and `repeat` repeats steps of the start until they succeed.
+//! - [`supervise`] starts tasks again that end by themselves, logs panics, and tells when the thread stands still.
 //! - `suspension` detects that the process did not run for a while, and `catchup` limits what it sends
 //!   until it has heard what it missed.
 //! - [`log`] writes log lines without blocking, and [`telemetry`] serves the metrics. `cold` logs which
@@ -118,6 +119,7 @@
 pub mod start;
 pub mod state;
 pub mod stream;
+pub mod supervise;
 mod suspect_store;
 mod suspects;
 mod suspension;
--- a/crates/node/src/program.rs
+++ b/crates/node/src/program.rs
@@ -15,7 +15,8 @@
 use crate::signals::Signals;
 use crate::start::{drain, start_serving};
 use crate::state::Node;
-use crate::{front, listen, log, repeat, telemetry};
+use crate::supervise::{Lifetime, Watch, keep_running};
+use crate::{front, listen, log, repeat, supervise, telemetry};
 
 /// How often the settings are read again without a signal.
 const REREAD_INTERVAL: Millis = Millis(10_000);
@@ -45,6 +46,7 @@
     // Signals come first: each ends a process that does not listen to it yet.
     let signals = runtime.block_on(async { Signals::listen() }).map_err(StartError::from)?;
     let log = log::start("info").map_err(StartError::from)?;
+    supervise::log_panics();
     let served = runtime.block_on(serve(signals, background));
     // Lines that cannot be written within the timeout of the flush are lost.
     log.flush();
@@ -78,6 +80,7 @@
 struct Started {
     node: Arc<Node>,
     _tasks: JoinSet<()>,
+    _watch: Option<Watch>,
 }
 
 async fn start_node<T>(
@@ -91,13 +94,15 @@
     ::log::info!("node: {} starts in {}", settings.node, settings.hall);
     let node = Node::new(settings);
     tokio::spawn(background(node.clone()));
+    let watch = Watch::start(node.turns.clone());
+    let watch = watch.inspect_err(|error| ::log::error!("node: its thread is not watched: {error}")).ok();
     tokio::spawn(reread_settings(node.clone(), reload));
     tokio::spawn(serve_readiness(node.clone()));
     // The ports come before all connections that this process makes: one of them could take a port.
     let (callers, peers) = listen::wait_for_both_ports(&node).await;
     let tasks = start_serving(&node, callers, peers);
     serve_metrics(&node);
-    Ok(Started { node, _tasks: tasks })
+    Ok(Started { node, _tasks: tasks, _watch: watch })
 }
 
 /// Reads the settings, as soon as the file is there and valid: it may be about to be written. Without a path
@@ -113,8 +118,9 @@
 /// Answers the balancer, also while the other ports cannot be had. A node that lacks this port serves callers
 /// all the same.
 async fn serve_readiness(node: Arc<Node>) {
-    let listener = listen::wait_for_port(&node, Port::Readiness, |settings| settings.ready).await;
-    front::serve_readiness(node, listener).await;
+    let listener = Arc::new(listen::wait_for_port(&node, Port::Readiness, |settings| settings.ready).await);
+    let serve = || front::serve_readiness(node.clone(), listener.clone());
+    keep_running("readiness", Lifetime::Endless, serve).await;
 }
 
 /// Samples the metrics, and serves them as soon as their port can be had.
--- a/crates/node/src/start.rs
+++ b/crates/node/src/start.rs
@@ -7,6 +7,7 @@
 use tokio::task::JoinSet;
 
 use crate::state::Node;
+use crate::supervise::{Lifetime, keep_running};
 use crate::{
     decider, evacuation, front, paths, peer, presence, pressure, registration, reporting, suspect_store,
     suspension, sync,
@@ -33,29 +34,65 @@
 
 /// Starts all tasks of a node. They end when the returned set is dropped.
 pub fn start(node: &Arc<Node>, listeners: Listeners) -> JoinSet<()> {
-    let mut tasks = start_serving(node, listeners.callers, listeners.peers);
-    tasks.spawn(front::serve_readiness(node.clone(), listeners.ready));
-    tasks
+    let mut tasks = Tasks::new(node);
+    let ready = Arc::new(listeners.ready);
+    tasks.spawn("readiness", move |node| front::serve_readiness(node, ready.clone()));
+    tasks.spawn_serving(listeners.callers, listeners.peers);
+    tasks.running
 }
 
 /// Starts all tasks of a node but the answers to the balancer.
 pub(crate) fn start_serving(node: &Arc<Node>, callers: TcpListener, peers: TcpListener) -> JoinSet<()> {
-    let mut tasks = JoinSet::new();
-    tasks.spawn(sync::run(node.clone()));
-    tasks.spawn(sync::run_expiry(node.clone()));
-    tasks.spawn(evacuation::run(node.clone()));
-    tasks.spawn(registration::run(node.clone()));
-    tasks.spawn(presence::run(node.clone()));
-    tasks.spawn(reporting::run(node.clone()));
-    tasks.spawn(paths::run(node.clone()));
-    tasks.spawn(pressure::run(node.clone()));
-    tasks.spawn(suspect_store::run(node.clone()));
-    tasks.spawn(suspension::run(node.clone()));
-    tasks.spawn(peer::serve(node.clone(), peers));
-    tasks.spawn(decider::run(node.clone()));
-    tasks.spawn(front::measure_delay(node.clone()));
-    tasks.spawn(front::serve_callers(node.clone(), callers));
-    tasks
+    let mut tasks = Tasks::new(node);
+    tasks.spawn_serving(callers, peers);
+    tasks.running
+}
+
+/// The tasks of a node, which are started again when they end by themselves.
+struct Tasks {
+    node: Arc<Node>,
+    running: JoinSet<()>,
+}
+
+impl Tasks {
+    fn new(node: &Arc<Node>) -> Tasks {
+        Tasks { node: node.clone(), running: JoinSet::new() }
+    }
+
+    fn spawn_serving(&mut self, callers: TcpListener, peers: TcpListener) {
+        let (callers, peers) = (Arc::new(callers), Arc::new(peers));
+        self.spawn("sync", sync::run);
+        self.spawn("expiry", sync::run_expiry);
+        self.spawn("evacuation", evacuation::run);
+        self.spawn("registration", registration::run);
+        self.spawn("presence", presence::run);
+        self.spawn("reporting", reporting::run);
+        self.spawn("paths", paths::run);
+        self.spawn("pressure", pressure::run);
+        self.spawn("suspects", suspect_store::run);
+        self.spawn("suspension", suspension::run);
+        self.spawn("peers", move |node| peer::serve(node, peers.clone()));
+        self.spawn("decider", decider::run);
+        self.spawn("delay", front::measure_delay);
+        self.spawn_bounded("callers", move |node| front::serve_callers(node, callers.clone()));
+    }
+
+    fn spawn<F>(&mut self, name: &'static str, run: impl Fn(Arc<Node>) -> F + Send + 'static)
+    where
+        F: Future<Output = ()> + Send + 'static,
+    {
+        let node = self.node.clone();
+        self.running.spawn(keep_running(name, Lifetime::Endless, move || run(node.clone())));
+    }
+
+    /// Spawns a task that returns when the node is closed.
+    fn spawn_bounded<F>(&mut self, name: &'static str, run: impl Fn(Arc<Node>) -> F + Send + 'static)
+    where
+        F: Future<Output = ()> + Send + 'static,
+    {
+        let node = self.node.clone();
+        self.running.spawn(keep_running(name, Lifetime::Bounded, move || run(node.clone())));
+    }
 }
 
 /// Drains the node before it stops.
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -6,6 +6,7 @@
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 
 use cottoncrank::clock::System;
+use cottoncrank::resources::Machine;
 use cottoncrank::{Clock, Millis, id};
 use cottoncrank_fleet::activity::Activity;
 use cottoncrank_fleet::allocation::{Allocations, LocalBuckets, RetrySchedule};
@@ -52,6 +53,7 @@
 use crate::invalid_items::{InvalidItems, ItemKind};
 use crate::pressure;
 use crate::returns;
+use crate::supervise::Turns;
 use crate::suspects;
 use crate::telemetry;
 use crate::tunnel::Carried;
@@ -179,6 +181,8 @@
     pub(crate) overload: Mutex<Overload>,
     /// The new connections that were closed unread.
     pub(crate) closed_unread: ClosedUnread,
+    /// Shows that the tasks of this node run.
+    pub turns: Turns,
     /// Notified when a request ends, so that a waiting one may be admitted.
     pub request_ended: Notify,
     /// The retries that this node may spend by itself.
@@ -203,13 +207,26 @@
     pub(crate) accepting: AtomicBool,
 }
 
+/// Returns what this process has, which may be less than its settings say.
+fn find_machine(settings: &Settings) -> Machine {
+    let machine = settings.machine.within_process();
+    if machine.sockets < settings.machine.sockets {
+        log::warn!(
+            "resources: the system gives this process descriptors for {} sockets, its settings for {}; it takes fewer callers",
+            machine.sockets,
+            settings.machine.sockets
+        );
+    }
+    machine
+}
+
 impl Node {
     /// Returns a node that has not read the store yet.
     pub fn new(settings: Settings) -> Arc<Node> {
         let clock = System::new();
         Arc::new(Node {
             store: Store::new(settings.store),
-            resources: Resources::new(&settings.machine, clock.clone()),
+            resources: Resources::new(&find_machine(&settings), clock.clone()),
             settings: Mutex::new(Arc::new(settings)),
             feed: Feed::default(),
             directory: Mutex::default(),
@@ -262,6 +279,7 @@
             activity: Mutex::default(),
             overload: Mutex::default(),
             closed_unread: ClosedUnread::default(),
+            turns: Turns::default(),
             request_ended: Notify::new(),
             retry_allowance: Mutex::default(),
             retry_pool: Mutex::default(),
