Read what has arrived before a time that is up counts

Callers' requests that reached a stopped process were closed unread when the idle time of their connection ran out in that pause. When a process goes on after a stop, the runtime fires timers before it has looked at the sockets. A wait for a point in time now lets the process look once more when it is up; a connection whose request is there is busy by then. The deadlines of requests and of their bodies wait in the same way.

--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -286,13 +286,14 @@
     }
 
     /// Waits for a point in time. Timers do not count a suspension of the box, so a timer alone would
-    /// be late by the length of the suspension.
+    /// be late by the length of the suspension. What has arrived by then is read first.
     pub async fn wait_until(&self, end: Millis) {
         let mut resumed = self.resumed.subscribe();
         loop {
             let remaining = end.since(self.now());
             if remaining == Millis(0) {
-                return;
+                // After a pause of the process, timers fire before the sockets are looked at.
+                return tokio::task::yield_now().await;
             }
             // The loop checks the clock again in either case.
             let _ = tokio::time::timeout(remaining.duration(), resumed.changed()).await;
