--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -124,6 +124,12 @@
         plan.seed, report.calls, report.served
     );
     println!("  {}", report.outcome);
+    if let Some((before, after)) = report.service {
+        println!(
+            "  new connections: {} of {} served before the last fault, {} of {} long after all",
+            before.served, before.sent, after.served, after.sent
+        );
+    }
     for breach in &report.breaches {
         println!("  {breach}");
     }
--- a/crates/soak/src/recovery.rs
+++ b/crates/soak/src/recovery.rs
@@ -17,14 +17,18 @@
 /// Counted are requests on new connections: they come whatever became of those before. A caller that keeps
 /// its connection asks again as soon as it was refused, and one refusal gives many.
 pub(crate) fn check_recovery(record: &Record) -> Option<Breach> {
-    let recovered = record.back? + RECOVERY;
-    let last = record.troubles.iter().map(|trouble| trouble.from).max()?;
-    let before = count(record, |sent| sent < last);
-    let after = count(record, |sent| sent > recovered);
+    let (before, after) = count_service(record)?;
     let is_down = after.sent > 0 && after.share() < MIN_SHARE;
     (is_down && before.share() >= MIN_SHARE).then_some(Breach::Recovery(before, after))
 }
 
+/// Counts what was served before the last fault, and from when service was to be back.
+pub(crate) fn count_service(record: &Record) -> Option<(Count, Count)> {
+    let recovered = record.back? + RECOVERY;
+    let last = record.troubles.iter().map(|trouble| trouble.from).max()?;
+    Some((count(record, |sent| sent < last), count(record, |sent| sent > recovered)))
+}
+
 fn count(record: &Record, is_counted: impl Fn(Instant) -> bool) -> Count {
     let has_key = |call: &&Call| {
         let taken = record.revoked.get(call.key).copied().flatten();
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -22,8 +22,9 @@
 use crate::groups::{Row, Watch};
 use crate::load::{Call, Caller, Hint, Kind};
 use crate::outcome::Outcome;
+use crate::partition::Count;
 use crate::plan::{BACKOFF, Fault, LIMITS, Plan, RunnerFault, StoreFault};
-use crate::recovery::RECOVERY;
+use crate::recovery::{RECOVERY, count_service};
 
 /// Callers for each node that keep a connection, and ones that open a new one for each request.
 const CALLERS: usize = 6;
@@ -74,6 +75,8 @@
     pub served: usize,
     /// How all of them ended.
     pub outcome: Outcome,
+    /// What was served on new connections before the last fault, and long after the return of everything.
+    pub service: Option<(Count, Count)>,
     /// The promises that were not kept.
     pub breaches: Vec<Breach>,
 }
@@ -137,7 +140,8 @@
     let record = run.collect(calls);
     let served = record.calls.iter().filter(|call| is_served(call)).count();
     let outcome = Outcome::count(&record.calls);
-    Ok(Report { calls: record.calls.len(), served, outcome, breaches: check(&record) })
+    let service = count_service(&record);
+    Ok(Report { calls: record.calls.len(), served, outcome, service, breaches: check(&record) })
 }
 
 fn is_served(call: &Call) -> bool {
