Judge the load of a process by how late tasks are and what it worked meanwhile

A turn is short whenever the queue of tasks has just been drained, overloaded or not.

A delay now counts as far as the process has worked in it, in times of its share of the processor: one that did not run has worked nothing. Where the system does not tell the processor time, all counts, as before this work.

--- a/crates/kernel/src/clock.rs
+++ b/crates/kernel/src/clock.rs
@@ -7,7 +7,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use rustix::time::{ClockId, clock_gettime};
+use rustix::time::{ClockId, DynamicClockId, clock_gettime, clock_gettime_dynamic};
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
@@ -91,6 +91,12 @@
     Millis(time.tv_sec as u64 * 1000 + time.tv_nsec as u64 / 1_000_000)
 }
 
+/// Returns the processor time that this thread has used, if the system tells it.
+pub fn read_processor_time() -> Option<Millis> {
+    let time = clock_gettime_dynamic(DynamicClockId::Known(ClockId::ThreadCPUTime)).ok()?;
+    Some(Millis(time.tv_sec as u64 * 1000 + time.tv_nsec as u64 / 1_000_000))
+}
+
 impl System {
     /// Reads the wall clock once.
     pub fn new() -> System {
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use cottoncrank::resources::Port;
 use cottoncrank::{Millis, Size};
-use cottoncrank_fleet::overload::Measurement;
+use cottoncrank_fleet::overload::Moment;
 use cottoncrank_net::metered::{self, Metered};
 use cottoncrank_net::resources::Slot;
 use cottoncrank_net::{feed, keepalive};
@@ -110,7 +110,8 @@
 }
 
 fn take_or_close(node: &Arc<Node>, stream: TcpStream) {
-    let accepts = node.overload.lock().accepts(node.now());
+    let at = Moment { now: node.now(), work: node.read_work() };
+    let accepts = node.overload.lock().accepts(at);
     // Nothing is read of one that is closed, so the caller may send its request to another node.
     match accepts.then(|| node.resources.open(Port::Callers)) {
         Some(Ok(slot)) => {
@@ -134,15 +135,13 @@
 pub async fn measure_delay(node: Arc<Node>) {
     loop {
         let due = node.now() + DELAY_INTERVAL;
-        node.overload.lock().expect_measurement(due);
+        let before = node.read_work();
+        node.overload.lock().begin_measurement(due, before);
         tokio::time::sleep(DELAY_INTERVAL.duration()).await;
-        let began = node.now();
-        node.activity.lock().record(began);
-        let late = began.since(due);
-        tokio::task::yield_now().await;
-        let measurement = Measurement { late, turn: node.now().since(began) };
-        telemetry::record_delay(measurement);
-        node.overload.lock().record(measurement);
+        let at = Moment { now: node.now(), work: node.read_work() };
+        node.activity.lock().record(at.now);
+        telemetry::record_delay(at.now.since(due), at.work.since(before));
+        node.overload.lock().end_measurement(at);
     }
 }
 
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 
-use cottoncrank::clock::System;
+use cottoncrank::clock::{self, System};
 use cottoncrank::resources::Machine;
 use cottoncrank::{Clock, Millis, id};
 use cottoncrank_fleet::activity::Activity;
@@ -13,7 +13,7 @@
 use cottoncrank_fleet::balance::Ledger;
 use cottoncrank_fleet::catalog::Catalog;
 use cottoncrank_fleet::catchup::Tracker;
-use cottoncrank_fleet::directory::Directory;
+use cottoncrank_fleet::directory::{Directory, Millicores};
 use cottoncrank_fleet::dispatch::{Dispatcher, Sample};
 use cottoncrank_fleet::feedback::Feedback;
 use cottoncrank_fleet::freshness::Freshness;
@@ -59,6 +59,9 @@
 use crate::tunnel::Carried;
 use crate::unread::ClosedUnread;
 
+/// A whole core.
+const FULL_CORE: Millicores = Millicores(1000);
+
 /// The decider lease, as the store last had it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct DeciderLease {
@@ -312,6 +315,17 @@
         self.clock.now()
     }
 
+    /// Returns the work that the thread of this node has done, in times of its share of the processor: with a
+    /// quarter of a core, a millisecond of processor time is four. Where the system does not tell, it counts
+    /// as working all the time.
+    pub(crate) fn read_work(&self) -> Millis {
+        let Some(used) = clock::read_processor_time() else { return self.now() };
+        match self.settings().processor.0 {
+            0 => used,
+            share => Millis(used.0 * u64::from(FULL_CORE.0) / u64::from(share)),
+        }
+    }
+
     /// Waits for a point in time. Timers do not count a suspension of the box, so a timer alone would
     /// be late by the length of the suspension. What has arrived by then is read first.
     pub async fn wait_until(&self, end: Millis) {
--- a/crates/node/src/telemetry.rs
+++ b/crates/node/src/telemetry.rs
@@ -9,7 +9,6 @@
 use cottoncrank::{Millis, id};
 use cottoncrank_fleet::catalog::Engine;
 use cottoncrank_fleet::evidence::Level;
-use cottoncrank_fleet::overload::Measurement;
 use cottoncrank_fleet::path::Outcome;
 use cottoncrank_fleet::pressure::{Pressure, Strain};
 use hyper::Response;
@@ -138,10 +137,10 @@
     metrics::counter!("cottoncrank_tasks_ended_total", "task" => task, "cause" => cause).increment(1);
 }
 
-/// Records how late a task ran, and how long the next turn of all tasks took.
-pub fn record_delay(measurement: Measurement) {
-    metrics::histogram!("cottoncrank_task_late_seconds").record(measurement.late.0 as f64 / 1000.0);
-    metrics::histogram!("cottoncrank_task_turn_seconds").record(measurement.turn.0 as f64 / 1000.0);
+/// Records how late a task ran, and what the process worked meanwhile, in times of its share of the processor.
+pub(crate) fn record_delay(late: Millis, work: Millis) {
+    metrics::histogram!("cottoncrank_task_late_seconds").record(late.0 as f64 / 1000.0);
+    metrics::histogram!("cottoncrank_task_work_seconds").record(work.0 as f64 / 1000.0);
 }
 
 /// Counts a retry by what paid for it: the node's `own` budget, the `pool` of the hall, or `none`.
--- a/crates/node/tests/one_node.rs
+++ b/crates/node/tests/one_node.rs
@@ -11,7 +11,7 @@
 use common::{Fleet, KEY, start_node};
 use cottoncrank_platform_standin::caller::{Answer, send_request};
 use cottoncrank_platform_standin::operator::READ;
-use tokio::sync::oneshot;
+use tokio::runtime::Runtime;
 use tokio::task::JoinSet;
 
 /// How long callers wait for an answer.
@@ -37,23 +37,14 @@
     }
 }
 
-/// Starts a node on a slow processor, with the kind of runtime that its program has. It runs until the returned
-/// sender is dropped.
-async fn start_slow_node(fleet: &Fleet, number: usize) -> (oneshot::Sender<()>, common::Running) {
+/// Starts a node on a slow processor.
+async fn start_slow_node(fleet: &Fleet, number: usize) -> (Runtime, common::Running) {
     let address = fleet.store.address();
-    let (started, running) = oneshot::channel();
-    let (stop, stopped) = oneshot::channel();
-    std::thread::spawn(move || {
-        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
-        runtime.block_on(async move {
-            let running = start_node(address, number, "hall-a").await;
-            tokio::spawn(take_processor_time());
-            assert!(started.send(running).is_ok());
-            // The sender is dropped to end it.
-            let _: Result<(), _> = stopped.await;
-        });
-    });
-    (stop, running.await.unwrap())
+    let builder = || tokio::runtime::Builder::new_multi_thread().worker_threads(1).enable_all().build();
+    let runtime = builder().unwrap();
+    let running = runtime.spawn(async move { start_node(address, number, "hall-a").await }).await.unwrap();
+    runtime.spawn(take_processor_time());
+    (runtime, running)
 }
 
 /// How requests on new connections ended.
@@ -99,12 +90,12 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn a_node_that_gets_most_new_connections_serves_what_it_reads() {
     let fleet = Fleet::serving(3).await;
-    let (stop, slow) = start_slow_node(&fleet, 7).await;
+    let (runtime, slow) = start_slow_node(&fleet, 7).await;
     let is_ready = |_: &Fleet| slow.node.is_ready();
     fleet.wait("the slow node is ready", is_ready).await;
     let usual = send_at_rate(slow.callers, 20, "usual").await;
     let most = send_at_rate(slow.callers, 400, "most").await;
-    drop(stop);
+    runtime.shutdown_background();
     println!("usual {usual:?}, most {most:?}");
     assert!(usual.served_of_read() > 0.9, "{usual:?}");
     assert!(most.served_of_read() >= 0.75 * usual.served_of_read(), "usual {usual:?}, most {most:?}");
