Give a stop that comes to its end in a pause the turns that it needs

Found by a review of the changes of stops. A pause over the end of the grace period let the process exit without a turn in which the connections are read, or their callers told; answers that had arrived in it lost against the end of the wait; and the port stayed open for one more turn, as the task that keeps the accept loop running holds it too. A stop now waits 150 ms at the least after each of its steps, what has arrived is read before a request is given up, at a deadline as well, and the port stops listening at once.

By reading, not by a test of its own; grace (2) and stops (3) pass.

--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -2,7 +2,7 @@
 
 use std::convert::Infallible;
 use std::io;
-use std::net::SocketAddr;
+use std::net::{Shutdown, SocketAddr};
 use std::sync::{Arc, OnceLock};
 use std::task::Poll;
 
@@ -95,6 +95,10 @@
             Err(error) => pause_accepting(&error).await,
         }
     }
+    // The task that keeps this one running holds the listener, too.
+    if let Err(error) = listener.shutdown(Shutdown::Read) {
+        log::warn!("front: the port of callers is closed late: {error}");
+    }
     log::info!("front: closes the port of callers, {waiting} connections waited at it");
 }
 
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -55,6 +55,7 @@
     async fn run(mut self) {
         let (job, node) = (self.source.job.clone(), self.source.node.clone());
         let end = tokio::select! {
+            biased;
             end = forward(&mut self.source, &self.sender) => end,
             () = self.sender.closed() => End::Left,
             () = node.wait_until(job.deadline) => End::Cut(Refusal::DeadlineExceeded),
--- a/crates/node/src/request.rs
+++ b/crates/node/src/request.rs
@@ -51,6 +51,8 @@
             kind = job.route.kind.name();
             let deadline = job.deadline;
             tokio::select! {
+                // An answer that is there goes before the reasons to wait for none.
+                biased;
                 outcome = run(&node, Arc::new(job), request_guard) => outcome,
                 () = node.wait_until(deadline) => Err(Refusal::DeadlineExceeded),
                 () = node.wait_ending() => Err(Refusal::MayHaveRun),
--- a/crates/node/src/start.rs
+++ b/crates/node/src/start.rs
@@ -19,6 +19,9 @@
 /// The part of it in which callers still read that their requests are not answered.
 const ANSWER_TIME: Millis = Millis(300);
 
+/// How long it waits at the least, also where the end has passed meanwhile.
+const MIN_WAIT: Millis = Millis(150);
+
 /// How often a draining node checks whether its requests are answered.
 const POLL_INTERVAL: Millis = Millis(50);
 
@@ -114,11 +117,12 @@
     node.draining.send_replace(true);
     tokio::time::sleep(front::DRAIN_NOTICE.min(end - heard).duration()).await;
     node.closed.send_replace(true);
-    wait_unused(node, end).await;
+    // The process may not have run until the end, and all tasks have to see that it is closed.
+    wait_unused(node, end.max(node.now() + MIN_WAIT)).await;
     if node.running() > 0 {
         log::info!("node: ends, tells {} requests that it has no answer", node.running());
         node.ending.send_replace(true);
-        wait_unused(node, end + ANSWER_TIME).await;
+        wait_unused(node, (end + ANSWER_TIME).max(node.now() + MIN_WAIT)).await;
     }
     let (connections, carried) = (node.used_connections(), node.carried_tunnels.count());
     log::info!(
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -341,10 +341,12 @@
         }
     }
 
-    /// Waits until the node ends.
+    /// Waits until the node ends. What has arrived by then is read first, and handed on.
     pub(crate) async fn wait_ending(&self) {
         // The sender exists as long as the node, so this cannot fail.
         let _ = self.ending.subscribe().wait_for(|ending| *ending).await;
+        tokio::task::yield_now().await;
+        tokio::task::yield_now().await;
     }
 
     /// Waits for `span`, or until the process resumes after it did not run for a while.
