--- a/crates/node/tests/starts.rs
+++ b/crates/node/tests/starts.rs
@@ -21,7 +21,7 @@
 use tokio::sync::Semaphore;
 use tokio::task::JoinSet;
 
-/// The time within which a box that is back serves: the least `recoveryS` of the installations.
+/// The time within which a box that is back serves: the shortest that a deployment asks for.
 const RECOVERY: Duration = Duration::from_secs(12);
 
 /// How long something stands in the way of a start.
