--- a/crates/node/tests/common/process.rs
+++ b/crates/node/tests/common/process.rs
@@ -51,6 +51,8 @@
             grace_s: 8.0,
             stall_ms: 2000,
             evacuate_ms: 5000,
+            ceiling_window_s: 1.0,
+            ceiling_overshoot: 1.0,
         };
         let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
         let name = format!("{}-{}", std::process::id(), ip);
--- a/crates/node/tests/crowd/mod.rs
+++ b/crates/node/tests/crowd/mod.rs
@@ -185,6 +185,8 @@
             grace_s: 4.0,
             stall_ms: 2000,
             evacuate_ms: 5000,
+            ceiling_window_s: 1.0,
+            ceiling_overshoot: 1.0,
         });
         let limits = format!("[limits]\nmemoryMb = {MEMORY_MB}\nmaxFds = {DESCRIPTORS}\n");
         let folder = std::env::temp_dir().join(format!("cottoncrank-crowd-{}-{number}", std::process::id()));
