Play the loss of all nodes at once, with the loads of real runners

Cause: the soak kills one node at a time, and its runners load at once, so its check of the return was never red in a plan of its own kind. It counts what is served from the last start on, tells the margin, and takes the program of another build. Layouts of fleets became data.

--- /dev/null
+++ b/crates/soak/src/bin/outage.rs
@@ -0,0 +1,93 @@
+//! Plays the loss of all nodes at once, and reports when service is back.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::time::Duration;
+
+use clap::Parser;
+use cottoncrank_soak::fleet::find_program;
+use cottoncrank_soak::outage::{Outage, Replacement, play};
+
+/// Plays the loss of all nodes at once, and reports when service is back.
+#[derive(Debug, Parser)]
+#[command(version)]
+struct Args {
+    /// The first seed; each run takes the next one.
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// How many seeds to play.
+    #[arg(long, default_value_t = 1)]
+    runs: u64,
+    /// How long all nodes are down, in milliseconds.
+    #[arg(long, default_value_t = 1000)]
+    down: u64,
+    /// The part of a processor that each node has, in percent.
+    #[arg(long, default_value_t = 100)]
+    processor: u32,
+    /// The part of the runners that come back empty, in percent.
+    #[arg(long, default_value_t = 0)]
+    empty: u32,
+    /// Loses the heads of the groups among them.
+    #[arg(long)]
+    heads: bool,
+    /// How they come back.
+    #[arg(long, value_enum, default_value_t = Replacement::Same)]
+    replacement: Replacement,
+    /// Loses members of groups one after the other before.
+    #[arg(long)]
+    losses: bool,
+    /// How long the store refuses all calls after the start, in milliseconds.
+    #[arg(long, default_value_t = 0)]
+    store_away: u64,
+    /// The store comes back from an older copy.
+    #[arg(long)]
+    older: bool,
+    /// Loses all nodes once more this long after their start, in milliseconds.
+    #[arg(long)]
+    again: Option<u64>,
+    /// The program of the nodes, such as that of another build.
+    #[arg(long)]
+    node: Option<PathBuf>,
+    /// Where settings and logs go; a folder for each seed.
+    #[arg(long, default_value = "target/outage")]
+    folder: PathBuf,
+}
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    let args = Args::parse();
+    let mut failed = Vec::new();
+    for seed in args.seed..args.seed + args.runs {
+        match run(&args, seed).await {
+            Ok(true) => {}
+            Ok(false) => failed.push(seed),
+            Err(error) => {
+                eprintln!("outage: {error}");
+                return ExitCode::from(2);
+            }
+        }
+    }
+    println!("{} outages played, {} without recovery: {failed:?}", args.runs, failed.len());
+    if failed.is_empty() { ExitCode::SUCCESS } else { ExitCode::FAILURE }
+}
+
+/// Plays one outage. Returns whether the fleet recovered and kept what it promises to runners.
+async fn run(args: &Args, seed: u64) -> std::io::Result<bool> {
+    let outage = Outage {
+        seed,
+        down: Duration::from_millis(args.down),
+        processor: args.processor,
+        empty: args.empty,
+        heads: args.heads,
+        replacement: args.replacement,
+        losses: args.losses,
+        store_away: Duration::from_millis(args.store_away),
+        older: args.older,
+        again: args.again.map(Duration::from_millis),
+    };
+    let program = args.node.clone().map_or_else(find_program, Ok)?;
+    let report = play(&outage, program, &args.folder.join(format!("seed-{seed}"))).await?;
+    println!("seed {seed}: {report}");
+    report.breaches.iter().for_each(|breach| println!("  {breach}"));
+    Ok(report.recovers() && report.breaches.is_empty())
+}
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -18,6 +18,7 @@
 
 use crate::plan::Partition;
 use crate::proxy::Proxy;
+use crate::sheet::Sheet;
 
 /// The data halls that nodes and runners stand in by turns.
 pub const HALLS: [&str; 2] = ["hall-a", "hall-b"];
@@ -89,10 +90,40 @@
     pub plain: Vec<Server>,
     /// The keys so far, and when each was taken away.
     pub keys: Vec<(String, Option<Instant>)>,
-    /// Whether its runners start cold.
-    pub cold: bool,
     program: PathBuf,
     network: Network,
+    layout: Layout,
+}
+
+/// What stands where in a fleet, and how its runners work.
+#[derive(Clone, Debug)]
+pub struct Layout {
+    /// The hall of each node.
+    pub nodes: Vec<&'static str>,
+    /// The hall and the fabric domain of each runner that can form groups.
+    pub engines: Vec<(&'static str, usize)>,
+    /// The hall of each plain runner.
+    pub plain: Vec<&'static str>,
+    /// Whether its runners start cold.
+    pub cold: bool,
+    /// After how long a group that stands still is broken, in milliseconds.
+    pub stall_ms: u64,
+    /// The two models that its runners load, if loads take time.
+    pub sheet: Option<Sheet>,
+}
+
+impl Layout {
+    /// Nodes and runners by turns in two halls; groups are formed at once.
+    pub fn small(nodes: usize, engines: usize, cold: bool) -> Layout {
+        Layout {
+            nodes: (0..nodes).map(name_hall).collect(),
+            engines: (0..engines).map(|number| (name_hall(number / DOMAIN), number / DOMAIN)).collect(),
+            plain: (0..PLAIN_RUNNERS).map(name_hall).collect(),
+            cold,
+            stall_ms: STALL_MS,
+            sheet: None,
+        }
+    }
 }
 
 /// The fleets that this process has started.
@@ -144,7 +175,12 @@
 
 impl Fleet {
     /// Starts everything; settings and logs of the nodes go into `folder`.
-    pub async fn start(nodes: usize, engines: usize, cold: bool, folder: &Path) -> io::Result<Fleet> {
+    pub async fn start(layout: Layout, folder: &Path) -> io::Result<Fleet> {
+        Fleet::start_program(layout, find_program()?, folder).await
+    }
+
+    /// Starts everything, with the program of another build as its nodes.
+    pub async fn start_program(layout: Layout, program: PathBuf, folder: &Path) -> io::Result<Fleet> {
         let store = Store::start()?;
         let mut fleet = Fleet {
             store,
@@ -152,22 +188,20 @@
             engines: Vec::new(),
             plain: Vec::new(),
             keys: Vec::new(),
-            cold,
-            program: find_program()?,
+            program,
             network: Network::claim(),
+            layout,
         };
-        for number in 0..engines {
-            let domain = format!("d{}", number / DOMAIN);
-            let server =
-                fleet.start_server(&format!("e-{number}"), ENGINES, number / DOMAIN, Some(&domain)).await?;
+        for number in 0..fleet.layout.engines.len() {
+            let server = fleet.start_engine(&format!("e-{number}"), number).await?;
             fleet.engines.push(server);
         }
-        for number in 0..PLAIN_RUNNERS {
-            let server = fleet.start_server(&format!("p-{number}"), PLAIN, number, None).await?;
+        for (number, hall) in fleet.layout.plain.clone().into_iter().enumerate() {
+            let server = fleet.start_server(&format!("p-{number}"), PLAIN, hall, None).await?;
             fleet.plain.push(server);
         }
         fleet.rekey();
-        for number in 0..nodes {
+        for number in 0..fleet.layout.nodes.len() {
             let node = fleet.lay_node(number, folder).await?;
             fleet.nodes.push(node);
             fleet.start_node(number)?;
@@ -175,17 +209,28 @@
         Ok(fleet)
     }
 
+    /// Starts an empty runner in the place of the engine with this number.
+    pub async fn start_engine(&self, id: &str, number: usize) -> io::Result<Server> {
+        let (hall, domain) = self.layout.engines[number];
+        let server = self.start_server(id, ENGINES, hall, Some(&format!("d{domain}"))).await?;
+        if let Some(sheet) = &self.layout.sheet {
+            server.runner.set_loading(sheet.loading.clone());
+            server.runner.set_slots(sheet.slots);
+        }
+        Ok(server)
+    }
+
     async fn start_server(
         &self,
         id: &str,
         service: &str,
-        at: usize,
+        hall: &'static str,
         domain: Option<&str>,
     ) -> io::Result<Server> {
-        let runner = Runner::start(&self.store, id, service, name_hall(at), domain)?;
+        let runner = Runner::start(&self.store, id, service, hall, domain)?;
         let link = Proxy::start(runner.address()).await?;
         runner.advertise(link.address());
-        Ok(Server { runner, link, hall: name_hall(at) })
+        Ok(Server { runner, link, hall })
     }
 
     async fn lay_node(&self, number: usize, folder: &Path) -> io::Result<Node> {
@@ -195,15 +240,17 @@
         let store = Proxy::start(self.store.address()).await?;
         let settings = Settings {
             node: format!("node-{number}"),
-            hall: name_hall(number).to_owned(),
+            hall: self.layout.nodes[number].to_owned(),
             callers,
             ready,
             peers,
             store: store.address(),
             revoke_ms: REVOKE_MS,
             grace_s: GRACE_S,
-            stall_ms: STALL_MS,
+            stall_ms: self.layout.stall_ms,
             evacuate_ms: EVACUATE_MS,
+            ceiling_window_s: self.layout.sheet.as_ref().map_or(1.0, |sheet| sheet.ceiling_window_s),
+            ceiling_overshoot: self.layout.sheet.as_ref().map_or(1.0, |sheet| sheet.ceiling_overshoot),
         };
         let file = folder.join(format!("node-{number}.toml"));
         std::fs::write(&file, settings::render(&settings))?;
@@ -226,6 +273,11 @@
         Ok(())
     }
 
+    /// How its runners load models, if that takes time.
+    pub fn sheet(&self) -> Option<&Sheet> {
+        self.layout.sheet.as_ref()
+    }
+
     /// Gives the account a new key, and takes away the one before the last.
     pub fn rekey(&mut self) {
         let version = self.keys.len() as u64 + 1;
@@ -243,7 +295,10 @@
         let last = self.keys.len().saturating_sub(2);
         let held: Vec<&str> = self.keys[last..].iter().map(|(key, _)| key.as_str()).collect();
         let mut config = config(self.keys.len() as u64, &held);
-        if self.cold {
+        if let Some(sheet) = &self.layout.sheet {
+            sheet.configure(&mut config);
+        }
+        if self.layout.cold {
             set_cold_start(&mut config, COLD_MS as f64 / 1000.0, COLD_PER_S);
         }
         self.store.configure(&config);
--- a/crates/soak/src/groups.rs
+++ b/crates/soak/src/groups.rs
@@ -6,7 +6,6 @@
 use cottoncrank_platform_standin::runner::{Membership, Runner};
 
 use crate::check::Breach;
-use crate::fleet::STALL_MS;
 
 /// One runner at a moment.
 #[derive(Clone, Debug)]
@@ -40,30 +39,41 @@
     pub breaches: Vec<Breach>,
     /// Heads, by their numbers, whose groups have stood still for too long.
     pub broken: Vec<usize>,
+    /// Heads, by their numbers, whose groups lack a member, and stand still.
+    pub still: Vec<usize>,
 }
 
 /// What earlier looks have shown.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Watch {
+    /// After how long a group that stands still is broken.
+    stall: Duration,
     /// The latest group of each runner.
-    latest: HashMap<usize, Membership>,
+    latest: HashMap<String, Membership>,
     /// Since when open groups have lacked a member.
     lacking: HashMap<(String, u64), Instant>,
 }
 
 impl Watch {
+    /// Watches groups that are broken once they have stood still for `stall`.
+    pub fn new(stall: Duration) -> Watch {
+        Watch { stall, latest: HashMap::new(), lacking: HashMap::new() }
+    }
+
     /// Looks at all runners.
     pub fn look(&mut self, rows: &[Row], now: Instant) -> Found {
-        Found { breaches: self.find_doubles(rows), broken: self.find_broken(rows, now) }
+        let mut found = Found { breaches: self.find_doubles(rows), ..Found::default() };
+        self.find_still(rows, now, &mut found);
+        found
     }
 
     /// Runners that are in another group than before, while the head of the one
     /// before is open still.
     fn find_doubles(&mut self, rows: &[Row]) -> Vec<Breach> {
         let mut breaches = Vec::new();
-        for (at, row) in rows.iter().enumerate() {
+        for row in rows {
             let Some(place) = &row.place else { continue };
-            let former = self.latest.insert(at, place.clone());
+            let former = self.latest.insert(row.id.clone(), place.clone());
             let Some(former) = former.filter(|former| !is_same(former, place)) else { continue };
             let open = |other: &Membership| other.open && is_same(other, &former);
             let head = rows.iter().find(|other| other.id != row.id && other.place.as_ref().is_some_and(open));
@@ -75,8 +85,7 @@
         breaches
     }
 
-    fn find_broken(&mut self, rows: &[Row], now: Instant) -> Vec<usize> {
-        let mut broken = Vec::new();
+    fn find_still(&mut self, rows: &[Row], now: Instant, found: &mut Found) {
         for (at, row) in rows.iter().enumerate() {
             let Some(head) = row.place.as_ref().filter(|place| place.open) else { continue };
             let group = (head.group.clone(), head.epoch);
@@ -84,11 +93,13 @@
                 rows.iter().filter(|other| other.place.as_ref().is_some_and(|place| is_same(place, head)));
             if present.count() >= row.members.len() {
                 self.lacking.remove(&group);
-            } else if now - *self.lacking.entry(group).or_insert(now) > Duration::from_millis(STALL_MS) {
-                broken.push(at);
+                continue;
+            }
+            found.still.push(at);
+            if now - *self.lacking.entry(group).or_insert(now) > self.stall {
+                found.broken.push(at);
             }
         }
-        broken
     }
 }
 
--- a/crates/soak/src/load.rs
+++ b/crates/soak/src/load.rs
@@ -3,7 +3,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use cottoncrank::Millis;
 use cottoncrank_platform_standin::caller::{Answer, CallerRequest, Connection, read_to_end};
@@ -214,6 +214,20 @@
     }
 }
 
+/// Sends a request on a connection of its own. Returns whether it got a whole success within `wait`.
+pub(crate) async fn send_new(
+    to: SocketAddr,
+    path: &'static str,
+    request: &str,
+    key: &str,
+    wait: Duration,
+) -> bool {
+    let deadline_ms = wait.as_millis() as u64;
+    let request = CallerRequest { path, request, key, deadline_ms, body: request, prompt: "" };
+    let asked = tokio::time::timeout(wait, request.send(to)).await;
+    asked.is_ok_and(|answer| answer.is_ok_and(|answer| answer.status == 200 && answer.complete))
+}
+
 async fn connect(to: SocketAddr) -> Option<Connection> {
     let made = tokio::time::timeout(CONNECT.duration(), Connection::open(to)).await;
     let open = made.ok().and_then(Result::ok);
--- /dev/null
+++ b/crates/soak/src/outage.rs
@@ -0,0 +1,512 @@
+//! The return of a fleet that lost all its nodes at once.
+//!
+//! Nodes are processes, runners take as long to load models as real ones, and the nodes can be given a part
+//! of a processor. What callers are served is counted from the last start of a node.
+
+use std::collections::{BTreeMap, HashMap};
+use std::fmt;
+use std::io;
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use clap::ValueEnum;
+use cottoncrank::Millis;
+use cottoncrank_platform_standin::operator::{LARGE_STREAM, ONCE, READ, STREAM};
+use cottoncrank_platform_standin::runner;
+use cottoncrank_platform_standin::store::{self, Snapshot};
+use parking_lot::Mutex;
+use rand::rngs::SmallRng;
+use rand::seq::SliceRandom;
+use rand::{Rng, SeedableRng};
+use rustix::process::Signal;
+use tokio::task::JoinSet;
+
+use crate::check::Breach;
+use crate::fleet::{Fleet, Server};
+use crate::groups::{Row, Watch};
+use crate::load::send_new;
+use crate::partition::Count;
+use crate::plan::Harm;
+use crate::recovery::{MIN_SHARE, RECOVERY};
+use crate::sheet;
+
+/// How often the fleet is looked at.
+const LOOK: Duration = Duration::from_millis(10);
+
+/// A node that gets a part of a processor runs for that part of each such turn.
+const TURN: Duration = Duration::from_millis(100);
+
+/// The turns of two nodes begin this far apart.
+const TURN_SHIFT: Duration = Duration::from_millis(17);
+
+/// The entry of a runner that has ended goes this long after: three heartbeats.
+const LAPSE: Duration = Duration::from_millis(3600);
+
+/// The pause between two losses of members before the outage, how many are lost each time, and how often.
+const LOSS_PAUSE: Duration = Duration::from_millis(3000);
+const LOST_AT_ONCE: usize = 2;
+const LOSSES: usize = 8;
+
+/// Callers come for this long before the outage, if no members are lost before it.
+const CALM: Duration = Duration::from_secs(6);
+
+/// The age of a copy that the store comes back from.
+const COPY_AGE: Duration = Duration::from_secs(4);
+
+/// A fleet has formed its groups once none was added for this long.
+const FORMED: Duration = Duration::from_secs(2);
+
+/// How long a fleet may take to form its groups at the start, and the least that it has then.
+const FORMS: Duration = Duration::from_secs(60);
+const MIN_GROUPS: usize = 18;
+
+/// How long requests are sent on after service is to be back.
+const RECOVERED: Duration = Duration::from_secs(6);
+
+/// The time of a request, at its caller.
+const WAIT: Duration = Duration::from_secs(6);
+
+/// Requests are answered within this, so that those sent before were not cut by the outage.
+const ANSWERED: Duration = Duration::from_secs(2);
+
+/// Requests that each node gets in a second.
+const RATE: u64 = 15;
+
+/// Events of a stream are this far apart.
+const PACE: Millis = Millis(150);
+
+/// Service is counted for spans of this length.
+const SPAN: Duration = Duration::from_millis(500);
+
+/// How runners that are lost at the moment of the outage are replaced by empty ones.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, ValueEnum)]
+pub enum Replacement {
+    /// At the same address.
+    Same,
+    /// At another address, and the former one refuses connections.
+    Other,
+    /// At another address, and nothing answers at the former one.
+    Dark,
+}
+
+/// What happens to a fleet.
+#[derive(Clone, Debug)]
+pub struct Outage {
+    /// What is drawn at random follows from this.
+    pub seed: u64,
+    /// How long all nodes are down.
+    pub down: Duration,
+    /// The part of a processor that each node has, in percent.
+    pub processor: u32,
+    /// The part of the members of each group that are lost with the nodes and come back empty, in percent.
+    pub empty: u32,
+    /// Whether the heads of the groups are among them.
+    pub heads: bool,
+    /// How they come back.
+    pub replacement: Replacement,
+    /// Whether members of groups are lost one after the other before.
+    pub losses: bool,
+    /// How long the store refuses all calls, from the last start of a node on.
+    pub store_away: Duration,
+    /// Whether the store comes back from an older copy.
+    pub older: bool,
+    /// How long after their start all nodes are lost once more, if they are.
+    pub again: Option<Duration>,
+}
+
+impl Default for Outage {
+    fn default() -> Outage {
+        Outage {
+            seed: 1,
+            down: Duration::from_millis(1000),
+            processor: 100,
+            empty: 0,
+            heads: false,
+            replacement: Replacement::Same,
+            losses: false,
+            store_away: Duration::ZERO,
+            older: false,
+            again: None,
+        }
+    }
+}
+
+/// A request, by when it was sent, and whether it was served.
+#[derive(Clone, Copy, Debug)]
+struct Call {
+    sent: Instant,
+    served: bool,
+}
+
+/// What came of an outage.
+#[derive(Clone, Debug, Default)]
+pub struct Report {
+    /// What was served before it.
+    pub before: Count,
+    /// What was served of what was sent later than [`RECOVERY`] after the return.
+    pub after: Count,
+    /// What was served of what was sent in each [`SPAN`] after the return.
+    pub spans: Vec<Count>,
+    /// Promises to runners that were broken.
+    pub breaches: Vec<Breach>,
+}
+
+impl Report {
+    /// Returns how long after the return the fleet served a quarter for the first time.
+    pub fn find_first(&self) -> Option<Duration> {
+        self.spans.iter().position(is_service).map(|at| SPAN * at as u32)
+    }
+
+    /// Returns from when after the return on the fleet served a quarter in each span.
+    pub fn find_for_good(&self) -> Option<Duration> {
+        let down = self.spans.iter().rposition(|span| !is_service(span));
+        let from = down.map_or(0, |at| at + 1);
+        (from < self.spans.len()).then(|| SPAN * from as u32)
+    }
+
+    /// Whether a fleet that served before serves in time after its return.
+    pub fn recovers(&self) -> bool {
+        !is_service(&self.before) || is_service(&self.after)
+    }
+}
+
+fn is_service(count: &Count) -> bool {
+    count.sent == 0 || count.share() >= MIN_SHARE
+}
+
+impl fmt::Display for Report {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        let share = |count: &Count| if count.sent == 0 { 1.0 } else { count.share() };
+        let at = |found: Option<Duration>| {
+            found.map_or("never".to_owned(), |at| format!("{:.1}s", at.as_secs_f64()))
+        };
+        let margin =
+            self.find_for_good().map_or(f64::NEG_INFINITY, |at| RECOVERY.as_secs_f64() - at.as_secs_f64());
+        write!(
+            f,
+            "{}: served {:.2} before, {:.2} of {} sent later than {}s; a quarter first after {}, for good after {} (margin {margin:.1}s); spans",
+            if self.recovers() { "RECOVERS" } else { "DOES NOT RECOVER" },
+            share(&self.before),
+            share(&self.after),
+            self.after.sent,
+            RECOVERY.as_secs(),
+            at(self.find_first()),
+            at(self.find_for_good()),
+        )?;
+        self.spans.iter().try_for_each(|span| write!(f, " {:.2}", share(span)))
+    }
+}
+
+/// A play under way.
+struct Play<'a> {
+    outage: &'a Outage,
+    fleet: Fleet,
+    watch: Watch,
+    rng: SmallRng,
+    breaches: Vec<Breach>,
+    /// Runners that have ended, and when their entries go.
+    ended: Vec<(Server, Option<Instant>)>,
+    /// Whether each node is stopped, for want of a processor.
+    stopped: HashMap<usize, bool>,
+    /// Copies of the store, the latest last.
+    copies: Vec<(Instant, Snapshot)>,
+    began: Instant,
+    count: usize,
+}
+
+/// Plays an outage of a fleet whose nodes run `program`. Settings and logs of the nodes go into `folder`.
+pub async fn play(outage: &Outage, program: PathBuf, folder: &Path) -> io::Result<Report> {
+    std::fs::create_dir_all(folder)?;
+    let fleet = Fleet::start_program(sheet::lay_out(), program, folder).await?;
+    let mut play = Play {
+        outage,
+        fleet,
+        watch: Watch::new(Duration::from_millis(sheet::STALL_MS)),
+        rng: SmallRng::seed_from_u64(outage.seed),
+        breaches: Vec::new(),
+        ended: Vec::new(),
+        stopped: HashMap::new(),
+        copies: Vec::new(),
+        began: Instant::now(),
+        count: 0,
+    };
+    play.await_groups().await;
+    let calls = Arc::new(Mutex::new(Vec::new()));
+    let callers = play.start_callers(&calls);
+    play.play_before().await?;
+    let lost = Instant::now();
+    play.lose_nodes();
+    play.lose_runners().await?;
+    let returned = play.bring_back().await?;
+    play.watch_until(returned + RECOVERY + RECOVERED).await;
+    drop(callers);
+    // What was sent last is still awaited.
+    let breaches = std::mem::take(&mut play.breaches);
+    let calls = calls.lock();
+    Ok(Report {
+        before: count(&calls, |sent| sent + ANSWERED < lost),
+        after: count(&calls, |sent| sent > returned + RECOVERY),
+        spans: count_spans(&calls, returned),
+        breaches,
+    })
+}
+
+fn count(calls: &[Call], is_counted: impl Fn(Instant) -> bool) -> Count {
+    let counted = calls.iter().filter(|call| is_counted(call.sent));
+    counted.fold(Count::default(), |count, call| Count {
+        sent: count.sent + 1,
+        served: count.served + usize::from(call.served),
+    })
+}
+
+fn count_spans(calls: &[Call], returned: Instant) -> Vec<Count> {
+    let spans = (RECOVERY + RECOVERED).as_millis() / SPAN.as_millis();
+    let span = |at: u32| returned + SPAN * at..returned + SPAN * (at + 1);
+    (0..spans as u32).map(|at| count(calls, |sent| span(at).contains(&sent))).collect()
+}
+
+impl Play<'_> {
+    fn is_open(server: &Server) -> bool {
+        server.runner.is_open()
+    }
+
+    /// Waits until the fleet has formed its groups.
+    async fn await_groups(&mut self) {
+        let end = Instant::now() + FORMS;
+        let (mut groups, mut since) = (0, Instant::now());
+        while Instant::now() < end && (groups < MIN_GROUPS || since.elapsed() < FORMED) {
+            let open = self.fleet.engines.iter().filter(|server| Self::is_open(server)).count();
+            if open != groups {
+                (groups, since) = (open, Instant::now());
+            }
+            self.look().await;
+        }
+        for server in &self.fleet.engines {
+            server.runner.set_event_interval(PACE);
+        }
+        if let Some(sheet) = self.fleet.sheet() {
+            sheet.loading.weights.serve();
+        }
+        println!("{groups} groups are open after {:.1?}", self.began.elapsed());
+    }
+
+    /// Starts callers, each request on a connection of its own. They end when what is returned is dropped.
+    fn start_callers(&self, calls: &Arc<Mutex<Vec<Call>>>) -> JoinSet<()> {
+        let mut callers = JoinSet::new();
+        for (number, node) in self.fleet.nodes.iter().enumerate() {
+            let (to, calls, key) = (node.callers, calls.clone(), self.fleet.keys[0].0.clone());
+            let mut rng = SmallRng::seed_from_u64(self.outage.seed ^ number as u64);
+            callers.spawn(async move {
+                let mut asking = JoinSet::new();
+                for request in 0.. {
+                    tokio::time::sleep(Duration::from_millis(rng.random_range(0..2000 / RATE))).await;
+                    let path = draw_path(&mut rng);
+                    let (calls, key) = (calls.clone(), key.clone());
+                    asking.spawn(async move {
+                        let (sent, id) = (Instant::now(), format!("n{number}-{request}"));
+                        let served = send_new(to, path, &id, &key, WAIT).await;
+                        calls.lock().push(Call { sent, served });
+                    });
+                    while asking.try_join_next().is_some() {}
+                }
+            });
+        }
+        callers
+    }
+
+    /// Plays what comes before all nodes are lost.
+    async fn play_before(&mut self) -> io::Result<()> {
+        if !self.outage.losses {
+            self.watch_until(Instant::now() + CALM).await;
+            return Ok(());
+        }
+        for round in 0..LOSSES {
+            self.watch_until(Instant::now() + LOSS_PAUSE).await;
+            let halls: Vec<&str> = self.fleet.plain.iter().map(|server| server.hall).collect();
+            let hall = halls[round % halls.len()];
+            let engines = self.fleet.engines.iter().enumerate();
+            let members =
+                engines.filter(|(_, server)| server.hall == hall && server.runner.membership().is_some());
+            let mut members: Vec<usize> = members.map(|(number, _)| number).collect();
+            members.shuffle(&mut self.rng);
+            for number in members.into_iter().take(LOST_AT_ONCE) {
+                self.replace(number, Replacement::Dark).await?;
+            }
+        }
+        Ok(())
+    }
+
+    /// Ends a runner, and starts an empty one in its place.
+    async fn replace(&mut self, number: usize, replacement: Replacement) -> io::Result<()> {
+        self.count += 1;
+        let id = format!("e-{number}-{}", self.count);
+        self.fleet.crash(number);
+        let started = self.fleet.start_engine(&id, number).await?;
+        started.runner.set_event_interval(PACE);
+        let mut former = std::mem::replace(&mut self.fleet.engines[number], started);
+        match replacement {
+            Replacement::Same => {
+                let current = &mut self.fleet.engines[number];
+                std::mem::swap(&mut former.link, &mut current.link);
+                current.link.set_target(current.runner.address());
+                current.runner.advertise(current.link.address());
+            }
+            Replacement::Other => former.link.close(),
+            Replacement::Dark => former.link.set_harm(Some(Harm::Silence)),
+        }
+        self.ended.push((former, Some(Instant::now() + LAPSE)));
+        Ok(())
+    }
+
+    /// All nodes end at once.
+    fn lose_nodes(&mut self) {
+        self.fleet.nodes.iter_mut().for_each(|node| node.kill());
+        self.stopped.clear();
+    }
+
+    /// Runners end with the nodes, and empty ones come in their places. Each group loses a part of its members.
+    async fn lose_runners(&mut self) -> io::Result<()> {
+        for mut members in self.list_groups() {
+            members.shuffle(&mut self.rng);
+            let is_head = |number: &usize| self.fleet.engines[*number].runner.is_open();
+            if self.outage.heads {
+                members.sort_by_key(|number| !is_head(number));
+            }
+            members.truncate((members.len() * self.outage.empty as usize).div_ceil(100));
+            for number in members {
+                self.replace(number, self.outage.replacement).await?;
+            }
+        }
+        Ok(())
+    }
+
+    /// Returns the numbers of the runners of each group, and those of each that is in none.
+    fn list_groups(&self) -> Vec<Vec<usize>> {
+        let mut groups: BTreeMap<String, Vec<usize>> = BTreeMap::new();
+        for (number, server) in self.fleet.engines.iter().enumerate() {
+            let place = server.runner.membership();
+            let name = place.map_or_else(|| server.runner.id().to_owned(), |place| place.group);
+            groups.entry(name).or_default().push(number);
+        }
+        groups.into_values().collect()
+    }
+
+    /// Starts all nodes again, and brings back the store. Returns when the last node was started.
+    async fn bring_back(&mut self) -> io::Result<Instant> {
+        let outage = self.outage;
+        if outage.store_away > Duration::ZERO {
+            self.fleet.store.set_fault(store::Fault::Busy);
+        }
+        self.watch_until(Instant::now() + outage.down).await;
+        let mut returned = self.start_nodes()?;
+        if let Some(again) = outage.again {
+            self.watch_until(returned + again).await;
+            self.lose_nodes();
+            self.watch_until(Instant::now() + outage.down).await;
+            returned = self.start_nodes()?;
+        }
+        self.watch_until(returned + outage.store_away).await;
+        if outage.older {
+            self.restore();
+        }
+        self.fleet.store.set_fault(store::Fault::None);
+        Ok(returned)
+    }
+
+    fn start_nodes(&mut self) -> io::Result<Instant> {
+        for number in 0..self.fleet.nodes.len() {
+            self.fleet.start_node(number)?;
+        }
+        Ok(Instant::now())
+    }
+
+    /// The store has what it had some time ago, and all but the nodes write again.
+    fn restore(&mut self) {
+        let Some((_, copy)) = self.copies.first() else { return };
+        self.fleet.store.restore(copy);
+        self.fleet.configure();
+        self.fleet.servers().for_each(|server| server.runner.write_entry());
+        // Entries of those that have ended go once more.
+        for (_, lapses) in &mut self.ended {
+            *lapses = Some(Instant::now() + LAPSE);
+        }
+    }
+
+    async fn watch_until(&mut self, end: Instant) {
+        while Instant::now() < end {
+            self.look().await;
+        }
+    }
+
+    async fn look(&mut self) {
+        let now = Instant::now();
+        self.share_processor(now);
+        self.lapse_entries(now);
+        self.look_at_groups(now);
+        self.keep_copy(now);
+        tokio::time::sleep(LOOK).await;
+    }
+
+    /// Lets each node run for its part of the turn only.
+    fn share_processor(&mut self, now: Instant) {
+        if self.outage.processor >= 100 {
+            return;
+        }
+        for (number, node) in self.fleet.nodes.iter().enumerate().filter(|(_, node)| node.is_running()) {
+            let at = (now - self.began + TURN_SHIFT * number as u32).as_millis() % TURN.as_millis();
+            let stops = at >= TURN.as_millis() * u128::from(self.outage.processor) / 100;
+            if self.stopped.insert(number, stops).unwrap_or(false) != stops {
+                node.signal(if stops { Signal::STOP } else { Signal::CONT });
+            }
+        }
+    }
+
+    fn lapse_entries(&mut self, now: Instant) {
+        for (server, lapses) in &mut self.ended {
+            if lapses.is_some_and(|at| at <= now) {
+                *lapses = None;
+                server.runner.expire_entry();
+            }
+        }
+    }
+
+    /// Groups that lack a member answer nothing, and are broken after a while.
+    fn look_at_groups(&mut self, now: Instant) {
+        let engines = &self.fleet.engines;
+        let rows: Vec<Row> = engines.iter().map(|server| Row::read(&server.runner)).collect();
+        let found = self.watch.look(&rows, now);
+        for (at, server) in engines.iter().enumerate() {
+            let fault = if found.still.contains(&at) { runner::Fault::NoAnswer } else { runner::Fault::None };
+            server.runner.set_fault(fault);
+        }
+        for at in found.broken {
+            engines[at].runner.break_group();
+        }
+        self.breaches.extend(found.breaches);
+    }
+
+    /// Keeps a copy of the store as old as it may come back.
+    fn keep_copy(&mut self, now: Instant) {
+        if !self.outage.older {
+            return;
+        }
+        if self.copies.last().is_none_or(|(at, _)| now >= *at + SPAN)
+            && !self.fleet.nodes.iter().any(|node| !node.is_running())
+        {
+            self.copies.push((now, self.fleet.store.snapshot()));
+        }
+        let last = self.copies.last().map(|(at, _)| *at);
+        self.copies.retain(|(at, _)| last.is_some_and(|last| *at + COPY_AGE >= last));
+    }
+}
+
+/// Returns the path of the next request: two of three ask the small model, one of nine is plain.
+fn draw_path(rng: &mut SmallRng) -> &'static str {
+    match rng.random_range(0..18) {
+        0 => READ,
+        1 => ONCE,
+        2..6 => LARGE_STREAM,
+        _ => STREAM,
+    }
+}
--- a/crates/soak/src/proxy.rs
+++ b/crates/soak/src/proxy.rs
@@ -21,7 +21,7 @@
 /// The running proxy. Dropping it cuts its connections.
 pub struct Proxy {
     address: SocketAddr,
-    target: SocketAddr,
+    target: watch::Sender<SocketAddr>,
     harm: watch::Sender<Option<Harm>>,
     task: JoinHandle<()>,
 }
@@ -32,7 +32,8 @@
         let listener = TcpListener::bind("127.0.0.1:0").await?;
         let address = listener.local_addr()?;
         let (harm, watched) = watch::channel(None);
-        let task = tokio::spawn(accept(listener, target, watched));
+        let (target, to) = watch::channel(target);
+        let task = tokio::spawn(accept(listener, to, watched));
         Ok(Proxy { address, target, harm, task })
     }
 
@@ -43,7 +44,17 @@
 
     /// What it stands in front of.
     pub fn target(&self) -> SocketAddr {
-        self.target
+        *self.target.borrow()
+    }
+
+    /// Leads new connections to another address from now on.
+    pub fn set_target(&self, target: SocketAddr) {
+        self.target.send_replace(target);
+    }
+
+    /// Closes its port and all of its connections.
+    pub fn close(&self) {
+        self.task.abort();
     }
 
     /// Does this harm from now on, or none.
@@ -58,7 +69,7 @@
     }
 }
 
-async fn accept(listener: TcpListener, to: SocketAddr, harm: watch::Receiver<Option<Harm>>) {
+async fn accept(listener: TcpListener, to: watch::Receiver<SocketAddr>, harm: watch::Receiver<Option<Harm>>) {
     // The connections end with this task.
     let mut open = tokio::task::JoinSet::new();
     while let Ok((stream, _)) = listener.accept().await {
@@ -66,7 +77,7 @@
             reset(&stream);
             continue;
         }
-        open.spawn(serve(stream, to, harm.clone()));
+        open.spawn(serve(stream, *to.borrow(), harm.clone()));
         while open.try_join_next().is_some() {}
     }
 }
--- a/crates/soak/src/recovery.rs
+++ b/crates/soak/src/recovery.rs
@@ -10,7 +10,7 @@
 pub const RECOVERY: Duration = Duration::from_millis(12_000);
 
 /// The part of the requests that a fleet serves which is in service.
-const MIN_SHARE: f64 = 0.25;
+pub(crate) const MIN_SHARE: f64 = 0.25;
 
 /// Returns the breach if a fleet that served before its last fault does not serve again in time.
 ///
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -18,7 +18,7 @@
 
 use crate::check::{Breach, Record, Trouble, Witness, check};
 use crate::deadly::Deadly;
-use crate::fleet::{COLD_MS, Fleet, HALLS};
+use crate::fleet::{COLD_MS, Fleet, HALLS, Layout, STALL_MS};
 use crate::groups::{Row, Watch};
 use crate::load::{Call, Caller, Hint, Kind};
 use crate::outcome::Outcome;
@@ -111,7 +111,7 @@
 /// Plays a plan. Settings and logs of the nodes go into `folder`.
 pub async fn play(plan: &Plan, folder: &Path) -> io::Result<Report> {
     std::fs::create_dir_all(folder)?;
-    let fleet = Fleet::start(plan.nodes, plan.engines, plan.is_cold(), folder).await?;
+    let fleet = Fleet::start(Layout::small(plan.nodes, plan.engines, plan.is_cold()), folder).await?;
     let mut run = Run {
         plan,
         fleet,
@@ -121,7 +121,7 @@
         asked: Vec::new(),
         left: HashMap::new(),
         noticed: Vec::new(),
-        groups: Watch::default(),
+        groups: Watch::new(Duration::from_millis(STALL_MS)),
         deadly: HashMap::new(),
         copies: 0,
         settled: None,
--- a/crates/soak/tests/checks.rs
+++ b/crates/soak/tests/checks.rs
@@ -6,6 +6,7 @@
 use cottoncrank_platform_standin::caller::Answer;
 use cottoncrank_platform_standin::runner::{EVENTS_PER_STREAM, Join, Membership, ReceivedRequest};
 use cottoncrank_soak::check::{Breach, Record, Trouble, Witness, check};
+use cottoncrank_soak::fleet::STALL_MS;
 use cottoncrank_soak::groups::{Row, Watch};
 use cottoncrank_soak::load::{Call, Kind};
 use cottoncrank_soak::plan::{Fault, Harm, Partition};
@@ -159,14 +160,14 @@
 #[test]
 fn a_runner_in_two_groups_is_noticed_until_the_first_one_is_broken() {
     let now = Instant::now();
-    let mut watch = Watch::default();
+    let mut watch = Watch::new(Duration::from_millis(STALL_MS));
     let whole = [row("e-0", "g1", true), row("e-1", "g1", false)];
     assert!(watch.look(&whole, now).breaches.is_empty());
     let double = [row("e-0", "g1", true), row("e-1", "g2", false)];
     let found = watch.look(&double, now);
     assert!(matches!(found.breaches[..], [Breach::Two(..)]) && found.broken.is_empty());
     assert_eq!(watch.look(&double, now + seconds(3)).broken, [0], "it stood still for too long");
-    let mut watch = Watch::default();
+    let mut watch = Watch::new(Duration::from_millis(STALL_MS));
     watch.look(&whole, now);
     let broken = [row("e-0", "g1", false), row("e-1", "g2", false)];
     assert!(watch.look(&broken, now).breaches.is_empty(), "its head takes nothing any more");
--- a/crates/soak/tests/fleet.rs
+++ b/crates/soak/tests/fleet.rs
@@ -3,7 +3,7 @@
 use std::collections::HashSet;
 use std::net::IpAddr;
 
-use cottoncrank_soak::fleet::Fleet;
+use cottoncrank_soak::fleet::{Fleet, Layout};
 
 fn list_addresses(fleet: &Fleet) -> Vec<IpAddr> {
     fleet.nodes.iter().map(|node| node.callers.ip()).collect()
@@ -18,7 +18,7 @@
     let mut fleets = Vec::new();
     for folder in &folders {
         std::fs::create_dir_all(folder).unwrap();
-        let fleet = Fleet::start(2, 0, false, folder).await.unwrap();
+        let fleet = Fleet::start(Layout::small(2, 0, false), folder).await.unwrap();
         addresses.extend(list_addresses(&fleet));
         fleets.push(fleet);
     }
--- /dev/null
+++ b/crates/soak/tests/outage.rs
@@ -0,0 +1,44 @@
+//! Service after the loss of all nodes at once, with runners that take as long to load models as real ones.
+
+use std::time::Duration;
+
+use cottoncrank_soak::fleet::find_program;
+use cottoncrank_soak::outage::{Outage, Replacement, play};
+
+/// The part of a processor that each node has, in percent.
+const PROCESSOR: u32 = 25;
+
+/// Plays an outage in which each group loses half of its members, the head among them, and checks that service is back in time.
+async fn check_return(name: &str, outage: Outage) {
+    let folder = std::env::temp_dir().join(format!("cottoncrank-outage-{name}-{}", std::process::id()));
+    let lost =
+        Outage { empty: 50, heads: true, replacement: Replacement::Dark, processor: PROCESSOR, ..outage };
+    let report = play(&lost, find_program().unwrap(), &folder).await.unwrap();
+    println!("{name}: {report}");
+    assert!(report.before.sent > 0 && report.after.sent > 0, "{report}");
+    assert!(report.recovers(), "{report}");
+    assert!(report.breaches.is_empty(), "{:?}", report.breaches);
+    std::fs::remove_dir_all(&folder).unwrap();
+}
+
+/// Guards against waits one after the other: for groups that stand still, for orders that were not sent, and for
+/// loads.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn groups_that_lost_members_with_all_nodes_serve_in_time() {
+    check_return("members", Outage { seed: 7, ..Outage::default() }).await;
+}
+
+/// Guards against the same after a return at which the store refuses all calls for a while.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn groups_that_lost_members_with_all_nodes_and_the_store_serve_in_time() {
+    let store_away = Duration::from_millis(4000);
+    check_return("store", Outage { seed: 7, store_away, ..Outage::default() }).await;
+}
+
+/// Guards against the same where the store comes back from an older copy, so that nodes also look for what they
+/// have kept.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_fleet_that_lost_heads_the_store_and_its_latest_writes_serves_in_time() {
+    let store_away = Duration::from_millis(4000);
+    check_return("older", Outage { seed: 7, store_away, older: true, ..Outage::default() }).await;
+}
