Tell whether what was decided was written, and which key differs where it was not

Cause: a write of plans that met a conflict logged nothing. The lines of what was decided came before the write, so a decision that was not written read like one that was, and a step's orders were dropped without a line.

Change, without another decision: the lines of what was decided come after the write and say `written`, `not written` or `perhaps written`. A step whose orders are not sent says how many. Metrics `cottoncrank_plan_writes_total`, `cottoncrank_plan_write_seconds` and `cottoncrank_orders_unsent_total`.

--- a/crates/node/src/decider.rs
+++ b/crates/node/src/decider.rs
@@ -4,6 +4,7 @@
 //! that the lease's key is unchanged, so a node that has lost the lease without knowing it writes
 //! nothing.
 
+mod report;
 mod term;
 
 use std::sync::Arc;
--- a/crates/node/src/decider/term.rs
+++ b/crates/node/src/decider/term.rs
@@ -25,6 +25,7 @@
 use parking_lot::Mutex;
 use thiserror::Error;
 
+use super::report::{report_unsent, report_write};
 use super::{LEASE_KEY, LEASE_TTL};
 use crate::era;
 use crate::evacuation;
@@ -310,7 +311,7 @@
             for note in &step.notes {
                 log::info!("decider: {}: {note}", service.id);
             }
-            self.execute(step).await?;
+            self.execute(&service.id, step).await?;
         }
         Ok(())
     }
@@ -345,12 +346,13 @@
     ///
     /// The lease is renewed between the writes, because in a fleet with many domains and a slow store the
     /// writes take longer than the lease lasts.
-    async fn execute(&mut self, step: Step) -> Result<(), EndError> {
+    async fn execute(&mut self, service: &id::Service, step: Step) -> Result<(), EndError> {
         for writes in step.writes.chunks(MAX_WRITES) {
             self.renew_lease().await?;
             if !self.write(writes).await? {
                 // Orders are sent only for plans that are written. If this plan was lost and made again,
                 // its epochs would be used a second time.
+                report_unsent(service, step.orders.len());
                 return Ok(());
             }
         }
@@ -371,17 +373,17 @@
     async fn write(&mut self, writes: &[(id::Domain, Document, Vec<String>)]) -> Result<bool, EndError> {
         let mut commit =
             Commit { expect: vec![(LEASE_KEY.to_owned(), Some(self.lease_position))], ..Commit::default() };
-        for (domain, document, reasons) in writes {
+        for (domain, document, _) in writes {
             let document = Document { version: self.next_version(domain), ..document.clone() };
             let (key, bytes) = encode_plan(domain, &document)?;
             let expected = self.plans.stored.get(domain).and_then(|stored| stored.position);
             commit.expect.push((key.clone(), expected));
             commit.puts.push((key, bytes, None));
-            for reason in reasons {
-                log::info!("decider: {domain}: {reason}");
-            }
         }
-        match self.node.store.commit(&commit).await {
+        let started = self.node.now();
+        let outcome = self.node.store.commit(&commit).await;
+        report_write(writes, &outcome, self.node.now().since(started));
+        match outcome {
             Ok(Outcome::Done(position)) => {
                 for (domain, document, _) in writes {
                     let version = self.next_version(domain);
@@ -394,7 +396,7 @@
             }
             // After a lost answer the write may have been made or may still be made. Both show as a
             // conflict at the next write, and the plans are read again.
-            Ok(Outcome::Conflict) => {
+            Ok(Outcome::Conflict(_)) => {
                 self.plans = read_plans(&self.node).await?;
                 let holder = self.node.decider.borrow().as_ref().map(|holder| holder.position);
                 match holder > Some(self.lease_position) {
@@ -404,8 +406,7 @@
             }
             Err(StoreError::LeaseExpired) => Err(StoreError::LeaseExpired.into()),
             Err(StoreError::Restored(_)) => Err(EndError::StoreRestored),
-            Err(error) => {
-                log::warn!("decider: the plans may not have been written: {error}");
+            Err(_) => {
                 self.plans = read_plans(&self.node).await?;
                 Ok(false)
             }
@@ -426,6 +427,7 @@
         tokio::spawn(async move {
             // The box may have been suspended since the order was planned.
             if node.now() + LEASE_MARGIN >= lease_end || node.store.era() != era {
+                telemetry::count_unsent_orders("lease", 1);
                 log::warn!("decider: {order:?} to {runner} is not sent, the lease may be over");
                 return;
             }
--- a/crates/node/src/presence.rs
+++ b/crates/node/src/presence.rs
@@ -64,7 +64,7 @@
         Outcome::Done(_) => {
             log::info!("presence: removed the entries of nodes that are gone: {}", keys.join(" "))
         }
-        Outcome::Conflict => log::info!(
+        Outcome::Conflict(_) => log::info!(
             "presence: removed nothing, one of these entries was written again: {}",
             keys.join(" ")
         ),
--- a/crates/node/src/registration.rs
+++ b/crates/node/src/registration.rs
@@ -73,7 +73,7 @@
     let commit = Commit { puts: vec![(key, value, None)], ..Commit::default() };
     match node.store.commit(&commit).await? {
         Outcome::Done(_) => Ok(()),
-        Outcome::Conflict => {
+        Outcome::Conflict(_) => {
             Err(StoreError::Invalid("an unconditional write returned a conflict".to_owned()))
         }
     }
--- a/crates/node/src/suspect_store.rs
+++ b/crates/node/src/suspect_store.rs
@@ -99,7 +99,7 @@
         }
         match node.store.commit(&commit).await {
             Ok(Outcome::Done(_)) => record_commit(&node, &commit),
-            Ok(Outcome::Conflict) => log::error!("record: a write without a condition got a conflict"),
+            Ok(Outcome::Conflict(_)) => log::error!("record: a write without a condition got a conflict"),
             Err(error) => {
                 log::info!("record: cannot write the evidence about suspected requests: {error}");
                 tokio::time::sleep(RETRY_PAUSE.duration()).await;
--- a/crates/node/src/telemetry.rs
+++ b/crates/node/src/telemetry.rs
@@ -100,6 +100,17 @@
     metrics::histogram!("cottoncrank_look_seconds").record(took.0 as f64 / 1000.0);
 }
 
+/// Records what became of a write of plans, and how long it took.
+pub fn record_plan_write(outcome: &'static str, took: Millis) {
+    metrics::counter!("cottoncrank_plan_writes_total", "outcome" => outcome).increment(1);
+    metrics::histogram!("cottoncrank_plan_write_seconds").record(took.0 as f64 / 1000.0);
+}
+
+/// Counts orders that were planned and not sent, by the reason.
+pub fn count_unsent_orders(reason: &'static str, count: usize) {
+    metrics::counter!("cottoncrank_orders_unsent_total", "reason" => reason).increment(count as u64);
+}
+
 /// Sets the fraction of the requests for each model that is refused for want of room, by priority
 /// weights.
 pub fn set_refused_parts(engine: &Engine, pressure: &Pressure) {
