Remember a step only once its plans are written

Cause: `step` recorded its orders as issued, its loads and stagings as begun, the first order to close as given, the members lost and the groups lent while it planned. Where the write met a conflict or was not certain, none of that had happened, and the next steps were planned as if it had.

Change: the planner keeps its own decisions apart from what it has observed (`decided.rs`). A step adds to a copy of them, which replaces them with `Memory::record_written`, once all its plans are written and before its orders are sent. Answers of runners that arrive meanwhile go into the memory as before. Loads of planned groups whose members were not ordered to join, as their write was executed unseen or by a former decider, are counted when the orders go out, so the ceiling holds after a lost answer. Two more places of the same class: an order that is dropped because the lease may be over, or because its runner is not known any more, is due in the next step, and a staging that was not sent gives its load back. The ends of shifts are logged once they are written.

The simulated fleets of the tests take a step for written, as they did without saying so; no assertion changes.

Not measured: the cost of the copy, which has one entry for each order in force.

--- a/crates/fleet/src/decide.rs
+++ b/crates/fleet/src/decide.rs
@@ -9,7 +9,7 @@
 use cottoncrank::id;
 
 use crate::catalog::{Engine, Model};
-use crate::form::{find_last_epoch, form_groups};
+use crate::form::{Conditions, find_last_epoch, form_groups, record_unordered_loads};
 use crate::issuer::Issuer;
 use crate::loads::Purpose;
 use crate::loss::{mark_stalled, release_groups, retire_groups};
@@ -39,10 +39,11 @@
     pub notes: Vec<String>,
 }
 
-/// Returns the plans to write and the orders to send next.
+/// Returns the plans to write and the orders to send next. The memory takes the step for done only after
+/// [`Memory::record_written`].
 pub fn step(snapshot: &Snapshot, memory: &mut Memory) -> Step {
     let Some(published) = &snapshot.service.engine else { return Step::default() };
-    memory.prune(snapshot);
+    let mut decided = memory.begin_step(snapshot);
     let demand = memory.demands.entry(snapshot.service.id.clone()).or_default();
     if let Some(in_flight) = snapshot.in_flight.filter(|_| snapshot.serving) {
         demand.record(list_utilization(snapshot, &published.models, in_flight), snapshot.now);
@@ -56,27 +57,30 @@
         release_groups(snapshot, draft, memory);
     }
     let members = drafts.iter().flat_map(|draft| &draft.plan.groups).map(|group| group.members.len()).sum();
-    memory.losses.record(members, lost, snapshot.now);
+    decided.losses.record(members, lost, snapshot.now);
     let runners = drafts.iter().map(|draft| draft.runners.len()).sum();
     let domains = drafts.iter().filter(|draft| !draft.is_evacuated()).count();
-    let risk = Risk::assess(&memory.losses, engine, runners, domains);
+    let risk = Risk::assess(&decided.losses, engine, runners, domains);
     let mut step = Step::default();
     let mut bounds = Bounds::default();
     if snapshot.serving {
-        let state = memory.shifts.entry(snapshot.service.id.clone()).or_default();
+        let state = decided.shifts.entry(snapshot.service.id.clone()).or_default();
         bounds = shift_groups(snapshot, engine, &risk, &mut drafts, state, &mut step.notes);
         preempt_groups(snapshot, &engine.models, &risk, &bounds, &mut drafts);
     }
     let settled = memory.is_settled(runners, snapshot.now);
-    let waiting = form_groups(snapshot, engine, &mut drafts, &risk, &bounds, memory, settled);
+    record_unordered_loads(snapshot, &engine.models, &drafts, &mut decided);
+    let conditions = Conditions { risk: &risk, bounds: &bounds, settled };
+    let waiting = form_groups(snapshot, engine, &mut drafts, conditions, memory, &mut decided);
     let shortages = list_shortages(&engine.models, &drafts, &risk, &bounds.without_floor());
     let count_allowed = |purpose| {
-        memory.loads.count_allowed(snapshot.now, engine, snapshot.ceiling, snapshot.serving, purpose)
+        decided.loads.count_allowed(snapshot.now, engine, snapshot.ceiling, snapshot.serving, purpose)
     };
     let (repair_loads, reserve_loads) = (count_allowed(Purpose::Repair), count_allowed(Purpose::Reserve));
     let mut issuer = Issuer {
         now: snapshot.now,
         memory,
+        decided: &mut decided,
         orders: &mut step.orders,
         repair_loads,
         reserve_loads,
@@ -95,6 +99,7 @@
         None => !draft.plan.groups.is_empty(),
     });
     step.writes = changed.map(|draft| (draft.id, draft.plan, draft.reasons)).collect();
+    memory.propose(decided);
     step
 }
 
--- a/crates/fleet/src/form.rs
+++ b/crates/fleet/src/form.rs
@@ -3,13 +3,15 @@
 use cottoncrank::{Millis, id};
 
 use crate::catalog::{Engine, Model};
+use crate::decided::Decided;
 use crate::loads::Purpose;
 use crate::memory::Memory;
+use crate::orders::build_join;
 use crate::plan::{Group, State};
 use crate::reserve::Risk;
 use crate::runner::{Epoch, Runner};
 use crate::shift::bounds::Bounds;
-use crate::snapshot::{Draft, Snapshot, find_join_time};
+use crate::snapshot::{Draft, Snapshot, find_join_time, find_phase};
 use crate::targets::{count_active, list_targets};
 
 /// Forming a group this much sooner is worth as much as the whole target of a model. It is about
@@ -57,16 +59,47 @@
     bounds: &'a Bounds,
 }
 
+/// Records the loads for planned groups whose members were not ordered to join: the write of their plan was done
+/// unseen, or by a former decider.
+pub(crate) fn record_unordered_loads(
+    snapshot: &Snapshot,
+    models: &[Model],
+    drafts: &[Draft],
+    decided: &mut Decided,
+) {
+    let planned = drafts.iter().flat_map(|draft| &draft.plan.groups).filter(|group| !group.is_retired());
+    for group in planned {
+        let Some(model) = models.iter().find(|model| model.name == group.model) else { continue };
+        let is_unordered = |runner: &&Runner| {
+            let key = (runner.id.clone(), build_join(group));
+            find_phase(runner, group).is_none() && !decided.issued_at.contains_key(&key)
+        };
+        let members = group.members.iter().filter_map(|id| snapshot.find(id));
+        let loading = members.filter(|runner| find_join_time(runner, model) == model.load_time);
+        let loads = loading.filter(is_unordered).count();
+        decided.loads.record_started(snapshot.now, loads, model.load_time, snapshot.serving, Purpose::Repair);
+    }
+}
+
+/// What the planner knows of the whole fleet when it forms groups.
+#[derive(Clone, Copy)]
+pub(crate) struct Conditions<'a> {
+    pub(crate) risk: &'a Risk,
+    /// The bounds that a shift sets.
+    pub(crate) bounds: &'a Bounds,
+    /// Whether no runner has been added for a while.
+    pub(crate) settled: bool,
+}
+
 /// Forms groups from free runners, starting with the model that is furthest below its target.
 /// Returns whether a group waits until its members may begin to load.
 pub(crate) fn form_groups(
     snapshot: &Snapshot,
     engine: &Engine,
     drafts: &mut [Draft],
-    risk: &Risk,
-    bounds: &Bounds,
-    memory: &mut Memory,
-    settled: bool,
+    Conditions { risk, bounds, settled }: Conditions,
+    memory: &Memory,
+    decided: &mut Decided,
 ) -> bool {
     let models = &engine.models;
     let targets = list_targets(models, drafts, risk, bounds);
@@ -82,7 +115,7 @@
         // A model without any group does not wait for the loads of others.
         let respects_limit = snapshot.serving && active[candidate.model] > 0;
         if candidate.loads
-            > memory.loads.count_allowed(
+            > decided.loads.count_allowed(
                 snapshot.now,
                 engine,
                 snapshot.ceiling,
@@ -92,7 +125,7 @@
         {
             return true;
         }
-        memory.loads.record_started(
+        decided.loads.record_started(
             snapshot.now,
             candidate.loads,
             models[candidate.model].load_time,
--- a/crates/fleet/src/issuer.rs
+++ b/crates/fleet/src/issuer.rs
@@ -3,6 +3,7 @@
 use cottoncrank::{Millis, id};
 
 use crate::catalog::Model;
+use crate::decided::Decided;
 use crate::memory::Memory;
 use crate::order::{Order, REPEAT_ACKNOWLEDGED_INTERVAL, REPEAT_INTERVAL};
 use crate::runner::Runner;
@@ -12,6 +13,7 @@
 pub(crate) struct Issuer<'a> {
     pub(crate) now: Millis,
     pub(crate) memory: &'a mut Memory,
+    pub(crate) decided: &'a mut Decided,
     pub(crate) orders: &'a mut Vec<(id::Runner, Order)>,
     /// The loads that may still begin in this step for groups that callers need.
     pub(crate) repair_loads: usize,
@@ -28,9 +30,7 @@
         } else {
             REPEAT_INTERVAL
         };
-        let due = self.memory.issued_at.get(&key).is_none_or(|at| self.now >= *at + interval);
-        if due {
-            self.memory.issued_at.insert(key.clone(), self.now);
+        if self.decided.issue(&key, interval, self.now) {
             self.orders.push(key);
         }
     }
@@ -39,18 +39,18 @@
     /// the time.
     pub(crate) fn has_waited(&mut self, runner: &id::Runner, order: &Order, span: Millis) -> bool {
         let key = (runner.clone(), order.clone());
-        let first = *self.memory.first_issued_at.entry(key).or_insert(self.now);
+        let first = *self.decided.first_issued_at.entry(key).or_insert(self.now);
         self.now >= first + span
     }
 
     /// Returns the model that the runner was last ordered to stage.
     pub(crate) fn last_staged(&self, runner: &Runner) -> Option<&id::Model> {
-        self.memory.last_staged(runner, self.now)
+        self.decided.last_staged(runner, self.now)
     }
 
     /// Returns what one more copy of a model is worth to the next shift, in idle runners.
     pub(crate) fn find_shift_value(&self, snapshot: &Snapshot, model: &Model) -> f64 {
-        let shift = self.memory.shifts.get(&snapshot.service.id);
+        let shift = self.decided.shifts.get(&snapshot.service.id);
         shift.map_or(0.0, |shift| shift.find_staging_value(snapshot, &model.name))
     }
 }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -81,6 +81,7 @@
 pub mod census;
 mod cold;
 pub mod decide;
+mod decided;
 pub mod demand;
 pub mod directory;
 pub mod dispatch;
--- a/crates/fleet/src/loads.rs
+++ b/crates/fleet/src/loads.rs
@@ -69,6 +69,14 @@
         self.started.extend(std::iter::repeat_n((now, now + time, purpose), count));
     }
 
+    /// Drops one load that was recorded to begin at `started` and did not begin.
+    pub fn withdraw(&mut self, started: Millis, purpose: Purpose) {
+        let is_it = |load: &(Millis, Millis, Purpose)| (load.0, load.2) == (started, purpose);
+        if let Some(at) = self.started.iter().position(is_it) {
+            self.started.remove(at);
+        }
+    }
+
     /// Drops loads that have ended and are outside the window.
     pub fn prune(&mut self, now: Millis, ceiling: &Ceiling) {
         self.started.retain(|(started, ends, _)| now < *ends || now < *started + ceiling.window);
--- a/crates/fleet/src/memory.rs
+++ b/crates/fleet/src/memory.rs
@@ -1,17 +1,16 @@
 //! What the planner remembers of runners, groups and orders besides the plan.
 
 use std::collections::{HashMap, HashSet};
+use std::iter;
 
 use cottoncrank::{Millis, id};
 
 use crate::catalog::{Model, Service};
+use crate::decided::Decided;
 use crate::demand::{Demand, Share};
-use crate::loads::{Loads, Purpose};
-use crate::order::{Order, REPEAT_ACKNOWLEDGED_INTERVAL};
-use crate::reserve::Losses;
+use crate::order::Order;
 use crate::roster::Roster;
-use crate::runner::{Epoch, Incarnation, Runner, is_later};
-use crate::shift;
+use crate::runner::{Epoch, Incarnation, is_later};
 use crate::snapshot::Snapshot;
 use crate::stall::Stalls;
 
@@ -19,52 +18,29 @@
 /// together write their entries within a second.
 const SETTLE_TIME: Millis = Millis(1000);
 
-/// After an order to load a model, a runner is assumed to be loading for this many times the
-/// duration of a load at full speed, because others may load at the same time. The bound is needed
-/// because an order may be lost.
-const STAGING_TIMEOUT_FACTOR: u64 = 3;
-
 /// A runner that rejected requests is not made head for this long, if another one can be.
 const REJECTING_TTL: Millis = Millis(15_000);
 
-/// An order to load a model onto the host of a runner.
-#[derive(Clone, Debug)]
-struct Staging {
-    model: id::Model,
-    /// The time until which the runner may still be loading.
-    until: Millis,
-    /// The models on the host before the order.
-    staged_before: Vec<id::Model>,
-}
-
 /// What the planner remembers besides the plan. All of it may be lost: a new decider then waits
 /// longer than necessary and repeats orders.
 #[derive(Clone, Debug, Default)]
 pub struct Memory {
-    /// When each order was last issued.
-    pub(crate) issued_at: HashMap<(id::Runner, Order), Millis>,
-    /// When a close order was first issued to a head that has no entry.
-    pub(crate) first_issued_at: HashMap<(id::Runner, Order), Millis>,
+    /// What steps decided whose plans were written.
+    pub(crate) decided: Decided,
+    /// The same with the last step, until its plans are written.
+    proposed: Option<Decided>,
     /// Orders that the runner acknowledged as done or begun.
     pub(crate) acknowledged: HashSet<(id::Runner, Order)>,
     /// The incarnations of the runners that received the orders above.
     incarnations: HashMap<id::Runner, Incarnation>,
-    /// The last order to stage a model, by runner.
-    staging_orders: HashMap<id::Runner, Staging>,
     /// Groups with a member that refused to join in a way that no retry can change.
     pub(crate) refused_joins: HashSet<(id::Group, Epoch)>,
     /// Since when a retired group lacks a member and is therefore stalled.
     pub(crate) stalled_since: HashMap<(id::Group, Epoch), Millis>,
     /// Heads that rejected requests, with the time when this was last seen.
     rejecting: HashMap<id::Runner, Millis>,
-    /// Recent loads.
-    pub(crate) loads: Loads,
-    /// The members lost so far.
-    pub(crate) losses: Losses,
     /// The observed utilization of the groups of each model, by service.
     pub(crate) demands: HashMap<id::Service, Demand>,
-    /// Which models are short, and which lend groups to which, by service.
-    pub(crate) shifts: HashMap<id::Service, shift::state::State>,
     /// The largest number of runners seen so far, and since when.
     max_runners: usize,
     grown_at: Millis,
@@ -86,17 +62,14 @@
     /// Returns how many groups each model of a service lends at present.
     pub fn list_lent(&self, service: &Service) -> Vec<(id::Model, usize)> {
         let models = service.engine.iter().flat_map(|engine| &engine.models);
-        let shift = self.shifts.get(&service.id);
+        let shift = self.decided.shifts.get(&service.id);
         let count = |model: &Model| shift.map_or(0, |shift| shift.count_lent(&model.name));
         models.map(|model| (model.name.clone(), count(model))).collect()
     }
 
     /// Returns the number of entries kept; it is bounded by the numbers of runners and groups.
     pub fn count_entries(&self) -> usize {
-        let orders = self.issued_at.len()
-            + self.first_issued_at.len()
-            + self.acknowledged.len()
-            + self.staging_orders.len();
+        let orders = self.decided.count_entries() + self.acknowledged.len();
         orders + self.refused_joins.len() + self.stalled_since.len()
     }
 
@@ -127,11 +100,8 @@
             let Some(life) = runner.incarnation else { continue };
             let previous = self.incarnations.insert(runner.id.clone(), life);
             if is_later(Some(life), previous) {
-                let is_other = |(id, _): &(id::Runner, Order)| *id != runner.id;
-                self.issued_at.retain(|key, _| is_other(key));
-                self.first_issued_at.retain(|key, _| is_other(key));
-                self.acknowledged.retain(is_other);
-                self.staging_orders.remove(&runner.id);
+                self.decided.forget_runner(&runner.id);
+                self.acknowledged.retain(|(id, _)| *id != runner.id);
                 self.rejecting.remove(&runner.id);
             }
         }
@@ -142,32 +112,33 @@
         self.rejecting.contains_key(runner)
     }
 
-    /// Records an order to load a model onto the host of a runner.
-    pub(crate) fn record_staging(
-        &mut self,
-        runner: &Runner,
-        model: &Model,
-        now: Millis,
-        serving: bool,
-        purpose: Purpose,
-    ) {
-        let timeout = Millis(model.load_time.0 * STAGING_TIMEOUT_FACTOR);
-        let staging =
-            Staging { model: model.name.clone(), until: now + timeout, staged_before: runner.staged.clone() };
-        self.staging_orders.insert(runner.id.clone(), staging);
-        self.loads.record_started(now, 1, model.load_time, serving, purpose);
+    /// Begins a step: returns what has been decided so far, to which the step adds.
+    pub(crate) fn begin_step(&mut self, snapshot: &Snapshot) -> Decided {
+        self.prune(snapshot);
+        self.decided.clone()
     }
 
-    /// Returns the model that a runner was last ordered to stage, if it holds it or may still be
-    /// loading it.
-    pub(crate) fn last_staged(&self, runner: &Runner, now: Millis) -> Option<&id::Model> {
-        let staging = self.staging_orders.get(&runner.id)?;
-        let loading = now < staging.until && runner.staged == staging.staged_before;
-        (loading || runner.staged.contains(&staging.model)).then_some(&staging.model)
+    /// Ends a step. What it decided takes effect once its plans are written.
+    pub(crate) fn propose(&mut self, decided: Decided) {
+        self.proposed = Some(decided);
+    }
+
+    /// Records that the plans of the last step are written, and that its orders are sent now.
+    pub fn record_written(&mut self) {
+        if let Some(decided) = self.proposed.take() {
+            self.decided = decided;
+        }
+    }
+
+    /// Records that an order of a step was not sent, so that the next step issues it again.
+    pub fn record_unsent(&mut self, runner: &id::Runner, order: &Order) {
+        for decided in iter::once(&mut self.decided).chain(&mut self.proposed) {
+            decided.record_unsent(runner, order);
+        }
     }
 
     /// Drops the entries of runners and groups that no longer exist.
-    pub(crate) fn prune(&mut self, snapshot: &Snapshot) {
+    fn prune(&mut self, snapshot: &Snapshot) {
         self.forget_old_incarnations(snapshot.roster);
         self.rejecting.extend(snapshot.rejecting.iter().map(|runner| (runner.clone(), snapshot.now)));
         self.rejecting.retain(|_, last| snapshot.now < *last + REJECTING_TTL);
@@ -178,15 +149,11 @@
         let is_relevant = |(runner, order): &(id::Runner, Order)| {
             is_known(runner) && order.group().is_none_or(|(group, epoch)| is_planned(group, epoch))
         };
-        let is_recent = |at: &Millis| snapshot.now < *at + REPEAT_ACKNOWLEDGED_INTERVAL;
-        self.issued_at.retain(|key, at| is_relevant(key) || is_recent(at));
-        self.first_issued_at.retain(|key, _| is_relevant(key));
+        self.decided.prune(snapshot, is_known, is_relevant);
         self.acknowledged.retain(is_relevant);
         self.incarnations.retain(|runner, _| is_known(runner));
-        self.staging_orders.retain(|runner, _| is_known(runner));
         self.refused_joins.retain(|(group, epoch)| is_planned(group, *epoch));
         self.stalled_since.retain(|(group, epoch), _| is_planned(group, *epoch));
-        self.loads.prune(snapshot.now, snapshot.ceiling);
     }
 
     /// Whether no runner has been added for [`SETTLE_TIME`].
@@ -205,7 +172,9 @@
                 self.refused_joins.insert((group.clone(), *epoch));
             }
             Order::Stage(_) => {
-                self.staging_orders.remove(runner);
+                for decided in iter::once(&mut self.decided).chain(&mut self.proposed) {
+                    decided.forget_staging(runner);
+                }
             }
             Order::Open(..) | Order::Close(..) | Order::Leave(..) => {}
         }
--- a/crates/fleet/src/orders.rs
+++ b/crates/fleet/src/orders.rs
@@ -29,9 +29,7 @@
     let phases: Vec<Option<Phase>> = runners.iter().map(|runner| find_phase(runner, group)).collect();
     for (runner, phase) in runners.iter().zip(&phases) {
         if phase.is_none() {
-            let members = group.members.clone();
-            let join = Order::Join(group.name.clone(), group.epoch, group.model.clone(), members);
-            issuer.issue(&runner.id, join);
+            issuer.issue(&runner.id, build_join(group));
         }
     }
     let whole = runners.len() == group.members.len();
@@ -40,6 +38,11 @@
     }
 }
 
+/// Returns the order to join a group.
+pub(crate) fn build_join(group: &Group) -> Order {
+    Order::Join(group.name.clone(), group.epoch, group.model.clone(), group.members.clone())
+}
+
 fn order_leaving(snapshot: &Snapshot, group: &Group, issuer: &mut Issuer) {
     let living: Vec<&Runner> = group.members.iter().filter_map(|id| snapshot.find(id)).collect();
     let leave = Order::Leave(group.name.clone(), group.epoch);
--- a/crates/fleet/src/staging.rs
+++ b/crates/fleet/src/staging.rs
@@ -221,7 +221,7 @@
     }
     issuer.repair_loads = issuer.repair_loads.saturating_sub(1);
     issuer.reserve_loads = issuer.reserve_loads.saturating_sub(1);
-    issuer.memory.record_staging(runner, model, issuer.now, issuer.serving, purpose);
+    issuer.decided.record_staging(runner, model, issuer.now, issuer.serving, purpose);
     issuer.issue(&runner.id, Order::Stage(model.name.clone()));
     true
 }
--- a/crates/fleet/tests/instant/mod.rs
+++ b/crates/fleet/tests/instant/mod.rs
@@ -144,6 +144,7 @@
         for (domain, document, _) in &step.writes {
             self.plans.insert(domain.clone(), document.clone());
         }
+        self.memory.record_written();
         step
     }
 
--- a/crates/fleet/tests/world/mod.rs
+++ b/crates/fleet/tests/world/mod.rs
@@ -543,7 +543,7 @@
         heads.filter(|head| head.model.as_ref() == Some(name)).map(|head| head.entry.slots).sum()
     }
 
-    /// Runs one planning step of the decider on the current state.
+    /// Runs one planning step of the decider on the current state, and takes its plans for written.
     pub fn step(&mut self) -> Step {
         self.tell();
         let in_flight = self.spread_requests();
@@ -564,7 +564,9 @@
             pressure: &pressure,
             now: self.now,
         };
-        step(&snapshot, &mut self.memory)
+        let step = step(&snapshot, &mut self.memory);
+        self.memory.record_written();
+        step
     }
 
     /// Executes the late orders that are due. The decider does not learn their results.
--- a/crates/fleet/tests/writes.rs
+++ b/crates/fleet/tests/writes.rs
@@ -12,7 +12,7 @@
 use cottoncrank_fleet::decide::Step;
 use cottoncrank_fleet::order::Order;
 use cottoncrank_fleet::orders::UNSEEN_HEAD_GRACE;
-use instant::{World, at_rest, runner};
+use instant::{CEILING, World, at_rest, runner};
 
 /// How long after a step the next one comes.
 const PAUSE: Millis = Millis(200);
@@ -92,3 +92,39 @@
     world.now = world.now + UNSEEN_HEAD_GRACE;
     assert!(world.propose().orders.contains(&close), "in the next step");
 }
+
+/// The lease was possibly over when the order was to be sent, or the runner was not known.
+#[test]
+fn an_order_that_was_not_sent_is_issued_in_the_next_step_and_its_load_is_counted_once() {
+    let (mut world, _) = start_fleet();
+    let first = world.step();
+    let leaves_window_at = world.now + CEILING.window;
+    for (id, order) in &first.orders {
+        world.memory.record_unsent(id, order);
+    }
+    world.now = world.now + PAUSE;
+    let again = world.step();
+    assert_eq!(list_joins(&again), list_joins(&first));
+    assert!(world.step().orders.is_empty(), "they were sent");
+    // The loads have left the window of the ceiling.
+    world.now = leaves_window_at;
+    assert!(!world.step().writes.is_empty(), "no further group of {} runners", world.list_free().len());
+}
+
+#[test]
+fn a_stage_order_that_was_not_sent_takes_no_load_from_others() {
+    let mut world = at_rest(6);
+    world.serving = true;
+    world.hang_loads = true;
+    let spare = runner(0, 77);
+    world.roster.insert(spare.clone());
+    // More often than loads may run at once.
+    for round in 0..20 {
+        let step = world.step();
+        let staged =
+            step.orders.iter().find(|(id, order)| *id == spare.id && matches!(order, Order::Stage(_)));
+        let Some((id, order)) = staged else { panic!("not staged in round {round}") };
+        world.memory.record_unsent(id, order);
+        world.now = world.now + PAUSE;
+    }
+}
--- a/crates/node/src/decider/term.rs
+++ b/crates/node/src/decider/term.rs
@@ -307,11 +307,8 @@
             self.log_census(&service.id, census);
             self.log_shares(service);
             evacuation::log_progress(&self.node, &documents, in_flight.as_ref());
-            telemetry::set_lent(&self.memory.lock().list_lent(service));
-            for note in &step.notes {
-                log::info!("decider: {}: {note}", service.id);
-            }
             self.execute(&service.id, step).await?;
+            telemetry::set_lent(&self.memory.lock().list_lent(service));
         }
         Ok(())
     }
@@ -357,6 +354,10 @@
             }
         }
         self.check_lease()?;
+        self.memory.lock().record_written();
+        for note in &step.notes {
+            log::info!("decider: {service}: {note}");
+        }
         for (runner, order) in step.orders {
             self.send_order(runner, order);
         }
@@ -421,7 +422,9 @@
             .lock()
             .get_last_known(&runner)
             .map(|runner| (runner.address, runner.incarnation));
-        let Some((address, incarnation)) = known else { return };
+        let Some((address, incarnation)) = known else {
+            return self.memory.lock().record_unsent(&runner, &order);
+        };
         let (node, client, memory) = (self.node.clone(), self.client.clone(), self.memory.clone());
         let (lease_end, era) = (self.lease_end, self.lease_position.era());
         tokio::spawn(async move {
@@ -429,6 +432,7 @@
             if node.now() + LEASE_MARGIN >= lease_end || node.store.era() != era {
                 telemetry::count_unsent_orders("lease", 1);
                 log::warn!("decider: {order:?} to {runner} is not sent, the lease may be over");
+                memory.lock().record_unsent(&runner, &order);
                 return;
             }
             let reply = order::send(&client, address, &runner, &order, ORDER_TIMEOUT).await;
