Expect each of several plans written together where it was seen

Cause: a write of several plans is answered with one revision. Where each change raises the counter, as at the stand-in store, that is the revision of the last plan only; the decider took it for that of all, so its next write that touched one of the others met a conflict, read the plans again and was made in a later round. The protocol says that each change raises the counter, and not whether the changes of one write share a revision.

Change: the position of a plan that was written with others is the one at which this node has seen this very plan in its feed; until it has, the one of the answer, as before. A conflict is still read and planned again.

Whether the platform's store behaves as the stand-in does is not shown by any run; the line of a conflict tells it.

--- a/crates/node/src/decider/term.rs
+++ b/crates/node/src/decider/term.rs
@@ -30,7 +30,7 @@
 use crate::era;
 use crate::evacuation;
 use crate::feedback;
-use crate::plans::{PlanError, Plans, StoredPlan, encode_plan, read_plans};
+use crate::plans::{PlanError, Plans, StoredPlan, encode_plan, find_position, read_plans};
 use crate::pressure;
 use crate::state::Node;
 use crate::telemetry;
@@ -176,7 +176,9 @@
                 continue;
             }
             let position = stored.and_then(|stored| stored.position);
-            self.plans.stored.insert(domain.clone(), StoredPlan { position, document: document.clone() });
+            self.plans
+                .stored
+                .insert(domain.clone(), StoredPlan { position, shared: false, document: document.clone() });
             writes.push((domain, document, vec!["restored, the store had lost it".to_owned()]));
         }
         writes.extend(self.adopt_groups());
@@ -210,7 +212,7 @@
             let (position, version) =
                 stored.map_or((None, 0), |stored| (stored.position, stored.document.version));
             let document = Document { version, ..document.clone() };
-            self.plans.stored.insert(domain.clone(), StoredPlan { position, document });
+            self.plans.stored.insert(domain.clone(), StoredPlan { position, shared: false, document });
         }
         plans
     }
@@ -377,7 +379,8 @@
         for (domain, document, _) in writes {
             let document = Document { version: self.next_version(domain), ..document.clone() };
             let (key, bytes) = encode_plan(domain, &document)?;
-            let expected = self.plans.stored.get(domain).and_then(|stored| stored.position);
+            let stored = self.plans.stored.get(domain);
+            let expected = stored.and_then(|stored| find_position(&self.node, domain, stored));
             commit.expect.push((key.clone(), expected));
             commit.puts.push((key, bytes, None));
         }
@@ -389,9 +392,10 @@
                 for (domain, document, _) in writes {
                     let version = self.next_version(domain);
                     let document = Document { version, ..document.clone() };
-                    self.plans
-                        .stored
-                        .insert(domain.clone(), StoredPlan { position: Some(position), document });
+                    self.plans.stored.insert(
+                        domain.clone(),
+                        StoredPlan { position: Some(position), shared: writes.len() > 1, document },
+                    );
                 }
                 Ok(true)
             }
--- a/crates/node/src/feed.rs
+++ b/crates/node/src/feed.rs
@@ -212,6 +212,11 @@
         self.history.lock().list_live().filter(|raw| filter(raw)).cloned().collect()
     }
 
+    /// Returns the item with this key, if there is one.
+    pub fn find(&self, key: &str) -> Option<RawItem> {
+        self.history.lock().items.get(key).filter(|raw| raw.value.is_some()).cloned()
+    }
+
     /// Drops items for which `filter` returns true, and which the store does not have. The nodes that polled
     /// them here are not told, because they drop them by themselves.
     pub fn forget(&self, filter: impl Fn(&RawItem) -> bool) {
--- a/crates/node/src/plans.rs
+++ b/crates/node/src/plans.rs
@@ -5,7 +5,7 @@
 use cottoncrank::{Millis, id};
 use cottoncrank_fleet::plan::{self, Document};
 use cottoncrank_fleet::position::Position;
-use cottoncrank_platform::item::Item;
+use cottoncrank_platform::item::{Change, Item, decode, format_own_key};
 use cottoncrank_platform::store::StoreError;
 use thiserror::Error;
 
@@ -26,6 +26,8 @@
 pub(crate) struct StoredPlan {
     /// The store position of the plan; `None` if the store does not hold it.
     pub(crate) position: Option<Position>,
+    /// Whether the position is that of a write of several plans, of which each may have a revision of its own.
+    pub(crate) shared: bool,
     /// The plan.
     pub(crate) document: Document,
 }
@@ -48,6 +50,23 @@
     }
 }
 
+/// Returns the position of a plan in the store. The answer to a write of several plans names one position; then it
+/// is the one at which this node has seen this very plan since.
+pub(crate) fn find_position(node: &Node, domain: &id::Domain, stored: &StoredPlan) -> Option<Position> {
+    let era = stored.position.filter(|_| stored.shared).map(Position::era);
+    let Some(era) = era else { return stored.position };
+    let raw = node.feed.find(&format_own_key(&format!("{PREFIX}{domain}")));
+    let item = raw.filter(|raw| raw.position.era() == era).and_then(|raw| match decode(raw) {
+        Ok(Change::Own(item)) => Some(item),
+        _ => None,
+    });
+    let is_same = |item: &Item| {
+        let seen = decode_plan(item).ok().flatten();
+        seen.is_some_and(|(_, document)| document == stored.document)
+    };
+    item.filter(is_same).map(|item| item.position).or(stored.position)
+}
+
 /// Reads all plans. A domain whose plan is invalid is closed, because its groups are not known. All
 /// other domains are planned.
 pub(crate) async fn read_plans(node: &Node) -> Result<Plans, StoreError> {
@@ -55,7 +74,9 @@
     for item in node.store.read_own_items().await? {
         match decode_plan(&item) {
             Ok(Some((domain, document))) => {
-                plans.stored.insert(domain, StoredPlan { position: Some(item.position), document });
+                plans
+                    .stored
+                    .insert(domain, StoredPlan { position: Some(item.position), shared: false, document });
             }
             Ok(None) => {}
             Err(error) => {
