Tell what the members of retired groups wait for, and what a new decider takes over

Cause: between the retirement of a group and its release no line told what was waited for, so a wait of seconds after a loss of all nodes could not be told from a late answer, a plan that was not written, or the stall time.

Change: the deciding node counts the retired groups that are held by their wait (the head finishes, has to leave, is out of reach, or the group is stalled since and for how long) and logs that when it changes, four times a second at the most for each service; `cottoncrank_groups_held` shows the same. A line at the begin of a term tells the plans, the retired groups and the known stalls that it takes over. No decision changes.

No fleet was run.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -34,7 +34,7 @@
 //! - [`adopt`]: finds groups whose plan was lost.
 //! - [`staging`]: the models to hold on the hosts of runners.
 //! - [`orders`] and [`order`]: the commands that bring runners to the planned state.
-//! - [`census`]: counts groups and runners for the log.
+//! - [`census`] and [`waits`]: count groups and runners, and what retired groups wait for, for the log.
 //!
 //! # Decisions about requests
 //!
@@ -131,3 +131,4 @@
 mod targets;
 pub mod throttle;
 pub mod trials;
+pub mod waits;
--- a/crates/fleet/src/loss.rs
+++ b/crates/fleet/src/loss.rs
@@ -126,13 +126,17 @@
         None if has_left => true,
         // The head cannot be reached: it may be cut off and still open. Once a member has left,
         // the group is stalled, and it breaks after the stall time.
-        None => memory
-            .stalled_since
-            .get(&(group.name.clone(), group.epoch))
-            .is_some_and(|since| snapshot.now >= *since + snapshot.stall + STALL_MARGIN),
+        None => find_break(snapshot, group, memory).is_some_and(|(_, end)| snapshot.now >= end),
     }
 }
 
+/// Returns since when a group is known to be stalled, and when it must have broken; `None` if it may still
+/// run.
+pub(crate) fn find_break(snapshot: &Snapshot, group: &Group, memory: &Memory) -> Option<(Millis, Millis)> {
+    let since = *memory.stalled_since.get(&(group.name.clone(), group.epoch))?;
+    Some((since, since + snapshot.stall + STALL_MARGIN))
+}
+
 /// Marks the retired groups that are known to be stalled.
 pub(crate) fn mark_stalled(draft: &mut Draft, memory: &Memory) {
     for group in draft.plan.groups.iter_mut().filter(|group| group.is_retired()) {
--- a/crates/node/src/decider/term.rs
+++ b/crates/node/src/decider/term.rs
@@ -19,6 +19,7 @@
 use cottoncrank_fleet::position::Position;
 use cottoncrank_fleet::probe::Probes;
 use cottoncrank_fleet::snapshot::Snapshot;
+use cottoncrank_fleet::waits::{self, Takeover, Waits};
 use cottoncrank_net::client::{Client, Traffic};
 use cottoncrank_platform::order::{self, Reply};
 use cottoncrank_platform::store::{Commit, Lease, Outcome, StoreError};
@@ -51,6 +52,9 @@
 /// The minimum time between two census lines in the log for one service.
 const CENSUS_LOG_INTERVAL: Millis = Millis(500);
 
+/// The minimum time between two lines in the log on what retired groups of a service wait for.
+const WAITS_LOG_INTERVAL: Millis = Millis(250);
+
 /// How long changes are collected before the decider plans.
 const BATCH_DELAY: Millis = Millis(30);
 
@@ -109,6 +113,8 @@
     probes: Arc<Mutex<Probes>>,
     /// The census last logged for each service, and when.
     logged_census: HashMap<id::Service, (Census, Millis)>,
+    /// What retired groups wait for, as last logged for each service, and when.
+    logged_waits: HashMap<id::Service, (Waits, Millis)>,
     /// The models' shares of the runners, as last logged for each service.
     logged_shares: HashMap<id::Service, Vec<Share>>,
 }
@@ -129,6 +135,7 @@
             memory: Arc::new(Mutex::new(memory)),
             probes: Arc::default(),
             logged_census: HashMap::new(),
+            logged_waits: HashMap::new(),
             logged_shares: HashMap::new(),
         }
     }
@@ -220,6 +227,7 @@
     /// Plans until the lease is lost.
     pub(super) async fn run(&mut self) -> Result<std::convert::Infallible, EndError> {
         self.restore_plans().await?;
+        self.log_takeover();
         loop {
             let now = self.node.now();
             self.check_lease()?;
@@ -283,7 +291,7 @@
             let in_flight = self.node.sum_all_in_flight();
             let rejecting = feedback::list_long_rejecting(&self.node);
             let started = self.node.now();
-            let (step, census) = {
+            let (step, census, waits) = {
                 let roster = self.node.roster.lock();
                 let probes = self.probes.lock();
                 let pressure = pressure::sum(&self.node, &catalog, &service.id);
@@ -303,10 +311,13 @@
                     pressure: &pressure,
                     now: self.node.now(),
                 };
-                (step(&snapshot, &mut self.memory.lock()), census::count(&snapshot, engine))
+                let mut memory = self.memory.lock();
+                let step = step(&snapshot, &mut memory);
+                (step, census::count(&snapshot, engine), waits::count(&snapshot, &memory))
             };
             telemetry::record_planning_time(self.node.now().since(started));
             self.log_census(&service.id, census);
+            self.log_waits(&service.id, waits);
             self.log_shares(service);
             evacuation::log_progress(&self.node, &documents, in_flight.as_ref());
             self.execute(&service.id, step).await?;
@@ -326,6 +337,25 @@
         self.logged_census.insert(service.clone(), (census, now));
     }
 
+    /// Logs what this term begins with.
+    fn log_takeover(&self) {
+        let documents = self.plans.list_documents();
+        let takeover = Takeover::count(&documents, &self.node.stalls.lock(), self.node.now());
+        log::info!("decider: {takeover}");
+    }
+
+    /// Logs what the retired groups of a service wait for, if that has changed.
+    fn log_waits(&mut self, service: &id::Service, waits: Waits) {
+        telemetry::set_groups_held(service, &waits);
+        let now = self.node.now();
+        let (last, at) = self.logged_waits.get(service).cloned().unwrap_or_default();
+        if last.is_same(&waits) || now < at + WAITS_LOG_INTERVAL {
+            return;
+        }
+        log::info!("decider: {service}: {waits}");
+        self.logged_waits.insert(service.clone(), (waits, now));
+    }
+
     /// Logs which share of the runners each model is to have, if that has changed.
     fn log_shares(&mut self, service: &Service) {
         let shares = self.memory.lock().list_shares(service);
--- a/crates/node/src/telemetry.rs
+++ b/crates/node/src/telemetry.rs
@@ -11,6 +11,7 @@
 use cottoncrank_fleet::evidence::Level;
 use cottoncrank_fleet::path::Outcome;
 use cottoncrank_fleet::pressure::{Pressure, Strain};
+use cottoncrank_fleet::waits::Waits;
 use hyper::Response;
 use hyper::header::{CONTENT_TYPE, HeaderValue};
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
@@ -120,6 +121,14 @@
     }
 }
 
+/// Sets how many retired groups of a service are held, by what they wait for.
+pub fn set_groups_held(service: &id::Service, waits: &Waits) {
+    for (wait, groups) in waits.list() {
+        metrics::gauge!("cottoncrank_groups_held", "service" => service.to_string(), "wait" => wait)
+            .set(groups as f64);
+    }
+}
+
 /// Sets how many groups each model lends.
 pub fn set_lent(lent: &[(id::Model, usize)]) {
     for (model, groups) in lent {
