Show that a decider that knows nothing of the past holds members longer than is needed

Cause, as the tests show it: after a loss of all nodes the plan holds only the ids of members that have no entry, so no node can probe them. Targets stated from what the rule for joins needs: where the process of the head is known to have ended, nothing is waited for; where the head is out of reach, the stall time counts once, from the first moment at which a member is known to have left or ended, whichever decider saw it.

Change: `crates/fleet/tests/held.rs` replays a roster of the living entries only, an empty memory, and a decider that is replaced within the wait.

--- /dev/null
+++ b/crates/fleet/tests/held.rs
@@ -0,0 +1,162 @@
+//! Members that are held too long by a decider that remembers nothing, because all nodes were lost.
+//!
+//! Its roster has the entries of the living runners only: members that ended have none any more. What the
+//! plan says, and what probes find, is all that it knows of them. The wait for the stall time is needed where
+//! the head may be cut off and still open, and only there.
+
+mod instant;
+
+use cottoncrank::{Millis, id};
+use cottoncrank_fleet::decide::Step;
+use cottoncrank_fleet::loss::STALL_MARGIN;
+use cottoncrank_fleet::memory::Memory;
+use cottoncrank_fleet::order::Order;
+use cottoncrank_fleet::plan::Group;
+use cottoncrank_fleet::probe::{Answer, Observation, Probes};
+use cottoncrank_fleet::roster::Roster;
+use cottoncrank_fleet::runner::Runner;
+use cottoncrank_fleet::stall::Stalls;
+use instant::{STALL, World, at_rest};
+
+/// The time between two planning steps.
+const STEP: Millis = Millis(200);
+
+/// What a node observes at the addresses of runners that have no entry; it observes a sound runner at all
+/// others.
+type Observed<'a> = &'a [(&'a id::Runner, Observation)];
+
+/// Replaces all nodes: what is not in the plan or in an entry is forgotten. `gone` have no entry any more.
+fn lose_all_nodes(world: &mut World, gone: &[id::Runner]) {
+    let living: Vec<Runner> =
+        world.roster.iter().filter(|runner| !gone.contains(&runner.id)).cloned().collect();
+    world.roster = Roster::default();
+    world.roster.replace(living, world.now);
+    (world.memory, world.probes) = (Memory::default(), Probes::default());
+}
+
+/// Records one round of probes to the members of groups that the node has an address of.
+fn probe_known(world: &mut World, observed: Observed) {
+    let members: Vec<id::Runner> = world.groups().flat_map(|group| group.members.clone()).collect();
+    let known = members.into_iter().filter(|id| world.roster.get_last_known(id).is_some());
+    let answer = |runner: id::Runner| {
+        let found = observed.iter().find(|(id, _)| **id == runner);
+        let reported = found.map_or(Observation::Pace(1.0), |(_, reported)| *reported);
+        Answer { hall: "hall-a".parse().unwrap(), reported, incarnation: None, asked: 1, runner }
+    };
+    let round: Vec<Answer> = known.map(answer).collect();
+    world.probes.record_round(&round);
+}
+
+/// Probes and plans once, and executes the orders. Nodes read the plans that were written.
+fn advance(world: &mut World, observed: Observed, stalls: &mut Stalls) -> Step {
+    probe_known(world, observed);
+    let step = world.step();
+    world.execute(&step);
+    stalls.update(&world.plans, world.now);
+    world.now = world.now + STEP;
+    step
+}
+
+fn is_planned(world: &World, group: &Group) -> bool {
+    world.groups().any(|known| known.epoch == group.epoch)
+}
+
+fn is_ordered_to_leave(step: &Step, member: &id::Runner, group: &Group) -> bool {
+    step.orders.contains(&(member.clone(), Order::Leave(group.name.clone(), group.epoch)))
+}
+
+/// The process of the head is known to have ended: nothing runs in the group, so nothing is waited for.
+#[test]
+fn members_are_free_after_one_round_of_probes_where_another_runner_has_the_address_of_the_head() {
+    let mut world = at_rest(6);
+    let group = world.find("large");
+    let head = group.members[0].clone();
+    lose_all_nodes(&mut world, std::slice::from_ref(&head));
+    advance(&mut world, &[(&head, Observation::Gone)], &mut Stalls::default());
+    assert!(!is_planned(&world, &group), "its members are still held");
+}
+
+/// The same for another member: it need not be probed twice to be known to have ended.
+#[test]
+fn the_head_is_ordered_to_leave_after_one_round_where_another_runner_has_the_address_of_a_member() {
+    let mut world = at_rest(6);
+    let group = world.find("large");
+    let member = group.members[2].clone();
+    lose_all_nodes(&mut world, std::slice::from_ref(&member));
+    let step = advance(&mut world, &[(&member, Observation::Gone)], &mut Stalls::default());
+    assert!(is_ordered_to_leave(&step, &group.members[0], &group), "{:?}", step.orders);
+    advance(&mut world, &[(&member, Observation::Gone)], &mut Stalls::default());
+    assert!(!is_planned(&world, &group), "the head has left");
+}
+
+/// A head that answers, and is cut off from the store only, takes its order to leave.
+#[test]
+fn a_head_without_an_entry_that_answers_a_new_decider_is_ordered_to_leave() {
+    let mut world = at_rest(6);
+    let group = world.find("large");
+    let (head, member) = (group.members[0].clone(), group.members[3].clone());
+    lose_all_nodes(&mut world, &[head.clone(), member.clone()]);
+    let observed = [(&head, Observation::Pace(1.0)), (&member, Observation::Gone)];
+    let mut ordered = false;
+    for _ in 0..3 {
+        let step = advance(&mut world, &observed, &mut Stalls::default());
+        ordered |= is_ordered_to_leave(&step, &head, &group);
+    }
+    assert!(ordered, "its members would be held for the whole stall time");
+}
+
+/// The head is out of reach and may be open: the stall time counts once, from the first moment at which a
+/// member is known to have ended, and a second decider goes on with it.
+#[test]
+fn the_stall_time_counts_from_when_a_member_is_first_known_to_have_ended_whichever_decider_saw_it() {
+    let mut world = at_rest(6);
+    let group = world.find("large");
+    let (head, member) = (group.members[0].clone(), group.members[3].clone());
+    let observed = [(&head, Observation::Unreachable), (&member, Observation::Gone)];
+    lose_all_nodes(&mut world, &[head.clone(), member.clone()]);
+    let mut stalls = Stalls::default();
+    let known_at = world.now;
+    // The first decider ends after its plan is written, before any order is sent.
+    probe_known(&mut world, &observed);
+    world.step();
+    stalls.update(&world.plans, world.now);
+    world.now = world.now + Millis(2000);
+    (world.memory, world.probes) = (Memory::resume(&stalls), Probes::default());
+    while world.now < known_at + STALL {
+        advance(&mut world, &observed, &mut stalls);
+        assert!(is_planned(&world, &group), "the head may be open, {} later", world.now.since(known_at));
+    }
+    world.now = known_at + STALL + STALL_MARGIN;
+    advance(&mut world, &observed, &mut stalls);
+    assert!(!is_planned(&world, &group), "the wait began anew");
+}
+
+/// Refused connections do not show that a process has ended: the runner may be cut off in that way.
+#[test]
+fn members_are_held_for_the_whole_stall_time_where_connections_to_the_head_are_refused() {
+    for reported in [Observation::Refused, Observation::Unreachable, Observation::Silent] {
+        let mut world = at_rest(6);
+        let group = world.find("large");
+        let head = group.members[0].clone();
+        lose_all_nodes(&mut world, std::slice::from_ref(&head));
+        let began = world.now;
+        while world.now < began + STALL {
+            advance(&mut world, &[(&head, reported)], &mut Stalls::default());
+            assert!(is_planned(&world, &group), "{reported:?}, {} later", world.now.since(began));
+        }
+    }
+}
+
+/// A round in which the new runner at the address of a head is late does not make it unknown again that the
+/// head has ended.
+#[test]
+fn a_runner_that_answers_late_once_does_not_bring_back_the_head_that_had_its_address() {
+    let mut world = at_rest(6);
+    let group = world.find("large");
+    let head = group.members[0].clone();
+    lose_all_nodes(&mut world, std::slice::from_ref(&head));
+    probe_known(&mut world, &[(&head, Observation::Gone)]);
+    probe_known(&mut world, &[(&head, Observation::Silent)]);
+    advance(&mut world, &[(&head, Observation::Unreachable)], &mut Stalls::default());
+    assert!(!is_planned(&world, &group), "its members are held again");
+}
