Keep in the plan where members are reached, so that a new decider can probe those without an entry

Cause: the plan held only the ids of members. After a loss of all nodes no node knew the address of a member that had no entry any more: it could not be probed, a head that answered could not be ordered to leave, and that another runner had its address was never seen.

Change: a plan keeps address and hall of its members. They follow the encoded document instead of being a part of it: the binary form refuses a longer array than it knows, so an earlier build could not have read the plan; it reads no further than the document's end, and writes plans without places, which are read as before. A node that has seen no entry of a planned member probes it there, orders go there, and a node that carries a tunnel connects there. The planner's memory of orders is kept for planned members as well, or an acknowledged order to such a head would be forgotten.

Safety: nothing is concluded from silence at a planned address that was not concluded before: until a runner has answered there its missed probes are dropped, and they never count for a hall that is cut off, as it may be gone for good. New is only what an answer shows: the process runs (its head leaves by order, as one with an entry), or another one has its address (it has ended, the known ground for a release). A runner accepts a join no earlier than after one of the two or the stall time; openings still need the entries of all members. A refused connection still proves nothing.

No fleet was run.

--- a/crates/fleet/src/adopt.rs
+++ b/crates/fleet/src/adopt.rs
@@ -10,6 +10,7 @@
 use cottoncrank::id;
 
 use crate::catalog::Service;
+use crate::places;
 use crate::plan::{Document, Group, Plans, State};
 use crate::roster::Roster;
 use crate::runner::{Epoch, Runner};
@@ -77,6 +78,7 @@
         plan.groups.retain(|former| !former.members.iter().any(|id| group.members.contains(id)));
         plan.groups.push(group);
         plan.top = plan.top.max(epoch);
+        places::record(plan, roster);
         changed.insert(domain.clone());
     }
     found.retain(|domain, _| changed.contains(domain));
--- a/crates/fleet/src/decide.rs
+++ b/crates/fleet/src/decide.rs
@@ -17,6 +17,7 @@
 use crate::occupancy::Counts;
 use crate::order::Order;
 use crate::orders::list_orders;
+use crate::places;
 use crate::plan::Document;
 use crate::preempt::preempt_groups;
 use crate::preload::order_preloads;
@@ -98,7 +99,12 @@
         Some(plan) => *plan != draft.plan,
         None => !draft.plan.groups.is_empty(),
     });
-    step.writes = changed.map(|draft| (draft.id, draft.plan, draft.reasons)).collect();
+    step.writes = changed
+        .map(|mut draft| {
+            places::record(&mut draft.plan, snapshot.roster);
+            (draft.id, draft.plan, draft.reasons)
+        })
+        .collect();
     memory.propose(decided);
     step
 }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -9,7 +9,7 @@
 //! - [`settings`]: the settings of a node at its start.
 //! - [`catalog`]: the configuration that operators publish.
 //! - [`runner`] and [`roster`]: one runner as its entry describes it, and all known runners.
-//! - [`plan`]: the placement of groups on the runners of a domain.
+//! - [`plan`]: the placement of groups on the runners of a domain, and [`places`]: where members are reached.
 //! - [`probe`]: the health of runners.
 //! - [`path`]: the network paths to the runners of each hall.
 //! - [`stall`]: since when retired groups are stalled.
@@ -104,6 +104,7 @@
 pub mod orders;
 pub mod overload;
 pub mod path;
+pub mod places;
 pub mod plan;
 pub mod position;
 pub mod preempt;
--- a/crates/fleet/src/memory.rs
+++ b/crates/fleet/src/memory.rs
@@ -142,9 +142,12 @@
         self.forget_old_incarnations(snapshot.roster);
         self.rejecting.extend(snapshot.rejecting.iter().map(|runner| (runner.clone(), snapshot.now)));
         self.rejecting.retain(|_, last| snapshot.now < *last + REJECTING_TTL);
-        let is_known = |runner: &id::Runner| snapshot.roster.get_last_known(runner).is_some();
-        let groups = snapshot.plans.values().flat_map(|plan| &plan.groups);
-        let names: HashSet<(&id::Group, Epoch)> = groups.map(|group| (&group.name, group.epoch)).collect();
+        let groups = || snapshot.plans.values().flat_map(|plan| &plan.groups);
+        let members: HashSet<&id::Runner> = groups().flat_map(|group| &group.members).collect();
+        let is_known = |runner: &id::Runner| {
+            members.contains(runner) || snapshot.roster.get_last_known(runner).is_some()
+        };
+        let names: HashSet<(&id::Group, Epoch)> = groups().map(|group| (&group.name, group.epoch)).collect();
         let is_planned = |group: &id::Group, epoch: Epoch| names.contains(&(group, epoch));
         let is_relevant = |(runner, order): &(id::Runner, Order)| {
             is_known(runner) && order.group().is_none_or(|(group, epoch)| is_planned(group, epoch))
--- a/crates/fleet/src/plan.rs
+++ b/crates/fleet/src/plan.rs
@@ -7,7 +7,7 @@
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
-use crate::runner::{Epoch, Incarnation};
+use crate::runner::{Epoch, Incarnation, Place};
 
 /// A planned group.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -75,6 +75,10 @@
     /// after the store has been restored from an older copy.
     #[serde(default)]
     pub version: u64,
+    /// Where the members were when the plan was made, for nodes that see no entry of them. Not a part of
+    /// the encoded document, because builds that do not know it could not decode that.
+    #[serde(skip)]
+    pub places: BTreeMap<id::Runner, Place>,
 }
 
 /// Why a decoded plan is invalid.
--- a/crates/fleet/src/probe.rs
+++ b/crates/fleet/src/probe.rs
@@ -151,9 +151,18 @@
     /// Records a round and drops runners that were not probed in it. Returns the runners that have
     /// just become silent.
     pub fn record_round(&mut self, round: &[Answer]) -> Vec<id::Runner> {
+        self.record_rounds(round, &[])
+    }
+
+    /// Records a round in the same way, and the answers of members without an entry that were probed at
+    /// their planned address. Before one of them has answered, that it does not says nothing new. They
+    /// never show that the path to a hall is cut: they may have been gone for long.
+    pub fn record_rounds(&mut self, round: &[Answer], unlisted: &[Answer]) -> Vec<id::Runner> {
         let silent_before: HashSet<id::Runner> =
             self.records.keys().filter(|runner| self.is_silent(runner)).cloned().collect();
-        let records = round.iter().map(|answer| {
+        let is_new =
+            |answer: &&Answer| !is_missed(answer.reported) || self.records.contains_key(&answer.runner);
+        let records = round.iter().chain(unlisted.iter().filter(is_new)).map(|answer| {
             let previous = self.records.get(&answer.runner);
             // Results of a former incarnation say nothing about this one.
             let previous = previous.filter(|record| !is_later(answer.incarnation, record.incarnation));
--- a/crates/fleet/src/runner.rs
+++ b/crates/fleet/src/runner.rs
@@ -134,7 +134,21 @@
     pub membership: Option<Membership>,
 }
 
+/// Where a runner is.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Place {
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Its data hall.
+    pub hall: id::Hall,
+}
+
 impl Runner {
+    /// Returns where it is.
+    pub fn place(&self) -> Place {
+        Place { address: self.address, hall: self.hall.clone() }
+    }
+
     /// Resets it to the state after a restart: in no group, with no model loaded. The copies kept by
     /// its host remain.
     pub fn restart(&mut self, incarnation: Incarnation) {
--- a/crates/fleet/tests/adopt.rs
+++ b/crates/fleet/tests/adopt.rs
@@ -48,7 +48,7 @@
     let top = Epoch(last.epoch.0 - 1);
     let former = Group { name: "former".parse().unwrap(), epoch: Epoch(1), ..last.clone() };
     groups.push(former);
-    let older = Plans::from([(domain.clone(), Document { top, groups, version: 4 })]);
+    let older = Plans::from([(domain.clone(), Document { top, groups, version: 4, ..Document::default() })]);
     let adoption = find_adoption(&world, &older);
     let [(_, found)] = &adoption.plans[..] else { panic!("{adoption:?}") };
     assert!(found.groups.contains(&last));
--- a/crates/fleet/tests/census.rs
+++ b/crates/fleet/tests/census.rs
@@ -102,7 +102,10 @@
         group(2, [2, 3], State::Active),
         group(3, [4, 5], State::Closing),
     ];
-    let plans = Plans::from([("d0".parse().unwrap(), Document { top: Epoch(3), groups, version: 1 })]);
+    let plans = Plans::from([(
+        "d0".parse().unwrap(),
+        Document { top: Epoch(3), groups, version: 1, ..Document::default() },
+    )]);
     let census = count(&roster, &plans);
     assert_eq!((census.runners, census.serving, census.held, census.free, census.unfit), (9, 2, 4, 2, 1));
     let row = &census.rows[0];
--- a/crates/fleet/tests/held.rs
+++ b/crates/fleet/tests/held.rs
@@ -11,6 +11,7 @@
 use cottoncrank_fleet::loss::STALL_MARGIN;
 use cottoncrank_fleet::memory::Memory;
 use cottoncrank_fleet::order::Order;
+use cottoncrank_fleet::places;
 use cottoncrank_fleet::plan::Group;
 use cottoncrank_fleet::probe::{Answer, Observation, Probes};
 use cottoncrank_fleet::roster::Roster;
@@ -34,17 +35,22 @@
     (world.memory, world.probes) = (Memory::default(), Probes::default());
 }
 
-/// Records one round of probes to the members of groups that the node has an address of.
+/// Records one round of probes to the members of groups that the node has an address of, by an entry or by
+/// the plan.
 fn probe_known(world: &mut World, observed: Observed) {
     let members: Vec<id::Runner> = world.groups().flat_map(|group| group.members.clone()).collect();
-    let known = members.into_iter().filter(|id| world.roster.get_last_known(id).is_some());
+    let known =
+        members.into_iter().filter(|id| places::find(world.plans.values(), &world.roster, id).is_some());
+    let (listed, unlisted): (Vec<id::Runner>, Vec<id::Runner>) =
+        known.partition(|id| world.roster.get_last_known(id).is_some());
     let answer = |runner: id::Runner| {
         let found = observed.iter().find(|(id, _)| **id == runner);
         let reported = found.map_or(Observation::Pace(1.0), |(_, reported)| *reported);
         Answer { hall: "hall-a".parse().unwrap(), reported, incarnation: None, asked: 1, runner }
     };
-    let round: Vec<Answer> = known.map(answer).collect();
-    world.probes.record_round(&round);
+    let listed: Vec<Answer> = listed.into_iter().map(answer).collect();
+    let unlisted: Vec<Answer> = unlisted.into_iter().map(answer).collect();
+    world.probes.record_rounds(&listed, &unlisted);
 }
 
 /// Probes and plans once, and executes the orders. Nodes read the plans that were written.
@@ -103,6 +109,11 @@
         ordered |= is_ordered_to_leave(&step, &head, &group);
     }
     assert!(ordered, "its members would be held for the whole stall time");
+    assert!(is_planned(&world, &group), "it has not left yet");
+    let leave = Order::Leave(group.name.clone(), group.epoch);
+    world.memory.record_acknowledged(&head, None, &leave, world.now);
+    advance(&mut world, &observed, &mut Stalls::default());
+    assert!(!is_planned(&world, &group), "it has left");
 }
 
 /// The head is out of reach and may be open: the stall time counts once, from the first moment at which a
--- a/crates/fleet/tests/node_state.rs
+++ b/crates/fleet/tests/node_state.rs
@@ -46,7 +46,10 @@
         still: false,
         lives: Vec::new(),
     };
-    Plans::from([("d0".parse().unwrap(), Document { top: Epoch(1), groups: vec![group], version: 1 })])
+    Plans::from([(
+        "d0".parse().unwrap(),
+        Document { top: Epoch(1), groups: vec![group], version: 1, ..Document::default() },
+    )])
 }
 
 fn heads(roster: &Roster, plans: &Plans) -> usize {
--- a/crates/fleet/tests/returns.rs
+++ b/crates/fleet/tests/returns.rs
@@ -429,8 +429,10 @@
         still: false,
         lives: Vec::new(),
     };
-    let planned =
-        Plans::from([("d1".parse().unwrap(), Document { top: Epoch(1), groups: vec![group], version: 1 })]);
+    let planned = Plans::from([(
+        "d1".parse().unwrap(),
+        Document { top: Epoch(1), groups: vec![group], version: 1, ..Document::default() },
+    )]);
     let mut openings = Openings::default();
     let mut estimate = |phase, staged, plans: &Plans, now| {
         let mut roster = Roster::default();
--- a/crates/node/src/connect.rs
+++ b/crates/node/src/connect.rs
@@ -12,7 +12,7 @@
 use cottoncrank::{Millis, id};
 use cottoncrank_fleet::directory::Peer;
 use cottoncrank_fleet::path::Outcome;
-use cottoncrank_fleet::runner::Runner;
+use cottoncrank_fleet::runner::{Place, Runner};
 use cottoncrank_net::reach::Link;
 use hyper::upgrade::Upgraded;
 use hyper_util::rt::TokioIo;
@@ -67,6 +67,11 @@
         Target { id: runner.id.clone(), address: runner.address, hall: runner.hall.clone() }
     }
 
+    /// Returns a runner that is known by its place as a target.
+    pub fn at(id: id::Runner, place: Place) -> Target {
+        Target { id, address: place.address, hall: place.hall }
+    }
+
     /// Returns a picked runner as a target.
     pub fn of_pick(pick: &Pick) -> Target {
         Target { id: pick.id.clone(), address: pick.address, hall: pick.hall.clone() }
--- a/crates/node/src/decider/term.rs
+++ b/crates/node/src/decider/term.rs
@@ -15,9 +15,11 @@
 use cottoncrank_fleet::demand::Share;
 use cottoncrank_fleet::memory::Memory;
 use cottoncrank_fleet::order::Order;
+use cottoncrank_fleet::places;
 use cottoncrank_fleet::plan::Document;
 use cottoncrank_fleet::position::Position;
 use cottoncrank_fleet::probe::Probes;
+use cottoncrank_fleet::runner::Place;
 use cottoncrank_fleet::snapshot::Snapshot;
 use cottoncrank_fleet::waits::{self, Takeover, Waits};
 use cottoncrank_net::client::{Client, Traffic};
@@ -450,13 +452,13 @@
 
     /// Sends an order in the background and records the runner's answer.
     fn send_order(&self, runner: id::Runner, order: Order) {
-        let known = self
-            .node
-            .roster
-            .lock()
-            .get_last_known(&runner)
-            .map(|runner| (runner.address, runner.incarnation));
-        let Some((address, incarnation)) = known else {
+        let (place, incarnation) = {
+            let roster = self.node.roster.lock();
+            let documents = self.plans.stored.values().map(|stored| &stored.document);
+            let incarnation = roster.get_last_known(&runner).and_then(|known| known.incarnation);
+            (places::find(documents, &roster, &runner), incarnation)
+        };
+        let Some(Place { address, .. }) = place else {
             return self.memory.lock().record_unsent(&runner, &order);
         };
         let (node, client, memory) = (self.node.clone(), self.client.clone(), self.memory.clone());
--- a/crates/node/src/plans.rs
+++ b/crates/node/src/plans.rs
@@ -99,17 +99,31 @@
     let invalid = |reason: String| PlanError { key: item.key.clone(), reason };
     let Some(domain) = parse_domain(&item.key) else { return Ok(None) };
     let domain = domain.map_err(|error| invalid(error.to_string()))?;
-    let document: Document =
-        rmp_serde::from_slice(&item.value).map_err(|error| invalid(error.to_string()))?;
+    let mut rest = &item.value[..];
+    let mut document: Document =
+        rmp_serde::from_read(&mut rest).map_err(|error| invalid(error.to_string()))?;
     document.check().map_err(|flaw| invalid(flaw.to_string()))?;
+    if !rest.is_empty() {
+        // The groups are known without them.
+        document.places = rmp_serde::from_read(&mut rest).unwrap_or_default();
+    }
     Ok(Some((domain, document)))
 }
 
-/// Returns the key and the value of a plan in the store.
-pub(crate) fn encode_plan(domain: &id::Domain, document: &Document) -> Result<(String, Vec<u8>), PlanError> {
+/// Returns the key and the value of a plan in the store. The places of the members follow the document:
+/// earlier builds read no further than its end, and could not read it if it were longer.
+pub fn encode_plan(domain: &id::Domain, document: &Document) -> Result<(String, Vec<u8>), PlanError> {
     let key = format!("{PREFIX}{domain}");
-    match rmp_serde::to_vec(document) {
+    match encode_parts(document) {
         Ok(bytes) => Ok((key, bytes)),
         Err(error) => Err(PlanError { key, reason: error.to_string() }),
     }
 }
+
+fn encode_parts(document: &Document) -> Result<Vec<u8>, rmp_serde::encode::Error> {
+    let mut bytes = rmp_serde::to_vec(document)?;
+    if !document.places.is_empty() {
+        bytes.extend(rmp_serde::to_vec(&document.places)?);
+    }
+    Ok(bytes)
+}
--- a/crates/node/src/prober.rs
+++ b/crates/node/src/prober.rs
@@ -1,12 +1,12 @@
 //! Probes runners: the members of groups in rounds, at the decider, and single ones on demand.
 
-use std::collections::HashSet;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
 use cottoncrank::{Millis, id};
 use cottoncrank_fleet::probe::{Answer, Observation, Probes};
-use cottoncrank_fleet::runner::Runner;
+use cottoncrank_fleet::runner::Place;
 use cottoncrank_net::client::Client;
 use cottoncrank_net::intake;
 use cottoncrank_platform::order::{self, ProbeResult};
@@ -32,24 +32,16 @@
 const PROBE_LIFETIME: Millis = Millis(500);
 
 /// Probes all members of groups in rounds, until the task is aborted. Members whose entry is gone are
-/// probed at their last known address.
+/// probed at their last known address, and those of which this node has seen no entry at the planned one.
 pub async fn run(node: Arc<Node>, client: Client, probes: Arc<Mutex<Probes>>) {
     loop {
-        let mut members: HashSet<id::Runner> = {
-            let plans = node.plans.lock();
-            let groups = plans.values().flat_map(|plan| &plan.groups);
-            groups.flat_map(|group| group.members.iter().cloned()).collect()
-        };
         // Slow runners are probed too, so that they are used again once they have recovered.
-        members.extend(probes.lock().list_slow());
-        let known: Vec<Runner> = {
-            let roster = node.roster.lock();
-            members.iter().filter_map(|id| roster.get_last_known(id).cloned()).collect()
-        };
+        let slow = probes.lock().list_slow();
+        let (targets, unlisted) = list_targets(&node, slow);
         let mut probing = JoinSet::new();
-        for runner in known {
-            let silent = probes.lock().is_silent(&runner.id);
-            probing.spawn(probe_member(node.clone(), client.clone(), runner, silent));
+        for target in targets {
+            let silent = probes.lock().is_silent(&target.id);
+            probing.spawn(probe_member(node.clone(), client.clone(), target, silent));
         }
         let round = probing.join_all().await;
         telemetry::count_probes(round.iter().map(|(answer, ..)| answer.asked as usize).sum());
@@ -66,7 +58,9 @@
             }
             answers.push(answer);
         }
-        let newly_silent = probes.lock().record_round(&answers);
+        let (unlisted, answers): (Vec<Answer>, Vec<Answer>) =
+            answers.into_iter().partition(|answer| unlisted.contains(&answer.runner));
+        let newly_silent = probes.lock().record_rounds(&answers, &unlisted);
         // A decider that cannot reach the runners itself hands over to a node that can.
         for hall in probes.lock().list_cut() {
             tokio::spawn(paths::verify(node.clone(), hall.clone()));
@@ -82,23 +76,45 @@
     }
 }
 
+/// Returns the members of groups and the `slow` runners that can be probed, and which of them are known from
+/// the plans only.
+fn list_targets(node: &Node, slow: Vec<id::Runner>) -> (Vec<Target>, HashSet<id::Runner>) {
+    let (mut members, planned): (HashSet<id::Runner>, HashMap<id::Runner, Place>) = {
+        let plans = node.plans.lock();
+        let groups = plans.values().flat_map(|plan| &plan.groups);
+        let places = plans.values().flat_map(|plan| plan.places.clone());
+        (groups.flat_map(|group| group.members.iter().cloned()).collect(), places.collect())
+    };
+    members.extend(slow);
+    let roster = node.roster.lock();
+    let (listed, unlisted): (Vec<id::Runner>, Vec<id::Runner>) =
+        members.into_iter().partition(|id| roster.get_last_known(id).is_some());
+    let mut targets: Vec<Target> =
+        listed.iter().filter_map(|id| roster.get_last_known(id)).map(Target::of).collect();
+    let places = unlisted.into_iter().filter_map(|id| Some((id.clone(), planned.get(&id)?.clone())));
+    let unlisted: Vec<Target> = places.map(|(id, place)| Target::at(id, place)).collect();
+    let ids = unlisted.iter().map(|target| target.id.clone()).collect();
+    targets.extend(unlisted);
+    (targets, ids)
+}
+
 /// Probes a member. If it does not answer and is not yet known to be silent, it is probed once more at
 /// once, through another node if this node does not reach it. Returns its answer, whether it is about to
 /// leave, and how much longer it stays cold.
 async fn probe_member(
     node: Arc<Node>,
     client: Client,
-    runner: Runner,
+    target: Target,
     silent: bool,
 ) -> (Answer, bool, Option<Millis>) {
     let mut attempts = 1;
-    let mut probed = order::probe(&client, runner.address, &runner.id, PROBE_TIMEOUT).await;
+    let mut probed = order::probe(&client, target.address, &target.id, PROBE_TIMEOUT).await;
     if probed.reported == Observation::Silent && !silent {
         attempts += 1;
-        probed = probe_anyhow(&node, Target::of(&runner), PROBE_TIMEOUT).await;
+        probed = probe_anyhow(&node, target.clone(), PROBE_TIMEOUT).await;
     }
     let ProbeResult { reported, incarnation, leaving, cold_left } = probed;
-    let answer = Answer { runner: runner.id, hall: runner.hall, reported, incarnation, asked: attempts };
+    let answer = Answer { runner: target.id, hall: target.hall, reported, incarnation, asked: attempts };
     (answer, leaving, cold_left)
 }
 
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -29,7 +29,7 @@
 use cottoncrank_fleet::rejections;
 use cottoncrank_fleet::retries::{Allowance, Pool};
 use cottoncrank_fleet::roster::{Roster, Update};
-use cottoncrank_fleet::runner::{Incarnation, Runner};
+use cottoncrank_fleet::runner::{Incarnation, Place, Runner};
 use cottoncrank_fleet::settings::Settings;
 use cottoncrank_fleet::stall::Stalls;
 use cottoncrank_fleet::suspects::{Origin, Table};
@@ -434,6 +434,12 @@
         }
     }
 
+    /// Returns where a runner was last known to be, by its entry or by the plans.
+    pub fn find_place(&self, id: &id::Runner) -> Option<Place> {
+        let seen = self.roster.lock().get_last_known(id).map(Runner::place);
+        seen.or_else(|| self.plans.lock().values().find_map(|plan| plan.places.get(id)).cloned())
+    }
+
     /// Records the incarnation that a runner reported.
     pub fn record_incarnation(&self, id: &id::Runner, incarnation: Incarnation) {
         if self.roster.lock().record_incarnation(id, incarnation) {
--- a/crates/node/src/tunnel.rs
+++ b/crates/node/src/tunnel.rs
@@ -189,13 +189,10 @@
 }
 
 /// Connects to the runner of a query. Only known runners are connected to, at the address that their
-/// entry names.
+/// entry or a plan names.
 async fn begin(node: &Arc<Node>, query: &Query, slot: &Slot) -> Result<(Link, CarryGuard), TunnelError> {
-    let target = {
-        let roster = node.roster.lock();
-        let known = roster.get_last_known(&query.runner).filter(|known| known.address == query.address);
-        known.map(Target::of).ok_or(TunnelError::UnknownRunner)?
-    };
+    let known = node.find_place(&query.runner).filter(|place| place.address == query.address);
+    let target = Target::at(query.runner.clone(), known.ok_or(TunnelError::UnknownRunner)?);
     let is_stopping = *node.draining.borrow();
     if is_stopping || node.paths.lock().is_cut(&target.hall) {
         return Err(TunnelError::Unavailable);
