Retire a group as soon as another runner answers at the address of a member

Cause: two rounds of probes had to pass before a member without an entry counted as lost, also where the first of them showed that its process has ended, and with an entry the answer of another runner counted as one miss of six. A decider that had just begun also planned up to 250 ms after it knew.

Change: such an answer retires the group at once, by itself, and lets the decider plan at once. If the runner answers itself after that, it has started again under its id, and no longer counts as ended; before, it did until it was not probed for a round, which would retire each new group of it.

Safety: the release of the members needs no less than before: the head has left, has ended, or must have broken. Only the order to leave comes earlier, to groups that stand still anyway, as a dead member is needed for every step. Openings still need the entries of all members.

`loss`, `losses`, `incarnations` and `restarts` pass. No fleet was run.

--- a/crates/fleet/src/loss.rs
+++ b/crates/fleet/src/loss.rs
@@ -40,6 +40,9 @@
         _ if snapshot.has_restarted(group, member) => {
             Some(Loss::lost(format!("member {member} has started again")))
         }
+        _ if snapshot.probes.is_gone(member) => {
+            Some(Loss::lost(format!("member {member} has ended, another runner has its address")))
+        }
         Some(runner) if open && find_phase(runner, group).is_none() => {
             Some(Loss::lost(format!("member {member} is no longer in the group")))
         }
--- a/crates/fleet/src/probe.rs
+++ b/crates/fleet/src/probe.rs
@@ -75,7 +75,7 @@
     asked: u32,
     /// The number of consecutive answers in which it was slow.
     slow: u32,
-    /// Whether another runner has answered at its address.
+    /// Whether another runner has answered at its address, and it has not answered since.
     gone: bool,
     /// The incarnation that answered last.
     incarnation: Option<Incarnation>,
@@ -149,7 +149,7 @@
     }
 
     /// Records a round and drops runners that were not probed in it. Returns the runners that have
-    /// just become silent.
+    /// just become silent, or that have just been seen to have ended.
     pub fn record_round(&mut self, round: &[Answer]) -> Vec<id::Runner> {
         self.record_rounds(round, &[])
     }
@@ -158,8 +158,8 @@
     /// their planned address. Before one of them has answered, that it does not says nothing new. They
     /// never show that the path to a hall is cut: they may have been gone for long.
     pub fn record_rounds(&mut self, round: &[Answer], unlisted: &[Answer]) -> Vec<id::Runner> {
-        let silent_before: HashSet<id::Runner> =
-            self.records.keys().filter(|runner| self.is_silent(runner)).cloned().collect();
+        let lost_before: HashSet<id::Runner> =
+            self.records.keys().filter(|runner| self.is_lost(runner)).cloned().collect();
         let is_new =
             |answer: &&Answer| !is_missed(answer.reported) || self.records.contains_key(&answer.runner);
         let records = round.iter().chain(unlisted.iter().filter(is_new)).map(|answer| {
@@ -167,7 +167,12 @@
             // Results of a former incarnation say nothing about this one.
             let previous = previous.filter(|record| !is_later(answer.incarnation, record.incarnation));
             let (misses, slow) = previous.map_or((0, 0), |record| (record.misses, record.slow));
-            let gone = previous.is_some_and(|record| record.gone) || answer.reported == Observation::Gone;
+            // One that answers itself again has started again under its id.
+            let gone = match answer.reported {
+                Observation::Gone => true,
+                Observation::Pace(_) => false,
+                _ => previous.is_some_and(|record| record.gone),
+            };
             let record = Record {
                 hall: answer.hall.clone(),
                 misses: match answer.reported {
@@ -189,9 +194,13 @@
         self.records = records.collect();
         self.rounds += 1;
         self.cut = find_cut_halls(round);
-        let newly_silent =
-            self.records.keys().filter(|runner| self.is_silent(runner) && !silent_before.contains(*runner));
-        newly_silent.cloned().collect()
+        let newly_lost =
+            self.records.keys().filter(|runner| self.is_lost(runner) && !lost_before.contains(*runner));
+        newly_lost.cloned().collect()
+    }
+
+    fn is_lost(&self, runner: &id::Runner) -> bool {
+        self.is_silent(runner) || self.is_gone(runner)
     }
 }
 
--- a/crates/fleet/tests/held.rs
+++ b/crates/fleet/tests/held.rs
@@ -171,3 +171,17 @@
     advance(&mut world, &[(&head, Observation::Unreachable)], &mut Stalls::default());
     assert!(!is_planned(&world, &group), "its members are held again");
 }
+
+/// A runner that is back under its id, and reports no incarnation, may be planned again: its new group must
+/// not be retired for the end of its former process.
+#[test]
+fn a_runner_that_answers_again_under_its_id_is_not_taken_for_ended() {
+    let mut world = at_rest(6);
+    let member = world.find("large").members[2].clone();
+    probe_known(&mut world, &[(&member, Observation::Gone)]);
+    assert!(world.probes.is_gone(&member));
+    probe_known(&mut world, &[]);
+    assert!(!world.probes.is_gone(&member));
+    world.step();
+    assert_eq!(world.count("large"), 6);
+}
--- a/crates/node/src/prober.rs
+++ b/crates/node/src/prober.rs
@@ -60,15 +60,15 @@
         }
         let (unlisted, answers): (Vec<Answer>, Vec<Answer>) =
             answers.into_iter().partition(|answer| unlisted.contains(&answer.runner));
-        let newly_silent = probes.lock().record_rounds(&answers, &unlisted);
+        let newly_lost = probes.lock().record_rounds(&answers, &unlisted);
         // A decider that cannot reach the runners itself hands over to a node that can.
         for hall in probes.lock().list_cut() {
             tokio::spawn(paths::verify(node.clone(), hall.clone()));
         }
-        if !newly_silent.is_empty() {
+        if !newly_lost.is_empty() {
             log::info!(
                 "decider: no answer from {}",
-                newly_silent.iter().map(id::Runner::as_str).collect::<Vec<_>>().join(" ")
+                newly_lost.iter().map(id::Runner::as_str).collect::<Vec<_>>().join(" ")
             );
             node.fleet_changed.notify_one();
         }
