Count the stall time from when a member is known to have ended, and write that with the retirement

Cause: a group whose head is out of reach counted as stalled once a member had acknowledged its order to leave, which the plan said one write later. A decider that ended in between left nothing of it, and the next one began to wait anew.

Change: a retired group with a member other than the head that has ended counts as stalled at once, and the write that retires it says so. Each node counts from when it reads that, so the next decider goes on with the wait.

Safety: a head stands still from the moment at which a member dies, leaves or joins anew, which is no later than when that is known here; the stall time and its margin are waited for in full from then. The end of a process is taken from the answer of another runner at its address or from a later incarnation, never from silence or a refused connection. If only the head is out of reach, the wait begins as before.

Left: after a loss of all nodes a node counts from when it reads the plan again. A time in the plan would have to be one of a wall clock, and those of boxes differ and jump: a clock that is ahead would release members of an open group. A lease of the store as the timer would run on while all nodes are away, but a store that is restored from an older copy may lack it, which looks like its end. Neither is safe in all cases, so neither is done.

--- a/crates/fleet/src/decide.rs
+++ b/crates/fleet/src/decide.rs
@@ -12,7 +12,7 @@
 use crate::form::{Conditions, find_last_epoch, form_groups, record_unordered_loads};
 use crate::issuer::Issuer;
 use crate::loads::Purpose;
-use crate::loss::{mark_stalled, release_groups, retire_groups};
+use crate::loss::{mark_stalled, record_stalled, release_groups, retire_groups};
 use crate::memory::Memory;
 use crate::occupancy::Counts;
 use crate::order::Order;
@@ -54,6 +54,7 @@
     let mut lost = 0;
     for draft in &mut drafts {
         lost += retire_groups(snapshot, draft, memory);
+        record_stalled(snapshot, draft, memory);
         mark_stalled(draft, memory);
         release_groups(snapshot, draft, memory);
     }
--- a/crates/fleet/src/loss.rs
+++ b/crates/fleet/src/loss.rs
@@ -119,7 +119,7 @@
 fn is_releasable(snapshot: &Snapshot, group: &Group, memory: &Memory) -> bool {
     let Some(head) = group.head() else { return true };
     // The process of the head has ended, and its requests with it.
-    if snapshot.probes.is_gone(head) || snapshot.has_restarted(group, head) {
+    if snapshot.has_ended(group, head) {
         return true;
     }
     let has_left =
@@ -140,6 +140,16 @@
     Some((since, since + snapshot.stall + STALL_MARGIN))
 }
 
+/// Records the retired groups that are stalled because a member other than the head has ended, whether or not
+/// another one has left yet.
+pub(crate) fn record_stalled(snapshot: &Snapshot, draft: &Draft, memory: &mut Memory) {
+    for group in draft.plan.groups.iter().filter(|group| group.is_retired()) {
+        if group.members.iter().skip(1).any(|member| snapshot.has_ended(group, member)) {
+            memory.stalled_since.entry((group.name.clone(), group.epoch)).or_insert(snapshot.now);
+        }
+    }
+}
+
 /// Marks the retired groups that are known to be stalled.
 pub(crate) fn mark_stalled(draft: &mut Draft, memory: &Memory) {
     for group in draft.plan.groups.iter_mut().filter(|group| group.is_retired()) {
--- a/crates/fleet/src/memory.rs
+++ b/crates/fleet/src/memory.rs
@@ -35,7 +35,7 @@
     incarnations: HashMap<id::Runner, Incarnation>,
     /// Groups with a member that refused to join in a way that no retry can change.
     pub(crate) refused_joins: HashSet<(id::Group, Epoch)>,
-    /// Since when a retired group lacks a member and is therefore stalled.
+    /// Since when a retired group is known to lack a member and to be stalled therefore.
     pub(crate) stalled_since: HashMap<(id::Group, Epoch), Millis>,
     /// Heads that rejected requests, with the time when this was last seen.
     rejecting: HashMap<id::Runner, Millis>,
--- a/crates/fleet/src/snapshot.rs
+++ b/crates/fleet/src/snapshot.rs
@@ -60,6 +60,11 @@
         self.roster.get_last_known(member).is_some_and(|runner| is_later(runner.incarnation, planned))
     }
 
+    /// Whether the process with which a group was planned has ended.
+    pub(crate) fn has_ended(&self, group: &Group, member: &id::Runner) -> bool {
+        self.probes.is_gone(member) || self.has_restarted(group, member)
+    }
+
     /// Returns a runner that has an entry and is not silent.
     pub(crate) fn find(&self, id: &id::Runner) -> Option<&'a Runner> {
         self.roster.get(id).filter(|_| !self.probes.is_silent(id))
