Take a member without an entry that answers in a later incarnation for one that has started again

Cause: that a member has started again since its group was planned was read from its entry only. A new decider that has seen no entry of it held the others for the stall time, although the answer showed that the process had ended.

Change: the incarnation that answers a probe counts as well. The counts of waits and of what a new decider takes over have a test.

Safety: incarnations are compared for one runner only, with the one that the plan names; without either nothing is concluded. It is the ground on which members are released already.

--- a/crates/fleet/src/probe.rs
+++ b/crates/fleet/src/probe.rs
@@ -126,6 +126,11 @@
         self.records.get(runner).is_some_and(|record| record.gone)
     }
 
+    /// Returns the incarnation that last answered as this runner, if it told it.
+    pub(crate) fn find_incarnation(&self, runner: &id::Runner) -> Option<Incarnation> {
+        self.records.get(runner)?.incarnation
+    }
+
     /// Whether a runner works slowly.
     pub fn is_slow(&self, runner: &id::Runner) -> bool {
         self.health(runner) == Health::Slow
--- a/crates/fleet/src/snapshot.rs
+++ b/crates/fleet/src/snapshot.rs
@@ -57,7 +57,8 @@
     /// Whether a member of a group has restarted since the group was planned.
     pub(crate) fn has_restarted(&self, group: &Group, member: &id::Runner) -> bool {
         let planned = group.find_incarnation(member);
-        self.roster.get_last_known(member).is_some_and(|runner| is_later(runner.incarnation, planned))
+        let seen = self.roster.get_last_known(member).and_then(|runner| runner.incarnation);
+        is_later(seen, planned) || is_later(self.probes.find_incarnation(member), planned)
     }
 
     /// Whether the process with which a group was planned has ended.
--- a/crates/fleet/tests/held.rs
+++ b/crates/fleet/tests/held.rs
@@ -15,9 +15,10 @@
 use cottoncrank_fleet::plan::Group;
 use cottoncrank_fleet::probe::{Answer, Observation, Probes};
 use cottoncrank_fleet::roster::Roster;
-use cottoncrank_fleet::runner::Runner;
+use cottoncrank_fleet::runner::{Incarnation, Runner};
 use cottoncrank_fleet::stall::Stalls;
-use instant::{STALL, World, at_rest};
+use cottoncrank_fleet::waits::Takeover;
+use instant::{FIRST_INCARNATION, STALL, World, at_rest};
 
 /// The time between two planning steps.
 const STEP: Millis = Millis(200);
@@ -46,7 +47,8 @@
     let answer = |runner: id::Runner| {
         let found = observed.iter().find(|(id, _)| **id == runner);
         let reported = found.map_or(Observation::Pace(1.0), |(_, reported)| *reported);
-        Answer { hall: "hall-a".parse().unwrap(), reported, incarnation: None, asked: 1, runner }
+        let incarnation = world.reported_incarnations.get(&runner).copied();
+        Answer { hall: "hall-a".parse().unwrap(), reported, incarnation, asked: 1, runner }
     };
     let listed: Vec<Answer> = listed.into_iter().map(answer).collect();
     let unlisted: Vec<Answer> = unlisted.into_iter().map(answer).collect();
@@ -185,3 +187,40 @@
     world.step();
     assert_eq!(world.count("large"), 6);
 }
+
+/// A member that has no entry and answers in a later incarnation has started again since the group was
+/// planned, which only the plan and the answer show.
+#[test]
+fn a_head_without_an_entry_that_answers_in_a_later_incarnation_has_ended() {
+    let mut world = at_rest(6);
+    let group = world.find("large");
+    let head = group.members[0].clone();
+    lose_all_nodes(&mut world, std::slice::from_ref(&head));
+    let later = Incarnation(FIRST_INCARNATION.0 + 300);
+    world.reported_incarnations.insert(head.clone(), later);
+    advance(&mut world, &[], &mut Stalls::default());
+    assert!(!is_planned(&world, &group), "its members are still held");
+}
+
+/// What is held, and why, can be told from the log.
+#[test]
+fn the_waits_of_held_groups_are_told() {
+    let mut world = at_rest(6);
+    let group = world.find("large");
+    let (head, member) = (group.members[0].clone(), group.members[3].clone());
+    lose_all_nodes(&mut world, &[head.clone(), member.clone()]);
+    let observed = [(&head, Observation::Unreachable), (&member, Observation::Gone)];
+    let mut stalls = Stalls::default();
+    advance(&mut world, &observed, &mut stalls);
+    let waits = world.count_waits();
+    assert_eq!(
+        waits.to_string(),
+        "1 retired groups are held: 0 finish their requests, 0 have a head that is to leave, 0 one out of \
+         reach, 1 are stalled, the first for 200ms, the last for 6100ms more"
+    );
+    advance(&mut world, &observed, &mut stalls);
+    assert!(waits.is_same(&world.count_waits()), "only the time has passed");
+    let takeover = Takeover::count(&world.plans, &stalls, world.now);
+    assert_eq!((takeover.retired, takeover.still, takeover.known), (1, 1, 1));
+    assert_eq!(takeover.longest, Millis(400));
+}
--- a/crates/fleet/tests/instant/mod.rs
+++ b/crates/fleet/tests/instant/mod.rs
@@ -18,6 +18,7 @@
 use cottoncrank_fleet::runner::{Incarnation, Membership, Phase, Runner};
 use cottoncrank_fleet::settings::Ceiling;
 use cottoncrank_fleet::snapshot::Snapshot;
+use cottoncrank_fleet::waits::{self, Waits};
 
 /// The time after which a stalled group is broken.
 pub const STALL: Millis = Millis(6000);
@@ -138,18 +139,8 @@
         }
     }
 
-    /// Runs one planning step whose plans are written.
-    pub fn step(&mut self) -> Step {
-        let step = self.propose();
-        for (domain, document, _) in &step.writes {
-            self.plans.insert(domain.clone(), document.clone());
-        }
-        self.memory.record_written();
-        step
-    }
-
-    /// Runs one planning step whose plans are not written.
-    pub fn propose(&mut self) -> Step {
+    /// Calls `look` with what the decider knows, and with its memory.
+    fn observe<T>(&mut self, look: impl FnOnce(&Snapshot, &mut Memory) -> T) -> T {
         let snapshot = Snapshot {
             service: &self.service,
             roster: &self.roster,
@@ -165,7 +156,27 @@
             pressure: &Pressure::default(),
             now: self.now,
         };
-        step(&snapshot, &mut self.memory)
+        look(&snapshot, &mut self.memory)
+    }
+
+    /// Counts what retired groups wait for.
+    pub fn count_waits(&mut self) -> Waits {
+        self.observe(|snapshot, memory| waits::count(snapshot, memory))
+    }
+
+    /// Runs one planning step whose plans are written.
+    pub fn step(&mut self) -> Step {
+        let step = self.propose();
+        for (domain, document, _) in &step.writes {
+            self.plans.insert(domain.clone(), document.clone());
+        }
+        self.memory.record_written();
+        step
+    }
+
+    /// Runs one planning step whose plans are not written.
+    pub fn propose(&mut self) -> Step {
+        self.observe(step)
     }
 
     /// Executes the orders of a step at once, as runners do that have nothing to load.
