Let members without an entry leave before their group is taken for stalled

Cause: a group of which a new decider has seen no entry at all counted as stalled from its first step, although a member may answer, depend on an open head, and be cut off from the store only. It was released after the stall time while no member had left, so that a member could have been ordered into another group while its head was open.

Change: members that answer and have no entry get the order to leave as well, and the group counts as stalled once one has acknowledged it. A group that nobody answers for is taken for stalled after its members were probed, not before.

Safety: this only ends releases that had no ground. Where members answer, their wait is now as long as for those with an entry, from their leaving.

Left: a group whose members have no entry and do not answer is still taken for stalled by a decider that has just begun, without the minute that one gives which has seen them.

--- a/crates/fleet/src/orders.rs
+++ b/crates/fleet/src/orders.rs
@@ -1,6 +1,6 @@
 //! The orders that bring runners to the planned state.
 
-use cottoncrank::Millis;
+use cottoncrank::{Millis, id};
 
 use crate::issuer::Issuer;
 use crate::order::Order;
@@ -63,19 +63,24 @@
 }
 
 /// Issues leave orders where the head has no entry and may still be open. If the head responds, it
-/// gets the order; otherwise its members do, and the group is stalled as soon as one has left. A
-/// group is also taken to be stalled if none of its members has had an entry for a minute.
+/// gets the order; otherwise its members do, also those without an entry that respond, and the group is
+/// stalled as soon as one has left. A group is also taken to be stalled if none of its members has had an
+/// entry for a minute, or since this node began, and none responds.
 fn order_leaving_unseen(snapshot: &Snapshot, group: &Group, living: &[&Runner], issuer: &mut Issuer) {
     let leave = Order::Leave(group.name.clone(), group.epoch);
-    let head =
-        group.head().filter(|head| matches!(snapshot.probes.health(head), Health::Responsive | Health::Slow));
-    if let Some(head) = head {
+    let answers = |id: &id::Runner| matches!(snapshot.probes.health(id), Health::Responsive | Health::Slow);
+    if let Some(head) = group.head().filter(|head| answers(head)) {
         let close = Order::Close(group.name.clone(), group.epoch);
         let finished = group.state == State::Lost || issuer.has_waited(head, &close, UNSEEN_HEAD_GRACE);
         return issuer.issue(head, if finished { leave } else { close });
     }
-    let forgotten = group.members.iter().all(|id| snapshot.roster.get_last_known(id).is_none());
-    if forgotten {
+    for member in group.members.iter().filter(|id| snapshot.roster.get(id).is_none() && answers(id)) {
+        issuer.issue(member, leave.clone());
+    }
+    let forgotten = |id: &id::Runner| {
+        snapshot.roster.get_last_known(id).is_none() && !answers(id) && !snapshot.probes.is_pending(id)
+    };
+    if group.members.iter().all(forgotten) {
         issuer.memory.stalled_since.entry((group.name.clone(), group.epoch)).or_insert(issuer.now);
     }
     for runner in living {
--- a/crates/fleet/tests/held.rs
+++ b/crates/fleet/tests/held.rs
@@ -12,7 +12,7 @@
 use cottoncrank_fleet::memory::Memory;
 use cottoncrank_fleet::order::Order;
 use cottoncrank_fleet::places;
-use cottoncrank_fleet::plan::Group;
+use cottoncrank_fleet::plan::{Group, State};
 use cottoncrank_fleet::probe::{Answer, Observation, Probes};
 use cottoncrank_fleet::roster::Roster;
 use cottoncrank_fleet::runner::{Incarnation, Runner};
@@ -202,6 +202,52 @@
     assert!(!is_planned(&world, &group), "its members are still held");
 }
 
+/// A group of which no member has an entry is not taken for forgotten while a member answers: that one may
+/// still depend on an open head, so it leaves first.
+#[test]
+fn a_member_without_an_entry_that_answers_is_ordered_to_leave_before_the_stall_time_counts() {
+    let mut world = at_rest(6);
+    let group = world.find("large");
+    let members = group.members.clone();
+    lose_all_nodes(&mut world, &members);
+    let observed: Vec<(&id::Runner, Observation)> = members
+        .iter()
+        .map(|id| (id, if *id == members[1] { Observation::Pace(1.0) } else { Observation::Unreachable }))
+        .collect();
+    let leave = Order::Leave(group.name.clone(), group.epoch);
+    let mut ordered = false;
+    let began = world.now;
+    while world.now < began + STALL + STALL_MARGIN + Millis(2000) {
+        let step = advance(&mut world, &observed, &mut Stalls::default());
+        ordered |= step.orders.contains(&(members[1].clone(), leave.clone()));
+        assert!(is_planned(&world, &group), "{} later no member has left", world.now.since(began));
+    }
+    assert!(ordered);
+    let left_at = world.now;
+    world.memory.record_acknowledged(&members[1], None, &leave, left_at);
+    while world.now < left_at + STALL {
+        advance(&mut world, &observed, &mut Stalls::default());
+        assert!(is_planned(&world, &group), "the head may be open, {} later", world.now.since(left_at));
+    }
+    world.now = left_at + STALL + STALL_MARGIN;
+    advance(&mut world, &observed, &mut Stalls::default());
+    assert!(!is_planned(&world, &group));
+}
+
+/// The same for a group that an earlier decider retired: the next one has probed nobody when it plans first.
+#[test]
+fn a_retired_group_without_entries_is_not_taken_for_stalled_before_its_members_were_probed() {
+    let mut world = at_rest(6);
+    let group = world.find("large");
+    let mut planned = world.plans.values_mut().flat_map(|plan| &mut plan.groups);
+    planned.find(|planned| planned.epoch == group.epoch).unwrap().state = State::Lost;
+    lose_all_nodes(&mut world, &group.members);
+    world.step();
+    probe_known(&mut world, &[]);
+    world.step();
+    assert_eq!((world.count_waits().unreachable, world.count_waits().stalled), (1, 0));
+}
+
 /// What is held, and why, can be told from the log.
 #[test]
 fn the_waits_of_held_groups_are_told() {
