--- a/crates/soak/src/proxy.rs
+++ b/crates/soak/src/proxy.rs
@@ -92,6 +92,9 @@
 
 async fn serve(mut from: TcpStream, to: SocketAddr, harm: watch::Receiver<Option<Harm>>) {
     let Ok(mut onward) = TcpStream::connect(to).await else {
+        // Behind a link that is silent nobody says that the port is closed.
+        let mut watched = harm;
+        let _ = watched.wait_for(|harm| *harm != Some(Harm::Silence)).await;
         reset(&from);
         return;
     };
