Conclude nothing about a node's path from members that may be gone for long

Cause: members that are known from the plan only were probed a second time like all others, over a connection of its own, whose failure counts as evidence that this node reaches no runner of the hall. After the loss of all nodes with half of the runners the decider gave up its lease 5.9 s after it began, as *this node reaches no runner itself, others do*. Change: such members are probed once in each round.

--- a/crates/node/src/prober.rs
+++ b/crates/node/src/prober.rs
@@ -40,8 +40,8 @@
         let (targets, unlisted) = list_targets(&node, slow);
         let mut probing = JoinSet::new();
         for target in targets {
-            let silent = probes.lock().is_silent(&target.id);
-            probing.spawn(probe_member(node.clone(), client.clone(), target, silent));
+            let retries = !unlisted.contains(&target.id) && !probes.lock().is_silent(&target.id);
+            probing.spawn(probe_member(node.clone(), client.clone(), target, retries));
         }
         let round = probing.join_all().await;
         telemetry::count_probes(round.iter().map(|(answer, ..)| answer.asked as usize).sum());
@@ -98,18 +98,21 @@
     (targets, ids)
 }
 
-/// Probes a member. If it does not answer and is not yet known to be silent, it is probed once more at
-/// once, through another node if this node does not reach it. Returns its answer, whether it is about to
-/// leave, and how much longer it stays cold.
+/// Probes a member. If it does not answer and the probe is to be retried, it is probed once more at once,
+/// through another node if this node does not reach it. Returns its answer, whether it is about to leave, and
+/// how much longer it stays cold.
+///
+/// Retries show whether this node reaches the runners of the hall at all, so there are none of runners that are
+/// silent or may have been gone for long.
 async fn probe_member(
     node: Arc<Node>,
     client: Client,
     target: Target,
-    silent: bool,
+    retries: bool,
 ) -> (Answer, bool, Option<Millis>) {
     let mut attempts = 1;
     let mut probed = order::probe(&client, target.address, &target.id, PROBE_TIMEOUT).await;
-    if probed.reported == Observation::Silent && !silent {
+    if probed.reported == Observation::Silent && retries {
         attempts += 1;
         probed = probe_anyhow(&node, target.clone(), PROBE_TIMEOUT).await;
     }
