Tell in the log what a node that starts in a later era waits for

After a loss of all nodes, 4.7 s passed between the return of the store and the first term of a decider, and no line told what was waited for.

A node that asks others for what they have kept now logs how long it asked how many of them, in how many rounds, and how they answered: told, nothing to tell (a refusal), no answer. A candidate logs the wait that it takes before it campaigns, and why. A node logs once when it has read the store for the first time and once when it is ready, with the time since its start. Nothing else changes.

Seen in a play of three processes that are killed at once in era 1 and start again (debug build): one asked two nodes for 620 ms in five rounds, `0 told, 10 have nothing to tell, 0 no answer`, was ready 630 ms after its start, another after 1274 ms, and both then `waits for 3200ms before it campaigns in era 1`.

--- a/crates/node/src/apply.rs
+++ b/crates/node/src/apply.rs
@@ -67,6 +67,7 @@
             Proof::Watch(asked, waited) => freshness.prove_watch(asked, waited),
         }
     }
+    node.log_first_ready();
     if changes > 0 {
         node.fleet_changed.notify_one();
     }
--- a/crates/node/src/decider.rs
+++ b/crates/node/src/decider.rs
@@ -58,15 +58,20 @@
         }
         let store_era = node.store.era();
         let lease = LEASE_TTL.max(node.settings().lease_min);
-        let delay = match era {
-            Some(era) if store_era > era && was_decider => Millis(0),
+        let (delay, reason) = match era {
+            Some(era) if store_era > era && was_decider => {
+                (Millis(0), "it was the decider before the store was restored")
+            }
             // The former decider may be disconnected from the store and still rely on its lease.
-            Some(era) if store_era > era => lease,
+            Some(era) if store_era > era => (lease, "the decider before the store was restored may go on"),
             // The store may have been restored just now without the plans of groups that serve. Nodes
             // that have copies of these plans campaign first.
-            None if store_era > Era::default() => lease + lease,
-            _ => find_candidate_delay(&node),
+            None if store_era > Era::default() => {
+                (lease + lease, "it has just started, and others may have plans that the store has lost")
+            }
+            _ => (find_candidate_delay(&node), "other candidates come first"),
         };
+        log::info!("decider: no node is; waits for {delay} before it campaigns in era {store_era}: {reason}");
         tokio::time::sleep(delay.duration()).await;
         (era, was_decider) = (Some(store_era), false);
         let holder = decider.borrow_and_update().clone();
--- a/crates/node/src/era.rs
+++ b/crates/node/src/era.rs
@@ -6,11 +6,13 @@
 //! the nodes that know of them. The configuration that was in force stays in force until an operator
 //! writes it again, at this node, at nodes that poll it, and at nodes that start, which ask others for it.
 
+use std::fmt;
+
 use cottoncrank::{Millis, id};
 use cottoncrank_fleet::directory::Peer;
 use cottoncrank_fleet::plan::Document;
 use cottoncrank_fleet::position::{Era, Position};
-use cottoncrank_net::client::Client;
+use cottoncrank_net::client::{CallError, Client};
 use cottoncrank_platform::item::{Change, RawItem, decode, is_catalog};
 use cottoncrank_platform::store::Batch;
 use tokio::task::JoinSet;
@@ -69,35 +71,70 @@
         return;
     }
     let peers = list_informed(node, batch);
+    let (asked, mut answers) = (node.now(), Answers::default());
     let pauses = (0..ROUNDS).map(|round| if round == 0 { Millis(0) } else { Millis(ROUND_PAUSE.0 << round) });
     for pause in pauses.filter(|_| !peers.is_empty()) {
         tokio::time::sleep(pause.duration()).await;
-        if ask_round(client, &peers, batch).await > 0 {
-            return;
+        answers.rounds += 1;
+        ask_round(client, &peers, batch, &mut answers).await;
+        if answers.told > 0 {
+            break;
         }
     }
-    log::warn!("sync: no node tells what it has kept from before the store was restored; its copy is used");
+    let (count, took) = (peers.len(), node.now().since(asked));
+    log::info!(
+        "sync: asked {count} nodes for {took} what they have kept from before the store was restored: {answers}"
+    );
+    if answers.told == 0 {
+        log::warn!(
+            "sync: no node tells what it has kept from before the store was restored; its copy is used"
+        );
+    }
 }
 
-/// Asks each of these nodes once. Returns how many have told what they have kept.
-async fn ask_round(client: &Client, peers: &[Peer], batch: &mut Batch) -> usize {
+/// How nodes have answered, over all rounds.
+#[derive(Debug, Default)]
+struct Answers {
+    rounds: u32,
+    /// They have told what they have kept.
+    told: usize,
+    /// They know nothing yet, or nothing current.
+    unsure: usize,
+    /// They did not answer in time, or with something else.
+    failed: usize,
+}
+
+impl fmt::Display for Answers {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Answers { rounds, told, unsure, failed } = self;
+        write!(f, "{rounds} rounds, {told} told, {unsure} have nothing to tell, {failed} no answer")
+    }
+}
+
+/// What a node has answered.
+enum Answer {
+    Kept(Vec<RawItem>),
+    Unsure,
+    Failed,
+}
+
+/// Asks each of these nodes once.
+async fn ask_round(client: &Client, peers: &[Peer], batch: &mut Batch, answers: &mut Answers) {
     let mut asked = JoinSet::new();
     for peer in peers {
         asked.spawn(read_kept(client.clone(), peer.clone()));
     }
-    let mut answers = 0;
     while let Some(answer) = asked.join_next().await {
         match answer {
-            Ok(Some(kept)) => {
-                answers += 1;
+            Ok(Answer::Kept(kept)) => {
+                answers.told += 1;
                 kept.into_iter().for_each(|raw| carry_over(batch, raw));
             }
-            Ok(None) => {}
+            Ok(Answer::Unsure) => answers.unsure += 1,
+            Ok(Answer::Failed) => answers.failed += 1,
             Err(error) => log::error!("sync: asking a node failed: {error}"),
         }
     }
-    log::info!("sync: {answers} nodes told what they have kept from before the store was restored");
-    answers
 }
 
 /// Lists the nodes to ask, those first that follow the store for their halls.
@@ -115,22 +152,25 @@
     nodes.take(NODES_ASKED).cloned().collect()
 }
 
-/// Returns the configuration and the plans that a node holds; `None` if it does not tell.
-async fn read_kept(client: Client, peer: Peer) -> Option<Vec<RawItem>> {
+/// Returns the configuration and the plans that a node holds, if it tells.
+async fn read_kept(client: Client, peer: Peer) -> Answer {
     let query = ChangeQuery { after: None, wait_ms: 0 };
     let reading = async {
         let reply = peer::poll_changes(&client, peer.address, query).await?;
         Ok::<_, PollError>(feed::unpack(&reply.items)?)
     };
     match tokio::time::timeout(ANSWER_TIMEOUT.duration(), reading).await {
-        Ok(Ok(items)) => Some(items.into_iter().filter(|raw| read_version(raw).is_some()).collect()),
+        Ok(Ok(items)) => Answer::Kept(items.into_iter().filter(|raw| read_version(raw).is_some()).collect()),
         Ok(Err(error)) => {
             log::info!("sync: {} does not tell what it has kept: {error}", peer.node);
-            None
+            match error {
+                PollError::Call(CallError::Status { .. }) => Answer::Unsure,
+                _ => Answer::Failed,
+            }
         }
         Err(_) => {
             log::info!("sync: {} does not tell what it has kept within {ANSWER_TIMEOUT}", peer.node);
-            None
+            Answer::Failed
         }
     }
 }
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -2,8 +2,8 @@
 
 use std::collections::HashMap;
 use std::fmt::Display;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, OnceLock};
 
 use cottoncrank::clock::{self, System};
 use cottoncrank::resources::Machine;
@@ -203,6 +203,9 @@
     /// Whether the node ends, so that requests without an answer are told so.
     pub(crate) ending: watch::Sender<bool>,
     synced: watch::Sender<bool>,
+    started_at: Millis,
+    synced_at: OnceLock<Millis>,
+    ready_at: OnceLock<Millis>,
     deciding: AtomicBool,
     pub(crate) serving: AtomicBool,
     pub(crate) running: AtomicUsize,
@@ -230,6 +233,9 @@
         Arc::new(Node {
             store: Store::new(settings.store),
             resources: Resources::new(&find_machine(&settings), clock.clone()),
+            started_at: clock.now(),
+            synced_at: OnceLock::new(),
+            ready_at: OnceLock::new(),
             settings: Mutex::new(Arc::new(settings)),
             feed: Feed::default(),
             directory: Mutex::default(),
@@ -363,9 +369,24 @@
 
     /// Records that the whole store has been read.
     pub fn set_synced(&self) {
+        let now = self.now();
+        if self.synced_at.set(now).is_ok() {
+            log::info!("node: synced for the first time, {} after its start", now.since(self.started_at));
+        }
         self.synced.send_replace(true);
     }
 
+    /// Logs that the node is ready for callers, once it is for the first time.
+    pub(crate) fn log_first_ready(&self) {
+        if self.ready_at.get().is_some() || !self.is_ready() {
+            return;
+        }
+        let now = self.now();
+        if self.ready_at.set(now).is_ok() {
+            log::info!("node: ready for the first time, {} after its start", now.since(self.started_at));
+        }
+    }
+
     /// Waits until the whole store has been read once, for at most `timeout`.
     pub async fn wait_synced(&self, timeout: Millis) {
         if self.is_synced() {
