Show that nodes which all start anew in a later era wait for copies that nobody has

Three node processes of a fleet whose store came back from an older copy earlier, with a decider since, are killed at once and start again. There has to be a decider within a lease (1.6 s, as in the first era, where that of the decider that was killed has to end), one timeout for nodes that do not answer (0.3 s), and 1 s for starts and calls. All nodes have to serve, and no group may be stopped.

All three ask each other, answer 503 in all rounds, and then wait two leases (3.2 s) from the end of the former lease.

--- a/crates/node/tests/eras.rs
+++ b/crates/node/tests/eras.rs
@@ -8,7 +8,9 @@
 mod common;
 
 use std::collections::{HashMap, HashSet};
+use std::time::{Duration, Instant};
 
+use common::process::NodeProcess;
 use common::{Fleet, KEY, start_node};
 use cottoncrank::Millis;
 use cottoncrank_fleet::position::Era;
@@ -17,6 +19,7 @@
 use cottoncrank_platform_standin::operator::{PLAIN, READ, STREAM, config};
 use cottoncrank_platform_standin::runner::{Membership, Runner};
 use cottoncrank_platform_standin::store::{self, Blocked, Endpoint};
+use rustix::process::Signal;
 
 /// The approximate time until runners and operators write their items again after a restore.
 const REWRITE_DELAY: Millis = Millis(1000);
@@ -24,6 +27,14 @@
 /// Bound on the time until all nodes apply a configuration that an operator has written.
 const APPLY_BOUND: Millis = Millis(4000);
 
+/// The time within which nodes that have all started anew have a decider. In the first era they need a lease at
+/// the most, that of the decider which has ended. In a later one they ask each other first, and wait once for
+/// those that do not answer. The rest is for processes that start and for calls to the store.
+const ELECTION_BOUND: Duration = Duration::from_millis(1600 + 300 + 1000);
+
+/// The time between two looks at processes.
+const POLL_INTERVAL: Duration = Duration::from_millis(20);
+
 /// Lists the group and epoch of each open group.
 fn list_open_groups(fleet: &Fleet) -> HashSet<(String, u64)> {
     let places = fleet.heads().into_iter().filter_map(Runner::membership);
@@ -361,3 +372,105 @@
     }
     assert_unique_epochs(&fleet);
 }
+
+/// The fleet's nodes as processes that can be killed.
+struct Boxes {
+    fleet: Fleet,
+    nodes: Vec<NodeProcess>,
+}
+
+impl Boxes {
+    /// Starts nodes of a configured fleet, and returns once they are ready and two groups are open.
+    async fn serving(count: usize) -> Boxes {
+        let fleet = Fleet::unconfigured(0).await;
+        fleet.store.configure(&config(1, &[KEY]));
+        let mut nodes: Vec<_> =
+            (0..count).map(|number| NodeProcess::lay(fleet.store.address(), number)).collect();
+        nodes.iter_mut().for_each(NodeProcess::spawn);
+        for node in &mut nodes {
+            node.wait_ready().await;
+        }
+        let boxes = Boxes { fleet, nodes };
+        boxes.wait("two open groups", |boxes| boxes.fleet.heads().len() == 2).await;
+        boxes.wait("the entries of all nodes", |boxes| boxes.count_entries() == count).await;
+        boxes
+    }
+
+    fn count_entries(&self) -> usize {
+        self.fleet.store.list("cottoncrank/node/").len()
+    }
+
+    /// How often any node has become the decider.
+    fn count_terms(&self) -> usize {
+        let count = |node: &NodeProcess| node.read_log().matches("this node is the decider since").count();
+        self.nodes.iter().map(count).sum()
+    }
+
+    fn read_logs(&self) -> String {
+        self.nodes.iter().map(NodeProcess::read_log).collect::<Vec<_>>().join("\n---\n")
+    }
+
+    /// Waits until `holds` returns true, and returns how long that took.
+    async fn wait(&self, what: &str, holds: impl Fn(&Boxes) -> bool) -> Duration {
+        let began = Instant::now();
+        while !holds(self) {
+            assert!(began.elapsed() < Duration::from_secs(30), "no {what}:\n{}", self.read_logs());
+            tokio::time::sleep(POLL_INTERVAL).await;
+        }
+        began.elapsed()
+    }
+
+    /// Restores the store from an older copy, and returns once there is a decider again.
+    async fn restore_store(&self, copy: &store::Snapshot) {
+        let terms = self.count_terms();
+        self.fleet.store.restore(copy);
+        rewrite_entries(&self.fleet).await;
+        self.fleet.store.configure(&config(1, &[KEY]));
+        self.wait("decider after the restore", |boxes| boxes.count_terms() > terms).await;
+        self.wait("entries after the restore", |boxes| boxes.count_entries() == boxes.nodes.len()).await;
+    }
+
+    /// Ends all processes at once.
+    async fn kill(&mut self) {
+        self.nodes.iter().for_each(|node| node.signal(Signal::KILL));
+        for node in &mut self.nodes {
+            node.wait_end().await;
+        }
+    }
+}
+
+/// Kills all nodes at once and starts them again. Asserts that all serve, that no group was stopped, and that
+/// there is a decider within [`ELECTION_BOUND`].
+async fn assert_elected_in_time(mut boxes: Boxes) {
+    let groups = list_open_groups(&boxes.fleet);
+    let terms = boxes.count_terms();
+    boxes.kill().await;
+    let began = Instant::now();
+    boxes.nodes.iter_mut().for_each(NodeProcess::spawn);
+    boxes.wait("decider", |boxes| boxes.count_terms() > terms).await;
+    let elected = began.elapsed();
+    for node in &mut boxes.nodes {
+        node.wait_ready().await;
+        let answer = send_request(node.settings.callers, STREAM, "r1", KEY).await.unwrap();
+        assert_eq!((answer.status, answer.complete), (200, true), "{answer:?}");
+    }
+    assert_eq!(list_open_groups(&boxes.fleet), groups, "serving groups were stopped");
+    assert!(
+        elected <= ELECTION_BOUND,
+        "a decider after {elected:?}, more than {ELECTION_BOUND:?}:\n{}",
+        boxes.read_logs()
+    );
+}
+
+/// Guards against nodes that all have lost what they knew, and wait for each other's copies all the same.
+#[tokio::test]
+async fn nodes_that_all_start_anew_after_a_restore_wait_for_no_copies_that_nobody_has() {
+    let boxes = Boxes::serving(3).await;
+    boxes.restore_store(&boxes.fleet.store.snapshot()).await;
+    assert_elected_in_time(boxes).await;
+}
+
+#[tokio::test]
+async fn nodes_that_all_start_anew_in_the_first_era_have_a_decider_after_a_lease() {
+    assert_elected_in_time(Boxes::serving(3).await).await;
+}
