Wait for no copies that nobody has, where all nodes start anew in a later era

Cause: after a loss of all nodes in an era after the first, each node asked the others for what they had kept from before the restore. They had started just then, answered 503 in all five rounds, and each waited two leases (3.2 s) from the end of the former lease before it campaigned, though no node could have a copy.

Change: a node that starts also asks all others that the store names, up to 16, whether they hold anything from before the era (`/past`). One whose process has read nothing of a former era, has lived through no restore, was told nothing of a former era, and was polled by no node that is at one, says no, under its name. Where all have said no, the rounds end, and a lease from the first whole read is left of the wait, which may pass beside the former decider's. Nodes that are silent, or of an earlier build and answer 400 to it, keep the rounds and the two leases; 503 means what it meant.

Not zero, but a lease: a former decider that the copy does not name may be sure of its lease for so long, and what a copy says of runners that have not written again is believed, while they write every 1.2 s.

A node whose entry the copy lacks was never asked, and its plans had the two leases to come first in. Now it is heard of by its change polls, whose position is of the former era, or by its entry; all are asked anew before the campaign, and one that has entered itself since counts as one that has not answered. A copy that names no other node proves nothing, so a fleet of one node waits as before, and so does one of more than 17. Left: a node that the copy does not name and that reaches neither the store nor any node for longer than a lease after the restore.

--- a/crates/fleet/src/directory.rs
+++ b/crates/fleet/src/directory.rs
@@ -77,6 +77,11 @@
         self.0.get(node)
     }
 
+    /// Returns all nodes but `me`.
+    pub fn list_others<'a>(&'a self, me: &'a id::Node) -> impl Iterator<Item = &'a Peer> {
+        self.0.values().filter(move |peer| peer.node != *me)
+    }
+
     /// Returns the number of nodes, at least 1 because this one counts even if it is not listed.
     pub fn count(&self) -> usize {
         self.0.len().max(1)
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -15,6 +15,7 @@
 //! - [`stall`]: since when retired groups are stalled.
 //! - [`directory`]: the nodes and their roles.
 //! - [`presence`]: the nodes that are gone for good.
+//! - [`past`]: whether any node may hold what the store has lost.
 //! - [`occupancy`]: the in-flight requests of all nodes.
 //! - [`source`]: where a node learns of changes of the store, and how often it may call the store.
 //! - [`startup`]: how a step of a start that fails is repeated.
@@ -103,6 +104,7 @@
 pub mod order;
 pub mod orders;
 pub mod overload;
+pub mod past;
 pub mod path;
 pub mod places;
 pub mod plan;
--- a/crates/node/src/apply.rs
+++ b/crates/node/src/apply.rs
@@ -48,6 +48,7 @@
         era::apply_restore(node, before, &mut update.batch);
     }
     if update.whole {
+        era::record_held(node, &update.batch);
         evacuation::carry_over(node, &mut update.batch, former.is_some());
     }
     match update.whole {
--- a/crates/node/src/decider.rs
+++ b/crates/node/src/decider.rs
@@ -17,6 +17,7 @@
 use tokio::task::AbortHandle;
 
 use self::term::{EndError, Holding, Term};
+use crate::past;
 use crate::plans::read_plans;
 use crate::prober;
 use crate::state::{DeciderLease, Node};
@@ -66,13 +67,21 @@
             Some(era) if store_era > era => (lease, "the decider before the store was restored may go on"),
             // The store may have been restored just now without the plans of groups that serve. Nodes
             // that have copies of these plans campaign first.
-            None if store_era > Era::default() => {
-                (lease + lease, "it has just started, and others may have plans that the store has lost")
-            }
+            None if store_era > Era::default() => (
+                lease + lease,
+                "it has just started, and others may have plans that the store has lost, unless all say that they have none",
+            ),
             _ => (find_candidate_delay(&node), "other candidates come first"),
         };
         log::info!("decider: no node is; waits for {delay} before it campaigns in era {store_era}: {reason}");
-        tokio::time::sleep(delay.duration()).await;
+        if era.is_none() && store_era > Era::default() {
+            let is_early = past::wait_campaign(&node, store_era, lease).await;
+            // All that have just started find that out at once.
+            let delay = if is_early { find_candidate_delay(&node) } else { Millis(0) };
+            tokio::time::sleep(delay.duration()).await;
+        } else {
+            tokio::time::sleep(delay.duration()).await;
+        }
         (era, was_decider) = (Some(store_era), false);
         let holder = decider.borrow_and_update().clone();
         if is_held(&holder) {
--- a/crates/node/src/era.rs
+++ b/crates/node/src/era.rs
@@ -18,6 +18,7 @@
 use tokio::task::JoinSet;
 
 use crate::feed;
+use crate::past;
 use crate::peer::{self, ChangeQuery, PollError};
 use crate::plans::decode_plan;
 use crate::registration;
@@ -57,6 +58,7 @@
     );
     telemetry::count_era();
     node.store.raise_era(batch.position.era());
+    node.past.lock().record_holding();
     // Runners write their entries again within seconds. The grace period keeps them until then.
     node.roster.lock().start_grace_period(node.now());
     node.suspects.lock().forget_stored();
@@ -64,34 +66,55 @@
     held.into_iter().for_each(|raw| carry_over(batch, raw));
 }
 
+/// Records whether there are configurations or plans from before the store was restored in its whole content,
+/// as another node has it.
+pub(crate) fn record_held(node: &Node, batch: &Batch) {
+    let is_former = |raw: &RawItem| raw.position.era() < batch.position.era() && read_version(raw).is_some();
+    if batch.items.iter().any(is_former) {
+        node.past.lock().record_holding();
+    }
+}
+
 /// Adds what other nodes have kept from before the store was restored to the whole content of the store, which
 /// this node read as it started. They do not tell it later: a poll returns what is newer than the poller.
 pub(crate) async fn ask_others(node: &Node, client: &Client, batch: &mut Batch) {
-    if batch.position.era() == Era::default() {
+    let era = batch.position.era();
+    if era == Era::default() {
         return;
     }
     let peers = list_informed(node, batch);
     let (asked, mut answers) = (node.now(), Answers::default());
-    let pauses = (0..ROUNDS).map(|round| if round == 0 { Millis(0) } else { Millis(ROUND_PAUSE.0 << round) });
-    for pause in pauses.filter(|_| !peers.is_empty()) {
-        tokio::time::sleep(pause.duration()).await;
-        answers.rounds += 1;
-        ask_round(client, &peers, batch, &mut answers).await;
-        if answers.told > 0 {
-            break;
-        }
-    }
+    let is_lost = tokio::select! {
+        biased;
+        () = ask_rounds(node, client, &peers, batch, &mut answers) => false,
+        () = past::wait_lost(node, client, era) => true,
+    };
     let (count, took) = (peers.len(), node.now().since(asked));
     log::info!(
         "sync: asked {count} nodes for {took} what they have kept from before the store was restored: {answers}"
     );
-    if answers.told == 0 {
+    if is_lost {
+        log::info!("sync: nobody has anything from before era {era} of the store; its copy is used");
+    } else if answers.told == 0 {
         log::warn!(
             "sync: no node tells what it has kept from before the store was restored; its copy is used"
         );
     }
 }
 
+/// Asks these nodes until one of them tells, at most [`ROUNDS`] times.
+async fn ask_rounds(node: &Node, client: &Client, peers: &[Peer], batch: &mut Batch, answers: &mut Answers) {
+    let pauses = (0..ROUNDS).map(|round| if round == 0 { Millis(0) } else { Millis(ROUND_PAUSE.0 << round) });
+    for pause in pauses.filter(|_| !peers.is_empty()) {
+        tokio::time::sleep(pause.duration()).await;
+        answers.rounds += 1;
+        ask_round(node, client, peers, batch, answers).await;
+        if answers.told > 0 {
+            return;
+        }
+    }
+}
+
 /// How nodes have answered, over all rounds.
 #[derive(Debug, Default)]
 struct Answers {
@@ -119,7 +142,7 @@
 }
 
 /// Asks each of these nodes once.
-async fn ask_round(client: &Client, peers: &[Peer], batch: &mut Batch, answers: &mut Answers) {
+async fn ask_round(node: &Node, client: &Client, peers: &[Peer], batch: &mut Batch, answers: &mut Answers) {
     let mut asked = JoinSet::new();
     for peer in peers {
         asked.spawn(read_kept(client.clone(), peer.clone()));
@@ -129,6 +152,7 @@
             Ok(Answer::Kept(kept)) => {
                 answers.told += 1;
                 kept.into_iter().for_each(|raw| carry_over(batch, raw));
+                record_held(node, batch);
             }
             Ok(Answer::Unsure) => answers.unsure += 1,
             Ok(Answer::Failed) => answers.failed += 1,
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -11,7 +11,8 @@
 //!   change polls.
 //! - `apply` applies the content and its changes to the state; [`plans`] reads the domain plans.
 //! - `invalid_items` limits the log lines about invalid items.
-//! - `era` carries items over when the store is restored from an older copy.
+//! - `era` carries items over when the store is restored from an older copy, and `past` asks whether any node
+//!   holds some.
 //! - [`registration`] writes the entry of this node to the store, and `presence`, on the collector of a hall,
 //!   removes the entries of nodes that are gone.
 //!
@@ -97,6 +98,7 @@
 mod invalid_items;
 mod listen;
 pub mod log;
+mod past;
 mod paths;
 pub mod peer;
 pub mod plain;
--- a/crates/node/src/peer.rs
+++ b/crates/node/src/peer.rs
@@ -30,6 +30,7 @@
 use crate::catchup;
 use crate::dispatch;
 use crate::feed::UnpackError;
+use crate::past;
 use crate::ports;
 use crate::reporting;
 use crate::retries;
@@ -57,6 +58,9 @@
 /// The path of the query for a retry token.
 const RETRY_PATH: &str = "/service-retry";
 
+/// The path of the query whether a node holds what the store has lost.
+const PAST_PATH: &str = "/past";
+
 /// The path of a report of refusals to the decider.
 const PRESSURE_PATH: &str = "/pressure";
 
@@ -169,6 +173,16 @@
     suspects::exchange(node, &node.client, to, RETRY_PATH, query, wait).await
 }
 
+/// Asks another node whether it holds what the store has lost.
+pub(crate) async fn query_past(
+    client: &Client,
+    to: &Peer,
+    query: &past::Query,
+    wait: Millis,
+) -> Result<past::Reply, CallError> {
+    client.call(to.address, PAST_PATH, query, wait).await
+}
+
 /// Tells the decider of refusals.
 pub(crate) async fn send_pressure(
     client: &Client,
@@ -212,6 +226,7 @@
         PERMIT_PATH => "place",
         FORMER_RETRY_PATH | RETRY_PATH => "retry",
         PRESSURE_PATH => "pressure",
+        PAST_PATH => "past",
         REPORT_PATH => "report",
         _ => "other",
     }
@@ -328,6 +343,10 @@
             crate::pressure::receive(node, report);
             return encode_answer(&());
         }
+    } else if path == PAST_PATH {
+        if let Ok(query) = rmp_serde::from_slice::<past::Query>(&bytes) {
+            return encode_answer(&past::answer_query(node, &query));
+        }
     } else if path == CHANGES_PATH
         && let Ok(query) = rmp_serde::from_slice::<ChangeQuery>(&bytes)
     {
@@ -339,6 +358,9 @@
 
 async fn answer_change_query(node: &Node, query: ChangeQuery) -> Answer {
     let started = node.now();
+    if let Some(position) = query.after {
+        node.past.lock().record_heard(position);
+    }
     let mut serving = node.feed.subscribe_serving();
     tokio::select! {
         () = wait_for_changes(node, query) => {}
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -22,6 +22,7 @@
 use cottoncrank_fleet::limit::Limit;
 use cottoncrank_fleet::occupancy::{self, FleetLoad};
 use cottoncrank_fleet::overload::Overload;
+use cottoncrank_fleet::past::Past;
 use cottoncrank_fleet::path::Paths;
 use cottoncrank_fleet::plan::Plans;
 use cottoncrank_fleet::position::Position;
@@ -96,6 +97,8 @@
     pub feed: Feed,
     /// The known nodes and their addresses.
     pub directory: Mutex<Directory>,
+    /// Whether any node may hold what the store has lost.
+    pub(crate) past: Mutex<Past>,
     /// As the collector of its hall, which nodes send in-flight reports.
     pub(crate) presence: Mutex<Presence>,
     /// Notified when this node's own entry is removed from the store.
@@ -239,6 +242,7 @@
             settings: Mutex::new(Arc::new(settings)),
             feed: Feed::default(),
             directory: Mutex::default(),
+            past: Mutex::default(),
             presence: Mutex::default(),
             entry_gone: Notify::new(),
             reach: Reach::default(),
@@ -376,6 +380,11 @@
         self.synced.send_replace(true);
     }
 
+    /// Returns when the whole store was read for the first time.
+    pub(crate) fn synced_at(&self) -> Option<Millis> {
+        self.synced_at.get().copied()
+    }
+
     /// Logs that the node is ready for callers, once it is for the first time.
     pub(crate) fn log_first_ready(&self) {
         if self.ready_at.get().is_some() || !self.is_ready() {
--- a/crates/node/tests/eras.rs
+++ b/crates/node/tests/eras.rs
@@ -32,6 +32,9 @@
 /// those that do not answer. The rest is for processes that start and for calls to the store.
 const ELECTION_BOUND: Duration = Duration::from_millis(1600 + 300 + 1000);
 
+/// The time that nodes which may hold later plans have before one that has just started: two leases.
+const INFORMED_WAIT: Duration = Duration::from_millis(2 * 1600);
+
 /// The time between two looks at processes.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -439,16 +442,26 @@
     }
 }
 
-/// Kills all nodes at once and starts them again. Asserts that all serve, that no group was stopped, and that
+/// Kills all nodes at once and starts them again, after the store came back from `copy` where there is one.
+/// Asserts that all serve, that no group was stopped, and that
 /// there is a decider within [`ELECTION_BOUND`].
-async fn assert_elected_in_time(mut boxes: Boxes) {
+async fn assert_elected_in_time(mut boxes: Boxes, copy: Option<&store::Snapshot>) {
     let groups = list_open_groups(&boxes.fleet);
     let terms = boxes.count_terms();
     boxes.kill().await;
+    if let Some(copy) = copy {
+        boxes.fleet.store.restore(copy);
+        boxes.fleet.store.configure(&config(1, &[KEY]));
+    }
     let began = Instant::now();
     boxes.nodes.iter_mut().for_each(NodeProcess::spawn);
+    if copy.is_some() {
+        rewrite_entries(&boxes.fleet).await;
+    }
     boxes.wait("decider", |boxes| boxes.count_terms() > terms).await;
     let elected = began.elapsed();
+    // Whoever decides looks at the groups at once.
+    tokio::time::sleep(Millis(500).duration()).await;
     for node in &mut boxes.nodes {
         node.wait_ready().await;
         let answer = send_request(node.settings.callers, STREAM, "r1", KEY).await.unwrap();
@@ -467,10 +480,70 @@
 async fn nodes_that_all_start_anew_after_a_restore_wait_for_no_copies_that_nobody_has() {
     let boxes = Boxes::serving(3).await;
     boxes.restore_store(&boxes.fleet.store.snapshot()).await;
-    assert_elected_in_time(boxes).await;
+    assert_elected_in_time(boxes, None).await;
+}
+
+/// The same where the store comes back from an older copy just then, and runners alone know of the last groups.
+#[tokio::test]
+async fn nodes_that_all_start_anew_during_a_restore_wait_for_no_copies_that_nobody_has() {
+    let boxes = Boxes::serving(3).await;
+    let copy = boxes.fleet.store.snapshot();
+    let before = list_open_groups(&boxes.fleet);
+    boxes.fleet.heads()[0].restart();
+    let is_replaced = |boxes: &Boxes| {
+        let open_groups = list_open_groups(&boxes.fleet);
+        open_groups.len() == 2 && open_groups.difference(&before).count() == 1
+    };
+    boxes.wait("new group", is_replaced).await;
+    assert_elected_in_time(boxes, Some(&copy)).await;
 }
 
 #[tokio::test]
 async fn nodes_that_all_start_anew_in_the_first_era_have_a_decider_after_a_lease() {
-    assert_elected_in_time(Boxes::serving(3).await).await;
+    assert_elected_in_time(Boxes::serving(3).await, None).await;
+}
+
+/// Restores the store from this copy, starts these nodes anew, and asserts that none of them is the decider
+/// before [`INFORMED_WAIT`] is over.
+async fn assert_wait_kept(boxes: &mut Boxes, copy: &store::Snapshot, started: &[usize]) {
+    let terms = boxes.count_terms();
+    for number in started {
+        boxes.nodes[*number].signal(Signal::KILL);
+    }
+    for number in started {
+        boxes.nodes[*number].wait_end().await;
+    }
+    boxes.fleet.store.restore(copy);
+    boxes.fleet.store.configure(&config(1, &[KEY]));
+    let began = Instant::now();
+    for number in started {
+        boxes.nodes[*number].spawn();
+    }
+    boxes.wait("decider", |boxes| boxes.count_terms() > terms).await;
+    let elected = began.elapsed();
+    assert!(elected >= INFORMED_WAIT, "a decider after {elected:?}:\n{}", boxes.read_logs());
+}
+
+/// Guards against nodes that start and decide before one that the store's copy names, holds later plans, and
+/// is silent for a while.
+#[tokio::test]
+async fn nodes_that_start_after_a_restore_wait_for_a_silent_one_that_may_have_copies() {
+    let mut boxes = Boxes::serving(3).await;
+    let copy = boxes.fleet.store.snapshot();
+    boxes.nodes[2].signal(Signal::STOP);
+    assert_wait_kept(&mut boxes, &copy, &[0, 1]).await;
+}
+
+/// Guards against nodes that start and decide before one that lives and holds later plans, but whose entry the
+/// store's copy lacks.
+#[tokio::test]
+async fn nodes_that_start_after_a_restore_wait_for_one_that_the_copy_does_not_name() {
+    let mut boxes = Boxes::serving(2).await;
+    let copy = boxes.fleet.store.snapshot();
+    let door = Endpoint::open(&boxes.fleet.store).unwrap();
+    boxes.nodes.push(NodeProcess::start(door.address(), 2).await);
+    boxes.wait("the entry of the new node", |boxes| boxes.count_entries() == 3).await;
+    // It cannot learn of the restore by itself, and asks the others.
+    door.set_blocked(Blocked::All);
+    assert_wait_kept(&mut boxes, &copy, &[0, 1]).await;
 }
