Replay the return of all nodes with a fresh decider and empty runners

No test showed what a decider does that begins with an empty memory after all nodes were lost while runners had restarted empty, and no line says what is waited for. The simulated fleet can now exchange runners for empty ones at their addresses, tell that the deciding node has seen no caller, and list when loads began; a stage order for a load that is under way begins none. The new test prints when each group is decided, joined and open; it checks nothing.

--- /dev/null
+++ b/crates/fleet/tests/returned.rs
@@ -0,0 +1,150 @@
+//! What a decider does that begins with an empty memory after all nodes were lost, while many runners
+//! have started again empty, in a simulated fleet with realistic delays.
+
+mod world;
+
+use std::collections::{BTreeMap, HashSet};
+
+use cottoncrank::{Millis, id};
+use cottoncrank_fleet::runner::{Epoch, Phase};
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use rand::seq::SliceRandom;
+use world::{TICK, World, engine, model};
+
+/// Which runners start again empty, under other ids.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Emptied {
+    /// A member of each group, and others up to half of all.
+    Half,
+    /// All but one member of each group, and no spare runner.
+    MostOfEachGroup,
+    /// Every runner.
+    All,
+}
+
+/// The times of one formation of a group, since the return.
+#[derive(Clone, Debug, Default)]
+struct Times {
+    model: String,
+    /// Whether each member held the model when the group was decided.
+    warm: usize,
+    decided: Option<Millis>,
+    joined: Option<Millis>,
+    open: Option<Millis>,
+}
+
+fn start(seed: u64) -> World {
+    let models = vec![model("large", 4, 0.5, 16_000, 1600), model("small", 2, 0.5, 12_000, 1100)];
+    let mut world = World::new(engine(models, 5.0, 7), 6, 10, 2, seed);
+    world.run(Millis(14_000));
+    world.serving = true;
+    world.run(Millis(20_000));
+    world
+}
+
+/// Empties runners, ends all deciders, and lets one begin after `away`.
+fn lose_all_nodes(world: &mut World, emptied: Emptied, away: Millis, seed: u64) {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let groups: Vec<_> = world.plans.values().flat_map(|plan| plan.groups.clone()).collect();
+    let living = world.list_living();
+    let mut chosen: HashSet<id::Runner> = HashSet::new();
+    for group in &groups {
+        let mut members = group.members.clone();
+        members.shuffle(&mut rng);
+        let count = match emptied {
+            Emptied::Half => 1,
+            Emptied::MostOfEachGroup => members.len() - 1,
+            Emptied::All => members.len(),
+        };
+        chosen.extend(members.into_iter().take(count));
+    }
+    let mut others: Vec<_> = living.iter().map(|(id, _)| id).filter(|id| !chosen.contains(*id)).collect();
+    others.shuffle(&mut rng);
+    let more = match emptied {
+        Emptied::Half => (living.len() / 2).saturating_sub(chosen.len()),
+        Emptied::MostOfEachGroup => 0,
+        Emptied::All => others.len(),
+    };
+    let more: Vec<id::Runner> = others.into_iter().take(more).cloned().collect();
+    chosen.extend(more);
+    let mut chosen: Vec<id::Runner> = chosen.into_iter().collect();
+    chosen.sort();
+    for id in &chosen {
+        world.exchange(id);
+    }
+    world.deciding = false;
+    world.run(away);
+    world.replace_decider();
+    world.deciding = true;
+    world.load_starts.clear();
+}
+
+/// Runs the fleet for `span`, and returns the times of the groups that were decided in it.
+fn follow(world: &mut World, span: Millis) -> BTreeMap<Epoch, Times> {
+    let began = world.now;
+    let known: HashSet<Epoch> =
+        world.plans.values().flat_map(|plan| &plan.groups).map(|group| group.epoch).collect();
+    let mut rows: BTreeMap<Epoch, Times> = BTreeMap::new();
+    while world.now < began + span {
+        world.run(TICK);
+        let since = Some(world.now.since(began));
+        for group in world.plans.values().flat_map(|plan| &plan.groups) {
+            if known.contains(&group.epoch) {
+                continue;
+            }
+            let row = rows.entry(group.epoch).or_insert_with(|| Times {
+                model: group.model.to_string(),
+                warm: group.members.iter().filter(|id| world.list_held(id).contains(&group.model)).count(),
+                decided: since,
+                ..Times::default()
+            });
+            let phases = world.list_phases(group);
+            if phases.len() == group.members.len() {
+                row.joined = row.joined.or(since);
+            }
+            if phases.contains(&Phase::Open) {
+                row.open = row.open.or(since);
+            }
+        }
+    }
+    rows
+}
+
+/// Prints what a fresh decider waits for: `cargo test --test returned -- --ignored --nocapture`.
+#[test]
+#[ignore = "prints a table and checks nothing"]
+fn table_of_what_a_fresh_decider_waits_for() {
+    for emptied in [Emptied::Half, Emptied::MostOfEachGroup, Emptied::All] {
+        for sees_callers in [true, false] {
+            for seed in 0..3 {
+                let mut world = start(seed);
+                world.sees_callers = sees_callers;
+                lose_all_nodes(&mut world, emptied, Millis(1000), seed);
+                let began = world.now;
+                println!("{emptied:?}, sees callers {sees_callers}, seed {seed}");
+                for (epoch, row) in follow(&mut world, Millis(40_000)) {
+                    println!(
+                        "  {epoch} {} warm {}: decided {} joined {} open {}",
+                        row.model,
+                        row.warm,
+                        show(row.decided),
+                        show(row.joined),
+                        show(row.open)
+                    );
+                }
+                let starts: Vec<u64> = world.load_starts.iter().map(|start| start.since(began).0).collect();
+                println!("  loads {} at {starts:?}", starts.len());
+                println!(
+                    "  open at the end: {} large, {} small",
+                    world.count_open("large"),
+                    world.count_open("small")
+                );
+            }
+        }
+    }
+}
+
+fn show(time: Option<Millis>) -> String {
+    time.map_or("-".to_owned(), |time| format!("{:.2}", time.0 as f64 / 1000.0))
+}
--- a/crates/fleet/tests/world/mod.rs
+++ b/crates/fleet/tests/world/mod.rs
@@ -11,7 +11,7 @@
 use cottoncrank_fleet::memory::Memory;
 use cottoncrank_fleet::occupancy::Counts;
 use cottoncrank_fleet::order::Order;
-use cottoncrank_fleet::plan::Plans;
+use cottoncrank_fleet::plan::{Group, Plans};
 use cottoncrank_fleet::position::Era;
 use cottoncrank_fleet::pressure::{self, Pressure, Row, Tally};
 use cottoncrank_fleet::probe::{Answer, Observation, Probes};
@@ -67,6 +67,8 @@
     stalled_since: Option<Millis>,
     /// When it was lost for good.
     died_at: Option<Millis>,
+    /// Whether another process answers at its address.
+    replaced: bool,
     /// How often it joined a group or lost its membership by a restart.
     membership_changes: u64,
     /// For a head: the `membership_changes` of all members when it opened. A group is also stalled
@@ -81,6 +83,8 @@
     pub service: Service,
     pub now: Millis,
     pub serving: bool,
+    /// Whether the node that decides has seen a caller.
+    pub sees_callers: bool,
     pub plans: Plans,
     pub memory: Memory,
     /// The stalled groups as the other nodes have read them from the plans.
@@ -102,6 +106,8 @@
     pub runner_seconds: f64,
     /// The number of loads begun while callers were present.
     pub loads: usize,
+    /// When each of them began.
+    pub load_starts: Vec<Millis>,
     /// The ratio of orders that are executed seconds later and never answered.
     pub late_ratio: f64,
     /// The number of slots that callers would use, by model.
@@ -138,6 +144,7 @@
             service,
             now: Millis(1_000_000),
             serving: false,
+            sees_callers: true,
             plans: Plans::new(),
             memory: Memory::default(),
             stalls: Stalls::default(),
@@ -155,6 +162,7 @@
             served_seconds: HashMap::new(),
             runner_seconds: 0.0,
             loads: 0,
+            load_starts: Vec::new(),
             late_ratio: 0.0,
             demanded_slots: HashMap::new(),
             telling: true,
@@ -206,6 +214,7 @@
             epoch: Epoch(0),
             stalled_since: None,
             died_at: None,
+            replaced: false,
             membership_changes: 0,
             changes_at_open: Vec::new(),
             ever_ready: HashSet::new(),
@@ -236,6 +245,36 @@
         }
     }
 
+    /// Ends a runner for good and starts an empty one at its address, under another id.
+    pub fn exchange(&mut self, id: &id::Runner) {
+        let actor = self.actors.get_mut(id).unwrap();
+        actor.alive = false;
+        actor.replaced = true;
+        actor.died_at = Some(self.now);
+        let domain = actor.entry.domain.as_ref().unwrap().as_str()[1..].parse().unwrap();
+        self.entry_updates.push((self.now + STORE_LATENCY, id.clone(), None));
+        self.add_runner(domain);
+    }
+
+    /// Returns the living runners, with their domains.
+    pub fn list_living(&self) -> Vec<(id::Runner, id::Domain)> {
+        let living = self.actors.iter().filter(|(_, actor)| actor.alive);
+        living.map(|(id, actor)| (id.clone(), actor.entry.domain.clone().unwrap())).collect()
+    }
+
+    /// Returns the models that a living runner can join without a load: of its last group, and on its host.
+    pub fn list_held(&self, id: &id::Runner) -> Vec<id::Model> {
+        let Some(actor) = self.actors.get(id).filter(|actor| actor.alive) else { return Vec::new() };
+        actor.served.iter().chain(&actor.entry.staged).cloned().collect()
+    }
+
+    /// Returns the actual phases of the members of a planned group that have joined it.
+    pub fn list_phases(&self, group: &Group) -> Vec<Phase> {
+        let places = group.members.iter().filter_map(|id| self.actors.get(id)?.entry.membership.as_ref());
+        let inside = places.filter(|place| place.group == group.name && place.epoch == group.epoch);
+        inside.map(|place| place.phase).collect()
+    }
+
     fn kill(&mut self, id: &id::Runner) {
         let actor = self.actors.get_mut(id).unwrap();
         actor.alive = false;
@@ -466,7 +505,11 @@
             .map(|id| Answer {
                 runner: id.clone(),
                 hall: self.actors[id].entry.hall.clone(),
-                reported: if self.actors[id].alive { Observation::Pace(1.0) } else { Observation::Silent },
+                reported: match &self.actors[id] {
+                    actor if actor.alive => Observation::Pace(1.0),
+                    actor if actor.replaced => Observation::Gone,
+                    _ => Observation::Silent,
+                },
                 incarnation: self.actors[id].entry.incarnation.filter(|_| self.actors[id].alive),
                 asked: if self.actors[id].alive { 1 } else { 2 },
             })
@@ -556,7 +599,7 @@
             era: Era::default(),
             closed: &BTreeSet::new(),
             probes: &self.probes,
-            serving: self.serving,
+            serving: self.serving && self.sees_callers,
             ceiling: &CEILING,
             stall: STALL,
             in_flight: in_flight.as_ref(),
@@ -669,6 +712,7 @@
                         actor.loading =
                             Some(Load { model: name.clone(), remaining: seconds(model.load_time) });
                         self.loads += usize::from(self.serving);
+                        self.load_starts.extend(self.serving.then_some(now));
                     }
                 }
                 is_current
@@ -702,9 +746,12 @@
                 }
                 true
             }
+            // The load is under way.
+            Order::Stage(name) if actor.staging.as_ref().is_some_and(|load| load.model == *name) => true,
             Order::Stage(name) => {
                 actor.staging = Some(Load { model: name.clone(), remaining: seconds(find(name).load_time) });
                 self.loads += usize::from(self.serving);
+                self.load_starts.extend(self.serving.then_some(now));
                 true
             }
         };
