Log when loads that callers need wait, and how a term counts loads

In the log of a return no line told what was waited for between the release of groups and the orders. The planner now notes when a group that is missing, or a load for one, waits because no load may begin: how many began, how many run and when the next may begin, once a second at the most, and the end of it. The deciding node logs at the begin of its term, and when it changes, whether loads count as fast or slow, which depends on whether that node has had a request of a caller. No decision changes.

--- a/crates/fleet/src/decide.rs
+++ b/crates/fleet/src/decide.rs
@@ -36,7 +36,7 @@
     pub writes: Vec<(id::Domain, Document, Vec<String>)>,
     /// Orders to send after the plans are written.
     pub orders: Vec<(id::Runner, Order)>,
-    /// What else to log: the ends of shifts.
+    /// What else to log: the ends of shifts, and loads that are held back.
     pub notes: Vec<String>,
 }
 
@@ -86,6 +86,7 @@
         orders: &mut step.orders,
         repair_loads,
         reserve_loads,
+        held_back: waiting,
         serving: snapshot.serving,
     };
     for draft in &drafts {
@@ -96,6 +97,10 @@
         order_staging(snapshot, engine, &risk, &shortages, &drafts, &mut issuer);
         order_preloads(&engine.models, &drafts, find_last_epoch(snapshot, &drafts), &mut issuer);
     }
+    let held_back = issuer.held_back;
+    let account =
+        held_back.then(|| decided.loads.account(snapshot.now, engine, snapshot.ceiling, snapshot.serving));
+    step.notes.extend(memory.holdback.record(account, snapshot.now));
     let changed = drafts.into_iter().filter(|draft| match snapshot.plans.get(&draft.id) {
         Some(plan) => *plan != draft.plan,
         None => !draft.plan.groups.is_empty(),
--- a/crates/fleet/src/issuer.rs
+++ b/crates/fleet/src/issuer.rs
@@ -19,6 +19,8 @@
     pub(crate) repair_loads: usize,
     /// The loads that may still begin in this step in reserve.
     pub(crate) reserve_loads: usize,
+    /// Whether a load for a group that callers need could not begin.
+    pub(crate) held_back: bool,
     pub(crate) serving: bool,
 }
 
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -94,6 +94,7 @@
 pub mod form;
 pub mod freshness;
 pub mod gossip;
+pub mod holdback;
 pub mod interruptions;
 mod issuer;
 pub mod limit;
--- a/crates/fleet/src/loads.rs
+++ b/crates/fleet/src/loads.rs
@@ -5,6 +5,7 @@
 use cottoncrank::Millis;
 
 use crate::catalog::Engine;
+use crate::holdback::Account;
 use crate::settings::Ceiling;
 
 /// Loads kept below the ceiling, for orders that are executed later than issued.
@@ -56,6 +57,17 @@
         }
     }
 
+    /// Returns what is known of the loads while some for repairs are held back.
+    pub fn account(&self, now: Millis, engine: &Engine, ceiling: &Ceiling, serving: bool) -> Account {
+        let recent = self.started.iter().filter(|(started, ..)| now < *started + ceiling.window).count();
+        let repairs = self.started.iter().filter(|(.., purpose)| *purpose == Purpose::Repair);
+        let running = repairs.filter(|(_, ends, _)| now < *ends).count();
+        let changes = self.started.iter().flat_map(|(started, ends, _)| [*started + ceiling.window, *ends]);
+        let allows = |at: &Millis| self.count_allowed(*at, engine, ceiling, serving, Purpose::Repair) > 0;
+        let next = changes.filter(|at| now < *at).filter(allows).min();
+        Account { recent, running, next }
+    }
+
     /// Records loads that begin at `now` and take `time` while callers are `serving`.
     pub fn record_started(
         &mut self,
--- a/crates/fleet/src/staging.rs
+++ b/crates/fleet/src/staging.rs
@@ -217,6 +217,7 @@
         Purpose::Reserve => issuer.reserve_loads,
     };
     if allowed == 0 {
+        issuer.held_back |= purpose == Purpose::Repair;
         return false;
     }
     issuer.repair_loads = issuer.repair_loads.saturating_sub(1);
--- a/crates/node/src/decider/term.rs
+++ b/crates/node/src/decider/term.rs
@@ -119,6 +119,8 @@
     logged_waits: HashMap<id::Service, (Waits, Millis)>,
     /// The models' shares of the runners, as last logged for each service.
     logged_shares: HashMap<id::Service, Vec<Share>>,
+    /// Whether callers count as served, as last logged.
+    logged_serving: Option<bool>,
 }
 
 impl Term {
@@ -139,6 +141,7 @@
             logged_census: HashMap::new(),
             logged_waits: HashMap::new(),
             logged_shares: HashMap::new(),
+            logged_serving: None,
         }
     }
 
@@ -291,6 +294,8 @@
             let bounds = self.node.settings().bounds.clone();
             let documents = self.plans.list_documents();
             let in_flight = self.node.sum_all_in_flight();
+            let serving = self.node.is_serving();
+            self.log_serving(serving);
             let rejecting = feedback::list_long_rejecting(&self.node);
             let started = self.node.now();
             let (step, census, waits) = {
@@ -305,7 +310,7 @@
                     era: self.lease_position.era(),
                     closed: &self.plans.closed,
                     probes: &probes,
-                    serving: self.node.is_serving(),
+                    serving,
                     ceiling: &bounds.ceiling,
                     stall: bounds.stall,
                     in_flight: in_flight.as_ref(),
@@ -328,6 +333,17 @@
         Ok(())
     }
 
+    /// Logs whether callers count as served, and why, at the begin of the term and when it changes.
+    fn log_serving(&mut self, serving: bool) {
+        if self.logged_serving.replace(serving) == Some(serving) {
+            return;
+        }
+        match serving {
+            true => log::info!("decider: loads count as slow, this node has had requests of callers"),
+            false => log::info!("decider: loads count as fast, this node has had no request of a caller yet"),
+        }
+    }
+
     /// Logs how many runners of a service are in which state, if that has changed.
     fn log_census(&mut self, service: &id::Service, census: Census) {
         let now = self.node.now();
