Show that a fresh decider loads models whose holders are about to be free

After a loss of all nodes every group may lack a member. The step that retires them finds that no model has a group, and a model without any group is loaded at once, though the members that hold it are free a planning interval later. The test is red: no group may be formed of members that must load while those of retired groups that hold the model make a whole one in a domain. The bound is that rule, not a figure.

--- a/crates/fleet/tests/returned.rs
+++ b/crates/fleet/tests/returned.rs
@@ -148,3 +148,24 @@
 fn show(time: Option<Millis>) -> String {
     time.map_or("-".to_owned(), |time| format!("{:.2}", time.0 as f64 / 1000.0))
 }
+
+/// All groups had lost a member, so that no model had a group in the step that retired them. In that step a
+/// group of each was formed of members that had to load it, a planning interval before the others, which
+/// hold it, had left their groups; it opened up to 36 s later or never, and slowed the loads of others.
+#[test]
+fn a_model_without_groups_is_not_loaded_while_those_that_hold_it_leave_theirs() {
+    for emptied in [Emptied::Half, Emptied::MostOfEachGroup] {
+        for seed in 0..6 {
+            let mut world = start(seed);
+            lose_all_nodes(&mut world, emptied, Millis(1000), seed);
+            let rows = follow(&mut world, Millis(5000));
+            let is_small = |row: &&Times| row.model == "small";
+            assert!(rows.values().any(|row| is_small(&row)), "{emptied:?}, seed {seed}: {rows:?}");
+            // One member of each large group does not make another, so that one may be loaded.
+            for row in rows.values().filter(|row| emptied == Emptied::Half || is_small(row)) {
+                let size = if is_small(&row) { 2 } else { 4 };
+                assert_eq!(row.warm, size, "{emptied:?}, seed {seed}: {row:?}");
+            }
+        }
+    }
+}
