Let a model without groups wait for those that hold it, not load it

A model without any group is formed of members that load it, whatever else is loading. Where all groups were retired in one step, their remaining members, which hold the model, are free a planning interval later; the group that loads kept four or two runners, some of which hold a model, and up to six loads beside those of others. While callers are served, such a model is not loaded where the members of retired groups, free runners and those that have begun to load it make a whole group in a domain; for those that still have to leave it waits no longer than a load takes.

--- a/crates/fleet/src/decided.rs
+++ b/crates/fleet/src/decided.rs
@@ -48,6 +48,8 @@
     pub(crate) loads: Loads,
     /// The members lost so far.
     pub(crate) losses: Losses,
+    /// Since when models have had no group while callers were present.
+    pub(crate) awaited_since: HashMap<(id::Service, id::Model), Millis>,
     /// Which models are short, and which lend groups to which, by service.
     pub(crate) shifts: HashMap<id::Service, shift::state::State>,
 }
--- a/crates/fleet/src/form.rs
+++ b/crates/fleet/src/form.rs
@@ -2,6 +2,7 @@
 
 use cottoncrank::{Millis, id};
 
+use crate::awaited::list_awaited;
 use crate::catalog::{Engine, Model};
 use crate::decided::Decided;
 use crate::loads::Purpose;
@@ -57,6 +58,8 @@
     settled: bool,
     /// The bounds that a shift sets.
     bounds: &'a Bounds,
+    /// Whether a group of each model is awaited that needs no load.
+    awaited: &'a [bool],
 }
 
 /// Records the loads for planned groups whose members were not ordered to join: the write of their plan was done
@@ -104,14 +107,10 @@
     let models = &engine.models;
     let targets = list_targets(models, drafts, risk, bounds);
     let mut active = count_active(models, drafts);
-    while let Some(candidate) = find_candidate(
-        snapshot,
-        models,
-        drafts,
-        risk,
-        memory,
-        Goals { active: &active, targets: &targets, settled, bounds },
-    ) {
+    loop {
+        let awaited = list_awaited(snapshot, models, drafts, &active, decided);
+        let goals = Goals { active: &active, targets: &targets, settled, bounds, awaited: &awaited };
+        let Some(candidate) = find_candidate(snapshot, models, drafts, risk, memory, goals) else { break };
         // A model without any group does not wait for the loads of others.
         let respects_limit = snapshot.serving && active[candidate.model] > 0;
         if candidate.loads
@@ -170,7 +169,7 @@
     drafts: &[Draft],
     risk: &Risk,
     memory: &Memory,
-    Goals { active, targets, settled, bounds }: Goals,
+    Goals { active, targets, settled, bounds, awaited }: Goals,
 ) -> Option<Candidate> {
     let largest = models.iter().map(|model| model.size).max().unwrap_or_default();
     let mut best: Option<Candidate> = None;
@@ -205,7 +204,7 @@
                 members.iter().filter(|runner| find_join_time(runner, model) == model.load_time).count();
             // A member that loads from the weight store is bound for many seconds. If it stages
             // the model instead, it stays free for the next loss.
-            if loads > 0 && snapshot.serving && active[model_at] > 0 {
+            if loads > 0 && snapshot.serving && (active[model_at] > 0 || awaited[model_at]) {
                 continue;
             }
             let fulfillment = fulfillment(model_at);
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -75,6 +75,7 @@
 pub mod admission;
 pub mod adopt;
 pub mod allocation;
+mod awaited;
 pub mod backoff;
 pub mod balance;
 pub mod catalog;
