Show that a fresh decider slows the first groups' loads by loads in reserve

In its first step a decider takes all groups for whole and orders as many loads in reserve as run at full speed. Those for groups do not wait for them and run beside them.

--- a/crates/fleet/tests/returned.rs
+++ b/crates/fleet/tests/returned.rs
@@ -169,3 +169,30 @@
         }
     }
 }
+
+/// A decider that had just begun had not looked at anyone: it took all groups for whole, and ordered loads
+/// in reserve. When the losses were known, the loads of the first groups ran beside these at half the
+/// speed: a group of two opened 27 s after it was decided, where a load takes 12 s.
+#[test]
+fn loads_of_the_first_groups_run_at_full_speed() {
+    for model in ["small", "large"] {
+        for seed in 0..3 {
+            let mut world = start(seed);
+            // The loads that the former decider ordered end first: nobody else knows of them.
+            for _ in 0..60 {
+                if world.count_running_loads() == 0 {
+                    break;
+                }
+                world.run(Millis(1000));
+            }
+            assert_eq!(world.count_running_loads(), 0);
+            lose_all_nodes(&mut world, Emptied::All, Millis(1000), seed);
+            let rows = follow(&mut world, Millis(20_000));
+            let first = rows.values().find(|row| row.model == model).unwrap();
+            // A load, and a second for the orders to join and to open, the entries and the opening.
+            let load = Millis(if model == "small" { 12_000 } else { 16_000 });
+            let bound = first.decided.unwrap() + load + Millis(1000);
+            assert!(first.open.is_some_and(|open| open <= bound), "seed {seed}: {first:?}");
+        }
+    }
+}
--- a/crates/fleet/tests/world/mod.rs
+++ b/crates/fleet/tests/world/mod.rs
@@ -256,6 +256,12 @@
         self.add_runner(domain);
     }
 
+    /// Returns the number of loads that run.
+    pub fn count_running_loads(&self) -> usize {
+        let living = self.actors.values().filter(|actor| actor.alive);
+        living.map(|actor| [&actor.staging, &actor.loading].into_iter().flatten().count()).sum()
+    }
+
     /// Returns the living runners, with their domains.
     pub fn list_living(&self) -> Vec<(id::Runner, id::Domain)> {
         let living = self.actors.iter().filter(|(_, actor)| actor.alive);
