Hold loads in reserve until a fresh decider knows of earlier losses

A decider that has just begun takes all groups for whole until the probes have found the lost ones, and in its first step ordered as many loads in reserve as run at full speed. Loads for groups do not wait for those, by design, so thirteen ran where seven run at full speed, and all took twice as long. While callers are served, loads that make no missing group wait for the first 2.5 s of a term; those for what is known to be missing do not.

Beside loads that a former decider ordered, of which nobody knows, the first groups still take longer than a load.

--- a/crates/fleet/src/decide.rs
+++ b/crates/fleet/src/decide.rs
@@ -71,6 +71,7 @@
         preempt_groups(snapshot, &engine.models, &risk, &bounds, &mut drafts);
     }
     let settled = memory.is_settled(runners, snapshot.now);
+    let has_looked = memory.has_looked(snapshot.now);
     record_unordered_loads(snapshot, &engine.models, &drafts, &mut decided);
     let conditions = Conditions { risk: &risk, bounds: &bounds, settled };
     let waiting = form_groups(snapshot, engine, &mut drafts, conditions, memory, &mut decided);
@@ -87,6 +88,7 @@
         repair_loads,
         reserve_loads,
         held_back: waiting,
+        holds_reserves: snapshot.serving && !has_looked,
         serving: snapshot.serving,
     };
     for draft in &drafts {
--- a/crates/fleet/src/issuer.rs
+++ b/crates/fleet/src/issuer.rs
@@ -21,6 +21,8 @@
     pub(crate) reserve_loads: usize,
     /// Whether a load for a group that callers need could not begin.
     pub(crate) held_back: bool,
+    /// Whether losses may not be known yet, so that loads for none wait.
+    pub(crate) holds_reserves: bool,
     pub(crate) serving: bool,
 }
 
--- a/crates/fleet/src/memory.rs
+++ b/crates/fleet/src/memory.rs
@@ -19,6 +19,9 @@
 /// together write their entries within a second.
 const SETTLE_TIME: Millis = Millis(1000);
 
+/// A decider that has just begun knows by then of the runners that were lost before.
+const FIRST_LOOK_TIME: Millis = Millis(2500);
+
 /// A runner that rejected requests is not made head for this long, if another one can be.
 const REJECTING_TTL: Millis = Millis(15_000);
 
@@ -44,6 +47,8 @@
     pub(crate) holdback: Holdback,
     /// The observed utilization of the groups of each model, by service.
     pub(crate) demands: HashMap<id::Service, Demand>,
+    /// When the first step was made.
+    began: Option<Millis>,
     /// The largest number of runners seen so far, and since when.
     max_runners: usize,
     grown_at: Millis,
@@ -162,6 +167,11 @@
         self.stalled_since.retain(|(group, epoch), _| is_planned(group, *epoch));
     }
 
+    /// Whether losses from before the first step are known at `now`. Until then all groups look whole.
+    pub(crate) fn has_looked(&mut self, now: Millis) -> bool {
+        now >= *self.began.get_or_insert(now) + FIRST_LOOK_TIME
+    }
+
     /// Whether no runner has been added for [`SETTLE_TIME`].
     pub(crate) fn is_settled(&mut self, runners: usize, now: Millis) -> bool {
         if runners > self.max_runners {
--- a/crates/fleet/src/staging.rs
+++ b/crates/fleet/src/staging.rs
@@ -45,6 +45,10 @@
     for shortage in shortages {
         stage_sets(shortage, &mut stocks, issuer);
     }
+    // Repairs do not wait for loads in reserve, and run at half the speed beside them.
+    if issuer.holds_reserves {
+        return;
+    }
     for (draft, stock) in drafts.iter().zip(&mut stocks) {
         stage_spares(models, risk, shortages, draft, stock, issuer);
     }
