Show that a decider without a request of a caller can break the ceiling of loads

Whether loads count as fast depends on whether the deciding node itself has had a request since its start.

--- a/crates/fleet/tests/returned.rs
+++ b/crates/fleet/tests/returned.rs
@@ -196,3 +196,33 @@
         }
     }
 }
+
+/// Returns the most loads that began within one window of the ceiling.
+fn find_most_in_window(starts: &[Millis]) -> usize {
+    let count =
+        |from: &Millis| starts.iter().filter(|at| **at >= *from && **at < *from + Millis(5000)).count();
+    starts.iter().map(count).max().unwrap_or(0)
+}
+
+/// Deciders that end one after the other know nothing of each other's loads, and one that has not had a
+/// request of a caller since its start takes them for fast.
+#[test]
+fn successive_deciders_keep_the_ceiling_of_loads() {
+    for sees_callers in [true, false] {
+        for seed in 0..3 {
+            let mut world = start(seed);
+            lose_all_nodes(&mut world, Emptied::All, Millis(1000), seed);
+            world.run(Millis(3000));
+            // The next node has not had a request yet when it becomes the decider.
+            world.deciding = false;
+            world.run(Millis(500));
+            world.replace_decider();
+            world.deciding = true;
+            world.sees_callers = sees_callers;
+            world.run(Millis(5000));
+            // Five a second for 5 s, a tenth beyond, and three.
+            let most = find_most_in_window(&world.load_starts);
+            assert!(most <= 30, "sees callers {sees_callers}, seed {seed}: {most}");
+        }
+    }
+}
