Play the return of all nodes after cuts, with bursts, full runners, new keys and late nodes

The play of an outage covered runners and the store alone. It now also cuts off a hall until a second before, lets callers repeat and come all at once, lets runners take no connection for a while, gives the account new keys, starts nodes one after the other, and keeps the store silent in place of refusing.

--- a/crates/soak/src/bin/outage.rs
+++ b/crates/soak/src/bin/outage.rs
@@ -39,12 +39,36 @@
     /// How long the store refuses all calls after the start, in milliseconds.
     #[arg(long, default_value_t = 0)]
     store_away: u64,
+    /// It does not answer them at all.
+    #[arg(long)]
+    silent: bool,
     /// The store comes back from an older copy.
     #[arg(long)]
     older: bool,
     /// Loses all nodes once more this long after their start, in milliseconds.
     #[arg(long)]
     again: Option<u64>,
+    /// The hall that is cut off until shortly before.
+    #[arg(long)]
+    cut: Option<String>,
+    /// How long it is cut off, in milliseconds.
+    #[arg(long, default_value_t = 6000)]
+    cut_for: u64,
+    /// Callers send a request that was not served again, as long as they wait for an answer.
+    #[arg(long)]
+    repeat: bool,
+    /// Requests that come in the moment of the return, in addition.
+    #[arg(long, default_value_t = 0)]
+    burst: usize,
+    /// How long after the return runners take no connection, in milliseconds.
+    #[arg(long, default_value_t = 0)]
+    full: u64,
+    /// The account gets new keys, and loses all former ones, right before.
+    #[arg(long)]
+    rekey: bool,
+    /// How long after each other the nodes start, in milliseconds.
+    #[arg(long, default_value_t = 0)]
+    apart: u64,
     /// The program of the nodes, such as that of another build.
     #[arg(long)]
     node: Option<PathBuf>,
@@ -82,8 +106,15 @@
         replacement: args.replacement,
         losses: args.losses,
         store_away: Duration::from_millis(args.store_away),
+        silent: args.silent,
         older: args.older,
         again: args.again.map(Duration::from_millis),
+        cut: args.cut.clone().map(|hall| (hall, Duration::from_millis(args.cut_for))),
+        repeat: args.repeat,
+        burst: args.burst,
+        full: Duration::from_millis(args.full),
+        rekey: args.rekey,
+        apart: Duration::from_millis(args.apart),
     };
     let program = args.node.clone().map_or_else(find_program, Ok)?;
     let report = play(&outage, program, &args.folder.join(format!("seed-{seed}"))).await?;
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -327,6 +327,11 @@
         }
     }
 
+    /// The hall of a node.
+    pub fn hall_of(&self, number: usize) -> &'static str {
+        self.layout.nodes[number]
+    }
+
     /// All runners.
     pub fn servers(&self) -> impl Iterator<Item = &Server> {
         self.engines.iter().chain(&self.plain)
--- a/crates/soak/src/outage.rs
+++ b/crates/soak/src/outage.rs
@@ -6,6 +6,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::fmt;
 use std::io;
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -76,6 +77,12 @@
 /// Events of a stream are this far apart.
 const PACE: Millis = Millis(150);
 
+/// A hall that was cut off is reached again this long before the outage.
+const CUT_END: Duration = Duration::from_millis(1000);
+
+/// Callers that repeat wait this long before each new try.
+const REPEAT_PAUSE: Duration = Duration::from_millis(50);
+
 /// Service is counted for spans of this length.
 const SPAN: Duration = Duration::from_millis(500);
 
@@ -109,10 +116,24 @@
     pub losses: bool,
     /// How long the store refuses all calls, from the last start of a node on.
     pub store_away: Duration,
+    /// Whether it does not answer them at all meanwhile.
+    pub silent: bool,
     /// Whether the store comes back from an older copy.
     pub older: bool,
     /// How long after their start all nodes are lost once more, if they are.
     pub again: Option<Duration>,
+    /// The hall that was cut off until shortly before, if one was, and for how long.
+    pub cut: Option<(String, Duration)>,
+    /// Whether callers send a request that was not served again, as long as they wait for an answer.
+    pub repeat: bool,
+    /// Requests that come in the moment of the return, in addition.
+    pub burst: usize,
+    /// How long after the return runners take no connection, as they count those of before.
+    pub full: Duration,
+    /// Whether the account gets new keys, and loses all former ones, right before.
+    pub rekey: bool,
+    /// How long after each other the nodes start.
+    pub apart: Duration,
 }
 
 impl Default for Outage {
@@ -126,8 +147,15 @@
             replacement: Replacement::Same,
             losses: false,
             store_away: Duration::ZERO,
+            silent: false,
             older: false,
             again: None,
+            cut: None,
+            repeat: false,
+            burst: 0,
+            full: Duration::ZERO,
+            rekey: false,
+            apart: Duration::ZERO,
         }
     }
 }
@@ -211,6 +239,11 @@
     stopped: HashMap<usize, bool>,
     /// Copies of the store, the latest last.
     copies: Vec<(Instant, Snapshot)>,
+    /// The hall that is cut off.
+    cut: Option<&'static str>,
+    calls: Arc<Mutex<Vec<Call>>>,
+    /// The key that callers use.
+    key: Arc<Mutex<String>>,
     began: Instant,
     count: usize,
 }
@@ -228,22 +261,29 @@
         ended: Vec::new(),
         stopped: HashMap::new(),
         copies: Vec::new(),
+        cut: None,
+        calls: Arc::default(),
+        key: Arc::default(),
         began: Instant::now(),
         count: 0,
     };
     play.await_groups().await;
-    let calls = Arc::new(Mutex::new(Vec::new()));
-    let callers = play.start_callers(&calls);
+    play.hand_out_key();
+    let mut callers = play.start_callers();
     play.play_before().await?;
+    play.play_cut().await;
+    if outage.rekey {
+        play.rekey();
+    }
     let lost = Instant::now();
     play.lose_nodes();
     play.lose_runners().await?;
-    let returned = play.bring_back().await?;
+    let returned = play.bring_back(&mut callers).await?;
     play.watch_until(returned + RECOVERY + RECOVERED).await;
     drop(callers);
     // What was sent last is still awaited.
     let breaches = std::mem::take(&mut play.breaches);
-    let calls = calls.lock();
+    let calls = play.calls.lock();
     Ok(Report {
         before: count(&calls, |sent| sent + ANSWERED < lost),
         after: count(&calls, |sent| sent > returned + RECOVERY),
@@ -292,22 +332,17 @@
     }
 
     /// Starts callers, each request on a connection of its own. They end when what is returned is dropped.
-    fn start_callers(&self, calls: &Arc<Mutex<Vec<Call>>>) -> JoinSet<()> {
+    fn start_callers(&self) -> JoinSet<()> {
         let mut callers = JoinSet::new();
-        for (number, node) in self.fleet.nodes.iter().enumerate() {
-            let (to, calls, key) = (node.callers, calls.clone(), self.fleet.keys[0].0.clone());
+        for number in 0..self.fleet.nodes.len() {
+            let asker = self.find_asker(number);
             let mut rng = SmallRng::seed_from_u64(self.outage.seed ^ number as u64);
             callers.spawn(async move {
                 let mut asking = JoinSet::new();
                 for request in 0.. {
                     tokio::time::sleep(Duration::from_millis(rng.random_range(0..2000 / RATE))).await;
                     let path = draw_path(&mut rng);
-                    let (calls, key) = (calls.clone(), key.clone());
-                    asking.spawn(async move {
-                        let (sent, id) = (Instant::now(), format!("n{number}-{request}"));
-                        let served = send_new(to, path, &id, &key, WAIT).await;
-                        calls.lock().push(Call { sent, served });
-                    });
+                    asking.spawn(asker.clone().ask(path, format!("n{number}-{request}")));
                     while asking.try_join_next().is_some() {}
                 }
             });
@@ -315,6 +350,65 @@
         callers
     }
 
+    /// Sends many requests at once, by turns to all nodes.
+    fn send_burst(&mut self, callers: &mut JoinSet<()>) {
+        for number in 0..self.outage.burst {
+            let path = draw_path(&mut self.rng);
+            let asker = self.find_asker(number % self.fleet.nodes.len());
+            callers.spawn(asker.ask(path, format!("burst-{number}")));
+        }
+    }
+
+    fn find_asker(&self, node: usize) -> Asker {
+        Asker {
+            to: self.fleet.nodes[node].callers,
+            key: self.key.clone(),
+            calls: self.calls.clone(),
+            repeats: self.outage.repeat,
+        }
+    }
+
+    /// Gives the account new keys until none of the former ones holds.
+    fn rekey(&mut self) {
+        self.fleet.rekey();
+        self.fleet.rekey();
+        self.hand_out_key();
+    }
+
+    /// Callers use the latest key from now on.
+    fn hand_out_key(&self) {
+        if let Some((key, _)) = self.fleet.keys.last() {
+            key.clone_into(&mut self.key.lock());
+        }
+    }
+
+    /// Cuts a hall off for a while: its nodes do nothing, nothing reaches its runners, and their entries go.
+    /// Of the nodes nothing outlasts the outage, so that they stand still is as good as that they are alone.
+    async fn play_cut(&mut self) {
+        let Some((hall, lasts)) = self.outage.cut.clone() else { return };
+        let began = Instant::now();
+        self.cut = self.fleet.engines.iter().map(|server| server.hall).find(|name| *name == hall);
+        self.harm_hall(Some(Harm::Silence));
+        if lasts > LAPSE {
+            self.watch_until(began + LAPSE).await;
+            self.list_cut().for_each(|server| server.runner.expire_entry());
+        }
+        self.watch_until(began + lasts).await;
+        self.harm_hall(None);
+        self.list_cut().for_each(|server| server.runner.write_entry());
+        self.cut = None;
+        self.watch_until(Instant::now() + CUT_END).await;
+    }
+
+    fn harm_hall(&self, harm: Option<Harm>) {
+        self.list_cut().for_each(|server| server.link.set_harm(harm));
+    }
+
+    /// Lists the runners of the hall that is cut off.
+    fn list_cut(&self) -> impl Iterator<Item = &Server> {
+        self.fleet.servers().filter(|server| Some(server.hall) == self.cut)
+    }
+
     /// Plays what comes before all nodes are lost.
     async fn play_before(&mut self) -> io::Result<()> {
         if !self.outage.losses {
@@ -393,32 +487,55 @@
     }
 
     /// Starts all nodes again, and brings back the store. Returns when the last node was started.
-    async fn bring_back(&mut self) -> io::Result<Instant> {
+    async fn bring_back(&mut self, callers: &mut JoinSet<()>) -> io::Result<Instant> {
         let outage = self.outage;
         if outage.store_away > Duration::ZERO {
-            self.fleet.store.set_fault(store::Fault::Busy);
+            self.take_store_away();
+        }
+        let is_full = outage.full > Duration::ZERO;
+        if is_full {
+            self.fleet.servers().for_each(|server| server.link.set_harm(Some(Harm::Reset)));
         }
         self.watch_until(Instant::now() + outage.down).await;
-        let mut returned = self.start_nodes()?;
+        let mut returned = self.start_nodes().await?;
         if let Some(again) = outage.again {
             self.watch_until(returned + again).await;
             self.lose_nodes();
             self.watch_until(Instant::now() + outage.down).await;
-            returned = self.start_nodes()?;
+            returned = self.start_nodes().await?;
+        }
+        self.send_burst(callers);
+        if is_full {
+            self.watch_until(returned + outage.full).await;
+            self.fleet.servers().for_each(|server| server.link.set_harm(None));
         }
         self.watch_until(returned + outage.store_away).await;
         if outage.older {
             self.restore();
         }
         self.fleet.store.set_fault(store::Fault::None);
+        self.fleet.nodes.iter().for_each(|node| node.store.set_harm(None));
         Ok(returned)
     }
 
-    fn start_nodes(&mut self) -> io::Result<Instant> {
+    fn take_store_away(&self) {
+        if self.outage.silent {
+            self.fleet.nodes.iter().for_each(|node| node.store.set_harm(Some(Harm::Silence)));
+        } else {
+            self.fleet.store.set_fault(store::Fault::Busy);
+        }
+    }
+
+    async fn start_nodes(&mut self) -> io::Result<Instant> {
+        let mut started = Instant::now();
         for number in 0..self.fleet.nodes.len() {
+            if number > 0 && self.outage.apart > Duration::ZERO {
+                self.watch_until(started + self.outage.apart).await;
+            }
             self.fleet.start_node(number)?;
+            started = Instant::now();
         }
-        Ok(Instant::now())
+        Ok(started)
     }
 
     /// The store has what it had some time ago, and all but the nodes write again.
@@ -450,12 +567,10 @@
 
     /// Lets each node run for its part of the turn only.
     fn share_processor(&mut self, now: Instant) {
-        if self.outage.processor >= 100 {
-            return;
-        }
         for (number, node) in self.fleet.nodes.iter().enumerate().filter(|(_, node)| node.is_running()) {
             let at = (now - self.began + TURN_SHIFT * number as u32).as_millis() % TURN.as_millis();
-            let stops = at >= TURN.as_millis() * u128::from(self.outage.processor) / 100;
+            let is_cut = Some(self.fleet.hall_of(number)) == self.cut;
+            let stops = is_cut || at >= TURN.as_millis() * u128::from(self.outage.processor) / 100;
             if self.stopped.insert(number, stops).unwrap_or(false) != stops {
                 node.signal(if stops { Signal::STOP } else { Signal::CONT });
             }
@@ -501,6 +616,31 @@
     }
 }
 
+/// What sends requests to a node.
+#[derive(Clone)]
+struct Asker {
+    to: SocketAddr,
+    key: Arc<Mutex<String>>,
+    calls: Arc<Mutex<Vec<Call>>>,
+    repeats: bool,
+}
+
+impl Asker {
+    /// Sends a request, and again if callers repeat. Each try is a request of its own.
+    async fn ask(self, path: &'static str, id: String) {
+        let first = Instant::now();
+        for attempt in 0.. {
+            let (sent, key) = (Instant::now(), self.key.lock().clone());
+            let served = send_new(self.to, path, &format!("{id}-{attempt}"), &key, WAIT).await;
+            self.calls.lock().push(Call { sent, served });
+            if served || !self.repeats || first.elapsed() >= WAIT {
+                return;
+            }
+            tokio::time::sleep(REPEAT_PAUSE).await;
+        }
+    }
+}
+
 /// Returns the path of the next request: two of three ask the small model, one of nine is plain.
 fn draw_path(rng: &mut SmallRng) -> &'static str {
     match rng.random_range(0..18) {
