Log how long a node rests before it asks for the content of the store again

Cause: a node that starts while the store is away rests ever longer between its calls, and no line told so. Change: a line for each rest of a second or more.

--- a/crates/node/src/sync.rs
+++ b/crates/node/src/sync.rs
@@ -68,6 +68,9 @@
 /// How many readers each attempt queries. A dead reader costs 0.4 s.
 const READERS_PER_ATTEMPT: usize = 2;
 
+/// A pause from which on it is logged, as callers notice it.
+const LOGGED_PAUSE: Millis = Millis(1000);
+
 /// How often the node checks for runners whose entries lapsed while the store was unreachable and whose
 /// grace period is over.
 const EXPIRY_INTERVAL: Millis = Millis(250);
@@ -229,6 +232,9 @@
         }
         if let Source::Wait(pause) = source {
             self.record_unreachable();
+            if pause >= LOGGED_PAUSE {
+                log::info!("sync: asks again in {pause}, now at {}", self.format_position());
+            }
             return self.node.pause(pause).await;
         }
         let outcome = tokio::select! {
