Let a write that the store takes end a node's rest before it asks for the content

Cause: a node that starts while the store is away has no copy of it and knows no other node. That the write was taken told the calls for the content nothing, so the node was not ready for seconds after the store was back. Change: a taken write of the entry that began after the last failed call ends the rest of a node without a copy. No call is made more often while the store is away; if the store refuses the content, the node rests as before.

--- a/crates/fleet/src/source.rs
+++ b/crates/fleet/src/source.rs
@@ -281,6 +281,11 @@
         self.store_retry_at = Some(now + add_jitter(min_pause, rng));
     }
 
+    /// Records that the store answers this node again, which ends the backoff.
+    pub fn record_store_return(&mut self) {
+        self.store_retry_at = None;
+    }
+
     /// Records that the store no longer has the changes that `me` asked for. Only the decider and the
     /// first reader of each hall then read the full content at once. All others wait for those to pass
     /// on the changes, because every node lacks the same ones, and full reads by all of them would
--- a/crates/node/src/registration.rs
+++ b/crates/node/src/registration.rs
@@ -71,8 +71,12 @@
     let value = rmp_serde::to_vec(own).map_err(|error| StoreError::Invalid(error.to_string()))?;
     let key = format!("{}{}", format_prefix(&own.hall), own.node);
     let commit = Commit { puts: vec![(key, value, None)], ..Commit::default() };
+    let asked = node.now();
     match node.store.commit(&commit).await? {
-        Outcome::Done(_) => Ok(()),
+        Outcome::Done(_) => {
+            node.store_taken.send_replace(Some(asked));
+            Ok(())
+        }
         Outcome::Conflict(_) => {
             Err(StoreError::Invalid("an unconditional write returned a conflict".to_owned()))
         }
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -167,6 +167,8 @@
     pub(crate) behind: watch::Sender<bool>,
     /// Counts the suspensions of this process.
     pub(crate) resumed: watch::Sender<u64>,
+    /// When the latest write of this node's entry began that the store took.
+    pub(crate) store_taken: watch::Sender<Option<Millis>>,
     /// Counts the requests that were found to be deadly.
     pub(crate) deadly_found: watch::Sender<u64>,
     /// Distinguishes this process from earlier ones of the same node.
@@ -283,6 +285,7 @@
             catchup: Mutex::default(),
             behind: watch::Sender::new(false),
             resumed: watch::Sender::new(0),
+            store_taken: watch::Sender::new(None),
             deadly_found: watch::Sender::new(0),
             instance: rand::rng().random(),
             findings: Mutex::default(),
--- a/crates/node/src/sync.rs
+++ b/crates/node/src/sync.rs
@@ -139,6 +139,8 @@
     sources: Sources,
     /// Whether the last attempt reached the store, directly or through another node.
     store_reached: bool,
+    /// When the latest call to the store began that failed.
+    store_failed_at: Millis,
 }
 
 /// Follows the store until the process ends.
@@ -153,6 +155,7 @@
         newest_position: Position::default(),
         sources,
         store_reached: true,
+        store_failed_at: Millis(0),
     };
     syncer.bootstrap().await;
     loop {
@@ -235,7 +238,7 @@
             if pause >= LOGGED_PAUSE {
                 log::info!("sync: asks again in {pause}, now at {}", self.format_position());
             }
-            return self.node.pause(pause).await;
+            return self.rest(pause).await;
         }
         let outcome = tokio::select! {
             biased;
@@ -277,6 +280,7 @@
                     log::warn!("sync: {error}; continuing with the copy at {}", self.format_position());
                 }
                 self.record_unreachable();
+                self.store_failed_at = began;
                 let settings = self.node.settings();
                 let directory = self.node.directory.lock();
                 let rng = &mut rand::rng();
@@ -293,6 +297,18 @@
         }
     }
 
+    /// Waits for `pause`. A node without a copy of the store knows no other node that could send one, and rests
+    /// for long; it ends the rest once the store takes what it writes.
+    async fn rest(&mut self, pause: Millis) {
+        let mut taken = self.node.store_taken.subscribe();
+        let failed_at = self.store_failed_at;
+        let is_back = taken.wait_for(|taken| taken.is_some_and(|began| began >= failed_at));
+        tokio::select! {
+            () = self.node.pause(pause) => {}
+            _ = is_back, if self.position.is_none() => self.sources.record_store_return(),
+        }
+    }
+
     fn format_position(&self) -> String {
         self.position.map_or("-".to_owned(), |position| position.to_string())
     }
