Don't let rounds of probes wait for members that are known from the plan only

Cause: members without an entry are probed at their planned addresses since the plan holds these. Change: such probes run beside the rounds, one at a time for each member; what is known of one is kept while it is being probed.

--- a/crates/fleet/src/probe.rs
+++ b/crates/fleet/src/probe.rs
@@ -87,6 +87,8 @@
     records: HashMap<id::Runner, Record>,
     rounds: u32,
     cut: HashSet<id::Hall>,
+    /// Runners that are being probed beside the rounds.
+    in_flight: HashSet<id::Runner>,
 }
 
 impl Probes {
@@ -105,6 +107,11 @@
         }
     }
 
+    /// Keeps what is known of these runners over the next round, as their answers belong to a later one.
+    pub fn set_in_flight(&mut self, runners: HashSet<id::Runner>) {
+        self.in_flight = runners;
+    }
+
     /// Whether the path to a hall is taken to be cut.
     pub fn is_cut(&self, hall: &id::Hall) -> bool {
         self.cut.contains(hall)
@@ -196,7 +203,9 @@
             };
             (answer.runner.clone(), record)
         });
-        self.records = records.collect();
+        let records: HashMap<id::Runner, Record> = records.collect();
+        self.records.retain(|runner, _| self.in_flight.contains(runner));
+        self.records.extend(records);
         self.rounds += 1;
         self.cut = find_cut_halls(round);
         let newly_lost =
--- a/crates/fleet/tests/held.rs
+++ b/crates/fleet/tests/held.rs
@@ -6,6 +6,8 @@
 
 mod instant;
 
+use std::collections::HashSet;
+
 use cottoncrank::{Millis, id};
 use cottoncrank_fleet::decide::Step;
 use cottoncrank_fleet::loss::STALL_MARGIN;
@@ -270,3 +272,24 @@
     assert_eq!((takeover.retired, takeover.still, takeover.known), (1, 1, 1));
     assert_eq!(takeover.longest, Millis(400));
 }
+
+/// Guards against a runner that answered and is forgotten while its next probe is under way.
+#[test]
+fn an_answer_is_kept_while_the_next_probe_is_under_way() {
+    let mut probes = Probes::default();
+    let runner: id::Runner = "r1".parse().unwrap();
+    let answer = Answer {
+        runner: runner.clone(),
+        hall: "hall-a".parse().unwrap(),
+        reported: Observation::Gone,
+        incarnation: None,
+        asked: 1,
+    };
+    probes.record_rounds(&[], &[answer]);
+    probes.set_in_flight(HashSet::from([runner.clone()]));
+    probes.record_rounds(&[], &[]);
+    assert!(probes.is_gone(&runner));
+    probes.set_in_flight(HashSet::new());
+    probes.record_rounds(&[], &[]);
+    assert!(!probes.is_gone(&runner));
+}
--- a/crates/node/src/prober.rs
+++ b/crates/node/src/prober.rs
@@ -34,16 +34,22 @@
 /// Probes all members of groups in rounds, until the task is aborted. Members whose entry is gone are
 /// probed at their last known address, and those of which this node has seen no entry at the planned one.
 pub async fn run(node: Arc<Node>, client: Client, probes: Arc<Mutex<Probes>>) {
+    let mut unlisted = Unlisted::default();
     loop {
         // Slow runners are probed too, so that they are used again once they have recovered.
         let slow = probes.lock().list_slow();
-        let (targets, unlisted) = list_targets(&node, slow);
+        let (targets, planned) = list_targets(&node, slow);
+        unlisted.probe(&node, &client, planned);
         let mut probing = JoinSet::new();
         for target in targets {
-            let retries = !unlisted.contains(&target.id) && !probes.lock().is_silent(&target.id);
+            let retries = !probes.lock().is_silent(&target.id);
             probing.spawn(probe_member(node.clone(), client.clone(), target, retries));
         }
-        let round = probing.join_all().await;
+        let mut round = probing.join_all().await;
+        let late = unlisted.take_answers();
+        let unlisted_ids: HashSet<id::Runner> =
+            late.iter().map(|(answer, ..)| answer.runner.clone()).collect();
+        round.extend(late);
         telemetry::count_probes(round.iter().map(|(answer, ..)| answer.asked as usize).sum());
         let mut answers = Vec::with_capacity(round.len());
         for (answer, leaving, cold_left) in round {
@@ -58,9 +64,13 @@
             }
             answers.push(answer);
         }
-        let (unlisted, answers): (Vec<Answer>, Vec<Answer>) =
-            answers.into_iter().partition(|answer| unlisted.contains(&answer.runner));
-        let newly_lost = probes.lock().record_rounds(&answers, &unlisted);
+        let (late, answers): (Vec<Answer>, Vec<Answer>) =
+            answers.into_iter().partition(|answer| unlisted_ids.contains(&answer.runner));
+        let newly_lost = {
+            let mut probes = probes.lock();
+            probes.set_in_flight(unlisted.in_flight.clone());
+            probes.record_rounds(&answers, &late)
+        };
         // A decider that cannot reach the runners itself hands over to a node that can.
         for hall in probes.lock().list_cut() {
             tokio::spawn(paths::verify(node.clone(), hall.clone()));
@@ -76,9 +86,43 @@
     }
 }
 
-/// Returns the members of groups and the `slow` runners that can be probed, and which of them are known from
-/// the plans only.
-fn list_targets(node: &Node, slow: Vec<id::Runner>) -> (Vec<Target>, HashSet<id::Runner>) {
+/// The probes of members that are known from the plans only. Most of them are gone, so rounds don't wait for
+/// their timeouts.
+#[derive(Default)]
+struct Unlisted {
+    probing: JoinSet<Probed>,
+    in_flight: HashSet<id::Runner>,
+}
+
+impl Unlisted {
+    /// Begins to probe those that are not being probed already.
+    fn probe(&mut self, node: &Arc<Node>, client: &Client, targets: Vec<Target>) {
+        for target in targets {
+            if self.in_flight.insert(target.id.clone()) {
+                self.probing.spawn(probe_member(node.clone(), client.clone(), target, false));
+            }
+        }
+    }
+
+    /// Returns the answers and timeouts since the last call.
+    fn take_answers(&mut self) -> Vec<Probed> {
+        let mut answers = Vec::new();
+        while let Some(probed) = self.probing.try_join_next() {
+            match probed {
+                Ok(probed) => answers.push(probed),
+                Err(error) => log::error!("decider: a probe ended early: {error}"),
+            }
+        }
+        for (answer, ..) in &answers {
+            self.in_flight.remove(&answer.runner);
+        }
+        answers
+    }
+}
+
+/// Returns the members of groups and the `slow` runners that can be probed, and apart from them those that are
+/// known from the plans only.
+fn list_targets(node: &Node, slow: Vec<id::Runner>) -> (Vec<Target>, Vec<Target>) {
     let (mut members, planned): (HashSet<id::Runner>, HashMap<id::Runner, Place>) = {
         let plans = node.plans.lock();
         let groups = plans.values().flat_map(|plan| &plan.groups);
@@ -89,27 +133,21 @@
     let roster = node.roster.lock();
     let (listed, unlisted): (Vec<id::Runner>, Vec<id::Runner>) =
         members.into_iter().partition(|id| roster.get_last_known(id).is_some());
-    let mut targets: Vec<Target> =
+    let targets: Vec<Target> =
         listed.iter().filter_map(|id| roster.get_last_known(id)).map(Target::of).collect();
     let places = unlisted.into_iter().filter_map(|id| Some((id.clone(), planned.get(&id)?.clone())));
-    let unlisted: Vec<Target> = places.map(|(id, place)| Target::at(id, place)).collect();
-    let ids = unlisted.iter().map(|target| target.id.clone()).collect();
-    targets.extend(unlisted);
-    (targets, ids)
+    (targets, places.map(|(id, place)| Target::at(id, place)).collect())
 }
 
+/// The answer of a member, whether it is about to leave, and how much longer it stays cold.
+type Probed = (Answer, bool, Option<Millis>);
+
 /// Probes a member. If it does not answer and the probe is to be retried, it is probed once more at once,
-/// through another node if this node does not reach it. Returns its answer, whether it is about to leave, and
-/// how much longer it stays cold.
+/// through another node if this node does not reach it.
 ///
 /// Retries show whether this node reaches the runners of the hall at all, so there are none of runners that are
 /// silent or may have been gone for long.
-async fn probe_member(
-    node: Arc<Node>,
-    client: Client,
-    target: Target,
-    retries: bool,
-) -> (Answer, bool, Option<Millis>) {
+async fn probe_member(node: Arc<Node>, client: Client, target: Target, retries: bool) -> Probed {
     let mut attempts = 1;
     let mut probed = order::probe(&client, target.address, &target.id, PROBE_TIMEOUT).await;
     if probed.reported == Observation::Silent && retries {
