Go on as the decider where the store refuses a write of plans

Cause: after a write that the store refused with 429 or 503 the decider read the plans again, as after one whose outcome is not known. Where that read was refused as well, its term ended, and the next one knew nothing of the runners that it had watched: all waits of a return began anew. Found by a review of the trace; at a return all nodes call the store at once. Change: a refused write was not made, so the plans are still known, and the next round writes them.

--- a/crates/node/src/decider/term.rs
+++ b/crates/node/src/decider/term.rs
@@ -459,6 +459,8 @@
             }
             Err(StoreError::LeaseExpired) => Err(StoreError::LeaseExpired.into()),
             Err(StoreError::Restored(_)) => Err(EndError::StoreRestored),
+            // Nothing was written, and a read that is refused as well would end the term.
+            Err(StoreError::Busy(_)) => Ok(false),
             Err(_) => {
                 self.plans = read_plans(&self.node).await?;
                 Ok(false)
--- a/crates/node/tests/writes.rs
+++ b/crates/node/tests/writes.rs
@@ -99,3 +99,20 @@
     fleet.wait("four groups are open again", |fleet| fleet.all_know(4)).await;
     assert_eq!(fleet.store.calls().conflicts, 0, "writes met conflicts");
 }
+
+/// A decider whose write was refused read the plans again, and a refusal of that read ended its term: the next one
+/// knew nothing of the runners that it had watched.
+#[tokio::test]
+async fn a_decider_whose_write_is_refused_stays_in_office() {
+    let fleet = Fleet::serving(1).await;
+    let node = &fleet.nodes[0].node;
+    fleet.wait("the node decides", |_| node.is_deciding()).await;
+    fleet.store.set_fault(Fault::Busy);
+    fleet.engines[0].crash();
+    // Within the lease, and longer than a member that refuses connections takes to be found.
+    let end = Instant::now() + Duration::from_millis(1100);
+    while Instant::now() < end {
+        assert!(node.is_deciding(), "its term ended");
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+}
