Prefer the answer of a listed member to an older probe at its planned address

Cause: a member whose entry arrived while its probe at the planned address was under way was in a round twice, and the older timeout could replace its answer. Change: the older one is dropped.

--- a/crates/node/src/prober.rs
+++ b/crates/node/src/prober.rs
@@ -46,10 +46,10 @@
             probing.spawn(probe_member(node.clone(), client.clone(), target, retries));
         }
         let mut round = probing.join_all().await;
-        let late = unlisted.take_answers();
-        let unlisted_ids: HashSet<id::Runner> =
-            late.iter().map(|(answer, ..)| answer.runner.clone()).collect();
-        round.extend(late);
+        let listed: HashSet<id::Runner> = round.iter().map(|(answer, ..)| answer.runner.clone()).collect();
+        // One that has an entry by now was asked anew in this round.
+        let late = unlisted.take_answers().into_iter();
+        round.extend(late.filter(|(answer, ..)| !listed.contains(&answer.runner)));
         telemetry::count_probes(round.iter().map(|(answer, ..)| answer.asked as usize).sum());
         let mut answers = Vec::with_capacity(round.len());
         for (answer, leaving, cold_left) in round {
@@ -64,8 +64,8 @@
             }
             answers.push(answer);
         }
-        let (late, answers): (Vec<Answer>, Vec<Answer>) =
-            answers.into_iter().partition(|answer| unlisted_ids.contains(&answer.runner));
+        let (answers, late): (Vec<Answer>, Vec<Answer>) =
+            answers.into_iter().partition(|answer| listed.contains(&answer.runner));
         let newly_lost = {
             let mut probes = probes.lock();
             probes.set_in_flight(unlisted.in_flight.clone());
