Log where the places behind a plan cannot be decoded

Cause: such places were taken for none without a line. Change: a warning with the key; the groups are known without them, as before. Result: the tests of crates/node/tests/plans.rs hold.

--- a/crates/node/src/plans.rs
+++ b/crates/node/src/plans.rs
@@ -105,7 +105,10 @@
     document.check().map_err(|flaw| invalid(flaw.to_string()))?;
     if !rest.is_empty() {
         // The groups are known without them.
-        document.places = rmp_serde::from_read(&mut rest).unwrap_or_default();
+        document.places = rmp_serde::from_read(&mut rest).unwrap_or_else(|error| {
+            log::warn!("store: the places of members behind `{}` cannot be decoded: {error}", item.key);
+            BTreeMap::new()
+        });
     }
     Ok(Some((domain, document)))
 }
