Wait for the members of retired groups no longer than these are held

Change: the bound is the stall time, its margin and a second, or a load if that is shorter. Found by a review.

--- a/crates/fleet/src/awaited.rs
+++ b/crates/fleet/src/awaited.rs
@@ -8,9 +8,13 @@
 
 use crate::catalog::Model;
 use crate::decided::Decided;
+use crate::loss::STALL_MARGIN;
 use crate::runner::Runner;
 use crate::snapshot::{Draft, Snapshot, find_join_time};
 
+/// The time for the orders to leave, and for the write that releases a group.
+const RELEASE_TIME: Millis = Millis(1000);
+
 /// Returns for each model whether a group of it is awaited, of the members of retired groups or of runners
 /// that are loading it.
 pub(crate) fn list_awaited(
@@ -28,9 +32,10 @@
             awaited.push(false);
             continue;
         }
-        // A retired group may be held for longer than a load takes.
+        // A retired group is held no longer than this, unless its head finishes requests.
+        let release = snapshot.stall + STALL_MARGIN + RELEASE_TIME;
         let since = *decided.awaited_since.entry(key).or_insert(snapshot.now);
-        let waits = snapshot.now < since + model.load_time;
+        let waits = snapshot.now < since + release.min(model.load_time);
         let is_whole =
             |draft: &Draft| count_holders(snapshot.now, draft, model, waits, decided) >= model.size;
         awaited.push(drafts.iter().any(is_whole));
