--- a/crates/soak/tests/outage.rs
+++ b/crates/soak/tests/outage.rs
@@ -42,3 +42,11 @@
     let store_away = Duration::from_millis(4000);
     check_return("older", Outage { seed: 7, store_away, older: true, ..Outage::default() }).await;
 }
+
+/// Guards against the same with callers that repeat: each refused try is a request, so what serves has to outweigh
+/// what refuses.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_fleet_that_lost_heads_and_the_store_serves_callers_that_repeat_in_time() {
+    let store_away = Duration::from_millis(4000);
+    check_return("repeats", Outage { seed: 7, store_away, repeat: true, ..Outage::default() }).await;
+}
