--- a/crates/soak/tests/outage.rs
+++ b/crates/soak/tests/outage.rs
@@ -4,6 +4,7 @@
 
 use cottoncrank_soak::fleet::find_program;
 use cottoncrank_soak::outage::{Outage, Replacement, play};
+use cottoncrank_soak::recovery::RECOVERY;
 
 /// The part of a processor that each node has, in percent.
 const PROCESSOR: u32 = 25;
@@ -50,3 +51,24 @@
     let store_away = Duration::from_millis(4000);
     check_return("repeats", Outage { seed: 7, store_away, repeat: true, ..Outage::default() }).await;
 }
+
+/// Guards against members of groups that nobody can ask, as only the nodes before knew where they are: another
+/// runner answers at the address of each head, so that nothing has to be waited for.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_fleet_whose_heads_were_replaced_serves_a_quarter_for_good_in_time() {
+    let folder = std::env::temp_dir().join(format!("cottoncrank-outage-replaced-{}", std::process::id()));
+    let outage = Outage {
+        seed: 7,
+        empty: 50,
+        heads: true,
+        replacement: Replacement::Same,
+        processor: PROCESSOR,
+        store_away: Duration::from_millis(4000),
+        ..Outage::default()
+    };
+    let report = play(&outage, find_program().unwrap(), &folder).await.unwrap();
+    println!("replaced: {report}");
+    assert!(report.breaches.is_empty(), "{:?}", report.breaches);
+    assert!(report.find_for_good().is_some_and(|at| at <= RECOVERY), "{report}");
+    std::fs::remove_dir_all(&folder).unwrap();
+}
