--- a/crates/soak/src/outage.rs
+++ b/crates/soak/src/outage.rs
@@ -3,17 +3,17 @@
 //! Nodes are processes, runners take as long to load models as real ones, and the nodes can be given a part
 //! of a processor. What callers are served is counted from the last start of a node.
 
+mod asker;
+mod report;
+
 use std::collections::{BTreeMap, HashMap};
-use std::fmt;
 use std::io;
-use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use clap::ValueEnum;
 use cottoncrank::Millis;
-use cottoncrank_platform_standin::operator::{LARGE_STREAM, ONCE, READ, STREAM};
 use cottoncrank_platform_standin::runner;
 use cottoncrank_platform_standin::store::{self, Snapshot};
 use parking_lot::Mutex;
@@ -23,13 +23,14 @@
 use rustix::process::Signal;
 use tokio::task::JoinSet;
 
+use self::asker::{Asker, draw_path};
+pub use self::report::Report;
+use self::report::{Call, RECOVERED, SPAN};
 use crate::check::Breach;
 use crate::fleet::{Fleet, Server};
 use crate::groups::{Row, Watch};
-use crate::load::send_new;
-use crate::partition::Count;
 use crate::plan::Harm;
-use crate::recovery::{MIN_SHARE, RECOVERY};
+use crate::recovery::RECOVERY;
 use crate::sheet;
 
 /// How often the fleet is looked at.
@@ -62,15 +63,6 @@
 const FORMS: Duration = Duration::from_secs(60);
 const MIN_GROUPS: usize = 18;
 
-/// How long requests are sent on after service is to be back.
-const RECOVERED: Duration = Duration::from_secs(6);
-
-/// The time of a request, at its caller.
-const WAIT: Duration = Duration::from_secs(6);
-
-/// Requests are answered within this, so that those sent before were not cut by the outage.
-const ANSWERED: Duration = Duration::from_secs(2);
-
 /// Requests that each node gets in a second.
 const RATE: u64 = 15;
 
@@ -80,12 +72,6 @@
 /// A hall that was cut off is reached again this long before the outage.
 const CUT_END: Duration = Duration::from_millis(1000);
 
-/// Callers that repeat wait this long before each new try.
-const REPEAT_PAUSE: Duration = Duration::from_millis(50);
-
-/// Service is counted for spans of this length.
-const SPAN: Duration = Duration::from_millis(500);
-
 /// How runners that are lost at the moment of the outage are replaced by empty ones.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, ValueEnum)]
 pub enum Replacement {
@@ -160,72 +146,6 @@
     }
 }
 
-/// A request, by when it was sent, and whether it was served.
-#[derive(Clone, Copy, Debug)]
-struct Call {
-    sent: Instant,
-    served: bool,
-}
-
-/// What came of an outage.
-#[derive(Clone, Debug, Default)]
-pub struct Report {
-    /// What was served before it.
-    pub before: Count,
-    /// What was served of what was sent later than [`RECOVERY`] after the return.
-    pub after: Count,
-    /// What was served of what was sent in each [`SPAN`] after the return.
-    pub spans: Vec<Count>,
-    /// Promises to runners that were broken.
-    pub breaches: Vec<Breach>,
-}
-
-impl Report {
-    /// Returns how long after the return the fleet served a quarter for the first time.
-    pub fn find_first(&self) -> Option<Duration> {
-        self.spans.iter().position(is_service).map(|at| SPAN * at as u32)
-    }
-
-    /// Returns from when after the return on the fleet served a quarter in each span.
-    pub fn find_for_good(&self) -> Option<Duration> {
-        let down = self.spans.iter().rposition(|span| !is_service(span));
-        let from = down.map_or(0, |at| at + 1);
-        (from < self.spans.len()).then(|| SPAN * from as u32)
-    }
-
-    /// Whether a fleet that served before serves in time after its return.
-    pub fn recovers(&self) -> bool {
-        !is_service(&self.before) || is_service(&self.after)
-    }
-}
-
-fn is_service(count: &Count) -> bool {
-    count.sent == 0 || count.share() >= MIN_SHARE
-}
-
-impl fmt::Display for Report {
-    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
-        let share = |count: &Count| if count.sent == 0 { 1.0 } else { count.share() };
-        let at = |found: Option<Duration>| {
-            found.map_or("never".to_owned(), |at| format!("{:.1}s", at.as_secs_f64()))
-        };
-        let margin =
-            self.find_for_good().map_or(f64::NEG_INFINITY, |at| RECOVERY.as_secs_f64() - at.as_secs_f64());
-        write!(
-            f,
-            "{}: served {:.2} before, {:.2} of {} sent later than {}s; a quarter first after {}, for good after {} (margin {margin:.1}s); spans",
-            if self.recovers() { "RECOVERS" } else { "DOES NOT RECOVER" },
-            share(&self.before),
-            share(&self.after),
-            self.after.sent,
-            RECOVERY.as_secs(),
-            at(self.find_first()),
-            at(self.find_for_good()),
-        )?;
-        self.spans.iter().try_for_each(|span| write!(f, " {:.2}", share(span)))
-    }
-}
-
 /// A play under way.
 struct Play<'a> {
     outage: &'a Outage,
@@ -284,26 +204,7 @@
     // What was sent last is still awaited.
     let breaches = std::mem::take(&mut play.breaches);
     let calls = play.calls.lock();
-    Ok(Report {
-        before: count(&calls, |sent| sent + ANSWERED < lost),
-        after: count(&calls, |sent| sent > returned + RECOVERY),
-        spans: count_spans(&calls, returned),
-        breaches,
-    })
-}
-
-fn count(calls: &[Call], is_counted: impl Fn(Instant) -> bool) -> Count {
-    let counted = calls.iter().filter(|call| is_counted(call.sent));
-    counted.fold(Count::default(), |count, call| Count {
-        sent: count.sent + 1,
-        served: count.served + usize::from(call.served),
-    })
-}
-
-fn count_spans(calls: &[Call], returned: Instant) -> Vec<Count> {
-    let spans = (RECOVERY + RECOVERED).as_millis() / SPAN.as_millis();
-    let span = |at: u32| returned + SPAN * at..returned + SPAN * (at + 1);
-    (0..spans as u32).map(|at| count(calls, |sent| span(at).contains(&sent))).collect()
+    Ok(Report::new(&calls, lost, returned, breaches))
 }
 
 impl Play<'_> {
@@ -615,38 +516,3 @@
         self.copies.retain(|(at, _)| last.is_some_and(|last| *at + COPY_AGE >= last));
     }
 }
-
-/// What sends requests to a node.
-#[derive(Clone)]
-struct Asker {
-    to: SocketAddr,
-    key: Arc<Mutex<String>>,
-    calls: Arc<Mutex<Vec<Call>>>,
-    repeats: bool,
-}
-
-impl Asker {
-    /// Sends a request, and again if callers repeat. Each try is a request of its own.
-    async fn ask(self, path: &'static str, id: String) {
-        let first = Instant::now();
-        for attempt in 0.. {
-            let (sent, key) = (Instant::now(), self.key.lock().clone());
-            let served = send_new(self.to, path, &format!("{id}-{attempt}"), &key, WAIT).await;
-            self.calls.lock().push(Call { sent, served });
-            if served || !self.repeats || first.elapsed() >= WAIT {
-                return;
-            }
-            tokio::time::sleep(REPEAT_PAUSE).await;
-        }
-    }
-}
-
-/// Returns the path of the next request: two of three ask the small model, one of nine is plain.
-fn draw_path(rng: &mut SmallRng) -> &'static str {
-    match rng.random_range(0..18) {
-        0 => READ,
-        1 => ONCE,
-        2..6 => LARGE_STREAM,
-        _ => STREAM,
-    }
-}
