--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -117,6 +117,7 @@
 mod retries;
 mod returns;
 mod runner_stream;
+mod runners;
 mod signals;
 pub mod start;
 pub mod state;
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -29,11 +29,10 @@
 use cottoncrank_fleet::presence::Presence;
 use cottoncrank_fleet::rejections;
 use cottoncrank_fleet::retries::{Allowance, Pool};
-use cottoncrank_fleet::roster::{Roster, Update};
-use cottoncrank_fleet::runner::{Incarnation, Place, Runner};
+use cottoncrank_fleet::roster::Roster;
 use cottoncrank_fleet::settings::Settings;
 use cottoncrank_fleet::stall::Stalls;
-use cottoncrank_fleet::suspects::{Origin, Table};
+use cottoncrank_fleet::suspects::Table;
 use cottoncrank_fleet::trials::{Baseline, Trials};
 use cottoncrank_net::client::{Client, Traffic};
 use cottoncrank_net::reach::Reach;
@@ -44,7 +43,6 @@
 use tokio::sync::{Notify, watch};
 
 use crate::admission;
-use crate::attempt::Pick;
 use crate::connect::Opening;
 use crate::crash::Findings;
 use crate::denylist::Denylist;
@@ -55,7 +53,6 @@
 use crate::pressure;
 use crate::returns;
 use crate::supervise::Turns;
-use crate::suspects;
 use crate::telemetry;
 use crate::tunnel::Carried;
 use crate::unread::ClosedUnread;
@@ -430,29 +427,6 @@
         self.freshness.lock().allows(self.now(), self.settings().bounds.revoke)
     }
 
-    /// Stores a runner's entry and detects a new incarnation of the runner.
-    pub fn insert_runner(&self, runner: Runner) {
-        let (id, incarnation) = (runner.id.clone(), runner.incarnation);
-        let crashed = self.interruptions.lock().take_replaced(&id, runner.address, self.now());
-        suspects::merge_rows(self, &crashed, Origin::Hall);
-        let update = self.roster.lock().receive(runner, self.now());
-        match (update, incarnation) {
-            (Update::Restarted, Some(incarnation)) => self.handle_restart(&id, incarnation),
-            (Update::Outdated, Some(incarnation)) => {
-                log::info!(
-                    "roster: ignoring an entry of {id}: its incarnation {incarnation} is older than the known one"
-                )
-            }
-            _ => {}
-        }
-    }
-
-    /// Stops using a runner whose entry is invalid. Requests that run there continue.
-    pub fn discard_runner(&self, id: &id::Runner) {
-        self.roster.lock().discard(id, self.now());
-        self.ledger.lock().forget(id);
-    }
-
     /// Counts an invalid item of the store, and logs it unless it was logged lately.
     pub(crate) fn report_invalid_item(
         &self,
@@ -467,44 +441,6 @@
         }
     }
 
-    /// Returns where a runner was last known to be, by its entry or by the plans.
-    pub fn find_place(&self, id: &id::Runner) -> Option<Place> {
-        let seen = self.roster.lock().get_last_known(id).map(Runner::place);
-        seen.or_else(|| self.plans.lock().values().find_map(|plan| plan.places.get(id)).cloned())
-    }
-
-    /// Records the incarnation that a runner reported.
-    pub fn record_incarnation(&self, id: &id::Runner, incarnation: Incarnation) {
-        if self.roster.lock().record_incarnation(id, incarnation) {
-            self.roster.lock().record_cold_start(id, self.now());
-            self.handle_restart(id, incarnation);
-            self.fleet_changed.notify_one();
-        }
-    }
-
-    /// Records that the process of the runner that was picked has ended.
-    pub(crate) fn record_end(&self, pick: &Pick) {
-        self.roster.lock().record_end(&pick.id, pick.incarnation, self.now());
-    }
-
-    /// Records that a runner announced in an answer that it is leaving.
-    pub(crate) fn record_leaving(&self, id: &id::Runner, incarnation: Option<Incarnation>) {
-        if self.roster.lock().record_leaving(id, incarnation) {
-            log::info!("roster: {id} announced that it is leaving");
-            metrics::counter!("cottoncrank_runners_leaving_total").increment(1);
-            self.fleet_changed.notify_one();
-        }
-    }
-
-    /// Drops what was observed of a runner's earlier incarnation.
-    fn handle_restart(&self, id: &id::Runner, incarnation: Incarnation) {
-        log::info!("roster: {id} has started again, its incarnation is now {incarnation}");
-        metrics::counter!("cottoncrank_runners_restarted_total").increment(1);
-        self.ledger.lock().record_restart(id);
-        let crashed = self.interruptions.lock().take_earlier(id, incarnation, self.now());
-        suspects::merge_rows(self, &crashed, Origin::Hall);
-    }
-
     /// Records that this node knows every change of the store up to `at`.
     pub fn record_contact(&self, at: Millis) {
         self.last_contact.send_if_modified(|contact| {
