--- a/crates/soak/src/bin/outage.rs
+++ b/crates/soak/src/bin/outage.rs
@@ -24,6 +24,15 @@
     /// The part of a processor that each node has, in percent.
     #[arg(long, default_value_t = 100)]
     processor: u32,
+    /// A node that gets a part of a processor runs for that part of each such turn, in milliseconds.
+    #[arg(long, default_value_t = 100)]
+    turn: u64,
+    /// The settings of the nodes tell what their boxes give them: a quarter of a core, memory, descriptors.
+    #[arg(long)]
+    limits: bool,
+    /// The requests in a second of each hall, shared by its nodes; the same to each node if there are none.
+    #[arg(long, default_value_t = 0)]
+    hall_rate: u64,
     /// The part of the runners that come back empty, in percent.
     #[arg(long, default_value_t = 0)]
     empty: u32,
@@ -101,6 +110,9 @@
         seed,
         down: Duration::from_millis(args.down),
         processor: args.processor,
+        turn: Duration::from_millis(args.turn),
+        limits: args.limits,
+        hall_rate: args.hall_rate,
         empty: args.empty,
         heads: args.heads,
         replacement: args.replacement,
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -253,7 +253,9 @@
             ceiling_overshoot: self.layout.sheet.as_ref().map_or(1.0, |sheet| sheet.ceiling_overshoot),
         };
         let file = folder.join(format!("node-{number}.toml"));
-        std::fs::write(&file, settings::render(&settings))?;
+        let limits = self.layout.sheet.as_ref().and_then(|sheet| sheet.limits.as_ref());
+        let limits = limits.map(settings::render_limits).unwrap_or_default();
+        std::fs::write(&file, settings::render(&settings) + &limits)?;
         let log = folder.join(format!("node-{number}.log"));
         Ok(Node { number, callers, store, lives: 0, file, log, child: None, _ports: ports })
     }
--- a/crates/soak/src/sheet.rs
+++ b/crates/soak/src/sheet.rs
@@ -5,6 +5,7 @@
 use cottoncrank::Millis;
 use cottoncrank_platform_standin::operator::{LARGE_MODEL, MODEL, add_large_model, set_capacity};
 use cottoncrank_platform_standin::runner::loading::{Loading, Times, WeightStore};
+use cottoncrank_platform_standin::settings::Limits;
 use serde_json::Value;
 
 use crate::fleet::Layout;
@@ -37,6 +38,9 @@
 const CEILING_WINDOW_S: f64 = 5.0;
 const CEILING_OVERSHOOT: f64 = 1.1;
 
+/// What a box gives its node.
+const LIMITS: Limits = Limits { cpu_share: 0.25, memory_mb: 260, max_fds: 4200 };
+
 /// How the runners of a fleet work.
 #[derive(Clone, Debug)]
 pub struct Sheet {
@@ -48,6 +52,8 @@
     pub ceiling_window_s: f64,
     /// The factor by which their rate may be exceeded in it.
     pub ceiling_overshoot: f64,
+    /// What a box gives its node by the settings, if they say so.
+    pub limits: Option<Limits>,
 }
 
 impl Sheet {
@@ -59,8 +65,9 @@
     }
 }
 
-/// Six nodes before sixty runners in three halls, with two models.
-pub fn lay_out() -> Layout {
+/// Six nodes before sixty runners in three halls, with two models; `limits` are in the settings of the nodes, or
+/// not.
+pub fn lay_out(limits: bool) -> Layout {
     let nodes = HALLS.iter().flat_map(|(hall, nodes)| std::iter::repeat_n(*hall, *nodes)).collect();
     let domains = HALLS.iter().flat_map(|(hall, _)| std::iter::repeat_n(*hall, DOMAINS_PER_HALL)).enumerate();
     let engines = domains.flat_map(|(domain, hall)| std::iter::repeat_n((hall, domain), DOMAIN)).collect();
@@ -72,6 +79,7 @@
         slots: SLOTS,
         ceiling_window_s: CEILING_WINDOW_S,
         ceiling_overshoot: CEILING_OVERSHOOT,
+        limits: limits.then_some(LIMITS),
     };
     Layout {
         nodes,
