Let a decider without callers of its own know that callers are served

Cause: whether callers are served was what the deciding node had seen since its start. After a loss of all nodes its successor took loads for fast and began 25 at once beside seven of its predecessor.

New tests of crates/fleet and crates/node, red without the evidence in the step. cottoncrank-fleet whole: green. Of cottoncrank-node, callers, plans, eras and pressure: green. writes: a_decider_whose_write_is_refused_stays_in_office is red beside other runs (load 27), 6 of 6 times, and 6 of 6 without this change; it is not mended here.

--- a/crates/fleet/src/decide.rs
+++ b/crates/fleet/src/decide.rs
@@ -8,6 +8,7 @@
 
 use cottoncrank::id;
 
+use crate::callers;
 use crate::catalog::{Engine, Model};
 use crate::form::{Conditions, find_last_epoch, form_groups, record_unordered_loads};
 use crate::issuer::Issuer;
@@ -44,6 +45,7 @@
 /// [`Memory::record_written`].
 pub fn step(snapshot: &Snapshot, memory: &mut Memory) -> Step {
     let Some(published) = &snapshot.service.engine else { return Step::default() };
+    let snapshot = &Snapshot { serving: callers::find(snapshot).is_some(), ..*snapshot };
     let mut decided = memory.begin_step(snapshot);
     let demand = memory.demands.entry(snapshot.service.id.clone()).or_default();
     if let Some(in_flight) = snapshot.in_flight.filter(|_| snapshot.serving) {
@@ -103,6 +105,9 @@
     let account =
         held_back.then(|| decided.loads.account(snapshot.now, engine, snapshot.ceiling, snapshot.serving));
     step.notes.extend(memory.holdback.record(account, snapshot.now));
+    if snapshot.serving {
+        callers::record(snapshot, &mut drafts);
+    }
     let changed = drafts.into_iter().filter(|draft| match snapshot.plans.get(&draft.id) {
         Some(plan) => *plan != draft.plan,
         None => !draft.plan.groups.is_empty(),
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -26,6 +26,7 @@
 //! [`decide`] is the entry point. It calls the others, on the node that holds the decider lease.
 //!
 //! - [`snapshot`]: the planner's input, and [`memory`]: what the planner remembers besides it.
+//! - [`callers`]: whether callers have sent requests to the fleet yet.
 //! - [`demand`], [`loads`] and [`reserve`]: the share of the runners that each model needs, how many
 //!   runners may load a model at once, and the value of spare runners.
 //! - [`loss`]: retires groups that lost a member.
@@ -78,6 +79,7 @@
 mod awaited;
 pub mod backoff;
 pub mod balance;
+pub mod callers;
 pub mod catalog;
 pub mod catchup;
 pub mod census;
--- a/crates/fleet/src/plan.rs
+++ b/crates/fleet/src/plan.rs
@@ -79,6 +79,10 @@
     /// the encoded document, because builds that do not know it could not decode that.
     #[serde(skip)]
     pub places: BTreeMap<id::Runner, Place>,
+    /// Whether callers have sent requests to the fleet; one plan says so for all. Not a part of the
+    /// encoded document either.
+    #[serde(skip)]
+    pub served: bool,
 }
 
 /// Why a decoded plan is invalid.
--- a/crates/fleet/src/snapshot.rs
+++ b/crates/fleet/src/snapshot.rs
@@ -30,7 +30,8 @@
     pub closed: &'a BTreeSet<id::Domain>,
     /// The results of the health checks of runners.
     pub probes: &'a Probes,
-    /// Whether callers have sent requests yet. Before that, loads are fast.
+    /// Whether callers have sent requests yet, as far as this node has had some. Before that, loads are
+    /// fast. What else shows it, [`crate::callers`] finds.
     pub serving: bool,
     /// The limit on the rate of loads.
     pub ceiling: &'a Ceiling,
--- a/crates/fleet/tests/returned.rs
+++ b/crates/fleet/tests/returned.rs
@@ -181,8 +181,8 @@
     starts.iter().map(count).max().unwrap_or(0)
 }
 
-/// Deciders that end one after the other know nothing of each other's loads, and one that has not had a
-/// request of a caller since its start takes them for fast.
+/// Deciders that end one after the other know nothing of each other's loads. One that had not had a request of a
+/// caller since its start took loads for fast, and began 25 at once beside seven of its predecessor.
 #[test]
 fn successive_deciders_keep_the_ceiling_of_loads() {
     for sees_callers in [true, false] {
--- a/crates/node/src/decider/term.rs
+++ b/crates/node/src/decider/term.rs
@@ -9,6 +9,7 @@
 
 use cottoncrank::{Millis, id};
 use cottoncrank_fleet::adopt::adopt;
+use cottoncrank_fleet::callers::{self, Evidence};
 use cottoncrank_fleet::catalog::Service;
 use cottoncrank_fleet::census::{self, Census};
 use cottoncrank_fleet::decide::{Step, step};
@@ -310,10 +311,9 @@
             let documents = self.plans.list_documents();
             let in_flight = self.node.sum_all_in_flight();
             let serving = self.node.is_serving();
-            self.log_serving(serving);
             let rejecting = feedback::list_long_rejecting(&self.node);
             let started = self.node.now();
-            let (step, census, waits) = {
+            let (step, census, waits, evidence) = {
                 let roster = self.node.roster.lock();
                 let probes = self.probes.lock();
                 let pressure = pressure::sum(&self.node, &catalog, &service.id);
@@ -335,8 +335,10 @@
                 };
                 let mut memory = self.memory.lock();
                 let step = step(&snapshot, &mut memory);
-                (step, census::count(&snapshot, engine), waits::count(&snapshot, &memory))
+                let evidence = callers::find(&snapshot);
+                (step, census::count(&snapshot, engine), waits::count(&snapshot, &memory), evidence)
             };
+            self.log_serving(evidence);
             telemetry::record_planning_time(self.node.now().since(started));
             self.log_census(&service.id, census);
             self.log_waits(&service.id, waits);
@@ -349,13 +351,14 @@
     }
 
     /// Logs whether callers count as served, and why, at the begin of the term and when it changes.
-    fn log_serving(&mut self, serving: bool) {
+    fn log_serving(&mut self, evidence: Option<Evidence>) {
+        let serving = evidence.is_some();
         if self.logged_serving.replace(serving) == Some(serving) {
             return;
         }
-        match serving {
-            true => log::info!("decider: loads count as slow, this node has had requests of callers"),
-            false => log::info!("decider: loads count as fast, this node has had no request of a caller yet"),
+        match evidence {
+            Some(evidence) => log::info!("decider: loads count as slow, {evidence}"),
+            None => log::info!("decider: loads count as fast, nothing shows a request of a caller yet"),
         }
     }
 
--- a/crates/node/src/plans.rs
+++ b/crates/node/src/plans.rs
@@ -103,18 +103,27 @@
     let mut document: Document =
         rmp_serde::from_read(&mut rest).map_err(|error| invalid(error.to_string()))?;
     document.check().map_err(|flaw| invalid(flaw.to_string()))?;
-    if !rest.is_empty() {
+    if let Err(error) = decode_notes(rest, &mut document) {
         // The groups are known without them.
-        document.places = rmp_serde::from_read(&mut rest).unwrap_or_else(|error| {
-            log::warn!("store: the places of members behind `{}` cannot be decoded: {error}", item.key);
-            BTreeMap::new()
-        });
+        log::warn!("store: the notes behind `{}` cannot be decoded: {error}", item.key);
     }
     Ok(Some((domain, document)))
 }
 
-/// Returns the key and the value of a plan in the store. The places of the members follow the document:
-/// earlier builds read no further than its end, and could not read it if it were longer.
+/// Decodes what follows a document: the places of its members, and whether callers have sent requests.
+/// Earlier builds wrote the first alone, or neither.
+fn decode_notes(mut rest: &[u8], document: &mut Document) -> Result<(), rmp_serde::decode::Error> {
+    if !rest.is_empty() {
+        document.places = rmp_serde::from_read(&mut rest)?;
+    }
+    if !rest.is_empty() {
+        document.served = rmp_serde::from_read(&mut rest)?;
+    }
+    Ok(())
+}
+
+/// Returns the key and the value of a plan in the store. The notes follow the document: earlier builds read
+/// no further than its end, or than the places, and could not read it if it were longer.
 pub fn encode_plan(domain: &id::Domain, document: &Document) -> Result<(String, Vec<u8>), PlanError> {
     let key = format!("{PREFIX}{domain}");
     match encode_parts(document) {
@@ -125,8 +134,11 @@
 
 fn encode_parts(document: &Document) -> Result<Vec<u8>, rmp_serde::encode::Error> {
     let mut bytes = rmp_serde::to_vec(document)?;
-    if !document.places.is_empty() {
+    if !document.places.is_empty() || document.served {
         bytes.extend(rmp_serde::to_vec(&document.places)?);
     }
+    if document.served {
+        bytes.extend(rmp_serde::to_vec(&document.served)?);
+    }
     Ok(bytes)
 }
--- a/crates/node/tests/plans.rs
+++ b/crates/node/tests/plans.rs
@@ -1,5 +1,8 @@
 //! The encoded form of plans, which builds before and after this one read.
 
+use std::collections::BTreeMap;
+
+use cottoncrank::id;
 use cottoncrank_fleet::plan::{Document, Group, State};
 use cottoncrank_fleet::position::Position;
 use cottoncrank_fleet::runner::{Epoch, Incarnation, Place};
@@ -47,6 +50,7 @@
         groups: vec![group],
         version: 9,
         places: [("r1".parse().unwrap(), place(80)), ("r2".parse().unwrap(), place(81))].into(),
+        served: false,
     }
 }
 
@@ -98,3 +102,19 @@
     value.truncate(value.len() - 1);
     assert_eq!(decode(value), Some(Document { places: Default::default(), ..document() }));
 }
+
+/// What a build reads that knows places and nothing behind them.
+#[test]
+fn a_plan_tells_of_callers_behind_its_places() {
+    for places in [document().places, Default::default()] {
+        let told = Document { places: places.clone(), served: true, ..document() };
+        let (_, value) = encode_plan(&"d0".parse().unwrap(), &told).unwrap();
+        assert_eq!(decode(value.clone()), Some(told));
+        let mut rest = &value[..];
+        assert_eq!(rmp_serde::from_read::<_, OldDocument>(&mut rest).unwrap(), old_document());
+        assert_eq!(rmp_serde::from_read::<_, BTreeMap<id::Runner, Place>>(&mut rest).unwrap(), places);
+        // The mark is one byte. Without it, the rest is read as before.
+        let cut = value[..value.len() - 1].to_vec();
+        assert_eq!(decode(cut), Some(Document { places, ..document() }));
+    }
+}
