Run prompts without the other parts that may explain a part's crashes

Callers saw: where two parts of prompts crash runners and share their requests with a sound part, all requests with the sound part were refused with 400 for good, once four runners had crashed and no sound request had completed in between.

Cause: a part counted against all prompts unless one single other part was in flight at all of its crashes. The common part of both deadly ones is at more crashes than either, so it explained all of them; and as nothing with it ran any more, no completed run could clear it.

Change: crashes that a part outside the prompt may explain, one that was at two or more, don't count against it. If fewer than three are left, the prompt is held back with 503, and runs 2 s after the latest crash of the part. At eight crashes, beyond which none is recorded, the part is refused for good. Prompts that hold the other parts as well are refused as before.

--- a/crates/fleet/src/evidence.rs
+++ b/crates/fleet/src/evidence.rs
@@ -12,7 +12,7 @@
 
 /// The maximum number of crashes kept of a request:
 /// [`MIN_AMBIGUOUS_CRASHES`](crate::suspects::MIN_AMBIGUOUS_CRASHES), and some that occurred meanwhile.
-const MAX_CRASHES: usize = 8;
+pub(crate) const MAX_CRASHES: usize = 8;
 
 /// The crash of a runner's process while a request was in flight there.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
--- a/crates/fleet/src/suspects.rs
+++ b/crates/fleet/src/suspects.rs
@@ -20,7 +20,7 @@
 
 use cottoncrank::{Millis, id};
 
-use crate::evidence::{Crash, Level, Row};
+use crate::evidence::{Crash, Level, MAX_CRASHES, Row};
 use crate::fingerprint::Fingerprint;
 use crate::runner::{Incarnation, Release};
 
@@ -38,6 +38,14 @@
 /// requests that were in flight at three of them by chance.
 const SETTLE_DELAY: Millis = Millis(300);
 
+/// How long after its last crash prompts with a part that others may explain are run again without those. In a
+/// fleet that serves, a run with a sound part has completed by then.
+const RECHECK_DELAY: Millis = Millis(2000);
+
+/// The number of crashes from which on another part may explain those of a part. Sound parts are in flight at
+/// a single one all the time.
+const MIN_EXPLAINING_CRASHES: usize = 2;
+
 /// How long a request is remembered after its last crash. A request that is still deadly crashes
 /// runners again once in this time; an hour gives operators the time to see it.
 pub const SUSPECT_TTL: Millis = Millis(3_600_000);
@@ -99,6 +107,8 @@
     /// Whether [`SETTLE_DELAY`] has passed, so that it is rejected unless another request explains its
     /// crashes.
     settled: bool,
+    /// Whether [`RECHECK_DELAY`] has passed since its last crash.
+    rested: bool,
     /// The number of its crashes in the store, if it is stored.
     stored: Option<usize>,
 }
@@ -187,6 +197,10 @@
     /// Parts that were in flight at the same crashes cannot be told apart, and only one of them may be
     /// deadly. So a part counts only if the prompt has those others as well. Other prompts run, and what
     /// becomes of them tells the parts apart.
+    ///
+    /// The requests of several deadly parts may share a sound one, which then explains the most crashes. It
+    /// would never be cleared if no prompt with it ran. So prompts without those others are only held back for
+    /// [`RECHECK_DELAY`].
     pub fn level_of_parts(&self, parts: &[Fingerprint], account: Option<&id::Account>) -> Level {
         let mut level = Level::Clear;
         let entries = parts.iter().filter_map(|part| self.entries.get(part));
@@ -198,7 +212,14 @@
                 others.all(|other| parts.contains(&other.row.fingerprint))
             };
             match part_level {
-                Level::Deadly(_) if has_all() => return part_level,
+                Level::Deadly(_) if has_all() => {
+                    if !self.may_be_explained_without(parts, entry, &crashes) {
+                        return part_level;
+                    }
+                    if !entry.rested {
+                        level = Level::Pending(crashes.len());
+                    }
+                }
                 Level::Pending(_) if has_all() => level = part_level,
                 Level::Clear | Level::Suspected(_) | Level::Pending(_) | Level::Deadly(_) => {}
             }
@@ -206,6 +227,23 @@
         level
     }
 
+    /// Whether other parts than those of a prompt may be the cause of so many crashes of a part that too few
+    /// are left. Of a part at [`MAX_CRASHES`] no further one would be recorded, so none can tell more.
+    fn may_be_explained_without(&self, parts: &[Fingerprint], entry: &Entry, crashes: &[&Crash]) -> bool {
+        let may_explain = |other: &Entry| {
+            other.row.fingerprint != entry.row.fingerprint
+                && other.row.fingerprint.is_part()
+                && !parts.contains(&other.row.fingerprint)
+                && other.count >= MIN_EXPLAINING_CRASHES
+        };
+        let is_explained = |crash: &Crash| {
+            let mut others = self.list_in_flight(crash).filter(|other| may_explain(other));
+            others.any(|other| other.row.list_valid_crashes().any(|known| known == crash))
+        };
+        let unexplained = crashes.iter().filter(|crash| !is_explained(crash)).count();
+        unexplained < MIN_CRASHES && crashes.len() < MAX_CRASHES
+    }
+
     /// Returns the other requests that were in flight at all of these crashes as well; for a part, the other
     /// parts.
     fn list_indistinguishable<'a>(
@@ -281,6 +319,7 @@
                 hall_version: 0,
                 threshold_reached: None,
                 settled: false,
+                rested: false,
                 stored: None,
             }
         };
@@ -300,7 +339,7 @@
             (entry.threshold_reached, entry.settled) = (None, false);
         }
         if entry.row.crashes.len() > crash_count {
-            entry.last_crash = now;
+            (entry.last_crash, entry.rested) = (now, false);
         }
         self.version += 1;
         entry.changed_version = self.version;
@@ -319,6 +358,9 @@
     /// Settles the deadly requests that reached [`MIN_CRASHES`] at least [`SETTLE_DELAY`] ago and returns
     /// those whose level changed.
     pub fn settle(&mut self, now: Millis) -> Vec<Change> {
+        for entry in self.entries.values_mut() {
+            entry.rested = now >= entry.last_crash + RECHECK_DELAY;
+        }
         let is_due =
             |entry: &&Entry| entry.threshold_reached.is_some_and(|reached| now >= reached + SETTLE_DELAY);
         let due = self.entries.values().filter(|entry| !entry.settled).filter(is_due);
--- a/crates/fleet/tests/suspects.rs
+++ b/crates/fleet/tests/suspects.rs
@@ -266,8 +266,13 @@
 
 /// Returns how strongly the parts of a prompt of an account are suspected once the table has settled.
 fn level_of_parts(table: &Table, account: &str, parts: &[&str]) -> Level {
+    level_of_parts_after(Millis(300), table, account, parts)
+}
+
+/// The same so long after the latest crash.
+fn level_of_parts_after(time: Millis, table: &Table, account: &str, parts: &[&str]) -> Level {
     let mut settled = table.clone();
-    settled.settle(NOW + Millis(300));
+    settled.settle(NOW + time);
     let parts: Vec<Fingerprint> = parts.iter().map(|name| part(name)).collect();
     settled.level_of_parts(&parts, Some(&account.parse().unwrap()))
 }
@@ -315,6 +320,52 @@
     assert_eq!(level_of_parts(&table, "acme", &["bad"]), Level::Clear);
 }
 
+/// Each deadly request had the shared part too, and none without a deadly one has run since.
+#[test]
+fn a_part_that_two_deadly_ones_share_requests_with_is_run_without_them() {
+    let shared = part_row("a1", "acme", &[1, 2, 3, 4]);
+    for (bad0, bad1) in [(&[1, 2, 3][..], &[4][..]), (&[1, 2], &[3, 4]), (&[1, 4], &[2])] {
+        let rows = [shared.clone(), part_row("bad0", "acme", bad0), part_row("bad1", "acme", bad1)];
+        let table = table(&rows);
+        let after = |time| level_of_parts_after(time, &table, "acme", &["a1"]);
+        assert_eq!(after(Millis(300)), Level::Pending(4), "crashes of {bad0:?} and {bad1:?}");
+        assert_eq!(after(Millis(1999)), Level::Pending(4), "crashes of {bad0:?} and {bad1:?}");
+        assert_eq!(after(Millis(2000)), Level::Clear, "crashes of {bad0:?} and {bad1:?}");
+    }
+}
+
+#[test]
+fn prompts_with_the_parts_that_may_explain_all_crashes_are_refused_for_good() {
+    let mut table = table(&[
+        part_row("a1", "acme", &[1, 2, 3, 4]),
+        part_row("bad0", "acme", &[1, 2, 3]),
+        part_row("bad1", "acme", &[4]),
+    ]);
+    assert_eq!(level_of_parts(&table, "acme", &["a1", "bad0"]), Level::Deadly(4));
+    table.void_crashes(&part("a1"), NOW);
+    assert_eq!(level_of_parts(&table, "acme", &["a1", "bad0"]), Level::Deadly(3));
+    assert_eq!(level_of_parts(&table, "acme", &["a1"]), Level::Clear);
+}
+
+#[test]
+fn a_deadly_part_that_runs_without_those_it_crashed_with_is_refused_for_good() {
+    let mut table = table(&[part_row("bad", "acme", &[1, 2, 3, 4]), part_row("a1", "acme", &[1, 2, 3])]);
+    let level = |table: &Table| level_of_parts_after(Millis(2000), table, "acme", &["bad"]);
+    assert_eq!(level(&table), Level::Clear);
+    table.merge(&part_row("bad", "acme", &[5]), Origin::Hall, NOW);
+    assert_eq!(level(&table), Level::Clear);
+    table.merge(&part_row("bad", "acme", &[6]), Origin::Hall, NOW);
+    assert_eq!(level(&table), Level::Deadly(6));
+    // Beyond eight no crash is recorded, so no run shows more.
+    let rows = |name: &str, runners: &[u64]| part_row(name, "acme", runners);
+    let full = [rows("bad", &[1, 2, 3, 4, 5, 6, 7, 8]), rows("a1", &[1, 2, 3, 4]), rows("a2", &[5, 6, 7])];
+    let mut table = Table::default();
+    for row in full {
+        table.merge(&row, Origin::Hall, NOW);
+    }
+    assert_eq!(level(&table), Level::Deadly(8));
+}
+
 #[test]
 fn a_part_counts_against_other_accounts_only_when_several_sent_it() {
     let mut table = table(&[part_row("bad", "acme", &[1, 2, 3, 4])]);
--- a/crates/node/tests/deadly_parts.rs
+++ b/crates/node/tests/deadly_parts.rs
@@ -119,13 +119,59 @@
     check_parts("a1:40", &["bad0", "bad1"]).await;
 }
 
-/// Sends a request with the part that no other equals.
+/// Sends a request with the part `bad0` that no other equals.
 async fn ask_deadly(fleet: &Fleet, node: usize, number: usize) -> Answer {
-    let prompt = format!("a1:40,bad0:100,{number:04}:20");
+    ask_with(fleet, node, number, "bad0").await
+}
+
+async fn ask_with(fleet: &Fleet, node: usize, number: usize, part: &str) -> Answer {
+    let prompt = format!("a1:40,{part}:100,{number:04}:20");
     let callers = fleet.nodes[node].callers;
     ask(callers, format!("d-{number}"), format!("deadly {number}"), prompt).await.answer
 }
 
+/// Sends requests with the part until so many runners have crashed.
+async fn crash_runners(fleet: &Fleet, part: &str, total: usize, number: &mut usize) {
+    let count = || fleet.engines.iter().map(|runner| runner.crashes()).sum::<usize>();
+    let end = *number + 100;
+    while count() < total {
+        assert!(*number < end, "requests with {part} do not run");
+        ask_with(fleet, *number % 2, *number, part).await;
+        *number += 1;
+        tokio::time::sleep(SEND_INTERVAL.duration()).await;
+    }
+}
+
+/// The part is in flight at more crashes than either deadly one, and no run could clear it meanwhile.
+#[tokio::test]
+async fn a_sound_part_that_only_deadly_requests_held_is_served_and_these_are_refused() {
+    let fleet = Fleet::serving(2).await;
+    let mut number = 0;
+    crash_runners(&fleet, "bad0", 3, &mut number).await;
+    let crashes = fleet.engines.iter().map(|runner| runner.crashes()).sum::<usize>();
+    crash_runners(&fleet, "bad1", crashes + 1, &mut number).await;
+    let begin = Instant::now();
+    loop {
+        let (callers, request) = (fleet.nodes[number % 2].callers, format!("o-{number}"));
+        let answer = ask(callers, request, "usual".to_owned(), format!("a1:40,{number:04}:20")).await.answer;
+        assert!(!(400..500).contains(&answer.status), "a sound request is treated as deadly: {answer:?}");
+        if answer.status == 200 && answer.complete {
+            break;
+        }
+        assert!(begin.elapsed() < 4 * CONTACT_TIME.duration(), "no sound request is served");
+        number += 1;
+        tokio::time::sleep(SEND_INTERVAL.duration()).await;
+    }
+    for part in ["bad0", "bad1"] {
+        let end = number + 100;
+        while ask_with(&fleet, number % 2, number, part).await.status != 400 {
+            number += 1;
+            assert!(number < end, "{part} is never refused permanently");
+            tokio::time::sleep(SEND_INTERVAL.duration()).await;
+        }
+    }
+}
+
 /// The fingerprint of the part that crashes runners.
 fn deadly_part() -> Fingerprint {
     Fingerprint::of_part(&ENGINES.parse().unwrap(), &"bad0".parse().unwrap())
