Judge a process with a small share by its quota, not by a third of it

Cause: a delay counted from a third of the share on. Changed: a delay counts if the process ran for a third of the time, or used three quarters of its share. For a whole core nothing changes. The line of closed connections tells how long the process ran, and the work at its share. Weaker: a node with a part of a core that others hold up below both parts is no longer found overloaded.

--- a/crates/fleet/src/overload.rs
+++ b/crates/fleet/src/overload.rs
@@ -3,8 +3,9 @@
 //! A balancer may hand most new connections to one node. It cannot answer all of them in time, and one that
 //! it closes unread costs the caller little: the next try meets another node.
 //!
-//! A process that waits for its processor is late as well, but has done nothing meanwhile, and may take up all that
-//! waits once it runs. So a delay counts as far as the process has worked.
+//! A process that waits for its processor is late as well, but has done nothing meanwhile, and may take up all
+//! that waits once it runs. So a delay counts as far as the process has worked, and only if others have not held
+//! it up.
 
 use cottoncrank::Millis;
 
@@ -22,18 +23,34 @@
 /// is answered, and a turn takes the longer, the more of them are under way.
 const MAX_PER_TURN: u32 = 4;
 
-/// The least part of its share that a process has used if the delay of its tasks is its own, as a divisor.
-const MIN_SHARE_DIVISOR: u64 = 3;
+/// The least part of the time in which a process runs that others do not hold up, as a divisor. Beside other
+/// processes it runs in short turns with short pauses.
+const MIN_RUNNING_DIVISOR: u64 = 3;
+
+/// The least part of its share, in percent, that a process uses which runs for less time, as only its quota
+/// stops it. A measurement may begin and end with a slice, and finds more than the process uses on average.
+const MIN_SHARE_PERCENT: u64 = 75;
 
 /// A time, and the work that a process has done by then.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Moment {
     /// The time.
     pub now: Millis,
-    /// The processor time used so far, in times of the process's share of the processor.
+    /// The processor time used so far.
+    pub used: Millis,
+    /// The same in times of the process's share of the processor.
     pub work: Millis,
 }
 
+impl Moment {
+    /// Whether a process with tasks to run got less of the processor than it may use.
+    fn is_held_up_since(&self, begun: Moment) -> bool {
+        let elapsed = self.now.since(begun.now);
+        let (used, work) = (self.used.since(begun.used), self.work.since(begun.work));
+        used.0 * MIN_RUNNING_DIVISOR < elapsed.0 && work.0 * 100 < elapsed.0 * MIN_SHARE_PERCENT
+    }
+}
+
 /// A measurement that is awaited.
 #[derive(Clone, Copy, Debug)]
 struct Awaited {
@@ -70,11 +87,10 @@
     /// Returns the delay of the task so far, as far as the process has worked.
     fn measure(&self, at: Moment) -> Millis {
         let Some(Awaited { begun, due }) = self.awaited else { return Millis(0) };
-        let (elapsed, work) = (at.now.since(begun.now), at.work.since(begun.work));
-        if work.0 * MIN_SHARE_DIVISOR < elapsed.0 {
+        if at.is_held_up_since(begun) {
             return Millis(0);
         }
-        at.now.since(due).min(work)
+        at.now.since(due).min(at.work.since(begun.work))
     }
 
     /// Returns the mean delay after one more measurement.
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -9,7 +9,6 @@
 use bytes::Bytes;
 use cottoncrank::resources::Port;
 use cottoncrank::{Millis, Size};
-use cottoncrank_fleet::overload::Moment;
 use cottoncrank_net::metered::{self, Metered};
 use cottoncrank_net::resources::Slot;
 use cottoncrank_net::{feed, keepalive};
@@ -114,7 +113,7 @@
 }
 
 fn take_or_close(node: &Arc<Node>, stream: TcpStream) {
-    let at = read_moment(node);
+    let at = node.read_moment();
     let accepts = node.overload.lock().accepts(at);
     // Nothing is read of one that is closed, so the caller may send its request to another node.
     match accepts.then(|| node.resources.open(Port::Callers)) {
@@ -138,21 +137,17 @@
 /// Measures how late tasks of this process run, until the process ends.
 pub async fn measure_delay(node: Arc<Node>) {
     loop {
-        let begun = read_moment(&node);
+        let begun = node.read_moment();
         let due = begun.now + DELAY_INTERVAL;
         node.overload.lock().begin_measurement(begun, due);
         tokio::time::sleep(DELAY_INTERVAL.duration()).await;
-        let at = read_moment(&node);
+        let at = node.read_moment();
         node.activity.lock().record(at.now);
         telemetry::record_delay(at.now.since(due), at.work.since(begun.work));
         node.overload.lock().end_measurement(at);
     }
 }
 
-fn read_moment(node: &Node) -> Moment {
-    Moment { now: node.now(), work: node.read_work() }
-}
-
 /// Logs that a connection could not be accepted, and pauses.
 pub async fn pause_accepting(error: &io::Error) {
     log::warn!("front: could not accept a connection: {error}");
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -21,7 +21,7 @@
 use cottoncrank_fleet::interruptions::Interruptions;
 use cottoncrank_fleet::limit::Limit;
 use cottoncrank_fleet::occupancy::{self, FleetLoad};
-use cottoncrank_fleet::overload::Overload;
+use cottoncrank_fleet::overload::{Moment, Overload};
 use cottoncrank_fleet::past::Past;
 use cottoncrank_fleet::path::Paths;
 use cottoncrank_fleet::plan::Plans;
@@ -325,15 +325,17 @@
         self.clock.now()
     }
 
-    /// Returns the work that the thread of this node has done, in times of its share of the processor: with a
-    /// quarter of a core, a millisecond of processor time is four. Where the system does not tell, it counts
-    /// as working all the time.
-    pub(crate) fn read_work(&self) -> Millis {
-        let Some(used) = clock::read_processor_time() else { return self.now() };
-        match self.settings().processor.0 {
+    /// Returns the time, and the work that the thread of this node has done. In times of its share of the
+    /// processor, a millisecond of a quarter of a core is four. Where the system does not tell, it counts as
+    /// working all the time.
+    pub(crate) fn read_moment(&self) -> Moment {
+        let now = self.now();
+        let Some(used) = clock::read_processor_time() else { return Moment { now, used: now, work: now } };
+        let work = match self.settings().processor.0 {
             0 => used,
             share => Millis(used.0 * u64::from(FULL_CORE.0) / u64::from(share)),
-        }
+        };
+        Moment { now, used, work }
     }
 
     /// Waits for a point in time. Timers do not count a suspension of the box, so a timer alone would
--- a/crates/node/src/unread.rs
+++ b/crates/node/src/unread.rs
@@ -2,6 +2,8 @@
 
 use std::sync::atomic::{AtomicU64, Ordering};
 
+use cottoncrank_fleet::overload::Moment;
+
 use crate::state::Node;
 use crate::telemetry;
 
@@ -35,6 +37,7 @@
 #[derive(Default)]
 pub(crate) struct UnreadLog {
     logged: Counts,
+    at: Moment,
     is_closing: bool,
 }
 
@@ -65,11 +68,15 @@
     pub(crate) fn update(&mut self, node: &Node) {
         let counts = node.closed_unread.counts();
         let before = std::mem::replace(&mut self.logged, counts);
+        let at = node.read_moment();
+        let last = std::mem::replace(&mut self.at, at);
         let delay = node.overload.lock().delay();
         if counts != before {
             let (overload, room) = (counts.overload - before.overload, counts.room - before.room);
+            let (elapsed, used) = (at.now.since(last.now), at.used.since(last.used));
+            let work = at.work.since(last.work);
             log::warn!(
-                "front: closed unread {overload} new connections for overload and {room} for lack of room, the mean delay of tasks is {delay}"
+                "front: closed unread {overload} new connections for overload and {room} for lack of room, the mean delay of tasks is {delay}, the process ran for {used} of {elapsed}, {work} of work at its share"
             );
         } else if self.is_closing {
             log::info!(
