Look for silent members while waiting to campaign after a restore

Cause: a node that has just started in a later era waits a lease before it campaigns, and began the six probes that show a silent member only after it was elected: 1.6 s and then 2.9 s, one after the other.

Change: the node probes while it waits, and its term goes on with these rounds. Thresholds, pauses, the lease and the stall time are as they were. The count of rounds begins anew with the term, so that a member which the node did not know before is not taken for gone. A line tells how many members were probed, and how many are silent, when a term begins.

--- a/crates/fleet/src/probe.rs
+++ b/crates/fleet/src/probe.rs
@@ -112,6 +112,17 @@
         self.in_flight = runners;
     }
 
+    /// Begins a term of the decider with what was found before it. The plans may name members that have not
+    /// been probed yet, about which nothing is concluded for as long as without any rounds.
+    pub fn begin_term(&mut self) {
+        self.rounds = 0;
+    }
+
+    /// Returns how many runners were probed, and how many of them are silent.
+    pub fn count_silent(&self) -> (usize, usize) {
+        (self.records.len(), self.records.keys().filter(|runner| self.is_silent(runner)).count())
+    }
+
     /// Whether the path to a hall is taken to be cut.
     pub fn is_cut(&self, hall: &id::Hall) -> bool {
         self.cut.contains(hall)
--- a/crates/fleet/tests/held.rs
+++ b/crates/fleet/tests/held.rs
@@ -15,7 +15,7 @@
 use cottoncrank_fleet::order::Order;
 use cottoncrank_fleet::places;
 use cottoncrank_fleet::plan::{Group, State};
-use cottoncrank_fleet::probe::{Answer, Observation, Probes};
+use cottoncrank_fleet::probe::{Answer, MIN_MISSES, Observation, Probes};
 use cottoncrank_fleet::roster::Roster;
 use cottoncrank_fleet::runner::{Incarnation, Runner};
 use cottoncrank_fleet::stall::Stalls;
@@ -293,3 +293,68 @@
     probes.record_rounds(&[], &[]);
     assert!(!probes.is_gone(&runner));
 }
+
+/// The silence of a head counts from before the term: a node that waits to become the decider has probed it.
+/// Without that, a group is held for as long as six probes take after the election.
+#[test]
+fn a_head_that_was_silent_while_the_node_waited_for_its_term_is_known_to_be_when_it_begins() {
+    let mut world = at_rest(6);
+    let group = world.find("large");
+    let head = group.members[0].clone();
+    // The copy of the store has the entry of the head.
+    lose_all_nodes(&mut world, &[]);
+    for _ in 0..MIN_MISSES {
+        probe_known(&mut world, &[(&head, Observation::Silent)]);
+    }
+    world.probes.begin_term();
+    let step = world.step();
+    assert!(is_ordered_to_leave(&step, &group.members[1], &group), "{:?}", step.orders);
+    assert!(is_planned(&world, &group), "the head may be open");
+}
+
+/// A head that answers the last probe before the term, or that has missed fewer than six, keeps its group.
+#[test]
+fn a_head_that_paused_while_the_node_waited_for_its_term_keeps_its_group() {
+    for answers_last in [false, true] {
+        let mut world = at_rest(6);
+        let group = world.find("large");
+        let head = group.members[0].clone();
+        lose_all_nodes(&mut world, &[]);
+        for _ in 0..MIN_MISSES - 1 {
+            probe_known(&mut world, &[(&head, Observation::Silent)]);
+        }
+        if answers_last {
+            probe_known(&mut world, &[]);
+        }
+        world.probes.begin_term();
+        let step = world.step();
+        assert!(!is_ordered_to_leave(&step, &group.members[1], &group), "{:?}", step.orders);
+    }
+}
+
+/// The plans that the term begins with may name members that the node did not know while it waited. That they
+/// were not probed then says nothing of them.
+#[test]
+fn a_member_that_was_not_probed_before_the_term_is_not_taken_for_gone_when_it_begins() {
+    let mut world = at_rest(6);
+    let group = world.find("large");
+    let member = group.members[2].clone();
+    lose_all_nodes(&mut world, std::slice::from_ref(&member));
+    let living: Vec<id::Runner> = group.members.iter().filter(|id| **id != member).cloned().collect();
+    let answers: Vec<Answer> = living
+        .into_iter()
+        .map(|runner| Answer {
+            runner,
+            hall: "hall-a".parse().unwrap(),
+            reported: Observation::Pace(1.0),
+            incarnation: None,
+            asked: 1,
+        })
+        .collect();
+    for _ in 0..3 {
+        world.probes.record_rounds(&answers, &[]);
+    }
+    world.probes.begin_term();
+    let step = world.step();
+    assert!(!is_ordered_to_leave(&step, &group.members[0], &group), "{:?}", step.orders);
+}
--- a/crates/node/src/decider.rs
+++ b/crates/node/src/decider.rs
@@ -4,6 +4,7 @@
 //! that the lease's key is unchanged, so a node that has lost the lease without knowing it writes
 //! nothing.
 
+mod look;
 mod report;
 mod term;
 
@@ -14,12 +15,11 @@
 use cottoncrank_platform::item::Item;
 use cottoncrank_platform::store::{Commit, Outcome};
 use rand::Rng;
-use tokio::task::AbortHandle;
 
+use self::look::Look;
 use self::term::{EndError, Holding, Term};
 use crate::past;
-use crate::plans::read_plans;
-use crate::prober;
+use crate::plans::{Plans, read_plans};
 use crate::state::{DeciderLease, Node};
 
 /// The key that is bound to the lease. Its value names the decider.
@@ -74,7 +74,10 @@
             _ => (find_candidate_delay(&node), "other candidates come first"),
         };
         log::info!("decider: no node is; waits for {delay} before it campaigns in era {store_era}: {reason}");
+        let mut look = None;
         if era.is_none() && store_era > Era::default() {
+            // Losses from before are known by the end of the wait.
+            look = Some(Look::begin(&node));
             let is_early = past::wait_campaign(&node, store_era, lease).await;
             // All that have just started find that out at once.
             let delay = if is_early { find_candidate_delay(&node) } else { Millis(0) };
@@ -89,10 +92,12 @@
         }
         let former_position = holder.map(|holder| holder.position);
         match campaign(&node, former_position).await {
-            Ok(Some(mut term)) => {
+            Ok(Some((holding, plans))) => {
+                let look = look.unwrap_or_else(|| Look::begin(&node));
+                let mut term = Term::new(node.clone(), holding, plans, &look);
                 let position = term.lease_position();
                 log::info!("decider: this node is the decider since store position {position}");
-                let duty = Duty::begin(&node, &term);
+                let duty = Duty::begin(&node, look);
                 let Err(end) = term.run().await;
                 was_decider = node.store.era() != position.era();
                 drop(duty);
@@ -111,21 +116,19 @@
 /// The duty of the decider. It ends when this is dropped, be it by a panic.
 struct Duty {
     node: Arc<Node>,
-    prober: AbortHandle,
+    _look: Look,
 }
 
 impl Duty {
-    fn begin(node: &Arc<Node>, term: &Term) -> Duty {
+    fn begin(node: &Arc<Node>, look: Look) -> Duty {
         node.set_deciding(true);
-        let prober = tokio::spawn(prober::run(node.clone(), term.client(), term.probes()));
-        Duty { node: node.clone(), prober: prober.abort_handle() }
+        Duty { node: node.clone(), _look: look }
     }
 }
 
 impl Drop for Duty {
     fn drop(&mut self) {
         self.node.set_deciding(false);
-        self.prober.abort();
     }
 }
 
@@ -150,7 +153,10 @@
 
 /// Asks the store for the lease. `former_position` is the store position of a key that is left without
 /// a lease.
-async fn campaign(node: &Arc<Node>, former_position: Option<Position>) -> Result<Option<Term>, EndError> {
+async fn campaign(
+    node: &Node,
+    former_position: Option<Position>,
+) -> Result<Option<(Holding, Plans)>, EndError> {
     let asked = node.now();
     let ttl = LEASE_TTL.max(node.settings().lease_min);
     let lease = node.store.open_lease(ttl).await?;
@@ -161,7 +167,7 @@
     };
     let Outcome::Done(position) = node.store.commit(&commit).await? else { return Ok(None) };
     let plans = read_plans(node).await?;
-    Ok(Some(Term::new(node.clone(), Holding { lease, position, asked, end: asked + ttl }, plans)))
+    Ok(Some((Holding { lease, position, asked, end: asked + ttl }, plans)))
 }
 
 /// Decodes the holder of the lease from the lease's key.
--- a/crates/node/src/decider/term.rs
+++ b/crates/node/src/decider/term.rs
@@ -23,12 +23,13 @@
 use cottoncrank_fleet::runner::Place;
 use cottoncrank_fleet::snapshot::Snapshot;
 use cottoncrank_fleet::waits::{self, Takeover, Waits};
-use cottoncrank_net::client::{Client, Traffic};
+use cottoncrank_net::client::Client;
 use cottoncrank_platform::order::{self, Reply};
 use cottoncrank_platform::store::{Commit, Lease, Outcome, StoreError};
 use parking_lot::Mutex;
 use thiserror::Error;
 
+use super::look::Look;
 use super::report::{report_unsent, report_write};
 use super::{LEASE_KEY, LEASE_TTL};
 use crate::era;
@@ -64,10 +65,6 @@
 /// The timeout of an order. Runners answer within milliseconds.
 const ORDER_TIMEOUT: Millis = Millis(1000);
 
-/// The most that a runner may send in answer to an order or a probe, in bytes. All runners are probed at
-/// once.
-const RUNNER_ANSWER_BYTES: usize = 64 * 1024;
-
 /// The maximum number of plans in one write: the store's limit, less one for the lease's key.
 const MAX_WRITES: usize = 15;
 
@@ -128,12 +125,13 @@
 
 impl Term {
     /// Begins a term with the plans as they were read after its begin.
-    pub(super) fn new(node: Arc<Node>, holding: Holding, plans: Plans) -> Term {
+    pub(super) fn new(node: Arc<Node>, holding: Holding, plans: Plans, look: &Look) -> Term {
         let memory = Memory::resume(&node.stalls.lock());
-        let reach = node.reach.clone();
+        let probes = look.probes();
+        probes.lock().begin_term();
         Term {
             node,
-            client: Client::with_small_answers(Traffic::default(), reach, RUNNER_ANSWER_BYTES),
+            client: look.client(),
             lease: holding.lease,
             lease_position: holding.position,
             lease_end: holding.end,
@@ -141,7 +139,7 @@
             plans,
             is_outdated: false,
             memory: Arc::new(Mutex::new(memory)),
-            probes: Arc::default(),
+            probes,
             logged_census: HashMap::new(),
             logged_waits: HashMap::new(),
             logged_shares: HashMap::new(),
@@ -159,16 +157,6 @@
         self.lease_position
     }
 
-    /// Returns the client for orders and probes.
-    pub(super) fn client(&self) -> Client {
-        self.client.clone()
-    }
-
-    /// Returns the health of the runners, which probes update.
-    pub(super) fn probes(&self) -> Arc<Mutex<Probes>> {
-        self.probes.clone()
-    }
-
     /// Returns an error if this node may no longer act as the decider.
     fn check_lease(&self) -> Result<(), EndError> {
         if self.node.store.era() != self.lease_position.era() {
@@ -378,6 +366,8 @@
         let documents = self.plans.list_documents();
         let takeover = Takeover::count(&documents, &self.node.stalls.lock(), self.node.now());
         log::info!("decider: {takeover}");
+        let (asked, silent) = self.probes.lock().count_silent();
+        log::info!("decider: {asked} members were probed before the term, {silent} are silent");
     }
 
     /// Logs what the retired groups of a service wait for, if that has changed.
--- a/crates/node/tests/eras.rs
+++ b/crates/node/tests/eras.rs
@@ -17,7 +17,7 @@
 use cottoncrank_platform::store::{Commit, EraError, Store, StoreError};
 use cottoncrank_platform_standin::caller::{CallerRequest, DEFAULT_DEADLINE_MS, send_request};
 use cottoncrank_platform_standin::operator::{PLAIN, READ, STREAM, config};
-use cottoncrank_platform_standin::runner::{Membership, Runner};
+use cottoncrank_platform_standin::runner::{Fault, Membership, Runner};
 use cottoncrank_platform_standin::store::{self, Blocked, Endpoint};
 use rustix::process::Signal;
 
@@ -32,6 +32,13 @@
 /// those that do not answer. The rest is for processes that start and for calls to the store.
 const ELECTION_BOUND: Duration = Duration::from_millis(1600 + 300 + 1000);
 
+/// The time after the election within which members leave a group whose head was silent before. Six probes take
+/// longer, so some of them have to be made while the nodes wait.
+const SILENCE_BOUND: Duration = Duration::from_millis(1600);
+
+/// How long the lease of a decider lasts after its end, at the most.
+const LEASE: Duration = Duration::from_millis(1600 + 200);
+
 /// The time that nodes which may hold later plans have before one that has just started: two leases.
 const INFORMED_WAIT: Duration = Duration::from_millis(2 * 1600);
 
@@ -503,6 +510,35 @@
     assert_elected_in_time(Boxes::serving(3).await, None).await;
 }
 
+/// Guards against nodes that begin to look for silent members only once one of them is the decider, after a wait
+/// in which they could have found them.
+#[tokio::test]
+async fn a_head_that_is_silent_when_all_nodes_start_anew_is_found_soon_after_the_election() {
+    let mut boxes = Boxes::serving(3).await;
+    let copy = boxes.fleet.store.snapshot();
+    let (terms, groups) = (boxes.count_terms(), list_open_groups(&boxes.fleet));
+    boxes.kill().await;
+    let heads = boxes.fleet.heads();
+    heads[0].set_fault(Fault::Unresponsive);
+    let epoch = heads[0].membership().unwrap().epoch;
+    let count_members = |boxes: &Boxes| {
+        let places = boxes.fleet.engines.iter().filter_map(Runner::membership);
+        places.filter(|place| place.epoch == epoch).count()
+    };
+    let members = count_members(&boxes);
+    // The lease of the former decider, which the copy has too, is over before the nodes are back.
+    tokio::time::sleep(LEASE).await;
+    boxes.fleet.store.restore(&copy);
+    boxes.fleet.store.configure(&config(1, &[KEY]));
+    boxes.nodes.iter_mut().for_each(NodeProcess::spawn);
+    rewrite_entries(&boxes.fleet).await;
+    boxes.wait("decider", |boxes| boxes.count_terms() > terms).await;
+    let found = boxes.wait("member that leaves", |boxes| count_members(boxes) < members).await;
+    assert!(found <= SILENCE_BOUND, "{found:?} after the election:\n{}", boxes.read_logs());
+    let kept = groups.iter().filter(|(_, other)| *other != epoch).cloned().collect::<HashSet<_>>();
+    assert!(list_open_groups(&boxes.fleet).is_superset(&kept), "a group without fault was stopped");
+}
+
 /// Restores the store from this copy, starts these nodes anew, and asserts that none of them is the decider
 /// before [`INFORMED_WAIT`] is over.
 async fn assert_wait_kept(boxes: &mut Boxes, copy: &store::Snapshot, started: &[usize]) {
