Count a runner as staging only when the order is issued

Callers saw nothing; a free runner that refused an order to stage stood idle.

Cause: the next step, 0.2 s later, chose the runner for the same model again and recorded a load and a staging, but the order was dropped, as a repetition is due after 1.5 s. Nothing was sent, the runner counted as loading for three load times, and the load held others back.

Evidence: a new test in crates/fleet/tests/writes.rs, where a runner refuses each order: red with one order in 4 s.

Change: a load counts and a staging is recorded only when the order is due. One that is not due keeps its place in the step, so that no other runner is loaded in its stead.

Result: orders after 0, 1.6 and 3.2 s.

--- a/crates/fleet/src/issuer.rs
+++ b/crates/fleet/src/issuer.rs
@@ -28,15 +28,22 @@
 
 impl Issuer<'_> {
     pub(crate) fn issue(&mut self, runner: &id::Runner, order: Order) {
+        self.issue_due(runner, order);
+    }
+
+    /// Issues an order if it is due. Returns whether it is.
+    pub(crate) fn issue_due(&mut self, runner: &id::Runner, order: Order) -> bool {
         let key = (runner.clone(), order);
         let interval = if self.memory.acknowledged.contains(&key) {
             REPEAT_ACKNOWLEDGED_INTERVAL
         } else {
             REPEAT_INTERVAL
         };
-        if self.decided.issue(&key, interval, self.now) {
+        let is_due = self.decided.issue(&key, interval, self.now);
+        if is_due {
             self.orders.push(key);
         }
+        is_due
     }
 
     /// Whether an order was first issued at least `span` ago. The first call for an order starts
--- a/crates/fleet/src/staging.rs
+++ b/crates/fleet/src/staging.rs
@@ -206,7 +206,7 @@
     }
 }
 
-/// Issues the order if a load may begin now. Returns whether it did.
+/// Issues the order if a load may begin now. Returns whether one may.
 fn stage(model: &Model, runner: &Runner, stock: &mut Stock, issuer: &mut Issuer, purpose: Purpose) -> bool {
     let ordered = order_load(model, runner, issuer, purpose);
     if ordered {
@@ -224,10 +224,12 @@
         issuer.held_back |= purpose == Purpose::Repair;
         return false;
     }
-    issuer.repair_loads = issuer.repair_loads.saturating_sub(1);
-    issuer.reserve_loads = issuer.reserve_loads.saturating_sub(1);
-    issuer.decided.record_staging(runner, model, issuer.now, issuer.serving, purpose);
-    issuer.issue(&runner.id, Order::Stage(model.name.clone()));
+    // One that is not due yet begins no load; a later step issues it.
+    if issuer.issue_due(&runner.id, Order::Stage(model.name.clone())) {
+        issuer.repair_loads = issuer.repair_loads.saturating_sub(1);
+        issuer.reserve_loads = issuer.reserve_loads.saturating_sub(1);
+        issuer.decided.record_staging(runner, model, issuer.now, issuer.serving, purpose);
+    }
     true
 }
 
--- a/crates/fleet/tests/writes.rs
+++ b/crates/fleet/tests/writes.rs
@@ -128,3 +128,26 @@
         world.now = world.now + PAUSE;
     }
 }
+
+/// The next step ordered it again before it was due: nothing was sent, and the runner counted as loading for three
+/// times as long as a load takes.
+#[test]
+fn a_stage_order_that_was_refused_is_issued_again_as_soon_as_it_is_due() {
+    let mut world = at_rest(6);
+    let spare = runner(0, 77);
+    world.roster.insert(spare.clone());
+    let began = world.now;
+    let mut issued = Vec::new();
+    while world.now < began + Millis(4000) {
+        let step = world.step();
+        let is_staging =
+            |(id, order): &&(id::Runner, Order)| *id == spare.id && matches!(order, Order::Stage(_));
+        if let Some((id, order)) = step.orders.iter().find(is_staging) {
+            world.memory.record_refused(id, order);
+            issued.push(world.now.since(began));
+        }
+        world.now = world.now + PAUSE;
+    }
+    // A repetition comes after 1.5 s, in the first step from then on.
+    assert_eq!(issued, [Millis(0), Millis(1600), Millis(3200)]);
+}
