Tell of loads that wait also after a step that was not written

Operators saw no line where loads that callers need waited, if the step that found it first met a conflict.

Cause: the line is logged once the plans of its step are written, but was remembered as told by the step itself.

Change: what was told stands among what a step decides, which takes effect once its plans are written.

--- a/crates/fleet/src/decide.rs
+++ b/crates/fleet/src/decide.rs
@@ -104,7 +104,7 @@
     let held_back = issuer.held_back;
     let account =
         held_back.then(|| decided.loads.account(snapshot.now, engine, snapshot.ceiling, snapshot.serving));
-    step.notes.extend(memory.holdback.record(account, snapshot.now));
+    step.notes.extend(decided.holdback.record(account, snapshot.now));
     if snapshot.serving {
         callers::record(snapshot, &mut drafts);
     }
--- a/crates/fleet/src/decided.rs
+++ b/crates/fleet/src/decided.rs
@@ -9,6 +9,7 @@
 use cottoncrank::{Millis, id};
 
 use crate::catalog::Model;
+use crate::holdback::Holdback;
 use crate::loads::{Loads, Purpose};
 use crate::order::{Order, REPEAT_ACKNOWLEDGED_INTERVAL};
 use crate::reserve::Losses;
@@ -46,6 +47,8 @@
     staging_orders: HashMap<id::Runner, Staging>,
     /// Recent loads.
     pub(crate) loads: Loads,
+    /// Whether loads that callers need are held back, and what was told of it.
+    pub(crate) holdback: Holdback,
     /// The members lost so far.
     pub(crate) losses: Losses,
     /// Since when models have had no group while callers were present.
--- a/crates/fleet/src/memory.rs
+++ b/crates/fleet/src/memory.rs
@@ -8,7 +8,6 @@
 use crate::catalog::{Model, Service};
 use crate::decided::Decided;
 use crate::demand::{Demand, Share};
-use crate::holdback::Holdback;
 use crate::order::Order;
 use crate::roster::Roster;
 use crate::runner::{Epoch, Incarnation, is_later};
@@ -43,8 +42,6 @@
     pub(crate) stalled_since: HashMap<(id::Group, Epoch), Millis>,
     /// Heads that rejected requests, with the time when this was last seen.
     rejecting: HashMap<id::Runner, Millis>,
-    /// Whether loads that callers need are held back.
-    pub(crate) holdback: Holdback,
     /// The observed utilization of the groups of each model, by service.
     pub(crate) demands: HashMap<id::Service, Demand>,
     /// When the first step was made.
