Send an order to stage again that a runner did not take

Callers saw nothing; a free runner that answered 409, or whose answer was lost, stood idle for three load times, and counted as a holder of the model meanwhile.

Cause: only some refusals of an order to stage were told to the planner. After the others it took the runner for loading.

Change: each answer but success, and each error, ends the staging; the next step chooses anew, and the order is issued once it is due. A runner that took the first takes the second for a repetition. The load stays counted, so the ceiling holds.

--- a/crates/node/src/decider/term.rs
+++ b/crates/node/src/decider/term.rs
@@ -507,7 +507,10 @@
                 Ok(Reply::Unfit | Reply::Gone) if matches!(order, Order::Leave(..)) => {
                     memory.lock().record_acknowledged(&runner, incarnation, &order, node.now());
                 }
-                Ok(Reply::Gone | Reply::Refused(_)) if matches!(order, Order::Stage(_)) => {
+                // A runner that took it all the same takes the next one for a repetition.
+                Ok(Reply::Unfit | Reply::Gone | Reply::Refused(_)) | Err(_)
+                    if matches!(order, Order::Stage(_)) =>
+                {
                     memory.lock().record_refused(&runner, &order);
                 }
                 Ok(Reply::Unfit | Reply::Gone | Reply::Refused(_)) | Err(_) => {}
