Refuse a part for good once its row of crashes is full, void ones included

Found by a review: where some crashes of a part were void, the others could not reach the eight from which on it counts whatever explains them, as no ninth is recorded; prompts with it would have ended runners without a pause.

--- a/crates/fleet/src/suspects.rs
+++ b/crates/fleet/src/suspects.rs
@@ -241,7 +241,7 @@
             others.any(|other| other.row.list_valid_crashes().any(|known| known == crash))
         };
         let unexplained = crashes.iter().filter(|crash| !is_explained(crash)).count();
-        unexplained < MIN_CRASHES && crashes.len() < MAX_CRASHES
+        unexplained < MIN_CRASHES && entry.row.crashes.len() < MAX_CRASHES
     }
 
     /// Returns the other requests that were in flight at all of these crashes as well; for a part, the other
--- a/crates/fleet/tests/suspects.rs
+++ b/crates/fleet/tests/suspects.rs
@@ -366,6 +366,17 @@
     assert_eq!(level(&table), Level::Deadly(8));
 }
 
+/// No further crash of such a part is recorded, be those that are void or those that count the most.
+#[test]
+fn a_part_whose_crashes_are_partly_void_is_refused_once_no_more_are_recorded() {
+    let mut table = table(&[part_row("bad", "acme", &[1, 2, 3, 4])]);
+    table.void_crashes(&part("bad"), NOW);
+    for row in [part_row("bad", "acme", &[5, 6, 7, 8]), part_row("a1", "acme", &[5, 6])] {
+        table.merge(&row, Origin::Hall, NOW);
+    }
+    assert_eq!(level_of_parts_after(Millis(2000), &table, "acme", &["bad"]), Level::Deadly(4));
+}
+
 #[test]
 fn a_part_counts_against_other_accounts_only_when_several_sent_it() {
     let mut table = table(&[part_row("bad", "acme", &[1, 2, 3, 4])]);
