--- a/crates/node/src/decider.rs
+++ b/crates/node/src/decider.rs
@@ -13,7 +13,7 @@
 use cottoncrank::Millis;
 use cottoncrank_fleet::position::{Era, Position};
 use cottoncrank_platform::item::Item;
-use cottoncrank_platform::store::{Commit, Outcome};
+use cottoncrank_platform::store::{Commit, Lease, Outcome};
 use rand::Rng;
 
 use self::look::Look;
@@ -160,14 +160,29 @@
     let asked = node.now();
     let ttl = LEASE_TTL.max(node.settings().lease_min);
     let lease = node.store.open_lease(ttl).await?;
+    let won = take_lease(node, lease, former_position).await;
+    if won.is_err() {
+        // Its key may be bound to it by now, and nobody could campaign until it expires.
+        if let Err(error) = node.store.revoke_lease(lease).await {
+            log::info!("decider: the lease was not ended and expires by itself: {error}");
+        }
+    }
+    Ok(won?.map(|(position, plans)| (Holding { lease, position, asked, end: asked + ttl }, plans)))
+}
+
+/// Binds the lease's key to a lease, and reads the plans. Returns `None` if another node was first.
+async fn take_lease(
+    node: &Node,
+    lease: Lease,
+    former_position: Option<Position>,
+) -> Result<Option<(Position, Plans)>, EndError> {
     let commit = Commit {
         expect: vec![(LEASE_KEY.to_owned(), former_position)],
         puts: vec![(LEASE_KEY.to_owned(), node.settings().node.as_str().into(), Some(lease))],
-        removes: Vec::new(),
+        ..Commit::default()
     };
     let Outcome::Done(position) = node.store.commit(&commit).await? else { return Ok(None) };
-    let plans = read_plans(node).await?;
-    Ok(Some((Holding { lease, position, asked, end: asked + ttl }, plans)))
+    Ok(Some((position, read_plans(node).await?)))
 }
 
 /// Decodes the holder of the lease from the lease's key.
