Read outdated plans with pauses, and give the office up where the store does not tell

They have 250 ms between them, and the term ends after as long as a lease lasts. A store that refuses plans which it had lost is asked again, where the term ended as if it had been restored once more.

--- a/crates/node/src/decider/term.rs
+++ b/crates/node/src/decider/term.rs
@@ -53,6 +53,9 @@
 /// removed it.
 const REREAD_INTERVAL: Millis = Millis(2000);
 
+/// How often outdated plans are read again. All nodes share the store's rate of reads.
+const RETRY_INTERVAL: Millis = Millis(250);
+
 /// The minimum time between two census lines in the log for one service.
 const CENSUS_LOG_INTERVAL: Millis = Millis(500);
 
@@ -93,10 +96,25 @@
     CutOff,
     #[error("the store was restored from an older copy, which has another lease or none")]
     StoreRestored,
+    #[error("the store did not tell what became of a write for {0}")]
+    Outdated(Millis),
+    #[error("it is not certain that the plans were written again that the store had lost")]
+    Unrestored,
     #[error(transparent)]
     Plan(#[from] PlanError),
 }
 
+/// What became of a write of plans.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Write {
+    /// The plans were written.
+    Done,
+    /// Nothing was written.
+    Refused,
+    /// That is not certain. The plans were read again, or are outdated.
+    Unsure,
+}
+
 /// One term of this node as the decider.
 pub(super) struct Term {
     node: Arc<Node>,
@@ -109,8 +127,8 @@
     /// When a renewal was last attempted.
     last_renewed: Millis,
     plans: Plans,
-    /// Whether the store may hold other plans than these, so that nothing may be planned from them.
-    is_outdated: bool,
+    /// Since when the store may hold other plans than these, so that nothing may be planned from them.
+    outdated_since: Option<Millis>,
     memory: Arc<Mutex<Memory>>,
     probes: Arc<Mutex<Probes>>,
     /// The census last logged for each service, and when.
@@ -137,7 +155,7 @@
             lease_end: holding.end,
             last_renewed: holding.asked,
             plans,
-            is_outdated: false,
+            outdated_since: None,
             memory: Arc::new(Mutex::new(memory)),
             probes,
             logged_census: HashMap::new(),
@@ -187,13 +205,23 @@
         }
         writes.extend(self.adopt_groups());
         for writes in writes.chunks(MAX_WRITES) {
+            self.restore(writes).await?;
+        }
+        Ok(())
+    }
+
+    /// Writes plans that the store has lost, again if it refuses.
+    async fn restore(&mut self, writes: &[(id::Domain, Document, Vec<String>)]) -> Result<(), EndError> {
+        loop {
+            self.check_lease()?;
             self.renew_lease().await?;
-            if !self.write(writes).await? {
+            match self.write(writes).await? {
+                Write::Done => return Ok(()),
+                Write::Refused => tokio::time::sleep(RETRY_INTERVAL.duration()).await,
                 // The plans held now are the older ones, which must not be planned from.
-                return Err(EndError::StoreRestored);
+                Write::Unsure => return Err(EndError::Unrestored),
             }
         }
-        Ok(())
     }
 
     /// Adopts groups that serve but are in no plan, because the store has lost their plan, and returns
@@ -235,7 +263,7 @@
             if self.node.is_cut_off() {
                 return Err(EndError::CutOff);
             }
-            self.reread_plans(now).await;
+            self.reread_plans(now).await?;
             self.plan_services().await?;
             // The next round begins after a change or after the interval, so the outcome is unused.
             let _ = tokio::time::timeout(PLAN_INTERVAL.duration(), self.node.fleet_changed.notified()).await;
@@ -244,24 +272,37 @@
     }
 
     /// Reads the plans again if they are outdated, or some were invalid, in case they have been corrected or
-    /// removed.
-    async fn reread_plans(&mut self, now: Millis) {
-        let is_due = !self.plans.closed.is_empty() && now >= self.plans.read_at + REREAD_INTERVAL;
-        if !self.is_outdated && !is_due {
-            return;
+    /// removed. Another node may fare better with a store that does not tell for as long as a lease lasts.
+    async fn reread_plans(&mut self, now: Millis) -> Result<(), EndError> {
+        let interval = match self.outdated_since {
+            Some(_) => RETRY_INTERVAL,
+            None if self.plans.closed.is_empty() => return Ok(()),
+            None => REREAD_INTERVAL,
+        };
+        if now >= self.plans.read_at + interval {
+            self.read_plans(now).await;
         }
+        match self.outdated_since.map(|since| self.node.now().since(since)) {
+            Some(outdated) if outdated >= LEASE_TTL => Err(EndError::Outdated(outdated)),
+            _ => Ok(()),
+        }
+    }
+
+    /// Reads the plans. Those known stay where the store does not tell.
+    async fn read_plans(&mut self, now: Millis) {
         self.plans.read_at = now;
         match read_plans(&self.node).await {
-            Ok(plans) => (self.plans, self.is_outdated) = (plans, false),
+            Ok(plans) => (self.plans, self.outdated_since) = (plans, None),
             Err(error) => log::info!("decider: the plans could not be read again: {error}"),
         }
     }
 
-    /// Reads the plans again that the store may hold instead of the known ones. Where it does not tell, the term
-    /// goes on, and nothing is planned until it does.
+    /// Reads the plans that the store may hold instead of the known ones. Where it does not tell, the term goes
+    /// on, and nothing is planned until it does.
     async fn refresh_plans(&mut self) {
-        self.is_outdated = true;
-        self.reread_plans(self.node.now()).await;
+        let now = self.node.now();
+        self.outdated_since.get_or_insert(now);
+        self.read_plans(now).await;
     }
 
     /// Renews the lease if a renewal is due.
@@ -291,7 +332,7 @@
     async fn plan_services(&mut self) -> Result<(), EndError> {
         let Some(catalog) = self.node.catalog.lock().clone() else { return Ok(()) };
         for service in &catalog.services {
-            if self.is_outdated {
+            if self.outdated_since.is_some() {
                 return Ok(());
             }
             let Some(engine) = &service.engine else { continue };
@@ -404,7 +445,7 @@
     async fn execute(&mut self, service: &id::Service, step: Step) -> Result<(), EndError> {
         for writes in step.writes.chunks(MAX_WRITES) {
             self.renew_lease().await?;
-            if !self.write(writes).await? {
+            if self.write(writes).await? != Write::Done {
                 // Orders are sent only for plans that are written. If this plan was lost and made again,
                 // its epochs would be used a second time.
                 report_unsent(service, step.orders.len());
@@ -427,9 +468,8 @@
         self.plans.stored.get(domain).map_or(0, |stored| stored.document.version) + 1
     }
 
-    /// Writes plans. Returns false if it is not certain that they were written; the plans have then been
-    /// read from the store again.
-    async fn write(&mut self, writes: &[(id::Domain, Document, Vec<String>)]) -> Result<bool, EndError> {
+    /// Writes plans.
+    async fn write(&mut self, writes: &[(id::Domain, Document, Vec<String>)]) -> Result<Write, EndError> {
         let mut commit =
             Commit { expect: vec![(LEASE_KEY.to_owned(), Some(self.lease_position))], ..Commit::default() };
         for (domain, document, _) in writes {
@@ -453,7 +493,7 @@
                         StoredPlan { position: Some(position), shared: writes.len() > 1, document },
                     );
                 }
-                Ok(true)
+                Ok(Write::Done)
             }
             // After a lost answer the write may have been made or may still be made. Both show as a
             // conflict at the next write, and the plans are read again.
@@ -462,16 +502,15 @@
                 let holder = self.node.decider.borrow().as_ref().map(|holder| holder.position);
                 match holder > Some(self.lease_position) {
                     true => Err(EndError::Deposed),
-                    false => Ok(false),
+                    false => Ok(Write::Unsure),
                 }
             }
             Err(StoreError::LeaseExpired) => Err(StoreError::LeaseExpired.into()),
             Err(StoreError::Restored(_)) => Err(EndError::StoreRestored),
-            // Nothing was written.
-            Err(StoreError::Busy(_)) => Ok(false),
+            Err(StoreError::Busy(_)) => Ok(Write::Refused),
             Err(_) => {
                 self.refresh_plans().await;
-                Ok(false)
+                Ok(Write::Unsure)
             }
         }
     }
--- a/crates/node/tests/writes.rs
+++ b/crates/node/tests/writes.rs
@@ -135,3 +135,40 @@
 async fn a_decider_that_cannot_read_what_became_of_its_write_stays_in_office() {
     check_office(Fault::WriteAnswersBroken).await;
 }
+
+/// The same where the store is back in time: the group is taken apart by the decider that found the loss.
+#[tokio::test]
+async fn a_decider_that_could_not_read_what_became_of_its_write_goes_on_once_it_can() {
+    let fleet = Fleet::serving(1).await;
+    let node = &fleet.nodes[0].node;
+    let is_renewed = |fleet: &Fleet| fleet.store.lease_left(DECIDER) >= Some(Millis(1550));
+    fleet.wait("the lease is renewed", is_renewed).await;
+    let commits = fleet.store.calls().commits;
+    fleet.store.set_fault(Fault::WriteAnswersBroken);
+    fleet.engines[0].crash();
+    let is_unsure = |fleet: &Fleet| fleet.store.calls().commits > commits;
+    fleet.wait("a write whose answer breaks off", is_unsure).await;
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    fleet.store.set_fault(Fault::None);
+    let left = |_: &Fleet| {
+        assert!(node.is_deciding(), "its term ended");
+        fleet.engines[1].membership().is_none()
+    };
+    fleet.wait("the member that lives leaves", left).await;
+}
+
+/// A node whose write of the lease's key had no answer left the lease to expire, and nobody could campaign.
+#[tokio::test]
+async fn a_candidate_that_does_not_learn_of_its_election_ends_the_lease() {
+    let fleet = Fleet::serving(1).await;
+    fleet.wait("the node decides", |fleet| fleet.nodes[0].node.is_deciding()).await;
+    fleet.store.set_fault(Fault::Silent);
+    fleet.wait("its lease is over", |fleet| fleet.store.lease_left(DECIDER) == Some(Millis(0))).await;
+    fleet.store.set_fault(Fault::WriteAnswersLost);
+    let campaigns = |fleet: &Fleet| fleet.store.lease_left(DECIDER) > Some(Millis(1000));
+    fleet.wait("the node campaigns", campaigns).await;
+    let begun = Instant::now();
+    fleet.wait("the lease ends", |fleet| fleet.store.lease_left(DECIDER).is_none()).await;
+    let held = begun.elapsed();
+    assert!(held < CALL_TIMEOUT.duration() + ORDER_BOUND, "nobody can campaign for {held:?}");
+}
