Read an answer that waits in the socket before its call is given up

Callers of a node that gets little of the processor were refused, as the proof of the store's freshness lapsed while the store answered at once.

Cause: after a delay of the process, the timer of a call fires before the tasks have run that read its answer, so the call is given up though the answer is there.

Change: a call whose timer has fired gets up to eight more turns, while its answer is not yet too late (0.5 s after the timeout, as before).

--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -1,9 +1,10 @@
 //! The HTTP client for calls to other processes. It counts the bytes on the wire.
 
+use std::future::poll_fn;
 use std::io;
 use std::net::SocketAddr;
 use std::ops::Range;
-use std::pin::Pin;
+use std::pin::{Pin, pin};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::task::{Context, Poll};
@@ -35,6 +36,10 @@
 /// here unread. It counts as timed out. Timers on a busy box are 0.1 to 0.3 s late.
 const SUSPENSION_MARGIN: Millis = Millis(500);
 
+/// How many turns a call gets after its timeout. Timers fire before an answer that waits in the socket has been
+/// read, which takes its connection and the call a few turns each.
+const LATE_TURNS: u32 = 8;
+
 /// How long the setup of a connection may take.
 const CONNECT_TIMEOUT: Millis = Millis(400);
 
@@ -270,6 +275,20 @@
         headers: HeaderMap,
         body: Bytes,
         timeout: Millis,
+    ) -> Result<Answer, CallError> {
+        let answer = self.request(address, method, path, headers, body);
+        let answer = tokio::time::timeout(timeout.duration(), answer).await;
+        answer.unwrap_or(Err(CallError::Timeout { address, timeout }))
+    }
+
+    /// Sends a request and waits for the head of the answer, however long that takes.
+    async fn request(
+        &self,
+        address: SocketAddr,
+        method: Method,
+        path: &str,
+        headers: HeaderMap,
+        body: Bytes,
     ) -> Result<Answer, CallError> {
         let message = |reason: String| CallError::Message { address, reason };
         let mut request = Request::builder()
@@ -298,8 +317,7 @@
                 answer = request => answer,
             }
         };
-        let answer = tokio::time::timeout(timeout.duration(), answer).await;
-        answer.unwrap_or(Err(CallError::Timeout { address, timeout }))
+        answer.await
     }
 
     /// Sends a request and reads the answer to its end, all within `timeout`. The timeout covers the
@@ -315,14 +333,22 @@
         timeout: Millis,
     ) -> Result<Response<Bytes>, CallError> {
         let exchange = async {
-            let answer = self.send(address, method, path, headers, body, timeout).await?;
+            let answer = self.request(address, method, path, headers, body).await?;
             let (head, body) = answer.into_parts();
             Ok(Response::from_parts(head, read_all(address, body).await?))
         };
+        let mut exchange = pin!(exchange);
         let started = self.clock.now();
-        let in_time = tokio::time::timeout(timeout.duration(), exchange).await;
-        let suspended = self.clock.now().since(started) > timeout + SUSPENSION_MARGIN;
-        in_time.ok().filter(|_| !suspended).unwrap_or(Err(CallError::Timeout { address, timeout }))
+        let suspended = || self.clock.now().since(started) > timeout + SUSPENSION_MARGIN;
+        let mut answer = tokio::time::timeout(timeout.duration(), exchange.as_mut()).await.ok();
+        for _ in 0..LATE_TURNS {
+            if answer.is_some() || suspended() {
+                break;
+            }
+            tokio::task::yield_now().await;
+            answer = poll_once(exchange.as_mut()).await;
+        }
+        answer.filter(|_| !suspended()).unwrap_or(Err(CallError::Timeout { address, timeout }))
     }
 
     /// Sends one message to `path` and reads one back, both in MessagePack.
@@ -385,6 +411,17 @@
     }
 }
 
+/// Polls a future once.
+async fn poll_once<F: Future>(mut future: Pin<&mut F>) -> Option<F::Output> {
+    poll_fn(|context| {
+        Poll::Ready(match future.as_mut().poll(context) {
+            Poll::Ready(output) => Some(output),
+            Poll::Pending => None,
+        })
+    })
+    .await
+}
+
 fn encode<Q: Serialize>(address: SocketAddr, query: &Q) -> Result<Bytes, CallError> {
     let encoded = rmp_serde::to_vec(query).map(Bytes::from);
     encoded.map_err(|error| CallError::Message { address, reason: error.to_string() })
