--- a/crates/soak/tests/outage.rs
+++ b/crates/soak/tests/outage.rs
@@ -44,6 +44,13 @@
     check_return("older", Outage { seed: 7, store_away, older: true, ..Outage::default() }).await;
 }
 
+/// The same with losses with which the groups came back last.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_fleet_that_lost_other_heads_the_store_and_its_latest_writes_serves_in_time() {
+    let store_away = Duration::from_millis(4000);
+    check_return("older-other", Outage { seed: 12, store_away, older: true, ..Outage::default() }).await;
+}
+
 /// Guards against the same with callers that repeat: each refused try is a request, so what serves has to outweigh
 /// what refuses.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
