--- a/crates/node/src/decider/term.rs
+++ b/crates/node/src/decider/term.rs
@@ -24,7 +24,7 @@
 use cottoncrank_fleet::runner::Place;
 use cottoncrank_fleet::snapshot::Snapshot;
 use cottoncrank_fleet::waits::{self, Takeover, Waits};
-use cottoncrank_net::client::Client;
+use cottoncrank_net::client::{CallError, Client};
 use cottoncrank_platform::order::{self, Reply};
 use cottoncrank_platform::store::{Commit, Lease, Outcome, StoreError};
 use parking_lot::Mutex;
@@ -44,7 +44,7 @@
 const RENEW_INTERVAL: Millis = Millis(400);
 
 /// How long before the possible end of its lease a decider stops.
-const LEASE_MARGIN: Millis = Millis(300);
+pub(super) const LEASE_MARGIN: Millis = Millis(300);
 
 /// How often a decider plans when nothing has changed.
 const PLAN_INTERVAL: Millis = Millis(250);
@@ -54,7 +54,7 @@
 const REREAD_INTERVAL: Millis = Millis(2000);
 
 /// How often outdated plans are read again. All nodes share the store's rate of reads.
-const RETRY_INTERVAL: Millis = Millis(250);
+pub(super) const RETRY_INTERVAL: Millis = Millis(250);
 
 /// The minimum time between two census lines in the log for one service.
 const CENSUS_LOG_INTERVAL: Millis = Millis(500);
@@ -186,6 +186,17 @@
         }
     }
 
+    /// Returns an error if another node should be the decider.
+    fn check_duty(&self) -> Result<(), EndError> {
+        if *self.node.draining.borrow() {
+            return Err(EndError::Deposed);
+        }
+        match self.node.is_cut_off() {
+            true => Err(EndError::CutOff),
+            false => Ok(()),
+        }
+    }
+
     /// Plans until the lease is lost.
     pub(super) async fn run(&mut self) -> Result<std::convert::Infallible, EndError> {
         self.restore_plans().await?;
@@ -194,12 +205,7 @@
             let now = self.node.now();
             self.check_lease()?;
             self.renew_lease().await?;
-            if *self.node.draining.borrow() {
-                return Err(EndError::Deposed);
-            }
-            if self.node.is_cut_off() {
-                return Err(EndError::CutOff);
-            }
+            self.check_duty()?;
             self.reread_plans(now).await?;
             self.plan_services().await?;
             // The next round begins after a change or after the interval, so the outcome is unused.
@@ -483,7 +489,8 @@
                 Ok(Reply::Unfit | Reply::Gone) if matches!(order, Order::Leave(..)) => {
                     memory.lock().record_acknowledged(&runner, incarnation, &order, node.now());
                 }
-                // A runner that took it all the same takes the next one for a repetition.
+                // One whose answer is late has most likely taken it, and loads.
+                Err(CallError::Timeout { .. }) => {}
                 Ok(Reply::Unfit | Reply::Gone | Reply::Refused(_)) | Err(_)
                     if matches!(order, Order::Stage(_)) =>
                 {
--- a/crates/node/tests/staging.rs
+++ b/crates/node/tests/staging.rs
@@ -7,6 +7,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
 
 use common::{Fleet, KEY};
 use cottoncrank_platform_standin::operator::config;
@@ -17,6 +18,9 @@
 /// Far more than the test lasts.
 const LOAD_SECONDS: f64 = 60.0;
 
+/// An answer that comes so late is not waited for, and an order that is due again has been sent twice by then.
+const LATE: Duration = Duration::from_secs(6);
+
 /// How a runner does not take an order to stage.
 #[derive(Clone, Copy)]
 enum Untaken {
@@ -24,6 +28,8 @@
     Unfit,
     /// It closes the connection without an answer.
     Lost,
+    /// It takes the order, and its answer comes later than the decider waits for it.
+    Late,
 }
 
 /// Starts a proxy in front of a runner that answers orders to stage itself, and counts them.
@@ -47,9 +53,13 @@
                 Ok(read) if read > 0 => {
                     if String::from_utf8_lossy(&asked[..read]).contains(r#""op":"stage""#) {
                         count.fetch_add(1, Ordering::Relaxed);
-                        if let Untaken::Unfit = untaken {
-                            let answer = b"HTTP/1.1 409 Conflict\r\ncontent-length: 0\r\nconnection: close\r\n\r\n";
-                            let _ = stream.write_all(answer).await;
+                        match untaken {
+                            Untaken::Unfit => {
+                                let answer = b"HTTP/1.1 409 Conflict\r\ncontent-length: 0\r\nconnection: close\r\n\r\n";
+                                let _ = stream.write_all(answer).await;
+                            }
+                            Untaken::Lost => {}
+                            Untaken::Late => tokio::time::sleep(LATE).await,
                         }
                         return;
                     }
@@ -67,10 +77,12 @@
     }
 }
 
-async fn assert_sent_again(untaken: Untaken) {
+/// Starts a fleet with such a proxy in front of each runner, and returns what these count.
+async fn start_fleet(untaken: Untaken) -> (Fleet, Vec<Arc<AtomicUsize>>) {
     let fleet = Fleet::unconfigured(1).await;
-    let count = Arc::new(AtomicUsize::new(0));
+    let mut counts = Vec::new();
     for engine in &fleet.engines {
+        let count = Arc::new(AtomicUsize::new(0));
         let address = start(engine.address(), untaken, count.clone()).await;
         engine.advertise(address);
         let knows = |fleet: &Fleet| {
@@ -78,12 +90,31 @@
             roster.get(&engine.id().parse().unwrap()).is_some_and(|runner| runner.address == address)
         };
         fleet.wait("the node knows the proxy", knows).await;
+        counts.push(count);
     }
     let mut config = config(1, &[KEY]);
     config["services"][0]["engine"]["models"][0]["loadS"] = json!(LOAD_SECONDS);
     fleet.store.configure(&config);
-    fleet.wait("an order to stage", |_| count.load(Ordering::Relaxed) >= 1).await;
-    fleet.wait("it is sent again twice", |_| count.load(Ordering::Relaxed) >= 3).await;
+    (fleet, counts)
+}
+
+fn sum(counts: &[Arc<AtomicUsize>]) -> usize {
+    counts.iter().map(|count| count.load(Ordering::Relaxed)).sum()
+}
+
+async fn assert_sent_again(untaken: Untaken) {
+    let (fleet, counts) = start_fleet(untaken).await;
+    fleet.wait("an order to stage", |_| sum(&counts) >= 1).await;
+    fleet.wait("it is sent again twice", |_| sum(&counts) >= 3).await;
+}
+
+/// The runner loads, so that the order would only count one more load.
+#[tokio::test]
+async fn an_order_to_stage_whose_answer_is_late_is_not_sent_again() {
+    let (fleet, counts) = start_fleet(Untaken::Late).await;
+    fleet.wait("an order to stage", |_| sum(&counts) >= 1).await;
+    tokio::time::sleep(LATE).await;
+    assert!(counts.iter().all(|count| count.load(Ordering::Relaxed) <= 1), "{counts:?}");
 }
 
 #[tokio::test]
