Ask for the plans again in place of a new campaign, and leave office at a stop

Found by a review: a candidate that had won and could not read the plans ended its lease at once, so that in a store that refuses reads all nodes would campaign each 250 ms; it asks again while its lease lasts.

--- a/crates/node/src/decider.rs
+++ b/crates/node/src/decider.rs
@@ -17,7 +17,7 @@
 use rand::Rng;
 
 use self::look::Look;
-use self::term::{EndError, Holding, Term};
+use self::term::{EndError, Holding, LEASE_MARGIN, RETRY_INTERVAL, Term};
 use crate::past;
 use crate::plans::{Plans, read_plans};
 use crate::state::{DeciderLease, Node};
@@ -160,7 +160,7 @@
     let asked = node.now();
     let ttl = LEASE_TTL.max(node.settings().lease_min);
     let lease = node.store.open_lease(ttl).await?;
-    let won = take_lease(node, lease, former_position).await;
+    let won = take_lease(node, lease, former_position, asked + ttl).await;
     if won.is_err() {
         // Its key may be bound to it by now, and nobody could campaign until it expires.
         if let Err(error) = node.store.revoke_lease(lease).await {
@@ -170,11 +170,13 @@
     Ok(won?.map(|(position, plans)| (Holding { lease, position, asked, end: asked + ttl }, plans)))
 }
 
-/// Binds the lease's key to a lease, and reads the plans. Returns `None` if another node was first.
+/// Binds the lease's key to a lease that lasts until `end`, and reads the plans. Returns `None` if another node was
+/// first.
 async fn take_lease(
     node: &Node,
     lease: Lease,
     former_position: Option<Position>,
+    end: Millis,
 ) -> Result<Option<(Position, Plans)>, EndError> {
     let commit = Commit {
         expect: vec![(LEASE_KEY.to_owned(), former_position)],
@@ -182,7 +184,14 @@
         ..Commit::default()
     };
     let Outcome::Done(position) = node.store.commit(&commit).await? else { return Ok(None) };
-    Ok(Some((position, read_plans(node).await?)))
+    loop {
+        match read_plans(node).await {
+            Ok(plans) => return Ok(Some((position, plans))),
+            Err(error) if node.now() + LEASE_MARGIN + RETRY_INTERVAL >= end => return Err(error.into()),
+            Err(error) => log::info!("decider: the plans could not be read: {error}"),
+        }
+        tokio::time::sleep(RETRY_INTERVAL.duration()).await;
+    }
 }
 
 /// Decodes the holder of the lease from the lease's key.
--- a/crates/node/src/decider/term/restore.rs
+++ b/crates/node/src/decider/term/restore.rs
@@ -38,6 +38,7 @@
         loop {
             self.check_lease()?;
             self.renew_lease().await?;
+            self.check_duty()?;
             match self.write(writes).await? {
                 Write::Done => return Ok(()),
                 Write::Refused => tokio::time::sleep(RETRY_INTERVAL.duration()).await,
