--- a/crates/node/src/decider/term.rs
+++ b/crates/node/src/decider/term.rs
@@ -4,14 +4,14 @@
 //! Orders are sent only for plans that were written. An order that arrives late names an epoch that is over,
 //! so the runner rejects it.
 
+mod logging;
 mod restore;
 
 use std::collections::HashMap;
 use std::sync::Arc;
 
 use cottoncrank::{Millis, id};
-use cottoncrank_fleet::callers::{self, Evidence};
-use cottoncrank_fleet::catalog::Service;
+use cottoncrank_fleet::callers;
 use cottoncrank_fleet::census::{self, Census};
 use cottoncrank_fleet::decide::{Step, step};
 use cottoncrank_fleet::demand::Share;
@@ -23,7 +23,7 @@
 use cottoncrank_fleet::probe::Probes;
 use cottoncrank_fleet::runner::Place;
 use cottoncrank_fleet::snapshot::Snapshot;
-use cottoncrank_fleet::waits::{self, Takeover, Waits};
+use cottoncrank_fleet::waits::{self, Waits};
 use cottoncrank_net::client::{CallError, Client};
 use cottoncrank_platform::order::{self, Reply};
 use cottoncrank_platform::store::{Commit, Lease, Outcome, StoreError};
@@ -56,12 +56,6 @@
 /// How often outdated plans are read again. All nodes share the store's rate of reads.
 pub(super) const RETRY_INTERVAL: Millis = Millis(250);
 
-/// The minimum time between two census lines in the log for one service.
-const CENSUS_LOG_INTERVAL: Millis = Millis(500);
-
-/// The minimum time between two lines in the log on what retired groups of a service wait for.
-const WAITS_LOG_INTERVAL: Millis = Millis(250);
-
 /// How long changes are collected before the decider plans.
 const BATCH_DELAY: Millis = Millis(30);
 
@@ -322,65 +316,6 @@
         Ok(())
     }
 
-    /// Logs whether callers count as served, and why, at the begin of the term and when it changes.
-    fn log_serving(&mut self, evidence: Option<Evidence>) {
-        let serving = evidence.is_some();
-        if self.logged_serving.replace(serving) == Some(serving) {
-            return;
-        }
-        match evidence {
-            Some(evidence) => log::info!("decider: loads count as slow, {evidence}"),
-            None => log::info!("decider: loads count as fast, nothing shows a request of a caller yet"),
-        }
-    }
-
-    /// Logs how many runners of a service are in which state, if that has changed.
-    fn log_census(&mut self, service: &id::Service, census: Census) {
-        let now = self.node.now();
-        let last = self.logged_census.get(service);
-        if last.is_some_and(|(last, at)| *last == census || now < *at + CENSUS_LOG_INTERVAL) {
-            return;
-        }
-        log::info!("decider: {service}: {census}");
-        self.logged_census.insert(service.clone(), (census, now));
-    }
-
-    /// Logs what this term begins with.
-    fn log_takeover(&self) {
-        let documents = self.plans.list_documents();
-        let takeover = Takeover::count(&documents, &self.node.stalls.lock(), self.node.now());
-        log::info!("decider: {takeover}");
-        let (asked, silent) = self.probes.lock().count_silent();
-        log::info!("decider: {asked} members were probed before the term, {silent} are silent");
-    }
-
-    /// Logs what the retired groups of a service wait for, if that has changed.
-    fn log_waits(&mut self, service: &id::Service, waits: Waits) {
-        telemetry::set_groups_held(service, &waits);
-        let now = self.node.now();
-        let (last, at) = self.logged_waits.get(service).cloned().unwrap_or_default();
-        if last.is_same(&waits) || now < at + WAITS_LOG_INTERVAL {
-            return;
-        }
-        log::info!("decider: {service}: {waits}");
-        self.logged_waits.insert(service.clone(), (waits, now));
-    }
-
-    /// Logs which share of the runners each model is to have, if that has changed.
-    fn log_shares(&mut self, service: &Service) {
-        let shares = self.memory.lock().list_shares(service);
-        let logged = self.logged_shares.entry(service.id.clone()).or_default();
-        let same = logged.len() == shares.len()
-            && !shares.iter().zip(&*logged).any(|(share, logged)| share.differs(logged));
-        if same {
-            return;
-        }
-        for share in &shares {
-            log::info!("decider: {}: {share}", service.id);
-        }
-        *logged = shares;
-    }
-
     /// Writes the plans that changed, then sends the orders that follow from them.
     ///
     /// The lease is renewed between the writes, because in a fleet with many domains and a slow store the
