--- a/crates/node/tests/writes.rs
+++ b/crates/node/tests/writes.rs
@@ -34,6 +34,9 @@
 /// The key that the decider's lease is bound to.
 const DECIDER: &str = "cottoncrank/decider";
 
+/// How long a lease lasts.
+const LEASE: Duration = Duration::from_millis(1600);
+
 /// How long it may take from a written plan to the orders that follow from it. A repetition comes after 1.5 s.
 const ORDER_BOUND: Duration = Duration::from_millis(450);
 
@@ -172,3 +175,46 @@
     let held = begun.elapsed();
     assert!(held < CALL_TIMEOUT.duration() + ORDER_BOUND, "nobody can campaign for {held:?}");
 }
+
+/// The same where the store does not tell for longer than a lease lasts: another node may fare better.
+#[tokio::test]
+async fn a_decider_that_never_learns_what_became_of_its_write_gives_its_office_up() {
+    let fleet = Fleet::serving(1).await;
+    let node = &fleet.nodes[0].node;
+    let commits = fleet.store.calls().commits;
+    fleet.store.set_fault(Fault::WriteAnswersBroken);
+    fleet.engines[0].crash();
+    let is_unsure = |fleet: &Fleet| fleet.store.calls().commits > commits;
+    fleet.wait("a write whose answer breaks off", is_unsure).await;
+    let unsure = Instant::now();
+    let refused = fleet.store.calls().refused;
+    fleet.wait("its term ends", |_| !node.is_deciding()).await;
+    let lasted = unsure.elapsed();
+    assert!(lasted > LEASE - ORDER_BOUND && lasted < LEASE + CALL_TIMEOUT.duration(), "{lasted:?}");
+    // A read each 250 ms, and those of the copy that the node follows.
+    let reads = fleet.store.calls().refused - refused;
+    assert!(reads < 40, "{reads} reads were refused meanwhile");
+}
+
+/// A candidate that was elected and could not read the plans ended its lease, so that all nodes campaigned anew at
+/// once.
+#[tokio::test]
+async fn a_candidate_that_cannot_read_the_plans_asks_again_while_its_lease_lasts() {
+    let fleet = Fleet::serving(1).await;
+    let node = &fleet.nodes[0].node;
+    fleet.wait("the node decides", |_| node.is_deciding()).await;
+    let former = fleet.store.revision(DECIDER);
+    fleet.store.set_fault(Fault::Silent);
+    fleet.wait("its lease is over", |fleet| fleet.store.lease_left(DECIDER) == Some(Millis(0))).await;
+    fleet.store.set_fault(Fault::ReadsRefused);
+    let is_elected = |fleet: &Fleet| {
+        let revision = fleet.store.revision(DECIDER);
+        revision.is_some() && revision != former
+    };
+    fleet.wait("the node campaigns", is_elected).await;
+    let elected = fleet.store.revision(DECIDER);
+    tokio::time::sleep(Duration::from_millis(600)).await;
+    fleet.store.set_fault(Fault::None);
+    fleet.wait("the node decides again", |_| node.is_deciding()).await;
+    assert_eq!(fleet.store.revision(DECIDER), elected, "it campaigned once more");
+}
