--- a/crates/node/tests/common/process.rs
+++ b/crates/node/tests/common/process.rs
@@ -99,6 +99,15 @@
         self.child = Some(child.unwrap());
     }
 
+    /// Ends its process at once, as a loss of power does.
+    pub fn kill(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            // It may have ended already.
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+
     /// Lets others take its ports.
     pub fn release_ports(&mut self) {
         self.ports = None;
@@ -150,11 +159,7 @@
 
 impl Drop for NodeProcess {
     fn drop(&mut self) {
-        if let Some(mut child) = self.child.take() {
-            // It may have ended already.
-            let _ = child.kill();
-            let _ = child.wait();
-        }
+        self.kill();
     }
 }
 
