Do not take a part of a list of the store for the whole

And one page that is refused or cannot be read kept a node from beginning, and all configurations from being applied once the store's history was gone. Cause: what ended a list was a page without a usable item, whatever the store said of more; a list was all or nothing, for three prefixes together; and nothing bounded a list that does not go on, has no end, or needs more memory than a box has. No line told of any. Why this works: who is gone follows only from a list that the store said is whole.

--- a/crates/fleet/src/roster.rs
+++ b/crates/fleet/src/roster.rs
@@ -232,6 +232,11 @@
         for id in gone {
             self.remove(&id, now);
         }
+        self.merge(runners, now);
+    }
+
+    /// Takes over the entries of a list that may lack some.
+    pub fn merge(&mut self, runners: Vec<Runner>, now: Millis) {
         let is_first = self.entries.is_empty() && self.departed.is_empty();
         for runner in runners {
             let arrival = match self.get_last_known(&runner.id) {
--- a/crates/node/src/apply.rs
+++ b/crates/node/src/apply.rs
@@ -24,18 +24,38 @@
 pub struct Update {
     /// The items, and the store position up to which they are complete.
     pub batch: Batch,
-    /// Whether the batch holds everything, so that items that are not in it are gone.
-    pub whole: bool,
+    /// How much of the store the batch holds.
+    pub extent: Extent,
     /// The proof of freshness: when the store is known to have held nothing newer.
     pub proof: Proof,
     /// The time up to which all changes of the store are known, unless a watch failed silently.
     pub last_contact: Millis,
 }
 
+/// How much of the store a batch holds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Extent {
+    /// What has changed.
+    Changes,
+    /// Everything, so that items that are not in it are gone.
+    Whole,
+    /// A part. What is not in it may exist.
+    Part,
+}
+
+impl Extent {
+    /// Returns the extent of a batch that is whole or else holds changes.
+    pub fn from_whole(whole: bool) -> Extent {
+        if whole { Extent::Whole } else { Extent::Changes }
+    }
+}
+
 /// What an answer proves about the freshness of the node's copy.
 pub enum Proof {
-    /// The answer holds everything that the store held at this time.
+    /// The answer holds everything that the store held at this time, or at least the operators' items.
     Read(Millis),
+    /// Nothing, as operators' items may be missing.
+    None,
     /// A watch began at this time and waited for this long.
     Watch(Millis, Millis),
 }
@@ -47,25 +67,32 @@
     if let Some(before) = former {
         era::apply_restore(node, before, &mut update.batch);
     }
-    if update.whole {
+    if update.extent == Extent::Whole {
         era::record_held(node, &update.batch);
         evacuation::carry_over(node, &mut update.batch, former.is_some());
     }
-    match update.whole {
-        true => node.feed.replace(&update.batch),
-        false => node.feed.extend(&update.batch),
+    match update.extent {
+        Extent::Whole => node.feed.replace(&update.batch),
+        Extent::Changes => node.feed.extend(&update.batch),
+        // Other nodes would take it for more than it is.
+        Extent::Part => {}
     }
     let changes = update.batch.items.len();
-    let caught_up = match update.whole {
-        true => apply_all(node, update.batch, former.is_some()),
-        false => apply_changes(node, update.batch),
+    let caught_up = match update.extent {
+        Extent::Whole => apply_all(node, update.batch, former.is_some()),
+        Extent::Changes => apply_changes(node, update.batch),
+        Extent::Part => apply_part(node, update.batch),
     };
+    node.set_knows_part(update.extent);
     if caught_up {
-        node.record_contact(update.last_contact);
+        if update.extent != Extent::Part {
+            node.record_contact(update.last_contact);
+        }
         let mut freshness = node.freshness.lock();
         match update.proof {
             Proof::Read(asked) => freshness.prove_read(asked),
             Proof::Watch(asked, waited) => freshness.prove_watch(asked, waited),
+            Proof::None => {}
         }
     }
     node.log_first_ready();
@@ -118,6 +145,23 @@
     caught_up
 }
 
+/// Applies a part of the content of the store. Nothing that it lacks counts as gone.
+fn apply_part(node: &Node, batch: Batch) -> bool {
+    let mut runners = Vec::new();
+    let mut caught_up = true;
+    let position = batch.position;
+    for item in batch.items {
+        match decode(item) {
+            Ok(Change::Runner(runner)) => runners.push(runner),
+            other => caught_up &= apply_change(node, other, position.era()),
+        }
+    }
+    log::info!("store: read in part at revision {position}, {} runners", runners.len());
+    node.roster.lock().merge(runners, node.now());
+    node.set_synced();
+    caught_up
+}
+
 fn apply_changes(node: &Node, batch: Batch) -> bool {
     let mut caught_up = true;
     for item in batch.items {
--- a/crates/node/src/decider.rs
+++ b/crates/node/src/decider.rs
@@ -134,7 +134,8 @@
 
 /// Whether this node could act as the decider at present.
 fn is_candidate(node: &Node) -> bool {
-    let knows_fleet = node.is_synced() && node.catalog.lock().is_some();
+    // Runners that a node does not know of would seem to be gone.
+    let knows_fleet = node.is_synced() && !node.knows_part() && node.catalog.lock().is_some();
     knows_fleet && !*node.draining.borrow() && !node.is_cut_off()
 }
 
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -43,6 +43,7 @@
 use tokio::sync::{Notify, watch};
 
 use crate::admission;
+use crate::apply::Extent;
 use crate::connect::Opening;
 use crate::crash::Findings;
 use crate::denylist::Denylist;
@@ -208,6 +209,8 @@
     started_at: Millis,
     synced_at: OnceLock<Millis>,
     ready_at: OnceLock<Millis>,
+    /// Whether the lists of the store that were read last lack something.
+    knows_part: AtomicBool,
     deciding: AtomicBool,
     pub(crate) serving: AtomicBool,
     pub(crate) running: AtomicUsize,
@@ -302,6 +305,7 @@
             closed: watch::Sender::new(false),
             ending: watch::Sender::new(false),
             synced: watch::Sender::new(false),
+            knows_part: AtomicBool::new(false),
             deciding: AtomicBool::new(false),
             serving: AtomicBool::new(false),
             running: AtomicUsize::new(0),
@@ -368,7 +372,21 @@
         let _ = tokio::time::timeout(span.duration(), resumed.changed()).await;
     }
 
-    /// Whether the whole store has been read once.
+    /// Whether this node knows only a part of what the store holds.
+    pub(crate) fn knows_part(&self) -> bool {
+        self.knows_part.load(Ordering::Relaxed)
+    }
+
+    /// Records how much of the store was read. Changes say nothing of what a part lacks.
+    pub(crate) fn set_knows_part(&self, extent: Extent) {
+        match extent {
+            Extent::Whole => self.knows_part.store(false, Ordering::Relaxed),
+            Extent::Part => self.knows_part.store(true, Ordering::Relaxed),
+            Extent::Changes => {}
+        }
+    }
+
+    /// Whether the whole store has been read once, or what could be read of it.
     pub fn is_synced(&self) -> bool {
         *self.synced.borrow()
     }
--- a/crates/node/src/sync.rs
+++ b/crates/node/src/sync.rs
@@ -11,11 +11,11 @@
 use cottoncrank_fleet::settings::Settings;
 use cottoncrank_fleet::source::{Failure, Source, Sources};
 use cottoncrank_net::client::{CallError, Client, Traffic};
-use cottoncrank_platform::store::{Batch, StoreError};
+use cottoncrank_platform::store::{Batch, Contents, Cut, StoreError};
 use rand::Rng;
 use thiserror::Error;
 
-use crate::apply::{Proof, Update, apply_update};
+use crate::apply::{Extent, Proof, Update, apply_update};
 use crate::catchup;
 use crate::era;
 use crate::feed::{self, UnpackError};
@@ -68,6 +68,10 @@
 /// How many readers each attempt queries. A dead reader costs 0.4 s.
 const READERS_PER_ATTEMPT: usize = 2;
 
+/// The pause after a read of the store that could not be finished. No change is learned of meanwhile, and a
+/// configuration has to be in force within two seconds.
+const PART_PAUSE: Millis = Millis(1000);
+
 /// A pause from which on it is logged, as callers notice it.
 const LOGGED_PAUSE: Millis = Millis(1000);
 
@@ -362,17 +366,23 @@
     async fn read_store(&self, behind: bool) -> Result<Update, SyncError> {
         let asked = self.node.now();
         let Some(after) = self.position.filter(|_| !self.history_compacted) else {
-            let mut batch = self.node.store.read_all().await?;
+            let Contents { mut batch, cuts } = self.node.store.read_all().await?;
             if self.newest_position == Position::default() {
                 era::ask_others(&self.node, &self.client, &mut batch).await;
             }
-            return Ok(Update { batch, whole: true, proof: Proof::Read(asked), last_contact: asked });
+            cuts.iter().for_each(report_cut);
+            let extent = if cuts.is_empty() { Extent::Whole } else { Extent::Part };
+            let proof = match cuts.iter().any(Cut::is_of_operators) {
+                true => Proof::None,
+                false => Proof::Read(asked),
+            };
+            return Ok(Update { batch, extent, proof, last_contact: asked });
         };
         let wait = if behind { Millis(0) } else { WATCH_TIMEOUT };
         let batch = self.node.store.watch(after, wait).await?;
         let waited = if batch.items.is_empty() { wait } else { Millis(0) };
         let last_contact = self.node.now();
-        Ok(Update { batch, whole: false, proof: Proof::Watch(asked, waited), last_contact })
+        Ok(Update { batch, extent: Extent::Changes, proof: Proof::Watch(asked, waited), last_contact })
     }
 
     /// Polls another node, at most until the store has to be called.
@@ -402,7 +412,8 @@
         // answer back.
         let answered = asked + Millis(reply.waited_ms);
         let proof = Proof::Read(answered - Millis(reply.age_ms));
-        Ok(Update { batch, whole: reply.whole, proof, last_contact: answered - staleness })
+        let extent = Extent::from_whole(reply.whole);
+        Ok(Update { batch, extent, proof, last_contact: answered - staleness })
     }
 
     /// Applies an update, the answer to a call that began at `asked`. `serving` says whether this node
@@ -413,12 +424,15 @@
             self.node.roster.lock().start_grace_period(self.node.now());
         }
         self.store_reached = true;
+        if update.extent == Extent::Part {
+            return self.apply_part(update, asked).await;
+        }
         self.history_compacted = false;
         let before = self.newest_position;
         self.position = Some(update.batch.position);
         self.newest_position = before.max(update.batch.position);
         // Whoever has read everything has waited long enough for it, and hears at once what follows.
-        let batches = !update.whole && !update.batch.items.is_empty();
+        let batches = update.extent == Extent::Changes && !update.batch.items.is_empty();
         let started = before != Position::default();
         apply_update(&self.node, update, started.then_some(before));
         self.node.feed.set_serving(serving);
@@ -428,6 +442,22 @@
             self.node.pause(pause).await;
         }
     }
+
+    /// Applies a part of what the store holds, and pauses. This node stays at its position, and reads everything
+    /// again.
+    async fn apply_part(&mut self, update: Update, asked: Millis) {
+        let before = Some(self.newest_position).filter(|before| *before != Position::default());
+        apply_update(&self.node, update, before);
+        self.node.feed.set_serving(false);
+        catchup::record_answer(&self.node, asked);
+        self.node.pause(PART_PAUSE).await;
+    }
+}
+
+/// Logs and counts a list of the store that was not read to its end.
+fn report_cut(cut: &Cut) {
+    telemetry::count_cut_list(cut.reason());
+    log::error!("store: {cut}");
 }
 
 /// Removes runners whose grace period is over, until the process ends.
--- a/crates/node/src/telemetry.rs
+++ b/crates/node/src/telemetry.rs
@@ -249,6 +249,11 @@
         .increment(1);
 }
 
+/// Counts a list of the store that was not read to its end, by the reason.
+pub fn count_cut_list(reason: &'static str) {
+    metrics::counter!("cottoncrank_store_lists_cut_total", "reason" => reason).increment(1);
+}
+
 /// Counts an invalid item of the store by its kind and the reason.
 pub fn count_invalid_item(kind: &'static str, reason: &'static str) {
     metrics::counter!("cottoncrank_items_unreadable_total", "part" => kind, "reason" => reason).increment(1);
--- a/crates/node/tests/eras.rs
+++ b/crates/node/tests/eras.rs
@@ -328,7 +328,7 @@
     let client = Store::new(store.address());
     let lease = client.open_lease(Millis(5000)).await.unwrap();
     client.renew_lease(lease).await.unwrap();
-    let read = client.read_all().await.unwrap();
+    let read = client.read_all().await.unwrap().batch;
     store.restore(&store.snapshot());
     // The number of the lease exists in the copy too, and may be assigned to another client.
     let watched = client.watch(read.position, Millis(0)).await;
