Let an outage be played beside entries of another writer

An outage now takes what another writer put into the store before it (names that cannot stand in a query, so that a page of 500 items ends on one of them, under one prefix or all that are read; values of another form or too large; an entry whose address answers nothing), what the store does with queries that it cannot decode, whether plain runners fall silent or go, whether each node is asked for a route that never existed, how long callers wait, and the bound for configurations. With `--live` no node is lost: a configuration is written and the store forgets its history in one step, and the report says after how long each node serves by it.

Without these options an outage is as before. The stand-in's settings name the bound of configurations; it is 4 s for all former tests, as their nodes took it without it.

--- a/crates/node/tests/common/process.rs
+++ b/crates/node/tests/common/process.rs
@@ -47,6 +47,7 @@
             ready,
             peers,
             store,
+            apply_ms: 4000,
             revoke_ms: 5000,
             grace_s: 8.0,
             stall_ms: 2000,
--- a/crates/node/tests/crowd/mod.rs
+++ b/crates/node/tests/crowd/mod.rs
@@ -181,6 +181,7 @@
             ready,
             peers,
             store,
+            apply_ms: 4000,
             revoke_ms: 5000,
             grace_s: 4.0,
             stall_ms: 2000,
--- a/crates/soak/src/bin/outage.rs
+++ b/crates/soak/src/bin/outage.rs
@@ -5,8 +5,9 @@
 use std::time::Duration;
 
 use clap::Parser;
-use cottoncrank_soak::fleet::find_program;
-use cottoncrank_soak::outage::{Outage, Replacement, play};
+use cottoncrank_platform_standin::store::Broken;
+use cottoncrank_soak::fleet::{APPLY_MS, find_program};
+use cottoncrank_soak::outage::{Foreign, Outage, Plain, Replacement, play};
 
 /// Plays the loss of all nodes at once, and reports when service is back.
 #[derive(Debug, Parser)]
@@ -78,6 +79,27 @@
     /// How long after each other the nodes start, in milliseconds.
     #[arg(long, default_value_t = 0)]
     apart: u64,
+    /// What another writer puts into the store before.
+    #[arg(long, value_enum, default_value_t = Foreign::None)]
+    foreign: Foreign,
+    /// What the store does with queries that cannot be decoded.
+    #[arg(long, value_parser = parse_broken, default_value = "refused")]
+    broken: Broken,
+    /// The nodes live, and the store forgets its history in place of the loss.
+    #[arg(long)]
+    live: bool,
+    /// Each node also gets requests for a route that never existed.
+    #[arg(long)]
+    probe: bool,
+    /// What becomes of plain runners with it.
+    #[arg(long, value_enum, default_value_t = Plain::Serve)]
+    plain: Plain,
+    /// How long callers wait for an answer, in milliseconds.
+    #[arg(long, default_value_t = 6000)]
+    wait: u64,
+    /// How long after its acceptance a configuration must be in force, in milliseconds.
+    #[arg(long, default_value_t = APPLY_MS)]
+    apply: u64,
     /// The program of the nodes, such as that of another build.
     #[arg(long)]
     node: Option<PathBuf>,
@@ -86,6 +108,15 @@
     folder: PathBuf,
 }
 
+fn parse_broken(text: &str) -> Result<Broken, String> {
+    match text {
+        "refused" => Ok(Broken::Refused),
+        "kept" => Ok(Broken::Kept),
+        "left-out" => Ok(Broken::LeftOut),
+        other => Err(format!("`{other}` is none of refused, kept, left-out")),
+    }
+}
+
 #[tokio::main]
 async fn main() -> ExitCode {
     let args = Args::parse();
@@ -127,6 +158,13 @@
         full: Duration::from_millis(args.full),
         rekey: args.rekey,
         apart: Duration::from_millis(args.apart),
+        foreign: args.foreign,
+        broken: args.broken,
+        live: args.live,
+        probe: args.probe,
+        plain: args.plain,
+        wait: Duration::from_millis(args.wait),
+        apply: Duration::from_millis(args.apply),
     };
     let program = args.node.clone().map_or_else(find_program, Ok)?;
     let report = play(&outage, program, &args.folder.join(format!("seed-{seed}"))).await?;
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -15,6 +15,7 @@
 use cottoncrank_platform_standin::store::Store;
 use cottoncrank_standin::port::Port;
 use rustix::process::{Pid, Signal, kill_process};
+use serde_json::Value;
 
 use crate::plan::Partition;
 use crate::proxy::Proxy;
@@ -32,6 +33,9 @@
 /// Plain runners.
 const PLAIN_RUNNERS: usize = 2;
 
+/// How long after its acceptance a configuration must be in force, in milliseconds.
+pub const APPLY_MS: u64 = 4000;
+
 /// How long a key that was taken away may be honoured, in milliseconds: the bound
 /// of the fleets that the platform runs.
 pub const REVOKE_MS: u64 = 5000;
@@ -106,6 +110,8 @@
     pub plain: Vec<&'static str>,
     /// Whether its runners start cold.
     pub cold: bool,
+    /// How long after its acceptance a configuration must be in force, in milliseconds.
+    pub apply_ms: u64,
     /// After how long a group that stands still is broken, in milliseconds.
     pub stall_ms: u64,
     /// The two models that its runners load, if loads take time.
@@ -120,6 +126,7 @@
             engines: (0..engines).map(|number| (name_hall(number / DOMAIN), number / DOMAIN)).collect(),
             plain: (0..PLAIN_RUNNERS).map(name_hall).collect(),
             cold,
+            apply_ms: APPLY_MS,
             stall_ms: STALL_MS,
             sheet: None,
         }
@@ -245,6 +252,7 @@
             ready,
             peers,
             store: store.address(),
+            apply_ms: self.layout.apply_ms,
             revoke_ms: REVOKE_MS,
             grace_s: GRACE_S,
             stall_ms: self.layout.stall_ms,
@@ -282,9 +290,25 @@
 
     /// Gives the account a new key, and takes away the one before the last.
     pub fn rekey(&mut self) {
+        self.add_key();
+        self.configure();
+        self.take_keys();
+    }
+
+    /// The same, while the store forgets the history up to it in one step, so that no watch tells of it.
+    pub fn rekey_unheard(&mut self) {
+        self.add_key();
+        self.store.configure_and_compact(&self.build_config());
+        self.take_keys();
+    }
+
+    fn add_key(&mut self) {
         let version = self.keys.len() as u64 + 1;
         self.keys.push((format!("key-{version}"), None));
-        self.configure();
+    }
+
+    /// Notes that all keys but the last two are taken away.
+    fn take_keys(&mut self) {
         let last = self.keys.len().saturating_sub(2);
         let now = Instant::now();
         for (_, taken) in &mut self.keys[..last] {
@@ -294,6 +318,10 @@
 
     /// Writes the configuration with the last two keys.
     pub fn configure(&self) {
+        self.store.configure(&self.build_config());
+    }
+
+    fn build_config(&self) -> Value {
         let last = self.keys.len().saturating_sub(2);
         let held: Vec<&str> = self.keys[last..].iter().map(|(key, _)| key.as_str()).collect();
         let mut config = config(self.keys.len() as u64, &held);
@@ -303,7 +331,7 @@
         if self.layout.cold {
             set_cold_start(&mut config, COLD_MS as f64 / 1000.0, COLD_PER_S);
         }
-        self.store.configure(&config);
+        config
     }
 
     /// A runner, plain ones after those that form groups, names a rate from now on, or none.
--- a/crates/soak/src/outage.rs
+++ b/crates/soak/src/outage.rs
@@ -5,6 +5,7 @@
 
 mod asker;
 mod course;
+mod foreign;
 mod report;
 
 use std::io;
@@ -12,9 +13,13 @@
 use std::time::Duration;
 
 use clap::ValueEnum;
+use cottoncrank_platform_standin::store::Broken;
 
 use self::course::Course;
+pub use self::foreign::Foreign;
 pub use self::report::Report;
+use crate::fleet::{APPLY_MS, Layout};
+use crate::sheet;
 
 /// Requests that each node gets in a second.
 pub const RATE: u64 = 15;
@@ -30,6 +35,17 @@
     Dark,
 }
 
+/// What becomes of plain runners.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, ValueEnum)]
+pub enum Plain {
+    /// They serve.
+    Serve,
+    /// They answer nothing.
+    Silent,
+    /// They end, and their entries go.
+    Gone,
+}
+
 /// What happens to a fleet.
 #[derive(Clone, Debug)]
 pub struct Outage {
@@ -73,6 +89,20 @@
     pub rekey: bool,
     /// How long after each other the nodes start.
     pub apart: Duration,
+    /// What another writer puts into the store before.
+    pub foreign: Foreign,
+    /// What the store does with queries that cannot be decoded.
+    pub broken: Broken,
+    /// Whether the nodes live, and the store forgets its history in place of the loss.
+    pub live: bool,
+    /// Whether each node also gets requests for a route that never existed.
+    pub probe: bool,
+    /// What becomes of plain runners with it.
+    pub plain: Plain,
+    /// How long callers wait for an answer.
+    pub wait: Duration,
+    /// How long after its acceptance a configuration must be in force.
+    pub apply: Duration,
 }
 
 impl Default for Outage {
@@ -98,10 +128,24 @@
             full: Duration::ZERO,
             rekey: false,
             apart: Duration::ZERO,
+            foreign: Foreign::None,
+            broken: Broken::Refused,
+            live: false,
+            probe: false,
+            plain: Plain::Serve,
+            wait: Duration::from_secs(6),
+            apply: Duration::from_millis(APPLY_MS),
         }
     }
 }
 
+impl Outage {
+    /// Returns what stands where in the fleet.
+    fn lay_out(&self) -> Layout {
+        Layout { apply_ms: self.apply.as_millis() as u64, ..sheet::lay_out(self.limits) }
+    }
+}
+
 /// Plays an outage of a fleet whose nodes run `program`. Settings and logs of the nodes go into `folder`.
 pub async fn play(outage: &Outage, program: PathBuf, folder: &Path) -> io::Result<Report> {
     Course::start(outage, program, folder).await?.run().await
--- a/crates/soak/src/outage/course.rs
+++ b/crates/soak/src/outage/course.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{BTreeMap, HashMap};
 use std::io;
+use std::net::TcpListener;
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -16,9 +17,10 @@
 use rustix::process::Signal;
 use tokio::task::JoinSet;
 
-use super::asker::{Asker, draw_path};
+use super::asker::{Asker, draw_path, probe};
+use super::foreign::{self, Foreign};
 use super::report::{Call, RECOVERED, Report, SPAN};
-use super::{Outage, RATE, Replacement};
+use super::{Outage, Plain, RATE, Replacement};
 use crate::check::Breach;
 use crate::fleet::{Fleet, Server};
 use crate::groups::{Row, Watch};
@@ -59,6 +61,9 @@
 /// A hall that was cut off is reached again this long before the outage.
 const CUT_END: Duration = Duration::from_millis(1000);
 
+/// How long after what another writer did something else happens.
+const SETTLE: Duration = Duration::from_millis(2000);
+
 /// A play under way.
 pub(super) struct Course<'a> {
     outage: &'a Outage,
@@ -74,6 +79,8 @@
     copies: Vec<(Instant, Snapshot)>,
     /// The hall that is cut off.
     cut: Option<&'static str>,
+    /// What listens at the address of another writer's entry.
+    foreign: Option<TcpListener>,
     calls: Arc<Mutex<Vec<Call>>>,
     /// The key that callers use.
     key: Arc<Mutex<String>>,
@@ -87,7 +94,7 @@
         std::fs::create_dir_all(folder)?;
         Ok(Course {
             outage,
-            fleet: Fleet::start_program(sheet::lay_out(outage.limits), program, folder).await?,
+            fleet: Fleet::start_program(outage.lay_out(), program, folder).await?,
             watch: Watch::new(Duration::from_millis(sheet::STALL_MS)),
             rng: SmallRng::seed_from_u64(outage.seed),
             breaches: Vec::new(),
@@ -95,6 +102,7 @@
             stopped: HashMap::new(),
             copies: Vec::new(),
             cut: None,
+            foreign: None,
             calls: Arc::default(),
             key: Arc::default(),
             began: Instant::now(),
@@ -112,15 +120,53 @@
         if self.outage.rekey {
             self.rekey();
         }
+        if self.outage.foreign != Foreign::None {
+            self.foreign = foreign::write(&self.fleet.store, self.outage.foreign)?;
+            self.watch_until(Instant::now() + SETTLE).await;
+        }
+        self.fleet.store.set_broken_queries(self.outage.broken);
         let lost = Instant::now();
-        self.lose_nodes();
-        self.lose_runners().await?;
-        let returned = self.bring_back(&mut callers).await?;
+        let mut applying = JoinSet::new();
+        let returned = match self.outage.live {
+            true => self.forget_history(&mut applying),
+            false => {
+                self.lose_nodes();
+                self.lose_runners().await?;
+                self.bring_back(&mut callers).await?
+            }
+        };
+        self.change_plain();
         self.watch_until(returned + RECOVERY + RECOVERED).await;
         drop(callers);
+        let applied = applying.join_all().await;
         // What was sent last is still awaited.
         let calls = self.calls.lock();
-        Ok(Report::new(&calls, lost, returned, self.breaches))
+        Ok(Report { applied, ..Report::new(&calls, lost, returned, self.breaches) })
+    }
+
+    fn change_plain(&self) {
+        for server in &self.fleet.plain {
+            match self.outage.plain {
+                Plain::Serve => {}
+                Plain::Silent => server.link.set_harm(Some(Harm::Silence)),
+                Plain::Gone => {
+                    server.link.close();
+                    server.runner.expire_entry();
+                }
+            }
+        }
+    }
+
+    /// The account gets a new key, and the store forgets its history before a node hears of it. Each node is
+    /// asked from then on until it serves this key.
+    fn forget_history(&mut self, applying: &mut JoinSet<Option<Duration>>) -> Instant {
+        self.fleet.rekey_unheard();
+        let written = Instant::now();
+        let Some((key, _)) = self.fleet.keys.last() else { return written };
+        for number in 0..self.fleet.nodes.len() {
+            applying.spawn(self.find_asker(number).find_service(key.clone(), written, RECOVERY));
+        }
+        written
     }
 
     fn is_open(server: &Server) -> bool {
@@ -150,6 +196,10 @@
     /// Starts callers, each request on a connection of its own. They end when what is returned is dropped.
     fn start_callers(&self) -> JoinSet<()> {
         let mut callers = JoinSet::new();
+        if self.outage.probe {
+            let nodes = self.fleet.nodes.iter().map(|node| node.callers).collect();
+            callers.spawn(probe(nodes, self.key.clone()));
+        }
         for number in 0..self.fleet.nodes.len() {
             let asker = self.find_asker(number);
             let mut rng = SmallRng::seed_from_u64(self.outage.seed ^ number as u64);
@@ -192,6 +242,7 @@
             key: self.key.clone(),
             calls: self.calls.clone(),
             repeats: self.outage.repeat,
+            wait: self.outage.wait,
         }
     }
 
--- a/crates/soak/src/outage/report.rs
+++ b/crates/soak/src/outage/report.rs
@@ -32,6 +32,8 @@
     pub after: Count,
     /// What was served of what was sent in each [`SPAN`] after the return.
     pub spans: Vec<Count>,
+    /// How long after its acceptance each node served by a new configuration, if one was written.
+    pub applied: Vec<Option<Duration>>,
     /// Promises to runners that were broken.
     pub breaches: Vec<Breach>,
 }
@@ -40,6 +42,7 @@
     /// Counts the requests of a fleet that was lost and has returned at these moments.
     pub(super) fn new(calls: &[Call], lost: Instant, returned: Instant, breaches: Vec<Breach>) -> Report {
         Report {
+            applied: Vec::new(),
             before: count(calls, |sent| sent + ANSWERED < lost),
             after: count(calls, |sent| sent > returned + RECOVERY),
             spans: count_spans(calls, returned),
@@ -88,7 +91,12 @@
             at(self.find_first()),
             at(self.find_for_good()),
         )?;
-        self.spans.iter().try_for_each(|span| write!(f, " {:.2}", share(span)))
+        self.spans.iter().try_for_each(|span| write!(f, " {:.2}", share(span)))?;
+        if self.applied.is_empty() {
+            return Ok(());
+        }
+        write!(f, "; a new configuration in force after")?;
+        self.applied.iter().try_for_each(|found| write!(f, " {}", at(*found)))
     }
 }
 
--- a/crates/soak/src/sheet.rs
+++ b/crates/soak/src/sheet.rs
@@ -8,7 +8,7 @@
 use cottoncrank_platform_standin::settings::Limits;
 use serde_json::Value;
 
-use crate::fleet::Layout;
+use crate::fleet::{APPLY_MS, Layout};
 
 /// The halls of such a fleet, with the nodes of each.
 const HALLS: [(&str, usize); 3] = [("hall-a", 2), ("hall-b", 3), ("hall-c", 1)];
@@ -86,6 +86,7 @@
         engines,
         plain: HALLS.map(|(hall, _)| hall).to_vec(),
         cold: false,
+        apply_ms: APPLY_MS,
         stall_ms: STALL_MS,
         sheet: Some(sheet),
     }
