Let each message of the log be one line of bounded length

Cause: messages were written as they are. A key of another writer with a newline made two lines of one, the second of which could look like any line of a node; an escape sequence could wipe lines from a screen; two keys that differ in what cannot be seen looked the same. A state of 64 kB in a runner's entry made a line of 65,538 bytes, and 512 of them wait in the queue.

Change: `line::Line` formats every message of all programs: control characters, and those that change the order on a screen, are escaped; what is beyond 4,000 bytes is cut off, with the length. `line::Quoted` puts a key between backticks that none in it ends.

--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -38,6 +38,7 @@
 pub mod evidence;
 pub mod hash;
 pub mod id;
+pub mod line;
 pub mod member;
 pub mod outcome;
 pub mod program;
--- a/crates/kernel/src/program.rs
+++ b/crates/kernel/src/program.rs
@@ -7,6 +7,7 @@
 use serde::de::DeserializeOwned;
 use thiserror::Error;
 
+use crate::line::Line;
 use crate::settings::{self, Check, SettingsError};
 
 /// The arguments of every program that reads settings.
@@ -50,7 +51,7 @@
     now: &mut flexi_logger::DeferredNow,
     record: &log::Record,
 ) -> std::io::Result<()> {
-    write!(out, "{} {:5} {}", now.format("%Y-%m-%dT%H:%M:%S%.3f"), record.level(), record.args())
+    write!(out, "{} {:5} {}", now.format("%Y-%m-%dT%H:%M:%S%.3f"), record.level(), Line::of(record.args()))
 }
 
 /// Reads the arguments and settings, starts the log, and runs `main` with the settings.
--- a/crates/node/src/log.rs
+++ b/crates/node/src/log.rs
@@ -2,13 +2,14 @@
 //!
 //! Lines go through a bounded queue to a thread that writes them. When the queue is full, or the quota of
 //! the current second is used up, lines are dropped and counted. Warnings and errors have a quota of their
-//! own, so notices cannot displace them.
+//! own, so notices cannot displace them. A message makes one line of bounded length, whatever it holds.
 
 use std::io::Write;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::mpsc::{Receiver, SyncSender, TrySendError, sync_channel};
 
 use cottoncrank::clock::System;
+use cottoncrank::line::Line;
 use cottoncrank::{Clock, Millis};
 use flexi_logger::writers::LogWriter;
 use flexi_logger::{DeferredNow, Logger, LoggerHandle};
@@ -132,7 +133,7 @@
         if dropped > 0 {
             self.push(format!("{time} WARN  log: {dropped} lines were dropped\n").into_bytes());
         }
-        self.push(format!("{time} {:5} {}\n", record.level(), record.args()).into_bytes());
+        self.push(format!("{time} {:5} {}\n", record.level(), Line::of(record.args())).into_bytes());
         Ok(())
     }
 
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -6,6 +6,7 @@
 use std::sync::{Arc, OnceLock};
 
 use cottoncrank::clock::{self, System};
+use cottoncrank::line::Quoted;
 use cottoncrank::resources::Machine;
 use cottoncrank::{Clock, Millis, id};
 use cottoncrank_fleet::activity::Activity;
@@ -439,7 +440,7 @@
     ) {
         telemetry::count_invalid_item(kind.name(), reason);
         if self.invalid_items.lock().should_log(key, self.now()) {
-            log::error!("store: `{key}` ({}) is not used: {detail}", kind.name());
+            log::error!("store: {} ({}) is not used: {detail}", Quoted(key), kind.name());
         }
     }
 
