Bound the log lines about invalid items of all keys together

Cause: each key had a line at most once a second, and after 1,000 keys all were forgotten. So 12,000 items of another writer made 24,000 lines in two whole reads, up to the quota of 200 warnings a second that all other warnings share, and one entry that is written anew each 50 ms made a line a second. Plans that cannot be decoded and entries of nodes made lines without any limit.

Change: in each minute ten keys of each kind have a line, one for each key, so the items of one kind take no line from another. Once the minute is over a line tells how many reports were left out, by kind and reason. The counters stay exact. Plans and entries of nodes go the same way.

All kinds together have at most 4,260 lines an hour.

--- a/crates/node/src/invalid_items.rs
+++ b/crates/node/src/invalid_items.rs
@@ -1,19 +1,23 @@
-//! Limits the log lines about invalid items of the store. Each item and each change of it is logged, but
-//! an item that changes often is logged at a limited rate.
+//! Limits the log lines about invalid items of the store.
+//!
+//! Another writer may leave any number of items and write them anew at any rate. In each minute each kind has a few
+//! lines, one for each key, so that the items of one kind take no line from another; a summary tells what was left
+//! out.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashSet};
+use std::fmt;
 
 use cottoncrank::Millis;
 
-/// The minimum time between two log lines about the same key.
-const LOG_INTERVAL: Millis = Millis(1000);
+/// The time for which lines are counted.
+pub const WINDOW: Millis = Millis(60_000);
 
-/// The maximum number of keys remembered. Beyond it all are forgotten, and each may be logged once more.
-const MAX_KEYS: usize = 1000;
+/// The keys of each kind that are logged in that time.
+pub const KEYS_PER_KIND: usize = 10;
 
 /// The kind of an item, by its key.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum ItemKind {
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum ItemKind {
     /// A runner's entry.
     Runner,
     /// The operators' configuration.
@@ -32,7 +36,7 @@
 
 impl ItemKind {
     /// Returns the name used in log lines and metrics.
-    pub(crate) fn name(self) -> &'static str {
+    pub fn name(self) -> &'static str {
         match self {
             ItemKind::Runner => "runner",
             ItemKind::Catalog => "catalog",
@@ -45,20 +49,50 @@
     }
 }
 
-/// The time of the last log line about each key.
+/// The lines about invalid items in the current window.
 #[derive(Debug, Default)]
-pub(crate) struct InvalidItems(HashMap<String, Millis>);
+pub struct InvalidItems {
+    /// When the window began; `None` until an item is reported in it.
+    begun: Option<Millis>,
+    logged: BTreeMap<ItemKind, HashSet<String>>,
+    left_out: BTreeMap<(ItemKind, &'static str), u64>,
+}
 
 impl InvalidItems {
-    /// Whether a key may be logged at `now`. If so, the line is counted as written.
-    pub(crate) fn should_log(&mut self, key: &str, now: Millis) -> bool {
-        if self.0.get(key).is_some_and(|logged| now < *logged + LOG_INTERVAL) {
-            return false;
+    /// Whether an item may be logged at `now`. If so, its line is counted as written, else as left out.
+    pub fn should_log(&mut self, key: &str, kind: ItemKind, reason: &'static str, now: Millis) -> bool {
+        self.begun.get_or_insert(now);
+        let logged = self.logged.entry(kind).or_default();
+        if logged.len() < KEYS_PER_KIND && logged.insert(key.to_owned()) {
+            return true;
         }
-        if self.0.len() >= MAX_KEYS {
-            self.0.clear();
+        *self.left_out.entry((kind, reason)).or_default() += 1;
+        false
+    }
+
+    /// Ends the window if it is over at `now`, and returns what was left out in it, if anything was.
+    pub fn end_window(&mut self, now: Millis) -> Option<Summary> {
+        let begun = self.begun.filter(|begun| now >= *begun + WINDOW)?;
+        let InvalidItems { left_out, .. } = std::mem::take(self);
+        (!left_out.is_empty()).then(|| Summary { lasted: now.since(begun), left_out })
+    }
+}
+
+/// The reports that made no line of their own.
+#[derive(Debug)]
+pub struct Summary {
+    lasted: Millis,
+    left_out: BTreeMap<(ItemKind, &'static str), u64>,
+}
+
+impl fmt::Display for Summary {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let count: u64 = self.left_out.values().sum();
+        write!(f, "{count} more reports of invalid items were left out in {}", self.lasted)?;
+        for (number, ((kind, reason), count)) in self.left_out.iter().enumerate() {
+            let start = if number == 0 { ":" } else { "," };
+            write!(f, "{start} {} {count} ({reason})", kind.name())?;
         }
-        self.0.insert(key.to_owned(), now);
-        true
+        Ok(())
     }
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -95,7 +95,7 @@
 mod group_load;
 mod idle;
 pub mod in_flight;
-mod invalid_items;
+pub mod invalid_items;
 mod listen;
 pub mod log;
 mod past;
--- a/crates/node/src/plans.rs
+++ b/crates/node/src/plans.rs
@@ -9,6 +9,7 @@
 use cottoncrank_platform::store::StoreError;
 use thiserror::Error;
 
+use crate::invalid_items::ItemKind;
 use crate::state::Node;
 
 /// The key prefix of the plans. The name of the fabric domain follows.
@@ -80,7 +81,8 @@
             }
             Ok(None) => {}
             Err(error) => {
-                log::error!("decider: {error}; the domain is not planned");
+                let detail = format_args!("{error}; the domain is not planned");
+                node.log_invalid_item(&item.key, ItemKind::Plan, "form", detail);
                 plans.closed.extend(parse_domain(&item.key).and_then(Result::ok));
             }
         }
--- a/crates/node/src/registration.rs
+++ b/crates/node/src/registration.rs
@@ -8,6 +8,7 @@
 use cottoncrank_platform::store::{Commit, Outcome, StoreError};
 use rand::Rng;
 
+use crate::invalid_items::ItemKind;
 use crate::retries;
 use crate::state::Node;
 
@@ -96,10 +97,10 @@
 
 /// Adds the nodes with valid entries to the directory.
 pub fn apply_entries(node: &Node, items: &[Item]) {
-    for entry in items.iter().filter_map(decode_entry) {
+    for (item, entry) in items.iter().filter_map(|item| Some((item, decode_entry(item)?))) {
         match entry {
             Ok(peer) => node.directory.lock().insert(peer),
-            Err(error) => log::error!("member: the entry of a node cannot be decoded: {error}"),
+            Err(error) => node.log_invalid_item(&item.key, ItemKind::Node, "form", error),
         }
     }
     retries::record_members(node);
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -111,7 +111,7 @@
     pub stalls: Mutex<Stalls>,
     /// Counts the changes of plans.
     pub plans_changed: watch::Sender<u64>,
-    /// Invalid items of the store that were logged lately.
+    /// The log lines about invalid items of the store.
     pub(crate) invalid_items: Mutex<InvalidItems>,
     /// What this node observed of each runner: requests in flight, failures, rejections.
     pub ledger: Mutex<Ledger>,
@@ -430,7 +430,7 @@
         self.freshness.lock().allows(self.now(), self.settings().bounds.revoke)
     }
 
-    /// Counts an invalid item of the store, and logs it unless it was logged lately.
+    /// Counts an invalid item of the store, and logs it within the limits of such lines.
     pub(crate) fn report_invalid_item(
         &self,
         key: &str,
@@ -439,11 +439,31 @@
         detail: impl Display,
     ) {
         telemetry::count_invalid_item(kind.name(), reason);
-        if self.invalid_items.lock().should_log(key, self.now()) {
+        self.log_invalid_item(key, kind, reason, detail);
+    }
+
+    /// Logs an invalid item of the store within the limits of such lines.
+    pub(crate) fn log_invalid_item(
+        &self,
+        key: &str,
+        kind: ItemKind,
+        reason: &'static str,
+        detail: impl Display,
+    ) {
+        self.log_unlogged_items();
+        if self.invalid_items.lock().should_log(key, kind, reason, self.now()) {
             log::error!("store: {} ({}) is not used: {detail}", Quoted(key), kind.name());
         }
     }
 
+    /// Logs how many invalid items had no line of their own, once the time for which these are counted is over.
+    pub(crate) fn log_unlogged_items(&self) {
+        let summary = self.invalid_items.lock().end_window(self.now());
+        if let Some(summary) = summary {
+            log::error!("store: {summary}");
+        }
+    }
+
     /// Records that this node knows every change of the store up to `at`.
     pub fn record_contact(&self, at: Millis) {
         self.last_contact.send_if_modified(|contact| {
