Give no more than 64 halls metrics of their own

Cause: the gauges of back pressure, the counters of connections and limited requests and the gauge of evacuations have a label with the hall of an entry, whatever it names, and a label stays for the life of the process. An entry of a service that nobody has, written anew with another hall, made six more rows a second; 300 such entries gave metrics of 301 halls.

Change: the first 64 halls have a label of their own, those with the most runners first; all others share one, with their sum.

No other label of a metric comes from an entry: services and models are those of the configuration.

--- a/crates/node/src/feedback.rs
+++ b/crates/node/src/feedback.rs
@@ -70,6 +70,8 @@
 /// The back pressure from the runners of a hall, as far as this node knows.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Backpressure {
+    /// The number of its runners.
+    pub runners: usize,
     /// The number of runners that want no requests from this node for a while.
     pub backing_off: usize,
     /// The number of runners that are about to leave.
@@ -84,12 +86,26 @@
     pub cold_rate: Rate,
 }
 
+impl Backpressure {
+    /// Adds that of another hall.
+    pub(crate) fn add(&mut self, other: &Backpressure) {
+        self.runners += other.runners;
+        self.backing_off += other.backing_off;
+        self.leaving += other.leaving;
+        self.rate_limited += other.rate_limited;
+        self.allowed_rate.0 += other.allowed_rate.0;
+        self.cold += other.cold;
+        self.cold_rate.0 += other.cold_rate.0;
+    }
+}
+
 /// Measures the back pressure from the runners of each hall.
 pub(crate) fn measure_backpressure(node: &Node) -> BTreeMap<id::Hall, Backpressure> {
     let (roster, feedback, now) = (node.roster.lock(), node.feedback.lock(), node.now());
     let mut halls: BTreeMap<id::Hall, Backpressure> = BTreeMap::new();
     for runner in roster.iter() {
         let pressure = halls.entry(runner.hall.clone()).or_default();
+        pressure.runners += 1;
         pressure.leaving += usize::from(runner.draining);
         let cold_rate = roster.find_cold_rate(&runner.id, now);
         pressure.cold += usize::from(cold_rate.is_some());
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -93,6 +93,7 @@
 pub mod feedback;
 pub mod front;
 mod group_load;
+mod hall_label;
 mod idle;
 pub mod in_flight;
 pub mod invalid_items;
--- a/crates/node/src/telemetry.rs
+++ b/crates/node/src/telemetry.rs
@@ -1,6 +1,7 @@
 //! The metrics of a node and the port that serves them.
 
-use std::collections::{BTreeSet, VecDeque};
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
 
 use bytes::Bytes;
@@ -21,6 +22,7 @@
 use crate::cold::ColdLog;
 use crate::evacuation;
 use crate::feedback::{self, Backpressure};
+use crate::hall_label;
 use crate::ports;
 use crate::state::Node;
 use crate::unread::{Reason, UnreadLog};
@@ -52,7 +54,7 @@
 
 /// Counts an attempt to connect to a runner.
 pub fn count_connection(hall: &id::Hall, outcome: Outcome) {
-    metrics::counter!("cottoncrank_runner_connections_total", "hall" => hall.to_string(), "outcome" => outcome.name())
+    metrics::counter!("cottoncrank_runner_connections_total", "hall" => hall_label::find(hall), "outcome" => outcome.name())
         .increment(1);
 }
 
@@ -190,7 +192,7 @@
 
 /// Counts a request of this node that a rate-limited runner of `hall` has answered.
 pub fn count_rate_limited(hall: &id::Hall) {
-    metrics::counter!("cottoncrank_limited_sent_total", "hall" => hall.to_string()).increment(1);
+    metrics::counter!("cottoncrank_limited_sent_total", "hall" => hall_label::find(hall)).increment(1);
 }
 
 /// Counts a suspension of this process.
@@ -316,9 +318,7 @@
         let groups = node.plans.lock().values().map(|plan| plan.groups.len()).sum::<usize>();
         metrics::gauge!("cottoncrank_groups_planned").set(groups as f64);
         set_limits(&node);
-        for (hall, pressure) in feedback::measure_backpressure(&node) {
-            set_pressure(hall.as_str(), &pressure);
-        }
+        set_pressures(&node);
         set_resources(&node, &mut evictions);
         cold_log.update(&node);
         unread_log.update(&node);
@@ -360,15 +360,31 @@
     }
 }
 
-/// Sets the gauges of evacuations. `before` are the halls that have had a gauge.
-fn set_evacuations(node: &Node, before: &mut BTreeSet<id::Hall>) {
+/// Sets the gauges of evacuations. `before` are the labels that have had a gauge.
+fn set_evacuations(node: &Node, before: &mut BTreeSet<String>) {
     let counts = evacuation::count_in_flight(node);
     metrics::gauge!("cottoncrank_halls_evacuated").set(counts.len() as f64);
-    before.extend(counts.keys().cloned());
-    for hall in before.iter() {
-        let running = counts.get(hall).copied().unwrap_or(0);
-        metrics::gauge!("cottoncrank_evacuated_in_flight", "hall" => hall.to_string())
-            .set(f64::from(running));
+    let mut labelled: BTreeMap<String, u32> = BTreeMap::new();
+    for (hall, running) in &counts {
+        *labelled.entry(hall_label::find(hall)).or_default() += running;
+    }
+    before.extend(labelled.keys().cloned());
+    for label in before.iter() {
+        let running = labelled.get(label).copied().unwrap_or(0);
+        metrics::gauge!("cottoncrank_evacuated_in_flight", "hall" => label.clone()).set(f64::from(running));
+    }
+}
+
+/// Sets the gauges of the back pressure from each hall. The halls with the most runners are the first to get labels.
+fn set_pressures(node: &Node) {
+    let mut halls: Vec<(id::Hall, Backpressure)> = feedback::measure_backpressure(node).into_iter().collect();
+    halls.sort_by_key(|(_, pressure)| Reverse(pressure.runners));
+    let mut labelled: BTreeMap<String, Backpressure> = BTreeMap::new();
+    for (hall, pressure) in halls {
+        labelled.entry(hall_label::find(&hall)).or_default().add(&pressure);
+    }
+    for (label, pressure) in labelled {
+        set_pressure(&label, &pressure);
     }
 }
 
