--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -6,6 +6,7 @@
 use std::sync::{Arc, OnceLock};
 
 use cottoncrank::clock::{self, System};
+use cottoncrank::line::Quoted;
 use cottoncrank::resources::Machine;
 use cottoncrank::{Clock, Millis, id};
 use cottoncrank_fleet::activity::Activity;
@@ -111,7 +112,7 @@
     pub stalls: Mutex<Stalls>,
     /// Counts the changes of plans.
     pub plans_changed: watch::Sender<u64>,
-    /// Invalid items of the store that were logged lately.
+    /// The log lines about invalid items of the store.
     pub(crate) invalid_items: Mutex<InvalidItems>,
     /// What this node observed of each runner: requests in flight, failures, rejections.
     pub ledger: Mutex<Ledger>,
@@ -447,7 +448,7 @@
         self.freshness.lock().allows(self.now(), self.settings().bounds.revoke)
     }
 
-    /// Counts an invalid item of the store, and logs it unless it was logged lately.
+    /// Counts an invalid item of the store, and logs it within the limits of such lines.
     pub(crate) fn report_invalid_item(
         &self,
         key: &str,
@@ -456,8 +457,28 @@
         detail: impl Display,
     ) {
         telemetry::count_invalid_item(kind.name(), reason);
-        if self.invalid_items.lock().should_log(key, self.now()) {
-            log::error!("store: `{key}` ({}) is not used: {detail}", kind.name());
+        self.log_invalid_item(key, kind, reason, detail);
+    }
+
+    /// Logs an invalid item of the store within the limits of such lines.
+    pub(crate) fn log_invalid_item(
+        &self,
+        key: &str,
+        kind: ItemKind,
+        reason: &'static str,
+        detail: impl Display,
+    ) {
+        self.log_unlogged_items();
+        if self.invalid_items.lock().should_log(key, kind, reason, self.now()) {
+            log::error!("store: {} ({}) is not used: {detail}", Quoted(key), kind.name());
+        }
+    }
+
+    /// Logs how many invalid items had no line of their own, once the time for which these are counted is over.
+    pub(crate) fn log_unlogged_items(&self) {
+        let summary = self.invalid_items.lock().end_window(self.now());
+        if let Some(summary) = summary {
+            log::error!("store: {summary}");
         }
     }
 
