Quote the words of a command for the client by one function beside the grammar

Cause: cottoncrank-ctl joined its words by hand and put quotes round those with a blank only. A hash began a comment, so the account with the token t#1 got the token t; a tab split a word in two, an empty word was left out, and a quote or a line break made other words or a batch of the line. Change: join_words stands beside the grammar of the line. It quotes what the grammar needs quoted, and refuses what no line can hold, as an error of usage.

--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -7,6 +7,7 @@
 
 use clap::{Parser, ValueEnum};
 use cottoncrank::Millis;
+use cottoncrank::command::{UnspeakableWord, join_words};
 use cottoncrank::wire::{Command, Reply};
 use cottoncrank_net::client::{CallError, Client, Traffic};
 use rustyline::error::ReadlineError;
@@ -46,6 +47,8 @@
     #[error("refused")]
     Refused,
     #[error("{0}")]
+    Usage(#[from] UnspeakableWord),
+    #[error("{0}")]
     Call(#[from] CallError),
     #[error("{0}")]
     Io(#[from] std::io::Error),
@@ -57,6 +60,7 @@
     fn code(&self) -> ExitCode {
         match self {
             CtlError::Refused | CtlError::Prompt(_) => ExitCode::from(1),
+            CtlError::Usage(_) => ExitCode::from(2),
             CtlError::Call(_) | CtlError::Io(_) => ExitCode::from(3),
         }
     }
@@ -85,7 +89,7 @@
     let client = Client::new(Traffic::default());
     let session = Session { runtime, client, controller: args.controller, output: args.output };
     if !args.command.is_empty() {
-        return session.execute(&join_words(&args.command));
+        return session.execute(&read_line(&args.command)?);
     }
     if args.batch {
         return session.execute(&std::io::read_to_string(std::io::stdin())?);
@@ -96,13 +100,12 @@
     }
 }
 
-/// Joins the arguments into one command line and quotes those that contain spaces.
-fn join_words(words: &[String]) -> String {
-    if let [line] = words {
-        return line.clone();
+/// Returns the line that the arguments stand for. A single argument is a whole line.
+fn read_line(words: &[String]) -> Result<String, UnspeakableWord> {
+    match words {
+        [line] => Ok(line.clone()),
+        words => join_words(words),
     }
-    let quote = |word: &String| if word.contains(' ') { format!("\"{word}\"") } else { word.clone() };
-    words.iter().map(quote).collect::<Vec<_>>().join(" ")
 }
 
 impl Session {
--- a/crates/kernel/src/command.rs
+++ b/crates/kernel/src/command.rs
@@ -174,6 +174,26 @@
     })
 }
 
+/// A word that no line can hold, as a quoted one ends at the next quote and a line at its break.
+#[derive(Clone, Debug, Error, PartialEq, Eq)]
+#[error("a word cannot have a double quote or a line break: {0:?}")]
+pub struct UnspeakableWord(String);
+
+/// Returns the line of which these are the words.
+pub fn join_words(words: &[String]) -> Result<String, UnspeakableWord> {
+    let quoted: Result<Vec<String>, _> = words.iter().map(|word| quote(word)).collect();
+    Ok(quoted?.join(" "))
+}
+
+fn quote(word: &str) -> Result<String, UnspeakableWord> {
+    let is_plain = |c: char| !c.is_whitespace() && c != '#';
+    match word {
+        _ if word.contains(['"', '\n', '\r']) => Err(UnspeakableWord(word.to_owned())),
+        _ if word.is_empty() || !word.chars().all(is_plain) => Ok(format!("\"{word}\"")),
+        _ => Ok(word.to_owned()),
+    }
+}
+
 struct Cursor<'a> {
     line: &'a str,
     words: Vec<Word<'a>>,
