--- a/crates/fleet/src/form.rs
+++ b/crates/fleet/src/form.rs
@@ -160,6 +160,7 @@
     let planned = drafts.iter().map(|draft| draft.plan.top);
     let stored = snapshot.plans.values().map(|plan| plan.top);
     let seen = snapshot.roster.iter().filter_map(|runner| Some(runner.membership.as_ref()?.epoch));
+    let seen = seen.filter(|epoch| *epoch <= Epoch::MAX_FOLLOWED);
     planned.chain(stored).chain(seen).fold(Epoch::before_era(snapshot.era), Epoch::max)
 }
 
--- a/crates/fleet/src/plan.rs
+++ b/crates/fleet/src/plan.rs
@@ -97,12 +97,18 @@
     /// A group has an epoch that was not issued.
     #[error("group {0} has an epoch that was not issued")]
     Epoch(id::Group),
+    /// The highest epoch is one that no decider issues.
+    #[error("the highest epoch is {0}, which no decider issues")]
+    Top(Epoch),
 }
 
 impl Document {
     /// Checks that each group has members and an issued epoch, and that each runner is planned
     /// once.
     pub fn check(&self) -> Result<(), PlanError> {
+        if self.top > Epoch::MAX {
+            return Err(PlanError::Top(self.top));
+        }
         let mut seen = HashSet::new();
         for group in &self.groups {
             if group.members.is_empty() {
--- a/crates/fleet/src/runner.rs
+++ b/crates/fleet/src/runner.rs
@@ -18,6 +18,13 @@
 const EPOCHS_PER_ERA: u64 = 1 << 20;
 
 impl Epoch {
+    /// The highest epoch that a plan or an entry may name. One beyond it is none of this system.
+    pub const MAX: Epoch = Epoch(1 << 49);
+
+    /// The highest epoch of an entry after which others are issued, if no plan has it. Far more formations than a
+    /// fleet sees lie between it and [`Epoch::MAX`], so an entry of another writer uses up no epochs.
+    pub(crate) const MAX_FOLLOWED: Epoch = Epoch(1 << 48);
+
     /// Returns the epoch after which those of an era of the store begin. A decider that knows neither the
     /// plans nor the groups of earlier eras issues none of their epochs again.
     pub fn before_era(era: Era) -> Epoch {
