--- a/crates/node/src/answer.rs
+++ b/crates/node/src/answer.rs
@@ -138,6 +138,9 @@
         /// How long the caller still waits; `None` if the caller did not say.
         remaining: Option<Millis>,
     },
+    /// Another node took this one for a runner, by an entry with its address. It has not run.
+    #[error("no runner is at this address")]
+    Misdirected,
     /// Runners were tried, and none of them ran the request.
     #[error("the runners asked did not run it")]
     NotRun,
@@ -192,6 +195,7 @@
             | Refusal::Full { .. }
             | Refusal::Backoff { .. }
             | Refusal::Throttled { .. } => StatusCode::SERVICE_UNAVAILABLE,
+            Refusal::Misdirected => StatusCode::MISDIRECTED_REQUEST,
             Refusal::MayHaveRun => StatusCode::BAD_GATEWAY,
             Refusal::DeadlineExceeded => StatusCode::GATEWAY_TIMEOUT,
         }
@@ -215,6 +219,7 @@
             Refusal::Throttled { .. } => "throttled",
             Refusal::Quarantined => "held",
             Refusal::Deadly => "deadly",
+            Refusal::Misdirected => "misdirected",
             Refusal::NotRun => "not_run",
             Refusal::MayHaveRun => "may_have_run",
             Refusal::DeadlineExceeded => "late",
--- a/crates/node/src/request.rs
+++ b/crates/node/src/request.rs
@@ -211,6 +211,9 @@
 
 /// Judges a request by its head.
 fn judge(node: &Node, head: &Parts, body: &Incoming, terms: &RequestMetadata) -> Result<Accepted, Refusal> {
+    if is_misdirected(node, head) {
+        return Err(Refusal::Misdirected);
+    }
     let accepted = judge_again(node, head, terms)?;
     let announced = body.size_hint().lower();
     if announced > accepted.catalog.limits.max_body_bytes as u64 {
@@ -219,6 +222,14 @@
     Ok(accepted)
 }
 
+/// Whether a node sent a request here that it addressed to a runner: an entry names the address of this node.
+/// Forwarded, it would come here again and again.
+fn is_misdirected(node: &Node, head: &Parts) -> bool {
+    let Some(expected) = header::read_expected_runner(&head.headers) else { return false };
+    let roster = node.roster.lock();
+    roster.get_last_known(&expected).is_some_and(|runner| runner.address == node.settings().callers)
+}
+
 /// Judges a request by its head, with the configuration in force.
 fn judge_again(node: &Node, head: &Parts, terms: &RequestMetadata) -> Result<Accepted, Refusal> {
     let catalog = node.catalog.lock().clone().ok_or(Refusal::StaleConfig)?;
