Send no values between nodes that no node uses

Cause: a copy of the store has all items with their values, also under keys that no node knows. 44 values of 262,000 bytes that do not compress make a copy of 11.6 MB, and no more than 8 MB of an answer is read, so a node that starts gets a copy from no other node, and each has to read the store.

Change: the copy keeps such keys, for the counters, with an empty value; that also holds what a node keeps in memory.

--- a/crates/node/src/feed.rs
+++ b/crates/node/src/feed.rs
@@ -10,7 +10,7 @@
 
 use bytes::Bytes;
 use cottoncrank_fleet::position::Position;
-use cottoncrank_platform::item::RawItem;
+use cottoncrank_platform::item::{Change, RawItem, decode, is_catalog};
 use cottoncrank_platform::store::Batch;
 use parking_lot::Mutex;
 use tokio::sync::watch;
@@ -45,6 +45,7 @@
 impl History {
     /// Records the latest change of a key.
     fn insert(&mut self, raw: RawItem) {
+        let raw = drop_unused_value(raw);
         let key: Arc<str> = raw.key.as_str().into();
         if let Some(before) = self.items.get(&key) {
             let change = (before.position, key.clone());
@@ -117,6 +118,18 @@
     }
 }
 
+/// Drops the value of an item whose key no node knows, and keeps the key. Another writer may leave any number of
+/// large values, which would make a copy larger than an answer may be.
+fn drop_unused_value(raw: RawItem) -> RawItem {
+    // A key tells the kind of its item also where there is no value, except for that of the configuration.
+    let is_foreign =
+        !is_catalog(&raw) && matches!(decode(RawItem { value: None, ..raw.clone() }), Ok(Change::Foreign(_)));
+    match is_foreign {
+        true => RawItem { value: raw.value.map(|_| Bytes::new()), ..raw },
+        false => raw,
+    }
+}
+
 /// The packed answer to the last poll.
 struct CachedChanges {
     after: Option<Position>,
