Let a play of an outage say how long callers come before it

Loads in reserve that began before callers go on slowly once they have come, so what the runners hold when the nodes are lost depends on how long that was. Two builds that form their groups at different speed are lost in different states after the six seconds of before, which stay the default.

--- a/crates/soak/src/bin/outage.rs
+++ b/crates/soak/src/bin/outage.rs
@@ -42,6 +42,10 @@
     /// How they come back.
     #[arg(long, value_enum, default_value_t = Replacement::Same)]
     replacement: Replacement,
+    /// How long callers come before, in milliseconds, if no members are lost one after the other: loads in reserve
+    /// that began before them go on meanwhile.
+    #[arg(long, default_value_t = 6000)]
+    calm: u64,
     /// Loses members of groups one after the other before.
     #[arg(long)]
     losses: bool,
@@ -116,6 +120,7 @@
         empty: args.empty,
         heads: args.heads,
         replacement: args.replacement,
+        calm: Duration::from_millis(args.calm),
         losses: args.losses,
         store_away: Duration::from_millis(args.store_away),
         silent: args.silent,
--- a/crates/soak/src/outage.rs
+++ b/crates/soak/src/outage.rs
@@ -19,6 +19,9 @@
 /// Requests that each node gets in a second.
 pub const RATE: u64 = 15;
 
+/// Callers come for this long before the outage, unless said.
+pub const CALM: Duration = Duration::from_secs(6);
+
 /// How runners that are lost at the moment of the outage are replaced by empty ones.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, ValueEnum)]
 pub enum Replacement {
@@ -51,6 +54,8 @@
     pub heads: bool,
     /// How they come back.
     pub replacement: Replacement,
+    /// How long callers come before it, if no members are lost one after the other.
+    pub calm: Duration,
     /// Whether members of groups are lost one after the other before.
     pub losses: bool,
     /// How long the store refuses all calls, from the last start of a node on.
@@ -87,6 +92,7 @@
             empty: 0,
             heads: false,
             replacement: Replacement::Same,
+            calm: CALM,
             losses: false,
             store_away: Duration::ZERO,
             silent: false,
--- a/crates/soak/src/outage/course.rs
+++ b/crates/soak/src/outage/course.rs
@@ -40,9 +40,6 @@
 const LOST_AT_ONCE: usize = 2;
 const LOSSES: usize = 8;
 
-/// Callers come for this long before the outage, if no members are lost before it.
-const CALM: Duration = Duration::from_secs(6);
-
 /// The age of a copy that the store comes back from.
 const COPY_AGE: Duration = Duration::from_secs(4);
 
@@ -239,7 +236,7 @@
     /// Plays what comes before all nodes are lost.
     async fn play_before(&mut self) -> io::Result<()> {
         if !self.outage.losses {
-            self.watch_until(Instant::now() + CALM).await;
+            self.watch_until(Instant::now() + self.outage.calm).await;
             return Ok(());
         }
         for round in 0..LOSSES {
