Do not form groups with runners that were seen to have ended

Cause: only members of groups are probed, and what a probe found is dropped in the first round without its runner. A runner that ended while it was in no group keeps its entry for three heartbeats, so a decider that begins after a loss of all nodes takes it for free, with the models that it held. It completes a group with it, finds as soon as it probes it as a member that it has ended, retires and releases the group, and chooses it again. The living members are bound meanwhile, and the model without a group is awaited of holders that do not exist. Class of fault: what was found of a process is kept only as long as somebody asks for it.

Changed: a decider remembers runners that were silent or had ended, and plans no group with them, until they answer, start again, their entry is gone, or it must be. And the first rounds of a term look at all that may be members, as a former decider may have been gone when they ended.

Why it works: the first round is over before the first group is retired, as it is what retires it.

Red before: the three new tests of returned.rs, the first two without the memory, the third without either part.

--- a/crates/fleet/src/decide.rs
+++ b/crates/fleet/src/decide.rs
@@ -53,6 +53,9 @@
     }
     let engine = &Engine { models: demand.adjust(&published.models), ..published.clone() };
     let mut drafts = list_drafts(snapshot);
+    for draft in &mut drafts {
+        draft.runners.retain(|runner| !memory.is_lost(&runner.id));
+    }
     let mut lost = 0;
     for draft in &mut drafts {
         lost += retire_groups(snapshot, draft, memory);
--- a/crates/fleet/src/memory.rs
+++ b/crates/fleet/src/memory.rs
@@ -9,6 +9,7 @@
 use crate::decided::Decided;
 use crate::demand::{Demand, Share};
 use crate::order::Order;
+use crate::probe::Health;
 use crate::roster::Roster;
 use crate::runner::{Epoch, Incarnation, is_later};
 use crate::snapshot::Snapshot;
@@ -21,6 +22,10 @@
 /// A decider that has just begun knows by then of the runners that were lost before.
 const FIRST_LOOK_TIME: Millis = Millis(2500);
 
+/// A runner that was lost joins no group for this long, unless it answers or starts again. The entry of one that has
+/// ended is gone by then.
+const LOST_TTL: Millis = Millis(5000);
+
 /// A runner that rejected requests is not made head for this long, if another one can be.
 const REJECTING_TTL: Millis = Millis(15_000);
 
@@ -40,6 +45,9 @@
     pub(crate) refused_joins: HashSet<(id::Group, Epoch)>,
     /// Since when a retired group is known to lack a member and to be stalled therefore.
     pub(crate) stalled_since: HashMap<(id::Group, Epoch), Millis>,
+    /// Runners that have an entry and were silent or had ended, with their incarnation and the time when this was
+    /// last seen. Only members of groups are probed, so nothing else tells it once their group is released.
+    lost: HashMap<id::Runner, (Option<Incarnation>, Millis)>,
     /// Heads that rejected requests, with the time when this was last seen.
     rejecting: HashMap<id::Runner, Millis>,
     /// The observed utilization of the groups of each model, by service.
@@ -117,6 +125,27 @@
         self.rejecting.contains_key(runner)
     }
 
+    /// Whether a runner was lost lately, so that it should join no group.
+    pub(crate) fn is_lost(&self, runner: &id::Runner) -> bool {
+        self.lost.contains_key(runner)
+    }
+
+    fn record_lost(&mut self, snapshot: &Snapshot) {
+        let probes = snapshot.probes;
+        for runner in snapshot.roster.iter() {
+            if probes.is_gone(&runner.id) || probes.is_silent(&runner.id) {
+                self.lost.insert(runner.id.clone(), (runner.incarnation, snapshot.now));
+            }
+        }
+        self.lost.retain(|id, (life, last)| {
+            let has_restarted =
+                snapshot.roster.get(id).is_none_or(|runner| is_later(runner.incarnation, *life));
+            let answers =
+                matches!(probes.health(id), Health::Responsive | Health::Slow) && !probes.is_gone(id);
+            !has_restarted && !answers && snapshot.now < *last + LOST_TTL
+        });
+    }
+
     /// Begins a step: returns what has been decided so far, to which the step adds.
     pub(crate) fn begin_step(&mut self, snapshot: &Snapshot) -> Decided {
         self.prune(snapshot);
@@ -145,6 +174,7 @@
     /// Drops the entries of runners and groups that no longer exist.
     fn prune(&mut self, snapshot: &Snapshot) {
         self.forget_old_incarnations(snapshot.roster);
+        self.record_lost(snapshot);
         self.rejecting.extend(snapshot.rejecting.iter().map(|runner| (runner.clone(), snapshot.now)));
         self.rejecting.retain(|_, last| snapshot.now < *last + REJECTING_TTL);
         let groups = || snapshot.plans.values().flat_map(|plan| &plan.groups);
--- a/crates/fleet/src/probe.rs
+++ b/crates/fleet/src/probe.rs
@@ -154,6 +154,12 @@
         self.health(runner) == Health::Slow
     }
 
+    /// Whether the rounds since the term began are too few for a conclusion. Until then all runners are probed: a
+    /// former decider may have known of losses among those that are in no group, and their entries may still stand.
+    pub fn is_first_look(&self) -> bool {
+        self.rounds < MIN_PROBES
+    }
+
     /// Returns the slow runners.
     pub fn list_slow(&self) -> Vec<id::Runner> {
         self.records.keys().filter(|runner| self.is_slow(runner)).cloned().collect()
--- a/crates/fleet/tests/returned.rs
+++ b/crates/fleet/tests/returned.rs
@@ -3,7 +3,7 @@
 
 mod world;
 
-use std::collections::{BTreeMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashSet};
 
 use cottoncrank::{Millis, id};
 use cottoncrank_fleet::runner::{Epoch, Phase};
@@ -12,6 +12,9 @@
 use rand::seq::SliceRandom;
 use world::{TICK, World, engine, model};
 
+/// Three heartbeats.
+const ENTRY_LAPSE: Millis = Millis(3600);
+
 /// Which runners start again empty, under other ids.
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum Emptied {
@@ -45,6 +48,16 @@
 
 /// Empties runners, ends all deciders, and lets one begin after `away`.
 fn lose_all_nodes(world: &mut World, emptied: Emptied, away: Millis, seed: u64) {
+    exchange(world, emptied, seed);
+    world.deciding = false;
+    world.run(away);
+    world.replace_decider();
+    world.deciding = true;
+    world.load_starts.clear();
+}
+
+/// Starts runners again empty, under other ids.
+fn exchange(world: &mut World, emptied: Emptied, seed: u64) {
     let mut rng = SmallRng::seed_from_u64(seed);
     let groups: Vec<_> = world.plans.values().flat_map(|plan| plan.groups.clone()).collect();
     let living = world.list_living();
@@ -73,11 +86,12 @@
     for id in &chosen {
         world.exchange(id);
     }
-    world.deciding = false;
-    world.run(away);
-    world.replace_decider();
-    world.deciding = true;
-    world.load_starts.clear();
+}
+
+/// The same, with entries that stand for as long as those of runners that end.
+fn lose_all_nodes_with_entries(world: &mut World, emptied: Emptied, away: Millis, seed: u64) {
+    world.entry_lapse = ENTRY_LAPSE;
+    lose_all_nodes(world, emptied, away, seed);
 }
 
 /// Runs the fleet for `span`, and returns the times of the groups that were decided in it.
@@ -203,3 +217,68 @@
         }
     }
 }
+
+/// Runners that had been in no group ended with the nodes, and their entries stood for three heartbeats more. Each
+/// was chosen for a group, found to have ended as a member, and chosen again once nobody probed it any more.
+#[test]
+fn a_runner_that_was_seen_to_have_ended_joins_no_other_group() {
+    for seed in 0..6 {
+        let mut world = start(seed);
+        lose_all_nodes_with_entries(&mut world, Emptied::Half, Millis(400), seed);
+        let planned = list_planned_ended(&mut world, Millis(6000));
+        let again: Vec<_> = planned.iter().filter(|(_, epochs)| epochs.len() > 1).collect();
+        assert!(again.is_empty(), "seed {seed}: {again:?}");
+    }
+}
+
+/// The same where they end once the decider has looked at all, so that it finds them as members only.
+#[test]
+fn a_runner_that_ends_later_and_was_seen_so_joins_no_other_group() {
+    let mut tried = 0;
+    for seed in 0..6 {
+        let mut world = start(seed);
+        world.entry_lapse = ENTRY_LAPSE;
+        exchange(&mut world, Emptied::Half, seed);
+        let planned = list_planned_ended(&mut world, Millis(6000));
+        let again: Vec<_> = planned.iter().filter(|(_, epochs)| epochs.len() > 1).collect();
+        assert!(again.is_empty(), "seed {seed}: {again:?}");
+        tried += planned.len();
+    }
+    assert!(tried > 0, "no group had one that had ended");
+}
+
+/// Entries of runners that have ended tell nothing: with them, as many runners serve before the first load ends as
+/// where they are gone at once.
+#[test]
+fn entries_of_runners_that_ended_keep_no_group_closed() {
+    for seed in 0..6 {
+        let count_serving = |lapse: Millis| {
+            let mut world = start(seed);
+            world.entry_lapse = lapse;
+            lose_all_nodes(&mut world, Emptied::Half, Millis(400), seed);
+            world.run(Millis(12_000));
+            4 * world.count_open("large") + 2 * world.count_open("small")
+        };
+        let (with, without) = (count_serving(ENTRY_LAPSE), count_serving(TICK));
+        assert!(with >= without, "seed {seed}: {with} of {without}");
+    }
+}
+
+/// Runs the fleet for `span`, and returns in which new groups runners were planned that had ended.
+fn list_planned_ended(world: &mut World, span: Millis) -> BTreeMap<id::Runner, BTreeSet<Epoch>> {
+    let began = world.now;
+    let known: HashSet<Epoch> =
+        world.plans.values().flat_map(|plan| &plan.groups).map(|group| group.epoch).collect();
+    let mut planned: BTreeMap<id::Runner, BTreeSet<Epoch>> = BTreeMap::new();
+    while world.now < began + span {
+        world.run(TICK);
+        let living: HashSet<id::Runner> = world.list_living().into_iter().map(|(id, _)| id).collect();
+        let groups = world.plans.values().flat_map(|plan| &plan.groups);
+        for group in groups.filter(|group| !known.contains(&group.epoch)) {
+            for member in group.members.iter().filter(|member| !living.contains(*member)) {
+                planned.entry(member.clone()).or_default().insert(group.epoch);
+            }
+        }
+    }
+    planned
+}
--- a/crates/fleet/tests/world/mod.rs
+++ b/crates/fleet/tests/world/mod.rs
@@ -125,6 +125,8 @@
     restarting: Vec<(Millis, id::Runner)>,
     /// The longest time after its start at which a runner writes its entry.
     pub entry_delay: Millis,
+    /// How long the entry of a runner stands after its process has ended, where another one starts at its address.
+    pub entry_lapse: Millis,
 }
 
 pub fn model(name: &str, size: usize, share: f64, load: u64, warm: u64) -> Model {
@@ -172,6 +174,7 @@
             late_orders: Vec::new(),
             restarting: Vec::new(),
             entry_delay: Millis(0),
+            entry_lapse: STORE_LATENCY,
         };
         for domain in 0..domains {
             for _ in 0..size {
@@ -252,7 +255,7 @@
         actor.replaced = true;
         actor.died_at = Some(self.now);
         let domain = actor.entry.domain.as_ref().unwrap().as_str()[1..].parse().unwrap();
-        self.entry_updates.push((self.now + STORE_LATENCY, id.clone(), None));
+        self.entry_updates.push((self.now + self.entry_lapse, id.clone(), None));
         self.add_runner(domain);
     }
 
@@ -506,8 +509,13 @@
     }
 
     fn probe(&mut self) {
-        let members = self.plans.values().flat_map(|plan| &plan.groups).flat_map(|group| &group.members);
-        let round: Vec<Answer> = members
+        let groups = self.plans.values().flat_map(|plan| &plan.groups);
+        let mut asked: BTreeSet<id::Runner> = groups.flat_map(|group| group.members.clone()).collect();
+        if self.probes.is_first_look() {
+            asked.extend(self.roster.iter().map(|runner| runner.id.clone()));
+        }
+        let round: Vec<Answer> = asked
+            .iter()
             .map(|id| Answer {
                 runner: id.clone(),
                 hall: self.actors[id].entry.hall.clone(),
--- a/crates/node/src/prober.rs
+++ b/crates/node/src/prober.rs
@@ -31,14 +31,18 @@
 /// How long a connection for a probe may last: until it is made, and then the timeout of the probe.
 const PROBE_LIFETIME: Millis = Millis(500);
 
-/// Probes all members of groups in rounds, until the task is aborted. Members whose entry is gone are
-/// probed at their last known address, and those of which this node has seen no entry at the planned one.
+/// Probes all members of groups in rounds, until the task is aborted, and in the first ones all that may be members.
+/// Members whose entry is gone are probed at their last known address, and those of which this node has seen no
+/// entry at the planned one.
 pub async fn run(node: Arc<Node>, client: Client, probes: Arc<Mutex<Probes>>) {
     let mut unlisted = Unlisted::default();
     loop {
         // Slow runners are probed too, so that they are used again once they have recovered.
-        let slow = probes.lock().list_slow();
-        let (targets, planned) = list_targets(&node, slow);
+        let (slow, looks_at_all) = {
+            let probes = probes.lock();
+            (probes.list_slow(), probes.is_first_look())
+        };
+        let (targets, planned) = list_targets(&node, slow, looks_at_all);
         unlisted.probe(&node, &client, planned);
         let mut probing = JoinSet::new();
         for target in targets {
@@ -120,9 +124,9 @@
     }
 }
 
-/// Returns the members of groups and the `slow` runners that can be probed, and apart from them those that are
-/// known from the plans only.
-fn list_targets(node: &Node, slow: Vec<id::Runner>) -> (Vec<Target>, Vec<Target>) {
+/// Returns the members of groups and the `slow` runners that can be probed, or all that may be members, and apart
+/// from them those that are known from the plans only.
+fn list_targets(node: &Node, slow: Vec<id::Runner>, looks_at_all: bool) -> (Vec<Target>, Vec<Target>) {
     let (mut members, planned): (HashSet<id::Runner>, HashMap<id::Runner, Place>) = {
         let plans = node.plans.lock();
         let groups = plans.values().flat_map(|plan| &plan.groups);
@@ -131,6 +135,10 @@
     };
     members.extend(slow);
     let roster = node.roster.lock();
+    if looks_at_all {
+        let candidates = roster.iter().filter(|runner| runner.domain.is_some());
+        members.extend(candidates.map(|runner| runner.id.clone()));
+    }
     let (listed, unlisted): (Vec<id::Runner>, Vec<id::Runner>) =
         members.into_iter().partition(|id| roster.get_last_known(id).is_some());
     let targets: Vec<Target> =
