--- a/crates/node/src/plans.rs
+++ b/crates/node/src/plans.rs
@@ -72,7 +72,7 @@
 /// other domains are planned.
 pub(crate) async fn read_plans(node: &Node) -> Result<Plans, StoreError> {
     let mut plans = Plans { read_at: node.now(), ..Plans::default() };
-    for item in node.store.read_own_items().await? {
+    for item in node.store.read_own_items(PREFIX).await? {
         match decode_plan(&item) {
             Ok(Some((domain, document))) => {
                 plans
