Know all again once the changes after the last whole copy have come

Cause: it was assumed that changes say nothing of what a part lacks. But a node stays at the position up to which it knew everything, so the changes after it complete the copy.

--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -374,17 +374,13 @@
     }
 
     /// Whether this node knows only a part of what the store holds.
-    pub(crate) fn knows_part(&self) -> bool {
+    pub fn knows_part(&self) -> bool {
         self.knows_part.load(Ordering::Relaxed)
     }
 
-    /// Records how much of the store was read. Changes say nothing of what a part lacks.
+    /// Records how much of the store was read last. Changes follow a position up to which everything was known.
     pub(crate) fn set_knows_part(&self, extent: Extent) {
-        match extent {
-            Extent::Whole => self.knows_part.store(false, Ordering::Relaxed),
-            Extent::Part => self.knows_part.store(true, Ordering::Relaxed),
-            Extent::Changes => {}
-        }
+        self.knows_part.store(extent == Extent::Part, Ordering::Relaxed);
     }
 
     /// Whether the whole store has been read once, or what could be read of it.
