Withdraw evacuations beside a list that is cut, and keep to one era

A restore was applied again at each read of a part, once a second, and a node could take changes from another one that were older than the part that it had used. All nodes read at the same pace, and none asked others. Change: requests to evacuate are those of the operators' items where these are whole. The position of a part counts as known, so a restore is applied once and older answers are refused. The pause has jitter, and a node without a copy asks the readers of its hall first. A part without any runner does not make a node ready.

--- a/crates/node/src/apply.rs
+++ b/crates/node/src/apply.rs
@@ -81,7 +81,7 @@
     let caught_up = match update.extent {
         Extent::Whole => apply_all(node, update.batch, former.is_some()),
         Extent::Changes => apply_changes(node, update.batch),
-        Extent::Part => apply_part(node, update.batch),
+        Extent::Part => apply_part(node, update.batch, matches!(update.proof, Proof::Read(_))),
     };
     node.set_knows_part(update.extent);
     if caught_up {
@@ -145,20 +145,30 @@
     caught_up
 }
 
-/// Applies a part of the content of the store. Nothing that it lacks counts as gone.
-fn apply_part(node: &Node, batch: Batch) -> bool {
+/// Applies a part of the content of the store. Nothing that it lacks counts as gone, but for requests to evacuate if
+/// `has_operators`: then it has all operators' items.
+fn apply_part(node: &Node, batch: Batch, has_operators: bool) -> bool {
     let mut runners = Vec::new();
+    let mut evacuations = Vec::new();
     let mut caught_up = true;
     let position = batch.position;
     for item in batch.items {
         match decode(item) {
             Ok(Change::Runner(runner)) => runners.push(runner),
+            Ok(Change::Evacuation(request)) if has_operators => evacuations.push(request),
             other => caught_up &= apply_change(node, other, position.era()),
         }
     }
     log::info!("store: read in part at revision {position}, {} runners", runners.len());
+    let knows_runners = !runners.is_empty();
     node.roster.lock().merge(runners, node.now());
-    node.set_synced();
+    if has_operators {
+        let halls = node.roster.lock().list_halls();
+        evacuation::apply_whole(node, &evacuations, position.era(), &halls);
+    }
+    if knows_runners {
+        node.set_synced();
+    }
     caught_up
 }
 
--- a/crates/node/src/sync.rs
+++ b/crates/node/src/sync.rs
@@ -444,13 +444,19 @@
     }
 
     /// Applies a part of what the store holds, and pauses. This node stays at its position, and reads everything
-    /// again.
+    /// again, unless another one has it.
     async fn apply_part(&mut self, update: Update, asked: Millis) {
         let before = Some(self.newest_position).filter(|before| *before != Position::default());
+        self.newest_position = self.newest_position.max(update.batch.position);
         apply_update(&self.node, update, before);
         self.node.feed.set_serving(false);
         catchup::record_answer(&self.node, asked);
-        self.node.pause(PART_PAUSE).await;
+        let jitter = rand::rng().random_range(0..PART_PAUSE.0 / 2);
+        self.node.pause(PART_PAUSE + Millis(jitter)).await;
+        if self.position.is_none() {
+            let settings = self.node.settings();
+            Box::pin(self.query_start_readers(&settings)).await;
+        }
     }
 }
 
--- a/crates/node/tests/partial_lists.rs
+++ b/crates/node/tests/partial_lists.rs
@@ -43,6 +43,7 @@
 /// Checks that nodes that live keep what they know, and apply a configuration, while they have to read lists anew that
 /// are distorted so.
 async fn check_kept(pages: Pages, distortion: Distortion) {
+    let is_whole = distortion == Distortion::NoRevisions;
     let fleet = Fleet::serving(3).await;
     let groups = list_groups(&fleet);
     for number in 0..SHORT_PAGES.items {
@@ -57,6 +58,7 @@
         assert!(Instant::now() < end, "a configuration is not in force after {APPLY:?}");
         sleep(Duration::from_millis(20)).await;
     }
+    assert!(fleet.nodes.iter().any(|running| running.node.knows_part()) != is_whole, "the part is no part");
     sleep_until(end + WATCHED - APPLY).await;
     assert!(fleet.nodes.iter().all(|running| knows_all_runners(&fleet, running)), "runners count as gone");
     assert_eq!(list_groups(&fleet), groups, "groups were formed anew");
@@ -92,6 +94,16 @@
     check_kept(Pages::Later, Distortion::Status(400)).await;
 }
 
+#[tokio::test]
+async fn nodes_go_on_where_the_store_fails_at_a_page() {
+    check_kept(Pages::Later, Distortion::Status(500)).await;
+}
+
+#[tokio::test]
+async fn nodes_go_on_where_the_first_page_is_refused() {
+    check_kept(Pages::First, Distortion::Status(400)).await;
+}
+
 #[tokio::test]
 async fn nodes_go_on_where_a_page_cannot_be_read() {
     check_kept(Pages::Later, Distortion::Body("{\"items\":[".into())).await;
@@ -124,3 +136,44 @@
         })
         .await;
 }
+
+/// Makes all nodes read a list of runners that is cut.
+async fn cut_lists(fleet: &Fleet) {
+    fleet.store.set_page_limits(SHORT_PAGES);
+    fleet.store.distort("servers/", Pages::Later, Distortion::Status(400));
+    fleet.store.compact();
+    fleet.store.configure_and_compact(&config(2, &[KEY]));
+    fleet
+        .wait("nodes know a part", |fleet| fleet.nodes.iter().all(|running| running.node.knows_part()))
+        .await;
+}
+
+/// Guards against nodes that count as knowing a part for good, as they got the rest as changes from another node.
+#[tokio::test]
+async fn a_decider_is_elected_once_lists_can_be_read_again() {
+    let mut fleet = Fleet::serving(3).await;
+    cut_lists(&fleet).await;
+    fleet.store.distort("", Pages::All, Distortion::None);
+    fleet.wait("nodes know all", |fleet| fleet.nodes.iter().all(|running| !running.node.knows_part())).await;
+    let decider = fleet.nodes.iter().position(|running| running.node.is_deciding()).unwrap();
+    fleet.nodes[decider].tasks.shutdown().await;
+    fleet.nodes.remove(decider);
+    fleet.wait("another decider", |fleet| fleet.nodes.iter().any(|running| running.node.is_deciding())).await;
+}
+
+/// Guards against evacuations that last for as long as the list of runners is cut.
+#[tokio::test]
+async fn an_evacuation_is_withdrawn_while_the_list_of_runners_is_cut() {
+    let fleet = Fleet::serving(3).await;
+    let hall = "hall-b".parse().unwrap();
+    let is_evacuated = |running: &Running| running.node.roster.lock().evacuations.contains(&hall);
+    fleet.store.evacuate("hall-b", b"{}");
+    fleet.wait("the evacuation", |fleet| fleet.nodes.iter().all(is_evacuated)).await;
+    cut_lists(&fleet).await;
+    fleet.store.withdraw_evacuation("hall-b");
+    let end = Instant::now() + APPLY;
+    while fleet.nodes.iter().any(is_evacuated) {
+        assert!(Instant::now() < end, "still evacuated {APPLY:?} after it was withdrawn");
+        sleep(Duration::from_millis(20)).await;
+    }
+}
