Let a candidate see that the lease is over before lists are refused

Now watches are answered and lists are refused, which is the case that the test names; its checks are as they were.

--- a/crates/node/tests/writes.rs
+++ b/crates/node/tests/writes.rs
@@ -11,7 +11,7 @@
 use cottoncrank_platform::store::{CALL_TIMEOUT, Commit, Difference, Outcome, Store};
 use cottoncrank_platform_standin::operator::{ENGINES, config};
 use cottoncrank_platform_standin::runner::Runner;
-use cottoncrank_platform_standin::store::{self, Fault};
+use cottoncrank_platform_standin::store::{self, Blocked, Fault};
 
 #[tokio::test]
 async fn a_conflict_names_the_keys_that_differ() {
@@ -200,13 +200,15 @@
 /// once.
 #[tokio::test]
 async fn a_candidate_that_cannot_read_the_plans_asks_again_while_its_lease_lasts() {
-    let fleet = Fleet::serving(1).await;
+    let (fleet, doors) = Fleet::behind_doors(1).await;
     let node = &fleet.nodes[0].node;
     fleet.wait("the node decides", |_| node.is_deciding()).await;
     let former = fleet.store.revision(DECIDER);
     fleet.store.set_fault(Fault::Silent);
     fleet.wait("its lease is over", |fleet| fleet.store.lease_left(DECIDER) == Some(Millis(0))).await;
-    fleet.store.set_fault(Fault::ReadsRefused);
+    // Watches tell that the lease is over; lists cannot be read.
+    doors[0].set_blocked(Blocked::Ranges);
+    fleet.store.set_fault(Fault::None);
     let is_elected = |fleet: &Fleet| {
         let revision = fleet.store.revision(DECIDER);
         revision.is_some() && revision != former
@@ -214,7 +216,7 @@
     fleet.wait("the node campaigns", is_elected).await;
     let elected = fleet.store.revision(DECIDER);
     tokio::time::sleep(Duration::from_millis(600)).await;
-    fleet.store.set_fault(Fault::None);
+    doors[0].set_blocked(Blocked::Nothing);
     fleet.wait("the node decides again", |_| node.is_deciding()).await;
     assert_eq!(fleet.store.revision(DECIDER), elected, "it campaigned once more");
 }
