Name the platform's fields in the stand-ins alone

A test wrote a field of the configuration by its name on the wire; the stand-in of the operator has a function for it now. The test asks what it asked before.

--- a/crates/node/tests/circles.rs
+++ b/crates/node/tests/circles.rs
@@ -8,7 +8,7 @@
 use common::Fleet;
 use cottoncrank::Millis;
 use cottoncrank_node::telemetry;
-use cottoncrank_platform_standin::operator::{PLAIN, READ, config};
+use cottoncrank_platform_standin::operator::{PLAIN, READ, config, remove_accounts};
 use metrics_exporter_prometheus::PrometheusHandle;
 use serde_json::json;
 
@@ -31,7 +31,7 @@
     }
     // Where there are accounts, a node lets in nothing that comes from another one, for want of a key.
     let mut open = config(2, &[]);
-    open["tenants"] = json!([]);
+    remove_accounts(&mut open);
     fleet.store.configure(&open);
     fleet.wait("all nodes know the configuration", |fleet| fleet.know_version(2)).await;
     let id = "stranger".parse().unwrap();
