Find the port that a test holds while it is taken

What was seen: a_node_whose_port_an_outgoing_connection_has_serves_once_it_is_free failed once in the whole script, before its node was started: AddrInUse as the test took the port that it had just let go of.

Cause: the test bound its ports, dropped them, and bound one of them again without address reuse. Between fork and exec a child process has a copy of each descriptor, and the other tests of the program start processes all the time, so the port may still be bound for a moment. `Port` says so of listeners; `release_ports` was the same once more.

Change: the port is found by the socket that holds it, and goes into the settings of the node from there. Nothing is bound twice, so nothing can be in between; what the tests ask of the node is as it was. `release_ports` has no use any more.

--- a/crates/node/tests/common/process.rs
+++ b/crates/node/tests/common/process.rs
@@ -31,7 +31,7 @@
     pub log: PathBuf,
     child: Option<Child>,
     /// Kept for it, also between its lives.
-    ports: Option<[Port; 3]>,
+    _ports: [Port; 3],
 }
 
 impl NodeProcess {
@@ -59,7 +59,7 @@
         let name = format!("{}-{}", std::process::id(), ip);
         let (file, log) = (folder.join(format!("{name}.toml")), folder.join(format!("{name}.log")));
         std::fs::write(&file, settings::render(&settings)).unwrap();
-        NodeProcess { settings, file, log, child: None, ports: Some(ports) }
+        NodeProcess { settings, file, log, child: None, _ports: ports }
     }
 
     /// Starts a node in the hall `hall-a`, and returns once it is ready.
@@ -109,11 +109,6 @@
         }
     }
 
-    /// Lets others take its ports.
-    pub fn release_ports(&mut self) {
-        self.ports = None;
-    }
-
     /// Waits until it reports that it accepts requests.
     pub async fn wait_ready(&mut self) {
         let end = Instant::now() + WAIT_TIMEOUT;
--- a/crates/node/tests/starts.rs
+++ b/crates/node/tests/starts.rs
@@ -13,7 +13,7 @@
 use common::{Fleet, KEY};
 use cottoncrank_platform_standin::caller::send_request;
 use cottoncrank_platform_standin::operator::{ONCE, config};
-use cottoncrank_platform_standin::settings;
+use cottoncrank_platform_standin::settings::{self, Settings};
 use cottoncrank_standin::port::Port;
 use rustix::process::Signal;
 use socket2::{Domain, Socket, Type};
@@ -58,7 +58,7 @@
 }
 
 impl Held {
-    /// Takes a port without address reuse.
+    /// Takes a port without address reuse; of port 0, any that is free.
     fn take(address: SocketAddr, holder: Holder) -> Held {
         let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
         socket.bind(&address.into()).unwrap();
@@ -73,6 +73,10 @@
         }
         Held { socket, _peer: peer }
     }
+
+    fn address(&self) -> SocketAddr {
+        self.socket.local_addr().unwrap().as_socket().unwrap()
+    }
 }
 
 impl Drop for Held {
@@ -82,6 +86,23 @@
     }
 }
 
+/// Lays a node one of whose ports is held.
+///
+/// The port is found while it is taken: one that the test lets go of before may still be bound in a child process that
+/// another thread has just started.
+fn lay_held(
+    store: SocketAddr,
+    pick: fn(&mut Settings) -> &mut SocketAddr,
+    holder: Holder,
+) -> (NodeProcess, Held) {
+    let mut node = NodeProcess::lay(store, 7);
+    let address = pick(&mut node.settings);
+    let held = Held::take(SocketAddr::new(address.ip(), 0), holder);
+    *address = held.address();
+    std::fs::write(&node.file, settings::render(&node.settings)).unwrap();
+    (node, held)
+}
+
 async fn start_fleet() -> Fleet {
     let fleet = Fleet::unconfigured(1).await;
     fleet.store.configure(&config(1, &[KEY]));
@@ -119,16 +140,13 @@
     fleet.nodes[0].node.directory.lock().get(&name).is_some()
 }
 
-async fn hold_a_port(find: fn(&settings::Settings) -> SocketAddr, holder: Holder) {
+async fn hold_a_port(pick: fn(&mut Settings) -> &mut SocketAddr, holder: Holder) {
     let fleet = start_fleet().await;
-    let mut node = NodeProcess::lay(fleet.store.address(), 7);
-    let address = find(&node.settings);
-    node.release_ports();
-    let held = Held::take(address, holder);
+    let (mut node, held) = lay_held(fleet.store.address(), pick, holder);
     node.spawn();
     tokio::time::sleep(HELD).await;
     assert!(node.is_running(), "it ended:\n{}", node.read_log());
-    if address != node.settings.ready {
+    if held.address() != node.settings.ready {
         let answer = ask(node.settings.ready, "/-/readyz").await.unwrap();
         assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
         assert!(!is_listed(&fleet, &node), "it is listed without its port");
@@ -140,35 +158,33 @@
 /// Guards against boxes that are gone for good because a port was held when their node started.
 #[tokio::test]
 async fn a_node_whose_port_for_callers_is_held_serves_once_it_is_free() {
-    hold_a_port(|settings| settings.callers, Holder::Listener).await;
+    hold_a_port(|settings| &mut settings.callers, Holder::Listener).await;
 }
 
 /// Guards against the same at the port for other nodes.
 #[tokio::test]
 async fn a_node_whose_port_for_other_nodes_is_held_serves_once_it_is_free() {
-    hold_a_port(|settings| settings.peers, Holder::Listener).await;
+    hold_a_port(|settings| &mut settings.peers, Holder::Listener).await;
 }
 
 /// Guards against the same at the port for the balancer.
 #[tokio::test]
 async fn a_node_whose_port_for_the_balancer_is_held_serves_once_it_is_free() {
-    hold_a_port(|settings| settings.ready, Holder::Listener).await;
+    hold_a_port(|settings| &mut settings.ready, Holder::Listener).await;
 }
 
 /// Guards against the same where an outgoing connection has the port.
 #[tokio::test]
 async fn a_node_whose_port_an_outgoing_connection_has_serves_once_it_is_free() {
-    hold_a_port(|settings| settings.callers, Holder::Outgoing).await;
-    hold_a_port(|settings| settings.peers, Holder::Outgoing).await;
+    hold_a_port(|settings| &mut settings.callers, Holder::Outgoing).await;
+    hold_a_port(|settings| &mut settings.peers, Holder::Outgoing).await;
 }
 
 /// Guards against callers that are kept out because nobody can ask whether the node is ready.
 #[tokio::test]
 async fn a_node_whose_port_for_the_balancer_is_held_takes_callers() {
     let fleet = start_fleet().await;
-    let mut node = NodeProcess::lay(fleet.store.address(), 7);
-    node.release_ports();
-    let _held = Held::take(node.settings.ready, Holder::Listener);
+    let (mut node, _held) = lay_held(fleet.store.address(), |settings| &mut settings.ready, Holder::Listener);
     node.spawn();
     let began = Instant::now();
     loop {
@@ -185,9 +201,8 @@
 #[tokio::test]
 async fn a_node_whose_port_is_held_takes_the_one_that_its_settings_name_by_now() {
     let fleet = start_fleet().await;
-    let mut node = NodeProcess::lay(fleet.store.address(), 7);
-    node.release_ports();
-    let _held = Held::take(node.settings.callers, Holder::Listener);
+    let (mut node, _held) =
+        lay_held(fleet.store.address(), |settings| &mut settings.callers, Holder::Listener);
     node.spawn();
     tokio::time::sleep(HELD).await;
     let other = Port::find(node.settings.callers.ip()).unwrap();
@@ -217,9 +232,7 @@
 /// Guards against nodes that cannot be stopped, or end as if they had failed, while they wait for a port.
 #[tokio::test]
 async fn a_node_that_waits_for_its_port_ends_at_once_when_it_is_stopped() {
-    let mut node = NodeProcess::lay(nowhere(), 7);
-    node.release_ports();
-    let _held = Held::take(node.settings.callers, Holder::Listener);
+    let (mut node, _held) = lay_held(nowhere(), |settings| &mut settings.callers, Holder::Listener);
     node.spawn();
     tokio::time::sleep(HELD).await;
     node.signal(Signal::HUP);
