Move what a node knows of its own reading out of its state

How far a node has read the store (whole or in part, since when, when it was ready) is a thing of its own, with five fields that nothing else writes; it stands in `reading` now. No logic is changed, and the names that others call are as they were.

--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -110,6 +110,7 @@
 mod prober;
 pub mod program;
 mod race;
+mod reading;
 pub mod registration;
 mod relay;
 mod repeat;
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -2,8 +2,8 @@
 
 use std::collections::HashMap;
 use std::fmt::Display;
+use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
-use std::sync::{Arc, OnceLock};
 
 use cottoncrank::clock::{self, System};
 use cottoncrank::line::Quoted;
@@ -44,7 +44,6 @@
 use tokio::sync::{Notify, watch};
 
 use crate::admission;
-use crate::apply::Extent;
 use crate::connect::Opening;
 use crate::crash::Findings;
 use crate::denylist::Denylist;
@@ -53,6 +52,7 @@
 use crate::in_flight::ModelKey;
 use crate::invalid_items::{InvalidItems, ItemKind};
 use crate::pressure;
+use crate::reading;
 use crate::returns;
 use crate::supervise::Turns;
 use crate::telemetry;
@@ -206,12 +206,8 @@
     pub closed: watch::Sender<bool>,
     /// Whether the node ends, so that requests without an answer are told so.
     pub(crate) ending: watch::Sender<bool>,
-    synced: watch::Sender<bool>,
-    started_at: Millis,
-    synced_at: OnceLock<Millis>,
-    ready_at: OnceLock<Millis>,
-    /// Whether the lists of the store that were read last lack something.
-    knows_part: AtomicBool,
+    /// How far this node has read the store.
+    pub(crate) reading: reading::State,
     deciding: AtomicBool,
     pub(crate) serving: AtomicBool,
     pub(crate) running: AtomicUsize,
@@ -239,9 +235,7 @@
         Arc::new(Node {
             store: Store::new(settings.store),
             resources: Resources::new(&find_machine(&settings), clock.clone()),
-            started_at: clock.now(),
-            synced_at: OnceLock::new(),
-            ready_at: OnceLock::new(),
+            reading: reading::State::new(clock.now()),
             settings: Mutex::new(Arc::new(settings)),
             feed: Feed::default(),
             directory: Mutex::default(),
@@ -305,8 +299,6 @@
             draining: watch::Sender::new(false),
             closed: watch::Sender::new(false),
             ending: watch::Sender::new(false),
-            synced: watch::Sender::new(false),
-            knows_part: AtomicBool::new(false),
             deciding: AtomicBool::new(false),
             serving: AtomicBool::new(false),
             running: AtomicUsize::new(0),
@@ -373,56 +365,6 @@
         let _ = tokio::time::timeout(span.duration(), resumed.changed()).await;
     }
 
-    /// Whether this node knows only a part of what the store holds.
-    pub fn knows_part(&self) -> bool {
-        self.knows_part.load(Ordering::Relaxed)
-    }
-
-    /// Records how much of the store was read last. Changes follow a position up to which everything was known.
-    pub(crate) fn set_knows_part(&self, extent: Extent) {
-        self.knows_part.store(extent == Extent::Part, Ordering::Relaxed);
-    }
-
-    /// Whether the whole store has been read once, or what could be read of it.
-    pub fn is_synced(&self) -> bool {
-        *self.synced.borrow()
-    }
-
-    /// Records that the whole store has been read.
-    pub fn set_synced(&self) {
-        let now = self.now();
-        if self.synced_at.set(now).is_ok() {
-            log::info!("node: synced for the first time, {} after its start", now.since(self.started_at));
-        }
-        self.synced.send_replace(true);
-    }
-
-    /// Returns when the whole store was read for the first time.
-    pub(crate) fn synced_at(&self) -> Option<Millis> {
-        self.synced_at.get().copied()
-    }
-
-    /// Logs that the node is ready for callers, once it is for the first time.
-    pub(crate) fn log_first_ready(&self) {
-        if self.ready_at.get().is_some() || !self.is_ready() {
-            return;
-        }
-        let now = self.now();
-        if self.ready_at.set(now).is_ok() {
-            log::info!("node: ready for the first time, {} after its start", now.since(self.started_at));
-        }
-    }
-
-    /// Waits until the whole store has been read once, for at most `timeout`.
-    pub async fn wait_synced(&self, timeout: Millis) {
-        if self.is_synced() {
-            return;
-        }
-        let mut synced = self.synced.subscribe();
-        // After a timeout, the caller works with what is known by then.
-        let _ = tokio::time::timeout(timeout.duration(), synced.wait_for(|synced| *synced)).await;
-    }
-
     /// Whether this node is the decider.
     pub fn is_deciding(&self) -> bool {
         self.deciding.load(Ordering::Relaxed)
