Let a starting node read the store where its readers have failed to

Seen: nodes that start together with the reader of their hall, which the store has refused, are ready 1.26 s after their start; a test of eras was at its bound for it (2.88 to 2.92 s of 2.9). Cause: a node that has no copy and has failed to obtain one gave the same answer (503) as one whose read is under way, so others asked it five times, with pauses of 1.24 s in all, before they read the store. Change: such a node answers 404, which nodes of earlier builds take as they took 503. Who hears nothing but that reads the store at a time drawn within 50 ms for each node of its hall, and asks on until then, in each round the next readers. Readers that may have a copy soon are waited for as before. The decision is crates/fleet/src/first_copy.rs.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -18,6 +18,7 @@
 //! - [`past`]: whether any node may hold what the store has lost.
 //! - [`occupancy`]: the in-flight requests of all nodes.
 //! - [`source`]: where a node learns of changes of the store, and how often it may call the store.
+//! - [`first_copy`]: how a node that starts obtains a copy of the store.
 //! - [`startup`]: how a step of a start that fails is repeated.
 //! - [`freshness`]: how long a node may rely on the API keys that it knows.
 //!
@@ -94,6 +95,7 @@
 pub mod evidence;
 pub mod feedback;
 pub mod fingerprint;
+pub mod first_copy;
 pub mod form;
 pub mod freshness;
 pub mod gossip;
--- a/crates/fleet/src/source.rs
+++ b/crates/fleet/src/source.rs
@@ -354,6 +354,6 @@
 }
 
 /// Returns the interval in which each node of the fleet calls the store once.
-fn compute_call_interval(directory: &Directory) -> Millis {
+pub(crate) fn compute_call_interval(directory: &Directory) -> Millis {
     Millis(SHARED_CALL_INTERVAL.0 * directory.count() as u64)
 }
--- a/crates/node/src/feed.rs
+++ b/crates/node/src/feed.rs
@@ -7,6 +7,7 @@
 
 use std::collections::{BTreeSet, HashMap, VecDeque};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 
 use bytes::Bytes;
 use cottoncrank_fleet::position::Position;
@@ -145,6 +146,8 @@
     /// Whether this node answers change polls: it reads the store, or polls the decider for its hall, and
     /// its last attempt succeeded.
     serving: watch::Sender<bool>,
+    /// Whether no source could be reached when this node last tried, as long as it has no content.
+    unreachable: AtomicBool,
 }
 
 /// The changes after a position.
@@ -176,6 +179,7 @@
             cached: Mutex::default(),
             position: watch::Sender::new(None),
             serving: watch::Sender::new(false),
+            unreachable: AtomicBool::new(false),
         }
     }
 }
@@ -210,6 +214,17 @@
         self.serving.send_if_modified(|current| std::mem::replace(current, serving) != serving);
     }
 
+    /// Records that no source of this node could be reached, so that it answers no change polls.
+    pub fn record_unreachable(&self) {
+        self.unreachable.store(true, Ordering::Relaxed);
+        self.set_serving(false);
+    }
+
+    /// Whether this node has no content, and failed to obtain any when it last tried.
+    pub fn is_empty(&self) -> bool {
+        self.position.borrow().is_none() && self.unreachable.load(Ordering::Relaxed)
+    }
+
     /// Returns a receiver for whether this node answers change polls.
     pub fn subscribe_serving(&self) -> watch::Receiver<bool> {
         self.serving.subscribe()
--- a/crates/node/src/peer.rs
+++ b/crates/node/src/peer.rs
@@ -80,6 +80,10 @@
 /// A poll waits for 0.7 s on average, as long as a watch of the store.
 const MIN_EMPTY_WAIT: Millis = Millis(200);
 
+/// How a node answers a change poll that has no copy of the store and has failed to obtain one. All other nodes
+/// that cannot tell answer 503: they may soon.
+pub(crate) const NO_COPY: StatusCode = StatusCode::NOT_FOUND;
+
 /// A change poll.
 #[derive(Clone, Copy, Debug, Serialize, Deserialize)]
 pub struct ChangeQuery {
@@ -367,6 +371,9 @@
         // This cannot fail: the sender lives as long as the node.
         _ = serving.wait_for(|serving| !serving) => {}
     }
+    if node.feed.is_empty() {
+        return build_answer(NO_COPY, Bytes::new());
+    }
     if !*serving.borrow() || catchup::check(node) {
         return build_answer(StatusCode::SERVICE_UNAVAILABLE, Bytes::new());
     }
--- a/crates/node/src/sync.rs
+++ b/crates/node/src/sync.rs
@@ -7,6 +7,7 @@
 
 use cottoncrank::Millis;
 use cottoncrank_fleet::directory::Peer;
+use cottoncrank_fleet::first_copy::{Answer, Asks, Step};
 use cottoncrank_fleet::position::Position;
 use cottoncrank_fleet::settings::Settings;
 use cottoncrank_fleet::source::{Failure, Source, Sources};
@@ -19,7 +20,7 @@
 use crate::catchup;
 use crate::era;
 use crate::feed::{self, UnpackError};
-use crate::peer::{self, ChangeQuery, PollError};
+use crate::peer::{self, ChangeQuery, NO_COPY, PollError};
 use crate::registration;
 use crate::state::Node;
 use crate::telemetry;
@@ -58,15 +59,8 @@
 /// jitter. The other nodes need about 0.2 s to write their entries, and callers connect seconds later.
 const FIRST_START_DELAY: Millis = Millis(400);
 
-/// How many times a starting node looks for a reader that has a copy of the store. Readers start at the same
-/// time and need a few calls to the store, which take longer the more the store holds.
-const START_ATTEMPTS: u32 = 5;
-
-/// The pause after the first of these attempts. It doubles each time.
-const START_RETRY_DELAY: Millis = Millis(40);
-
-/// How many readers each attempt queries. A dead reader costs 0.4 s.
-const READERS_PER_ATTEMPT: usize = 2;
+/// How many readers a starting node queries in each round. A dead reader costs 0.4 s.
+const READERS_PER_ROUND: usize = 2;
 
 /// The pause after a read of the store that could not be finished. No change is learned of meanwhile, and a
 /// configuration has to be in force within two seconds.
@@ -112,6 +106,17 @@
         }
     }
 
+    /// Returns what the queried node answered a node that starts.
+    fn classify(&self, took: Millis) -> Answer {
+        match self {
+            SyncError::Query(PollError::Call(CallError::Status { status, .. })) if *status == NO_COPY => {
+                Answer::Empty
+            }
+            _ if self.failure(took) == Failure::Stale => Answer::Pending,
+            _ => Answer::Silent,
+        }
+    }
+
     /// Returns the metric label of this error.
     fn reason(&self) -> &'static str {
         match self {
@@ -168,22 +173,35 @@
 }
 
 impl Syncer {
-    /// Copies the store from a reader of the hall, if one has a copy. If every starting node read the
-    /// whole store instead, these reads would be most of the store calls of a calm day.
+    /// Copies the store from a reader of the hall, if one has a copy or may have one soon.
     async fn bootstrap(&mut self) {
         let settings = self.node.settings();
         if settings.first_start {
             let pause = FIRST_START_DELAY.0 + rand::rng().random_range(0..FIRST_START_DELAY.0 / 2);
             tokio::time::sleep(Millis(pause).duration()).await;
         }
-        for attempt in 0..START_ATTEMPTS {
-            if self.list_start_readers(&settings).is_empty() && !self.read_peers(&settings).await {
+        let (mut asks, began) = (Asks::default(), self.node.now());
+        loop {
+            if self.list_start_readers(&settings, 0).is_empty() && !self.read_peers(&settings).await {
                 return;
             }
-            if !self.query_start_readers(&settings).await {
-                return;
+            let Some(answers) = self.query_start_readers(&settings, asks.rounds()).await else { return };
+            let step = {
+                let directory = self.node.directory.lock();
+                asks.record(&answers, &directory, self.node.now(), &mut rand::rng())
+            };
+            match step {
+                Step::Ask(pause) => tokio::time::sleep(pause.duration()).await,
+                Step::Read(pause) => {
+                    let asked = self.node.now().since(began);
+                    if !answers.is_empty() {
+                        log::info!(
+                            "sync: asked readers for {asked}, none has a copy; reads the store in {pause}"
+                        );
+                    }
+                    return tokio::time::sleep(pause.duration()).await;
+                }
             }
-            tokio::time::sleep(Millis(START_RETRY_DELAY.0 << attempt).duration()).await;
         }
     }
 
@@ -199,33 +217,33 @@
         true
     }
 
-    /// Queries readers of the hall for everything that the store holds. Returns true if none of them
-    /// had it, but one may have it soon.
-    async fn query_start_readers(&mut self, settings: &Settings) -> bool {
-        let mut may_have_copy_soon = false;
-        for reader in self.list_start_readers(settings) {
+    /// Queries readers of the hall for everything that the store holds. Returns their answers if none of them
+    /// had it.
+    async fn query_start_readers(&mut self, settings: &Settings, round: usize) -> Option<Vec<Answer>> {
+        let mut answers = Vec::new();
+        for reader in self.list_start_readers(settings, round) {
             let asked = self.node.now();
             match self.query(&reader, Millis(0)).await {
                 Ok(update) => {
                     self.sources.record_answer(update.last_contact, self.node.now());
                     self.advance(update, false, asked).await;
-                    return false;
+                    return None;
                 }
                 Err(error) => {
                     log::info!("sync: {} returned no copy of the store: {error}", reader.node);
-                    let took = self.node.now().since(asked);
-                    may_have_copy_soon |= error.failure(took) == Failure::Stale;
+                    answers.push(error.classify(self.node.now().since(asked)));
                 }
             }
         }
-        may_have_copy_soon
+        Some(answers)
     }
 
-    /// Lists the readers that a starting node queries.
-    fn list_start_readers(&self, settings: &Settings) -> Vec<Peer> {
+    /// Lists the readers that a starting node queries in a round: in each the next ones.
+    fn list_start_readers(&self, settings: &Settings, round: usize) -> Vec<Peer> {
         let directory = self.node.directory.lock();
         let readers = directory.list_local_readers(&settings.node, &settings.hall);
-        readers.into_iter().take(READERS_PER_ATTEMPT).cloned().collect()
+        let count = readers.len().min(READERS_PER_ROUND);
+        readers.into_iter().cycle().skip(round * count).take(count).cloned().collect()
     }
 
     /// Obtains one update from the current source and applies it, or records why there was none.
@@ -332,7 +350,7 @@
     /// answering change polls of other nodes.
     fn record_unreachable(&mut self) {
         self.store_reached = false;
-        self.node.feed.set_serving(false);
+        self.node.feed.record_unreachable();
     }
 
     /// Picks the next source. The decider and a node without a copy read the store, and use other nodes
@@ -455,7 +473,7 @@
         self.node.pause(PART_PAUSE + Millis(jitter)).await;
         if self.position.is_none() {
             let settings = self.node.settings();
-            Box::pin(self.query_start_readers(&settings)).await;
+            Box::pin(self.query_start_readers(&settings, 0)).await;
         }
     }
 }
