Keep the pages of a list where the store fails one of them

Seen: three processes that start together beside 45 pages of another writer's entries, at a store that fails one read of ten (503, 429, 2 s late, cut off) or takes 40 reads a second, were not all ready within 12 s, 5 of 5. Nodes that live and had lost the history beside such a list had a configuration in force after 8.6 to 12 s where 4 may pass, 6 of 6.

Cause: a read of everything was whole or failed. One page that failed threw away those before it, so that a list of N pages was whole with probability 0.9^N.

Change: a read that stops at a page keeps what it has, and the next call to the store asks for that page again. Pauses and other nodes are picked as after any failure, so a store that is away from the first page on is met as before, and a read never waits within itself. Failures count from the latest page on. Pages are kept for 10 s after the latest one (fleet::progress). The proof is dated as the read began, the position is the earliest; another era, a process that did not run, or the answer of another node ends the read.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -118,6 +118,7 @@
 pub mod presence;
 pub mod pressure;
 pub mod probe;
+pub mod progress;
 pub mod prompt;
 pub mod rate;
 pub mod rejections;
--- a/crates/fleet/src/source.rs
+++ b/crates/fleet/src/source.rs
@@ -281,6 +281,11 @@
         self.store_retry_at = Some(now + add_jitter(min_pause, rng));
     }
 
+    /// Records that the store gave pages of a read before it failed: the failures before count no more.
+    pub fn record_store_progress(&mut self) {
+        self.store_failures = 0;
+    }
+
     /// Records that the store answers this node again, which ends the backoff.
     pub fn record_store_return(&mut self) {
         self.store_retry_at = None;
--- a/crates/fleet/tests/source.rs
+++ b/crates/fleet/tests/source.rs
@@ -250,3 +250,33 @@
     let large: Vec<usize> = (0..5).flat_map(|hall| ranks[hall * 60..hall * 60 + 3].to_vec()).collect();
     assert!(large.iter().all(|rank| *rank < 15), "{large:?}");
 }
+
+/// Returns the longest pause of a node that knows no other, over `failures` calls to the store that fail. The store
+/// gives some pages before each failure if `has_pages` says so.
+fn find_longest_pause(failures: usize, has_pages: bool) -> Millis {
+    let mut directory = Directory::default();
+    directory.insert(peer(0, 0, 120));
+    let (me, hall): (id::Node, id::Hall) = ("n0-0".parse().unwrap(), "hall-0".parse().unwrap());
+    let mut sources = Sources::new(BOUND);
+    let mut rng = SmallRng::seed_from_u64(9);
+    let (mut now, mut longest) = (Millis(0), Millis(0));
+    for _ in 0..failures {
+        if has_pages {
+            sources.record_store_progress();
+        }
+        sources.record_store_failure(&me, &hall, false, &directory, now, &mut rng);
+        let Source::Wait(pause) = sources.pick_store(&me, &hall, &directory, now) else {
+            panic!("the store is called at once after it failed");
+        };
+        assert!(pause >= Millis(200), "{pause}");
+        longest = longest.max(pause);
+        now = now + pause;
+    }
+    longest
+}
+
+#[test]
+fn pauses_grow_only_while_the_store_gives_no_pages() {
+    assert!(find_longest_pause(8, true) <= Millis(400));
+    assert!(find_longest_pause(8, false) >= Millis(1600));
+}
--- a/crates/node/src/sync.rs
+++ b/crates/node/src/sync.rs
@@ -8,10 +8,11 @@
 use cottoncrank::Millis;
 use cottoncrank_fleet::directory::Peer;
 use cottoncrank_fleet::position::Position;
+use cottoncrank_fleet::progress::Progress;
 use cottoncrank_fleet::settings::Settings;
 use cottoncrank_fleet::source::{Failure, Source, Sources};
 use cottoncrank_net::client::{CallError, Client, Traffic};
-use cottoncrank_platform::store::{Batch, Contents, Cut, StoreError};
+use cottoncrank_platform::store::{Batch, Contents, Cut, Reading, StoreError};
 use rand::Rng;
 use thiserror::Error;
 
@@ -129,6 +130,18 @@
     }
 }
 
+/// A read of everything that has not come to its end.
+struct Unfinished {
+    reading: Reading,
+    progress: Progress,
+}
+
+impl Unfinished {
+    fn new(now: Millis) -> Unfinished {
+        Unfinished { reading: Reading::default(), progress: Progress::new(now) }
+    }
+}
+
 /// Follows the store for this node.
 struct Syncer {
     node: Arc<Node>,
@@ -137,6 +150,8 @@
     /// Whether the store has compacted the changes after `position`, or they are too large for one answer. A
     /// call to the store then reads everything, but other nodes may still have these changes.
     history_compacted: bool,
+    /// The read that stopped at a page, or runs.
+    unfinished: Option<Unfinished>,
     /// The latest position that was known here. An answer of another node must not be older, even if
     /// everything is read again.
     newest_position: Position,
@@ -156,6 +171,7 @@
         client,
         position: None,
         history_compacted: false,
+        unfinished: None,
         newest_position: Position::default(),
         sources,
         store_reached: true,
@@ -254,24 +270,30 @@
         // A call that lasted while the process did not run says nothing about its source.
         let was_interrupted = self.node.catchup.lock().has_resumed_since(began);
         let Some(outcome) = outcome.filter(|outcome| outcome.is_ok() || !was_interrupted) else {
+            self.unfinished = None;
             return;
         };
         match (outcome, source) {
+            (Ok(update), Source::Store) => {
+                self.sources.record_store_answer(now);
+                // A read of everything may have begun before this call.
+                let asked = began.min(update.last_contact);
+                self.advance(update, true, asked).await;
+            }
             (Ok(update), source) => {
-                match source {
-                    Source::Store => self.sources.record_store_answer(now),
-                    _ => self.sources.record_answer(update.last_contact, now),
-                }
+                self.sources.record_answer(update.last_contact, now);
                 let serving = !matches!(source, Source::Reader(_));
                 self.advance(update, serving, began).await;
             }
             (Err(SyncError::Store(error @ (StoreError::Compacted | StoreError::TooManyChanges))), _) => {
                 log::warn!("sync: {error}, now at {}", self.format_position());
+                self.unfinished = None;
                 self.record_compaction(now);
             }
             (Err(SyncError::Store(error @ StoreError::Restored(_))), _) => {
                 log::warn!("sync: {error}; reading the whole store again, now at {}", self.format_position());
                 self.position = None;
+                self.unfinished = None;
             }
             (Err(error), Source::Reader(peer) | Source::Upstream(peer)) => {
                 telemetry::count_source_failure("node", error.reason());
@@ -284,6 +306,7 @@
                     log::warn!("sync: {error}; continuing with the copy at {}", self.format_position());
                 }
                 self.record_unreachable();
+                self.record_stop(&error, now);
                 self.store_failed_at = began;
                 let settings = self.node.settings();
                 let directory = self.node.directory.lock();
@@ -313,6 +336,18 @@
         }
     }
 
+    /// Records that the store failed. A read that has pages goes on with the next call, unless the error is no
+    /// passing one.
+    fn record_stop(&mut self, error: &SyncError, now: Millis) {
+        if !matches!(error, SyncError::Store(error) if error.is_passing()) {
+            self.unfinished = None;
+        }
+        let Some(unfinished) = &mut self.unfinished else { return };
+        if unfinished.progress.record_stop(unfinished.reading.count_pages(), now) {
+            self.sources.record_store_progress();
+        }
+    }
+
     fn format_position(&self) -> String {
         self.position.map_or("-".to_owned(), |position| position.to_string())
     }
@@ -350,7 +385,7 @@
     }
 
     /// Obtains an update from a source. A node that is `behind` does not wait for changes.
-    async fn fetch(&self, source: &Source, behind: bool) -> Result<Update, SyncError> {
+    async fn fetch(&mut self, source: &Source, behind: bool) -> Result<Update, SyncError> {
         match source {
             Source::Reader(peer) | Source::Upstream(peer) if behind => {
                 let query = self.query(peer, Millis(0));
@@ -363,20 +398,10 @@
         }
     }
 
-    async fn read_store(&self, behind: bool) -> Result<Update, SyncError> {
+    async fn read_store(&mut self, behind: bool) -> Result<Update, SyncError> {
         let asked = self.node.now();
         let Some(after) = self.position.filter(|_| !self.history_compacted) else {
-            let Contents { mut batch, cuts } = self.node.store.read_all().await?;
-            if self.newest_position == Position::default() {
-                era::ask_others(&self.node, &self.client, &mut batch).await;
-            }
-            cuts.iter().for_each(report_cut);
-            let extent = if cuts.is_empty() { Extent::Whole } else { Extent::Part };
-            let proof = match cuts.iter().any(Cut::is_of_operators) {
-                true => Proof::None,
-                false => Proof::Read(asked),
-            };
-            return Ok(Update { batch, extent, proof, last_contact: asked });
+            return self.read_all().await;
         };
         let wait = if behind { Millis(0) } else { WATCH_TIMEOUT };
         let batch = self.node.store.watch(after, wait).await?;
@@ -385,6 +410,26 @@
         Ok(Update { batch, extent: Extent::Changes, proof: Proof::Watch(asked, waited), last_contact })
     }
 
+    /// Reads everything, or what a read lacks that stopped at a page.
+    async fn read_all(&mut self) -> Result<Update, SyncError> {
+        let now = self.node.now();
+        let kept = self.unfinished.take().filter(|unfinished| unfinished.progress.is_kept(now));
+        let unfinished = self.unfinished.insert(kept.unwrap_or_else(|| Unfinished::new(now)));
+        let asked = unfinished.progress.began();
+        let Contents { mut batch, cuts } = self.node.store.read_on(&mut unfinished.reading).await?;
+        self.unfinished = None;
+        if self.newest_position == Position::default() {
+            era::ask_others(&self.node, &self.client, &mut batch).await;
+        }
+        cuts.iter().for_each(report_cut);
+        let extent = if cuts.is_empty() { Extent::Whole } else { Extent::Part };
+        let proof = match cuts.iter().any(Cut::is_of_operators) {
+            true => Proof::None,
+            false => Proof::Read(asked),
+        };
+        Ok(Update { batch, extent, proof, last_contact: asked })
+    }
+
     /// Polls another node, at most until the store has to be called.
     async fn query_within_timeout(&self, peer: &Peer, reader: bool) -> Result<Update, SyncError> {
         let Some(timeout) = self.sources.query_timeout(reader, self.node.now()) else {
@@ -424,6 +469,7 @@
             self.node.roster.lock().start_grace_period(self.node.now());
         }
         self.store_reached = true;
+        self.unfinished = None;
         if update.extent == Extent::Part {
             return self.apply_part(update, asked).await;
         }
