Rely on a lease for the time that the store has granted

Seen: the store's answer names the time that applies to a lease (PROTOCOL), and nodes did not read it. Against a store that grants 800 ms of the 1,600 asked for, two nodes decide at one time (871 to 909 ms after one is cut off), runners are ordered 816 to 835 ms after the plan was written, when the lease's key is gone, and a decider loses its lease without any fault.

Cause: Store::open_lease left the field out; the decider counted from the time asked for, and renewals from the one that the settings name by then.

The decider relies on the shorter of both, since other nodes wait for the time they would ask for after a restore, and renews four times in it. A lease that cannot be kept (below 800 ms) is ended with a line that has the figure, and asked for again after 5 s. A node says that it is the decider only up to the end of what it relies on.

--- a/crates/node/src/decider.rs
+++ b/crates/node/src/decider.rs
@@ -17,7 +17,7 @@
 use rand::Rng;
 
 use self::look::Look;
-use self::term::{EndError, Holding, LEASE_MARGIN, RETRY_INTERVAL, Term};
+use self::term::{EndError, Holding, LEASE_MARGIN, RETRY_INTERVAL, SHORTEST_LEASE, Term};
 use crate::past;
 use crate::plans::{Plans, read_plans};
 use crate::state::{DeciderLease, Node};
@@ -25,8 +25,8 @@
 /// The key that is bound to the lease. Its value names the decider.
 pub const LEASE_KEY: &str = "decider";
 
-/// How long the lease lasts without being renewed. After the decider is lost, no group is repaired for
-/// this long.
+/// How long a lease is asked for, to last without being renewed. After the decider is lost, no group is repaired
+/// for this long.
 const LEASE_TTL: Millis = Millis(1600);
 
 /// The delay of a candidate for each candidate that ranks before it; jitter adds up to the same again.
@@ -41,6 +41,9 @@
 /// The pause after a campaign, during which the outcome arrives from the store.
 const ELECTION_PAUSE: Millis = Millis(250);
 
+/// The pause after a lease that is too short to be kept. All nodes ask for one meanwhile, and each costs two calls.
+const SHORT_LEASE_PAUSE: Millis = Millis(5000);
+
 /// How often a node that is not ready to become the decider checks again.
 const NOT_READY_PAUSE: Millis = Millis(50);
 
@@ -97,7 +100,7 @@
                 let mut term = Term::new(node.clone(), holding, plans, &look);
                 let position = term.lease_position();
                 log::info!("decider: this node is the decider since store position {position}");
-                let duty = Duty::begin(&node, look);
+                let duty = Duty::begin(&node, look, &term);
                 let Err(end) = term.run().await;
                 was_decider = node.store.era() != position.era();
                 drop(duty);
@@ -107,6 +110,10 @@
                 }
             }
             Ok(None) => {}
+            Err(error @ EndError::ShortLease(_)) => {
+                log::error!("decider: not elected: {error}; asks again in {SHORT_LEASE_PAUSE}");
+                tokio::time::sleep(SHORT_LEASE_PAUSE.duration()).await;
+            }
             Err(error) => log::info!("decider: not elected: {error}"),
         }
         tokio::time::sleep(ELECTION_PAUSE.duration()).await;
@@ -120,15 +127,15 @@
 }
 
 impl Duty {
-    fn begin(node: &Arc<Node>, look: Look) -> Duty {
-        node.set_deciding(true);
+    fn begin(node: &Arc<Node>, look: Look, term: &Term) -> Duty {
+        node.set_deciding_until(term.end());
         Duty { node: node.clone(), _look: look }
     }
 }
 
 impl Drop for Duty {
     fn drop(&mut self) {
-        self.node.set_deciding(false);
+        self.node.set_deciding_until(Millis(0));
     }
 }
 
@@ -159,26 +166,43 @@
     former_position: Option<Position>,
 ) -> Result<Option<(Holding, Plans)>, EndError> {
     let asked = node.now();
-    let ttl = LEASE_TTL.max(node.settings().lease_min);
-    let lease = node.store.open_lease(ttl).await?;
-    let won = take_lease(node, lease, former_position, asked + ttl).await;
+    let wanted = LEASE_TTL.max(node.settings().lease_min);
+    let lease = node.store.open_lease(wanted).await?;
+    let won = match find_sure_time(lease, wanted) {
+        Ok(ttl) => take_lease(node, lease, former_position, asked, ttl).await,
+        Err(error) => Err(error),
+    };
     if won.is_err() {
         // Its key may be bound to it by now, and nobody could campaign until it expires.
         if let Err(error) = node.store.revoke_lease(lease).await {
             log::info!("decider: the lease was not ended and expires by itself: {error}");
         }
     }
-    Ok(won?.map(|(position, plans)| (Holding { lease, position, asked, end: asked + ttl }, plans)))
+    won
 }
 
-/// Binds the lease's key to a lease that lasts until `end`, and reads the plans. Returns `None` if another node was
-/// first.
+/// Returns how long a lease is relied on without being renewed: not beyond the time granted, nor beyond the one
+/// asked for, as that is what other nodes wait for after the store was restored.
+fn find_sure_time(lease: Lease, wanted: Millis) -> Result<Millis, EndError> {
+    let granted = lease.ttl();
+    if granted < SHORTEST_LEASE {
+        return Err(EndError::ShortLease(granted));
+    }
+    if granted != wanted {
+        log::warn!("decider: the store grants a lease of {granted}, {wanted} were asked for");
+    }
+    Ok(granted.min(wanted))
+}
+
+/// Binds the lease's key to a lease that was asked for at `asked` and lasts for `ttl`, and reads the plans. Returns
+/// `None` if another node was first.
 async fn take_lease(
     node: &Node,
     lease: Lease,
     former_position: Option<Position>,
-    end: Millis,
-) -> Result<Option<(Position, Plans)>, EndError> {
+    asked: Millis,
+    ttl: Millis,
+) -> Result<Option<(Holding, Plans)>, EndError> {
     let commit = Commit {
         expect: vec![(LEASE_KEY.to_owned(), former_position)],
         puts: vec![(LEASE_KEY.to_owned(), node.settings().node.as_str().into(), Some(lease))],
@@ -187,8 +211,10 @@
     let Outcome::Done(position) = node.store.commit(&commit).await? else { return Ok(None) };
     loop {
         match read_plans(node).await {
-            Ok(plans) => return Ok(Some((position, plans))),
-            Err(error) if node.now() + LEASE_MARGIN + RETRY_INTERVAL >= end => return Err(error.into()),
+            Ok(plans) => return Ok(Some((Holding { lease, position, asked, ttl }, plans))),
+            Err(error) if node.now() + LEASE_MARGIN + RETRY_INTERVAL >= asked + ttl => {
+                return Err(error.into());
+            }
             Err(error) => log::info!("decider: the plans could not be read: {error}"),
         }
         tokio::time::sleep(RETRY_INTERVAL.duration()).await;
--- a/crates/node/src/decider/term.rs
+++ b/crates/node/src/decider/term.rs
@@ -40,9 +40,16 @@
 use crate::state::Node;
 use crate::telemetry;
 
-/// How often the lease is renewed. Two renewals in a row may fail before the lease is over.
+/// How often the lease is renewed at least. Two renewals in a row may fail before the lease is over.
 const RENEW_INTERVAL: Millis = Millis(400);
 
+/// How often the lease is renewed at least while it lasts, so that a shorter one is kept as well.
+const RENEWALS_PER_LEASE: u64 = 4;
+
+/// The shortest lease that can be kept: the margin before its end, a renewal interval, the collecting of changes,
+/// and an answer of a slow store.
+pub(super) const SHORTEST_LEASE: Millis = Millis(800);
+
 /// How long before the possible end of its lease a decider stops.
 pub(super) const LEASE_MARGIN: Millis = Millis(300);
 
@@ -73,8 +80,8 @@
     pub(super) position: Position,
     /// When this node asked for the lease.
     pub(super) asked: Millis,
-    /// Until when the lease is certain to last.
-    pub(super) end: Millis,
+    /// How long the lease is relied on without being renewed.
+    pub(super) ttl: Millis,
 }
 
 /// Why a node stopped being the decider.
@@ -86,6 +93,8 @@
     Deposed,
     #[error("the lease may be over")]
     Expired,
+    #[error("the store grants a lease of {0}, which cannot be kept; {SHORTEST_LEASE} can")]
+    ShortLease(Millis),
     #[error("this node reaches no runner itself, others do")]
     CutOff,
     #[error("the store was restored from an older copy, which has another lease or none")]
@@ -116,6 +125,8 @@
     lease: Lease,
     /// The store position at which this node wrote the lease's key.
     lease_position: Position,
+    /// How long the lease is relied on without being renewed.
+    lease_ttl: Millis,
     /// Until when the lease is certain to last.
     lease_end: Millis,
     /// When a renewal was last attempted.
@@ -146,7 +157,8 @@
             client: look.client(),
             lease: holding.lease,
             lease_position: holding.position,
-            lease_end: holding.end,
+            lease_ttl: holding.ttl,
+            lease_end: holding.asked + holding.ttl,
             last_renewed: holding.asked,
             plans,
             outdated_since: None,
@@ -169,12 +181,22 @@
         self.lease_position
     }
 
+    /// Returns when this node ends to act as the decider, if the lease is not renewed.
+    pub(super) fn end(&self) -> Millis {
+        self.lease_end - LEASE_MARGIN
+    }
+
+    /// Returns how often the lease is renewed.
+    fn renew_interval(&self) -> Millis {
+        RENEW_INTERVAL.min(Millis(self.lease_ttl.0 / RENEWALS_PER_LEASE))
+    }
+
     /// Returns an error if this node may no longer act as the decider.
     fn check_lease(&self) -> Result<(), EndError> {
         if self.node.store.era() != self.lease_position.era() {
             return Err(EndError::StoreRestored);
         }
-        match self.node.now() + LEASE_MARGIN >= self.lease_end {
+        match self.node.now() >= self.end() {
             true => Err(EndError::Expired),
             false => Ok(()),
         }
@@ -203,7 +225,8 @@
             self.reread_plans(now).await?;
             self.plan_services().await?;
             // The next round begins after a change or after the interval, so the outcome is unused.
-            let _ = tokio::time::timeout(PLAN_INTERVAL.duration(), self.node.fleet_changed.notified()).await;
+            let pause = PLAN_INTERVAL.min(self.renew_interval());
+            let _ = tokio::time::timeout(pause.duration(), self.node.fleet_changed.notified()).await;
             tokio::time::sleep(BATCH_DELAY.duration()).await;
         }
     }
@@ -245,13 +268,14 @@
     /// Renews the lease if a renewal is due.
     async fn renew_lease(&mut self) -> Result<(), EndError> {
         let asked = self.node.now();
-        if asked < self.last_renewed + RENEW_INTERVAL {
+        if asked < self.last_renewed + self.renew_interval() {
             return Ok(());
         }
         self.last_renewed = asked;
         match self.node.store.renew_lease(self.lease).await {
             Ok(()) => {
-                self.lease_end = asked + LEASE_TTL.max(self.node.settings().lease_min);
+                self.lease_end = asked + self.lease_ttl;
+                self.node.set_deciding_until(self.end());
                 Ok(())
             }
             Err(error @ StoreError::LeaseExpired) => Err(error.into()),
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 use std::fmt::Display;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, OnceLock};
 
 use cottoncrank::clock::{self, System};
@@ -212,7 +212,8 @@
     ready_at: OnceLock<Millis>,
     /// Whether the lists of the store that were read last lack something.
     knows_part: AtomicBool,
-    deciding: AtomicBool,
+    /// Until when this node is the decider, in milliseconds.
+    deciding_until: AtomicU64,
     pub(crate) serving: AtomicBool,
     pub(crate) running: AtomicUsize,
     pub(crate) used_connections: AtomicUsize,
@@ -307,7 +308,7 @@
             ending: watch::Sender::new(false),
             synced: watch::Sender::new(false),
             knows_part: AtomicBool::new(false),
-            deciding: AtomicBool::new(false),
+            deciding_until: AtomicU64::new(0),
             serving: AtomicBool::new(false),
             running: AtomicUsize::new(0),
             used_connections: AtomicUsize::new(0),
@@ -423,14 +424,14 @@
         let _ = tokio::time::timeout(timeout.duration(), synced.wait_for(|synced| *synced)).await;
     }
 
-    /// Whether this node is the decider.
+    /// Whether this node is the decider. It is none once its lease may be over, whatever it still waits for.
     pub fn is_deciding(&self) -> bool {
-        self.deciding.load(Ordering::Relaxed)
+        self.now() < Millis(self.deciding_until.load(Ordering::Relaxed))
     }
 
-    /// Records whether this node is the decider.
-    pub fn set_deciding(&self, deciding: bool) {
-        self.deciding.store(deciding, Ordering::Relaxed);
+    /// Records until when this node is the decider.
+    pub fn set_deciding_until(&self, end: Millis) {
+        self.deciding_until.store(end.0, Ordering::Relaxed);
     }
 
     /// Whether a caller has sent a request since the start.
