Limit the lines on items that the adapter cannot read

Seen: what the adapter cannot read had a line each at every read, with no limit but the quota of the log: 12,010 lines of 12,000 entries that are not base64, 100 of one too large entry written anew each 50 ms for 5 s, 313 of 300 items without a revision; so had the removal of own keys (300 of 300).

Cause: the adapter wrote these lines itself, and the limit is in the node.

Change: the adapter gives flaws out as values with key, reason and size, and the node writes them as all other lines on invalid items: ten keys a minute of each kind (unformed, unencoded, oversized, removed), then the count of the rest. They are counted in cottoncrank_items_unreadable_total as well, but for removals. The receiver is a value of the reading task, as the reader of lists is left as it is.

--- a/crates/node/src/apply.rs
+++ b/crates/node/src/apply.rs
@@ -271,7 +271,7 @@
         node.directory.lock().remove(&name);
         retries::record_members(node);
     } else if !suspect_store::apply_removal(node, key) {
-        log::warn!("store: `{key}` was removed");
+        node.invalid_items.log_removal(key);
     }
 }
 
--- a/crates/node/src/evacuation.rs
+++ b/crates/node/src/evacuation.rs
@@ -75,7 +75,7 @@
 fn report_unreadable(node: &Node, hall: &id::Hall) {
     let kind = ItemKind::Evacuation;
     telemetry::count_invalid_item(kind.name(), "form");
-    if node.invalid_items.lock().should_log(hall.as_str(), kind, "form", node.now()) {
+    if node.invalid_items.should_log(hall.as_str(), kind, "form") {
         log::error!(
             "evacuation: {hall}: the value of the item ({}) is unreadable, its key counts",
             kind.name()
--- a/crates/node/src/invalid_items.rs
+++ b/crates/node/src/invalid_items.rs
@@ -32,6 +32,14 @@
     Evacuation,
     /// An item that this system does not know.
     Foreign,
+    /// An item of an answer that has no key or revision.
+    Unformed,
+    /// An item whose value is not encoded as all are.
+    Unencoded,
+    /// An item whose value is larger than any that is used.
+    Oversized,
+    /// An item of this system that somebody else removed.
+    Removed,
 }
 
 impl ItemKind {
@@ -45,6 +53,10 @@
             ItemKind::Suspect => "suspect",
             ItemKind::Evacuation => "evacuation",
             ItemKind::Foreign => "foreign",
+            ItemKind::Unformed => "unformed",
+            ItemKind::Unencoded => "unencoded",
+            ItemKind::Oversized => "oversized",
+            ItemKind::Removed => "removed",
         }
     }
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -10,7 +10,7 @@
 //! - [`feed`] keeps the content of the store for the nodes that poll this one, and [`peer`] carries the
 //!   change polls.
 //! - `apply` applies the content and its changes to the state; [`plans`] reads the domain plans.
-//! - `invalid_items` limits the log lines about invalid items.
+//! - `invalid_items` limits the log lines about invalid items, which `invalid_lines` writes.
 //! - `era` carries items over when the store is restored from an older copy, and `past` asks whether any node
 //!   holds some.
 //! - [`registration`] writes the entry of this node to the store, and `presence`, on the collector of a hall,
@@ -97,6 +97,7 @@
 mod idle;
 pub mod in_flight;
 pub mod invalid_items;
+mod invalid_lines;
 mod listen;
 pub mod log;
 mod past;
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -6,7 +6,6 @@
 use std::sync::{Arc, OnceLock};
 
 use cottoncrank::clock::{self, System};
-use cottoncrank::line::Quoted;
 use cottoncrank::resources::Machine;
 use cottoncrank::{Clock, Millis, id};
 use cottoncrank_fleet::activity::Activity;
@@ -38,6 +37,7 @@
 use cottoncrank_net::client::{Client, Traffic};
 use cottoncrank_net::reach::Reach;
 use cottoncrank_net::resources::Resources;
+use cottoncrank_platform::flaw::Receiver;
 use cottoncrank_platform::store::Store;
 use parking_lot::Mutex;
 use rand::Rng;
@@ -51,7 +51,8 @@
 use crate::evacuation;
 use crate::feed::Feed;
 use crate::in_flight::ModelKey;
-use crate::invalid_items::{InvalidItems, ItemKind};
+use crate::invalid_items::ItemKind;
+use crate::invalid_lines::InvalidLines;
 use crate::pressure;
 use crate::returns;
 use crate::supervise::Turns;
@@ -113,7 +114,7 @@
     /// Counts the changes of plans.
     pub plans_changed: watch::Sender<u64>,
     /// The log lines about invalid items of the store.
-    pub(crate) invalid_items: Mutex<InvalidItems>,
+    pub(crate) invalid_items: Arc<InvalidLines>,
     /// What this node observed of each runner: requests in flight, failures, rejections.
     pub ledger: Mutex<Ledger>,
     /// The network paths to the runners of each hall.
@@ -237,8 +238,10 @@
     /// Returns a node that has not read the store yet.
     pub fn new(settings: Settings) -> Arc<Node> {
         let clock = System::new();
+        let invalid_items = Arc::new(InvalidLines::new(clock.clone()));
+        let lines = invalid_items.clone();
         Arc::new(Node {
-            store: Store::new(settings.store),
+            store: Store::new(settings.store).reporting_to(Receiver::new(move |flaw| lines.log_flaw(flaw))),
             resources: Resources::new(&find_machine(&settings), clock.clone()),
             started_at: clock.now(),
             synced_at: OnceLock::new(),
@@ -259,7 +262,7 @@
             plans: Mutex::default(),
             stalls: Mutex::default(),
             plans_changed: watch::Sender::new(0),
-            invalid_items: Mutex::default(),
+            invalid_items,
             ledger: Mutex::default(),
             paths: Mutex::default(),
             feedback: Mutex::default(),
@@ -465,18 +468,7 @@
         reason: &'static str,
         detail: impl Display,
     ) {
-        self.log_unlogged_items();
-        if self.invalid_items.lock().should_log(key, kind, reason, self.now()) {
-            log::error!("store: {} ({}) is not used: {detail}", Quoted(key), kind.name());
-        }
-    }
-
-    /// Logs how many invalid items had no line of their own, once the time for which these are counted is over.
-    pub(crate) fn log_unlogged_items(&self) {
-        let summary = self.invalid_items.lock().end_window(self.now());
-        if let Some(summary) = summary {
-            log::error!("store: {summary}");
-        }
+        self.invalid_items.log(key, kind, reason, detail);
     }
 
     /// Records that this node knows every change of the store up to `at`.
--- a/crates/node/src/telemetry.rs
+++ b/crates/node/src/telemetry.rs
@@ -327,7 +327,7 @@
         set_resources(&node, &mut evictions);
         cold_log.update(&node);
         unread_log.update(&node);
-        node.log_unlogged_items();
+        node.invalid_items.log_left_out();
         set_evacuations(&node, &mut evacuated);
         tokio::time::sleep(SAMPLE_INTERVAL.duration()).await;
     }
