--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -3,10 +3,9 @@
 use std::collections::HashMap;
 use std::fmt::Display;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 
 use cottoncrank::clock::{self, System};
-use cottoncrank::line::Quoted;
 use cottoncrank::resources::Machine;
 use cottoncrank::{Clock, Millis, id};
 use cottoncrank_fleet::activity::Activity;
@@ -38,6 +37,7 @@
 use cottoncrank_net::client::{Client, Traffic};
 use cottoncrank_net::reach::Reach;
 use cottoncrank_net::resources::Resources;
+use cottoncrank_platform::flaw::Receiver;
 use cottoncrank_platform::store::Store;
 use parking_lot::Mutex;
 use rand::Rng;
@@ -50,7 +50,8 @@
 use crate::evacuation;
 use crate::feed::Feed;
 use crate::in_flight::ModelKey;
-use crate::invalid_items::{InvalidItems, ItemKind};
+use crate::invalid_items::ItemKind;
+use crate::invalid_lines::InvalidLines;
 use crate::pressure;
 use crate::reading;
 use crate::returns;
@@ -113,7 +114,7 @@
     /// Counts the changes of plans.
     pub plans_changed: watch::Sender<u64>,
     /// The log lines about invalid items of the store.
-    pub(crate) invalid_items: Mutex<InvalidItems>,
+    pub(crate) invalid_items: Arc<InvalidLines>,
     /// What this node observed of each runner: requests in flight, failures, rejections.
     pub ledger: Mutex<Ledger>,
     /// The network paths to the runners of each hall.
@@ -208,7 +209,8 @@
     pub(crate) ending: watch::Sender<bool>,
     /// How far this node has read the store.
     pub(crate) reading: reading::State,
-    deciding: AtomicBool,
+    /// Until when this node is the decider, in milliseconds.
+    deciding_until: AtomicU64,
     pub(crate) serving: AtomicBool,
     pub(crate) running: AtomicUsize,
     pub(crate) used_connections: AtomicUsize,
@@ -232,8 +234,10 @@
     /// Returns a node that has not read the store yet.
     pub fn new(settings: Settings) -> Arc<Node> {
         let clock = System::new();
+        let invalid_items = Arc::new(InvalidLines::new(clock.clone()));
+        let lines = invalid_items.clone();
         Arc::new(Node {
-            store: Store::new(settings.store),
+            store: Store::new(settings.store).reporting_to(Receiver::new(move |flaw| lines.log_flaw(flaw))),
             resources: Resources::new(&find_machine(&settings), clock.clone()),
             reading: reading::State::new(clock.now()),
             settings: Mutex::new(Arc::new(settings)),
@@ -252,7 +256,7 @@
             plans: Mutex::default(),
             stalls: Mutex::default(),
             plans_changed: watch::Sender::new(0),
-            invalid_items: Mutex::default(),
+            invalid_items,
             ledger: Mutex::default(),
             paths: Mutex::default(),
             feedback: Mutex::default(),
@@ -299,7 +303,7 @@
             draining: watch::Sender::new(false),
             closed: watch::Sender::new(false),
             ending: watch::Sender::new(false),
-            deciding: AtomicBool::new(false),
+            deciding_until: AtomicU64::new(0),
             serving: AtomicBool::new(false),
             running: AtomicUsize::new(0),
             used_connections: AtomicUsize::new(0),
@@ -365,14 +369,14 @@
         let _ = tokio::time::timeout(span.duration(), resumed.changed()).await;
     }
 
-    /// Whether this node is the decider.
+    /// Whether this node is the decider. It is none once its lease may be over, whatever it still waits for.
     pub fn is_deciding(&self) -> bool {
-        self.deciding.load(Ordering::Relaxed)
+        self.now() < Millis(self.deciding_until.load(Ordering::Relaxed))
     }
 
-    /// Records whether this node is the decider.
-    pub fn set_deciding(&self, deciding: bool) {
-        self.deciding.store(deciding, Ordering::Relaxed);
+    /// Records until when this node is the decider.
+    pub fn set_deciding_until(&self, end: Millis) {
+        self.deciding_until.store(end.0, Ordering::Relaxed);
     }
 
     /// Whether a caller has sent a request since the start.
@@ -406,18 +410,7 @@
         reason: &'static str,
         detail: impl Display,
     ) {
-        self.log_unlogged_items();
-        if self.invalid_items.lock().should_log(key, kind, reason, self.now()) {
-            log::error!("store: {} ({}) is not used: {detail}", Quoted(key), kind.name());
-        }
-    }
-
-    /// Logs how many invalid items had no line of their own, once the time for which these are counted is over.
-    pub(crate) fn log_unlogged_items(&self) {
-        let summary = self.invalid_items.lock().end_window(self.now());
-        if let Some(summary) = summary {
-            log::error!("store: {summary}");
-        }
+        self.invalid_items.log(key, kind, reason, detail);
     }
 
     /// Records that this node knows every change of the store up to `at`.
