Say what a refused request waited for

Seen: lines of a record say that requests were refused after 1.1 s as the time they had was over. Nothing tells whether they were queued, whether a runner could be picked, or which runner was asked and what it did not do.

Cause: the line has the state of the configuration alone, and a try that is dropped at the deadline of its request leaves no line of its own.

Change: an admitted request keeps how often runners were asked, the last one and what it waits for (trace.rs, typed; formatted only when a line is written). The line of a refusal ends with it, after the parenthesis. No line is new, and lines of requests that were not admitted stay as they are.

--- a/crates/node/src/attempt.rs
+++ b/crates/node/src/attempt.rs
@@ -27,6 +27,7 @@
 use crate::state::Node;
 use crate::telemetry;
 use crate::throttle;
+use crate::trace::{Phase, Trace};
 
 /// A request that was admitted.
 pub struct Job {
@@ -56,6 +57,8 @@
     pub arrived: Millis,
     /// When the request has to be answered.
     pub deadline: Millis,
+    /// What it has done so far.
+    pub trace: Trace,
 }
 
 impl Job {
@@ -214,6 +217,7 @@
     last_event: Option<u64>,
 ) -> Result<Attempt, AttemptError> {
     let guard = node.begin_attempt(&pick.id);
+    job.trace.record_ask(&pick.id, node.now());
     let Some(outbound) = node.resources.begin_outbound() else {
         return Err(AttemptError::Unreached("no descriptor is left for its connection".to_owned()));
     };
@@ -250,6 +254,7 @@
     }
     let request = build_request(node, job, pick, last_event);
     let sent_at = node.now();
+    job.trace.record_phase(&pick.id, Phase::Head, sent_at);
     let response = match channel.send(request).await {
         Ok(response) => response,
         Err(ChannelError::Oversized) => {
@@ -261,6 +266,7 @@
             return Err(AttemptError::Broken(error.to_string()));
         }
     };
+    job.trace.record_phase(&pick.id, Phase::Rest, node.now());
     if !is_final(response.status()) {
         node.ledger.lock().record_failure(&pick.id, node.now());
         return Err(AttemptError::MayHaveRun(format!(
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -39,7 +39,7 @@
 //!   `arrivals` tells what is unread on one that is about to be closed.
 //! - [`plain`] serves requests with a whole answer. [`stream`] serves streams: `tries` picks one runner
 //!   after another, `race` tries them, also beside those that are late, `runner_stream` reads the events of
-//!   one attempt, and `relay` forwards them to the caller.
+//!   one attempt, and `relay` forwards them to the caller. [`trace`] keeps what a request waits for.
 //! - [`attempt`] sends a request to a runner over a [`channel`].
 //! - `connect` makes the connection, through a [`tunnel`] that another node carries where this node's path
 //!   to the runner is cut. `paths` keeps track of that.
@@ -130,6 +130,7 @@
 pub mod sync;
 pub mod telemetry;
 mod throttle;
+pub mod trace;
 mod tries;
 pub mod tunnel;
 mod unread;
--- a/crates/node/src/plain.rs
+++ b/crates/node/src/plain.rs
@@ -21,6 +21,7 @@
 use crate::suspects;
 use crate::telemetry;
 use crate::throttle::{self, Permit};
+use crate::trace::Phase;
 
 /// The largest answer that is buffered, in bytes.
 const MAX_ANSWER_BYTES: usize = 4 << 20;
@@ -46,6 +47,7 @@
         if job.is_expired(node) {
             return Err(Refusal::DeadlineExceeded);
         }
+        job.trace.record_pick(node.now());
         match suspects::decide(node, job) {
             Ruling::Run | Ruling::Trial => {}
             Ruling::Reject => return Err(Refusal::Deadly),
@@ -84,6 +86,7 @@
                 telemetry::count_failed_attempt(error.reason());
                 log::info!("request {}: try {} at {}: {error}", job.id(), tried.len(), pick.id);
                 reached_runner |= error.has_reached_runner();
+                job.trace.record_phase(&pick.id, Phase::Inquiry, node.now());
                 crash::investigate(node, job, &pick, &error).await;
                 if error.may_have_run() {
                     possible_runs += 1;
--- a/crates/node/src/request.rs
+++ b/crates/node/src/request.rs
@@ -1,5 +1,6 @@
 //! Admits a caller's request, picks its route and runs it.
 
+use std::fmt::{self, Display};
 use std::sync::Arc;
 
 use cottoncrank::resources::{self, REQUEST, SMALL_BODY, Short};
@@ -22,6 +23,7 @@
 use crate::catchup;
 use crate::in_flight::RequestGuard;
 use crate::state::Node;
+use crate::trace::Trace;
 use crate::{plain, retries, stream, suspects, telemetry};
 
 /// The largest priority number that a runner is sent. 0 is the most urgent.
@@ -46,14 +48,16 @@
     let request_guard = node.begin_request();
     let arrived = node.now();
     let mut kind = "none";
+    let mut admitted = None;
     let outcome = match admit(&node, head, body, terms, slot).await {
         Ok(job) => {
             kind = job.route.kind.name();
             let deadline = job.deadline;
+            let job = admitted.insert(Arc::new(job)).clone();
             tokio::select! {
                 // An answer that is there goes before the reasons to wait for none.
                 biased;
-                outcome = run(&node, Arc::new(job), request_guard) => outcome,
+                outcome = run(&node, job, request_guard) => outcome,
                 () = node.wait_until(deadline) => Err(Refusal::DeadlineExceeded),
                 () = node.wait_ending() => Err(Refusal::MayHaveRun),
             }
@@ -68,19 +72,26 @@
             answer
         }
         Err(refusal) => {
-            log_refusal(&node, id.as_deref(), kind, waited, &refusal);
+            log_refusal(&node, id.as_deref(), admitted.as_deref(), waited, &refusal);
             refusal.to_answer(id.as_deref())
         }
     }
 }
 
-/// Logs why a request was refused, with the state of the configuration at that time.
-fn log_refusal(node: &Node, id: Option<&str>, kind: &str, waited: Millis, refusal: &Refusal) {
+/// Logs why a request was refused, with the state of the configuration at that time and, if it was admitted,
+/// what it waited for.
+fn log_refusal(node: &Node, id: Option<&str>, job: Option<&Job>, waited: Millis, refusal: &Refusal) {
     let id = id.unwrap_or("-");
+    let kind = job.map_or("none", |job| job.route.kind.name());
+    let position = job.map(|job| job.trace.position());
+    let done = fmt::from_fn(|f| match &position {
+        Some(position) => position.format_at(node.now()).fmt(f),
+        None => Ok(()),
+    });
     let version = node.catalog.lock().as_ref().map_or(0, |catalog| catalog.version);
     let age = node.freshness.lock().age(node.now()).map_or("none".to_owned(), |age| age.to_string());
     log::info!(
-        "request {id}: refused after {waited}: {refusal} (kind {kind}, config {version}, proof of the store {age})"
+        "request {id}: refused after {waited}: {refusal} (kind {kind}, config {version}, proof of the store {age}){done}"
     );
 }
 
@@ -206,6 +217,7 @@
         parts,
         arrived,
         deadline,
+        trace: Trace::begin(arrived),
     })
 }
 
--- a/crates/node/src/tries.rs
+++ b/crates/node/src/tries.rs
@@ -18,6 +18,7 @@
 use crate::suspects;
 use crate::telemetry;
 use crate::throttle;
+use crate::trace::Phase;
 
 /// The tries of one request so far.
 #[derive(Default)]
@@ -61,6 +62,7 @@
     pub async fn record_failure(&mut self, node: &Arc<Node>, job: &Job, pick: &Pick, error: &AttemptError) {
         self.runs.record_failure(&pick.id, error.may_have_run(), error.has_reached_runner());
         self.rejections += u32::from(matches!(error, AttemptError::Rejected(_)));
+        job.trace.record_phase(&pick.id, Phase::Inquiry, node.now());
         self.report(node, job, pick, error).await;
     }
 
@@ -118,7 +120,9 @@
     if suspects::is_deadly(node, job) {
         return Err(Refusal::Deadly);
     }
-    if !tries.runs.tried().is_empty() {
+    if tries.runs.tried().is_empty() {
+        job.trace.record_pick(node.now());
+    } else {
         query_again(node, job, tries, refusal.clone()).await?;
     }
     catchup::check(node);
--- a/crates/node/tests/evacuation.rs
+++ b/crates/node/tests/evacuation.rs
@@ -12,6 +12,7 @@
 use cottoncrank::{Millis, id};
 use cottoncrank_fleet::fingerprint::{Fingerprint, Request};
 use cottoncrank_node::attempt::{AttemptError, Job, Pick, send};
+use cottoncrank_node::trace::Trace;
 use cottoncrank_platform::header;
 use cottoncrank_platform_standin::caller::{Answer, send_request};
 use cottoncrank_platform_standin::operator::{ENGINES, HOST, PLAIN, READ, STREAM, config};
@@ -291,6 +292,7 @@
         parts: Vec::new(),
         arrived: now,
         deadline: now + Millis(3000),
+        trace: Trace::begin(now),
         body: Default::default(),
         room: slot.charge(REQUEST, Kind::Overhead).unwrap(),
         head,
