Keep that a plain runner took a request and sent nothing

Cause: the try is dropped with the request when its time is over, and nothing is recorded. The runner then has the fewest requests in flight and looks as good as any. Streams record it after 1.2 s, plain requests never did.

Change: a runner that has sent nothing to any request of the node for half of the time that the request has (1.2 s at the most, and not below 0.4 s) is recorded as silent and left out while others are healthy: for 2.5 s as after each failure, and twice as long each time that it is tried in vain after that, up to 10 s. What it sends, and a new incarnation, ends that. Requests that were in flight there together count once. Nothing is recorded where the path to its hall is cut. The request itself goes on waiting, and no retry is added.

--- a/crates/node/src/plain.rs
+++ b/crates/node/src/plain.rs
@@ -1,9 +1,11 @@
 //! Runs requests whose answer is forwarded as a whole.
 
+use std::convert::Infallible;
 use std::sync::Arc;
 
 use bytes::Bytes;
 use cottoncrank::Size;
+use cottoncrank_fleet::patience::find_patience;
 use cottoncrank_fleet::trials::Ruling;
 use cottoncrank_net::intake::{self, AnswerError};
 use cottoncrank_platform::header;
@@ -17,6 +19,7 @@
 use crate::crash;
 use crate::paths;
 use crate::retries;
+use crate::runner_stream::SILENCE_TIMEOUT;
 use crate::state::Node;
 use crate::suspects;
 use crate::telemetry;
@@ -109,10 +112,37 @@
 }
 
 async fn send_and_read(node: &Arc<Node>, job: &Job, pick: &Pick) -> Result<Answer, AttemptError> {
-    let attempt = send(node, job, pick, None).await?;
+    let attempt = tokio::select! {
+        biased;
+        sent = send(node, job, pick, None) => sent?,
+        never = watch_silence(node, job, pick) => match never {},
+    };
+    node.ledger.lock().record_progress(&pick.id, node.now());
     read_answer(node, job, attempt).await
 }
 
+/// Records that the runner is silent once it is, and never ends. The request goes on waiting.
+async fn watch_silence(node: &Node, job: &Job, pick: &Pick) -> Infallible {
+    wait_silent(node, job, pick).await;
+    paths::record_silence(node, pick);
+    std::future::pending().await
+}
+
+/// Waits until the runner has sent nothing to any request of this node for as long as it may. Waits forever if the
+/// request has too little time.
+async fn wait_silent(node: &Node, job: &Job, pick: &Pick) {
+    let Some(patience) = find_patience(job.deadline.since(node.now()), SILENCE_TIMEOUT) else {
+        return std::future::pending().await;
+    };
+    loop {
+        let since = node.now();
+        node.wait_until(since + patience).await;
+        if node.ledger.lock().is_silent_since(&pick.id, since) {
+            return;
+        }
+    }
+}
+
 /// Reads an answer to its end. Fails if the body is shorter than its announced length,
 /// or larger than `MAX_ANSWER_BYTES`.
 pub async fn read_answer(node: &Node, job: &Job, attempt: Attempt) -> Result<Answer, AttemptError> {
