--- a/crates/node/tests/silent_entries.rs
+++ b/crates/node/tests/silent_entries.rs
@@ -10,10 +10,12 @@
 use std::time::{Duration, Instant};
 
 use common::process::NodeProcess;
+use common::proxy::{self, Answerer};
 use common::{Fleet, KEY};
 use cottoncrank_platform_standin::caller::send_request_within;
 use cottoncrank_platform_standin::operator::{ONCE, PLAIN, READ, config};
 use cottoncrank_platform_standin::runner::Runner;
+use tokio::io::{AsyncWriteExt, copy_bidirectional};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::task::JoinSet;
 
@@ -29,6 +31,9 @@
 /// A port that drops opening packets takes no connection within this time.
 const DROPPED: Duration = Duration::from_millis(300);
 
+/// Later than a runner may be silent under such a request, and in time.
+const LATE: Duration = Duration::from_millis(750);
+
 /// What is at the address of an entry.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Address {
@@ -129,3 +134,49 @@
     let lost = count_lost(&calls, READ);
     assert!(lost.is_empty(), "lost in each second: {lost:?}\n{logs}");
 }
+
+/// Guards against idempotent requests that stay with a silent runner for all their time, while others are idle.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_idempotent_request_whose_runner_is_silent_is_answered_by_another_one_in_time() {
+    let (calls, logs) = play(3, 1, Address::Silent).await;
+    let lost = count_lost(&calls, READ);
+    println!("lost in each second: {lost:?}");
+    assert!(lost.is_empty(), "lost in each second: {lost:?}\n{logs}");
+    let once = logs.lines().filter(|line| line.contains("refused after") && line.contains("(kind once"));
+    let asked_twice: Vec<&str> = once.filter(|line| !line.contains("), 1 asked")).collect();
+    assert!(asked_twice.is_empty(), "requests that may run once: {asked_twice:#?}");
+}
+
+/// A runner that answers callers late.
+#[derive(Clone)]
+struct Late {
+    runner: SocketAddr,
+}
+
+impl Answerer for Late {
+    async fn answer(&self, mut stream: TcpStream, request: String) {
+        tokio::time::sleep(LATE).await;
+        let Ok(mut real) = TcpStream::connect(self.runner).await else { return };
+        if real.write_all(request.as_bytes()).await.is_ok() {
+            let _ = copy_bidirectional(&mut stream, &mut real).await;
+        }
+    }
+}
+
+/// Guards against answers that are lost as their runners are only late, and against more runs than the route allows.
+#[tokio::test]
+async fn a_late_runner_is_not_given_up() {
+    let fleet = Fleet::serving(1).await;
+    for runner in &fleet.plain {
+        proxy::put(&fleet, [runner], Late { runner: runner.address() }).await;
+    }
+    for path in [READ, ONCE] {
+        for turn in 0..3 {
+            let id = format!("r{}{turn}", path.replace('/', "-"));
+            let answer = send_request_within(fleet.nodes[0].callers, path, &id, KEY, WAIT_MS).await.unwrap();
+            assert_eq!((answer.status, answer.complete), (200, true), "{answer:?}");
+            let (runs, most) = (fleet.count_runs(&id), if path == READ { 2 } else { 1 });
+            assert!((1..=most).contains(&runs), "{id} ran {runs} times");
+        }
+    }
+}
