Let nodes that waited long enough for a reader ask once more, and read one after the other

Seen: beside readers that read the store for 1.0 s, nodes that start read it too, though a copy was there; beside some that read for 2.0 s, 275 of 300 nodes read it within a second (simulated). Cause: after the fifth ask a node paused for 640 ms, and then read the store without asking again; all that had started together did so at once. Change: it asks after that pause as well; if there is still no copy, it reads the store at a time drawn as beside readers that have none, and asks on until then.

--- a/crates/fleet/src/first_copy.rs
+++ b/crates/fleet/src/first_copy.rs
@@ -2,8 +2,8 @@
 //!
 //! If every starting node read the whole store, these reads would be most of the store calls of a calm day, and
 //! all nodes that start together would exceed its rate limit. Readers start at the same time and need a few calls,
-//! which take longer the more the store holds, so the others wait for one that reads. They do not wait for
-//! readers that the store gave nothing, but then read it one after the other.
+//! which take longer the more the store holds, so the others wait for one that reads, if not for ever. They do not
+//! wait for readers that the store gave nothing. Those that wait no longer read it one after the other.
 
 use cottoncrank::Millis;
 use rand::Rng;
@@ -11,10 +11,10 @@
 use crate::directory::Directory;
 use crate::source::compute_call_interval;
 
-/// How many times a node asks readers that may have a copy soon.
-const MAX_ROUNDS: usize = 5;
+/// After how many rounds a node no longer waits for readers that may have a copy soon. They may never get one.
+const MAX_PENDING_ROUNDS: usize = 5;
 
-/// The pause after the first round. It doubles each time, up to the last round.
+/// The pause after the first round. It doubles in each of these rounds.
 const FIRST_PAUSE: Millis = Millis(40);
 
 /// What a reader answered that sent no copy.
@@ -60,13 +60,12 @@
         now: Millis,
         rng: &mut impl Rng,
     ) -> Step {
-        let pause = Millis(FIRST_PAUSE.0 << self.rounds.min(MAX_ROUNDS - 1));
+        let pause = Millis(FIRST_PAUSE.0 << self.rounds.min(MAX_PENDING_ROUNDS - 1));
         self.rounds += 1;
-        if answers.contains(&Answer::Pending) {
-            let is_last = self.rounds >= MAX_ROUNDS;
-            return if is_last { Step::Read(pause) } else { Step::Ask(pause) };
+        if answers.contains(&Answer::Pending) && self.rounds <= MAX_PENDING_ROUNDS {
+            return Step::Ask(pause);
         }
-        if !answers.contains(&Answer::Empty) {
+        if answers.iter().all(|answer| *answer == Answer::Silent) {
             return Step::Read(Millis(0));
         }
         let spread = compute_call_interval(directory);
--- a/crates/fleet/tests/first_copy.rs
+++ b/crates/fleet/tests/first_copy.rs
@@ -135,15 +135,25 @@
 #[test]
 fn nodes_wait_for_readers_that_read_the_store() {
     for (halls, nodes) in [(3, 3), (5, 60)] {
-        let start = simulate(halls, nodes, Readers::ReadUntil(Millis(550)));
-        assert_eq!(
-            start.reads.len(),
-            0,
-            "{halls} halls of {nodes}: nodes read the store beside their reader"
-        );
+        for end in [Millis(550), Millis(1000)] {
+            let start = simulate(halls, nodes, Readers::ReadUntil(end));
+            let reads = start.reads.len();
+            assert_eq!(reads, 0, "{halls} halls of {nodes}: reads beside readers that read until {end}");
+            assert!(start.last_copy() <= Millis(1400), "the last copy after {}", start.last_copy());
+        }
     }
 }
 
+#[test]
+fn hundreds_of_nodes_whose_readers_read_for_long_do_not_read_the_store_together() {
+    let start = simulate(5, 60, Readers::ReadUntil(Millis(2000)));
+    assert!(start.peak() <= 5 * 30, "{} nodes read the store within a second", start.peak());
+    assert!(start.last_copy() <= Millis(2800), "the last copy after {}", start.last_copy());
+    // A few read it hardly later than they would have together.
+    let start = simulate(3, 3, Readers::ReadUntil(Millis(u64::MAX)));
+    assert!(start.last_copy() <= Millis(1380 + 150), "the last copy after {}", start.last_copy());
+}
+
 #[test]
 fn one_reader_that_may_have_a_copy_soon_is_waited_for_beside_others_that_have_none() {
     let (_, directory) = build_hall(0, 60);
