Bound the time over which the first reads of a large hall are spread

Seen: in halls of 200 nodes whose readers never get a copy, the last node had one 10.1 s after its start (simulated); a box has to serve again within 12 s in the strictest deployment. Cause: the time drawn for a node's own read grew with the hall without a limit. Change: it is 4 s at the most.

--- a/crates/fleet/src/first_copy.rs
+++ b/crates/fleet/src/first_copy.rs
@@ -17,6 +17,9 @@
 /// The pause after the first round. It doubles in each of these rounds.
 const FIRST_PAUSE: Millis = Millis(40);
 
+/// The time over which the reads of a large hall are spread at the most. Its nodes answer no callers meanwhile.
+const MAX_SPREAD: Millis = Millis(4000);
+
 /// What a reader answered that sent no copy.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Answer {
@@ -68,7 +71,7 @@
         if answers.iter().all(|answer| *answer == Answer::Silent) {
             return Step::Read(Millis(0));
         }
-        let spread = compute_call_interval(directory);
+        let spread = compute_call_interval(directory).min(MAX_SPREAD);
         let read_at = *self.read_at.get_or_insert_with(|| now + Millis(rng.random_range(0..=spread.0)));
         let remaining = read_at.since(now);
         if remaining <= pause { Step::Read(remaining) } else { Step::Ask(pause) }
--- a/crates/fleet/tests/first_copy.rs
+++ b/crates/fleet/tests/first_copy.rs
@@ -154,6 +154,15 @@
     assert!(start.last_copy() <= Millis(1380 + 150), "the last copy after {}", start.last_copy());
 }
 
+#[test]
+fn nodes_of_a_large_hall_whose_readers_never_have_a_copy_have_one_long_before_a_box_has_to_be_back() {
+    for readers in [Readers::RefusedUntil(Millis(u64::MAX)), Readers::ReadUntil(Millis(u64::MAX))] {
+        let start = simulate(5, 200, readers);
+        assert!(start.last_copy() <= Millis(6000), "the last copy after {}", start.last_copy());
+        assert!(start.peak() <= 300, "{} of 915 nodes read the store within a second", start.peak());
+    }
+}
+
 #[test]
 fn one_reader_that_may_have_a_copy_soon_is_waited_for_beside_others_that_have_none() {
     let (_, directory) = build_hall(0, 60);
