Take back the tries beside silent plain runners

The fault that they were for stays open: an idempotent request waits for a silent runner for all its time.

--- a/crates/fleet/src/balance.rs
+++ b/crates/fleet/src/balance.rs
@@ -12,9 +12,6 @@
 /// the time until a crash becomes known.
 pub const FAILURE_AVOID_TIME: Millis = Millis(2500);
 
-/// The longest time for which a runner is avoided that was silent again and again, if others can run the request.
-pub const MAX_SILENCE_AVOID_TIME: Millis = Millis(10_000);
-
 /// How long all streams of a runner may make no progress until it counts as stalled. By the speeds
 /// that engines publish, a pass with all slots in use and a full chunk of prefill takes about 0.11
 /// s, and twice as long in a slow group.
@@ -46,8 +43,6 @@
     last_progress: Millis,
     /// Consecutive rejections of this node's requests without a retry time.
     rejections: u32,
-    /// How often it was silent since it last sent anything, once for each time that it was not avoided.
-    silences: u32,
     /// The group of which it denied being the head, and until when it is avoided as such.
     denied: Option<(Epoch, Millis)>,
 }
@@ -112,7 +107,6 @@
         for runner in runners {
             if let Some(record) = self.records.get_mut(runner).filter(|record| record.rejections == 0) {
                 record.avoid_until = Millis(0);
-                record.silences = 0;
             }
         }
     }
@@ -175,7 +169,6 @@
         record.last_progress = now;
         record.avoid_until = Millis(0);
         record.rejections = 0;
-        record.silences = 0;
         record.denied = None;
     }
 
@@ -200,18 +193,6 @@
         record.avoid_until = now + FAILURE_AVOID_TIME;
     }
 
-    /// Records that a runner took a request and sent nothing. Requests that were in flight there together say so
-    /// once; each further time that it is tried in vain, it is avoided twice as long.
-    pub fn record_silence(&mut self, id: &id::Runner, now: Millis) {
-        let record = self.records.entry(id.clone()).or_default();
-        if now < record.avoid_until {
-            return;
-        }
-        let span = Millis(FAILURE_AVOID_TIME.0 << record.silences.min(8)).min(MAX_SILENCE_AVOID_TIME);
-        record.silences += 1;
-        record.avoid_until = now + span;
-    }
-
     /// Records that a runner answered that it is not the one addressed or, if `epoch` is given, not the
     /// head of that group. Until its entry is updated, it would answer every request like this. As the
     /// head of another group it may be sent requests at once.
@@ -231,7 +212,6 @@
         if let Some(record) = self.records.get_mut(id) {
             record.avoid_until = Millis(0);
             record.rejections = 0;
-            record.silences = 0;
             record.streams = 0;
             record.denied = None;
         }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -12,7 +12,6 @@
 //! - [`plan`]: the placement of groups on the runners of a domain, and [`places`]: where members are reached.
 //! - [`probe`]: the health of runners.
 //! - [`path`]: the network paths to the runners of each hall.
-//! - [`patience`]: how long a runner may be silent under a request.
 //! - [`stall`]: since when retired groups are stalled.
 //! - [`directory`]: the nodes and their roles.
 //! - [`presence`]: the nodes that are gone for good.
@@ -113,7 +112,6 @@
 pub mod overload;
 pub mod past;
 pub mod path;
-pub mod patience;
 pub mod places;
 pub mod plan;
 pub mod position;
--- a/crates/fleet/tests/node_state.rs
+++ b/crates/fleet/tests/node_state.rs
@@ -5,19 +5,15 @@
 
 use assert_matches::assert_matches;
 use cottoncrank::{Millis, id};
-use cottoncrank_fleet::balance::{FAILURE_AVOID_TIME, Ledger, MAX_SILENCE_AVOID_TIME, STALL_TIMEOUT, pick};
+use cottoncrank_fleet::balance::{FAILURE_AVOID_TIME, Ledger, STALL_TIMEOUT};
 use cottoncrank_fleet::catalog::{Account, Catalog, Kind, Limits, Route, Target};
 use cottoncrank_fleet::event::{EventError, MAX_EVENT_BYTES, Splitter};
 use cottoncrank_fleet::freshness::{Freshness, MAX_WATCH_DELAY, SAFETY_MARGIN};
 use cottoncrank_fleet::limit::Limit;
-use cottoncrank_fleet::occupancy::FleetLoad;
-use cottoncrank_fleet::patience::find_patience;
 use cottoncrank_fleet::plan::{Document, Group, Plans, State};
 use cottoncrank_fleet::probe::{Answer, Health, MIN_MISSES, Observation, Probes, SLOW_FACTOR};
 use cottoncrank_fleet::roster::{RETURN_GRACE, Roster};
 use cottoncrank_fleet::runner::{Epoch, Membership, Phase, Runner};
-use rand::SeedableRng;
-use rand::rngs::SmallRng;
 
 fn member(number: usize, rank: usize, phase: Phase) -> Runner {
     Runner {
@@ -95,65 +91,6 @@
     assert!(!ledger.is_healthy(&plain, now), "another process has its address");
 }
 
-/// An entry as good as those of three runners stood for good, where nothing answered. What a request found there was
-/// forgotten with it, so each node lost one request after the other.
-#[test]
-fn a_silent_runner_costs_fewer_requests_the_longer_it_is_silent() {
-    let (patience, wait) = (Millis(550), Millis(1100));
-    let runners: Vec<Runner> =
-        (0..4).map(|number| Runner { membership: None, ..member(number, 0, Phase::Open) }).collect();
-    let candidates: Vec<&Runner> = runners.iter().collect();
-    let (mut ledger, mut rng) = (Ledger::default(), SmallRng::seed_from_u64(85));
-    let (mut waiting, mut lost): (Vec<Millis>, Vec<Millis>) = (Vec::new(), Vec::new());
-    for now in (0..60_000).step_by(50).map(|at| Millis(1000 + at)) {
-        for sent in waiting.iter().filter(|sent| now == **sent + patience) {
-            assert!(ledger.is_silent_since(&runners[0].id, *sent));
-            ledger.record_silence(&runners[0].id, now);
-        }
-        waiting.iter().filter(|sent| now == **sent + wait).for_each(|_| ledger.end_request(&runners[0].id));
-        waiting.retain(|sent| now < *sent + wait);
-        let picked = pick(&candidates, &[], &ledger, &FleetLoad::default(), now, &mut rng).unwrap();
-        if picked.id == runners[0].id {
-            ledger.begin_request(&picked.id);
-            waiting.push(now);
-            lost.push(now);
-        }
-    }
-    assert!(lost.len() <= 8, "left out for 2.5, 5 and then 10 s each time: {lost:?}");
-    let late = Millis(61_000);
-    assert!(!ledger.is_healthy(&runners[0], late));
-    ledger.record_progress(&runners[0].id, late);
-    assert!(ledger.is_healthy(&runners[0], late), "it has answered");
-    ledger.record_silence(&runners[0].id, late);
-    assert!(
-        ledger.is_healthy(&runners[0], late + FAILURE_AVOID_TIME),
-        "what was before its answer is forgotten"
-    );
-}
-
-#[test]
-fn requests_in_flight_together_at_a_silent_runner_count_once() {
-    let (mut ledger, known) = (Ledger::default(), member(1, 0, Phase::Open));
-    for at in [1000, 1100, 1200] {
-        ledger.record_silence(&known.id, Millis(at));
-    }
-    assert!(!ledger.is_healthy(&known, Millis(999) + FAILURE_AVOID_TIME));
-    assert!(ledger.is_healthy(&known, Millis(1000) + FAILURE_AVOID_TIME));
-    for round in 0..8 {
-        ledger.record_silence(&known.id, Millis(10_000 + 20_000 * round));
-    }
-    assert!(!ledger.is_healthy(&known, Millis(149_999) + MAX_SILENCE_AVOID_TIME));
-    assert!(ledger.is_healthy(&known, Millis(150_000) + MAX_SILENCE_AVOID_TIME));
-}
-
-#[test]
-fn a_runner_may_be_silent_for_half_of_the_time_of_a_request() {
-    let longest = Millis(1200);
-    assert_eq!(find_patience(Millis(1100), longest), Some(Millis(550)));
-    assert_eq!(find_patience(Millis(30_000), longest), Some(longest));
-    assert_eq!(find_patience(Millis(799), longest), None, "a busy runner needs as long");
-}
-
 #[test]
 fn only_open_heads_of_planned_groups_take_requests() {
     let mut roster = Roster::default();
--- a/crates/node/src/paths.rs
+++ b/crates/node/src/paths.rs
@@ -72,13 +72,6 @@
     }
 }
 
-/// Records that a runner took a request and sent nothing. On a path that is cut, nothing says so of the runner.
-pub(crate) fn record_silence(node: &Node, pick: &Pick) {
-    if !node.paths.lock().is_cut(&pick.hall) {
-        node.ledger.lock().record_silence(&pick.id, node.now());
-    }
-}
-
 /// Counts the requests of this node in flight at the runners of a hall.
 fn count_in_flight(node: &Node, hall: &id::Hall) -> u32 {
     let (roster, ledger) = (node.roster.lock(), node.ledger.lock());
--- a/crates/node/src/race.rs
+++ b/crates/node/src/race.rs
@@ -50,11 +50,11 @@
 }
 
 /// A try that has not failed.
-pub(crate) struct Contender<F> {
-    pub(crate) pick: Pick,
+struct Contender<F> {
+    pick: Pick,
     /// Whether it was recorded as late, so that another one began beside it.
-    pub(crate) is_late: bool,
-    pub(crate) opening: Pin<Box<F>>,
+    is_late: bool,
+    opening: Pin<Box<F>>,
 }
 
 /// Something that concerns the tries in flight.
@@ -188,11 +188,11 @@
 }
 
 /// Waits until one of the tries ends, and takes it out. Waits forever if there is none.
-pub(crate) async fn next_outcome<T, F: Future<Output = Result<T, AttemptError>>>(
+async fn next_outcome<F: Future<Output = Result<Opened, AttemptError>>>(
     node: &Node,
     job: &Job,
     contenders: &mut Vec<Contender<F>>,
-) -> (Pick, Result<T, AttemptError>) {
+) -> (Pick, Result<Opened, AttemptError>) {
     std::future::poll_fn(|context| {
         for at in 0..contenders.len() {
             if let Poll::Ready(outcome) = contenders[at].opening.as_mut().poll(context) {
@@ -214,12 +214,12 @@
 }
 
 /// Records how the late ones of the tries ended when this one did.
-fn record_late_end<T, F>(
+fn record_late_end<F>(
     node: &Node,
     job: &Job,
     ended: &Contender<F>,
     others: &[Contender<F>],
-    outcome: &Result<T, AttemptError>,
+    outcome: &Result<Opened, AttemptError>,
 ) {
     match outcome {
         Ok(_) if ended.is_late => record_went_on(node, job, &ended.pick),
