Let a reader that has pages of the store be waited for

Seen: a reader that the store refused once, and that reads a long list by then, still answered that it had no copy and would get none; the two other nodes of its hall read the same list beside it, 147 pages in place of 49.

Cause: that it had failed was remembered until it had a whole copy.

Change: a node whose store has answered anything since its start says 503, which others wait for. One that was only refused, or got no answer, says 404 as before.

--- a/crates/node/src/peer.rs
+++ b/crates/node/src/peer.rs
@@ -80,8 +80,8 @@
 /// A poll waits for 0.7 s on average, as long as a watch of the store.
 const MIN_EMPTY_WAIT: Millis = Millis(200);
 
-/// How a node answers a change poll that has no copy of the store and has failed to obtain one. All other nodes
-/// that cannot tell answer 503: they may soon.
+/// How a node answers a change poll that has no copy of the store, has failed to obtain one, and has no answer of the
+/// store either. All other nodes that cannot tell answer 503: they may soon.
 pub(crate) const NO_COPY: StatusCode = StatusCode::NOT_FOUND;
 
 /// A change poll.
@@ -371,7 +371,8 @@
         // This cannot fail: the sender lives as long as the node.
         _ = serving.wait_for(|serving| !serving) => {}
     }
-    if node.feed.is_empty() {
+    // A store that has answered is being read.
+    if node.feed.is_empty() && node.store.answered_era().is_none() {
         return build_answer(NO_COPY, Bytes::new());
     }
     if !*serving.borrow() || catchup::check(node) {
--- a/crates/node/tests/reader_asks.rs
+++ b/crates/node/tests/reader_asks.rs
@@ -8,9 +8,10 @@
 
 use common::process::NodeProcess;
 use common::{Fleet, KEY};
+use cottoncrank::Millis;
 use cottoncrank_fleet::directory::{Directory, Peer};
 use cottoncrank_platform_standin::operator::config;
-use cottoncrank_platform_standin::store::{Blocked, Endpoint};
+use cottoncrank_platform_standin::store::{Blocked, Endpoint, Failing, Limits, Trouble};
 use rustix::process::Signal;
 
 const NODES: usize = 3;
@@ -19,6 +20,10 @@
 /// copy read the store within 0.15 s of each other. The rest is for processes that start.
 const READY_BOUND: Duration = Duration::from_millis(150 + 600);
 
+/// The pages of a long list, and how long each takes. All together take less than all asks with their pauses.
+const PAGES: u64 = 45;
+const PAGE_TIME: Millis = Millis(20);
+
 /// The time after which a wait fails. It is no limit under test.
 const WAIT_TIMEOUT: Duration = Duration::from_secs(30);
 
@@ -55,35 +60,80 @@
     node.read_log().rsplit("starts in").next().is_some_and(|log| log.contains(line))
 }
 
-#[tokio::test]
-async fn nodes_do_not_wait_for_a_reader_that_the_store_has_refused() {
-    let fleet = Fleet::unconfigured(0).await;
-    fleet.store.configure(&config(1, &[KEY]));
-    let doors: Vec<Endpoint> = (0..NODES).map(|_| Endpoint::open(&fleet.store).unwrap()).collect();
-    let mut nodes: Vec<NodeProcess> =
-        doors.iter().enumerate().map(|(number, door)| NodeProcess::lay(door.address(), number)).collect();
-    nodes.iter_mut().for_each(NodeProcess::spawn);
-    for node in &mut nodes {
-        node.wait_ready().await;
+/// Nodes whose processes have all ended, and the number of their reader.
+struct Hall {
+    fleet: Fleet,
+    doors: Vec<Endpoint>,
+    nodes: Vec<NodeProcess>,
+    reader: usize,
+}
+
+impl Hall {
+    async fn prepare() -> Hall {
+        let fleet = Fleet::unconfigured(0).await;
+        fleet.store.configure(&config(1, &[KEY]));
+        let doors: Vec<Endpoint> = (0..NODES).map(|_| Endpoint::open(&fleet.store).unwrap()).collect();
+        let lay = |(number, door): (usize, &Endpoint)| NodeProcess::lay(door.address(), number);
+        let mut nodes: Vec<NodeProcess> = doors.iter().enumerate().map(lay).collect();
+        nodes.iter_mut().for_each(NodeProcess::spawn);
+        for node in &mut nodes {
+            node.wait_ready().await;
+        }
+        wait("the entries of all nodes", || fleet.store.list("cottoncrank/node/").len() == NODES).await;
+        for node in &mut nodes {
+            node.signal(Signal::KILL);
+            node.wait_end().await;
+        }
+        let reader = find_reader(&nodes);
+        Hall { fleet, doors, nodes, reader }
     }
-    wait("the entries of all nodes", || fleet.store.list("cottoncrank/node/").len() == NODES).await;
-    for node in &mut nodes {
-        node.signal(Signal::KILL);
-        node.wait_end().await;
+
+    /// Starts the reader, which the store refuses once.
+    async fn start_refused_reader(&mut self) {
+        self.doors[self.reader].set_blocked(Blocked::All);
+        self.nodes[self.reader].spawn();
+        wait("a refusal", || has_written(&self.nodes[self.reader], "continuing with the copy at -")).await;
     }
-    let reader = find_reader(&nodes);
-    doors[reader].set_blocked(Blocked::All);
-    nodes[reader].spawn();
-    wait("a refusal", || has_written(&nodes[reader], "continuing with the copy at -")).await;
-    let began = Instant::now();
-    let others: Vec<usize> = (0..NODES).filter(|number| *number != reader).collect();
-    for number in &others {
-        nodes[*number].spawn();
+
+    /// Starts the others, and waits until they are ready. Returns how long that took, and their logs.
+    async fn start_others(&mut self) -> (Duration, String) {
+        let began = Instant::now();
+        let others: Vec<usize> = (0..NODES).filter(|number| *number != self.reader).collect();
+        for number in &others {
+            self.nodes[*number].spawn();
+        }
+        for number in &others {
+            self.nodes[*number].wait_ready().await;
+        }
+        let took = began.elapsed();
+        let logs: Vec<String> = others.iter().map(|number| self.nodes[*number].read_log()).collect();
+        (took, logs.join("\n---\n"))
     }
-    for number in &others {
-        nodes[*number].wait_ready().await;
+}
+
+#[tokio::test]
+async fn nodes_do_not_wait_for_a_reader_that_the_store_has_refused() {
+    let mut hall = Hall::prepare().await;
+    hall.start_refused_reader().await;
+    let (took, logs) = hall.start_others().await;
+    assert!(took <= READY_BOUND, "ready after {took:?}:\n{logs}");
+}
+
+/// Guards against a hall whose nodes all read a long list, as its reader was refused before it began to.
+#[tokio::test]
+async fn nodes_wait_for_a_reader_that_was_refused_and_reads_now() {
+    let mut hall = Hall::prepare().await;
+    let store = hall.fleet.store.clone();
+    store.set_page_limits(Limits { items: 20, bytes: usize::MAX });
+    for number in 0..20 * PAGES {
+        store.put_entry(&format!("+{number:05}"), b"of another writer");
     }
-    let took = began.elapsed();
-    let logs: Vec<String> = others.iter().map(|number| nodes[*number].read_log()).collect();
-    assert!(took <= READY_BOUND, "ready after {took:?}:\n{}", logs.join("\n---\n"));
+    store.set_trouble(Some(Trouble { failing: Failing::Late(PAGE_TIME), percent: 100, seed: 7 }));
+    hall.start_refused_reader().await;
+    let before = store.calls().ranges;
+    hall.doors[hall.reader].set_blocked(Blocked::Nothing);
+    wait("the first pages", || store.calls().ranges >= before + 2).await;
+    let (_, logs) = hall.start_others().await;
+    let pages = store.calls().ranges - before;
+    assert!(pages < 2 * PAGES, "{pages} pages were read of lists with {PAGES}:\n{logs}");
 }
