Date the contact with the store as a read began

Seen by a review: a read of the store that goes on after refusals may have begun ten seconds before its end, and its end counted as the latest contact, so a node asked others later than its bound on a configuration allows. The proof of freshness was dated right.

Change: record_store_answer takes the time up to which the answer has every change. Tests give the same time twice, or the begin of their read.

--- a/crates/fleet/src/source.rs
+++ b/crates/fleet/src/source.rs
@@ -316,10 +316,11 @@
         self.store_retry_at = Some(now + add_jitter(min_pause, rng));
     }
 
-    /// Records that the store itself answered.
-    pub fn record_store_answer(&mut self, now: Millis) {
+    /// Records that the store itself answered. `last_contact` is the time up to which its answer has every change,
+    /// as a read of everything may have begun long ago.
+    pub fn record_store_answer(&mut self, last_contact: Millis, now: Millis) {
         self.store_answered_at = Some(now);
-        self.last_contact = Some(now);
+        self.last_contact = self.last_contact.max(Some(last_contact));
         self.store_retry_at = None;
         self.store_failures = 0;
     }
--- a/crates/fleet/tests/compaction.rs
+++ b/crates/fleet/tests/compaction.rs
@@ -113,7 +113,7 @@
     };
     match source {
         Source::Store if me.informed_at.is_some() => {
-            me.sources.record_store_answer(now);
+            me.sources.record_store_answer(now, now);
             LONG_POLL
         }
         Source::Store if !me.compacted => {
@@ -124,7 +124,7 @@
         Source::Store => {
             *full_reads += 1;
             let read_time = if processor == LARGE { FULL_READ_TIME } else { FULL_READ_TIME_SMALL };
-            me.sources.record_store_answer(now + read_time);
+            me.sources.record_store_answer(now, now + read_time);
             (me.informed_at, me.serving) = (Some(now + read_time), true);
             read_time
         }
--- a/crates/fleet/tests/source.rs
+++ b/crates/fleet/tests/source.rs
@@ -95,7 +95,7 @@
             };
             if let Some(proof) = proof {
                 match from_store {
-                    true => followers[at].sources.record_store_answer(now),
+                    true => followers[at].sources.record_store_answer(now, now),
                     false => followers[at].sources.record_answer(proof, now),
                 }
                 followers[at].proof = proof;
@@ -209,7 +209,7 @@
                 }
                 Source::Store => {
                     proof = now;
-                    sources.record_store_answer(now);
+                    sources.record_store_answer(now, now);
                     now = now + LONG_POLL;
                 }
                 Source::Wait(pause) => now = now + pause.max(Millis(1)),
--- a/crates/fleet/tests/survivors.rs
+++ b/crates/fleet/tests/survivors.rs
@@ -211,7 +211,7 @@
             self.nodes[at].serving = false;
             self.nodes[at].activity = Activity::Idle(now);
         } else if now.0.is_multiple_of(CHANGE_INTERVAL.0) {
-            self.nodes[at].sources.record_store_answer(now);
+            self.nodes[at].sources.record_store_answer(now, now);
             self.record_contact(at, now, true, now);
         }
     }
--- a/crates/node/src/sync.rs
+++ b/crates/node/src/sync.rs
@@ -293,7 +293,7 @@
         };
         match (outcome, source) {
             (Ok(update), Source::Store) => {
-                self.sources.record_store_answer(now);
+                self.sources.record_store_answer(update.last_contact, now);
                 // A read of everything may have begun before this call.
                 let asked = began.min(update.last_contact);
                 self.advance(update, true, asked).await;
